Serve a request end to end through one gateway

Cause: the path from callers to backend servers did not exist.

Change: routing policies and the board of what is known of each server's load; a short queue that refuses at once what would come too late; a retry budget; logs, metrics and traces; the gateway with its caller and operations ports, header rules, patience as a deadline, planned stop.

Ruled out: answering a malformed request with bytes on a connection that has an answer under way (they would land inside that answer; it is cut instead); waiting for the drain with a timer that does not hold the process (a second stop was then never answered, seen in the test).

--- /dev/null
+++ b/packages/admission/src/constants.ts
@@ -0,0 +1,11 @@
+/** Share of successes that is added to the retry budget. */
+export const retryShare = 0.1;
+
+/** Retries that may be saved up, so that a short fault after a calm stretch is ridden out. */
+export const maximumSavedRetries = 20;
+
+/** Most requests that wait for a slot of one service at one gateway. */
+export const maximumQueueLength = 64;
+
+/** Least time that has to be left of a caller's patience for a request to be sent at all. */
+export const minimumUsefulMs = 1;
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,29 @@
+/** Header that says whether a refused or failed request ran: `no`, `yes` or `unknown`. Backend servers may set it too. */
+export const didRunHeader = "x-galenaglade-did-run";
+
+/** Header to backend servers with what is left of the caller's patience, in milliseconds. */
+export const deadlineHeader = "x-deadline-ms";
+
+/** Header by which a backend server says how many requests it has in flight. */
+export const backendInFlightHeader = "x-backend-in-flight";
+
+/** Every header with this prefix is between backend servers and the gateway; callers never see it. */
+export const backendHeaderPrefix = "x-backend-";
+
+/** Time to open a connection to a backend server; they take about 1 ms, so that a second means it is gone. */
+export const connectTimeoutMs = 1_000;
+
+/** An idle connection to a backend server is closed after this long, before most servers close it themselves. */
+export const idleConnectionMs = 4_000;
+
+/** Connections that one gateway holds to one backend server: 15 gateways share about 200. */
+export const connectionsPerServer = 12;
+
+/** Tries of one request, the first included. */
+export const maximumAttempts = 3;
+
+/** Expected time of a request before any was measured. */
+export const initialServiceTimeMs = 5;
+
+/** Weight of the newest request in the average time of a service's requests. */
+export const serviceTimeWeight = 0.1;
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,179 @@
+import { type AddressInfo } from "node:net";
+import { type Server } from "node:http";
+import { createRandomSource, type RoutingPolicy, ServerBoard } from "@galenaglade/routing";
+import { type Logger, type Metrics, type Tracing } from "@galenaglade/telemetry";
+import { BackendConnections } from "./backends/backendConnections.js";
+import { CallerHandler } from "./callers/callerHandler.js";
+import { type CallerLimits, createCallerServer } from "./callers/callerServer.js";
+import { type Clock, systemClock } from "./clock.js";
+import { type ConfigurationSource } from "./configurationSource.js";
+import { createOperationsServer } from "./operations/operationsServer.js";
+import { Forwarder } from "./requests/forwarder.js";
+import { Scheduler, ServerGate } from "./requests/scheduler.js";
+import { createServiceTable, type ServiceTable } from "./requests/serviceTable.js";
+import { RequestTelemetry } from "./telemetry/requestTelemetry.js";
+
+/** Where a port listens. */
+export interface ListenAddress {
+    readonly address: string;
+    /** 0 for any free one. */
+    readonly port: number;
+}
+
+/** What a gateway is told and given. */
+export interface GatewayParts {
+    readonly availabilityZone: string;
+    readonly callers: ListenAddress & CallerLimits;
+    readonly operations: ListenAddress;
+    readonly stopping: {
+        /** Time that the platform's balancer needs to notice that this host is not ready. */
+        readonly balancerWaitMs: number;
+        /** Longest wait for requests in flight. */
+        readonly drainMs: number;
+    };
+    readonly source: ConfigurationSource;
+    readonly policy: RoutingPolicy;
+    /** Seed of the routing's random numbers. */
+    readonly seed: number;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly tracing: Tracing;
+    readonly clock?: Clock;
+    readonly gate?: ServerGate;
+    readonly board?: ServerBoard;
+}
+
+/** A running gateway. */
+export interface Gateway {
+    /** Opens the ports. @returns where they listen */
+    start(): Promise<{ readonly callersPort: number; readonly operationsPort: number; }>;
+    /** Planned stop: cuts no request in flight. @returns once every one has its answer, or the longest wait is over */
+    stop(): Promise<void>;
+}
+
+/** Lets everything through; what the configuration names may be sent to. */
+class OpenGate extends ServerGate {
+    override maySend(): boolean {
+        return true;
+    }
+}
+
+/**
+ * Makes a gateway: callers' requests in, backend servers' answers out.
+ *
+ * @param parts - what it is told and given
+ */
+export function createGateway(parts: GatewayParts): Gateway {
+    const clock = parts.clock ?? systemClock;
+    const board = parts.board ?? new ServerBoard();
+    const connections = new BackendConnections();
+    const telemetry = new RequestTelemetry(parts.tracing, parts.metrics);
+    let table: ServiceTable | undefined;
+    let stopping = false;
+    let stopped: Promise<void> | undefined;
+
+    const mayTakeNewWork = (): boolean => parts.source.mayTakeNewWork();
+    const scheduler = new Scheduler({
+        clock,
+        board,
+        policy: parts.policy,
+        random: createRandomSource(parts.seed),
+        gate: parts.gate ?? new OpenGate(),
+        availabilityZone: parts.availabilityZone,
+        table: () => table,
+        mayTakeNewWork,
+    });
+    const forwarder = new Forwarder({ clock, scheduler, board, connections, telemetry });
+    const handler = new CallerHandler({
+        clock,
+        forwarder,
+        telemetry,
+        logger: parts.logger,
+        table: () => table,
+        mayTakeNewWork,
+    });
+    const callers = createCallerServer(parts.callers, (req, res) => handler.handle(req, res));
+    const operations = createOperationsServer({
+        readiness: () => resolveReadiness(stopping, table, mayTakeNewWork()),
+        renderMetrics: () => parts.metrics.render(),
+    });
+
+    const applyConfiguration = (): void => {
+        const revised = parts.source.current();
+        if (revised === undefined || revised.revision === table?.revision) {
+            return;
+        }
+        table = createServiceTable(revised);
+        connections.retain(table);
+        scheduler.reconsider();
+        parts.logger.info("configuration in force", { revision: revised.revision });
+    };
+
+    const stop = async (): Promise<void> => {
+        stopping = true;
+        // Callers that the balancer still sends are served, not refused, until it has noticed.
+        await sleep(parts.stopping.balancerWaitMs);
+        const idle = handler.stop();
+        callers.close();
+        callers.closeIdleConnections();
+        await settleWithin(idle, parts.stopping.drainMs);
+        callers.closeAllConnections();
+        await connections.close();
+        operations.close();
+        operations.closeAllConnections();
+    };
+
+    return {
+        start: async () => {
+            parts.source.onConfiguration(applyConfiguration);
+            applyConfiguration();
+            const operationsPort = await listen(operations, parts.operations);
+            const callersPort = await listen(callers, parts.callers);
+            return { callersPort, operationsPort };
+        },
+        stop: () => {
+            stopped ??= stop();
+            return stopped;
+        },
+    };
+}
+
+function resolveReadiness(
+    stopping: boolean,
+    table: ServiceTable | undefined,
+    fresh: boolean,
+): { readonly ready: boolean; readonly reason: string; } {
+    if (stopping) {
+        return { ready: false, reason: "stopping" };
+    }
+    if (table === undefined) {
+        return { ready: false, reason: "no configuration yet" };
+    }
+    return fresh ? { ready: true, reason: "ready" } : { ready: false, reason: "the configuration is not fresh" };
+}
+
+function listen(server: Server, at: ListenAddress): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(at.port, at.address, () => {
+            server.off("error", reject);
+            resolve((server.address() as AddressInfo).port);
+        });
+    });
+}
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+        setTimeout(resolve, ms);
+    });
+}
+
+/** Waits for `done`, at most `ms`, and leaves no timer behind. */
+async function settleWithin(done: Promise<void>, ms: number): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<void>(resolve => {
+        timer = setTimeout(resolve, ms);
+    });
+    await Promise.race([done, late]);
+    clearTimeout(timer);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** The data path: callers' requests in, backend servers' answers out. */
+export { type Clock, systemClock } from "./clock.js";
+export { type ConfigurationSource } from "./configurationSource.js";
+export { createGateway, type Gateway, type GatewayParts } from "./gateway.js";
+export { ServerGate } from "./requests/scheduler.js";
--- /dev/null
+++ b/packages/gateway/src/requests/scheduler.ts
@@ -0,0 +1,225 @@
+import { RetryBudget, WaitQueue } from "@galenaglade/admission";
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    type Candidate,
+    type RandomSource,
+    type RoutingPolicy,
+    type ServerBoard,
+    type ServerId,
+} from "@galenaglade/routing";
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock } from "../clock.js";
+import { initialServiceTimeMs, serviceTimeWeight } from "../constants.js";
+import { type CallerRequest } from "./callerRequest.js";
+import { type ServiceRoute, type ServiceTable, type Target } from "./serviceTable.js";
+
+/** Says whether a backend server may get a request now, beyond the configuration's word. */
+export abstract class ServerGate {
+    /**
+     * @param target - the backend server
+     * @param nowMs - the present time
+     * @param deadlineMs - when the request's caller gives up
+     */
+    abstract maySend(target: Target, nowMs: number, deadlineMs: number): boolean;
+}
+
+/** Leave to send one request to one backend server; its slot is counted as taken until {@link Scheduler.release}. */
+export interface Grant {
+    readonly target: Target;
+    readonly grantedAtMs: number;
+    /** The configuration revision under which the backend server was chosen. */
+    readonly revision: number;
+}
+
+/** How a granted request ended. */
+export interface GrantEnd {
+    /** Time to the answer's head; `undefined` where none came. */
+    readonly latencyMs: number | undefined;
+    readonly succeeded: boolean;
+}
+
+interface WaitingRequest {
+    readonly request: CallerRequest;
+    readonly excluded: ReadonlySet<ServerId>;
+    readonly settle: (result: Either<Failure, Grant>) => void;
+}
+
+/** What outlives revisions of the configuration for one service. */
+class ServiceState {
+    readonly queue = new WaitQueue();
+    readonly retryBudget = new RetryBudget();
+    readonly waiting = new Map<number, WaitingRequest>();
+    serviceTimeMs = initialServiceTimeMs;
+}
+
+/** What the scheduler works with. */
+export interface SchedulerParts {
+    readonly clock: Clock;
+    readonly board: ServerBoard;
+    readonly policy: RoutingPolicy;
+    readonly random: RandomSource;
+    readonly gate: ServerGate;
+    readonly availabilityZone: string;
+    /** The services in force. */
+    readonly table: () => ServiceTable | undefined;
+    /** Whether this gateway's configuration is fresh enough for new work; asked in the same turn as a grant is made. */
+    readonly mayTakeNewWork: () => boolean;
+}
+
+/** Gives requests leave to go to a backend server, at once or from a short queue. */
+export class Scheduler {
+    readonly #parts: SchedulerParts;
+    readonly #services = new Map<string, ServiceState>();
+
+    constructor(parts: SchedulerParts) {
+        this.#parts = parts;
+    }
+
+    /**
+     * Finds a backend server for a request, or refuses at once what would not be served within its patience.
+     *
+     * @param request - the request
+     * @param excluded - backend servers that already failed it
+     */
+    acquire(request: CallerRequest, excluded: ReadonlySet<ServerId>): Promise<Either<Failure, Grant>> {
+        const state = this.#stateOf(request.route.service.name);
+        const now = this.#parts.clock.monotonicMs();
+        if (state.queue.length === 0) {
+            const grant = this.#tryGrant(request, excluded, now);
+            if (grant !== undefined) {
+                return Promise.resolve(grant);
+            }
+        }
+        const verdict = state.queue.offer({ id: request.id, deadlineMs: request.deadlineMs }, now, state.serviceTimeMs);
+        if (verdict.type === "refuse") {
+            const retryAfterSeconds = Math.max(1, Math.ceil(verdict.retryAfterMs / 1_000));
+            return Promise.resolve(
+                Left(createFailure("overloaded", "no slot comes free in time", { retryAfterSeconds })),
+            );
+        }
+        return this.#wait(state, request, excluded, now);
+    }
+
+    /** Ends a grant and hands the slot to whoever waits. */
+    release(request: CallerRequest, grant: Grant, end: GrantEnd): void {
+        const { board, clock } = this.#parts;
+        const now = clock.monotonicMs();
+        const state = this.#stateOf(request.route.service.name);
+        board.onEnded(grant.target.serverId, now, end.latencyMs);
+        if (end.succeeded) {
+            state.retryBudget.onSuccess();
+            state.serviceTimeMs += serviceTimeWeight * (now - grant.grantedAtMs - state.serviceTimeMs);
+        }
+        state.queue.onTurn(now);
+        this.#drain(state);
+    }
+
+    /** @returns whether the service's retry budget allows one more try; it is paid for when it does */
+    takeRetry(request: CallerRequest): boolean {
+        return this.#stateOf(request.route.service.name).retryBudget.take();
+    }
+
+    /** Routes anew whatever waits: the configuration, the freshness or a backend server's state has changed. */
+    reconsider(): void {
+        for (const state of this.#services.values()) {
+            this.#drain(state);
+        }
+    }
+
+    #wait(
+        state: ServiceState,
+        request: CallerRequest,
+        excluded: ReadonlySet<ServerId>,
+        nowMs: number,
+    ): Promise<Either<Failure, Grant>> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                state.queue.remove(request.id);
+                settle(Left(createFailure("patienceSpent", "no slot came free in time")));
+            }, request.deadlineMs - nowMs);
+            const settle = (result: Either<Failure, Grant>): void => {
+                clearTimeout(timer);
+                state.waiting.delete(request.id);
+                resolve(result);
+            };
+            state.waiting.set(request.id, { request, excluded, settle });
+        });
+    }
+
+    #drain(state: ServiceState): void {
+        const now = this.#parts.clock.monotonicMs();
+        for (let next = state.queue.next(now); next !== undefined; next = state.queue.next(now)) {
+            const waiting = state.waiting.get(next.id);
+            if (waiting === undefined) {
+                continue;
+            }
+            const grant = this.#tryGrant(waiting.request, waiting.excluded, now);
+            if (grant === undefined) {
+                state.queue.putBack(next);
+                return;
+            }
+            waiting.settle(grant);
+        }
+    }
+
+    /** @returns a grant, a final refusal, or `undefined` where every backend server is full just now */
+    #tryGrant(
+        request: CallerRequest,
+        excluded: ReadonlySet<ServerId>,
+        nowMs: number,
+    ): Either<Failure, Grant> | undefined {
+        // A process that was stopped and continued comes by here first: it has to find out that its configuration is
+        // stale before it sends, not with its next timer.
+        if (!this.#parts.mayTakeNewWork()) {
+            return Left(createFailure("notFresh", "the configuration can't be shown to be current"));
+        }
+        const route = this.#presentRoute(request);
+        const usable = route?.targets.filter(target => !excluded.has(target.serverId)) ?? [];
+        if (route === undefined || usable.length === 0) {
+            return Left(createFailure("noBackendServer", "no backend server is left to try"));
+        }
+        const candidates = this.#candidates(usable, nowMs, request.deadlineMs);
+        if (candidates.length === 0) {
+            return undefined;
+        }
+        const chosen = candidates[this.#parts.policy.choose(candidates, this.#parts.random)];
+        if (chosen === undefined) {
+            return undefined;
+        }
+        this.#parts.board.onSent(chosen.serverId);
+        const target = { serverId: chosen.serverId, server: chosen.server };
+        return Right({ target, grantedAtMs: nowMs, revision: route.revision });
+    }
+
+    /** What waited through a change of the configuration goes by the new one. */
+    #presentRoute(request: CallerRequest): ServiceRoute | undefined {
+        const table = this.#parts.table();
+        if (table === undefined || table.revision === request.route.revision) {
+            return request.route;
+        }
+        return table.routes.find(route => route.service.name === request.route.service.name);
+    }
+
+    #candidates(targets: readonly Target[], nowMs: number, deadlineMs: number): readonly Candidate[] {
+        const { board, gate, policy, availabilityZone } = this.#parts;
+        const candidates: Candidate[] = [];
+        for (const target of targets) {
+            const { serverId, server } = target;
+            if (board.ownInFlight(serverId) >= server.slots || !gate.maySend(target, nowMs, deadlineMs)) {
+                continue;
+            }
+            const local = server.availabilityZone === availabilityZone;
+            candidates.push(board.candidate(serverId, server, local, policy.usesPeerLoads, nowMs));
+        }
+        return candidates;
+    }
+
+    #stateOf(service: string): ServiceState {
+        let state = this.#services.get(service);
+        if (state === undefined) {
+            state = new ServiceState();
+            this.#services.set(service, state);
+        }
+        return state;
+    }
+}
--- a/packages/routing/src/routingPolicy.ts
+++ b/packages/routing/src/routingPolicy.ts
@@ -1,15 +1,15 @@
 import { type BackendServer } from "@galenaglade/configuration";
 import { type RandomSource } from "./randomSource.js";
+import { type ServerId } from "./serverSignal.js";
 
 /** What a policy may know of one backend server that it may send to now. */
 export interface Candidate {
+    readonly serverId: ServerId;
     readonly server: BackendServer;
     /** Requests in flight from this gateway; always current. */
     readonly ownInFlight: number;
-    /** Requests in flight from everybody as last heard, less this gateway's own; `undefined` where nothing fresh is known. */
+    /** Requests in flight from everybody else as last heard; `undefined` where nothing fresh is known. */
     readonly othersInFlight: number | undefined;
-    /** Age of {@link othersInFlight}, in milliseconds. */
-    readonly signalAgeMs: number | undefined;
     /** Smoothed latency, in milliseconds; `undefined` where nothing fresh is known. */
     readonly latencyMs: number | undefined;
     /** Whether the server is in this gateway's availability zone. */
@@ -21,6 +21,9 @@
     /** Name as settings and figures write it. */
     abstract readonly name: string;
 
+    /** Whether others' in-flight counts come from peers' heartbeats rather than from the servers' answers. */
+    readonly usesPeerLoads: boolean = false;
+
     /**
      * Chooses one of the candidates.
      *
