Check process settings and name every fault with its line

A host that starts with a faulty settings file must say everything that is wrong in one run, before it opens a port: each further run costs a round through the platform. Settings are YAML checked with zod; the paths of zod's issues are looked up in the parsed YAML tree, which keeps offsets, so that each fault has its line and column and says which values or keys are accepted. Keys that are written twice are named along with the others, while a document that doesn't parse names only its syntax errors, since its holes would all be named as missing keys.

The fleet's key is inline or in a file and is held in a class that logs, JSON and templates show as [hidden].

--- /dev/null
+++ b/packages/settings/src/adminSettings.ts
@@ -0,0 +1,42 @@
+import { type Either } from "purify-ts";
+import { z } from "zod";
+import { type LocatedFault } from "./checkYaml.js";
+import { type ReadText, readTextFile, type ResolvedOf, resolveSettings } from "./resolveSettings.js";
+import { fleetKey, ipNumber, logging, milliseconds, platform, port } from "./parts.js";
+
+/** The settings of the operators' server as written in YAML. */
+export const adminSettingsSchema = z.strictObject({
+    address: ipNumber.describe("IP number on which operators' calls are taken"),
+    port: port.describe("port on which operators' calls are taken"),
+    platform,
+    fleetKey,
+    acceptWaitMs: milliseconds.max(60_000).default(10_000)
+        .describe("how long a call that changes the configuration waits until the change is in force"),
+    maximumMessageBytes: z.number().int().min(1_024).max(4_194_304).default(1_048_576)
+        .describe("size of one call's message; larger ones are refused"),
+    maximumConnections: z.number().int().min(1).max(10_000).default(100)
+        .describe("operators' connections held at once; more are closed"),
+    maximumWatches: z.number().int().min(1).max(10_000).default(32)
+        .describe("WatchChanges calls at once; more are refused"),
+    stopping: z.strictObject({
+        drainMs: milliseconds.default(15_000).describe("time for the calls in flight to finish"),
+    }).prefault({}),
+    logging: logging.prefault({}),
+});
+
+/** The operators' server's settings with every default filled in and the fleet's key read. */
+export type ResolvedAdminSettings = ResolvedOf<typeof adminSettingsSchema>;
+
+/**
+ * Checks the operators' server's settings and fills in every default.
+ *
+ * @param text - YAML
+ * @param readText - reads the file of the fleet's key
+ * @returns all faults at once, or the frozen settings
+ */
+export function resolveAdminSettings(
+    text: string,
+    readText: ReadText = readTextFile,
+): Either<readonly LocatedFault[], ResolvedAdminSettings> {
+    return resolveSettings(text, adminSettingsSchema, readText);
+}
--- /dev/null
+++ b/packages/settings/src/parts.ts
@@ -0,0 +1,43 @@
+/** Pieces that more than one settings schema is made of. */
+import { z } from "zod";
+import { minimumFleetKeyLength } from "./constants.js";
+
+/** An IP number to listen on or to be reached at. */
+export const ipNumber = z.union([z.ipv4(), z.ipv6()], { error: "expected an IP number such as 10.0.0.4" });
+
+/** A port to listen on; 0 lets the system choose one, which only tests want. */
+export const port = z.number().int().min(0).max(65_535);
+
+/** A span of time in milliseconds. */
+export const milliseconds = z.number().int().min(1).max(86_400_000);
+
+/** A span of time in milliseconds that may be nothing. */
+export const millisecondsOrNone = z.number().int().min(0).max(86_400_000);
+
+/** The name of a host or an availability zone. */
+export const name = z.string().regex(
+    /^[a-z0-9][a-z0-9-]{0,62}$/,
+    "expected lower case letters, digits and hyphens, at most 63",
+);
+
+/** How to reach the platform. */
+export const platform = z.strictObject({
+    addresses: z.array(z.url({ protocol: /^https?$/, error: "expected a URL such as http://10.0.0.2:4000" }))
+        .nonempty()
+        .describe("URLs of the platform's service; the first that answers is used"),
+    callTimeoutMs: milliseconds.default(1_000).describe("how long one call of the platform may take"),
+});
+
+/** The key that all processes of the fleet share, inline or in a file. */
+export const fleetKey = z.strictObject({
+    file: z.string().min(1).optional().describe("file that holds the key; white space around it is ignored"),
+    value: z.string().min(minimumFleetKeyLength).optional().describe("the key itself"),
+}).refine(
+    key => (key.file === undefined) !== (key.value === undefined),
+    { error: "expected exactly one of file, value" },
+);
+
+/** What is logged. */
+export const logging = z.strictObject({
+    level: z.enum(["error", "warn", "info", "debug"]).default("info").describe("least serious level that is logged"),
+});
--- /dev/null
+++ b/packages/settings/src/resolveSettings.ts
@@ -0,0 +1,91 @@
+import { readFileSync, statSync } from "node:fs";
+import { type Either, Left, Right } from "purify-ts";
+import { type z } from "zod";
+import { checkYaml, type LocatedFault, type PathFault, resolveBySchema } from "./checkYaml.js";
+import { maximumFileBytes, minimumFleetKeyLength } from "./constants.js";
+import { type fleetKey } from "./parts.js";
+import { Secret } from "./secret.js";
+
+/** Reads a whole text file; throws what the system says. */
+export type ReadText = (path: string) => string;
+
+/** A settings schema, as far as {@link resolveSettings} looks into it. */
+export type SettingsSchema = z.ZodType<{ readonly fleetKey: z.output<typeof fleetKey>; }>;
+
+type DeepReadonly<T> = T extends (infer U)[] ? readonly DeepReadonly<U>[]
+    : T extends object ? { readonly [K in keyof T]: DeepReadonly<T[K]>; }
+    : T;
+
+/** Settings with every default filled in, read-only, and the fleet's key in place of where it stands. */
+export type ResolvedOf<S extends SettingsSchema> =
+    & DeepReadonly<Omit<z.output<S>, "fleetKey">>
+    & { readonly fleetKey: Secret; };
+
+/**
+ * Reads a text file of at most {@link maximumFileBytes}.
+ *
+ * @param path - path of the file
+ * @returns its text
+ * @throws what the system says, or that the file is too large
+ */
+export function readTextFile(path: string): string {
+    const { size } = statSync(path);
+    if (size > maximumFileBytes) {
+        throw new Error(`${path} holds ${size} bytes; at most ${maximumFileBytes} are read`);
+    }
+    return readFileSync(path, "utf8");
+}
+
+/**
+ * Checks settings against a schema, reads the fleet's key and freezes the whole.
+ *
+ * @param text - YAML
+ * @param schema - the schema
+ * @param readText - reads the file of the fleet's key
+ * @returns all faults at once, or the settings
+ */
+export function resolveSettings<S extends SettingsSchema>(
+    text: string,
+    schema: S,
+    readText: ReadText,
+): Either<readonly LocatedFault[], ResolvedOf<S>> {
+    const check = resolveBySchema(schema);
+    return checkYaml(
+        text,
+        document =>
+            check(document).chain(settings =>
+                readFleetKey(settings.fleetKey, readText).map(key =>
+                    deepFreeze({ ...settings, fleetKey: key }) as unknown as ResolvedOf<S>
+                )
+            ),
+    );
+}
+
+function readFleetKey(
+    declared: z.output<typeof fleetKey>,
+    readText: ReadText,
+): Either<readonly PathFault[], Secret> {
+    if (declared.value !== undefined) {
+        return Right(new Secret(declared.value));
+    }
+    const path = ["fleetKey", "file"];
+    let key: string;
+    try {
+        key = readText(declared.file ?? "").trim();
+    }
+    catch (err) {
+        return Left([{ path, message: err instanceof Error ? err.message : String(err) }]);
+    }
+    if (key.length < minimumFleetKeyLength) {
+        return Left([{ path, message: `the key in this file is shorter than ${minimumFleetKeyLength} characters` }]);
+    }
+    return Right(new Secret(key));
+}
+
+function deepFreeze<T>(value: T): T {
+    if (typeof value === "object" && value !== null && !Object.isFrozen(value)) {
+        Object.values(value).forEach(deepFreeze);
+        Object.freeze(value);
+    }
+    return value;
+}
