--- a/packages/settings/src/checkYaml.ts
+++ b/packages/configuration/src/checkYaml.ts
@@ -1,26 +1,15 @@
 import { type Either, Left, Right } from "purify-ts";
 import { type Document, isMap, isNode, isScalar, isSeq, LineCounter, type Pair, parseDocument } from "yaml";
-import { type z } from "zod";
-import { acceptedKeys } from "./schemaTree.js";
-
-/** One fault in a document, found by its path. */
-export interface PathFault {
-    /** Keys and indexes from the document's root. */
-    readonly path: readonly (string | number)[];
-    readonly message: string;
-}
+import { type DocumentFault, formatPath, type ResolveDocument } from "./documentFaults.js";
 
 /** One fault with where it stands in the file. */
-export interface LocatedFault extends PathFault {
+export interface LocatedFault extends DocumentFault {
     /** Counted from 1. */
     readonly line: number;
     /** Counted from 1. */
     readonly column: number;
 }
 
-/** Checks a parsed document; all faults at once, or what it resolves to. */
-export type ResolveDocument<T> = (document: unknown) => Either<readonly PathFault[], T>;
-
 /**
  * Parses YAML and checks it, and finds the line of every fault.
  *
@@ -49,7 +38,7 @@
     });
 }
 
-function resolveParsed<T>(document: Document.Parsed, resolve: ResolveDocument<T>): Either<readonly PathFault[], T> {
+function resolveParsed<T>(document: Document.Parsed, resolve: ResolveDocument<T>): Either<readonly DocumentFault[], T> {
     let value: unknown;
     try {
         value = document.toJS({ maxAliasCount: 100 });
@@ -64,7 +53,7 @@
     return [...faults].sort((a, b) => a.line - b.line || a.column - b.column);
 }
 
-function locate(fault: PathFault, document: Document.Parsed, lines: LineCounter): LocatedFault {
+function locate(fault: DocumentFault, document: Document.Parsed, lines: LineCounter): LocatedFault {
     const { line, col } = lines.linePos(findOffset(document, fault.path));
     return { ...fault, line: Math.max(1, line), column: Math.max(1, col) };
 }
@@ -101,38 +90,6 @@
     return isNode(node) ? node.range?.[0] ?? 0 : 0;
 }
 
-/**
- * Makes a {@link ResolveDocument} from a zod schema. A wrong value's message says what is accepted, an unknown key's
- * which keys are.
- *
- * @param schema - what the document must be
- * @returns the check
- */
-export function resolveBySchema<S extends z.ZodType>(schema: S): ResolveDocument<z.output<S>> {
-    return document => {
-        const parsed = schema.safeParse(document, { reportInput: true });
-        if (parsed.success) {
-            return Right(parsed.data);
-        }
-        return Left(parsed.error.issues.flatMap(issue => toFaults(issue, schema)));
-    };
-}
-
-function toFaults(issue: z.core.$ZodIssue, schema: z.ZodType): readonly PathFault[] {
-    const path = issue.path.filter(part => typeof part !== "symbol");
-    if (issue.code === "unrecognized_keys") {
-        const accepted = acceptedKeys(schema, issue.path).join(", ");
-        return issue.keys.map(key => ({
-            path: [...path, key],
-            message: `unknown key; accepted keys: ${accepted}`,
-        }));
-    }
-    if (issue.code === "invalid_type" && issue.input === undefined) {
-        return [{ path, message: `missing; expected ${issue.expected}` }];
-    }
-    return [{ path, message: issue.message }];
-}
-
 /**
  * Writes faults as a person reads them, one a line.
  *
@@ -147,22 +104,3 @@
     });
     return lines.join("\n");
 }
-
-/**
- * Writes a path as it would stand in code.
- *
- * @param path - keys and indexes
- * @returns for instance `services[0].patience`
- */
-export function formatPath(path: readonly (string | number)[]): string {
-    let text = "";
-    for (const part of path) {
-        if (typeof part === "number") {
-            text += `[${part}]`;
-        }
-        else {
-            text += text === "" ? part : `.${part}`;
-        }
-    }
-    return text;
-}
--- /dev/null
+++ b/packages/configuration/src/documentFaults.ts
@@ -0,0 +1,64 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type z } from "zod";
+import { acceptedKeys } from "./schemaTree.js";
+
+/** One fault in a document, found by its path. */
+export interface DocumentFault {
+    /** Keys and indexes from the document's root. */
+    readonly path: readonly (string | number)[];
+    readonly message: string;
+}
+
+/** Checks a parsed document; all faults at once, or what it resolves to. */
+export type ResolveDocument<T> = (document: unknown) => Either<readonly DocumentFault[], T>;
+
+/**
+ * Makes a {@link ResolveDocument} from a zod schema. A wrong value's message says what is accepted, an unknown key's
+ * which keys are.
+ *
+ * @param schema - what the document must be
+ * @returns the check
+ */
+export function resolveBySchema<S extends z.ZodType>(schema: S): ResolveDocument<z.output<S>> {
+    return document => {
+        const parsed = schema.safeParse(document, { reportInput: true });
+        if (parsed.success) {
+            return Right(parsed.data);
+        }
+        return Left(parsed.error.issues.flatMap(issue => toFaults(issue, schema)));
+    };
+}
+
+function toFaults(issue: z.core.$ZodIssue, schema: z.ZodType): readonly DocumentFault[] {
+    const path = issue.path.filter(part => typeof part !== "symbol");
+    if (issue.code === "unrecognized_keys") {
+        const accepted = acceptedKeys(schema, issue.path).join(", ");
+        return issue.keys.map(key => ({
+            path: [...path, key],
+            message: `unknown key; accepted keys: ${accepted}`,
+        }));
+    }
+    if (issue.code === "invalid_type" && issue.input === undefined) {
+        return [{ path, message: `missing; expected ${issue.expected}` }];
+    }
+    return [{ path, message: issue.message }];
+}
+
+/**
+ * Writes a path as it would stand in code.
+ *
+ * @param path - keys and indexes
+ * @returns for instance `services[0].patience`
+ */
+export function formatPath(path: readonly (string | number)[]): string {
+    let text = "";
+    for (const part of path) {
+        if (typeof part === "number") {
+            text += `[${part}]`;
+        }
+        else {
+            text += text === "" ? part : `.${part}`;
+        }
+    }
+    return text;
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,6 @@
 /** What operators declare: services, availability zones, backend servers, and patience. */
+export { checkYaml, formatFaults, type LocatedFault } from "./checkYaml.js";
+export { type DocumentFault, formatPath, resolveBySchema, type ResolveDocument } from "./documentFaults.js";
 export {
     type AvailabilityZone,
     type BackendServer,
@@ -13,4 +15,6 @@
     weekdays,
 } from "./model.js";
 export { defaultCallerKind, resolvePatience } from "./patience.js";
-export { type ConfigurationFault, resolveConfiguration } from "./resolve.js";
+export { resolveConfiguration } from "./resolve.js";
+export { acceptedKeys, listOptions, type SchemaOption } from "./schemaTree.js";
+export { findUnservedServices, keepZoneStates, setZoneState, type ZoneState } from "./zoneState.js";
--- a/packages/configuration/src/model.ts
+++ b/packages/configuration/src/model.ts
@@ -4,7 +4,7 @@
 export const weekdays = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"] as const;
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "lower case letters, digits and hyphens, at most 63");
-const timeOfDay = z.string().regex(/^([01]\d|2[0-4]):[0-5]\d$/, "a time of day such as 08:30, up to 24:00");
+const timeOfDay = z.string().regex(/^(([01]\d|2[0-3]):[0-5]\d|24:00)$/, "a time of day such as 08:30, up to 24:00");
 const milliseconds = z.number().int().positive();
 
 const patienceRule = z.strictObject({
--- /dev/null
+++ b/packages/configuration/src/references.ts
@@ -0,0 +1,157 @@
+/** What a schema can't say of a configuration: names are unique, and every name that is referred to exists. */
+import { z } from "zod";
+import { type DocumentFault } from "./documentFaults.js";
+import { defaultCallerKind } from "./patience.js";
+
+/**
+ * The parts of a document that refer to each other. A part that has the wrong shape is taken as left out, so that an
+ * operator hears of wrong references and wrong shapes in one run.
+ */
+const text = z.string().optional().catch(undefined);
+const integer = z.number().optional().catch(undefined);
+const listOf = <S extends z.ZodType>(item: S) => z.array(item).catch([]);
+const lenientSchema = z.object({
+    timeZone: text,
+    availabilityZones: listOf(z.object({ name: text }).catch({})),
+    services: listOf(
+        z.object({
+            name: text,
+            authorities: listOf(text),
+            pathPrefix: z.string().default("/").catch("/"),
+            patience: listOf(z.object({ callerKind: text }).catch({})),
+            backendServers: listOf(
+                z.object({ name: text, availabilityZone: text, address: text, port: integer }).catch({}),
+            ),
+        }).catch({ authorities: [], pathPrefix: "/", patience: [], backendServers: [] }),
+    ),
+}).catch({ availabilityZones: [], services: [] });
+
+type LenientService = z.output<typeof lenientSchema>["services"][number];
+
+/** Remembers what was declared first, and says when something is declared again. */
+class Declarations {
+    readonly #first = new Map<string, string>();
+
+    /** @returns where the same was declared before, or `undefined` */
+    declare(what: string, where: string): string | undefined {
+        const before = this.#first.get(what);
+        if (before === undefined) {
+            this.#first.set(what, where);
+        }
+        return before;
+    }
+}
+
+/**
+ * Finds names that are declared twice and references to names that aren't declared.
+ *
+ * @param document - what a YAML or JSON parser returned
+ * @returns the faults
+ */
+export function* findReferenceFaults(document: unknown): Iterable<DocumentFault> {
+    const cfg = lenientSchema.parse(document);
+    if (cfg.timeZone !== undefined && !isTimeZone(cfg.timeZone)) {
+        yield { path: ["timeZone"], message: `${cfg.timeZone} is not a known time zone` };
+    }
+    const zones = new Set<string>();
+    for (const [i, { name }] of cfg.availabilityZones.entries()) {
+        if (name !== undefined && zones.has(name)) {
+            yield { path: ["availabilityZones", i, "name"], message: `availability zone ${name} is declared twice` };
+        }
+        zones.add(name ?? "");
+    }
+    const names = new Declarations();
+    const routes = new Declarations();
+    const addresses = new Declarations();
+    for (const [i, service] of cfg.services.entries()) {
+        const path = ["services", i];
+        if (service.name !== undefined && names.declare(service.name, "") !== undefined) {
+            yield { path: [...path, "name"], message: `service ${service.name} is declared twice` };
+        }
+        yield* findPatienceFaults(service, path);
+        yield* findRouteFaults(service, path, routes);
+        yield* findBackendServerFaults(service, path, zones, addresses);
+    }
+}
+
+function* findPatienceFaults(service: LenientService, path: DocumentFault["path"]): Iterable<DocumentFault> {
+    if (service.patience.length === 0 || service.patience.some(rule => rule.callerKind === defaultCallerKind)) {
+        return;
+    }
+    yield { path: [...path, "patience"], message: `no rule for the caller kind \`${defaultCallerKind}\`` };
+}
+
+/** Two services that match the same requests would take each other's, by the order in which they were declared. */
+function* findRouteFaults(
+    service: LenientService,
+    path: DocumentFault["path"],
+    routes: Declarations,
+): Iterable<DocumentFault> {
+    for (const [j, authority] of service.authorities.entries()) {
+        if (authority === undefined) {
+            continue;
+        }
+        const route = `${authority.toLowerCase()}${service.pathPrefix}`;
+        const before = routes.declare(route, service.name ?? "?");
+        if (before !== undefined) {
+            yield {
+                path: [...path, "authorities", j],
+                message: `${route} is already the route of service ${before}`,
+            };
+        }
+    }
+}
+
+function* findBackendServerFaults(
+    service: LenientService,
+    path: DocumentFault["path"],
+    zones: ReadonlySet<string>,
+    addresses: Declarations,
+): Iterable<DocumentFault> {
+    const names = new Declarations();
+    for (const [j, server] of service.backendServers.entries()) {
+        const at = [...path, "backendServers", j];
+        if (server.name !== undefined && names.declare(server.name, "") !== undefined) {
+            yield { path: [...at, "name"], message: `backend server ${server.name} is declared twice` };
+        }
+        if (server.availabilityZone !== undefined && !zones.has(server.availabilityZone)) {
+            yield {
+                path: [...at, "availabilityZone"],
+                message: `availability zone ${server.availabilityZone} is not declared; declared: ${
+                    [...zones].join(", ")
+                }`,
+            };
+        }
+        yield* findAddressFaults(service, server, at, addresses);
+    }
+}
+
+/**
+ * One server under two names would be given its slots, its cold-start concurrency and its probes twice: a cold server
+ * would get more than it can bear. Refusing the second name keeps each budget with one name.
+ */
+function* findAddressFaults(
+    service: LenientService,
+    server: LenientService["backendServers"][number],
+    path: DocumentFault["path"],
+    addresses: Declarations,
+): Iterable<DocumentFault> {
+    if (server.address === undefined || server.port === undefined) {
+        return;
+    }
+    const address = `${server.address} port ${server.port}`;
+    const before = addresses.declare(address, `${service.name ?? "?"}/${server.name ?? "?"}`);
+    if (before !== undefined) {
+        yield { path: [...path, "address"], message: `${address} is already declared as ${before}` };
+    }
+}
+
+function isTimeZone(timeZone: string): boolean {
+    try {
+        new Intl.DateTimeFormat("en", { timeZone });
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
--- a/packages/settings/src/__tests__/settings.test.ts
+++ b/packages/settings/src/__tests__/settings.test.ts
@@ -1,7 +1,8 @@
+import { formatFaults } from "@galenaglade/configuration";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { inspect } from "node:util";
-import { formatFaults, printSettings, resolveAdminSettings, resolveGatewaySettings } from "../index.js";
+import { printSettings, resolveAdminSettings, resolveGatewaySettings } from "../index.js";
 
 const key = "0123456789abcdef0123456789abcdef";
 
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,17 +1,7 @@
 /** Process settings from YAML: every fault named with its line, all at once, before a port is opened. */
 export { adminSettingsSchema, resolveAdminSettings, type ResolvedAdminSettings } from "./adminSettings.js";
-export {
-    checkYaml,
-    formatFaults,
-    formatPath,
-    type LocatedFault,
-    type PathFault,
-    resolveBySchema,
-    type ResolveDocument,
-} from "./checkYaml.js";
 export { badInputExitCode, maximumFileBytes } from "./constants.js";
 export { gatewaySettingsSchema, type ResolvedGatewaySettings, resolveGatewaySettings } from "./gatewaySettings.js";
 export { loadSettings, printSettings, resolveStartup, type ResolveText, type Startup } from "./loadSettings.js";
 export { type ReadText, readTextFile } from "./resolveSettings.js";
-export { acceptedKeys, listOptions, type SchemaOption } from "./schemaTree.js";
 export { Secret } from "./secret.js";
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -1,7 +1,7 @@
 import { parseArgs } from "node:util";
+import { formatFaults, type LocatedFault } from "@galenaglade/configuration";
 import { type Either, Left } from "purify-ts";
 import { stringify } from "yaml";
-import { formatFaults, type LocatedFault } from "./checkYaml.js";
 import { badInputExitCode } from "./constants.js";
 import { readTextFile } from "./resolveSettings.js";
 
--- a/packages/settings/src/resolveSettings.ts
+++ b/packages/settings/src/resolveSettings.ts
@@ -1,7 +1,13 @@
 import { readFileSync, statSync } from "node:fs";
+import {
+    checkYaml,
+    type DeepReadonly,
+    type DocumentFault,
+    type LocatedFault,
+    resolveBySchema,
+} from "@galenaglade/configuration";
 import { type Either, Left, Right } from "purify-ts";
 import { type z } from "zod";
-import { checkYaml, type LocatedFault, type PathFault, resolveBySchema } from "./checkYaml.js";
 import { maximumFileBytes, minimumFleetKeyLength } from "./constants.js";
 import { type fleetKey } from "./parts.js";
 import { Secret } from "./secret.js";
@@ -12,10 +18,6 @@
 /** A settings schema, as far as {@link resolveSettings} looks into it. */
 export type SettingsSchema = z.ZodType<{ readonly fleetKey: z.output<typeof fleetKey>; }>;
 
-type DeepReadonly<T> = T extends (infer U)[] ? readonly DeepReadonly<U>[]
-    : T extends object ? { readonly [K in keyof T]: DeepReadonly<T[K]>; }
-    : T;
-
 /** Settings with every default filled in, read-only, and the fleet's key in place of where it stands. */
 export type ResolvedOf<S extends SettingsSchema> =
     & DeepReadonly<Omit<z.output<S>, "fleetKey">>
@@ -64,7 +66,7 @@
 function readFleetKey(
     declared: z.output<typeof fleetKey>,
     readText: ReadText,
-): Either<readonly PathFault[], Secret> {
+): Either<readonly DocumentFault[], Secret> {
     if (declared.value !== undefined) {
         return Right(new Secret(declared.value));
     }
