Serve the key-value service and the host list over HTTP

Cause: the libraries knew the platform only as abstract classes, so no process could reach one. Ruled out: a client and a stand-in each with its own idea of the calls; both now read one table of operations, checked with zod on either side.

Change: HttpKeyValueStore and HttpHostList over one PlatformConnection (no pipelining, one try per call, whole-call and connect timeouts); a stand-in platform with rates, counters and faults (down refusing or silent, slow, lost answers, stale reads, one-way cuts by client).

Measured: with the safeguard "a write whose answer is lost may have taken effect" taken out, three tests fail with 'storeUnavailable' !== 'storeOutcomeUnknown' (lost answer, silent store, one-way cut); with "a connection never opened had no effect" taken out, the refused call fails the other way round.

--- /dev/null
+++ b/packages/platform/src/httpKeyValueStore.ts
@@ -0,0 +1,57 @@
+import { type Failure } from "@galenaglade/errors";
+import { type Either } from "purify-ts";
+import {
+    type CompareAndSwap,
+    type KeyValue,
+    KeyValueStore,
+    type Lease,
+    type SwapOutcome,
+    type WatchEvents,
+    type WatchRequest,
+} from "./keyValueStore.js";
+import { type PlatformConnection } from "./platformConnection.js";
+import { operations } from "./protocol.js";
+
+/** The key-value service over HTTP. */
+export class HttpKeyValueStore extends KeyValueStore {
+    readonly #connection: PlatformConnection;
+
+    /** @param connection - stays the maker's to close */
+    constructor(connection: PlatformConnection) {
+        super();
+        this.#connection = connection;
+    }
+
+    override async get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
+        const answer = await this.#connection.call(operations.get, { key });
+        return answer.map(({ entry }) => entry);
+    }
+
+    override list(
+        prefix: string,
+    ): Promise<Either<Failure, { readonly revision: number; readonly entries: readonly KeyValue[]; }>> {
+        return this.#connection.call(operations.list, { prefix });
+    }
+
+    override async compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        const answer = await this.#connection.call(operations.compareAndSwap, req);
+        return answer.map(outcome => outcome.swapped ? outcome : { swapped: false, current: outcome.current });
+    }
+
+    override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
+        return this.#connection.call(operations.grantLease, { ttlMs });
+    }
+
+    override renewLease(id: string): Promise<Either<Failure, Lease>> {
+        return this.#connection.call(operations.renewLease, { id });
+    }
+
+    override async revokeLease(id: string): Promise<Either<Failure, void>> {
+        const answer = await this.#connection.call(operations.revokeLease, { id });
+        return answer.map(() => undefined);
+    }
+
+    override watch({ prefix, afterRevision, waitMs, signal }: WatchRequest): Promise<Either<Failure, WatchEvents>> {
+        return this.#connection.call(operations.watch, { prefix, afterRevision, waitMs }, { waitMs, signal });
+    }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,7 @@
 /** Abstract clients of the platform, and the concrete one. */
 export { type HostEntry, HostList } from "./hostList.js";
+export { HttpHostList } from "./httpHostList.js";
+export { HttpKeyValueStore } from "./httpKeyValueStore.js";
 export {
     type CompareAndSwap,
     type KeyValue,
@@ -9,3 +11,5 @@
     type WatchEvents,
     type WatchRequest,
 } from "./keyValueStore.js";
+export { PlatformConnection, type PlatformConnectionOptions } from "./platformConnection.js";
+export { clientHeader, hostListSchema, type Operation, operations } from "./protocol.js";
--- /dev/null
+++ b/packages/standIns/src/platform/callMeter.ts
@@ -0,0 +1,102 @@
+/** Calls per second that the service stands. */
+export interface CallLimits {
+    readonly writesPerSecond: number;
+    readonly readsPerSecond: number;
+}
+
+/** The platform's present rates. */
+export const defaultCallLimits: CallLimits = { writesPerSecond: 500, readsPerSecond: 2_000 };
+
+/** What was called since the start. */
+export interface CallCounts {
+    readonly reads: number;
+    readonly writes: number;
+    /** Reads that were watches. */
+    readonly watches: number;
+    readonly rateLimited: number;
+}
+
+type Counts = { -readonly [K in keyof CallCounts]: number; };
+
+/** Tokens that fill up to one second's worth. */
+class TokenBucket {
+    readonly #perSecond: number;
+    #tokens: number;
+    #filledAtMs: number;
+
+    constructor(perSecond: number, nowMs: number) {
+        this.#perSecond = perSecond;
+        this.#tokens = perSecond;
+        this.#filledAtMs = nowMs;
+    }
+
+    take(nowMs: number): boolean {
+        const filled = this.#tokens + (nowMs - this.#filledAtMs) * this.#perSecond / 1_000;
+        this.#tokens = Math.min(this.#perSecond, filled);
+        this.#filledAtMs = nowMs;
+        if (this.#tokens < 1) {
+            return false;
+        }
+        this.#tokens--;
+        return true;
+    }
+}
+
+/** Counts calls by client and refuses those over the limit. A waiting watch counts as one read. */
+export class CallMeter {
+    readonly #writes: TokenBucket;
+    readonly #reads: TokenBucket;
+    readonly #byClient = new Map<string, Counts>();
+
+    constructor(limits: CallLimits, nowMs: number) {
+        this.#writes = new TokenBucket(limits.writesPerSecond, nowMs);
+        this.#reads = new TokenBucket(limits.readsPerSecond, nowMs);
+    }
+
+    /**
+     * Counts one call.
+     *
+     * @param client - who calls
+     * @param kind - what is called
+     * @param nowMs - the present time in milliseconds
+     * @returns whether it is within the limits
+     */
+    admit(client: string, kind: "read" | "write" | "watch", nowMs: number): boolean {
+        const counts = this.#countsOf(client);
+        const admitted = kind === "write" ? this.#writes.take(nowMs) : this.#reads.take(nowMs);
+        if (kind === "write") {
+            counts.writes++;
+        }
+        else {
+            counts.reads++;
+        }
+        if (kind === "watch") {
+            counts.watches++;
+        }
+        if (!admitted) {
+            counts.rateLimited++;
+        }
+        return admitted;
+    }
+
+    /** @returns the counts over all clients, and of each */
+    read(): { readonly total: CallCounts; readonly byClient: Readonly<Record<string, CallCounts>>; } {
+        const total: Counts = { reads: 0, writes: 0, watches: 0, rateLimited: 0 };
+        for (const counts of this.#byClient.values()) {
+            total.reads += counts.reads;
+            total.writes += counts.writes;
+            total.watches += counts.watches;
+            total.rateLimited += counts.rateLimited;
+        }
+        return { total, byClient: Object.fromEntries(this.#byClient) };
+    }
+
+    #countsOf(client: string): Counts {
+        let counts = this.#byClient.get(client);
+        if (counts === undefined) {
+            counts = { reads: 0, writes: 0, watches: 0, rateLimited: 0 };
+            this.#byClient.set(client, counts);
+        }
+        return counts;
+    }
+}
--- a/packages/standIns/src/platform/keyValueEngine.ts
+++ b/packages/standIns/src/platform/keyValueEngine.ts
@@ -31,6 +31,17 @@
         return this.#revision;
     }
 
+    /** @returns the present state for ever; keys under lease stay in it */
+    freeze(): KeyValueEngine {
+        const copy = new KeyValueEngine();
+        for (const [key, entry] of this.#keys) {
+            copy.#keys.set(key, entry);
+        }
+        copy.#deletions.push(...this.#deletions);
+        copy.#revision = this.#revision;
+        return copy;
+    }
+
     get(key: string, nowMs: number): KeyValue | undefined {
         this.expire(nowMs);
         return this.#keys.get(key);
