Say of each attempt whether it ran, and check histories for it

A request that was handed to a connection may have run even when that connection breaks, so only three things are said: "no" where no byte was handed over or the server answered 503 with x-galenaglade-did-run: no, "yes" where the server's code answered, "unknown" for the rest, also for 502, 503 and 504 without the server's word, which something in front of it may have written. Attempts of one request join so that one unknown outweighs any number that were shed.

An answer counts as whole only at exactly its declared length, or at the end of its last chunk. One that ends with its connection never does: a cut can't be told from its end.

Checkers over recorded histories: at most once per request and per idempotency key, truthful did-run in both directions, whole own answer. Each rejects the bad histories in its test.

--- /dev/null
+++ b/packages/atMostOnce/src/__tests__/attempt.test.ts
@@ -0,0 +1,120 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+    advanceAttempt,
+    type AnswerHead,
+    type AttemptEvent,
+    type AttemptOutcome,
+    combineDidRun,
+    createAttempt,
+    type Framing,
+    resolveAttempt,
+} from "../index.js";
+
+function run(idempotent: boolean, ...events: readonly AttemptEvent[]): AttemptOutcome {
+    return resolveAttempt(events.reduce(advanceAttempt, createAttempt(idempotent)));
+}
+
+function createHead(status: number, framing: Framing, didRunHeader?: string): AttemptEvent {
+    return { type: "headReceived", head: { status, framing, didRunHeader } };
+}
+
+const handOver: AttemptEvent = { type: "handOver" };
+const closed: AttemptEvent = { type: "ended", end: "closed" };
+const completed: AttemptEvent = { type: "ended", end: "completed" };
+const tenBytes: Framing = { type: "length", bytes: 10 };
+
+// The caller files a return, and the server closes its idle connection as the first bytes leave. The server may have
+// read and run the request before it closed, so neither "it did not run" nor another try would be safe.
+test("a non-idempotent request whose connection closes after the first byte is unknown and not tried again", () => {
+    const outcome = run(false, handOver, closed);
+    assert.deepEqual(outcome, { didRun: "unknown", mayRetry: false, whole: false, failure: "connectionLost" });
+});
+
+test("a request of which no byte has left did not run, and may be tried again", () => {
+    for (const end of ["connectFailed", "closed"] as const) {
+        const outcome = run(false, { type: "ended", end });
+        assert.equal(outcome.didRun, "no");
+        assert.equal(outcome.mayRetry, true);
+    }
+});
+
+// A server under load says that it shed the deposit before running it. Only this exact word counts: a plain 503 may
+// come from something in front of the server that gave up waiting for it while it ran.
+test("only a 503 with the server's own word counts as shed", () => {
+    const shed = run(false, handOver, createHead(503, tenBytes, "no"), { type: "bodyReceived", bytes: 10 }, completed);
+    assert.deepEqual(shed, { didRun: "no", mayRetry: true, whole: true, failure: "backendShed" });
+    const plain = run(false, handOver, createHead(503, { type: "none" }), completed);
+    assert.deepEqual(plain, { didRun: "unknown", mayRetry: false, whole: true, failure: undefined });
+    const other = run(false, handOver, createHead(500, { type: "none" }, "no"), completed);
+    assert.equal(other.didRun, "yes");
+});
+
+test("an idempotent request is tried again only while nothing of an answer was seen", () => {
+    assert.equal(run(true, handOver, closed).mayRetry, true);
+    assert.equal(run(true, handOver, { type: "ended", end: "timedOut" }).mayRetry, true);
+    assert.equal(run(true, handOver, { type: "ended", end: "aborted" }).mayRetry, false);
+    assert.equal(run(true, handOver, createHead(200, tenBytes), closed).mayRetry, false);
+});
+
+// The survey table's connection is cut one byte before its declared end. Passed on as complete, it would read as a
+// shorter table; so one byte less, or one more, is never whole.
+test("a body is whole only at exactly its declared length", () => {
+    for (const [bytes, whole] of [[9, false], [10, true], [11, false]] as const) {
+        const outcome = run(
+            true,
+            handOver,
+            createHead(200, tenBytes),
+            { type: "bodyReceived", bytes },
+            completed,
+        );
+        assert.equal(outcome.whole, whole);
+        assert.equal(outcome.failure, whole ? undefined : "truncatedAnswer");
+    }
+    assert.equal(run(true, handOver, createHead(200, { type: "chunked" }), closed).whole, false);
+    assert.equal(run(true, handOver, createHead(200, { type: "untilClose" }), completed).whole, false);
+});
+
+test("what arrives after the end changes nothing", () => {
+    const late = run(true, handOver, { type: "ended", end: "timedOut" }, createHead(200, { type: "none" }), completed);
+    assert.deepEqual(late, run(true, handOver, { type: "ended", end: "timedOut" }));
+});
+
+test("one attempt that may have run outweighs those that did not", () => {
+    assert.equal(combineDidRun([]), "no");
+    assert.equal(combineDidRun([{ didRun: "unknown" }, { didRun: "no" }]), "unknown");
+    assert.equal(combineDidRun([{ didRun: "no" }, { didRun: "yes" }, { didRun: "unknown" }]), "yes");
+});
+
+// Over every order of events: a server can only run what was handed over, so "no" without its word, or a second try
+// of a non-idempotent request, may be said only of an attempt that gave nothing to the connection.
+test("no order of events makes a handed-over request safe to repeat without the server's word", () => {
+    const head: fc.Arbitrary<AnswerHead> = fc.record({
+        status: fc.constantFrom(200, 204, 409, 500, 502, 503, 504),
+        didRunHeader: fc.constantFrom(undefined, "no", "yes"),
+        framing: fc.constantFrom<Framing>({ type: "none" }, tenBytes, { type: "chunked" }, { type: "untilClose" }),
+    });
+    const event: fc.Arbitrary<AttemptEvent> = fc.oneof(
+        fc.constant(handOver),
+        head.map(value => ({ type: "headReceived" as const, head: value })),
+        fc.nat(12).map(bytes => ({ type: "bodyReceived" as const, bytes })),
+        fc.constantFrom("completed" as const, "connectFailed" as const, "closed" as const, "timedOut" as const)
+            .map(end => ({ type: "ended" as const, end })),
+    );
+    fc.assert(
+        fc.property(fc.array(event, { maxLength: 8 }), events => {
+            const attempt = events.reduce(advanceAttempt, createAttempt(false));
+            const shed = attempt.head?.status === 503 && attempt.head.didRunHeader === "no";
+            const outcome = resolveAttempt(attempt);
+            if (attempt.handedOver && !shed) {
+                assert.notEqual(outcome.didRun, "no");
+                assert.equal(outcome.mayRetry, false);
+            }
+            if (outcome.whole) {
+                assert.equal(attempt.end, "completed");
+            }
+        }),
+        { seed: 20_261_203 },
+    );
+});
--- /dev/null
+++ b/packages/atMostOnce/src/constants.ts
@@ -0,0 +1,32 @@
+/** Header in which a backend server says that it shed a request before running it, and galenaglade says `DidRun`. */
+export const didRunHeader = "x-galenaglade-did-run";
+
+/** Header in which a caller names a non-idempotent request, so that a second try of it is recognised. */
+export const idempotencyKeyHeader = "idempotency-key";
+
+/** Status with which a backend server sheds load. */
+export const shedStatus = 503;
+
+/** Statuses that a proxy in front of a server's code may answer in the server's name. */
+export const gatewayStatuses: readonly number[] = [502, 503, 504];
+
+/** Shards over which idempotency keys are spread; fewer batch better, more contend less. */
+export const claimShards = 64;
+
+/** Length of one time bucket of claims: 3 hours. */
+export const claimBucketMs = 10_800_000;
+
+/** Time buckets, besides the open one, in which a claim still counts: with 3 hours each, a claim lasts 24 to 27 hours. */
+export const claimBucketsKept = 8;
+
+/** A claim that was not handed over within this time after its write was first sent is no longer acted upon. */
+export const claimValidityMs = 30_000;
+
+/** Time for which keyed requests are refused at once after the store failed, before the next try. */
+export const claimBackoffMs = 500;
+
+/** Failed calls of one shard in a row after which the claims that wait for it are refused. */
+export const claimFailuresBorne = 2;
+
+/** Longest claim document that is written, in characters, below the platform's limit of one megabyte. */
+export const claimDocumentCharacters = 900_000;
--- a/packages/atMostOnce/src/index.ts
+++ b/packages/atMostOnce/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+/** What may be said of a request having run, and claims of idempotency keys that keep it from running twice. */
+export {
+    advanceAttempt,
+    type AnswerHead,
+    type Attempt,
+    type AttemptEnd,
+    type AttemptEvent,
+    type AttemptOutcome,
+    combineDidRun,
+    createAttempt,
+    type Framing,
+    resolveAttempt,
+} from "./attempt.js";
+export * from "./constants.js";
--- /dev/null
+++ b/packages/history/src/__tests__/requestCheckers.test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    checkAtMostOnce,
+    checkTruthfulDidRun,
+    checkWholeAnswer,
+    type HistoryEvent,
+    type HistoryLine,
+} from "../index.js";
+
+function createHistory(...events: readonly HistoryEvent[]): readonly HistoryLine[] {
+    return events.map((event, sequence) => ({ sequence, atMs: sequence, process: "run", ...event }));
+}
+
+function createSent(requestId: string, idempotencyKey?: string, idempotent = false): HistoryEvent {
+    return { type: "callerSent", requestId, service: "returns", idempotent, idempotencyKey, patienceMs: 1_000 };
+}
+
+function createStarted(requestId: string, idempotencyKey?: string): HistoryEvent {
+    return {
+        type: "serverStarted",
+        requestId,
+        idempotencyKey,
+        server: "intake-1",
+        availabilityZone: "a",
+        incarnation: "1",
+        cold: false,
+        inFlight: 1,
+        bears: 3,
+    };
+}
+
+function createAnswered(
+    requestId: string,
+    more: Partial<Extract<HistoryEvent, { readonly type: "callerAnswered"; }>> = {},
+): HistoryEvent {
+    return {
+        type: "callerAnswered",
+        requestId,
+        status: 200,
+        didRun: "yes",
+        whole: true,
+        bodyRequestId: requestId,
+        ...more,
+    };
+}
+
+const good = createHistory(
+    createSent("r1", "k1"),
+    createStarted("r1", "k1"),
+    createSent("r2", "k1"),
+    createAnswered("r2", { status: 409, bodyRequestId: undefined }),
+    createAnswered("r1"),
+    createSent("read", undefined, true),
+    createStarted("read"),
+    createStarted("read"),
+    createAnswered("read"),
+    createSent("r3"),
+    createAnswered("r3", { status: 503, didRun: "no", bodyRequestId: undefined }),
+);
+
+test("the checkers accept a good history", () => {
+    assert.deepEqual(checkAtMostOnce(good), []);
+    assert.deepEqual(checkTruthfulDidRun(good), []);
+    assert.deepEqual(checkWholeAnswer(good), []);
+});
+
+test("at most once rejects a second start of a request, and of a key under another request", () => {
+    const twice = createHistory(createSent("r1"), createStarted("r1"), createStarted("r1"));
+    assert.deepEqual(checkAtMostOnce(twice).map(violation => violation.lines), [[1, 2]]);
+    const twoTries = createHistory(
+        createSent("r1", "k"),
+        createSent("r2", "k"),
+        createStarted("r2", "k"),
+        createStarted("r1", "k"),
+    );
+    assert.deepEqual(checkAtMostOnce(twoTries).map(violation => violation.lines), [[2, 3]]);
+});
+
+test("truthful did-run rejects a `no` for what started before or after, and a `yes` for what never did", () => {
+    const refused = createAnswered("r1", { status: 503, didRun: "no", bodyRequestId: undefined });
+    const before = createHistory(createSent("r1"), createStarted("r1"), refused);
+    assert.deepEqual(checkTruthfulDidRun(before).map(violation => violation.lines), [[1, 2]]);
+    const after = createHistory(createSent("r1"), refused, createStarted("r1"));
+    assert.deepEqual(checkTruthfulDidRun(after).map(violation => violation.lines), [[2, 1]]);
+    const never = createHistory(createSent("r1", "k"), createAnswered("r1"));
+    assert.deepEqual(checkTruthfulDidRun(never).map(violation => violation.lines), [[1]]);
+});
+
+test("whole answer rejects a cut answer, another request's, an empty one and a second one", () => {
+    for (
+        const more of [
+            { whole: false },
+            { bodyRequestId: "r2" },
+            { bodyRequestId: undefined },
+        ]
+    ) {
+        const bad = createHistory(createSent("r1"), createAnswered("r1", more));
+        assert.deepEqual(checkWholeAnswer(bad).map(violation => violation.lines), [[1]], JSON.stringify(more));
+    }
+    const second = createHistory(createSent("r1"), createAnswered("r1"), createAnswered("r1"));
+    assert.deepEqual(checkWholeAnswer(second).map(violation => violation.lines), [[1, 2]]);
+});
--- /dev/null
+++ b/packages/history/src/atMostOnceChecker.ts
@@ -0,0 +1,44 @@
+import { type HistoryLine, type Violation } from "./events.js";
+
+type Started = Extract<HistoryLine, { readonly type: "serverStarted"; }>;
+
+/**
+ * Checks that a non-idempotent request runs at most once: no two starts bear the same idempotency key, whichever
+ * request they belong to, and no two starts belong to the same non-idempotent request.
+ *
+ * @param history - every line of a run
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkAtMostOnce(history: readonly HistoryLine[]): readonly Violation[] {
+    const nonIdempotent = new Set<string>();
+    for (const line of history) {
+        if (line.type === "callerSent" && !line.idempotent) {
+            nonIdempotent.add(line.requestId);
+        }
+    }
+    const firstStart = new Map<string, Started>();
+    const violations: Violation[] = [];
+    for (const line of history) {
+        if (line.type !== "serverStarted" || !nonIdempotent.has(line.requestId)) {
+            continue;
+        }
+        for (const identity of findIdentities(line)) {
+            const first = firstStart.get(identity);
+            if (first === undefined) {
+                firstStart.set(identity, line);
+                continue;
+            }
+            violations.push({
+                invariant: "atMostOnce",
+                detail: `${identity} started on ${first.server} and again on ${line.server}`,
+                lines: [first.sequence, line.sequence],
+            });
+        }
+    }
+    return violations;
+}
+
+function findIdentities(line: Started): readonly string[] {
+    const request = `request ${line.requestId}`;
+    return line.idempotencyKey === undefined ? [request] : [request, `idempotency key ${line.idempotencyKey}`];
+}
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,2 +1,5 @@
 /** Recorded histories of concurrent runs, and the pure checkers that read them. */
+export { checkAtMostOnce } from "./atMostOnceChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
+export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
+export { checkWholeAnswer } from "./wholeAnswerChecker.js";
--- /dev/null
+++ b/packages/history/src/truthfulDidRunChecker.ts
@@ -0,0 +1,46 @@
+import { type HistoryLine, type Violation } from "./events.js";
+
+/**
+ * Checks that what callers are told of their requests is true: none that was told `no` was started by any server,
+ * before the answer or after it, and each that was told `yes` was.
+ *
+ * @param history - every line of a run
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkTruthfulDidRun(history: readonly HistoryLine[]): readonly Violation[] {
+    const starts = new Map<string, number>();
+    const startedKeys = new Set<string>();
+    const keyOf = new Map<string, string>();
+    for (const line of history) {
+        if (line.type === "serverStarted") {
+            starts.set(line.requestId, starts.get(line.requestId) ?? line.sequence);
+            startedKeys.add(line.idempotencyKey ?? "");
+        }
+        else if (line.type === "callerSent" && line.idempotencyKey !== undefined) {
+            keyOf.set(line.requestId, line.idempotencyKey);
+        }
+    }
+    const violations: Violation[] = [];
+    for (const line of history) {
+        if (line.type !== "callerAnswered") {
+            continue;
+        }
+        const start = starts.get(line.requestId);
+        const key = keyOf.get(line.requestId);
+        if (line.didRun === "no" && start !== undefined) {
+            violations.push({
+                invariant: "truthfulDidRun",
+                detail: `${line.requestId} was said not to have run, and a server started it`,
+                lines: [start, line.sequence],
+            });
+        }
+        if (line.didRun === "yes" && start === undefined && (key === undefined || !startedKeys.has(key))) {
+            violations.push({
+                invariant: "truthfulDidRun",
+                detail: `${line.requestId} was said to have run, and no server started it`,
+                lines: [line.sequence],
+            });
+        }
+    }
+    return violations;
+}
