--- /dev/null
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RetryBudget, WaitQueue } from "../index.js";
+
+test("a request that would be served after its patience is refused at once, with a time to come back", () => {
+    // Slots come free every 10 ms. The caller with 25 ms of patience left would be fourth in line: it hears so now
+    // instead of after its patience, and can go elsewhere.
+    const queue = new WaitQueue();
+    for (let id = 1; id <= 3; id++) {
+        assert.equal(queue.offer({ id, deadlineMs: 1_000 }, 0, 5).type, "waits");
+    }
+    queue.onTurn(0);
+    queue.onTurn(10);
+    const verdict = queue.offer({ id: 4, deadlineMs: 35 }, 10, 5);
+    assert.deepEqual(verdict, { type: "refuse", retryAfterMs: 40 });
+    assert.equal(queue.offer({ id: 5, deadlineMs: 100 }, 10, 5).type, "waits");
+});
+
+test("whoever's patience ended in the queue is passed over", () => {
+    const queue = new WaitQueue();
+    queue.offer({ id: 1, deadlineMs: 20 }, 0, 5);
+    queue.offer({ id: 2, deadlineMs: 200 }, 0, 5);
+    assert.equal(queue.next(50)?.id, 2);
+    assert.equal(queue.next(50), undefined);
+});
+
+test("retries stay a share of successes", () => {
+    // A service answers nothing but errors: after the saved-up retries are spent, not one more is sent, so that its
+    // load can't grow because it fails.
+    const budget = new RetryBudget();
+    let sent = 0;
+    for (let i = 0; i < 1_000; i++) {
+        sent += budget.take() ? 1 : 0;
+    }
+    assert.equal(sent, 20);
+    for (let i = 0; i < 101; i++) {
+        budget.onSuccess();
+    }
+    let after = 0;
+    while (budget.take()) {
+        after++;
+    }
+    assert.equal(after, 10);
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/serverBoard.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type BackendServer } from "@galenaglade/configuration";
+import { type Candidate, ServerBoard } from "../index.js";
+
+const server: BackendServer = {
+    name: "a",
+    availabilityZone: "north",
+    address: "127.0.0.1",
+    port: 1,
+    slots: 3,
+    connections: 200,
+};
+
+function look(board: ServerBoard, nowMs: number, usesPeerLoads = false): Candidate {
+    return board.candidate("tables/a", server, true, usesPeerLoads, nowMs);
+}
+
+test("a server's own word counts others only, and is left out once old or used up", () => {
+    // A server said once that it is idle, and then nothing more. If that word stayed, every gateway would send it
+    // everything; so it goes after a few requests, or after a fraction of a second.
+    const board = new ServerBoard();
+    board.onSent("tables/a");
+    board.onReport("tables/a", { inFlight: 3 }, 1_000);
+    assert.equal(look(board, 1_000).othersInFlight, 2);
+    assert.equal(look(board, 1_251).othersInFlight, undefined);
+    board.onReport("tables/a", { inFlight: 1 }, 2_000);
+    for (let i = 0; i < 4; i++) {
+        assert.equal(look(board, 2_001).othersInFlight, 0);
+        board.onSent("tables/a");
+    }
+    assert.equal(look(board, 2_001).othersInFlight, undefined);
+});
+
+test("peers' counts add up, each as long as it is fresh", () => {
+    const board = new ServerBoard();
+    const load = { serverId: "tables/a", ownInFlight: 2, reportedInFlight: undefined } as const;
+    board.onPeerLoad("gateway-1", { ...load, ageMs: 0 }, 100);
+    board.onPeerLoad("gateway-2", { ...load, ageMs: 200 }, 100);
+    assert.equal(look(board, 100, true).othersInFlight, 4);
+    assert.equal(look(board, 200, true).othersInFlight, 2);
+});
+
+test("own requests in flight are counted exactly, and a vanished server is forgotten only when idle", () => {
+    const board = new ServerBoard();
+    board.onSent("tables/a");
+    board.onSent("tables/a");
+    board.onEnded("tables/a", 10, 4);
+    board.retain(new Set());
+    assert.equal(board.ownInFlight("tables/a"), 1);
+    assert.equal(look(board, 10).latencyMs, 4);
+    board.onEnded("tables/a", 20, undefined);
+    board.retain(new Set());
+    assert.equal(look(board, 20).latencyMs, undefined);
+});
