Decide which backend servers a gateway may warm up, and on what authority

A server that nobody has shown to be warm takes work only from the holder of its permit, a key under lease; while no gateway's lease stands, from its owner by rendezvous hashing over the roster. Both rest on contact with a majority. A new holder counts what others may still have in flight before it sends. Signals carry an epoch, so that they may arrive in any order.

--- /dev/null
+++ b/packages/coldStart/src/authority.ts
@@ -0,0 +1,180 @@
+import { type ServerId } from "@galenaglade/routing";
+import { changeoverMs, clockMarginMs, contactLimitMs, leaseTtlMs } from "./constants.js";
+import { type ColdStartWord, type GatewayRoster, type HeartbeatRound, type LeaseWord } from "./heartbeatRound.js";
+import { type LeaseKeeper } from "./leaseKeeper.js";
+import { resolveOwner } from "./rendezvous.js";
+
+interface KnownLease {
+    readonly sequence: number;
+    readonly renewedAtMs: number;
+}
+
+/**
+ * Says on what a gateway may rest when it warms a server up: its lease at the store, or, while nobody's lease stands,
+ * the roster. Both rest on contact with a majority, and any two majorities share a gateway, which passes on what it
+ * heard from the one to the other; the proof is in docs/design/cold-start.md.
+ */
+export class Authority {
+    readonly #self: string;
+    readonly #lease: LeaseKeeper;
+    readonly #leases = new Map<string, KnownLease>();
+    readonly #begun = new Map<number, number>();
+    #roster: GatewayRoster = { version: 0, members: [] };
+    #ownSequence = 0;
+    #ownRenewedAtMs = Number.NEGATIVE_INFINITY;
+    #contactAtMs = Number.NEGATIVE_INFINITY;
+    #contactSinceMs = Number.POSITIVE_INFINITY;
+    #announcedMs = Number.NEGATIVE_INFINITY;
+    #announcedSinceMs = Number.POSITIVE_INFINITY;
+
+    constructor(self: string, lease: LeaseKeeper) {
+        this.#self = self;
+        this.#lease = lease;
+    }
+
+    get roster(): GatewayRoster {
+        return this.#roster;
+    }
+
+    /** Majorities of different rosters need not know of each other, so every time starts anew with each version. */
+    onRoster(roster: GatewayRoster): void {
+        if (roster.version <= this.#roster.version) {
+            return;
+        }
+        this.#roster = roster;
+        this.#begun.clear();
+        this.#contactAtMs = Number.NEGATIVE_INFINITY;
+        this.#announcedMs = Number.NEGATIVE_INFINITY;
+    }
+
+    /** Notes what a round that starts now announces. */
+    beginRound(nowMs: number): void {
+        for (const startedAtMs of this.#begun.keys()) {
+            if (startedAtMs + contactLimitMs < nowMs) {
+                this.#begun.delete(startedAtMs);
+            }
+        }
+        this.#begun.set(nowMs, this.#lease.renewedAtMs);
+    }
+
+    /** @returns the latest lease of every gateway that is known of, own first */
+    leases(nowMs: number): readonly LeaseWord[] {
+        this.#noteOwnLease();
+        return [...this.#leases].map(([holder, known]) => ({
+            holder,
+            sequence: known.sequence,
+            ageMs: nowMs - known.renewedAtMs,
+        }));
+    }
+
+    /**
+     * Each renewal is dated once, when first heard of. Dating it anew with each message would make it younger by a
+     * network delay each time that it went round, and a lease long lapsed would never be old.
+     */
+    hear(word: ColdStartWord, nowMs: number): void {
+        for (const lease of word.leases) {
+            const known = this.#leases.get(lease.holder);
+            if (lease.holder !== this.#self && (known === undefined || lease.sequence > known.sequence)) {
+                this.#leases.set(lease.holder, { sequence: lease.sequence, renewedAtMs: nowMs - lease.ageMs });
+            }
+        }
+    }
+
+    /** @returns whether the round reached a majority */
+    onRound(round: HeartbeatRound, nowMs: number): boolean {
+        const announcedMs = this.#begun.get(round.startedAtMs);
+        const heard = new Set([this.#self]);
+        for (const answer of round.answers) {
+            this.hear(answer, nowMs);
+            if (answer.rosterVersion === this.#roster.version) {
+                heard.add(answer.from);
+            }
+        }
+        if (announcedMs === undefined || !this.#isMajority(heard)) {
+            return false;
+        }
+        this.#noteContact(round.startedAtMs, nowMs);
+        this.#noteAnnouncement(announcedMs, nowMs);
+        return true;
+    }
+
+    /** Whether a majority has answered lately enough to send anything at all. */
+    hasContact(nowMs: number): boolean {
+        return nowMs < this.#contactAtMs + contactLimitMs;
+    }
+
+    /**
+     * @returns a word for the present stretch in which permits under the lease may be used, or `undefined`; between two
+     * stretches the owner by roster may have sent
+     */
+    leaseAuthority(nowMs: number): string | undefined {
+        const isUsable = this.hasContact(nowMs)
+            && this.#lease.isValid(nowMs)
+            // A lease that a majority has not heard of doesn't keep the owner by roster from sending.
+            && nowMs < this.#announcedMs + leaseTtlMs - clockMarginMs
+            // The owner by roster may have had its last contact just before the lease was announced.
+            && nowMs >= this.#announcedSinceMs + changeoverMs;
+        return isUsable ? String(this.#announcedSinceMs) : undefined;
+    }
+
+    /**
+     * @returns a word for the present stretch of authority without the store, or `undefined` where there is none; work
+     * inherited from before a stretch has to be counted again in the next, since another may have sent in between
+     */
+    rosterAuthority(serverId: ServerId, nowMs: number): string | undefined {
+        const freshestMs = this.#freshestLeaseMs();
+        const restMs = leaseTtlMs + changeoverMs;
+        const isUsable = this.hasContact(nowMs)
+            && nowMs >= this.#contactSinceMs + restMs
+            && nowMs >= freshestMs + restMs
+            && resolveOwner(this.#roster.members, serverId) === this.#self;
+        return isUsable ? `${this.#roster.version}/${this.#contactSinceMs}/${freshestMs}` : undefined;
+    }
+
+    #noteOwnLease(): void {
+        if (this.#lease.renewedAtMs > this.#ownRenewedAtMs) {
+            this.#ownRenewedAtMs = this.#lease.renewedAtMs;
+            this.#ownSequence++;
+            this.#leases.set(this.#self, { sequence: this.#ownSequence, renewedAtMs: this.#ownRenewedAtMs });
+        }
+    }
+
+    #freshestLeaseMs(): number {
+        this.#noteOwnLease();
+        let freshestMs = Number.NEGATIVE_INFINITY;
+        for (const lease of this.#leases.values()) {
+            freshestMs = Math.max(freshestMs, lease.renewedAtMs);
+        }
+        return freshestMs;
+    }
+
+    #noteContact(startedAtMs: number, nowMs: number): void {
+        if (nowMs >= this.#contactAtMs + contactLimitMs) {
+            this.#contactSinceMs = nowMs;
+        }
+        this.#contactAtMs = Math.max(this.#contactAtMs, startedAtMs);
+    }
+
+    #noteAnnouncement(announcedMs: number, nowMs: number): void {
+        if (announcedMs <= this.#announcedMs) {
+            return;
+        }
+        if (nowMs >= this.#announcedMs + leaseTtlMs - clockMarginMs) {
+            this.#announcedSinceMs = nowMs;
+        }
+        this.#announcedMs = announcedMs;
+    }
+
+    #isMajority(heard: ReadonlySet<string>): boolean {
+        const { members, previous } = this.#roster;
+        return isMajorityOf(members, heard) && (previous === undefined || isMajorityOf(previous, heard));
+    }
+}
+
+function isMajorityOf(members: readonly string[], heard: ReadonlySet<string>): boolean {
+    let count = 0;
+    for (const member of members) {
+        count += heard.has(member) ? 1 : 0;
+    }
+    return count * 2 > members.length;
+}
--- /dev/null
+++ b/packages/coldStart/src/permit.ts
@@ -0,0 +1,269 @@
+import { type ServerId } from "@galenaglade/routing";
+import { permitRetryMs, smallestHorizonMs } from "./constants.js";
+import { type StoreCommand, type StoredValue, type StoreReply } from "./storeCommand.js";
+
+/** What one holder of a permit may have left in flight. */
+export interface FormerHolder {
+    /** `name/incarnation`. */
+    readonly gateway: string;
+    /** Longest time from sending to deadline of anything that it sent under the permit, in milliseconds. */
+    readonly horizonMs: number;
+}
+
+/** What the store keeps of a permit beyond its lease, so that the next holder knows what to count. */
+export interface PermitRecord {
+    /** How often the server has turned cold, as the last holder knew. */
+    readonly epoch: number;
+    /** The last holder, and earlier ones whose work it had not seen end. */
+    readonly holders: readonly FormerHolder[];
+}
+
+type Stage = "none" | "claiming" | "claimed" | "reading" | "read" | "writing" | "held" | "releasing";
+
+/** @returns the key that a permit is held by */
+export function createPermitKey(serverId: ServerId): string {
+    return `coldStart/permit/${serverId}`;
+}
+
+/** @returns the key of the record that outlasts the permit's lease */
+export function createRecordKey(serverId: ServerId): string {
+    return `coldStart/record/${serverId}`;
+}
+
+function parseRecord(entry: StoredValue | undefined): PermitRecord | undefined {
+    return entry === undefined ? undefined : JSON.parse(entry.value) as PermitRecord;
+}
+
+function resolveHorizon(neededMs: number): number {
+    let horizonMs = smallestHorizonMs;
+    while (horizonMs < neededMs) {
+        horizonMs *= 2;
+    }
+    return horizonMs;
+}
+
+/** One gateway's way to the warm-up permit of one server: the key under its lease first, then the record. */
+export class Permit {
+    readonly #self: string;
+    readonly #serverId: ServerId;
+    #stage: Stage = "none";
+    #leaseId: string | undefined;
+    #pending: StoreCommand | undefined;
+    #retryAtMs = 0;
+    #term = 0;
+    #recordRevision = 0;
+    #inherited: readonly FormerHolder[] = [];
+    #recordedEpoch = 0;
+    #isSettled = false;
+    /** Whether a claim may have taken effect whose answer was lost. */
+    #isUnsure = false;
+    #writtenMs = 0;
+    #horizonMs = 0;
+    #neededMs = smallestHorizonMs;
+
+    constructor(self: string, serverId: ServerId) {
+        this.#self = self;
+        this.#serverId = serverId;
+    }
+
+    /** The store's revision of the present claim: rises with each holder. */
+    get term(): number {
+        return this.#term;
+    }
+
+    /** What holders before may have left; known once {@link isHeld}. */
+    get inherited(): readonly FormerHolder[] {
+        return this.#inherited;
+    }
+
+    /** The epoch that the record held when it was read. */
+    get recordedEpoch(): number {
+        return this.#recordedEpoch;
+    }
+
+    /** Longest time from sending to deadline that the record allows, in milliseconds. */
+    get horizonMs(): number {
+        return this.#horizonMs;
+    }
+
+    /** Asks that the record be widened before work with a later deadline is sent. */
+    need(horizonMs: number): void {
+        this.#neededMs = Math.max(this.#neededMs, resolveHorizon(horizonMs));
+    }
+
+    /** Notes that nothing of earlier holders runs any more, so that the record need not name them. */
+    settle(): void {
+        this.#isSettled = true;
+    }
+
+    isHeld(leaseId: string | undefined): boolean {
+        return leaseId !== undefined && leaseId === this.#leaseId && this.#horizonMs > 0;
+    }
+
+    /** @returns the next call on the way to the permit, if one is due */
+    next(leaseId: string | undefined, epoch: number, nowMs: number): StoreCommand | undefined {
+        if (leaseId !== this.#leaseId) {
+            this.#reset(leaseId);
+        }
+        if (leaseId === undefined || this.#pending !== undefined || nowMs < this.#retryAtMs) {
+            return undefined;
+        }
+        this.#pending = this.#command(leaseId, epoch);
+        return this.#pending;
+    }
+
+    /**
+     * A claim whose answer was lost may have taken effect, and a permit that is forgotten while its lease is renewed
+     * would keep every other gateway from the server for good. So giving up ends only with the store's word.
+     *
+     * @returns the next call on the way to giving the permit up, if one is due
+     */
+    release(leaseId: string | undefined, epoch: number, nowMs: number): StoreCommand | undefined {
+        if (this.#stage === "none" && !this.#isUnsure) {
+            return undefined;
+        }
+        if (this.#pending === undefined && this.#term !== 0) {
+            this.#stage = "releasing";
+            this.#horizonMs = 0;
+        }
+        return this.next(leaseId, epoch, nowMs);
+    }
+
+    onReply(reply: StoreReply, nowMs: number): void {
+        if (reply.command !== this.#pending) {
+            return;
+        }
+        this.#pending = undefined;
+        if (reply.outcome.type === "failed") {
+            this.#onFailed(nowMs);
+            return;
+        }
+        switch (this.#stage) {
+            case "claiming":
+                this.#onClaimed(reply, nowMs);
+                break;
+            case "reading":
+                this.#onRead(reply);
+                break;
+            case "writing":
+                this.#onWritten(reply);
+                break;
+            case "releasing":
+                this.#reset(this.#leaseId);
+                break;
+        }
+    }
+
+    #command(leaseId: string, epoch: number): StoreCommand | undefined {
+        switch (this.#stage) {
+            case "none":
+                this.#stage = "claiming";
+                return this.#swap(createPermitKey(this.#serverId), 0, JSON.stringify({ holder: this.#self }), leaseId);
+            case "claimed":
+                this.#stage = "reading";
+                return { type: "read", key: createRecordKey(this.#serverId) };
+            case "read":
+                return this.#writeRecord(epoch);
+            case "held":
+                return this.#isRecordDue() ? this.#writeRecord(epoch) : undefined;
+            case "releasing":
+                return this.#swap(createPermitKey(this.#serverId), this.#term, undefined, undefined);
+            default:
+                return undefined;
+        }
+    }
+
+    #isRecordDue(): boolean {
+        return this.#neededMs > this.#horizonMs || (this.#isSettled && this.#inherited.length > 0);
+    }
+
+    #writeRecord(epoch: number): StoreCommand {
+        this.#stage = "writing";
+        this.#writtenMs = this.#neededMs;
+        if (this.#isSettled) {
+            this.#inherited = [];
+        }
+        const own: FormerHolder = { gateway: this.#self, horizonMs: this.#writtenMs };
+        const record: PermitRecord = { epoch, holders: [own, ...this.#inherited] };
+        return this.#swap(
+            createRecordKey(this.#serverId),
+            this.#recordRevision,
+            JSON.stringify(record),
+            undefined,
+        );
+    }
+
+    #swap(key: string, expectedRevision: number, value: string | undefined, leaseId: string | undefined): StoreCommand {
+        return { type: "swap", key, expectedRevision, value, leaseId };
+    }
+
+    #onClaimed(reply: StoreReply, nowMs: number): void {
+        const { outcome } = reply;
+        if (outcome.type === "swapped") {
+            this.#claimed(outcome.revision);
+        }
+        else if (outcome.type === "notSwapped" && outcome.current?.leaseId === this.#leaseId) {
+            // The answer to an earlier claim was lost after the claim had taken effect: the key is under this lease.
+            this.#claimed(outcome.current?.modifiedRevision ?? 0);
+        }
+        else {
+            this.#stage = "none";
+            this.#isUnsure = false;
+            this.#retryAtMs = nowMs + permitRetryMs;
+        }
+    }
+
+    #claimed(term: number): void {
+        this.#stage = "claimed";
+        this.#isUnsure = false;
+        this.#term = term;
+    }
+
+    #onRead(reply: StoreReply): void {
+        if (reply.outcome.type !== "value") {
+            return;
+        }
+        this.#recordRevision = reply.outcome.entry?.modifiedRevision ?? 0;
+        const record = parseRecord(reply.outcome.entry);
+        // This gateway counts its own requests itself.
+        this.#inherited = record?.holders.filter(former => former.gateway !== this.#self) ?? [];
+        this.#recordedEpoch = record?.epoch ?? 0;
+        this.#isSettled = false;
+        this.#stage = "read";
+    }
+
+    #onWritten(reply: StoreReply): void {
+        if (reply.outcome.type === "swapped") {
+            this.#recordRevision = reply.outcome.revision;
+            this.#horizonMs = this.#writtenMs;
+            this.#stage = "held";
+            return;
+        }
+        // An earlier holder's last write came in between; its horizon has to be read.
+        this.#stage = "claimed";
+    }
+
+    #onFailed(nowMs: number): void {
+        this.#retryAtMs = nowMs + permitRetryMs;
+        if (this.#stage === "claiming") {
+            this.#isUnsure = true;
+            this.#stage = "none";
+        }
+        else if (this.#stage !== "releasing") {
+            this.#stage = "claimed";
+        }
+    }
+
+    #reset(leaseId: string | undefined): void {
+        this.#leaseId = leaseId;
+        this.#stage = "none";
+        this.#pending = undefined;
+        this.#isUnsure = false;
+        this.#term = 0;
+        this.#horizonMs = 0;
+        this.#neededMs = smallestHorizonMs;
+        this.#inherited = [];
+        this.#isSettled = false;
+        this.#recordRevision = 0;
+    }
+}
--- /dev/null
+++ b/packages/coldStart/src/serverGate.ts
@@ -0,0 +1,63 @@
+import { type ServerId, type ServerSignal } from "@galenaglade/routing";
+import { type AnswerSigns, type AttemptEnd } from "./answerSigns.js";
+import { type ColdStartWord, type GatewayRoster, type HeartbeatRound } from "./heartbeatRound.js";
+import { type ServerLimits } from "./serverState.js";
+import { type StoreCommand, type StoreReply } from "./storeCommand.js";
+
+/** One server as the configuration declares it to the gate. */
+export interface GatedServer {
+    readonly serverId: ServerId;
+    readonly limits: ServerLimits;
+    /** Whether its availability zone is in; one that comes back in counts as cold. */
+    readonly isIn: boolean;
+}
+
+/**
+ * Says to which backend servers a gateway may send now. It takes events with their monotonic times in milliseconds,
+ * does no I/O, and is asked in the very turn in which a request is sent.
+ */
+export abstract class ServerGate {
+    /**
+     * @param serverId - the server
+     * @param nowMs - the present time
+     * @param deadlineMs - when the attempt ends at the latest
+     * @returns `yes` only if the request may be sent in this turn
+     */
+    abstract maySend(serverId: ServerId, nowMs: number, deadlineMs: number): "yes" | "no";
+    /** Notes that a request has been handed to a connection, in the turn that {@link maySend} allowed it. */
+    abstract onSent(serverId: ServerId, requestId: string, nowMs: number, deadlineMs: number): void;
+    /** Notes the end of a request. */
+    abstract onEnd(serverId: ServerId, requestId: string, end: AttemptEnd, nowMs: number): void;
+    /** Takes what the server's health or load endpoint says. */
+    abstract onReport(serverId: ServerId, signs: AnswerSigns, nowMs: number): void;
+    /** Takes what the platform's host list says of the server's host. */
+    abstract onHostListed(serverId: ServerId, state: "live" | "leaving", nowMs: number): void;
+    /** Takes a peer's signal. */
+    abstract onSignal(signal: ServerSignal, nowMs: number): void;
+    /** Takes the servers as the present configuration declares them. */
+    abstract onServers(servers: readonly GatedServer[], nowMs: number): void;
+    abstract onRoster(roster: GatewayRoster): void;
+    /**
+     * Begins a round of heartbeats.
+     *
+     * @returns what every heartbeat of it says
+     */
+    abstract beginRound(nowMs: number): ColdStartWord;
+    /** Takes the answers of a round that {@link beginRound} began at `round.startedAtMs`. */
+    abstract onRound(round: HeartbeatRound, nowMs: number): void;
+    /**
+     * Takes a peer's heartbeat.
+     *
+     * @returns what the answer to it says
+     */
+    abstract onHeartbeat(word: ColdStartWord, nowMs: number): ColdStartWord;
+    abstract onStoreReply(reply: StoreReply, nowMs: number): void;
+    /**
+     * To be called some times a second.
+     *
+     * @returns calls of the store that are due
+     */
+    abstract tick(nowMs: number): readonly StoreCommand[];
+    /** @returns what peers should hear at once; each signal is returned once and repeated in heartbeats */
+    abstract takeUrgentSignals(nowMs: number): readonly ServerSignal[];
+}
--- a/packages/routing/src/serverSignal.ts
+++ b/packages/routing/src/serverSignal.ts
@@ -13,7 +13,9 @@
 /** Something learnt about a backend server that every gateway has to know at once. */
 export interface ServerSignal {
     readonly serverId: ServerId;
-    readonly kind: "turnedCold" | "leaving";
+    readonly kind: "turnedCold" | "warm" | "leaving";
+    /** Counts the times that the server turned cold, so that signals may arrive late or out of order; 0 for `leaving`. */
+    readonly epoch: number;
     /** The server's own word for its present life, where it gives one. */
     readonly incarnation: string | undefined;
     /** Age when sent, in milliseconds; the receiver adds the time since it asked. */
