--- a/packages/routing/src/__tests__/policies.test.ts
+++ b/packages/routing/src/__tests__/policies.test.ts
@@ -1,7 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { type Candidate, createRandomSource, createRoutingPolicy, routingPolicyNames } from "../index.js";
+import {
+    type Candidate,
+    createRandomSource,
+    createRoutingPolicy,
+    type RoutingPolicy,
+    routingPolicyNames,
+} from "../index.js";
 
 function describeCandidate(name: string, more: Partial<Candidate> = {}): Candidate {
     return {
@@ -15,6 +21,12 @@
     };
 }
 
+function mustCreate(name: string): RoutingPolicy {
+    const policy = createRoutingPolicy(name);
+    assert.ok(policy !== undefined, name);
+    return policy;
+}
+
 const candidate = fc.record({
     ownInFlight: fc.nat(3),
     othersInFlight: fc.option(fc.nat(6), { nil: undefined }),
@@ -29,44 +41,43 @@
         fc.integer(),
         (name, parts, seed) => {
             const candidates = parts.map((part, i) => describeCandidate(`s${i}`, part));
-            const choose = (): number | undefined =>
-                createRoutingPolicy(name)?.choose(candidates, createRandomSource(seed));
+            const choose = (): number => mustCreate(name).choose(candidates, createRandomSource(seed));
             const chosen = choose();
-            assert.ok(chosen !== undefined && chosen >= 0 && chosen < candidates.length);
+            assert.ok(chosen >= 0 && chosen < candidates.length);
             assert.equal(choose(), chosen);
         },
     ));
 });
 
 test("free slot first takes a free local server, then a free distant one, then the least occupied", () => {
-    const policy = createRoutingPolicy("freeSlotFirst");
+    const policy = mustCreate("freeSlotFirst");
     const random = createRandomSource(7);
     const full = describeCandidate("full", { ownInFlight: 1, othersInFlight: 2 });
     const distant = describeCandidate("distant", { local: false });
     const local = describeCandidate("local", { ownInFlight: 2 });
     const fuller = describeCandidate("fuller", { ownInFlight: 3, othersInFlight: 2 });
-    assert.equal(policy?.choose([full, distant, local], random), 2);
-    assert.equal(policy?.choose([full, distant], random), 1);
-    assert.equal(policy?.choose([fuller, full], random), 1);
+    assert.equal(policy.choose([full, distant, local], random), 2);
+    assert.equal(policy.choose([full, distant], random), 1);
+    assert.equal(policy.choose([fuller, full], random), 1);
 });
 
 test("hot-cold prefers the faster of the servers that are not hot, and the least occupied where all are", () => {
-    const policy = createRoutingPolicy("hotCold");
+    const policy = mustCreate("hotCold");
     const random = createRandomSource(3);
     const slow = describeCandidate("slow", { latencyMs: 40 });
     const fast = describeCandidate("fast", { latencyMs: 4 });
     const hot = describeCandidate("hot", { ownInFlight: 3, latencyMs: 1 });
-    assert.equal(policy?.choose([slow, fast, hot], random), 1);
+    assert.equal(policy.choose([slow, fast, hot], random), 1);
     const hotter = describeCandidate("hotter", { ownInFlight: 3, othersInFlight: 3 });
-    assert.equal(policy?.choose([hotter, hot], random), 1);
+    assert.equal(policy.choose([hotter, hot], random), 1);
 });
 
 test("round robin visits every server, also when one goes away in between", () => {
-    const policy = createRoutingPolicy("roundRobin");
+    const policy = mustCreate("roundRobin");
     const random = createRandomSource(1);
     const [a, b, c] = ["a", "b", "c"].map(name => describeCandidate(name)) as [Candidate, Candidate, Candidate];
     const visited = [[a, b, c], [a, b, c], [a, c], [a, b, c]].map(candidates => {
-        return candidates[policy?.choose(candidates, random) ?? 0]?.server.name;
+        return candidates[policy.choose(candidates, random)]?.server.name;
     });
     assert.deepEqual(visited, ["a", "b", "c", "a"]);
 });
