Measure what the configuration and the routing table cost

Change: a command that measures memory, bytes and processor time at four sizes each over five rounds, and fits a slope for each round.

--- /dev/null
+++ b/scripts/capacity/measureTables.ts
@@ -0,0 +1,109 @@
+import { resolveConfiguration } from "@galenaglade/configuration";
+import { createRandomSource, createRoutingPolicy, ServerBoard } from "@galenaglade/routing";
+import { createServiceTable, type ServiceTable } from "../../packages/gateway/src/requests/serviceTable.js";
+import { generateConfiguration } from "./generateConfiguration.js";
+import { type Measurement } from "./measurement.js";
+import { resolveSlope, type Sample } from "./slope.js";
+
+/** Sizes of the configuration, in targets. */
+const configurationSizes = [1_050, 2_100, 4_200, 8_400];
+/** Backend servers of one service, as the policy sees them. */
+const candidateSizes = [6, 12, 24, 48];
+const rounds = 5;
+const repeats = 20;
+const choices = 20_000;
+
+/** What one round measures at one size. */
+type Measure = (size: number) => number;
+
+function measure(name: string, per: string, unit: string, sizes: readonly number[], take: Measure): Measurement {
+    const samples: Sample[][] = [];
+    for (let round = 0; round < rounds; round++) {
+        samples.push(sizes.map(size => ({ size, value: take(size) })));
+    }
+    return { name, per, unit, rounds: samples, slope: resolveSlope(samples) };
+}
+
+function collectGarbage(): void {
+    if (globalThis.gc === undefined) {
+        throw new Error("run with --expose-gc, or memory can't be measured");
+    }
+    globalThis.gc();
+}
+
+/** Heap that a value keeps alive. */
+function heapOf(create: () => unknown): number {
+    collectGarbage();
+    const before = process.memoryUsage().heapUsed;
+    const kept = create();
+    collectGarbage();
+    const bytes = process.memoryUsage().heapUsed - before;
+    // Named after the reading, so that it can't be collected before it.
+    if (kept === undefined) {
+        throw new Error("nothing was created");
+    }
+    return bytes;
+}
+
+function cpuMsOf(run: () => void, times: number): number {
+    const before = process.cpuUsage();
+    for (let i = 0; i < times; i++) {
+        run();
+    }
+    const spent = process.cpuUsage(before);
+    return (spent.user + spent.system) / 1_000 / times;
+}
+
+function createTable(size: number): ServiceTable {
+    return createServiceTable({ revision: 1, changeId: "", configuration: generateConfiguration(size) });
+}
+
+function createFullBoard(table: ServiceTable): ServerBoard {
+    const board = new ServerBoard();
+    for (const route of table.routes) {
+        for (const { serverId } of route.targets) {
+            board.onSent(serverId);
+            board.onReport(serverId, { inFlight: 1 }, 0);
+            board.onEnded(serverId, 1, 1);
+        }
+    }
+    return board;
+}
+
+/** CPU time of one routing decision, candidates included, in milliseconds. */
+function decisionCpuMs(size: number): number {
+    const servers = generateConfiguration(size * 2).services.flatMap(service => service.backendServers).slice(0, size);
+    const board = new ServerBoard();
+    const policy = createRoutingPolicy("freeSlotFirst");
+    const random = createRandomSource(1);
+    return cpuMsOf(() => {
+        const candidates = servers.map((server, i) => board.candidate(`s/${i}`, server, i % 3 === 0, false, 1));
+        policy?.choose(candidates, random);
+    }, choices);
+}
+
+/** Measures what the configuration and the routing table cost in memory, bytes and processor time. */
+export function measureTables(): readonly Measurement[] {
+    return [
+        measure("gatewayMemoryPerTarget", "target", "bytes", configurationSizes, size =>
+            heapOf(() => {
+                const table = createTable(size);
+                return { table, board: createFullBoard(table) };
+            })),
+        measure(
+            "configurationBytesPerTarget",
+            "target",
+            "bytes",
+            configurationSizes,
+            size => Buffer.byteLength(JSON.stringify(generateConfiguration(size))),
+        ),
+        measure("applyCpuPerTarget", "target", "ms", configurationSizes, size => {
+            const text = JSON.stringify(generateConfiguration(size));
+            return cpuMsOf(() => {
+                const configuration = resolveConfiguration(JSON.parse(text)).unsafeCoerce();
+                createServiceTable({ revision: 1, changeId: "", configuration });
+            }, repeats);
+        }),
+        measure("decisionCpuPerCandidate", "candidate", "ms", candidateSizes, decisionCpuMs),
+    ];
+}
