--- /dev/null
+++ b/packages/membership/src/fleetMember.ts
@@ -0,0 +1,452 @@
+import { type RevisedConfiguration } from "@galenaglade/configuration";
+import { type ServerLoad, type ServerSignal } from "@galenaglade/routing";
+import { type FleetTimings, heartbeatBytes, heartbeatEntryBytes } from "./constants.js";
+import { Contacts } from "./contacts.js";
+import { Freshness } from "./freshness.js";
+import { HeartbeatSchedule } from "./heartbeatSchedule.js";
+import { Holding, type Taken } from "./holding.js";
+import {
+    type ConfigurationOffer,
+    type GatewayIdentity,
+    type Heartbeat,
+    type OfferAnswer,
+    type Roster,
+} from "./messages.js";
+import { RecentCallers } from "./recentCallers.js";
+import { hasMajority, resolveRosterGateways } from "./roster.js";
+import { type FleetSurvey, RosterKeeper, type RosterSwap } from "./rosterKeeper.js";
+import { SignalBoard } from "./signalBoard.js";
+import { TrafficBudget } from "./trafficBudget.js";
+
+/** What a gateway is told. Times are monotonic, in milliseconds. */
+export type FleetEvent =
+    /** Time has passed; to be told often, about every 100 ms. */
+    | { readonly type: "ticked"; }
+    /** A watch saw something, or ended. */
+    | { readonly type: "storeChanged"; }
+    /** First the roster was read, then the head; both after `startedAtMs`. */
+    | {
+        readonly type: "storeRead";
+        readonly startedAtMs: number;
+        readonly head: RevisedConfiguration | undefined;
+        readonly survey: FleetSurvey;
+    }
+    | { readonly type: "storeReadFailed"; }
+    | { readonly type: "registered"; readonly startedAtMs: number; readonly ttlMs: number; }
+    | { readonly type: "registrationFailed"; }
+    | { readonly type: "renewed"; readonly startedAtMs: number; readonly ttlMs: number; }
+    | { readonly type: "renewalFailed"; readonly lapsed: boolean; }
+    | {
+        readonly type: "heartbeatAnswered";
+        readonly address: string;
+        readonly startedAtMs: number;
+        readonly heartbeat: Heartbeat;
+    }
+    | { readonly type: "heartbeatFailed"; readonly address: string; }
+    | { readonly type: "fetched"; readonly address: string; readonly offer: ConfigurationOffer; }
+    | { readonly type: "fetchFailed"; readonly address: string; }
+    | { readonly type: "signalsPublished"; readonly signals: readonly ServerSignal[]; }
+    | { readonly type: "loadsPublished"; readonly loads: readonly ServerLoad[]; }
+    /** The planned stop begins: no new work from now on. */
+    | { readonly type: "stopping"; };
+
+/** What a gateway is to do. */
+export type FleetCommand =
+    | { readonly type: "readStore"; }
+    | { readonly type: "register"; }
+    | { readonly type: "renew"; }
+    | { readonly type: "sendHeartbeat"; readonly address: string; readonly heartbeat: Heartbeat; }
+    | { readonly type: "fetch"; readonly address: string; }
+    | { readonly type: "swapRoster"; readonly swap: RosterSwap; }
+    /** New work follows this configuration from now on. */
+    | { readonly type: "apply"; readonly configuration: RevisedConfiguration; };
+
+/** Who a gateway is, and where it may find others. */
+export interface FleetMemberOptions {
+    readonly self: GatewayIdentity;
+    /** Peer addresses from settings, for a start without the store. */
+    readonly seeds: readonly string[];
+    readonly timings: FleetTimings;
+}
+
+/** Where a gateway stands, for operators and metrics. */
+export interface FleetStatus {
+    readonly revision: number;
+    readonly rosterVersion: number;
+    /** Whether the store's word lets it take new work. */
+    readonly confirmed: boolean;
+    /** Whether contact with a majority of the roster lets it take new work. */
+    readonly inContact: boolean;
+    readonly recovering: boolean;
+    readonly registered: boolean;
+    readonly member: boolean;
+    /** Peers whose answers count now. */
+    readonly peers: readonly string[];
+}
+
+/** One gateway's part in the fleet: what it holds, and whether that is fresh enough to take new work. */
+export class FleetMember {
+    readonly #self: GatewayIdentity;
+    readonly #seeds: readonly string[];
+    readonly #timings: FleetTimings;
+    readonly #startedAtMs: number;
+    readonly #holding = new Holding();
+    readonly #contacts = new Contacts();
+    readonly #callers = new RecentCallers();
+    readonly #budget = new TrafficBudget();
+    readonly #freshness: Freshness;
+    readonly #schedule: HeartbeatSchedule;
+    readonly #keeper: RosterKeeper;
+    readonly #fetching = new Set<string>();
+    #recovering = true;
+    #stopping = false;
+    #reading = false;
+    #readDueAtMs: number;
+    #registration: "none" | "asking" | "held" = "none";
+    #registrationDueAtMs: number;
+    readonly #signals: SignalBoard;
+    #loads: readonly ServerLoad[] = [];
+    #loadsAtMs = 0;
+    #nextLoad = 0;
+
+    constructor(options: FleetMemberOptions, nowMs: number) {
+        this.#self = options.self;
+        this.#seeds = options.seeds;
+        this.#timings = options.timings;
+        this.#startedAtMs = nowMs;
+        this.#readDueAtMs = nowMs;
+        this.#registrationDueAtMs = nowMs;
+        this.#freshness = new Freshness(options.self.name);
+        this.#schedule = new HeartbeatSchedule(options.timings.heartbeatIntervalMs);
+        this.#signals = new SignalBoard(options.timings.freshForMs);
+        this.#keeper = new RosterKeeper(options.self.name, options.timings);
+    }
+
+    get configuration(): RevisedConfiguration | undefined {
+        return this.#holding.configuration;
+    }
+
+    get roster(): Roster | undefined {
+        return this.#holding.roster;
+    }
+
+    /**
+     * Whether new work may be sent under {@link configuration}. To be asked in the same turn as the work is sent: a
+     * process that was stopped and goes on would otherwise act on a configuration that was replaced meanwhile, with
+     * the symptom that an availability zone gets work after it was taken out. The monotonic clock went on while the
+     * process stood, so asked again it refuses.
+     *
+     * @param nowMs - present monotonic time
+     * @returns `false` where the request is to be refused with `notFresh`
+     */
+    mayTakeNewWork(nowMs: number): boolean {
+        if (this.#stopping || this.#holding.configuration === undefined) {
+            return false;
+        }
+        return this.#isConfirmed(nowMs) || this.#isInContact(nowMs);
+    }
+
+    status(nowMs: number): FleetStatus {
+        const names = resolveRosterGateways(this.#holding.roster).map(gateway => gateway.name);
+        return {
+            revision: this.#holding.revision,
+            rosterVersion: this.#holding.rosterVersion,
+            confirmed: this.#isConfirmed(nowMs),
+            inContact: this.#isInContact(nowMs),
+            recovering: this.#recovering,
+            registered: this.#registration === "held",
+            member: names.includes(this.#self.name),
+            peers: [...this.#contacts.namesSince(nowMs - this.#timings.freshForMs)].sort(),
+        };
+    }
+
+    /** Answers a peer's heartbeat. */
+    answerHeartbeat(heartbeat: Heartbeat, nowMs: number): Heartbeat {
+        this.#callers.received(heartbeat.from, nowMs);
+        return this.#createHeartbeat(0, nowMs);
+    }
+
+    /** Takes an offer and says what is held now; the commands are to be carried out before the answer is sent. */
+    answerOffer(offer: ConfigurationOffer, nowMs: number): {
+        readonly answer: OfferAnswer;
+        readonly commands: readonly FleetCommand[];
+    } {
+        const commands = this.#take(offer);
+        const answer = {
+            gateway: this.#self,
+            revision: this.#holding.revision,
+            rosterVersion: this.#holding.rosterVersion,
+            recentCallers: this.#recentCallers(nowMs),
+        };
+        return { answer, commands };
+    }
+
+    /** @returns all that this gateway holds, for a peer that asks */
+    createOffer(): ConfigurationOffer {
+        return { offered: this.#holding.configuration, roster: this.#holding.roster };
+    }
+
+    /**
+     * @param event - what happened
+     * @param nowMs - present monotonic time
+     * @returns what to do, in this order
+     */
+    handle(event: FleetEvent, nowMs: number): readonly FleetCommand[] {
+        switch (event.type) {
+            case "ticked":
+                return this.#tick(nowMs);
+            case "storeChanged":
+                this.#readDueAtMs = nowMs;
+                return this.#tick(nowMs);
+            case "storeRead":
+                return this.#storeRead(event.startedAtMs, event.head, event.survey, nowMs);
+            case "storeReadFailed":
+                this.#reading = false;
+                return [];
+            case "registered":
+                this.#registration = "held";
+                this.#registrationDueAtMs = event.startedAtMs + event.ttlMs / 3;
+                this.#freshness.registered(nowMs, this.#validUntilMs(event.startedAtMs, event.ttlMs));
+                this.#readDueAtMs = nowMs;
+                return this.#tick(nowMs);
+            case "registrationFailed":
+                this.#registration = "none";
+                this.#registrationDueAtMs = nowMs + this.#timings.storeReadIntervalMs;
+                return [];
+            case "renewed":
+                this.#registrationDueAtMs = event.startedAtMs + event.ttlMs / 3;
+                this.#freshness.renewed(this.#validUntilMs(event.startedAtMs, event.ttlMs));
+                return [];
+            case "renewalFailed":
+                return this.#renewalFailed(event.lapsed, nowMs);
+            case "heartbeatAnswered":
+                return this.#heartbeatAnswered(event.address, event.startedAtMs, event.heartbeat, nowMs);
+            case "heartbeatFailed":
+                this.#schedule.ended(event.address);
+                return [];
+            case "fetched":
+                this.#fetching.delete(event.address);
+                return this.#take(event.offer);
+            case "fetchFailed":
+                this.#fetching.delete(event.address);
+                return [];
+            case "signalsPublished":
+                this.#signals.post(event.signals, nowMs);
+                this.#schedule.hurry(this.#peerAddresses(nowMs));
+                return this.#tick(nowMs);
+            case "loadsPublished":
+                this.#loads = event.loads;
+                this.#loadsAtMs = nowMs;
+                return [];
+            case "stopping":
+                this.#stopping = true;
+                return [];
+        }
+    }
+
+    #isConfirmed(nowMs: number): boolean {
+        return this.#freshness.isConfirmed(nowMs - this.#timings.freshForMs, nowMs, this.#holding);
+    }
+
+    /**
+     * Whether a majority of the roster said, in answer to calls of the last moments, that it holds nothing newer. Their
+     * own touch with the store doesn't matter: a change that is in force is held by a majority, which has a gateway in
+     * common with this one, and that gateway told of it.
+     */
+    #isInContact(nowMs: number): boolean {
+        const roster = this.#holding.roster;
+        if (this.#recovering || roster === undefined) {
+            return false;
+        }
+        const names = this.#contacts.namesSince(nowMs - this.#timings.freshForMs);
+        names.add(this.#self.name);
+        return hasMajority(roster, names);
+    }
+
+    #tick(nowMs: number): readonly FleetCommand[] {
+        const commands: FleetCommand[] = [];
+        if (!this.#reading && nowMs >= this.#readDueAtMs) {
+            this.#reading = true;
+            this.#readDueAtMs = nowMs + this.#timings.storeReadIntervalMs;
+            commands.push({ type: "readStore" });
+        }
+        if (!this.#stopping && this.#registration !== "asking" && nowMs >= this.#registrationDueAtMs) {
+            commands.push({ type: this.#registration === "held" ? "renew" : "register" });
+            this.#registrationDueAtMs = nowMs + this.#timings.storeReadIntervalMs;
+            if (this.#registration === "none") {
+                this.#registration = "asking";
+            }
+        }
+        return [...commands, ...this.#heartbeats(nowMs)];
+    }
+
+    #heartbeats(nowMs: number): readonly FleetCommand[] {
+        const rosterNames = new Set(resolveRosterGateways(this.#holding.roster).map(gateway => gateway.name));
+        this.#contacts.prune(rosterNames, nowMs - 2 * this.#timings.freshForMs);
+        const commands: FleetCommand[] = [];
+        for (const address of this.#schedule.due(this.#peerAddresses(nowMs), nowMs)) {
+            const signalBytes = this.#signals.read(nowMs).length * heartbeatEntryBytes;
+            const sparedBytes = this.#budget.available(nowMs) - heartbeatBytes - signalBytes;
+            if (sparedBytes < 0 && !this.#schedule.isUrgent(address)) {
+                break;
+            }
+            const loadLimit = Math.max(0, Math.floor(sparedBytes / heartbeatEntryBytes));
+            const heartbeat = this.#createHeartbeat(loadLimit, nowMs);
+            this.#budget.spend(heartbeatBytes + signalBytes + heartbeat.loads.length * heartbeatEntryBytes);
+            this.#schedule.sent(address, nowMs);
+            commands.push({ type: "sendHeartbeat", address, heartbeat });
+        }
+        return commands;
+    }
+
+    #storeRead(
+        startedAtMs: number,
+        head: RevisedConfiguration | undefined,
+        survey: FleetSurvey,
+        nowMs: number,
+    ): readonly FleetCommand[] {
+        this.#reading = false;
+        const commands = [...this.#take({ offered: head, roster: survey.roster })];
+        const headRevision = head?.revision ?? 0;
+        const rosterVersion = survey.roster?.version ?? 0;
+        // A store that shows less than was already seen has been put back, or answers from the past: it confirms
+        // nothing, and nothing is written on the strength of it.
+        if (headRevision !== this.#holding.revision || rosterVersion !== this.#holding.rosterVersion) {
+            return commands;
+        }
+        if (head !== undefined && head.changeId !== this.#holding.configuration?.changeId) {
+            return commands;
+        }
+        this.#recovering = false;
+        this.#freshness.storeRead(startedAtMs, this.#holding);
+        this.#tellKeeperOwnState(nowMs);
+        const swap = this.#keeper.surveyed(survey, nowMs);
+        if (swap !== undefined && !this.#stopping) {
+            commands.push({ type: "swapRoster", swap });
+        }
+        return commands;
+    }
+
+    #heartbeatAnswered(
+        address: string,
+        startedAtMs: number,
+        heartbeat: Heartbeat,
+        nowMs: number,
+    ): readonly FleetCommand[] {
+        this.#schedule.ended(address);
+        if (heartbeat.from.name === this.#self.name) {
+            return [];
+        }
+        this.#contacts.answered(startedAtMs, heartbeat, this.#holding);
+        this.#freshness.peerAnswered(startedAtMs, heartbeat, this.#holding);
+        this.#keeper.answered({
+            gateway: heartbeat.from,
+            revision: heartbeat.revision,
+            rosterVersion: heartbeat.rosterVersion,
+            recentCallers: [],
+            startedAtMs,
+            answeredAtMs: nowMs,
+        });
+        this.#recoverFromPeers();
+        if (this.#holding.covers(heartbeat.revision, heartbeat.rosterVersion) || this.#fetching.has(address)) {
+            return [];
+        }
+        this.#fetching.add(address);
+        return [{ type: "fetch", address }];
+    }
+
+    #renewalFailed(lapsed: boolean, nowMs: number): readonly FleetCommand[] {
+        if (!lapsed) {
+            return [];
+        }
+        this.#registration = "none";
+        this.#registrationDueAtMs = nowMs;
+        this.#freshness.registrationLost();
+        return this.#tick(nowMs);
+    }
+
+    #take(offer: ConfigurationOffer): readonly FleetCommand[] {
+        const taken: Taken = this.#holding.take(offer);
+        this.#contacts.reconsider(this.#holding);
+        this.#recoverFromPeers();
+        return taken.configuration === undefined ? [] : [{ type: "apply", configuration: taken.configuration }];
+    }
+
+    /**
+     * A process that starts while the store is down takes up what it may have held before from a majority of the
+     * roster. It doesn't count itself: it may have been the one gateway that a majority for a change had in common with
+     * the others that answer now, and has forgotten the change.
+     */
+    #recoverFromPeers(): void {
+        const roster = this.#holding.roster;
+        if (!this.#recovering || roster === undefined) {
+            return;
+        }
+        const names = this.#contacts.namesSince(this.#startedAtMs);
+        names.delete(this.#self.name);
+        this.#recovering = !hasMajority(roster, names);
+    }
+
+    #tellKeeperOwnState(nowMs: number): void {
+        this.#keeper.answered({
+            gateway: this.#self,
+            revision: this.#holding.revision,
+            rosterVersion: this.#holding.rosterVersion,
+            recentCallers: [],
+            startedAtMs: nowMs,
+            answeredAtMs: nowMs,
+        });
+    }
+
+    #createHeartbeat(loadLimit: number, nowMs: number): Heartbeat {
+        return {
+            from: this.#self,
+            revision: this.#holding.revision,
+            rosterVersion: this.#holding.rosterVersion,
+            freshnessAgeMs: this.#freshness.ageMs(nowMs, this.#holding),
+            recovering: this.#recovering,
+            signals: this.#signals.read(nowMs),
+            loads: this.#someLoads(loadLimit, nowMs),
+            stopping: this.#stopping,
+        };
+    }
+
+    /** Takes turns over the loads, so that each goes out now and then however small the budget. */
+    #someLoads(limit: number, nowMs: number): readonly ServerLoad[] {
+        const ageMs = nowMs - this.#loadsAtMs;
+        const count = Math.min(limit, this.#loads.length);
+        const chosen: ServerLoad[] = [];
+        for (let i = 0; i < count; i++) {
+            const load = this.#loads[this.#nextLoad++ % this.#loads.length];
+            if (load !== undefined) {
+                chosen.push({ ...load, ageMs: load.ageMs + ageMs });
+            }
+        }
+        return chosen;
+    }
+
+    #recentCallers(nowMs: number): readonly GatewayIdentity[] {
+        return this.#callers.since(nowMs - this.#timings.freshForMs - this.#timings.marginMs);
+    }
+
+    /**
+     * Where each peer listens: as it last said itself, else as the roster has it. Gateways that aren't in the roster
+     * yet are known by their calls. The seeds are called for as long as there is no contact with a majority.
+     */
+    #peerAddresses(nowMs: number): readonly string[] {
+        const byName = new Map<string, string>();
+        for (const gateway of resolveRosterGateways(this.#holding.roster)) {
+            byName.set(gateway.name, gateway.peerAddress);
+        }
+        for (const gateway of [...this.#contacts.identities, ...this.#recentCallers(nowMs)]) {
+            byName.set(gateway.name, gateway.peerAddress);
+        }
+        byName.delete(this.#self.name);
+        const seeds = this.#isInContact(nowMs) ? [] : this.#seeds;
+        return [...byName.values(), ...seeds].filter(address => address !== this.#self.peerAddress);
+    }
+
+    #validUntilMs(startedAtMs: number, ttlMs: number): number {
+        return startedAtMs + ttlMs - Math.min(this.#timings.marginMs, ttlMs / 4);
+    }
+}
--- /dev/null
+++ b/packages/membership/src/heartbeatSchedule.ts
@@ -0,0 +1,58 @@
+/** Remembers when each peer was last called, and says who is due. */
+export class HeartbeatSchedule {
+    readonly #intervalMs: number;
+    readonly #sentAtMs = new Map<string, number>();
+    readonly #inFlight = new Set<string>();
+    #urgent = new Set<string>();
+
+    constructor(intervalMs: number) {
+        this.#intervalMs = intervalMs;
+    }
+
+    /** Calls everybody at once, whatever the interval and the budget say. */
+    hurry(addresses: readonly string[]): void {
+        this.#urgent = new Set(addresses);
+    }
+
+    isUrgent(address: string): boolean {
+        return this.#urgent.has(address);
+    }
+
+    /**
+     * @param addresses - everybody who should hear
+     * @returns who is to be called now, longest waiting first
+     */
+    due(addresses: readonly string[], nowMs: number): readonly string[] {
+        const wanted = new Set(addresses);
+        for (const address of this.#sentAtMs.keys()) {
+            if (!wanted.has(address)) {
+                this.#sentAtMs.delete(address);
+            }
+        }
+        const waiting: string[] = [];
+        for (const address of wanted) {
+            const sentAtMs = this.#sentAtMs.get(address) ?? Number.NEGATIVE_INFINITY;
+            if (this.#inFlight.has(address)) {
+                continue;
+            }
+            if (this.#urgent.has(address) || nowMs >= sentAtMs + this.#intervalMs) {
+                waiting.push(address);
+            }
+        }
+        return waiting.sort((a, b) => this.#lastSentAtMs(a) - this.#lastSentAtMs(b));
+    }
+
+    sent(address: string, nowMs: number): void {
+        this.#sentAtMs.set(address, nowMs);
+        this.#inFlight.add(address);
+        this.#urgent.delete(address);
+    }
+
+    ended(address: string): void {
+        this.#inFlight.delete(address);
+    }
+
+    #lastSentAtMs(address: string): number {
+        return this.#sentAtMs.get(address) ?? Number.NEGATIVE_INFINITY;
+    }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,15 @@
 /** Which gateways there are, and whether this one's configuration is fresh enough to take new work. */
+export { type AcceptanceTarget, AcceptanceTracker, type HoldingAnswer } from "./acceptanceTracker.js";
 export { type Acceptance, ChangeCoordinator, type ChangeRequest, type GatewayStanding } from "./changeCoordinator.js";
+export { type ConfigurationHead, createNextHead, findChange, type WrittenChange } from "./configurationHead.js";
+export { defaultFleetTimings, type FleetTimings, storeKeys } from "./constants.js";
+export {
+    type FleetCommand,
+    type FleetEvent,
+    FleetMember,
+    type FleetMemberOptions,
+    type FleetStatus,
+} from "./fleetMember.js";
 export {
     type ConfigurationOffer,
     type GatewayIdentity,
@@ -7,3 +17,5 @@
     type OfferAnswer,
     type Roster,
 } from "./messages.js";
+export { hasMajority, isMember, resolveRosterGateways } from "./roster.js";
+export { type FleetSurvey, RosterKeeper, type RosterSwap } from "./rosterKeeper.js";
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -29,17 +29,23 @@
     /** Highest configuration revision that the sender holds. */
     readonly revision: number;
     readonly rosterVersion: number;
-    /** Time since the sender's configuration was last shown to be current by the store; `undefined` if never. */
+    /**
+     * Time since the sender's configuration and roster were last shown to be current by the store, counted from before
+     * the store was asked; `undefined` where that isn't known.
+     */
     readonly freshnessAgeMs: number | undefined;
+    /** The sender started lately and hasn't yet learnt what it may have held before: its word counts for nothing. */
+    readonly recovering: boolean;
     readonly signals: readonly ServerSignal[];
     readonly loads: readonly ServerLoad[];
     /** The sender is in its planned stop and takes no new work. */
     readonly stopping: boolean;
 }
 
-/** An offer of a configuration, by a peer or by admin. */
+/** What a process holds, offered to another. */
 export interface ConfigurationOffer {
-    readonly offered: RevisedConfiguration;
+    /** `undefined` where no configuration was ever written. */
+    readonly offered: RevisedConfiguration | undefined;
     readonly roster: Roster | undefined;
 }
 
@@ -49,4 +55,6 @@
     /** Highest revision held after the offer; new work follows it from now on. */
     readonly revision: number;
     readonly rosterVersion: number;
+    /** Who asked it for a heartbeat so lately that it may serve on the strength of the answer. */
+    readonly recentCallers: readonly GatewayIdentity[];
 }
--- /dev/null
+++ b/packages/peers/src/changeCoordinatorShell.ts
@@ -0,0 +1,255 @@
+import { type RevisedConfiguration } from "@galenaglade/configuration";
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    type Acceptance,
+    AcceptanceTracker,
+    ChangeCoordinator,
+    type ChangeRequest,
+    createNextHead,
+    defaultFleetTimings,
+    type FleetTimings,
+    findChange,
+    type GatewayIdentity,
+    storeKeys,
+    type WrittenChange,
+} from "@galenaglade/membership";
+import { type KeyValueStore } from "@galenaglade/platform";
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, createSystemClock, pause, withinLimit } from "./clock.js";
+import { offerIntervalMs, surveyIntervalMs, writeRetryMs } from "./constants.js";
+import { readFleet, readHead, type StoredFleet } from "./fleetStore.js";
+import { type PeerCaller } from "./peerCaller.js";
+import { createPeerCaller } from "./trpcPeerCaller.js";
+
+/** What admin needs to order changes. */
+export interface ChangeCoordinatorOptions {
+    readonly store: KeyValueStore;
+    readonly fleetKey: string;
+    readonly timings?: FleetTimings | undefined;
+    /** For tests: in place of the process's clock and the calls to gateways. */
+    readonly clock?: Clock | undefined;
+    readonly caller?: PeerCaller | undefined;
+}
+
+/**
+ * @param options - the store and the fleet's key
+ * @returns orders changes and waits until they are in force
+ */
+export function createChangeCoordinator(options: ChangeCoordinatorOptions): StoreChangeCoordinator {
+    return new StoreChangeCoordinator(options);
+}
+
+/** Orders changes by compare-and-swap on the head, and offers them to every gateway. */
+export class StoreChangeCoordinator extends ChangeCoordinator {
+    readonly #store: KeyValueStore;
+    readonly #timings: FleetTimings;
+    readonly #clock: Clock;
+    readonly #caller: PeerCaller;
+    /** Kept from one call to the next, so that asking again finds out what the time between has settled. */
+    #newest: AcceptanceTracker | undefined;
+
+    constructor(options: ChangeCoordinatorOptions) {
+        super();
+        this.#store = options.store;
+        this.#timings = options.timings ?? defaultFleetTimings;
+        this.#clock = options.clock ?? createSystemClock();
+        this.#caller = options.caller
+            ?? createPeerCaller({ fleetKey: options.fleetKey, callTimeoutMs: this.#timings.callTimeoutMs });
+    }
+
+    override async read(): Promise<Either<Failure, RevisedConfiguration>> {
+        const read = await this.#limited(readHead(this.#store));
+        return read.map(({ head }) => head ?? emptyConfiguration);
+    }
+
+    override async apply(req: ChangeRequest, waitMs: number): Promise<Either<Failure, Acceptance>> {
+        const deadlineMs = this.#clock.nowMs() + waitMs;
+        const written = await this.#write(req, deadlineMs);
+        if (written.isLeft()) {
+            return Left(written.extract());
+        }
+        return Right(await this.#waitUntilInForce(written.unsafeCoerce(), deadlineMs));
+    }
+
+    override async standing(): Promise<Either<Failure, Acceptance>> {
+        const read = await this.#limited(readFleet(this.#store));
+        if (read.isLeft()) {
+            return Left(read.extract());
+        }
+        const fleet = read.unsafeCoerce();
+        const { revision, changeId } = fleet.head.head ?? emptyConfiguration;
+        const tracker = this.#trackerFor(revision);
+        this.#survey(tracker, fleet);
+        // Twice: the second round shows that the first one's answers held at the same time.
+        await this.#offerToAll(tracker, fleet);
+        await this.#offerToAll(tracker, fleet);
+        return Right(this.#acceptance(tracker, { revision, changeId }));
+    }
+
+    /**
+     * Vouches that a gateway runs nowhere any more and won't be started again under its name without the store. It
+     * then counts as having agreed to leave the roster; needed where more than half of the roster was lost at once and
+     * the platform's host list doesn't say so.
+     *
+     * @param name - the gateway's name
+     * @returns nothing, or the store's failure
+     */
+    async forget(name: string): Promise<Either<Failure, void>> {
+        const swap = await this.#limited(this.#store.compareAndSwap({
+            key: `${storeKeys.forgottenPrefix}${name}`,
+            expectedRevision: 0,
+            value: "{}",
+        }));
+        return swap.map(() => undefined);
+    }
+
+    async #write(req: ChangeRequest, deadlineMs: number): Promise<Either<Failure, WrittenChange>> {
+        let mayBeWritten = false;
+        for (;;) {
+            const tried = await this.#tryWrite(req);
+            if (tried.type === "written") {
+                return Right(tried.change);
+            }
+            if (tried.type === "refused") {
+                return Left(tried.failure);
+            }
+            mayBeWritten ||= tried.mayBeWritten;
+            const failure = tried.failure;
+            if (failure !== undefined && !mayBeWritten) {
+                // Nothing but reads has gone unanswered so far, so that the change certainly isn't stored.
+                const kind = failure.kind === "storeOutcomeUnknown" ? "storeUnavailable" : failure.kind;
+                return Left(createFailure(kind, failure.detail, { didRun: "no" }));
+            }
+            if (this.#clock.nowMs() + writeRetryMs >= deadlineMs) {
+                return Left(createFailure("storeOutcomeUnknown", "the store did not say whether the change is stored"));
+            }
+            if (failure !== undefined) {
+                await pause(this.#clock, writeRetryMs);
+            }
+        }
+    }
+
+    /** Reads first: a write whose answer was lost, in this call or an earlier one, is found by its change id. */
+    async #tryWrite(req: ChangeRequest): Promise<WriteTry> {
+        const read = await this.#limited(readHead(this.#store));
+        if (read.isLeft()) {
+            return { type: "open", mayBeWritten: false, failure: read.extract() };
+        }
+        const { head, keyRevision } = read.unsafeCoerce();
+        const found = findChange(head, req.changeId);
+        if (found !== undefined) {
+            return { type: "written", change: found };
+        }
+        const next = createNextHead(head, req);
+        if (next.isLeft()) {
+            return { type: "refused", failure: next.extract() };
+        }
+        const nextHead = next.unsafeCoerce();
+        const swap = await this.#limited(this.#store.compareAndSwap({
+            key: storeKeys.head,
+            expectedRevision: keyRevision,
+            value: JSON.stringify(nextHead),
+        }));
+        if (swap.isLeft()) {
+            const failure = swap.extract();
+            return { type: "open", mayBeWritten: failure.kind === "storeOutcomeUnknown", failure };
+        }
+        if (swap.unsafeCoerce().swapped) {
+            return { type: "written", change: nextHead };
+        }
+        return { type: "open", mayBeWritten: false, failure: undefined };
+    }
+
+    async #waitUntilInForce(change: WrittenChange, deadlineMs: number): Promise<Acceptance> {
+        const tracker = this.#trackerFor(change.revision);
+        let fleet: StoredFleet | undefined;
+        let surveyedAtMs = Number.NEGATIVE_INFINITY;
+        for (let round = 0;; round++) {
+            if (this.#clock.nowMs() >= surveyedAtMs + surveyIntervalMs) {
+                surveyedAtMs = this.#clock.nowMs();
+                fleet = (await this.#limited(readFleet(this.#store))).toMaybe().extract() ?? fleet;
+                this.#survey(tracker, fleet);
+            }
+            if (fleet !== undefined) {
+                await this.#offerToAll(tracker, fleet);
+            }
+            const acceptance = this.#acceptance(tracker, change);
+            if (acceptance.inForce || this.#clock.nowMs() >= deadlineMs) {
+                return acceptance;
+            }
+            if (round > 0) {
+                await pause(this.#clock, offerIntervalMs);
+            }
+        }
+    }
+
+    #trackerFor(revision: number): AcceptanceTracker {
+        if (this.#newest?.target.revision === revision) {
+            return this.#newest;
+        }
+        const tracker = new AcceptanceTracker({ revision, rosterVersion: 0 }, this.#timings);
+        if (revision > (this.#newest?.target.revision ?? -1)) {
+            this.#newest = tracker;
+        }
+        return tracker;
+    }
+
+    #survey(tracker: AcceptanceTracker, fleet: StoredFleet | undefined): void {
+        if (fleet === undefined) {
+            return;
+        }
+        const registered = new Set(fleet.registered.map(gateway => gateway.name));
+        const vouchedFor = fleet.forgotten.filter(name => !registered.has(name));
+        tracker.surveyed(fleet.roster, fleet.registered, new Set(vouchedFor));
+    }
+
+    async #offerToAll(tracker: AcceptanceTracker, fleet: StoredFleet): Promise<void> {
+        await Promise.all(tracker.gateways.map(gateway => this.#offer(tracker, fleet, gateway)));
+    }
+
+    async #offer(tracker: AcceptanceTracker, fleet: StoredFleet, gateway: GatewayIdentity): Promise<void> {
+        const startedAtMs = this.#clock.nowMs();
+        const offer = { offered: fleet.head.head, roster: fleet.roster };
+        const answered = await this.#caller.offer(gateway.peerAddress, offer);
+        answered.caseOf({
+            Left: () => tracker.failed(gateway.name),
+            Right: answer => tracker.answered({ ...answer, startedAtMs, answeredAtMs: this.#clock.nowMs() }),
+        });
+    }
+
+    #acceptance(tracker: AcceptanceTracker, change: WrittenChange): Acceptance {
+        const nowMs = this.#clock.nowMs();
+        return {
+            revision: change.revision,
+            changeId: change.changeId,
+            inForce: tracker.isInForce(nowMs),
+            gateways: tracker.standings(nowMs),
+        };
+    }
+
+    #limited<T>(answer: Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
+        return withinLimit(
+            this.#clock,
+            this.#timings.freshForMs,
+            answer,
+            () => Left(createFailure("storeOutcomeUnknown", "the store took too long")),
+        );
+    }
+}
+
+type WriteTry =
+    | { readonly type: "written"; readonly change: WrittenChange; }
+    | { readonly type: "refused"; readonly failure: Failure; }
+    /** To be tried again; `failure` is absent where another change came first. */
+    | { readonly type: "open"; readonly mayBeWritten: boolean; readonly failure: Failure | undefined; };
+
+const emptyConfiguration: RevisedConfiguration = Object.freeze({
+    revision: 0,
+    changeId: "",
+    configuration: {
+        timeZone: "UTC",
+        callerKindHeader: "x-caller-kind",
+        availabilityZones: [],
+        services: [],
+    },
+});
--- /dev/null
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -0,0 +1,368 @@
+import { type RevisedConfiguration } from "@galenaglade/configuration";
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    defaultFleetTimings,
+    type FleetCommand,
+    type FleetEvent,
+    FleetMember,
+    type FleetStatus,
+    type FleetTimings,
+    type GatewayIdentity,
+    type Heartbeat,
+    storeKeys,
+} from "@galenaglade/membership";
+import { type HostList, type KeyValueStore } from "@galenaglade/platform";
+import { type ServerLoad, type ServerSignal } from "@galenaglade/routing";
+import { randomUUID } from "node:crypto";
+import { type Either, Left } from "purify-ts";
+import { type Clock, createSystemClock, pause, withinLimit } from "./clock.js";
+import { tickMs, watchGraceMs, watchRetryMs, watchWaitMs } from "./constants.js";
+import { readFleet, register } from "./fleetStore.js";
+import { type PeerCaller, type PeerHandler, type PeerListener } from "./peerCaller.js";
+import { createPeerListener } from "./peerServer.js";
+import { createPeerCaller } from "./trpcPeerCaller.js";
+
+/** What a gateway needs to take part in its fleet. */
+export interface FleetMembershipOptions {
+    readonly store: KeyValueStore;
+    /** Tells which hosts are gone for good; without it only an operator can say so. */
+    readonly hosts?: HostList | undefined;
+    readonly name: string;
+    readonly availabilityZone: string;
+    /** Where the peer port listens; port 0 for any free one. */
+    readonly listen: { readonly host: string; readonly port: number; };
+    /** Peer addresses for a start without the store. */
+    readonly seeds: readonly string[];
+    readonly fleetKey: string;
+    readonly timings?: FleetTimings | undefined;
+    /** For tests: in place of the process's clock, the peer port and the calls to peers. */
+    readonly clock?: Clock | undefined;
+    readonly listener?: PeerListener | undefined;
+    readonly caller?: PeerCaller | undefined;
+}
+
+/** Gets a peer's signals, with their ages as of now at least. */
+export type OnSignals = (signals: readonly ServerSignal[], from: GatewayIdentity) => void;
+/** Gets a peer's loads, with their ages as of now at least. */
+export type OnLoads = (loads: readonly ServerLoad[], from: GatewayIdentity) => void;
+
+/** A gateway's part in its fleet. */
+export interface FleetMembership {
+    /** Opens the peer port and begins to read the store; fails with `internal` where the port can't be opened. */
+    start(): Promise<Either<Failure, void>>;
+    /** @returns the configuration that new work follows; `undefined` until one is known */
+    current(): RevisedConfiguration | undefined;
+    /** To be asked in the same turn as work is sent; `false` means to refuse it with `notFresh`. */
+    mayTakeNewWork(): boolean;
+    /** Calls back with each newer configuration, before anybody is told that it is held. */
+    onConfiguration(callback: (configuration: RevisedConfiguration) => void): void;
+    /** Passes signals on to every peer at once. */
+    publishSignals(signals: readonly ServerSignal[]): void;
+    /** Replaces the loads that heartbeats carry as the budget allows. */
+    publishLoads(loads: readonly ServerLoad[]): void;
+    onSignals(callback: OnSignals): void;
+    onLoads(callback: OnLoads): void;
+    status(): FleetStatus | undefined;
+    /** The planned stop has begun: takes no new work, and says so to peers. */
+    beginStop(): void;
+    /** Ends the registration and closes the peer port. */
+    stop(): Promise<void>;
+}
+
+/**
+ * @param options - who this gateway is and whom it talks to
+ * @returns its part in the fleet, to be started
+ */
+export function createFleetMember(options: FleetMembershipOptions): FleetMembership {
+    return new FleetMemberShell(options);
+}
+
+class FleetMemberShell implements FleetMembership {
+    readonly #options: FleetMembershipOptions;
+    readonly #timings: FleetTimings;
+    readonly #clock: Clock;
+    readonly #listener: PeerListener;
+    readonly #caller: PeerCaller;
+    readonly #onConfiguration: ((configuration: RevisedConfiguration) => void)[] = [];
+    readonly #onSignals: OnSignals[] = [];
+    readonly #onLoads: OnLoads[] = [];
+    readonly #stopped = new AbortController();
+    #self: GatewayIdentity | undefined;
+    #member: FleetMember | undefined;
+    #leaseId: string | undefined;
+    #hostNames: readonly string[] | undefined;
+    #cancelTick: () => void = () => undefined;
+
+    constructor(options: FleetMembershipOptions) {
+        this.#options = options;
+        this.#timings = options.timings ?? defaultFleetTimings;
+        this.#clock = options.clock ?? createSystemClock();
+        this.#listener = options.listener
+            ?? createPeerListener({ ...options.listen, fleetKey: options.fleetKey });
+        this.#caller = options.caller
+            ?? createPeerCaller({ fleetKey: options.fleetKey, callTimeoutMs: this.#timings.callTimeoutMs });
+    }
+
+    async start(): Promise<Either<Failure, void>> {
+        const listening = await this.#listener.listen(this.#createHandler());
+        return listening.map(peerAddress => {
+            const self = {
+                name: this.#options.name,
+                incarnation: randomUUID(),
+                availabilityZone: this.#options.availabilityZone,
+                peerAddress,
+            };
+            this.#self = self;
+            this.#member = new FleetMember(
+                { self, seeds: this.#options.seeds, timings: this.#timings },
+                this.#clock.nowMs(),
+            );
+            this.#tick();
+            void this.#watch();
+            void this.#readHosts();
+        });
+    }
+
+    current(): RevisedConfiguration | undefined {
+        return this.#member?.configuration;
+    }
+
+    mayTakeNewWork(): boolean {
+        return this.#member?.mayTakeNewWork(this.#clock.nowMs()) ?? false;
+    }
+
+    onConfiguration(callback: (configuration: RevisedConfiguration) => void): void {
+        this.#onConfiguration.push(callback);
+    }
+
+    publishSignals(signals: readonly ServerSignal[]): void {
+        this.#handle({ type: "signalsPublished", signals });
+    }
+
+    publishLoads(loads: readonly ServerLoad[]): void {
+        this.#handle({ type: "loadsPublished", loads });
+    }
+
+    onSignals(callback: OnSignals): void {
+        this.#onSignals.push(callback);
+    }
+
+    onLoads(callback: OnLoads): void {
+        this.#onLoads.push(callback);
+    }
+
+    status(): FleetStatus | undefined {
+        return this.#member?.status(this.#clock.nowMs());
+    }
+
+    beginStop(): void {
+        this.#handle({ type: "stopping" });
+    }
+
+    async stop(): Promise<void> {
+        // No new work from here on: whoever accepts a change may not know of this gateway once its lease is gone.
+        this.beginStop();
+        this.#stopped.abort();
+        this.#cancelTick();
+        if (this.#leaseId !== undefined) {
+            await this.#limited(this.#options.store.revokeLease(this.#leaseId));
+        }
+        await this.#listener.close();
+    }
+
+    #createHandler(): PeerHandler {
+        return {
+            heartbeat: heartbeat => {
+                const member = this.#startedMember();
+                this.#passOn(heartbeat, 0);
+                return member.answerHeartbeat(heartbeat, this.#clock.nowMs());
+            },
+            fetch: () => this.#startedMember().createOffer(),
+            offer: offer => {
+                const { answer, commands } = this.#startedMember().answerOffer(offer, this.#clock.nowMs());
+                this.#run(commands);
+                return answer;
+            },
+        };
+    }
+
+    /** The peer port opens a moment before the address is known that the member needs; calls until then fail. */
+    #startedMember(): FleetMember {
+        if (this.#member === undefined) {
+            throw new Error("not started yet");
+        }
+        return this.#member;
+    }
+
+    #tick(): void {
+        this.#handle({ type: "ticked" });
+        if (!this.#stopped.signal.aborted) {
+            this.#cancelTick = this.#clock.after(tickMs, () => this.#tick());
+        }
+    }
+
+    #handle(event: FleetEvent): void {
+        this.#run(this.#member?.handle(event, this.#clock.nowMs()) ?? []);
+    }
+
+    #run(commands: readonly FleetCommand[]): void {
+        for (const command of commands) {
+            this.#runOne(command);
+        }
+    }
+
+    #runOne(command: FleetCommand): void {
+        switch (command.type) {
+            case "apply":
+                for (const callback of this.#onConfiguration) {
+                    callback(command.configuration);
+                }
+                return;
+            case "readStore":
+                void this.#readStore();
+                return;
+            case "register":
+                void this.#register();
+                return;
+            case "renew":
+                void this.#renew();
+                return;
+            case "sendHeartbeat":
+                void this.#sendHeartbeat(command.address, command.heartbeat);
+                return;
+            case "fetch":
+                void this.#fetch(command.address);
+                return;
+            case "swapRoster":
+                void this.#limited(this.#options.store.compareAndSwap({
+                    key: storeKeys.roster,
+                    expectedRevision: command.swap.expectedRevision,
+                    value: JSON.stringify(command.swap.roster),
+                })).then(() => this.#handle({ type: "storeChanged" }));
+                return;
+        }
+    }
+
+    async #readStore(): Promise<void> {
+        const startedAtMs = this.#clock.nowMs();
+        const read = await this.#limited(readFleet(this.#options.store));
+        if (read.isLeft()) {
+            this.#handle({ type: "storeReadFailed" });
+            return;
+        }
+        const { head, ...fleet } = read.unsafeCoerce();
+        this.#handle({
+            type: "storeRead",
+            startedAtMs,
+            head: head.head,
+            survey: { ...fleet, hostNames: this.#hostNames, headRevision: head.head?.revision ?? 0 },
+        });
+    }
+
+    async #register(): Promise<void> {
+        if (this.#self === undefined) {
+            return;
+        }
+        const startedAtMs = this.#clock.nowMs();
+        const ttlMs = this.#timings.leaseTtlMs;
+        const registered = await this.#limited(register(this.#options.store, this.#self, ttlMs));
+        if (registered.isLeft()) {
+            this.#handle({ type: "registrationFailed" });
+            return;
+        }
+        this.#leaseId = registered.unsafeCoerce();
+        this.#handle({ type: "registered", startedAtMs, ttlMs });
+    }
+
+    async #renew(): Promise<void> {
+        if (this.#leaseId === undefined) {
+            return;
+        }
+        const startedAtMs = this.#clock.nowMs();
+        const renewed = await this.#limited(this.#options.store.renewLease(this.#leaseId));
+        renewed.caseOf({
+            Left: failure => this.#handle({ type: "renewalFailed", lapsed: failure.kind === "notFound" }),
+            Right: lease => this.#handle({ type: "renewed", startedAtMs, ttlMs: lease.ttlMs }),
+        });
+    }
+
+    async #sendHeartbeat(address: string, heartbeat: Heartbeat): Promise<void> {
+        const startedAtMs = this.#clock.nowMs();
+        const answered = await this.#caller.heartbeat(address, heartbeat);
+        answered.caseOf({
+            Left: () => this.#handle({ type: "heartbeatFailed", address }),
+            Right: answer => {
+                this.#passOn(answer, this.#clock.nowMs() - startedAtMs);
+                this.#handle({ type: "heartbeatAnswered", address, startedAtMs, heartbeat: answer });
+            },
+        });
+    }
+
+    async #fetch(address: string): Promise<void> {
+        const fetched = await this.#caller.fetch(address);
+        fetched.caseOf({
+            Left: () => this.#handle({ type: "fetchFailed", address }),
+            Right: offer => this.#handle({ type: "fetched", address, offer }),
+        });
+    }
+
+    #passOn(heartbeat: Heartbeat, onTheWayMs: number): void {
+        if (heartbeat.signals.length > 0) {
+            const signals = heartbeat.signals.map(signal => ({ ...signal, ageMs: signal.ageMs + onTheWayMs }));
+            for (const callback of this.#onSignals) {
+                callback(signals, heartbeat.from);
+            }
+        }
+        if (heartbeat.loads.length > 0) {
+            const loads = heartbeat.loads.map(load => ({ ...load, ageMs: load.ageMs + onTheWayMs }));
+            for (const callback of this.#onLoads) {
+                callback(loads, heartbeat.from);
+            }
+        }
+    }
+
+    /** Tells of changes as they come. A watch may go silent for good, so the regular reads go on beside it. */
+    async #watch(): Promise<void> {
+        let afterRevision = 0;
+        while (!this.#stopped.signal.aborted) {
+            const watched = await withinLimit(
+                this.#clock,
+                watchWaitMs + watchGraceMs,
+                this.#options.store.watch({
+                    prefix: storeKeys.head,
+                    afterRevision,
+                    waitMs: watchWaitMs,
+                    signal: this.#stopped.signal,
+                }),
+                () => Left(createFailure("storeUnavailable", "the watch went silent")),
+            );
+            if (watched.isLeft()) {
+                await pause(this.#clock, watchRetryMs);
+                continue;
+            }
+            const events = watched.unsafeCoerce();
+            afterRevision = events.revision;
+            if (events.changed.length > 0) {
+                this.#handle({ type: "storeChanged" });
+            }
+        }
+    }
+
+    async #readHosts(): Promise<void> {
+        const hosts = this.#options.hosts;
+        while (hosts !== undefined && !this.#stopped.signal.aborted) {
+            const listed = await this.#limited(hosts.list());
+            this.#hostNames = listed.map(entries => entries.map(entry => entry.name)).toMaybe().extract();
+            await pause(this.#clock, this.#timings.removeAfterMs / 3);
+        }
+    }
+
+    #limited<T>(answer: Promise<Either<Failure, T>>): Promise<Either<Failure, T>> {
+        return withinLimit(
+            this.#clock,
+            this.#timings.freshForMs,
+            answer,
+            () => Left(createFailure("storeOutcomeUnknown", "the store took too long")),
+        );
+    }
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+/** What gateways and admin say to each other, and the shells that take part in the fleet. */
+export {
+    type ChangeCoordinatorOptions,
+    createChangeCoordinator,
+    StoreChangeCoordinator,
+} from "./changeCoordinatorShell.js";
+export { Clock, createSystemClock } from "./clock.js";
+export {
+    createFleetMember,
+    type FleetMembership,
+    type FleetMembershipOptions,
+    type OnLoads,
+    type OnSignals,
+} from "./fleetMemberShell.js";
+export { PeerCaller, type PeerHandler, PeerListener } from "./peerCaller.js";
+export { createPeerListener, type PeerServerOptions } from "./peerServer.js";
+export { createPeerCaller, type PeerCallerOptions } from "./trpcPeerCaller.js";
--- /dev/null
+++ b/packages/peers/src/peerRouter.ts
@@ -0,0 +1,23 @@
+import { type Heartbeat } from "@galenaglade/membership";
+import { initTRPC } from "@trpc/server";
+import { type PeerHandler } from "./peerCaller.js";
+import { heartbeatSchema, offerSchema } from "./wireSchemas.js";
+
+const trpc = initTRPC.create({ isDev: false });
+
+/**
+ * @param handler - answers the calls
+ * @returns the procedures that gateways and admin call on each other
+ */
+export function createPeerRouter(handler: PeerHandler) {
+    return trpc.router({
+        heartbeat: trpc.procedure
+            .input(heartbeatSchema)
+            .mutation(({ input }): Heartbeat => handler.heartbeat(input)),
+        fetch: trpc.procedure.mutation(() => handler.fetch()),
+        offer: trpc.procedure.input(offerSchema).mutation(({ input }) => handler.offer(input)),
+    });
+}
+
+/** The procedures as a client sees them. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/packages/peers/src/peerServer.ts
@@ -0,0 +1,115 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
+import { type Either, Left, Right } from "purify-ts";
+import {
+    headersTimeoutMs,
+    maximumCallBytes,
+    maximumOfferBytes,
+    maximumPeerConnections,
+    overdueCheckMs,
+    requestTimeoutMs,
+} from "./constants.js";
+import { type PeerHandler, PeerListener } from "./peerCaller.js";
+import { createPeerRouter } from "./peerRouter.js";
+
+/** Where peers' calls come in, and who may call. */
+export interface PeerServerOptions {
+    /** IP number to listen at. */
+    readonly host: string;
+    /** 0 for any free port. */
+    readonly port: number;
+    /** Every caller has to know it. */
+    readonly fleetKey: string;
+}
+
+/**
+ * @param options - where to listen, and the fleet's key
+ * @returns a listener for calls over HTTP
+ */
+export function createPeerListener(options: PeerServerOptions): PeerListener {
+    return new HttpPeerListener(options);
+}
+
+class HttpPeerListener extends PeerListener {
+    readonly #options: PeerServerOptions;
+    #server: Server | undefined;
+
+    constructor(options: PeerServerOptions) {
+        super();
+        this.#options = options;
+    }
+
+    override listen(handler: PeerHandler): Promise<Either<Failure, string>> {
+        const router = createPeerRouter(handler);
+        const expected = digest(`Bearer ${this.#options.fleetKey}`);
+        const server = createServer(
+            {
+                headersTimeout: headersTimeoutMs,
+                requestTimeout: requestTimeoutMs,
+                connectionsCheckingInterval: overdueCheckMs,
+                maxHeaderSize: 8_192,
+            },
+            (req, res) => {
+                if (isAdmitted(req, res, expected)) {
+                    const path = resolvePath(req);
+                    void nodeHTTPRequestHandler({ router, req, res, path, maxBodySize: limitFor(path) });
+                }
+            },
+        );
+        server.maxConnections = maximumPeerConnections;
+        this.#server = server;
+        return new Promise(resolve => {
+            server.once("error", err => resolve(Left(createFailure("internal", `peer port: ${err.message}`))));
+            server.listen(this.#options.port, this.#options.host, () => {
+                const { address, port, family } = server.address() as AddressInfo;
+                resolve(Right(family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`));
+            });
+        });
+    }
+
+    override close(): Promise<void> {
+        const server = this.#server;
+        if (server === undefined) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            server.close(() => resolve());
+            server.closeAllConnections();
+        });
+    }
+}
+
+function digest(text: string): Buffer {
+    return createHash("sha256").update(text).digest();
+}
+
+/** Turns strangers and oversized calls away before a byte of their body is kept. */
+function isAdmitted(req: IncomingMessage, res: ServerResponse, expected: Buffer): boolean {
+    // Compared in constant time: a comparison that stops at the first difference tells a stranger, by its duration,
+    // how much of a guess was right.
+    if (!timingSafeEqual(digest(req.headers.authorization ?? ""), expected)) {
+        refuse(res, 401);
+        return false;
+    }
+    if (Number(req.headers["content-length"] ?? 0) > limitFor(resolvePath(req))) {
+        refuse(res, 413);
+        return false;
+    }
+    return true;
+}
+
+function refuse(res: ServerResponse, status: number): void {
+    res.writeHead(status, { "connection": "close", "content-length": 0 });
+    res.end();
+}
+
+function resolvePath(req: IncomingMessage): string {
+    return (req.url ?? "/").slice(1).split("?", 1)[0] ?? "";
+}
+
+function limitFor(path: string): number {
+    return path === "offer" ? maximumOfferBytes : maximumCallBytes;
+}
--- /dev/null
+++ b/packages/peers/src/trpcPeerCaller.ts
@@ -0,0 +1,93 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { type ConfigurationOffer, type Heartbeat, type OfferAnswer } from "@galenaglade/membership";
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { type Either, Left, Right } from "purify-ts";
+import { type z } from "zod";
+import { PeerCaller } from "./peerCaller.js";
+import { type PeerRouter } from "./peerRouter.js";
+import { heartbeatSchema, offerAnswerSchema, offerSchema } from "./wireSchemas.js";
+
+/** Clients that are kept; gateways come and go, and each has its own address. */
+const maximumClients = 256;
+
+/** How peers are called. */
+export interface PeerCallerOptions {
+    readonly fleetKey: string;
+    /** How long a call may take, in milliseconds. */
+    readonly callTimeoutMs: number;
+}
+
+/**
+ * @param options - the fleet's key and the patience
+ * @returns a caller over HTTP
+ */
+export function createPeerCaller(options: PeerCallerOptions): PeerCaller {
+    return new TrpcPeerCaller(options);
+}
+
+class TrpcPeerCaller extends PeerCaller {
+    readonly #options: PeerCallerOptions;
+    readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
+
+    constructor(options: PeerCallerOptions) {
+        super();
+        this.#options = options;
+    }
+
+    override heartbeat(address: string, heartbeat: Heartbeat): Promise<Either<Failure, Heartbeat>> {
+        return this.#call(
+            address,
+            heartbeatSchema,
+            (client, signal) => client.heartbeat.mutate(heartbeat, { signal }),
+        );
+    }
+
+    override fetch(address: string): Promise<Either<Failure, ConfigurationOffer>> {
+        return this.#call(address, offerSchema, (client, signal) => client.fetch.mutate(undefined, { signal }));
+    }
+
+    override offer(address: string, offer: ConfigurationOffer): Promise<Either<Failure, OfferAnswer>> {
+        return this.#call(address, offerAnswerSchema, (client, signal) => client.offer.mutate(offer, { signal }));
+    }
+
+    /** A timeout closes the connection, so that one which has gone silent isn't used for the next call. */
+    async #call<T>(
+        address: string,
+        schema: z.ZodType<T>,
+        run: (client: TRPCClient<PeerRouter>, signal: AbortSignal) => Promise<unknown>,
+    ): Promise<Either<Failure, T>> {
+        try {
+            const answer = await run(this.#clientFor(address), AbortSignal.timeout(this.#options.callTimeoutMs));
+            const parsed = schema.safeParse(answer);
+            if (!parsed.success) {
+                return Left(createFailure("peerUnreachable", `${address} gave an answer that can't be read`));
+            }
+            return Right(parsed.data);
+        }
+        catch (err) {
+            const reason = err instanceof Error ? err.message : String(err);
+            return Left(createFailure("peerUnreachable", `${address}: ${reason}`));
+        }
+    }
+
+    #clientFor(address: string): TRPCClient<PeerRouter> {
+        const present = this.#clients.get(address);
+        if (present !== undefined) {
+            return present;
+        }
+        for (const oldest of this.#clients.keys()) {
+            if (this.#clients.size < maximumClients) {
+                break;
+            }
+            this.#clients.delete(oldest);
+        }
+        const client = createTRPCClient<PeerRouter>({
+            links: [httpLink({
+                url: `http://${address}`,
+                headers: { authorization: `Bearer ${this.#options.fleetKey}` },
+            })],
+        });
+        this.#clients.set(address, client);
+        return client;
+    }
+}
--- /dev/null
+++ b/packages/peers/src/wireSchemas.ts
@@ -0,0 +1,83 @@
+import { configurationSchema, type RevisedConfiguration } from "@galenaglade/configuration";
+import {
+    type ConfigurationOffer,
+    type GatewayIdentity,
+    type Heartbeat,
+    type OfferAnswer,
+    type Roster,
+} from "@galenaglade/membership";
+import { type ServerId } from "@galenaglade/routing";
+import { z } from "zod";
+
+/** Most gateways that a message may name. */
+const maximumGateways = 1_000;
+const maximumSignals = 256;
+const maximumLoads = 2_000;
+
+const name = z.string().min(1).max(128);
+const count = z.number().int().min(0);
+const ageMs = z.number().min(0);
+const serverId = z.string().max(256).regex(/^[^/]+\/[^/]+$/).transform(text => text as ServerId);
+
+/** A gateway's identity as messages and the store hold it. */
+export const identitySchema: z.ZodType<GatewayIdentity> = z.object({
+    name,
+    incarnation: name,
+    availabilityZone: name,
+    peerAddress: z.string().max(64).regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "IP number and port"),
+});
+
+const identities = z.array(identitySchema).max(maximumGateways);
+
+/** A roster as messages and the store hold it. */
+export const rosterSchema: z.ZodType<Roster> = z.object({
+    version: z.number().int().min(1),
+    members: identities,
+    previous: identities.optional(),
+});
+
+const revisedConfiguration: z.ZodType<RevisedConfiguration> = z.object({
+    revision: z.number().int().min(1),
+    changeId: name,
+    configuration: configurationSchema,
+});
+
+const serverSignal = z.object({
+    serverId,
+    kind: z.enum(["turnedCold", "leaving"]),
+    incarnation: z.string().max(256).optional(),
+    ageMs,
+}).transform(signal => ({ ...signal, incarnation: signal.incarnation }));
+
+const serverLoad = z.object({
+    serverId,
+    ownInFlight: count,
+    reportedInFlight: count.optional(),
+    ageMs,
+}).transform(load => ({ ...load, reportedInFlight: load.reportedInFlight }));
+
+/** A heartbeat, and the answer to one. */
+export const heartbeatSchema: z.ZodType<Heartbeat> = z.object({
+    from: identitySchema,
+    revision: count,
+    rosterVersion: count,
+    freshnessAgeMs: ageMs.optional(),
+    recovering: z.boolean(),
+    signals: z.array(serverSignal).max(maximumSignals),
+    loads: z.array(serverLoad).max(maximumLoads),
+    stopping: z.boolean(),
+}).transform(heartbeat => ({ ...heartbeat, freshnessAgeMs: heartbeat.freshnessAgeMs }));
+
+/** All that a process holds. */
+export const offerSchema: z.ZodType<ConfigurationOffer> = z.object({
+    offered: revisedConfiguration.optional(),
+    roster: rosterSchema.optional(),
+}).transform(offer => ({ offered: offer.offered, roster: offer.roster }));
+
+/** A gateway's word on an offer. */
+export const offerAnswerSchema: z.ZodType<OfferAnswer> = z.object({
+    gateway: identitySchema,
+    revision: count,
+    rosterVersion: count,
+    recentCallers: identities,
+});
