--- a/packages/configuration/src/model.ts
+++ b/packages/configuration/src/model.ts
@@ -5,14 +5,14 @@
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "lower case letters, digits and hyphens, at most 63");
 const timeOfDay = z.string().regex(/^(([01]\d|2[0-3]):[0-5]\d|24:00)$/, "a time of day such as 08:30, up to 24:00");
-const milliseconds = z.number().int().positive();
+const milliseconds = z.number().int().positive().max(86_400_000);
 
 const patienceRule = z.strictObject({
     callerKind: name.describe("the kind of caller; `default` serves every caller that names none"),
     weekdays: z.array(z.enum(weekdays)).nonempty().default([...weekdays]),
     from: timeOfDay.default("00:00"),
     to: timeOfDay.default("24:00"),
-    patienceMs: milliseconds.max(86_400_000),
+    patienceMs: milliseconds,
 });
 
 const backendServer = z.strictObject({
@@ -25,8 +25,12 @@
 });
 
 const coldStart = z.strictObject({
-    concurrency: z.number().int().min(1).default(1).describe("requests in flight that a cold server bears, fleet-wide"),
-    answersToWarm: z.number().int().min(1).default(20).describe("good answers in a row until it counts as warm"),
+    concurrency: z.number().int().min(1).max(4_096).default(1).describe(
+        "requests in flight that a cold server bears, fleet-wide",
+    ),
+    answersToWarm: z.number().int().min(1).max(1_000_000).default(20).describe(
+        "good answers in a row until it counts as warm",
+    ),
     idleMs: milliseconds.default(300_000).describe("idle time after which a server is tried with one request first"),
 });
 
@@ -41,7 +45,7 @@
     pathPrefix: z.string().startsWith("/").default("/"),
     nonIdempotentMethods: z.array(z.string()).default(["POST", "PATCH"]),
     requireIdempotencyKey: z.boolean().default(false),
-    maximumBodyBytes: z.number().int().min(0).default(1_048_576),
+    maximumBodyBytes: z.number().int().min(0).max(4_294_967_295).default(1_048_576),
     patience: z.array(patienceRule).nonempty(),
     coldStart: coldStart.prefault({}),
     loadMeasuring: loadMeasuring.prefault({}),
