Add the stand-in backend server

Cause: nothing answered as the users' backend servers do, with slots, a cold start that falls over, drain, shedding, deadlines and cancellation.

Change: a pure model of what a server takes (ServerModel), an HTTP shell with faults as switches (slow, silent, misleading load, truncated answer, connection closed before or after the run, fail fast, shed, cold with and without a new incarnation, leaving), and a history file with one line for each start, end, probe and leaving. A restart cuts its connections; a server that turns cold unannounced sheds what waits for a slot, so that it never runs more than it bears for a reason of its own.

--- /dev/null
+++ b/packages/standIns/src/backendServer/answer.ts
@@ -0,0 +1,35 @@
+import { createHash } from "node:crypto";
+import { z } from "zod";
+
+/** Headers between gateways and backend servers. */
+export const backendHeaders = Object.freeze({
+    requestId: "x-request-id",
+    idempotencyKey: "idempotency-key",
+    deadlineMs: "x-deadline-ms",
+    workMs: "x-work-ms",
+    answerBytes: "x-answer-bytes",
+    bodyDigest: "x-body-sha256",
+    state: "x-backend-state",
+    inFlight: "x-backend-in-flight",
+    incarnation: "x-backend-incarnation",
+    bears: "x-backend-bears",
+    didRun: "x-galenaglade-did-run",
+});
+
+/** What a stand-in backend server answers a request that ran. */
+export const backendAnswerSchema = z.object({
+    requestId: z.string(),
+    server: z.string(),
+    incarnation: z.string(),
+    /** Digest of the request's body as it arrived, so that a caller sees if it was cut short. */
+    requestDigest: z.string(),
+    padding: z.string(),
+});
+
+/** An answer's body. */
+export type BackendAnswer = z.output<typeof backendAnswerSchema>;
+
+/** @returns SHA-256 in hexadecimal */
+export function digest(body: Buffer | string): string {
+    return createHash("sha256").update(body).digest("hex");
+}
--- /dev/null
+++ b/packages/standIns/src/backendServer/backendServer.ts
@@ -0,0 +1,432 @@
+import { clientHeader } from "@galenaglade/platform";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
+import {
+    closeServer,
+    listen,
+    type ListenAddress,
+    type ListeningServer,
+    readBody,
+    readJson,
+    sendJson,
+} from "../http/jsonServer.js";
+import { type HistoryRecorder, NoHistory } from "../recording/historyFile.js";
+import { type BackendAnswer, backendHeaders, digest } from "./answer.js";
+import { type BackendFaults, backendFaultsSchema } from "./backendFaults.js";
+import { readRequestFacts, readText, type RequestFacts } from "./requestFacts.js";
+import { defaultServerCapacity, type ServerCapacity, ServerModel, type ServerState } from "./serverModel.js";
+import { drawWorkMs, type WorkTimeOptions } from "./workTime.js";
+
+/** How a stand-in backend server is set up. */
+export interface BackendServerOptions {
+    readonly name: string;
+    readonly availabilityZone: string;
+    readonly listen?: ListenAddress | undefined;
+    readonly capacity?: Partial<ServerCapacity> | undefined;
+    /** Connections that it holds open; more are closed at once. */
+    readonly connections?: number | undefined;
+    readonly startsCold?: boolean | undefined;
+    readonly seed?: number | undefined;
+    readonly workTime?: WorkTimeOptions | undefined;
+    readonly history?: HistoryRecorder | undefined;
+}
+
+/** What `/load` and `/health` say. */
+export interface LoadReport {
+    readonly state: ServerState;
+    readonly inFlight: number;
+    readonly bears: number;
+    readonly incarnation: string;
+}
+
+/** What `/counters` says. */
+export interface BackendCounters {
+    readonly started: number;
+    readonly finished: number;
+    readonly shed: number;
+    readonly cancelled: number;
+    readonly probes: number;
+    /** How often it was given more than it bears while cold. */
+    readonly coldOverloads: number;
+}
+
+const defaultConnections = 200;
+const defaultWorkTime: WorkTimeOptions = { medianMs: 20, sigma: 0.5 };
+/** How long a fallen server takes over each error. */
+const lateErrorMs = 1_000;
+/** How many load reports are kept for a lagging one. */
+const reportsKept = 10_000;
+
+type Outcome = "done" | "cancelled" | "deadline";
+
+interface TimedReport {
+    readonly atMs: number;
+    readonly report: LoadReport;
+}
+
+/** The stand-in backend server: slots, cold start, drain and faults behind HTTP. */
+export class BackendServer {
+    readonly #options: BackendServerOptions;
+    readonly #history: HistoryRecorder;
+    readonly #random: RandomSource;
+    readonly #model: ServerModel;
+    readonly #firstLife = process.pid;
+    /** Requests that wait for a slot, in order: how to start each, and how to give it up. */
+    readonly #waiting = new Map<() => void, () => void>();
+    readonly #silentSockets = new WeakSet<Socket>();
+    readonly #sockets = new Set<Socket>();
+    /** Connections on which faults are switched; a restart spares them, so that the switch is answered. */
+    readonly #controlSockets = new WeakSet<Socket>();
+    readonly #reports: TimedReport[] = [];
+    readonly #counters = { started: 0, finished: 0, shed: 0, cancelled: 0, probes: 0 };
+    #faults: BackendFaults = backendFaultsSchema.parse({});
+    #listening: ListeningServer | undefined;
+
+    private constructor(options: BackendServerOptions) {
+        this.#options = options;
+        this.#history = options.history ?? new NoHistory();
+        this.#random = createRandomSource(options.seed ?? 1);
+        this.#model = new ServerModel({ ...defaultServerCapacity, ...options.capacity }, options.startsCold !== true);
+    }
+
+    /** Starts one. */
+    static async start(options: BackendServerOptions): Promise<BackendServer> {
+        const server = new BackendServer(options);
+        server.#listening = await listen(
+            options.listen ?? { host: "127.0.0.1", port: 0 },
+            (req, res) => server.#handle(req, res),
+        );
+        server.#listening.server.maxConnections = options.connections ?? defaultConnections;
+        server.#listening.server.on("connection", (socket: Socket) => server.#keep(socket));
+        return server;
+    }
+
+    get url(): string {
+        return this.#listening?.url ?? "";
+    }
+
+    get port(): number {
+        return this.#listening?.port ?? 0;
+    }
+
+    get counters(): BackendCounters {
+        return { ...this.#counters, coldOverloads: this.#model.overloads };
+    }
+
+    /** The truth, whatever `/load` says. */
+    get load(): LoadReport {
+        const { state, inFlight, bears } = this.#model;
+        return { state, inFlight, bears, incarnation: `${this.#firstLife}-${this.#model.lives}` };
+    }
+
+    /** Replaces every fault. */
+    setFaults(faults: Partial<BackendFaults>): void {
+        this.#faults = backendFaultsSchema.parse(faults);
+        if (this.#faults.turnCold !== "no") {
+            this.#turnCold(this.#faults.turnCold === "restarted");
+        }
+        if (this.#faults.leave) {
+            this.#leave();
+        }
+        if (this.#faults.silent === "openConnections") {
+            for (const socket of this.#sockets) {
+                this.#silentSockets.add(socket);
+            }
+        }
+    }
+
+    /** Planned stop: says that it is leaving, serves on for the grace time and until nothing is in flight, then stops. */
+    async drain(graceMs: number): Promise<void> {
+        this.#leave();
+        const untilMs = performance.now() + graceMs;
+        while (performance.now() < untilMs || this.#model.inFlight > 0) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        await this.stop();
+    }
+
+    /** Closes every connection and stops. */
+    async stop(): Promise<void> {
+        if (this.#listening !== undefined) {
+            await closeServer(this.#listening.server);
+        }
+    }
+
+    #leave(): void {
+        if (this.#model.state !== "leaving") {
+            this.#model.leave();
+            this.#history.record({ type: "serverLeaving", server: this.#options.name });
+        }
+    }
+
+    /** A restart closes every connection; turning cold unannounced only sheds what waits. */
+    #turnCold(restarted: boolean): void {
+        this.#model.turnCold(restarted);
+        for (const giveUp of [...this.#waiting.values()]) {
+            giveUp();
+        }
+        if (!restarted) {
+            return;
+        }
+        for (const socket of this.#sockets) {
+            if (!this.#controlSockets.has(socket)) {
+                socket.destroy();
+            }
+        }
+    }
+
+    #keep(socket: Socket): void {
+        this.#sockets.add(socket);
+        socket.once("close", () => this.#sockets.delete(socket));
+    }
+
+    async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        switch (req.url) {
+            case "/faults":
+                this.#controlSockets.add(req.socket);
+                this.setFaults(backendFaultsSchema.parse(await readJson(req)));
+                sendJson(res, 200, this.#faults);
+                return;
+            case "/counters":
+                sendJson(res, 200, this.counters);
+                return;
+            case "/load":
+            case "/health":
+                this.#answerProbe(req, res);
+                return;
+            default:
+                await this.#serve(req, res);
+        }
+    }
+
+    #answerProbe(req: IncomingMessage, res: ServerResponse): void {
+        this.#counters.probes++;
+        const gateway = readText(req, clientHeader) ?? "unknown";
+        this.#history.record({ type: "serverProbed", server: this.#options.name, gateway });
+        if (this.#isSilent(req)) {
+            return;
+        }
+        const report = this.#toldLoad();
+        this.#describe(res, report);
+        sendJson(res, 200, report);
+    }
+
+    async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const arrivedAtMs = performance.now();
+        const facts = readRequestFacts(req);
+        const body = await readBody(req);
+        if (this.#faults.closeOnRead > 0) {
+            this.#faults = { ...this.#faults, closeOnRead: this.#faults.closeOnRead - 1 };
+            req.socket.destroy();
+            return;
+        }
+        if (this.#isSilent(req)) {
+            return;
+        }
+        const admission = this.#faults.shed ? "shed" : this.#model.admit(arrivedAtMs);
+        this.#noteLoad(arrivedAtMs);
+        if (admission === "shed") {
+            this.#shed(res, "too many requests in flight");
+            return;
+        }
+        if (admission === "queue" && !await this.#waitForSlot(res, remaining(facts, arrivedAtMs))) {
+            this.#shed(res, "it waited for a slot in vain");
+            return;
+        }
+        await this.#run(req, res, facts, body, arrivedAtMs, admission === "fallOver");
+    }
+
+    async #run(
+        req: IncomingMessage,
+        res: ServerResponse,
+        facts: RequestFacts,
+        body: Buffer,
+        arrivedAtMs: number,
+        fallen: boolean,
+    ): Promise<void> {
+        this.#recordStart(facts);
+        const failing = fallen || this.#faults.failFast;
+        const outcome = await work(res, this.#resolveWorkMs(facts, fallen), remaining(facts, arrivedAtMs));
+        this.#model.end(outcome === "done" && !failing);
+        this.#noteLoad(performance.now());
+        this.#history.record({
+            type: "serverEnded",
+            requestId: facts.requestId,
+            server: this.#options.name,
+            incarnation: this.load.incarnation,
+        });
+        this.#startNext();
+        if (outcome === "cancelled") {
+            this.#counters.cancelled++;
+            return;
+        }
+        if (this.#isSilent(req)) {
+            return;
+        }
+        this.#describe(res, this.load);
+        res.setHeader(backendHeaders.requestId, facts.requestId);
+        if (outcome === "deadline") {
+            sendJson(res, 504, { error: "the deadline passed while it ran" });
+            return;
+        }
+        if (failing) {
+            sendJson(res, 500, { error: fallen ? "overloaded while cold" : "failing" });
+            return;
+        }
+        this.#counters.finished++;
+        this.#answer(res, facts, body);
+    }
+
+    #answer(res: ServerResponse, facts: RequestFacts, body: Buffer): void {
+        if (this.#faults.closeAfterRun > 0) {
+            this.#faults = { ...this.#faults, closeAfterRun: this.#faults.closeAfterRun - 1 };
+            res.socket?.destroy();
+            return;
+        }
+        const answer: BackendAnswer = {
+            requestId: facts.requestId,
+            server: this.#options.name,
+            incarnation: this.load.incarnation,
+            requestDigest: digest(body),
+            padding: "x".repeat(facts.answerBytes),
+        };
+        const text = Buffer.from(JSON.stringify(answer));
+        res.writeHead(200, {
+            "content-type": "application/json",
+            "content-length": text.length,
+            [backendHeaders.bodyDigest]: digest(text),
+        });
+        if (this.#faults.truncateAnswers > 0) {
+            this.#faults = { ...this.#faults, truncateAnswers: this.#faults.truncateAnswers - 1 };
+            res.write(text.subarray(0, text.length - 1), () => res.socket?.end());
+            return;
+        }
+        res.end(text);
+    }
+
+    #shed(res: ServerResponse, reason: string): void {
+        this.#counters.shed++;
+        this.#describe(res, this.load);
+        res.setHeader(backendHeaders.didRun, "no");
+        sendJson(res, 503, { error: reason });
+    }
+
+    /** @returns whether a slot came free before the caller went away or its deadline passed */
+    #waitForSlot(res: ServerResponse, deadlineMs: number | undefined): Promise<boolean> {
+        return new Promise(resolve => {
+            const settle = (started: boolean): void => {
+                clearTimeout(timer);
+                res.off("close", giveUp);
+                resolve(started);
+            };
+            const start = (): void => settle(true);
+            const giveUp = (): void => {
+                this.#waiting.delete(start);
+                this.#model.abandonQueued();
+                settle(false);
+            };
+            this.#waiting.set(start, giveUp);
+            res.once("close", giveUp);
+            const timer = deadlineMs === undefined ? undefined : setTimeout(giveUp, deadlineMs);
+        });
+    }
+
+    #startNext(): void {
+        for (const start of [...this.#waiting.keys()]) {
+            if (!this.#model.startQueued()) {
+                return;
+            }
+            this.#waiting.delete(start);
+            start();
+        }
+    }
+
+    #resolveWorkMs(facts: RequestFacts, fallen: boolean): number {
+        if (fallen) {
+            return lateErrorMs;
+        }
+        if (this.#faults.failFast) {
+            return 0;
+        }
+        const drawn = facts.workMs ?? drawWorkMs(this.#options.workTime ?? defaultWorkTime, this.#random);
+        return drawn * this.#faults.slowFactor;
+    }
+
+    #recordStart(facts: RequestFacts): void {
+        this.#counters.started++;
+        this.#history.record({
+            type: "serverStarted",
+            requestId: facts.requestId,
+            idempotencyKey: facts.idempotencyKey,
+            server: this.#options.name,
+            availabilityZone: this.#options.availabilityZone,
+            incarnation: this.load.incarnation,
+            cold: this.#model.isCold,
+            inFlight: this.#model.inFlight,
+            bears: this.#model.bears,
+        });
+    }
+
+    #describe(res: ServerResponse, report: LoadReport): void {
+        res.setHeader(backendHeaders.state, report.state);
+        res.setHeader(backendHeaders.inFlight, report.inFlight);
+        res.setHeader(backendHeaders.incarnation, report.incarnation);
+        res.setHeader(backendHeaders.bears, report.bears);
+    }
+
+    #toldLoad(): LoadReport {
+        switch (this.#faults.loadReport) {
+            case "true":
+                return this.load;
+            case "zero":
+                return { ...this.load, inFlight: 0 };
+            case "lagging": {
+                const beforeMs = performance.now() - this.#faults.loadLagMs;
+                const told = this.#reports.findLast(({ atMs }) => atMs <= beforeMs);
+                return told?.report ?? { ...this.load, inFlight: 0 };
+            }
+        }
+    }
+
+    #noteLoad(atMs: number): void {
+        this.#reports.push({ atMs, report: this.load });
+        if (this.#reports.length > reportsKept) {
+            this.#reports.splice(0, reportsKept / 2);
+        }
+    }
+
+    #isSilent(req: IncomingMessage): boolean {
+        switch (this.#faults.silent) {
+            case "no":
+                return false;
+            case "all":
+                return true;
+            case "openConnections":
+                return this.#silentSockets.has(req.socket);
+        }
+    }
+}
+
+function remaining(facts: RequestFacts, arrivedAtMs: number): number | undefined {
+    return facts.deadlineMs === undefined ? undefined : arrivedAtMs + facts.deadlineMs - performance.now();
+}
+
+/** Works for a time, unless the caller goes away or its deadline passes first. */
+function work(res: ServerResponse, workMs: number, deadlineMs: number | undefined): Promise<Outcome> {
+    return new Promise(resolve => {
+        if (res.closed) {
+            resolve("cancelled");
+            return;
+        }
+        const late = deadlineMs !== undefined && deadlineMs < workMs;
+        const timer = setTimeout(() => settle(late ? "deadline" : "done"), late ? deadlineMs : workMs);
+        const cancel = (): void => settle("cancelled");
+        const settle = (outcome: Outcome): void => {
+            clearTimeout(timer);
+            res.off("close", cancel);
+            resolve(outcome);
+        };
+        res.once("close", cancel);
+    });
+}
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -1,7 +1,22 @@
 /** Small stand-ins for the systems that galenaglade serves and uses; for tests, benches and the playground only. */
+export { type BackendAnswer, backendAnswerSchema, backendHeaders, digest } from "./backendServer/answer.js";
+export { type BackendFaults, backendFaultsSchema } from "./backendServer/backendFaults.js";
+export {
+    type BackendCounters,
+    BackendServer,
+    type BackendServerOptions,
+    type LoadReport,
+} from "./backendServer/backendServer.js";
+export {
+    defaultServerCapacity,
+    type ServerCapacity,
+    ServerModel,
+    type ServerState,
+} from "./backendServer/serverModel.js";
 export { type CallFate, FakeStore, type FateOf } from "./fakes/fakeStore.js";
 export { VirtualTime } from "./fakes/virtualTime.js";
 export { type CallCounts, type CallLimits, defaultCallLimits } from "./platform/callMeter.js";
 export { KeyValueEngine } from "./platform/keyValueEngine.js";
 export { type PlatformFaults, platformFaultsSchema } from "./platform/platformFaults.js";
 export { PlatformServer, type PlatformServerOptions } from "./platform/platformServer.js";
+export { HistoryFile, HistoryRecorder, MemoryHistory, mergeHistories, NoHistory } from "./recording/historyFile.js";
--- /dev/null
+++ b/packages/standIns/src/recording/historyFile.ts
@@ -0,0 +1,85 @@
+import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
+import { closeSync, openSync, readFileSync, writeSync } from "node:fs";
+
+/** Takes the events of one process. */
+export abstract class HistoryRecorder {
+    abstract record(event: HistoryEvent): void;
+}
+
+/** Keeps nothing. */
+export class NoHistory extends HistoryRecorder {
+    override record(): void {
+        // A run without --history has no reader for it.
+    }
+}
+
+/** Keeps the events in memory, for tests within one process. */
+export class MemoryHistory extends HistoryRecorder {
+    readonly #process: string;
+    readonly #lines: HistoryLine[] = [];
+
+    constructor(process: string) {
+        super();
+        this.#process = process;
+    }
+
+    get lines(): readonly HistoryLine[] {
+        return this.#lines;
+    }
+
+    override record(event: HistoryEvent): void {
+        const sequence = this.#lines.length + 1;
+        this.#lines.push({ ...event, sequence, atMs: readMachineClock(), process: this.#process });
+    }
+}
+
+/** Appends one JSON line for each event; written through, so that a killed process loses none. */
+export class HistoryFile extends HistoryRecorder {
+    readonly #process: string;
+    readonly #file: number;
+    #sequence = 0;
+
+    constructor(path: string, process: string) {
+        super();
+        this.#process = process;
+        this.#file = openSync(path, "a");
+    }
+
+    override record(event: HistoryEvent): void {
+        const line: HistoryLine = {
+            ...event,
+            sequence: ++this.#sequence,
+            atMs: readMachineClock(),
+            process: this.#process,
+        };
+        writeSync(this.#file, `${JSON.stringify(line)}\n`);
+    }
+
+    close(): void {
+        closeSync(this.#file);
+    }
+}
+
+/**
+ * Reads the histories of several processes of one machine as one.
+ *
+ * @param paths - files that {@link HistoryFile} wrote
+ * @returns all lines in the order of the machine's monotonic clock, numbered anew
+ */
+export function mergeHistories(paths: readonly string[]): readonly HistoryLine[] {
+    const lines: HistoryLine[] = [];
+    for (const path of paths) {
+        for (const text of readFileSync(path, "utf8").split("\n")) {
+            if (text !== "") {
+                lines.push(JSON.parse(text) as HistoryLine);
+            }
+        }
+    }
+    const byTime = lines.toSorted((a, b) => a.atMs - b.atMs || a.sequence - b.sequence);
+    return byTime.map((line, i) => ({ ...line, sequence: i + 1 }));
+}
+
+/** The monotonic clock that all processes of the machine share, in milliseconds. */
+function readMachineClock(): number {
+    return Number(process.hrtime.bigint()) / 1e6;
+}
