--- /dev/null
+++ b/packages/configuration/src/checkYaml.ts
@@ -0,0 +1,106 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Document, isMap, isNode, isScalar, isSeq, LineCounter, type Pair, parseDocument } from "yaml";
+import { type DocumentFault, formatPath, type ResolveDocument } from "./documentFaults.js";
+
+/** One fault with where it stands in the file. */
+export interface LocatedFault extends DocumentFault {
+    /** Counted from 1. */
+    readonly line: number;
+    /** Counted from 1. */
+    readonly column: number;
+}
+
+/**
+ * Parses YAML and checks it, and finds the line of every fault.
+ *
+ * @param text - YAML, one document
+ * @param resolve - checks what was parsed
+ * @returns all faults at once in the order of their lines, or what the document resolves to
+ */
+export function checkYaml<T>(text: string, resolve: ResolveDocument<T>): Either<readonly LocatedFault[], T> {
+    const lines = new LineCounter();
+    const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+    const faults: LocatedFault[] = [];
+    let broken = false;
+    for (const err of document.errors) {
+        const at = lines.linePos(err.pos[0]);
+        faults.push({ path: [], message: err.message, line: at.line, column: at.col });
+        broken ||= err.code !== "DUPLICATE_KEY";
+    }
+    // A document that doesn't parse has holes, and each would be named as a missing key; one with a key written
+    // twice is whole, so its other faults are named along with that one.
+    if (broken) {
+        return Left(sortByPlace(faults));
+    }
+    return resolveParsed(document, resolve).caseOf({
+        Left: found => Left(sortByPlace([...faults, ...found.map(fault => locate(fault, document, lines))])),
+        Right: value => faults.length > 0 ? Left(sortByPlace(faults)) : Right(value),
+    });
+}
+
+function resolveParsed<T>(document: Document.Parsed, resolve: ResolveDocument<T>): Either<readonly DocumentFault[], T> {
+    let value: unknown;
+    try {
+        value = document.toJS({ maxAliasCount: 100 });
+    }
+    catch (err) {
+        return Left([{ path: [], message: err instanceof Error ? err.message : String(err) }]);
+    }
+    return resolve(value);
+}
+
+function sortByPlace(faults: readonly LocatedFault[]): readonly LocatedFault[] {
+    return [...faults].sort((a, b) => a.line - b.line || a.column - b.column);
+}
+
+function locate(fault: DocumentFault, document: Document.Parsed, lines: LineCounter): LocatedFault {
+    const { line, col } = lines.linePos(findOffset(document, fault.path));
+    return { ...fault, line: Math.max(1, line), column: Math.max(1, col) };
+}
+
+/** The offset of what a path leads to, or of the deepest part of it that was written. */
+function findOffset(document: Document.Parsed, path: readonly (string | number)[]): number {
+    let node: unknown = document.contents;
+    let offset = offsetOf(document.contents);
+    for (const part of path) {
+        if (isMap(node)) {
+            const pair = (node.items as readonly Pair[]).find(item => keyOf(item) === String(part));
+            if (pair === undefined) {
+                return offset;
+            }
+            offset = offsetOf(pair.key);
+            node = pair.value;
+        }
+        else if (isSeq(node) && typeof part === "number") {
+            node = node.items[part];
+            offset = offsetOf(node) || offset;
+        }
+        else {
+            return offset;
+        }
+    }
+    return offset;
+}
+
+function keyOf(pair: Pair): string {
+    return isScalar(pair.key) ? String(pair.key.value) : String(pair.key);
+}
+
+function offsetOf(node: unknown): number {
+    return isNode(node) ? node.range?.[0] ?? 0 : 0;
+}
+
+/**
+ * Writes faults as a person reads them, one a line.
+ *
+ * @param file - name of the file that holds them
+ * @param faults - what {@link checkYaml} found
+ * @returns lines of the form `file:line:column: path: message`
+ */
+export function formatFaults(file: string, faults: readonly LocatedFault[]): string {
+    const lines = faults.map(fault => {
+        const path = fault.path.length === 0 ? "" : `${formatPath(fault.path)}: `;
+        return `${file}:${fault.line}:${fault.column}: ${path}${fault.message}`;
+    });
+    return lines.join("\n");
+}
