Claim idempotency keys in the store, many to one write

A second try of a return or a deposit may come through another gateway, so the key is claimed by compare-and-swap before its request is sent. Claims live in documents by time bucket and shard; while a write of a shard is under way, what arrives for it gathers and rides in the next write, ends as well as claims. Own claims are recognised by their nonce when the answer to a write is lost. A key is free again only once its request is known not to have run: a dead holder's stays unknown. While the store is down keyed requests are refused at once.

Before a claim goes into a bucket, all older ones that still count are read and sealed: a sealed document takes no new claim, so a gateway whose clock is behind can't claim where nobody looks any more.

--- a/packages/atMostOnce/src/index.ts
+++ b/packages/atMostOnce/src/index.ts
@@ -11,4 +11,14 @@
     type Framing,
     resolveAttempt,
 } from "./attempt.js";
+export { ClaimBatcher, defaultClaimLimits, mayHandOver } from "./claimBatcher.js";
+export { type ClaimEnd } from "./claimDocument.js";
+export {
+    type ClaimCallAnswer,
+    type ClaimCommand,
+    type ClaimLimits,
+    type ClaimRequest,
+    type ClaimTime,
+    type StoredClaims,
+} from "./claimMessages.js";
 export * from "./constants.js";
