Prove that a cold server is never given more than it bears

A simulated fleet on a virtual clock: delays, losses, gateways stopped for up to 15 s and continued, cut from the store or from their peers, replaced under a new roster, store outages, servers that turn cold without a word.

Not caught by these runs, and to be shown by tests of their own: the lease's time alone (contact lapses sooner in most cases), departures heard from peers, the epoch of a word, the horizon, a reset at a new roster, the one trial request.

--- /dev/null
+++ b/packages/coldStart/src/__tests__/simulatedFleet.ts
@@ -0,0 +1,460 @@
+import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
+import { createRandomSource, type RandomSource, type ServerId } from "@galenaglade/routing";
+import { type CallFate, FakeStore, KeyValueEngine, VirtualTime } from "@galenaglade/stand-ins";
+import {
+    type AttemptEnd,
+    createServerGate,
+    type GatedServer,
+    type GatewayRoster,
+    noSigns,
+    type ServerGate,
+    type StoreCommand,
+    type StoreOutcome,
+} from "../index.js";
+
+/** What a simulated run is made of; every fault is drawn from the seed. */
+export interface FleetPlan {
+    readonly seed: number;
+    readonly gateways: number;
+    readonly servers: number;
+    readonly runMs: number;
+    /** Time between two requests that arrive at a gateway. */
+    readonly arrivalMs: number;
+    readonly idleMs: number;
+    /** Share of requests, answers and heartbeats that are lost. */
+    readonly loss: number;
+    /** Mean time between two servers that turn cold without a word; 0 for none. */
+    readonly coldEveryMs: number;
+    /** Mean time between two stops of a gateway; 0 for none. */
+    readonly pauseEveryMs: number;
+    /** Mean time between two cuts of a gateway from the store, or from its peers; 0 for none. */
+    readonly cutEveryMs: number;
+    /** Mean time between two replacements of a gateway; 0 for none. */
+    readonly replaceEveryMs: number;
+    /** When the store is down. */
+    readonly outages: readonly { readonly fromMs: number; readonly toMs: number; }[];
+    /** Gateways, by number, that die with the first outage and aren't replaced. */
+    readonly dead: number;
+    /** Longest patience of a caller. */
+    readonly patienceMs: number;
+    /** Requests in flight that a cold server bears. */
+    readonly coldBears: number;
+    /** Good answers until a cold server is warm. */
+    readonly answersUntilWarm: number;
+    /** Share of requests that run to their deadline. */
+    readonly longShare: number;
+    /** Whether store, peers and servers are sometimes slow. */
+    readonly slow: boolean;
+}
+
+const tickMs = 150;
+const roundMs = 300;
+const warmSlots = 3;
+
+interface RunningRequest {
+    readonly requestId: string;
+    ended: boolean;
+}
+
+/** A backend server that tells its state in each answer, and in nothing else. */
+class SimulatedServer {
+    readonly serverId: ServerId;
+    cold = true;
+    inFlight = 0;
+    incarnation = 1;
+    readonly #plan: FleetPlan;
+    #answers = 0;
+
+    constructor(serverId: ServerId, plan: FleetPlan) {
+        this.serverId = serverId;
+        this.#plan = plan;
+    }
+
+    get bears(): number {
+        return this.cold ? this.#plan.coldBears : warmSlots;
+    }
+
+    turnCold(): void {
+        this.cold = true;
+        this.#answers = 0;
+    }
+
+    /** @returns whether the answer made it warm */
+    answer(): boolean {
+        this.#answers++;
+        if (this.cold && this.#answers >= this.#plan.answersUntilWarm) {
+            this.cold = false;
+            return true;
+        }
+        return false;
+    }
+}
+
+/** A gateway process that may be stopped and continued; what comes meanwhile waits for it, in no order. */
+class SimulatedGateway {
+    readonly id: string;
+    readonly gate: ServerGate;
+    isDead = false;
+    cutFromStoreUntilMs = 0;
+    cutFromPeersUntilMs = 0;
+    requests = 0;
+    #isPaused = false;
+    #backlog: (() => void)[] = [];
+
+    constructor(id: string) {
+        this.id = id;
+        this.gate = createServerGate(id);
+    }
+
+    run(work: () => void): void {
+        if (this.isDead) {
+            return;
+        }
+        if (this.#isPaused) {
+            this.#backlog.push(work);
+            return;
+        }
+        work();
+    }
+
+    pause(): void {
+        this.#isPaused = true;
+    }
+
+    resume(random: RandomSource): void {
+        this.#isPaused = false;
+        const backlog = this.#backlog;
+        this.#backlog = [];
+        while (backlog.length > 0) {
+            backlog.splice(random.below(backlog.length), 1)[0]?.();
+        }
+    }
+}
+
+/** Several gateways, backend servers and the store on one virtual clock. */
+export class SimulatedFleet {
+    readonly history: HistoryLine[] = [];
+    readonly #plan: FleetPlan;
+    readonly #time = new VirtualTime();
+    readonly #random: RandomSource;
+    readonly #store: FakeStore;
+    readonly #servers: SimulatedServer[] = [];
+    readonly #gateways: SimulatedGateway[] = [];
+    #roster: GatewayRoster = { version: 0, members: [] };
+    #gatewayCount = 0;
+    answered = 0;
+    asked = 0;
+
+    constructor(plan: FleetPlan) {
+        this.#plan = plan;
+        this.#random = createRandomSource(plan.seed);
+        this.#store = new FakeStore(new KeyValueEngine(), this.#time, (client, nowMs) => this.#fate(client, nowMs));
+        for (let i = 0; i < plan.servers; i++) {
+            this.#servers.push(new SimulatedServer(`service/s${i}`, plan));
+        }
+    }
+
+    /** Share of servers that a caller of some gateway could be sent to freely just now. */
+    warmShare(): number {
+        return this.#servers.filter(server => !server.cold).length / this.#servers.length;
+    }
+
+    start(): void {
+        for (let i = 0; i < this.#plan.gateways; i++) {
+            this.#addGateway();
+        }
+        this.#changeRoster();
+        this.#repeat(this.#plan.coldEveryMs, () => this.#turnOneCold());
+        this.#repeat(this.#plan.pauseEveryMs, () => this.#pauseOne());
+        this.#repeat(this.#plan.cutEveryMs, () => this.#cutOne());
+        this.#repeat(this.#plan.replaceEveryMs, () => this.#replaceOne());
+        const outage = this.#plan.outages[0];
+        if (outage !== undefined && this.#plan.dead > 0) {
+            this.#time.after(outage.fromMs, () => {
+                for (const gateway of this.#gateways.slice(0, this.#plan.dead)) {
+                    gateway.isDead = true;
+                }
+            });
+        }
+    }
+
+    runUntil(atMs: number): void {
+        this.#time.runUntil(atMs);
+    }
+
+    #record(process: string, event: HistoryEvent): void {
+        this.history.push({ sequence: this.history.length, atMs: this.#time.nowMs, process, ...event });
+    }
+
+    /** Runs `work` at random times that lie `meanMs` apart in the mean. */
+    #repeat(meanMs: number, work: () => void): void {
+        if (meanMs > 0) {
+            this.#time.after(meanMs * 2 * this.#random.next(), () => {
+                work();
+                this.#repeat(meanMs, work);
+            });
+        }
+    }
+
+    #delayMs(): number {
+        const isSlow = this.#plan.slow && this.#random.next() < 0.05;
+        return 1 + this.#random.below(isSlow ? 1_200 : 20);
+    }
+
+    #isLost(): boolean {
+        return this.#random.next() < this.#plan.loss;
+    }
+
+    #isStoreDown(nowMs: number): boolean {
+        return this.#plan.outages.some(outage => nowMs >= outage.fromMs && nowMs < outage.toMs);
+    }
+
+    #fate(client: string, nowMs: number): CallFate {
+        const gateway = this.#gateways.find(each => each.id === client);
+        const isCut = gateway !== undefined && nowMs < gateway.cutFromStoreUntilMs;
+        if (isCut || this.#isStoreDown(nowMs) || this.#isLost()) {
+            return { type: "requestLost", timeoutMs: 1_000 };
+        }
+        if (this.#isLost()) {
+            return { type: "answerLost", outMs: this.#delayMs() % 1_000, timeoutMs: 1_000 };
+        }
+        return { type: "answered", outMs: this.#delayMs(), backMs: this.#delayMs() };
+    }
+
+    #addGateway(): SimulatedGateway {
+        const gateway = new SimulatedGateway(`g${this.#gatewayCount++}/1`);
+        this.#gateways.push(gateway);
+        gateway.gate.onServers(this.#servers.map(server => this.#declare(server)), this.#time.nowMs);
+        this.#every(gateway, tickMs, () => this.#tick(gateway));
+        this.#every(gateway, roundMs, () => this.#round(gateway));
+        this.#every(gateway, this.#plan.arrivalMs, () => this.#arrive(gateway));
+        return gateway;
+    }
+
+    #declare(server: SimulatedServer): GatedServer {
+        const limits = {
+            concurrency: 1,
+            slots: warmSlots,
+            answersToWarm: 5,
+            idleMs: this.#plan.idleMs,
+            longestPatienceMs: this.#plan.patienceMs,
+        };
+        return { serverId: server.serverId, limits, isIn: true };
+    }
+
+    #every(gateway: SimulatedGateway, periodMs: number, work: () => void): void {
+        this.#time.after(periodMs / 2 + this.#random.below(periodMs), () => {
+            if (gateway.isDead) {
+                return;
+            }
+            gateway.run(work);
+            this.#every(gateway, periodMs, work);
+        });
+    }
+
+    /** The new roster reaches every gateway within two seconds. */
+    #changeRoster(): void {
+        const members = this.#gateways.filter(gateway => !gateway.isDead).map(gateway => gateway.id);
+        const previous = this.#roster.version === 0 ? undefined : this.#roster.members;
+        this.#roster = { version: this.#roster.version + 1, members, previous };
+        const roster = this.#roster;
+        for (const gateway of this.#gateways) {
+            this.#time.after(this.#random.below(2_000), () => gateway.run(() => gateway.gate.onRoster(roster)));
+        }
+    }
+
+    #turnOneCold(): void {
+        const server = this.#servers[this.#random.below(this.#servers.length)];
+        if (server !== undefined && !server.cold) {
+            server.turnCold();
+            this.#record(server.serverId, { type: "serverTurnedCold", server: server.serverId });
+        }
+    }
+
+    #pauseOne(): void {
+        const gateway = this.#gateways[this.#random.below(this.#gateways.length)];
+        gateway?.pause();
+        this.#time.after(500 + this.#random.below(15_000), () => gateway?.resume(this.#random));
+    }
+
+    #cutOne(): void {
+        const gateway = this.#gateways[this.#random.below(this.#gateways.length)];
+        const untilMs = this.#time.nowMs + 500 + this.#random.below(20_000);
+        if (gateway !== undefined && this.#random.next() < 0.7) {
+            gateway.cutFromStoreUntilMs = untilMs;
+        }
+        else if (gateway !== undefined) {
+            gateway.cutFromPeersUntilMs = untilMs;
+        }
+    }
+
+    #replaceOne(): void {
+        if (this.#isStoreDown(this.#time.nowMs)) {
+            return;
+        }
+        const living = this.#gateways.filter(gateway => !gateway.isDead);
+        const gateway = living[this.#random.below(living.length)];
+        if (gateway !== undefined) {
+            gateway.isDead = true;
+            this.#addGateway();
+            this.#changeRoster();
+        }
+    }
+
+    #tick(gateway: SimulatedGateway): void {
+        for (const command of gateway.gate.tick(this.#time.nowMs)) {
+            this.#call(gateway, command);
+        }
+    }
+
+    #call(gateway: SimulatedGateway, command: StoreCommand): void {
+        const askedAtMs = this.#time.nowMs;
+        this.#store.call(gateway.id, (engine, nowMs) => runCommand(engine, command, nowMs), result => {
+            const outcome: StoreOutcome = result.orDefault({ type: "failed" });
+            gateway.run(() => gateway.gate.onStoreReply({ command, askedAtMs, outcome }, this.#time.nowMs));
+        });
+    }
+
+    #round(gateway: SimulatedGateway): void {
+        const startedAtMs = this.#time.nowMs;
+        const word = gateway.gate.beginRound(startedAtMs);
+        const answers: ReturnType<ServerGate["beginRound"]>[] = [];
+        const end = (): void => {
+            gateway.gate.onRound({ startedAtMs, answers }, this.#time.nowMs);
+        };
+        for (const peer of this.#gateways) {
+            if (peer === gateway || this.#isCut(gateway, peer) || this.#isLost()) {
+                continue;
+            }
+            this.#time.after(this.#delayMs(), () =>
+                peer.run(() => {
+                    const answer = peer.gate.onHeartbeat(word, this.#time.nowMs);
+                    if (this.#isLost()) {
+                        return;
+                    }
+                    this.#time.after(this.#delayMs(), () =>
+                        gateway.run(() => {
+                            answers.push(answer);
+                            end();
+                            this.#recordMajority(gateway, startedAtMs, answers.map(each => each.from));
+                        }));
+                }));
+        }
+    }
+
+    #isCut(...gateways: readonly SimulatedGateway[]): boolean {
+        return gateways.some(gateway => this.#time.nowMs < gateway.cutFromPeersUntilMs);
+    }
+
+    /** Counted here a second time, from the roster as it stands, so that the checker doesn't rest on the gate's word. */
+    #recordMajority(gateway: SimulatedGateway, startedAtMs: number, peers: readonly string[]): void {
+        const heard = new Set([gateway.id, ...peers]);
+        const { members, previous } = this.#roster;
+        const isMajority = [members, previous ?? members]
+            .every(list => list.filter(member => heard.has(member)).length * 2 > list.length);
+        if (isMajority) {
+            this.#record(gateway.id, { type: "majorityRound", gateway: gateway.id, startedAtMs });
+        }
+    }
+
+    #arrive(gateway: SimulatedGateway): void {
+        const nowMs = this.#time.nowMs;
+        this.asked++;
+        const deadlineMs = nowMs + 100 + this.#random.below(this.#plan.patienceMs - 100);
+        const first = this.#random.below(this.#servers.length);
+        for (let i = 0; i < this.#servers.length; i++) {
+            const server = this.#servers[(first + i) % this.#servers.length];
+            if (server !== undefined && gateway.gate.maySend(server.serverId, nowMs, deadlineMs) === "yes") {
+                this.#send(gateway, server, deadlineMs);
+                return;
+            }
+        }
+    }
+
+    #send(gateway: SimulatedGateway, server: SimulatedServer, deadlineMs: number): void {
+        const requestId = `${gateway.id}-${gateway.requests++}`;
+        const request: RunningRequest = { requestId, ended: false };
+        gateway.gate.onSent(server.serverId, requestId, this.#time.nowMs, deadlineMs);
+        this.#time.after(deadlineMs - this.#time.nowMs, () =>
+            this.#end(gateway, server, request, {
+                outcome: "failed",
+                signs: noSigns,
+                mayStillRun: true,
+            }));
+        if (!this.#isLost()) {
+            this.#time.after(1 + this.#random.below(20), () => this.#serve(gateway, server, request, deadlineMs));
+        }
+    }
+
+    #end(gateway: SimulatedGateway, server: SimulatedServer, request: RunningRequest, end: AttemptEnd): void {
+        gateway.run(() => {
+            if (request.ended) {
+                return;
+            }
+            request.ended = true;
+            if (end.signs.state === "cold") {
+                this.#record(gateway.id, { type: "coldSignHeard", gateway: gateway.id, server: server.serverId });
+            }
+            this.answered += end.outcome === "good" ? 1 : 0;
+            gateway.gate.onEnd(server.serverId, request.requestId, end, this.#time.nowMs);
+        });
+    }
+
+    /** The server keeps deadlines: what runs past one is cancelled within half a second. */
+    #serve(gateway: SimulatedGateway, server: SimulatedServer, request: RunningRequest, deadlineMs: number): void {
+        server.inFlight++;
+        this.#record(server.serverId, {
+            type: "serverStarted",
+            requestId: request.requestId,
+            server: server.serverId,
+            availabilityZone: "a",
+            incarnation: String(server.incarnation),
+            cold: server.cold,
+            inFlight: server.inFlight,
+            bears: server.bears,
+        });
+        const isStuck = this.#random.next() < this.#plan.longShare;
+        const serviceMs = isStuck ? Number.POSITIVE_INFINITY : (server.cold ? 20 : 5) + this.#random.below(80);
+        const latestMs = deadlineMs + this.#random.below(500) - this.#time.nowMs;
+        this.#time.after(Math.min(serviceMs, latestMs), () => {
+            server.inFlight--;
+            if (serviceMs > latestMs) {
+                return;
+            }
+            if (server.answer()) {
+                this.#record(server.serverId, { type: "serverTurnedWarm", server: server.serverId });
+            }
+            const signs = {
+                state: server.cold ? "cold" as const : "warm" as const,
+                inFlight: server.inFlight,
+                incarnation: undefined,
+                bears: server.bears,
+            };
+            if (!this.#isLost()) {
+                const end: AttemptEnd = { outcome: "good", signs, mayStillRun: false };
+                this.#time.after(1 + this.#random.below(20), () => this.#end(gateway, server, request, end));
+            }
+        });
+    }
+}
+
+function runCommand(engine: KeyValueEngine, command: StoreCommand, nowMs: number): StoreOutcome {
+    switch (command.type) {
+        case "grantLease": {
+            const lease = engine.grantLease(command.ttlMs, nowMs);
+            return { type: "lease", leaseId: lease.id, ttlMs: lease.ttlMs };
+        }
+        case "renewLease": {
+            const lease = engine.renewLease(command.leaseId, nowMs);
+            return lease === undefined ? { type: "lapsed" } : { type: "lease", leaseId: lease.id, ttlMs: lease.ttlMs };
+        }
+        case "read":
+            return { type: "value", entry: engine.get(command.key, nowMs) };
+        case "swap": {
+            const outcome = engine.compareAndSwap(command, nowMs);
+            return outcome.swapped
+                ? { type: "swapped", revision: outcome.revision }
+                : { type: "notSwapped", current: outcome.current };
+        }
+    }
+}
--- a/packages/coldStart/src/authority.ts
+++ b/packages/coldStart/src/authority.ts
@@ -109,8 +109,9 @@
      */
     leaseAuthority(nowMs: number): string | undefined {
         const isUsable = this.hasContact(nowMs)
-            && this.#lease.isValid(nowMs)
-            // A lease that a majority has not heard of doesn't keep the owner by roster from sending.
+            // Counted from before the renewal was sent: a holder that was paused past its lease sees in the turn in
+            // which it wakes that its authority is gone. And from a renewal that a majority has heard of: any other
+            // wouldn't keep the owner by roster from sending.
             && nowMs < this.#announcedMs + leaseTtlMs - clockMarginMs
             // The owner by roster may have had its last contact just before the lease was announced.
             && nowMs >= this.#announcedSinceMs + changeoverMs;
--- /dev/null
+++ b/packages/history/src/__tests__/serverCheckers.test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    checkColdStart,
+    checkProbeBudget,
+    checkServerLeaving,
+    type ColdStartBounds,
+    type HistoryEvent,
+    type HistoryLine,
+} from "../index.js";
+
+const server = "catalog/a1";
+const bounds: ColdStartBounds = { contactLimitMs: 100, inFlightInWindow: 6 };
+
+function createHistory(...events: readonly (readonly [number, HistoryEvent])[]): readonly HistoryLine[] {
+    return events.map(([atMs, event], sequence) => ({ sequence, atMs, process: "run", ...event }));
+}
+
+function createStarted(inFlight: number, cold = true): HistoryEvent {
+    return {
+        type: "serverStarted",
+        requestId: "r",
+        server,
+        availabilityZone: "a",
+        incarnation: "1",
+        cold,
+        inFlight,
+        bears: cold ? 1 : 3,
+    };
+}
+
+const turned: HistoryEvent = { type: "serverTurnedCold", server };
+const heard: HistoryEvent = { type: "coldSignHeard", gateway: "g1", server };
+const round = (startedAtMs: number): HistoryEvent => ({ type: "majorityRound", gateway: "g1", startedAtMs });
+
+test("cold start: within the window the stated sum is allowed, and afterwards only what the server bears", () => {
+    const history = createHistory(
+        [0, createStarted(3, false)],
+        [10, turned],
+        [20, createStarted(6)],
+        [30, heard],
+        [50, round(40)],
+        [150, createStarted(6)],
+        [151, createStarted(1)],
+    );
+    assert.deepEqual(checkColdStart(history, bounds), []);
+});
+
+test("cold start: rejects too much after the window, within it, and for a server that was never warm", () => {
+    const afterwards = createHistory([10, turned], [30, heard], [50, round(40)], [151, createStarted(2)]);
+    assert.equal(checkColdStart(afterwards, bounds).length, 1);
+    const within = createHistory([10, turned], [20, createStarted(7)]);
+    assert.equal(checkColdStart(within, bounds).length, 1);
+    const never = createHistory([20, createStarted(2)]);
+    assert.equal(checkColdStart(never, bounds).length, 1);
+});
+
+test("cold start: a round that began before the sign, or of a gateway that heard none, doesn't end the window", () => {
+    const history = createHistory([10, turned], [30, heard], [50, round(29)], [300, createStarted(6)]);
+    assert.deepEqual(checkColdStart(history, bounds), []);
+});
+
+test("leaving: rejects new work once the word has spread", () => {
+    const leaving = { type: "serverLeaving", server } as const;
+    const word = { type: "leavingHeard", gateway: "g1", server } as const;
+    const bad = createHistory([0, leaving], [5, word], [20, round(10)], [121, createStarted(1, false)]);
+    assert.equal(checkServerLeaving(bad, 100).length, 1);
+    const good = createHistory([0, leaving], [5, word], [20, round(10)], [120, createStarted(1, false)]);
+    assert.deepEqual(checkServerLeaving(good, 100), []);
+});
+
+test("probe budget: rejects one probe too many in any window, and accepts as many as the budget allows", () => {
+    const probed = { type: "serverProbed", server, gateway: "g1" } as const;
+    const budget = { probesPerSecond: 2, seats: 2 };
+    const good = createHistory([0, probed], [999, probed], [1_000, probed], [1_999, probed]);
+    assert.deepEqual(checkProbeBudget(good, budget), []);
+    const bad = createHistory([0, probed], [500, probed], [999, probed]);
+    assert.deepEqual(checkProbeBudget(bad, budget).map(violation => violation.lines), [[0, 1, 2]]);
+});
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -47,6 +47,14 @@
     }
     | { readonly type: "serverProbed"; readonly server: string; readonly gateway: string; }
     | { readonly type: "serverLeaving"; readonly server: string; }
+    | { readonly type: "serverTurnedCold"; readonly server: string; }
+    | { readonly type: "serverTurnedWarm"; readonly server: string; }
+    /** A gateway got an answer in which the server says that it is cold. */
+    | { readonly type: "coldSignHeard"; readonly gateway: string; readonly server: string; }
+    /** A gateway got a word, of whatever source, that the server is leaving. */
+    | { readonly type: "leavingHeard"; readonly gateway: string; readonly server: string; }
+    /** A gateway has had answers to heartbeats from a majority. */
+    | { readonly type: "majorityRound"; readonly gateway: string; readonly startedAtMs: number; }
     | { readonly type: "configurationWritten"; readonly revision: number; readonly changeId: string; }
     | { readonly type: "configurationAccepted"; readonly revision: number; readonly changeId: string; }
     | { readonly type: "configurationApplied"; readonly gateway: string; readonly revision: number; }
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,5 +1,8 @@
 /** Recorded histories of concurrent runs, and the pure checkers that read them. */
 export { checkAtMostOnce } from "./atMostOnceChecker.js";
+export { checkColdStart, type ColdStartBounds } from "./coldStartChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
+export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
+export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
