--- /dev/null
+++ b/packages/standIns/src/__tests__/startProcess.test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { startProcess } from "../processes/startProcess.js";
+import { mergeHistories } from "../recording/historyFile.js";
+
+const script = fileURLToPath(new URL("../backendServer/cli.ts", import.meta.url));
+
+test("a program is started, says where it listens, and ends its planned stop with code 0", async () => {
+    const directory = mkdtempSync(join(tmpdir(), "galenaglade-"));
+    const history = join(directory, "history.jsonl");
+    try {
+        const server = await startProcess({ name: "s1", script, args: ["--name", "s1", "--history", history] });
+        const res = await request(`${server.url}/`, { headers: { "x-request-id": "r1" } });
+        assert.equal(res.statusCode, 200);
+        await res.body.dump();
+        assert.deepEqual(await server.stop(), { code: 0, signal: undefined });
+        const types = mergeHistories([history]).map(line => line.type);
+        assert.deepEqual(types, ["serverStarted", "serverEnded", "serverLeaving"]);
+    }
+    finally {
+        rmSync(directory, { recursive: true });
+    }
+});
+
+test("a paused program answers once it goes on", async () => {
+    const server = await startProcess({ name: "s1", script });
+    try {
+        server.pause();
+        let answered = false;
+        const answer = request(`${server.url}/load`).then(async res => {
+            answered = true;
+            await res.body.dump();
+        });
+        await new Promise(resolve => setTimeout(resolve, 100));
+        assert.equal(answered, false);
+        server.resume();
+        await answer;
+    }
+    finally {
+        server.kill();
+        assert.equal((await server.exited).signal, "SIGKILL");
+    }
+});
+
+test("a program that ends before it is ready is reported with what it printed", async () => {
+    await assert.rejects(startProcess({ name: "s1", script, args: ["--no-such-option"] }), /no-such-option/);
+});
--- /dev/null
+++ b/packages/standIns/src/caller/caller.ts
@@ -0,0 +1,131 @@
+import { Agent, request } from "undici";
+import { backendHeaders } from "../backendServer/answer.js";
+import { type HistoryRecorder, NoHistory } from "../recording/historyFile.js";
+import { type Outcome, resolveOutcome } from "./outcome.js";
+import { type CallerPlan } from "./plan.js";
+import { createSchedule, type ScheduledRequest } from "./schedule.js";
+import { Tally } from "./tally.js";
+
+/** Sends a plan's requests on schedule, whatever becomes of them. */
+export class Caller {
+    readonly #plan: CallerPlan;
+    readonly #history: HistoryRecorder;
+    readonly #agent: Agent;
+    readonly #tally = new Tally();
+    readonly #open = new Set<Promise<void>>();
+
+    constructor(plan: CallerPlan, history: HistoryRecorder = new NoHistory()) {
+        this.#plan = plan;
+        this.#history = history;
+        this.#agent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+    }
+
+    /**
+     * Runs the whole plan and waits for every outcome.
+     *
+     * @returns what became of the requests
+     */
+    async run(): Promise<Tally> {
+        const startMs = performance.now();
+        for (const scheduled of createSchedule(this.#plan)) {
+            const aheadMs = startMs + scheduled.atMs - performance.now();
+            if (aheadMs > 0) {
+                await new Promise(resolve => setTimeout(resolve, aheadMs));
+            }
+            this.#start(scheduled, startMs + scheduled.atMs);
+        }
+        await Promise.all(this.#open);
+        await this.#agent.destroy();
+        return this.#tally;
+    }
+
+    #start(scheduled: ScheduledRequest, dueMs: number): void {
+        if (this.#open.size >= this.#plan.maximumOpen) {
+            this.#count(scheduled, { type: "notSent" }, 0);
+            return;
+        }
+        const done = this.#send(scheduled, dueMs).finally(() => this.#open.delete(done));
+        this.#open.add(done);
+    }
+
+    async #send(scheduled: ScheduledRequest, dueMs: number): Promise<void> {
+        const { requestId, mix, idempotencyKey } = scheduled;
+        this.#history.record({
+            type: "callerSent",
+            requestId,
+            service: mix.service,
+            idempotent: mix.idempotent,
+            idempotencyKey,
+            patienceMs: mix.patienceMs,
+        });
+        const outcome = await this.#exchange(scheduled, dueMs);
+        this.#recordOutcome(requestId, outcome);
+        this.#count(scheduled, outcome, performance.now() - dueMs);
+    }
+
+    async #exchange(scheduled: ScheduledRequest, dueMs: number): Promise<Outcome> {
+        const giveUpAtMs = dueMs + scheduled.mix.patienceMs + this.#plan.listenBeyondMs;
+        const giveUp = AbortSignal.timeout(Math.max(1, Math.ceil(giveUpAtMs - performance.now())));
+        try {
+            const res = await request(scheduled.target + scheduled.mix.path, {
+                method: scheduled.mix.method,
+                dispatcher: this.#agent,
+                headers: this.#resolveHeaders(scheduled),
+                body: scheduled.mix.bodyBytes === 0 ? undefined : "x".repeat(scheduled.mix.bodyBytes),
+                signal: giveUp,
+            });
+            return resolveOutcome(scheduled.requestId, {
+                status: res.statusCode,
+                didRun: readHeader(res.headers[backendHeaders.didRun]),
+                bodyDigest: readHeader(res.headers[backendHeaders.bodyDigest]),
+                text: await res.body.text(),
+            });
+        }
+        catch {
+            return giveUp.aborted ? { type: "gaveUp" } : { type: "cutOff" };
+        }
+    }
+
+    #resolveHeaders({ requestId, mix, workMs, idempotencyKey }: ScheduledRequest): Record<string, string> {
+        return {
+            host: mix.authority,
+            [this.#plan.callerKindHeader]: mix.callerKind,
+            [backendHeaders.requestId]: requestId,
+            [backendHeaders.workMs]: workMs.toFixed(3),
+            [backendHeaders.answerBytes]: String(mix.answerBytes),
+            ...(idempotencyKey === undefined ? {} : { [backendHeaders.idempotencyKey]: idempotencyKey }),
+        };
+    }
+
+    #recordOutcome(requestId: string, outcome: Outcome): void {
+        switch (outcome.type) {
+            case "cutOff":
+                this.#history.record({ type: "callerCutOff", requestId });
+                return;
+            case "gaveUp":
+                this.#history.record({ type: "callerGaveUp", requestId });
+                return;
+            case "notSent":
+                return;
+            default:
+                this.#history.record({
+                    type: "callerAnswered",
+                    requestId,
+                    status: outcome.status,
+                    didRun: outcome.type === "refused" ? outcome.didRun : "yes",
+                    whole: outcome.type !== "wrong",
+                    bodyRequestId: outcome.type === "refused" ? undefined : outcome.bodyRequestId,
+                });
+        }
+    }
+
+    #count({ atMs, mix }: ScheduledRequest, outcome: Outcome, tookMs: number): void {
+        if (atMs >= this.#plan.warmUpMs) {
+            this.#tally.add(`${mix.service}/${mix.callerKind}`, outcome, tookMs, mix.patienceMs);
+        }
+    }
+}
+
+function readHeader(value: string | string[] | undefined): string | undefined {
+    return typeof value === "string" ? value : undefined;
+}
--- /dev/null
+++ b/packages/standIns/src/caller/cli.ts
@@ -0,0 +1,31 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { printReady } from "../processes/ready.js";
+import { HistoryFile } from "../recording/historyFile.js";
+import { Caller } from "./caller.js";
+import { callerPlanSchema } from "./plan.js";
+
+const { values } = parseArgs({
+    options: {
+        plan: { type: "string" },
+        result: { type: "string" },
+        history: { type: "string" },
+    },
+});
+if (values.plan === undefined) {
+    throw new Error("--plan FILE is missing");
+}
+const plan = callerPlanSchema.parse(JSON.parse(readFileSync(values.plan, "utf8")));
+const history = values.history === undefined ? undefined : new HistoryFile(values.history, plan.name);
+printReady(plan.name, "");
+const tally = await new Caller(plan, history).run();
+history?.close();
+const result = JSON.stringify(tally.toDocument());
+if (values.result === undefined) {
+    for (const kind of tally.kinds) {
+        process.stdout.write(`${JSON.stringify({ kind, ...tally.countsOf(kind), ...tally.latencyOf(kind) })}\n`);
+    }
+}
+else {
+    writeFileSync(values.result, result);
+}
--- /dev/null
+++ b/packages/standIns/src/caller/tally.ts
@@ -0,0 +1,175 @@
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from "hdr-histogram-js";
+import { z } from "zod";
+import { type Outcome } from "./outcome.js";
+
+/** Histograms count in hundredths of a millisecond. */
+const unitsPerMs = 100;
+const longestMs = 600_000;
+
+const counts = z.object({
+    sent: z.number(),
+    whole: z.number(),
+    /** Whole answers that came within the caller's patience, counted from the scheduled time. */
+    withinPatience: z.number(),
+    refused: z.number(),
+    /** Refusals that say that the request did not run. */
+    refusedDidNotRun: z.number(),
+    wrong: z.number(),
+    cutOff: z.number(),
+    gaveUp: z.number(),
+    notSent: z.number(),
+});
+
+/** How the requests of one kind of caller ended. */
+export type OutcomeCounts = z.output<typeof counts>;
+
+const kindTally = z.object({
+    counts,
+    /** Latency from the scheduled time of all that were answered whole or given up; HDR, base64. */
+    latency: z.string(),
+    /** Time from the scheduled time to a refusal; HDR, base64. */
+    refusal: z.string(),
+});
+
+/** The results of one caller, by `service/callerKind`. */
+export const tallySchema = z.record(z.string(), kindTally);
+
+/** The results of one caller, by `service/callerKind`. */
+export type TallyDocument = z.output<typeof tallySchema>;
+
+interface KindTally {
+    readonly counts: { -readonly [K in keyof OutcomeCounts]: number; };
+    readonly latency: Histogram;
+    readonly refusal: Histogram;
+}
+
+/** Percentiles in milliseconds. */
+export interface Percentiles {
+    readonly p50: number;
+    readonly p99: number;
+    readonly p999: number;
+    readonly max: number;
+    readonly count: number;
+}
+
+/** Counts outcomes and latencies by kind of caller. */
+export class Tally {
+    readonly #kinds = new Map<string, KindTally>();
+
+    /** @returns the sum of what several callers wrote */
+    static merge(documents: readonly TallyDocument[]): Tally {
+        const tally = new Tally();
+        for (const document of documents) {
+            for (const [name, written] of Object.entries(document)) {
+                const kind = tally.#kindOf(name);
+                for (const key of Object.keys(kind.counts) as (keyof OutcomeCounts)[]) {
+                    kind.counts[key] += written.counts[key];
+                }
+                kind.latency.add(decodeFromCompressedBase64(written.latency));
+                kind.refusal.add(decodeFromCompressedBase64(written.refusal));
+            }
+        }
+        return tally;
+    }
+
+    get kinds(): readonly string[] {
+        return [...this.#kinds.keys()].sort();
+    }
+
+    /** @param tookMs - from the scheduled time to the end */
+    add(name: string, outcome: Outcome, tookMs: number, patienceMs: number): void {
+        const kind = this.#kindOf(name);
+        kind.counts.sent++;
+        kind.counts[outcome.type]++;
+        const units = Math.round(Math.min(tookMs, longestMs) * unitsPerMs);
+        switch (outcome.type) {
+            case "whole":
+                kind.latency.recordValue(units);
+                if (tookMs <= patienceMs) {
+                    kind.counts.withinPatience++;
+                }
+                return;
+            case "gaveUp":
+                // The true latency is longer still; leaving these out would flatter the variant that loses most.
+                kind.latency.recordValue(units);
+                return;
+            case "refused":
+                kind.refusal.recordValue(units);
+                if (outcome.didRun === "no") {
+                    kind.counts.refusedDidNotRun++;
+                }
+                return;
+            default:
+        }
+    }
+
+    /** @returns counts of one kind; all zero where it never came */
+    countsOf(name: string): OutcomeCounts {
+        return { ...this.#kindOf(name).counts };
+    }
+
+    /** @returns latency of one kind, whole and given up */
+    latencyOf(name: string): Percentiles {
+        return resolvePercentiles(this.#kindOf(name).latency);
+    }
+
+    /** @returns time to a refusal of one kind */
+    refusalOf(name: string): Percentiles {
+        return resolvePercentiles(this.#kindOf(name).refusal);
+    }
+
+    toDocument(): TallyDocument {
+        const document: TallyDocument = {};
+        for (const [name, kind] of this.#kinds) {
+            document[name] = {
+                counts: kind.counts,
+                latency: encodeIntoCompressedBase64(kind.latency),
+                refusal: encodeIntoCompressedBase64(kind.refusal),
+            };
+        }
+        return document;
+    }
+
+    #kindOf(name: string): KindTally {
+        let kind = this.#kinds.get(name);
+        if (kind === undefined) {
+            kind = {
+                counts: {
+                    sent: 0,
+                    whole: 0,
+                    withinPatience: 0,
+                    refused: 0,
+                    refusedDidNotRun: 0,
+                    wrong: 0,
+                    cutOff: 0,
+                    gaveUp: 0,
+                    notSent: 0,
+                },
+                latency: createHistogram(),
+                refusal: createHistogram(),
+            };
+            this.#kinds.set(name, kind);
+        }
+        return kind;
+    }
+}
+
+function createHistogram(): Histogram {
+    return build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: longestMs * unitsPerMs,
+        numberOfSignificantValueDigits: 3,
+        bitBucketSize: 32,
+    });
+}
+
+function resolvePercentiles(histogram: Histogram): Percentiles {
+    const at = (percentile: number): number => histogram.getValueAtPercentile(percentile) / unitsPerMs;
+    return {
+        p50: at(50),
+        p99: at(99),
+        p999: at(99.9),
+        max: histogram.maxValue / unitsPerMs,
+        count: histogram.totalCount,
+    };
+}
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -13,10 +13,23 @@
     ServerModel,
     type ServerState,
 } from "./backendServer/serverModel.js";
+export { Caller } from "./caller/caller.js";
+export { type Outcome, type ReceivedAnswer, resolveOutcome } from "./caller/outcome.js";
+export { type CallerMix, type CallerPlan, type CallerPlanInput, callerPlanSchema } from "./caller/plan.js";
+export { createSchedule, type ScheduledRequest } from "./caller/schedule.js";
+export { type OutcomeCounts, type Percentiles, Tally, type TallyDocument, tallySchema } from "./caller/tally.js";
 export { type CallFate, FakeStore, type FateOf } from "./fakes/fakeStore.js";
 export { VirtualTime } from "./fakes/virtualTime.js";
 export { type CallCounts, type CallLimits, defaultCallLimits } from "./platform/callMeter.js";
 export { KeyValueEngine } from "./platform/keyValueEngine.js";
 export { type PlatformFaults, platformFaultsSchema } from "./platform/platformFaults.js";
 export { PlatformServer, type PlatformServerOptions } from "./platform/platformServer.js";
+export { printReady, type ReadyLine, stopOnSignal } from "./processes/ready.js";
+export {
+    type ExitStatus,
+    findReadyLine,
+    StartedProcess,
+    startProcess,
+    type StartProcessOptions,
+} from "./processes/startProcess.js";
 export { HistoryFile, HistoryRecorder, MemoryHistory, mergeHistories, NoHistory } from "./recording/historyFile.js";
