Give the fleet one freshness time and the platform one address

The time after which a gateway lets a stale configuration go was a gateway's own setting. The operators' server waits for that time before it says that a change is in force, so a gateway with a longer one would still send new work under the old configuration after that. Both settings now share the option, with the fleet's default of 5 seconds and an upper limit.

The platform's client takes one address, so the settings no longer offer a list of which all but the first would be ignored.

--- a/packages/settings/src/__tests__/settings.test.ts
+++ b/packages/settings/src/__tests__/settings.test.ts
@@ -15,7 +15,7 @@
     seeds: ["10.0.0.5:7400", "[fd00::6]:7400"]
 operations: { port: 9100 }
 platform:
-    addresses: ["http://10.0.0.2:4000"]
+    address: http://10.0.0.2:4000
 fleetKey:
     file: /run/fleet.key
 `;
@@ -61,7 +61,7 @@
             + "address, port, maximumConnections, maximumHeaderBytes, requestTimeoutMs",
             "gateway.yaml:4:1: peers.port: missing; expected number",
             "gateway.yaml:6:13: peers.seeds[0]: expected an IP number and a port such as 10.0.0.4:7400 or [fd00::4]:7400",
-            "gateway.yaml:9:17: platform.addresses[0]: expected a URL such as http://10.0.0.2:4000",
+            "gateway.yaml:9:5: platform.address: expected a URL such as http://10.0.0.2:4000",
             "gateway.yaml:13:5: logging.level: Invalid option: expected one of \"error\"|\"warn\"|\"info\"|\"debug\"",
         ].join("\n"),
     );
@@ -122,7 +122,7 @@
 
 test("resolves the operators' server's settings", () => {
     const yaml =
-        `address: 127.0.0.1\nport: 0\nplatform: { addresses: ["http://127.0.0.1:1"] }\nfleetKey: { value: ${key} }\n`;
+        `address: 127.0.0.1\nport: 0\nplatform: { address: "http://127.0.0.1:1" }\nfleetKey: { value: ${key} }\n`;
     const settings = resolveAdminSettings(yaml).unsafeCoerce();
     assert.equal(settings.acceptWaitMs, 10_000);
     assert.equal(settings.fleetKey.reveal(), key);
--- a/packages/settings/src/__tests__/startup.test.ts
+++ b/packages/settings/src/__tests__/startup.test.ts
@@ -17,7 +17,7 @@
 
 const good = write(
     "good.yaml",
-    `address: 127.0.0.1\nport: 0\nplatform: { addresses: ["http://127.0.0.1:1"] }\nfleetKey: { value: ${key} }\n`,
+    `address: 127.0.0.1\nport: 0\nplatform: { address: "http://127.0.0.1:1" }\nfleetKey: { value: ${key} }\n`,
 );
 
 const startup = (...args: readonly string[]) => resolveStartup("galenaglade-admin", args, resolveAdminSettings);
--- a/packages/settings/src/adminSettings.ts
+++ b/packages/settings/src/adminSettings.ts
@@ -2,7 +2,7 @@
 import { type Either } from "purify-ts";
 import { z } from "zod";
 import { type ReadText, readTextFile, type ResolvedOf, resolveSettings } from "./resolveSettings.js";
-import { fleetKey, ipNumber, logging, milliseconds, platform, port } from "./parts.js";
+import { fleetKey, freshness, ipNumber, logging, milliseconds, platform, port } from "./parts.js";
 
 /** The settings of the operators' server as written in YAML. */
 export const adminSettingsSchema = z.strictObject({
@@ -21,6 +21,7 @@
     stopping: z.strictObject({
         drainMs: milliseconds.default(15_000).describe("time for the calls in flight to finish"),
     }).prefault({}),
+    freshness: freshness.prefault({}),
     logging: logging.prefault({}),
 });
 
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -2,7 +2,17 @@
 import { type Either } from "purify-ts";
 import { z } from "zod";
 import { type ReadText, readTextFile, type ResolvedOf, resolveSettings } from "./resolveSettings.js";
-import { fleetKey, ipNumber, logging, milliseconds, millisecondsOrNone, name, platform, port } from "./parts.js";
+import {
+    fleetKey,
+    freshness,
+    ipNumber,
+    logging,
+    milliseconds,
+    millisecondsOrNone,
+    name,
+    platform,
+    port,
+} from "./parts.js";
 
 const peerAddress = z.string().regex(
     /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
@@ -41,11 +51,6 @@
         .describe("time for the requests in flight to finish, after the wait for the balancer"),
 });
 
-const freshness = z.strictObject({
-    maximumAgeMs: milliseconds.default(4_000)
-        .describe("time without word from the store after which peers must vouch for the configuration"),
-});
-
 /** A gateway's settings as written in YAML. */
 export const gatewaySettingsSchema = z.strictObject({
     name: name.describe("name of this host, as the platform's host list has it"),
--- a/packages/settings/src/parts.ts
+++ b/packages/settings/src/parts.ts
@@ -22,9 +22,8 @@
 
 /** How to reach the platform. */
 export const platform = z.strictObject({
-    addresses: z.array(z.url({ protocol: /^https?$/, error: "expected a URL such as http://10.0.0.2:4000" }))
-        .nonempty()
-        .describe("URLs of the platform's service; the first that answers is used"),
+    address: z.url({ protocol: /^https?$/, error: "expected a URL such as http://10.0.0.2:4000" })
+        .describe("URL of the platform's service, without path"),
     callTimeoutMs: milliseconds.default(1_000).describe("how long one call of the platform may take"),
 });
 
@@ -41,3 +40,15 @@
 export const logging = z.strictObject({
     level: z.enum(["error", "warn", "info", "debug"]).default("info").describe("least serious level that is logged"),
 });
+
+/**
+ * How long a gateway may take new work on the strength of its last word from the store.
+ *
+ * Gateways let go of stale configurations after this time, and the operators' server waits this long for gateways that
+ * it can't reach before it says that a change is in force. A gateway that had a longer time than the server waits for
+ * would still send work under the old configuration then: the value must be the same in the whole fleet.
+ */
+export const freshness = z.strictObject({
+    maximumAgeMs: milliseconds.min(1_000).max(60_000).default(5_000)
+        .describe("time without word from the store after which peers must vouch; the same in the whole fleet"),
+});
