Never send a stand-in caller's request before its time

Cause: a timer may fire up to a millisecond early, so that a request was sent before its scheduled time and a quick refusal took less than no time.

Change: the caller sleeps until the time is really there.

--- a/packages/standIns/src/caller/caller.ts
+++ b/packages/standIns/src/caller/caller.ts
@@ -28,10 +28,7 @@
     async run(): Promise<Tally> {
         const startMs = performance.now();
         for (const scheduled of createSchedule(this.#plan)) {
-            const aheadMs = startMs + scheduled.atMs - performance.now();
-            if (aheadMs > 0) {
-                await new Promise(resolve => setTimeout(resolve, aheadMs));
-            }
+            await sleepUntil(startMs + scheduled.atMs);
             this.#start(scheduled, startMs + scheduled.atMs);
         }
         await Promise.all(this.#open);
@@ -126,6 +123,13 @@
     }
 }
 
+/** A timer may fire up to a millisecond early, and a request sent before its time would seem to take less than none. */
+async function sleepUntil(dueMs: number): Promise<void> {
+    for (let aheadMs = dueMs - performance.now(); aheadMs > 0; aheadMs = dueMs - performance.now()) {
+        await new Promise(resolve => setTimeout(resolve, Math.ceil(aheadMs)));
+    }
+}
+
 function readHeader(value: string | string[] | undefined): string | undefined {
     return typeof value === "string" ? value : undefined;
 }
