--- a/packages/platform/src/platformConnection.ts
+++ b/packages/platform/src/platformConnection.ts
@@ -5,8 +5,8 @@
 
 /** Where the platform's service is, and how long it may take. */
 export interface PlatformConnectionOptions {
-    /** Such as `http://10.0.0.1:7000`, without a path. */
-    readonly address: string;
+    /** Such as `http://10.0.0.1:7000`, without a path; the first one to which a connection opens is used. */
+    readonly addresses: readonly string[];
     /** Who calls, for the service's own accounts. */
     readonly client: string;
     /** Whole time of one call in milliseconds; a watch adds its waiting time. */
@@ -22,6 +22,7 @@
 export class PlatformConnection {
     readonly #options: PlatformConnectionOptions;
     readonly #agent: Agent;
+    #current = 0;
 
     constructor(options: PlatformConnectionOptions) {
         this.#options = options;
@@ -36,7 +37,8 @@
     }
 
     /**
-     * Makes one call. It is sent once: whether to try again is for those to say who know what it means.
+     * Makes one call. It is sent once: whether to try again is for those to say who know what it means. An address to
+     * which no connection opens was sent nothing, so that the next one may be tried.
      *
      * @param operation - a row of the protocol's table
      * @param body - what the operation asks
@@ -50,21 +52,32 @@
     ): Promise<Either<Failure, Res>> {
         const timeout = AbortSignal.timeout((this.#options.timeoutMs ?? defaultTimeoutMs) + (more.waitMs ?? 0));
         const signal = more.signal === undefined ? timeout : AbortSignal.any([timeout, more.signal]);
-        try {
-            return await this.#send(operation, body, signal);
-        }
-        catch (err) {
-            const kind = isBeforeSending(err) ? "storeUnavailable" : resolveLoss(operation);
-            return Left(createFailure(kind, `${operation.path}: ${err instanceof Error ? err.message : "failed"}`));
+        const { addresses } = this.#options;
+        let failure = createFailure("storeUnavailable", `${operation.path}: the platform has no address`);
+        for (let tried = 0; tried < addresses.length; tried++) {
+            const address = addresses[this.#current % addresses.length] ?? "";
+            try {
+                return await this.#send(address, operation, body, signal);
+            }
+            catch (err) {
+                const detail = `${operation.path}: ${err instanceof Error ? err.message : "failed"}`;
+                if (!isBeforeSending(err)) {
+                    return Left(createFailure(resolveLoss(operation), detail));
+                }
+                failure = createFailure("storeUnavailable", detail);
+                this.#current++;
+            }
         }
+        return Left(failure);
     }
 
     async #send<Req, Res>(
+        address: string,
         operation: Operation<Req, Res>,
         body: Req,
         signal: AbortSignal,
     ): Promise<Either<Failure, Res>> {
-        const res = await request(this.#options.address + operation.path, {
+        const res = await request(address + operation.path, {
             method: "POST",
             dispatcher: this.#agent,
             headers: { "content-type": "application/json", [clientHeader]: this.#options.client },
--- a/packages/standIns/src/__tests__/platformServer.test.ts
+++ b/packages/standIns/src/__tests__/platformServer.test.ts
@@ -21,7 +21,7 @@
 
 function connect(address: string, more: { client?: string; timeoutMs?: number; } = {}): PlatformConnection {
     const { client = "gateway-1", timeoutMs } = more;
-    const connection = new PlatformConnection({ address, client, timeoutMs });
+    const connection = new PlatformConnection({ addresses: [address], client, timeoutMs });
     stops.push(() => connection.close());
     return connection;
 }
@@ -94,6 +94,16 @@
     assert.equal(kindOf(await write(createStore(platform.url), "a", "1")), "storeUnavailable");
 });
 
+test("an address to which no connection opens is passed over", async () => {
+    const gone = await startPlatform();
+    const platform = await startPlatform();
+    await gone.stop();
+    const connection = new PlatformConnection({ addresses: [gone.url, platform.url], client: "gateway-1" });
+    stops.push(() => connection.close());
+    assert.equal(kindOf(await write(new HttpKeyValueStore(connection), "a", "1")), "no failure");
+    assert.equal(platform.engine.revision, 1);
+});
+
 test("a silent store is given up on, and the next call takes a new connection", async () => {
     // The connection to the store goes silent for good, and new ones work.
     // The call that waits on it times out: for a write nothing is known, a read had no effect in any case.
