Run the gateway as a process of its own

Cause: the data path, the fleet membership and the platform client stood each for itself. Change: galenaglade-gateway puts them together from checked settings, shares in-flight counts with its peers, and ends by a planned stop.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -27,3 +27,12 @@
 
 /** Weight of the newest request in the average time of a service's requests. */
 export const serviceTimeWeight = 0.1;
+
+/** The routing policy that goes where nothing else is said. */
+export const defaultRoutingPolicy = "freeSlotFirst";
+
+/** How often own in-flight counts are handed to the fleet's heartbeats. */
+export const loadPublishingMs = 250;
+
+/** Share of traces begun here that are recorded; a caller's own decision goes before it. */
+export const sampledShare = 0.001;
--- /dev/null
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -0,0 +1,103 @@
+import { type Failure } from "@galenaglade/errors";
+import { resolveFleetTimings } from "@galenaglade/membership";
+import { createFleetMember, type FleetMembership } from "@galenaglade/peers";
+import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
+import { createRoutingPolicy, ServerBoard } from "@galenaglade/routing";
+import { type ResolvedGatewaySettings } from "@galenaglade/settings";
+import { createLogger, createMetrics, createTracing, type Logger } from "@galenaglade/telemetry";
+import { randomInt } from "node:crypto";
+import { type Either, Left, Right } from "purify-ts";
+import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
+import { createGateway, type Gateway } from "./gateway.js";
+
+/** A gateway as a process of its own: data path, fleet and platform, from settings. */
+export interface GatewayProcess {
+    readonly logger: Logger;
+    /** Joins the fleet and opens the ports. @returns where callers and operations are listened to */
+    start(): Promise<Either<Failure, { readonly callersPort: number; readonly operationsPort: number; }>>;
+    /** Planned stop, whole: no request in flight is cut, and nothing is left held in the platform's store. */
+    stop(): Promise<void>;
+}
+
+/**
+ * Puts a gateway together from its settings.
+ *
+ * @param settings - checked settings
+ */
+export function createGatewayProcess(settings: ResolvedGatewaySettings): GatewayProcess {
+    const logger = createLogger({ process: settings.name, level: settings.logging.level });
+    const metrics = createMetrics("galenaglade-gateway");
+    const tracing = createTracing({ process: settings.name, sampledShare, logger });
+    const connection = new PlatformConnection({
+        baseUrl: settings.platform.address,
+        client: settings.name,
+        timeoutMs: settings.platform.callTimeoutMs,
+    });
+    const fleet = createFleetMember({
+        store: new HttpKeyValueStore(connection),
+        hosts: new HttpHostList(connection),
+        name: settings.name,
+        availabilityZone: settings.availabilityZone,
+        listen: { host: settings.peers.address, port: settings.peers.port },
+        seeds: settings.peers.seeds,
+        fleetKey: settings.fleetKey.reveal(),
+        timings: resolveFleetTimings(settings.freshness.maximumAgeMs),
+    });
+    const board = new ServerBoard();
+    const stopSharing = shareLoads(fleet, board);
+    const gateway = createGateway({
+        availabilityZone: settings.availabilityZone,
+        callers: settings.callers,
+        operations: settings.operations,
+        stopping: settings.stopping,
+        source: fleet,
+        policy: mustCreatePolicy(),
+        seed: randomInt(2 ** 31),
+        logger,
+        metrics,
+        tracing,
+        board,
+    });
+    return {
+        logger,
+        start: () => startAll(fleet, gateway),
+        stop: async () => {
+            await gateway.stop();
+            stopSharing();
+            await fleet.stop();
+            await connection.close();
+            await tracing.shutdown();
+            await metrics.shutdown();
+        },
+    };
+}
+
+async function startAll(
+    fleet: FleetMembership,
+    gateway: Gateway,
+): Promise<Either<Failure, { readonly callersPort: number; readonly operationsPort: number; }>> {
+    const joined = await fleet.start();
+    if (joined.isLeft()) {
+        return Left(joined.extract());
+    }
+    return Right(await gateway.start());
+}
+
+/** Tells peers what this gateway has in flight, and takes their word on what they have. */
+function shareLoads(fleet: FleetMembership, board: ServerBoard): () => void {
+    fleet.onLoads((loads, from) => {
+        for (const load of loads) {
+            board.onPeerLoad(from.name, load, performance.now());
+        }
+    });
+    const timer = setInterval(() => fleet.publishLoads(board.ownLoads(performance.now())), loadPublishingMs);
+    return () => clearInterval(timer);
+}
+
+function mustCreatePolicy(): NonNullable<ReturnType<typeof createRoutingPolicy>> {
+    const policy = createRoutingPolicy(defaultRoutingPolicy);
+    if (policy === undefined) {
+        throw new Error(`no routing policy is named ${defaultRoutingPolicy}`);
+    }
+    return policy;
+}
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -50,3 +50,14 @@
     memberPrefix: "fleet/members/",
     forgottenPrefix: "fleet/forgotten/",
 });
+
+/**
+ * Times that follow from how long a gateway may go without word from the store.
+ *
+ * @param freshForMs - {@link FleetTimings.freshForMs}
+ * @returns frozen times
+ */
+export function resolveFleetTimings(freshForMs: number): FleetTimings {
+    const storeReadIntervalMs = Math.floor(freshForMs * 0.3);
+    return Object.freeze({ ...defaultFleetTimings, freshForMs, storeReadIntervalMs });
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,7 +2,7 @@
 export { type AcceptanceTarget, AcceptanceTracker, type HoldingAnswer } from "./acceptanceTracker.js";
 export { type Acceptance, ChangeCoordinator, type ChangeRequest, type GatewayStanding } from "./changeCoordinator.js";
 export { type ConfigurationHead, createNextHead, findChange, type WrittenChange } from "./configurationHead.js";
-export { defaultFleetTimings, type FleetTimings, storeKeys } from "./constants.js";
+export { defaultFleetTimings, resolveFleetTimings, type FleetTimings, storeKeys } from "./constants.js";
 export {
     type FleetCommand,
     type FleetEvent,
