Check configuration histories, and read the store through compare-and-swap

A plain read may come from a part of the store that has fallen behind, and a gateway would take an old configuration for confirmed. A compare-and-swap that would delete a key only if it doesn't exist changes nothing and answers with the present value.

--- /dev/null
+++ b/packages/history/src/configurationChecker.ts
@@ -0,0 +1,95 @@
+import { type HistoryLine, type Violation } from "./events.js";
+
+/**
+ * Checks that an accepted configuration is in force: once a revision was accepted, no gateway sends new work under an
+ * older one.
+ *
+ * @param history - every line of a run
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkConfigurationInForce(history: readonly HistoryLine[]): readonly Violation[] {
+    let accepted = { revision: 0, sequence: -1 };
+    const violations: Violation[] = [];
+    for (const line of history) {
+        if (line.type === "configurationAccepted" && line.revision > accepted.revision) {
+            accepted = { revision: line.revision, sequence: line.sequence };
+        }
+        if (line.type === "workSent" && line.revision < accepted.revision) {
+            violations.push({
+                invariant: "configurationInForce",
+                detail: `${line.process} sent work under ${line.revision} after ${accepted.revision} was accepted`,
+                lines: [accepted.sequence, line.sequence],
+            });
+        }
+    }
+    return violations;
+}
+
+/**
+ * Checks that no process goes back: the revisions that it applies rise, and it sends work under the one applied last.
+ *
+ * @param history - every line of a run
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkConfigurationNeverReverts(history: readonly HistoryLine[]): readonly Violation[] {
+    const applied = new Map<string, { readonly revision: number; readonly sequence: number; }>();
+    const violations: Violation[] = [];
+    for (const line of history) {
+        if (line.type !== "configurationApplied" && line.type !== "workSent") {
+            continue;
+        }
+        const before = applied.get(line.process) ?? { revision: 0, sequence: -1 };
+        const inOrder = line.type === "workSent"
+            ? line.revision === before.revision
+            : line.revision > before.revision;
+        if (!inOrder) {
+            violations.push({
+                invariant: "configurationNeverReverts",
+                detail: `${line.process}: ${line.type} ${line.revision} after it applied ${before.revision}`,
+                lines: [before.sequence, line.sequence],
+            });
+        }
+        applied.set(line.process, { revision: line.revision, sequence: line.sequence });
+    }
+    return violations;
+}
+
+/**
+ * Checks the order of changes: each revision and each change is written once, no revision is left out or written over,
+ * and what was accepted or applied was written.
+ *
+ * @param history - every line of a run
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkConfigurationOrder(history: readonly HistoryLine[]): readonly Violation[] {
+    const writtenBy = new Map<number, string>();
+    const violations: Violation[] = [];
+    for (const line of history) {
+        const fault = findOrderFault(line, writtenBy);
+        if (fault !== undefined) {
+            violations.push({ invariant: "configurationOrder", detail: fault, lines: [line.sequence] });
+        }
+        if (line.type === "configurationWritten") {
+            writtenBy.set(line.revision, line.changeId);
+        }
+    }
+    return violations;
+}
+
+function findOrderFault(line: HistoryLine, writtenBy: ReadonlyMap<number, string>): string | undefined {
+    switch (line.type) {
+        case "configurationWritten":
+            if (line.revision !== writtenBy.size + 1) {
+                return `revision ${line.revision} was written after ${writtenBy.size}`;
+            }
+            return [...writtenBy.values()].includes(line.changeId) ? `${line.changeId} was written twice` : undefined;
+        case "configurationAccepted":
+            return writtenBy.get(line.revision) === line.changeId
+                ? undefined
+                : `${line.changeId} was accepted as ${line.revision}, which it isn't`;
+        case "configurationApplied":
+            return writtenBy.has(line.revision) ? undefined : `${line.revision} was applied and never written`;
+        default:
+            return undefined;
+    }
+}
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,5 +1,10 @@
 /** Recorded histories of concurrent runs, and the pure checkers that read them. */
 export { checkAtMostOnce } from "./atMostOnceChecker.js";
+export {
+    checkConfigurationInForce,
+    checkConfigurationNeverReverts,
+    checkConfigurationOrder,
+} from "./configurationChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
--- a/packages/peers/src/fleetStore.ts
+++ b/packages/peers/src/fleetStore.ts
@@ -4,13 +4,16 @@
 import { type Either, Left, Right } from "purify-ts";
 import { parseHead, parseIdentity, parseRoster } from "./storeCodec.js";
 
+/** The first try finds an earlier registration, the second replaces it. */
+const registrationTries = 2;
+
 /** The fleet as the store has it. */
 export interface StoredFleet {
     readonly roster: Roster | undefined;
     readonly rosterKeyRevision: number;
     readonly registered: readonly GatewayIdentity[];
     readonly forgotten: readonly string[];
-    /** Read after the rest. */
+    /** Read after the roster. */
     readonly head: StoredHead;
 }
 
@@ -20,46 +23,67 @@
     readonly keyRevision: number;
 }
 
+/**
+ * Reads a key through the store's compare-and-swap, as a deletion that is to happen only if the key doesn't exist: it
+ * changes nothing either way, and answers with the present value.
+ *
+ * A plain read may be answered by a part of the store that has fallen behind. A gateway would then take an old
+ * configuration for confirmed and go on under it after a newer one was called in force. A compare-and-swap can't be
+ * decided by what was, so its answer is no older than the call.
+ *
+ * @param store - the platform's store
+ * @param key - what to read
+ * @returns the key as it is; `undefined` where it doesn't exist
+ */
+async function readPresent(store: KeyValueStore, key: string): Promise<Either<Failure, KeyValue | undefined>> {
+    const swap = await store.compareAndSwap({ key, expectedRevision: 0, value: undefined });
+    return swap.map(outcome => outcome.swapped ? undefined : outcome.current);
+}
+
 /**
  * @param store - the platform's store
  * @returns the head as written last
  */
 export async function readHead(store: KeyValueStore): Promise<Either<Failure, StoredHead>> {
-    const read = await store.get(storeKeys.head);
+    const read = await readPresent(store, storeKeys.head);
     return read.chain(entry => parseHead(entry).map(head => ({ head, keyRevision: entry?.modifiedRevision ?? 0 })));
 }
 
 /**
- * Reads the fleet, then the head. In this order, whoever holds a roster also holds every configuration that was written
- * before that roster, which the steps of a roster change build on.
+ * Reads the roster, then the head, then the registrations. In this order, whoever holds a roster also holds every
+ * configuration that was written before that roster, which the steps of a roster change build on; and a gateway that
+ * isn't among the registrations registers after the head was written, and reads it after that.
  *
  * @param store - the platform's store
- * @returns both, or the first failure
+ * @returns all three, or the first failure
  */
 export async function readFleet(store: KeyValueStore): Promise<Either<Failure, StoredFleet>> {
-    const listed = await store.list(storeKeys.fleetPrefix);
-    if (listed.isLeft()) {
-        return Left(listed.extract());
+    const rosterEntry = await readPresent(store, storeKeys.roster);
+    if (rosterEntry.isLeft()) {
+        return Left(rosterEntry.extract());
     }
     const head = await readHead(store);
-    return head.chain(storedHead => listed.chain(({ entries }) => resolveFleet(entries, storedHead)));
+    if (head.isLeft()) {
+        return Left(head.extract());
+    }
+    const listed = await store.list(storeKeys.fleetPrefix);
+    const roster = rosterEntry.toMaybe().extract();
+    return head.chain(storedHead => listed.chain(list => resolveFleet(roster, storedHead, list)));
 }
 
-function resolveFleet(entries: readonly KeyValue[], head: StoredHead): Either<Failure, StoredFleet> {
-    let roster: Roster | undefined;
-    let rosterKeyRevision = 0;
+function resolveFleet(
+    rosterEntry: KeyValue | undefined,
+    head: StoredHead,
+    listed: { readonly revision: number; readonly entries: readonly KeyValue[]; },
+): Either<Failure, StoredFleet> {
+    const rosterKeyRevision = rosterEntry?.modifiedRevision ?? 0;
+    if (listed.revision < Math.max(rosterKeyRevision, head.keyRevision)) {
+        return Left(createFailure("storeUnavailable", "the store listed the fleet as it was earlier"));
+    }
     const registered: GatewayIdentity[] = [];
     const forgotten: string[] = [];
-    for (const entry of entries) {
-        if (entry.key === storeKeys.roster) {
-            const parsed = parseRoster(entry);
-            if (parsed.isLeft()) {
-                return Left(parsed.extract());
-            }
-            roster = parsed.toMaybe().extract();
-            rosterKeyRevision = entry.modifiedRevision;
-        }
-        else if (entry.key.startsWith(storeKeys.memberPrefix)) {
+    for (const entry of listed.entries) {
+        if (entry.key.startsWith(storeKeys.memberPrefix)) {
             // One registration that can't be read must not stop everybody's reads.
             parseIdentity(entry).ifRight(identity => registered.push(identity));
         }
@@ -67,7 +91,7 @@
             forgotten.push(entry.key.slice(storeKeys.forgottenPrefix.length));
         }
     }
-    return Right({ roster, rosterKeyRevision, registered, forgotten, head });
+    return parseRoster(rosterEntry).map(roster => ({ roster, rosterKeyRevision, registered, forgotten, head }));
 }
 
 /**
@@ -89,18 +113,18 @@
         return Left(lease.extract());
     }
     const key = `${storeKeys.memberPrefix}${self.name}`;
-    const present = await store.get(key);
-    if (present.isLeft()) {
-        return Left(present.extract());
-    }
     const leaseId = lease.unsafeCoerce().id;
-    const swap = await store.compareAndSwap({
-        key,
-        expectedRevision: present.toMaybe().extract()?.modifiedRevision ?? 0,
-        value: JSON.stringify(self),
-        leaseId,
-    });
-    return swap.chain(outcome =>
-        outcome.swapped ? Right(leaseId) : Left(createFailure("revisionConflict", `${key} was written meanwhile`))
-    );
+    let expectedRevision = 0;
+    for (let i = 0; i < registrationTries; i++) {
+        const swap = await store.compareAndSwap({ key, expectedRevision, value: JSON.stringify(self), leaseId });
+        if (swap.isLeft()) {
+            return Left(swap.extract());
+        }
+        const outcome = swap.unsafeCoerce();
+        if (outcome.swapped) {
+            return Right(leaseId);
+        }
+        expectedRevision = outcome.current?.modifiedRevision ?? 0;
+    }
+    return Left(createFailure("revisionConflict", `${key} was written meanwhile`));
 }
--- a/packages/peers/src/storeCodec.ts
+++ b/packages/peers/src/storeCodec.ts
@@ -35,9 +35,9 @@
     return entry === undefined ? Right(undefined) : parse(headSchema, entry);
 }
 
-/** @returns the roster, or a failure for a value that can't be read */
-export function parseRoster(entry: KeyValue): Either<Failure, Roster> {
-    return parse(rosterSchema, entry);
+/** @returns the roster, `undefined` where there is none yet, or a failure for a value that can't be read */
+export function parseRoster(entry: KeyValue | undefined): Either<Failure, Roster | undefined> {
+    return entry === undefined ? Right(undefined) : parse(rosterSchema, entry);
 }
 
 /** @returns the gateway, or a failure for a value that can't be read */
--- a/packages/standIns/src/fakes/virtualTime.ts
+++ b/packages/standIns/src/fakes/virtualTime.ts
@@ -14,6 +14,11 @@
         return this.#nowMs;
     }
 
+    /** When the next event is due; `undefined` where nothing is left to happen. */
+    get nextAtMs(): number | undefined {
+        return this.#queue[0]?.atMs;
+    }
+
     /** Runs `run` once, `delayMs` from now. */
     after(delayMs: number, run: () => void): void {
         const entry = { atMs: this.#nowMs + Math.max(0, delayMs), order: this.#order++, run };
