Carry a signal's epoch between gateways, and smoke-run the whole path

Cause: cold-start signals are ordered by an epoch that the heartbeat's check did not let through. Change: the wire schema takes it, and the kind `warm`. Measured: stand-in platform, one stand-in backend server and one gateway as separate processes on loopback; a change was in force on the one gateway, a GET and a POST came back whole with their own request ids, and SIGTERM ended the gateway by its planned stop.

--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -29,7 +29,7 @@
     const metrics = createMetrics("galenaglade-gateway");
     const tracing = createTracing({ process: settings.name, sampledShare, logger });
     const connection = new PlatformConnection({
-        baseUrl: settings.platform.address,
+        addresses: [settings.platform.address],
         client: settings.name,
         timeoutMs: settings.platform.callTimeoutMs,
     });
--- a/packages/peers/src/wireSchemas.ts
+++ b/packages/peers/src/wireSchemas.ts
@@ -44,7 +44,8 @@
 
 const serverSignal = z.object({
     serverId,
-    kind: z.enum(["turnedCold", "leaving"]),
+    kind: z.enum(["turnedCold", "warm", "leaving"]),
+    epoch: count,
     incarnation: z.string().max(256).optional(),
     ageMs,
 }).transform(signal => ({ ...signal, incarnation: signal.incarnation }));
