Bring a whole fleet up on loopback, for tests and for `npm run up`

Cause: nothing started all the parts together, so that the whole path ran only by hand.

Each has a process group of its own, since Ctrl-C would otherwise take the platform away before gateways had given back their leases.

--- a/packages/standIns/src/processes/startProcess.ts
+++ b/packages/standIns/src/processes/startProcess.ts
@@ -101,6 +101,9 @@
     const loader = options.script.endsWith(".ts") ? ["--import", "tsx"] : [];
     const child = spawn(process.execPath, [...loader, options.script, ...options.args ?? []], {
         stdio: ["ignore", "pipe", "pipe"],
+        // A group of its own: Ctrl-C would otherwise reach all at once, and the platform would be gone before the
+        // gateways had given back their leases.
+        detached: true,
     });
     const started = new StartedProcess(options.name, child);
     const log = options.logPath === undefined ? undefined : createWriteStream(options.logPath, { flags: "a" });
--- /dev/null
+++ b/playground/up.ts
@@ -0,0 +1,129 @@
+/** Brings the whole system up on loopback, every part a process of its own: `npm run up -- --help`. */
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { request } from "undici";
+import { parse } from "yaml";
+import { type ConfigurationInput } from "@galenaglade/configuration";
+import { backendHeaders, Fleet, limitBackendServers, Operator, resolveOutcome } from "@galenaglade/stand-ins";
+
+const usage = `usage: npm run up -- [--configuration FILE] [--small] [--gateways N] [--once]
+    --configuration FILE  what to declare; playground/lonestat.yaml where none is given
+    --small               two backend servers of each service
+    --gateways N          3 where none is given
+    --once                sends a few requests, prints the answers, stops all and exits with 0 or 1`;
+
+const smallPerService = 2;
+
+type ServiceInput = ConfigurationInput["services"][number];
+
+const { values } = parseArgs({
+    options: {
+        configuration: { type: "string", default: "playground/lonestat.yaml" },
+        small: { type: "boolean", default: false },
+        gateways: { type: "string", default: "3" },
+        once: { type: "boolean", default: false },
+        help: { type: "boolean", default: false },
+    },
+});
+
+if (values.help) {
+    console.log(usage);
+}
+else {
+    process.exitCode = await run();
+}
+
+async function run(): Promise<number> {
+    const declared = parse(readFileSync(values.configuration, "utf8")) as ConfigurationInput;
+    const configuration = values.small ? limitBackendServers(declared, smallPerService) : declared;
+    const fleet = await Fleet.start({
+        configuration,
+        gateways: Number(values.gateways),
+        admin: true,
+        onProgress: text => console.log(`starting ${text}`),
+    });
+    let good = true;
+    try {
+        await applyConfiguration(fleet);
+        describe(fleet, configuration);
+        if (values.once) {
+            good = await sendOnce(fleet, configuration);
+        }
+        else {
+            await untilInterrupted();
+        }
+    }
+    catch (err) {
+        console.error(err);
+        good = false;
+    }
+    console.log("stopping");
+    const failed = await fleet.stop();
+    for (const name of failed) {
+        console.error(`${name} did not end its planned stop with code 0`);
+    }
+    return good && failed.length === 0 ? 0 : 1;
+}
+
+async function applyConfiguration(fleet: Fleet): Promise<void> {
+    const standing = await new Operator(fleet).apply(fleet.configuration);
+    console.log(`configuration: revision ${standing?.revision ?? 0}, in force: ${standing?.inForce ?? false}`);
+    await fleet.becomeReady();
+}
+
+function describe(fleet: Fleet, cfg: ConfigurationInput): void {
+    console.log(`\nplatform  ${fleet.platformUrl} (PUT /faults, GET /counters)`);
+    console.log(`admin     ${fleet.adminUrl}`);
+    console.log(`fleet key ${fleet.fleetKey}`);
+    console.log(`logs      ${fleet.directory}`);
+    for (const gateway of fleet.gateways) {
+        const { name, availabilityZone, process: { url }, operationsUrl } = gateway;
+        console.log(`${name} ${availabilityZone} ${url} (metrics ${operationsUrl}/metrics)`);
+    }
+    for (const { service, name, availabilityZone, process: { url } } of fleet.backendServers) {
+        console.log(`${service}/${name} ${availabilityZone} ${url} (PUT /faults, GET /counters)`);
+    }
+    const [service] = cfg.services;
+    const authority = service?.authorities[0] ?? "";
+    const url = `${fleet.gateways[0]?.process.url ?? ""}${service?.pathPrefix ?? "/"}`;
+    console.log(`\ntry: curl -i -H 'host: ${authority}' -H 'x-request-id: mine' ${url}\n`);
+}
+
+/** One request to each service through each gateway. @returns whether each got its own whole answer */
+async function sendOnce(fleet: Fleet, cfg: ConfigurationInput): Promise<boolean> {
+    let good = true;
+    for (const service of cfg.services) {
+        for (const gateway of fleet.gateways) {
+            good = await sendOne(gateway.process.url, service) && good;
+        }
+    }
+    return good;
+}
+
+async function sendOne(gatewayUrl: string, service: ServiceInput): Promise<boolean> {
+    const requestId = randomUUID();
+    const keyed = service.requireIdempotencyKey === true;
+    const res = await request(gatewayUrl + (service.pathPrefix ?? "/"), {
+        method: keyed ? "POST" : "GET",
+        headers: {
+            host: service.authorities[0],
+            [backendHeaders.requestId]: requestId,
+            ...keyed ? { [backendHeaders.idempotencyKey]: requestId } : {},
+        },
+        body: keyed ? "one" : undefined,
+    });
+    const text = await res.body.text();
+    const bodyDigest = String(res.headers[backendHeaders.bodyDigest] ?? "");
+    const outcome = resolveOutcome(requestId, { status: res.statusCode, didRun: undefined, bodyDigest, text });
+    console.log(`${service.name} by ${gatewayUrl}: ${outcome.type}, status ${res.statusCode}, ${text.slice(0, 100)}`);
+    return outcome.type === "whole";
+}
+
+function untilInterrupted(): Promise<void> {
+    console.log("Ctrl-C stops all");
+    return new Promise(resolve => {
+        process.once("SIGINT", () => resolve());
+        process.once("SIGTERM", () => resolve());
+    });
+}
