--- /dev/null
+++ b/packages/peers/src/__tests__/faultyFleet.test.ts
@@ -0,0 +1,178 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type SimulatedOperator, Simulation } from "./support/simulation.js";
+
+const runs = Number(process.env["FLEET_RUNS"] ?? 120);
+const faultyMs = 25_000;
+const gatewayCount = 5;
+
+const kinds = [
+    "change",
+    "change",
+    "standing",
+    "operatorEnds",
+    "storeCut",
+    "storeDown",
+    "storeSlow",
+    "answersLost",
+    "readsStale",
+    "watchesSilent",
+    "networkCut",
+    "networkLossy",
+    "networkSlow",
+    "pause",
+    "restart",
+    "replace",
+] as const;
+
+const step = fc.record({
+    atMs: fc.integer({ min: 0, max: faultyMs }),
+    kind: fc.constantFrom(...kinds),
+    who: fc.integer({ min: 0, max: 1_023 }),
+    lastsMs: fc.integer({ min: 100, max: 15_000 }),
+});
+
+type Step = Parameters<Parameters<typeof step.map>[0]>[0];
+
+/** Plays the steps of one run on a fleet. */
+class FaultyRun {
+    readonly sim: Simulation;
+    readonly #operators: SimulatedOperator[];
+    #changes = 0;
+    #replacements = 0;
+
+    constructor(seed: number) {
+        this.sim = new Simulation(seed);
+        for (let i = 1; i <= gatewayCount; i++) {
+            this.sim.startGateway(`gw${i}`);
+        }
+        this.#operators = [this.sim.startOperator("op0"), this.sim.startOperator("op1")];
+    }
+
+    play({ kind, who, lastsMs }: Step): void {
+        const sim = this.sim;
+        const gateways = [...sim.gateways.values()];
+        const gateway = gateways[who % gateways.length];
+        const chosen = [...gateways.map(({ name }) => name), "op0", "op1"].filter((_, i) => (who >> i & 1) === 1);
+        switch (kind) {
+            case "change":
+                void sim.change(this.#operatorFor(who), `change-${this.#changes++}`);
+                return;
+            case "standing":
+                void sim.standing(this.#operatorFor(who));
+                return;
+            case "operatorEnds":
+                this.#operatorFor(who).process.end();
+                this.#operators[who % 2] = sim.startOperator(`op${who % 2}`);
+                return;
+            case "storeCut":
+                chosen.forEach(name => sim.cutFromStore.add(name));
+                sim.time.after(lastsMs, () => chosen.forEach(name => sim.cutFromStore.delete(name)));
+                return;
+            case "storeDown":
+                sim.cutFromStore.add("*");
+                sim.time.after(lastsMs, () => sim.cutFromStore.delete("*"));
+                return;
+            case "storeSlow":
+                sim.storeDelayMs = 1 + who;
+                sim.time.after(lastsMs, () => {
+                    sim.storeDelayMs = 5;
+                });
+                return;
+            case "answersLost":
+                sim.lostAnswers = who / 1_024;
+                sim.time.after(lastsMs, () => {
+                    sim.lostAnswers = 0;
+                });
+                return;
+            case "readsStale":
+                sim.storeFaults.staleEngine = sim.engine.freeze();
+                sim.time.after(lastsMs, () => {
+                    sim.storeFaults.staleEngine = undefined;
+                });
+                return;
+            case "watchesSilent":
+                sim.storeFaults.silentWatches = true;
+                return;
+            case "networkCut":
+                this.#cut(new Set(chosen), (who & 512) === 0);
+                sim.time.after(lastsMs, () => sim.network.heal());
+                return;
+            case "networkLossy":
+                sim.network.lossShare = who / 2_048;
+                return;
+            case "networkSlow":
+                sim.network.maximumDelayMs = 1 + who;
+                return;
+            case "pause":
+                gateway?.process.pause();
+                sim.time.after(lastsMs, () => gateway?.process.resume());
+                return;
+            case "restart":
+                if (gateway !== undefined) {
+                    sim.startGateway(gateway.name);
+                }
+                return;
+            case "replace":
+                if (gateway !== undefined) {
+                    sim.endGateway(gateway.name);
+                    sim.startGateway(`gw${gatewayCount + ++this.#replacements}`);
+                }
+                return;
+        }
+    }
+
+    operator(): SimulatedOperator {
+        return this.sim.startOperator("op2");
+    }
+
+    #operatorFor(who: number): SimulatedOperator {
+        return this.#operators[who % 2] ?? assert.fail();
+    }
+
+    #cut(side: ReadonlySet<string>, bothWays: boolean): void {
+        const names = [...this.sim.gateways.keys(), "op0", "op1"];
+        for (const from of names) {
+            for (const to of names) {
+                if (side.has(from) && !side.has(to)) {
+                    this.sim.network.cut(from, to);
+                    if (bothWays) {
+                        this.sim.network.cut(to, from);
+                    }
+                }
+            }
+        }
+    }
+}
+
+// An operator is told that a change is in force, and a caller gets an answer that an older configuration gave.
+// Each run lets changes, pauses, restarts, replaced hosts and faults of the store and the network fall together as its
+// seed has it, then ends the faults. Until then no answer may be wrong, and afterwards the fleet must serve again: a
+// fleet that refuses for good would be safe, and useless.
+test("whatever fails together, what is in force stays in force, and the fleet recovers", async () => {
+    await fc.assert(
+        fc.asyncProperty(fc.integer(), fc.array(step, { minLength: 4, maxLength: 24 }), async (seed, steps) => {
+            const run = new FaultyRun(seed);
+            const sim = run.sim;
+            for (const planned of [...steps].sort((a, b) => a.atMs - b.atMs)) {
+                await sim.run(Math.max(0, planned.atMs - sim.time.nowMs));
+                run.play(planned);
+            }
+            await sim.run(faultyMs - sim.time.nowMs);
+            sim.check();
+            sim.heal();
+            await sim.run(20_000);
+            const acceptance = await sim.changeNow(run.operator(), "last-change");
+            assert.ok(acceptance.inForce, "the last change came into force");
+            await sim.run(5_000);
+            const before = [...sim.gateways.values()].map(({ name, sent }) => ({ name, sent }));
+            await sim.run(1_000);
+            for (const { name, sent } of before) {
+                assert.ok((sim.gateways.get(name)?.sent ?? 0) > sent, `${name} serves again`);
+            }
+            sim.check();
+        }),
+        { numRuns: runs },
+    );
+});
--- /dev/null
+++ b/packages/peers/src/__tests__/support/simulatedNetwork.ts
@@ -0,0 +1,127 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { type ConfigurationOffer, type Heartbeat, type OfferAnswer } from "@galenaglade/membership";
+import { type RandomSource } from "@galenaglade/routing";
+import { type VirtualTime } from "@galenaglade/stand-ins";
+import { type Either, Left, Right } from "purify-ts";
+import { PeerCaller, type PeerHandler, PeerListener } from "../../peerCaller.js";
+import { type SimulatedProcess } from "./simulatedProcess.js";
+
+interface Endpoint {
+    readonly process: SimulatedProcess;
+    readonly handler: PeerHandler;
+}
+
+/** The network between simulated processes: each way of each call takes its own time, or is lost. */
+export class SimulatedNetwork {
+    readonly #time: VirtualTime;
+    readonly #random: RandomSource;
+    readonly #endpoints = new Map<string, Endpoint>();
+    readonly #cut = new Set<string>();
+    #lossShare = 0;
+    #maximumDelayMs = 5;
+
+    constructor(time: VirtualTime, random: RandomSource) {
+        this.#time = time;
+        this.#random = random;
+    }
+
+    set lossShare(share: number) {
+        this.#lossShare = share;
+    }
+
+    set maximumDelayMs(delayMs: number) {
+        this.#maximumDelayMs = delayMs;
+    }
+
+    /** Nothing passes from `from` to `to` any more; the other way stays open. */
+    cut(from: string, to: string): void {
+        this.#cut.add(`${from}>${to}`);
+    }
+
+    heal(): void {
+        this.#cut.clear();
+        this.#lossShare = 0;
+        this.#maximumDelayMs = 5;
+    }
+
+    createListener(process: SimulatedProcess, address: string): PeerListener {
+        return new SimulatedListener(address, handler => {
+            this.#endpoints.set(address, { process, handler });
+        });
+    }
+
+    createCaller(process: SimulatedProcess, timeoutMs: number): PeerCaller {
+        return new SimulatedCaller((address, run) => this.#call(process, address, timeoutMs, run));
+    }
+
+    #call<T>(
+        from: SimulatedProcess,
+        address: string,
+        timeoutMs: number,
+        run: (handler: PeerHandler) => T,
+    ): Promise<Either<Failure, T>> {
+        return new Promise(resolve => {
+            this.#time.after(timeoutMs, () => {
+                from.run(() => resolve(Left(createFailure("peerUnreachable", "timeout"))));
+            });
+            const to = this.#endpoints.get(address);
+            if (to === undefined) {
+                return;
+            }
+            this.#deliver(from, to.process, () => {
+                const answer = run(to.handler);
+                this.#deliver(to.process, from, () => resolve(Right(answer)));
+            });
+        });
+    }
+
+    #deliver(from: SimulatedProcess, to: SimulatedProcess, turn: () => void): void {
+        const lost = this.#cut.has(`${from.name}>${to.name}`) || this.#random.next() < this.#lossShare;
+        if (!lost) {
+            this.#time.after(1 + this.#random.below(this.#maximumDelayMs), () => to.run(turn));
+        }
+    }
+}
+
+class SimulatedListener extends PeerListener {
+    readonly #address: string;
+    readonly #open: (handler: PeerHandler) => void;
+
+    constructor(address: string, open: (handler: PeerHandler) => void) {
+        super();
+        this.#address = address;
+        this.#open = open;
+    }
+
+    override listen(handler: PeerHandler): Promise<Either<Failure, string>> {
+        this.#open(handler);
+        return Promise.resolve(Right(this.#address));
+    }
+
+    override close(): Promise<void> {
+        return Promise.resolve();
+    }
+}
+
+type Run = <T>(address: string, run: (handler: PeerHandler) => T) => Promise<Either<Failure, T>>;
+
+class SimulatedCaller extends PeerCaller {
+    readonly #run: Run;
+
+    constructor(run: Run) {
+        super();
+        this.#run = run;
+    }
+
+    override heartbeat(address: string, heartbeat: Heartbeat): Promise<Either<Failure, Heartbeat>> {
+        return this.#run(address, handler => handler.heartbeat(heartbeat));
+    }
+
+    override fetch(address: string): Promise<Either<Failure, ConfigurationOffer>> {
+        return this.#run(address, handler => handler.fetch());
+    }
+
+    override offer(address: string, offer: ConfigurationOffer): Promise<Either<Failure, OfferAnswer>> {
+        return this.#run(address, handler => handler.offer(offer));
+    }
+}
--- /dev/null
+++ b/packages/peers/src/__tests__/support/simulatedStore.ts
@@ -0,0 +1,119 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    type CompareAndSwap,
+    type KeyValue,
+    KeyValueStore,
+    type Lease,
+    type SwapOutcome,
+    type WatchEvents,
+    type WatchRequest,
+} from "@galenaglade/platform";
+import { type FakeStore, type KeyValueEngine, type VirtualTime } from "@galenaglade/stand-ins";
+import { type Either, Left, Right } from "purify-ts";
+import { type SimulatedProcess } from "./simulatedProcess.js";
+
+/** How often a waiting watch looks, in milliseconds. */
+const watchLookMs = 250;
+
+/** What the store does wrong for everybody. */
+export interface StoreFaults {
+    /** Plain reads come from this state of the past. */
+    staleEngine: KeyValueEngine | undefined;
+    /** Watches that are asked for now never end. */
+    silentWatches: boolean;
+}
+
+/** The store as one simulated process sees it. */
+export class SimulatedStore extends KeyValueStore {
+    readonly #process: SimulatedProcess;
+    readonly #store: FakeStore;
+    readonly #engine: KeyValueEngine;
+    readonly #time: VirtualTime;
+    readonly #faults: StoreFaults;
+    readonly #onSwap: (req: CompareAndSwap) => void;
+
+    constructor(
+        process: SimulatedProcess,
+        store: FakeStore,
+        engine: KeyValueEngine,
+        time: VirtualTime,
+        faults: StoreFaults,
+        onSwap: (req: CompareAndSwap) => void,
+    ) {
+        super();
+        this.#process = process;
+        this.#store = store;
+        this.#engine = engine;
+        this.#time = time;
+        this.#faults = faults;
+        this.#onSwap = onSwap;
+    }
+
+    override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
+        return this.#call(nowMs => this.#readable().get(key, nowMs));
+    }
+
+    override list(
+        prefix: string,
+    ): Promise<Either<Failure, { readonly revision: number; readonly entries: readonly KeyValue[]; }>> {
+        return this.#call(nowMs => {
+            const entries = this.#readable().list(prefix, nowMs);
+            return { revision: this.#readable().revision, entries };
+        });
+    }
+
+    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        return this.#call(nowMs => {
+            const outcome = this.#engine.compareAndSwap(req, nowMs);
+            if (outcome.swapped) {
+                this.#onSwap(req);
+            }
+            return outcome;
+        });
+    }
+
+    override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
+        return this.#call(nowMs => this.#engine.grantLease(ttlMs, nowMs));
+    }
+
+    override async renewLease(id: string): Promise<Either<Failure, Lease>> {
+        const renewed = await this.#call(nowMs => this.#engine.renewLease(id, nowMs));
+        return renewed.chain(lease => lease === undefined ? Left(createFailure("notFound", "lapsed")) : Right(lease));
+    }
+
+    override revokeLease(id: string): Promise<Either<Failure, void>> {
+        return this.#call(nowMs => this.#engine.revokeLease(id, nowMs));
+    }
+
+    override watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>> {
+        if (this.#faults.silentWatches) {
+            return new Promise(() => undefined);
+        }
+        const untilMs = this.#time.nowMs + req.waitMs;
+        return new Promise(resolve => {
+            const look = (): void => {
+                const events = this.#engine.changesSince(req.prefix, req.afterRevision, this.#time.nowMs);
+                if (events.changed.length > 0 || this.#time.nowMs >= untilMs) {
+                    void this.#call(() => events).then(resolve);
+                    return;
+                }
+                this.#time.after(watchLookMs, look);
+            };
+            look();
+        });
+    }
+
+    #readable(): KeyValueEngine {
+        return this.#faults.staleEngine ?? this.#engine;
+    }
+
+    #call<T>(run: (nowMs: number) => T): Promise<Either<Failure, T>> {
+        return new Promise(resolve => {
+            this.#store.call(
+                this.#process.name,
+                (_engine, nowMs) => run(nowMs),
+                result => this.#process.run(() => resolve(result)),
+            );
+        });
+    }
+}
--- /dev/null
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -0,0 +1,289 @@
+import { type Configuration, resolveConfiguration } from "@galenaglade/configuration";
+import { type Failure } from "@galenaglade/errors";
+import {
+    checkConfigurationInForce,
+    checkConfigurationNeverReverts,
+    checkConfigurationOrder,
+    type HistoryEvent,
+    type HistoryLine,
+} from "@galenaglade/history";
+import { type Acceptance, defaultFleetTimings, type FleetTimings, storeKeys } from "@galenaglade/membership";
+import { type HostEntry, HostList } from "@galenaglade/platform";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { type CallFate, FakeStore, KeyValueEngine, VirtualTime } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { type Either, Right } from "purify-ts";
+import { createChangeCoordinator, type StoreChangeCoordinator } from "../../changeCoordinatorShell.js";
+import { createFleetMember, type FleetMembership } from "../../fleetMemberShell.js";
+import { SimulatedNetwork } from "./simulatedNetwork.js";
+import { SimulatedProcess } from "./simulatedProcess.js";
+import { SimulatedStore, type StoreFaults } from "./simulatedStore.js";
+
+/** Every gateway tries to send work this often, in milliseconds. */
+const workIntervalMs = 50;
+/** The host list shows the end of a host this late, in milliseconds. */
+const hostListLagMs = 4_000;
+const storeTimeoutMs = 1_000;
+
+/** Removal from the roster comes sooner than in earnest, so that a run sees several. */
+const timings: FleetTimings = { ...defaultFleetTimings, removeAfterMs: 6_000, rosterTurnMs: 500 };
+
+export interface SimulatedGateway {
+    readonly name: string;
+    readonly process: SimulatedProcess;
+    readonly member: FleetMembership;
+    /** Work sent since the start. */
+    sent: number;
+}
+
+export interface SimulatedOperator {
+    readonly process: SimulatedProcess;
+    readonly coordinator: StoreChangeCoordinator;
+}
+
+/** A fleet on virtual time, with the real shells on fake networks, a fake store and a recorder. */
+export class Simulation {
+    readonly time = new VirtualTime();
+    readonly random: RandomSource;
+    readonly network: SimulatedNetwork;
+    readonly engine = new KeyValueEngine();
+    readonly storeFaults: StoreFaults = { staleEngine: undefined, silentWatches: false };
+    /** Names of processes whose calls of the store are lost. */
+    readonly cutFromStore = new Set<string>();
+    readonly history: HistoryLine[] = [];
+    readonly gateways = new Map<string, SimulatedGateway>();
+    readonly #store: FakeStore;
+    readonly #endedHosts = new Map<string, number>();
+    /** Share of store calls whose answer is lost after they took effect. */
+    lostAnswers = 0;
+    storeDelayMs = 5;
+    #starts = 0;
+
+    constructor(seed: number) {
+        this.random = createRandomSource(seed);
+        this.network = new SimulatedNetwork(this.time, this.random);
+        this.#store = new FakeStore(this.engine, this.time, client => this.#fateOf(client));
+    }
+
+    record(process: string, event: HistoryEvent): void {
+        this.history.push({ sequence: this.history.length, atMs: this.time.nowMs, process, ...event });
+    }
+
+    /** Starts a gateway, or starts it anew under its name. */
+    startGateway(name: string, address = this.#resolveAddress(name)): SimulatedGateway {
+        this.gateways.get(name)?.process.end();
+        this.#endedHosts.delete(name);
+        const process = new SimulatedProcess(name, this.time);
+        const processName = `${name}/${++this.#starts}`;
+        const member = createFleetMember({
+            store: this.#createStore(process),
+            hosts: new SimulatedHosts(() => this.#shownHosts()),
+            name,
+            availabilityZone: "a",
+            listen: { host: "127.0.0.1", port: 0 },
+            seeds: [1, 2, 3, 4, 5].map(n => this.#resolveAddress(`gw${n}`)),
+            fleetKey: "key",
+            timings,
+            clock: process.createClock(),
+            listener: this.network.createListener(process, address),
+            caller: this.network.createCaller(process, timings.callTimeoutMs),
+        });
+        const gateway = { name, process, member, sent: 0 };
+        this.gateways.set(name, gateway);
+        member.onConfiguration(({ revision }) =>
+            this.record(processName, { type: "configurationApplied", gateway: name, revision })
+        );
+        void member.start();
+        this.#sendWork(gateway, processName);
+        return gateway;
+    }
+
+    /** Ends a gateway's process for good; the host list shows it later. */
+    endGateway(name: string): void {
+        this.gateways.get(name)?.process.end();
+        this.gateways.delete(name);
+        this.#endedHosts.set(name, this.time.nowMs);
+    }
+
+    startOperator(name: string): SimulatedOperator {
+        const process = new SimulatedProcess(name, this.time);
+        const coordinator = createChangeCoordinator({
+            store: this.#createStore(process),
+            fleetKey: "key",
+            timings,
+            clock: process.createClock(),
+            caller: this.network.createCaller(process, timings.callTimeoutMs),
+        });
+        return { process, coordinator };
+    }
+
+    /** Applies a change as an operator would, and records its acceptance. */
+    async change(
+        operator: SimulatedOperator,
+        changeId: string,
+        waitMs = 15_000,
+    ): Promise<Either<Failure, Acceptance>> {
+        const read = await operator.coordinator.read();
+        const present = read.toMaybe().extract();
+        if (present === undefined) {
+            return read.map(() => assert.fail("unreachable"));
+        }
+        const req = { changeId, expectedRevision: present.revision, configuration: createConfiguration(changeId) };
+        let applied = await operator.coordinator.apply(req, waitMs);
+        if (applied.toMaybe().extract()?.inForce !== true) {
+            applied = await operator.coordinator.apply(req, waitMs);
+        }
+        applied.ifRight(acceptance => this.#recordAcceptance(operator, acceptance));
+        return applied;
+    }
+
+    /** Asks how far the present change has come, and records its acceptance. */
+    async standing(operator: SimulatedOperator): Promise<Acceptance | undefined> {
+        const standing = (await operator.coordinator.standing()).toMaybe().extract();
+        if (standing !== undefined && standing.revision > 0) {
+            this.#recordAcceptance(operator, standing);
+        }
+        return standing;
+    }
+
+    /** Starts a change and lets the clock run until it has ended, at most `limitMs`. */
+    async changeNow(operator: SimulatedOperator, changeId: string, limitMs = 40_000): Promise<Acceptance> {
+        let applied: Either<Failure, Acceptance> | undefined;
+        void this.change(operator, changeId).then(result => {
+            applied = result;
+        });
+        const untilMs = this.time.nowMs + limitMs;
+        while (applied === undefined && this.time.nowMs < untilMs) {
+            await this.run(100);
+        }
+        return applied?.caseOf({ Left: failure => assert.fail(failure.detail), Right: acceptance => acceptance })
+            ?? assert.fail(`${changeId} has not ended`);
+    }
+
+    /** Moves the clock, and lets every promise settle after each event. */
+    async run(durationMs: number): Promise<void> {
+        const untilMs = this.time.nowMs + durationMs;
+        for (;;) {
+            const nextAtMs = this.time.nextAtMs;
+            if (nextAtMs === undefined || nextAtMs > untilMs) {
+                break;
+            }
+            this.time.runUntil(nextAtMs);
+            await settle();
+        }
+        this.time.runUntil(untilMs);
+    }
+
+    /** Ends every fault; paused processes go on. */
+    heal(): void {
+        this.network.heal();
+        this.cutFromStore.clear();
+        this.lostAnswers = 0;
+        this.storeDelayMs = 5;
+        this.storeFaults.staleEngine = undefined;
+        this.storeFaults.silentWatches = false;
+        for (const { process } of this.gateways.values()) {
+            process.resume();
+        }
+    }
+
+    /** Fails where a checker finds anything in the history so far. */
+    check(): void {
+        assert.deepEqual(
+            [
+                ...checkConfigurationInForce(this.history),
+                ...checkConfigurationNeverReverts(this.history),
+                ...checkConfigurationOrder(this.history),
+            ].slice(0, 3),
+            [],
+        );
+    }
+
+    #recordAcceptance(operator: SimulatedOperator, acceptance: Acceptance): void {
+        if (acceptance.inForce && operator.process.isRunning) {
+            const { revision, changeId } = acceptance;
+            this.record(operator.process.name, { type: "configurationAccepted", revision, changeId });
+        }
+    }
+
+    #sendWork(gateway: SimulatedGateway, processName: string): void {
+        const { name, process, member } = gateway;
+        const attempt = (): void => {
+            const configuration = member.current();
+            if (configuration !== undefined && member.mayTakeNewWork()) {
+                gateway.sent++;
+                this.record(processName, {
+                    type: "workSent",
+                    gateway: name,
+                    revision: configuration.revision,
+                    requestId: `${processName}/${gateway.sent}`,
+                    server: "table-1",
+                    availabilityZone: "a",
+                });
+            }
+            clock.after(workIntervalMs, attempt);
+        };
+        const clock = process.createClock();
+        clock.after(this.random.below(workIntervalMs), attempt);
+    }
+
+    #createStore(process: SimulatedProcess): SimulatedStore {
+        return new SimulatedStore(process, this.#store, this.engine, this.time, this.storeFaults, req => {
+            if (req.key === storeKeys.head && req.value !== undefined) {
+                const { revision, changeId } = JSON.parse(req.value) as { revision: number; changeId: string; };
+                this.record("store", { type: "configurationWritten", revision, changeId });
+            }
+        });
+    }
+
+    #fateOf(client: string): CallFate {
+        if (this.cutFromStore.has(client) || this.cutFromStore.has("*")) {
+            return { type: "requestLost", timeoutMs: storeTimeoutMs };
+        }
+        const outMs = 1 + this.random.below(this.storeDelayMs);
+        if (this.random.next() < this.lostAnswers) {
+            return { type: "answerLost", outMs, timeoutMs: Math.max(storeTimeoutMs, outMs) };
+        }
+        return { type: "answered", outMs, backMs: 1 + this.random.below(this.storeDelayMs) };
+    }
+
+    #shownHosts(): readonly HostEntry[] {
+        const names = new Set(this.gateways.keys());
+        for (const [name, endedAtMs] of this.#endedHosts) {
+            if (this.time.nowMs < endedAtMs + hostListLagMs) {
+                names.add(name);
+            }
+        }
+        return [...names].map(name => ({ name, address: "127.0.0.1", availabilityZone: "a", state: "live" }));
+    }
+
+    #resolveAddress(name: string): string {
+        return `127.0.0.1:${10_000 + Number(name.slice(2))}`;
+    }
+}
+
+class SimulatedHosts extends HostList {
+    readonly #shown: () => readonly HostEntry[];
+
+    constructor(shown: () => readonly HostEntry[]) {
+        super();
+        this.#shown = shown;
+    }
+
+    override list(): Promise<Either<Failure, readonly HostEntry[]>> {
+        return Promise.resolve(Right(this.#shown()));
+    }
+}
+
+function createConfiguration(changeId: string): Configuration {
+    const state = changeId.length % 2 === 0 ? "in" : "out";
+    return resolveConfiguration({ availabilityZones: [{ name: "a" }, { name: "b", state }], services: [] })
+        .caseOf({ Left: faults => assert.fail(faults[0]?.message), Right: cfg => cfg });
+}
+
+/** Lets every promise that can settle do so. */
+function settle(): Promise<void> {
+    return new Promise(resolve => {
+        setImmediate(resolve);
+    });
+}
