Add the bench: routing policies on real processes, open loop

Cause: policies could only be compared on paper. Figures from a loop that waits for answers hide the requests that a slow variant keeps from being sent.

Change: scripts/bench.ts runs gateways, stand-in platform and backend servers and a caller as processes on loopback. Loads: 50, 75 and 90 in 100, a zone out and back, a step, a noisy neighbour, and short work sent by and past the gateways for the time added. Measured by kind of caller: p50, p99, p99.9, share within patience, refusals; besides, processor time and memory of gateways and calls of the store. The gateway process takes the policy's name; its default stays.

--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -23,8 +23,12 @@
  * Puts a gateway together from its settings.
  *
  * @param settings - checked settings
+ * @param policyName - routing policy, for the bench to compare them
  */
-export function createGatewayProcess(settings: ResolvedGatewaySettings): GatewayProcess {
+export function createGatewayProcess(
+    settings: ResolvedGatewaySettings,
+    policyName: string = defaultRoutingPolicy,
+): GatewayProcess {
     const logger = createLogger({ process: settings.name, level: settings.logging.level });
     const metrics = createMetrics("galenaglade-gateway");
     const tracing = createTracing({ process: settings.name, sampledShare, logger });
@@ -51,7 +55,7 @@
         operations: settings.operations,
         stopping: settings.stopping,
         source: fleet,
-        policy: mustCreatePolicy(),
+        policy: mustCreatePolicy(policyName),
         seed: randomInt(2 ** 31),
         logger,
         metrics,
@@ -94,10 +98,10 @@
     return () => clearInterval(timer);
 }
 
-function mustCreatePolicy(): NonNullable<ReturnType<typeof createRoutingPolicy>> {
-    const policy = createRoutingPolicy(defaultRoutingPolicy);
+function mustCreatePolicy(name: string): NonNullable<ReturnType<typeof createRoutingPolicy>> {
+    const policy = createRoutingPolicy(name);
     if (policy === undefined) {
-        throw new Error(`no routing policy is named ${defaultRoutingPolicy}`);
+        throw new Error(`no routing policy is named ${name}`);
     }
     return policy;
 }
--- a/packages/standIns/src/fleet/fleet.ts
+++ b/packages/standIns/src/fleet/fleet.ts
@@ -19,9 +19,7 @@
     readonly gateways: number;
     readonly admin: boolean;
     /** Program of the gateways, where it isn't the usual one. */
-    readonly gatewayScript?: string | undefined;
-    /** More arguments of gateway `i`. */
-    readonly gatewayArgs?: ((i: number) => readonly string[]) | undefined;
+    readonly gatewayProgram?: GatewayProgram | undefined;
     /** Whether histories are kept, see {@link Fleet.histories}. */
     readonly history?: boolean | undefined;
     readonly workTime?: WorkTimeOptions | undefined;
@@ -29,6 +27,13 @@
     readonly onProgress?: ((text: string) => void) | undefined;
 }
 
+/** A program that takes a gateway's settings. */
+export interface GatewayProgram {
+    readonly script: string;
+    /** Arguments besides `--settings FILE`. */
+    readonly args: readonly string[];
+}
+
 /** A backend server's stand-in and what it stands in for. */
 export interface FleetBackendServer {
     readonly service: string;
@@ -141,6 +146,23 @@
         }
     }
 
+    /**
+     * Stops every gateway as planned, then starts as many of another program.
+     *
+     * @param program - what to start
+     * @throws Error where one didn't end with code 0, or isn't ready in time
+     */
+    async replaceGateways(program: GatewayProgram): Promise<void> {
+        const exits = await Promise.all(this.#gateways.map(gateway => gateway.process.stop()));
+        if (exits.some(exit => exit.code !== 0)) {
+            throw new Error(`a gateway did not end its planned stop with code 0: ${JSON.stringify(exits)}`);
+        }
+        this.#gateways.length = 0;
+        await this.#startGateways(await findFreePorts(this.#options.gateways * portsPerGateway), program);
+        await this.#publishHosts();
+        await this.becomeReady();
+    }
+
     /**
      * Planned stop of all: operators' server, gateways, backend servers, platform.
      *
@@ -175,7 +197,7 @@
         });
         await this.#startBackendServers();
         const ports = await findFreePorts(this.#options.gateways * portsPerGateway + 1);
-        await this.#startGateways(ports);
+        await this.#startGateways(ports, this.#options.gatewayProgram ?? { script: scripts.gateway, args: [] });
         if (this.#options.admin) {
             await this.#startAdmin(ports.at(-1) ?? 0);
         }
@@ -212,7 +234,7 @@
         });
     }
 
-    async #startGateways(ports: readonly number[]): Promise<void> {
+    async #startGateways(ports: readonly number[], program: GatewayProgram): Promise<void> {
         this.#progress(`${this.#options.gateways} gateways`);
         const zones = this.#options.configuration.availabilityZones;
         const numbers = Array.from({ length: this.#options.gateways }, (_, i) => i);
@@ -237,9 +259,9 @@
             });
             const process = await startProcess({
                 name,
-                script: this.#options.gatewayScript ?? scripts.gateway,
+                script: program.script,
                 logPath: this.#logPath(name),
-                args: ["--settings", settings, ...this.#options.gatewayArgs?.(i) ?? []],
+                args: ["--settings", settings, ...program.args],
             });
             const operationsUrl = `http://127.0.0.1:${operationsPort}`;
             this.#gateways.push({ name, availabilityZone, process, operationsUrl });
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -20,7 +20,13 @@
 export { type OutcomeCounts, type Percentiles, Tally, type TallyDocument, tallySchema } from "./caller/tally.js";
 export { type CallFate, FakeStore, type FateOf } from "./fakes/fakeStore.js";
 export { VirtualTime } from "./fakes/virtualTime.js";
-export { Fleet, type FleetBackendServer, type FleetGateway, type FleetOptions } from "./fleet/fleet.js";
+export {
+    Fleet,
+    type FleetBackendServer,
+    type FleetGateway,
+    type FleetOptions,
+    type GatewayProgram,
+} from "./fleet/fleet.js";
 export { limitBackendServers, placeOnLoopback } from "./fleet/fleetConfiguration.js";
 export { FleetConfigurer } from "./fleet/fleetConfigurer.js";
 export { findFreePorts } from "./fleet/freePorts.js";
--- /dev/null
+++ b/scripts/__tests__/bench.test.ts
@@ -0,0 +1,90 @@
+import { type Percentiles } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { readProcessUsage } from "../bench/processUsage.js";
+import { compareRounds, resolveSpread, type RunResult } from "../bench/results.js";
+import { loadShapes, lonestatLoads, resolveCapacities } from "../bench/workload.js";
+
+const counts = {
+    sent: 1,
+    whole: 1,
+    withinPatience: 1,
+    refused: 0,
+    refusedDidNotRun: 0,
+    wrong: 0,
+    cutOff: 0,
+    gaveUp: 0,
+    notSent: 0,
+};
+
+function createRun(round: number, variant: string, p99: number): RunResult {
+    const latency: Percentiles = { p50: 1, p99, p999: 1, max: 1, count: 1 };
+    return {
+        round,
+        variant,
+        load: "steady50",
+        kinds: { "table-reads/union": { counts, latency, refusal: latency } },
+        gatewayCpuMsPerRequest: 1,
+        gatewayRssMegabytes: 1,
+        storeReadsPerSecond: 1,
+        storeWritesPerSecond: 1,
+        machineLoad: 1,
+        faults: [],
+    };
+}
+
+test("the spread of an even number of figures has the mean of the middle two", () => {
+    assert.deepEqual(resolveSpread([4, 1, 3, 2]), { min: 1, median: 2.5, max: 4 });
+    assert.deepEqual(resolveSpread([3, 1, 2]), { min: 1, median: 2, max: 3 });
+});
+
+test("ratios are taken within a round", () => {
+    // The machine was twice as slow in round 2; a ratio of the medians over all rounds would hide that both rounds agree.
+    const runs = [
+        createRun(1, "random", 100),
+        createRun(1, "hotCold", 50),
+        createRun(2, "hotCold", 100),
+        createRun(2, "random", 200),
+    ];
+    const { figure, ratio } = compareRounds(
+        runs,
+        "steady50",
+        "table-reads/union",
+        "hotCold",
+        "random",
+        result => result.latency.p99,
+    );
+    assert.deepEqual(figure, { min: 50, median: 75, max: 100 });
+    assert.deepEqual(ratio, { min: 0.5, median: 0.5, max: 0.5 });
+});
+
+test("a noisy neighbour takes nothing from the others' offered load", () => {
+    const capacities = { total: 100, byService: new Map([["archive-extracts", 20]]) };
+    const noisy = loadShapes.find(load => load.name === "noisy");
+    const [calm, surge] = noisy?.phases(capacities, 30_000) ?? [];
+    assert.equal(calm?.requestsPerSecond, 50);
+    const factor = surge?.surge?.factor ?? 0;
+    // 40 of the 50 are the others'; the noisy service's 10 grow by the factor.
+    assert.equal(surge?.requestsPerSecond, 40 + 10 * factor);
+});
+
+test("a service's capacity is its slots over its mean work", () => {
+    const backendServers = [{ name: "a", availabilityZone: "z", address: "127.0.0.1", port: 1 }];
+    const service = {
+        name: "table-reads",
+        authorities: ["x"] as const,
+        patience: [{ callerKind: "default", patienceMs: 1 }] as const,
+        backendServers,
+    };
+    const cfg = { availabilityZones: [{ name: "z" }] as const, services: [service] };
+    const [tables] = lonestatLoads;
+    assert.ok(tables !== undefined);
+    const { total } = resolveCapacities(cfg, [{ ...tables, medianMs: 30, sigma: 0 }]);
+    assert.equal(total, 100);
+});
+
+test("a process's own usage can be read", () => {
+    const usage = readProcessUsage(process.pid);
+    assert.ok(usage.cpuMs > 0);
+    assert.ok(usage.rssMegabytes > 10);
+});
--- /dev/null
+++ b/scripts/bench/gatewayVariant.ts
@@ -0,0 +1,15 @@
+/** A gateway with the routing policy named on its command line. */
+import { createGatewayProcess } from "@galenaglade/gateway";
+import { loadSettings, resolveGatewaySettings } from "@galenaglade/settings";
+import { printReady, stopOnSignal } from "@galenaglade/stand-ins";
+import { parseArgs } from "node:util";
+
+const { values } = parseArgs({ options: { settings: { type: "string" }, policy: { type: "string" } } });
+const settings = loadSettings(values.settings ?? "", resolveGatewaySettings)
+    .mapLeft(faults => new Error(faults))
+    .unsafeCoerce();
+const gateway = createGatewayProcess(settings, values.policy);
+stopOnSignal(() => gateway.stop());
+const started = await gateway.start();
+const { callersPort } = started.mapLeft(failure => new Error(failure.detail)).unsafeCoerce();
+printReady(settings.name, `http://${settings.callers.address}:${callersPort}`);
