Abort only requests that still run, and look the wall clock up once a minute

Cause: a processor profile of one gateway under load shows, beside socket writes (22% of the busy time), the abort of every request after its whole answer (an exception with its stack, 5.3%, and the controller, 3.6%) and the wall clock looked up for each request (2.5%).

Change: an abort follows only when the caller goes away before its answer ended; the wall clock of a time zone is kept for a minute.

Measured: wall clock gone from the profile; the exception stays at 4.4%, since the stream pipeline of each answer aborts a controller of its own.

Conclusion: within the spread; the answer's relay has to leave the pipeline for a gain that counts.

--- a/packages/configuration/src/patience.ts
+++ b/packages/configuration/src/patience.ts
@@ -27,7 +27,28 @@
     return format;
 }
 
+/** Minutes are whole in every time zone's wall clock, so one look-up serves a whole minute of requests. */
+const minuteMs = 60_000;
+
+interface CachedWallClock {
+    readonly epochMinute: number;
+    readonly at: WallClock;
+}
+
+const newestWallClocks = new Map<string, CachedWallClock>();
+
 function resolveWallClock(timeZone: string, epochMs: number): WallClock {
+    const epochMinute = Math.floor(epochMs / minuteMs);
+    const newest = newestWallClocks.get(timeZone);
+    if (newest?.epochMinute === epochMinute) {
+        return newest.at;
+    }
+    const at = readWallClock(timeZone, epochMs);
+    newestWallClocks.set(timeZone, { epochMinute, at });
+    return at;
+}
+
+function readWallClock(timeZone: string, epochMs: number): WallClock {
     let weekday: Weekday = "mon";
     let hour = 0;
     let minute = 0;
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -98,8 +98,13 @@
         const abort = new AbortController();
         const remainingMs = request.deadlineMs - this.#parts.clock.monotonicMs();
         const timer = setTimeout(() => abort.abort(), Math.max(0, remainingMs));
-        // A caller that is gone wants no answer: the backend server's slot is worth more to the others.
-        res.once("close", () => abort.abort());
+        res.once("close", () => {
+            // A caller that is gone wants no answer: the backend server's slot is worth more to the others. After a
+            // whole answer there is nothing to abort, and an abort is dear (it builds an exception with its stack).
+            if (!res.writableFinished) {
+                abort.abort();
+            }
+        });
         try {
             return await this.#parts.forwarder.forward({ request, req, res, span, signal: abort.signal });
         }
