Answer operators' calls over gRPC and Connect on one port

The calls keep nothing between them, so any host's server can answer any call.

- Zone changes read, change and write; where another change got in first they read again and go on top, under the same change id.
With one try only, the test of two operators at once printed 'true, false' for the two answers.
With a fresh id on each try, a call sent again late undid what came after it (the test printed '4 !== 2').
- A configuration goes only over the revision that its operator named; the conflict carries the present one.
- A change is stored under the operator's id and a digest of the call: a script that used one id to take a zone out and to bring it in was answered twice as done while the zone stayed out (the test printed 'out' for 'in').
- A connection's first bytes tell HTTP/2 from HTTP/1.1.
The key is checked before any of the body is read, in constant time.

Found while testing, each with its test: - Node takes a connection for idle whose answer is still in its buffer, so a stop cut large answers; connections are counted and closed here instead. - An answer to a message that is too large left the call open: over HTTP/1.1 the reader destroyed the connection with the answer, over HTTP/2 unread bytes kept the stream. Both hung the test; the rest of such a message is dropped. - A request whose host makes no URL ended the process ('unable to determine request authority'), as did a reset during detection ('read ECONNRESET'). - Without a limit for connections that bring no call with the key, strangers kept operators out until the test's time was up.

What gateways know of backend servers comes through an interface without an implementation yet; servers are then listed as declared.

--- /dev/null
+++ b/packages/admin/src/__tests__/fakeFleet.ts
@@ -0,0 +1,100 @@
+import {
+    type Configuration,
+    type ConfigurationInput,
+    resolveConfiguration,
+    type RevisedConfiguration,
+} from "@galenaglade/configuration";
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { type Acceptance, ChangeCoordinator, type ChangeRequest } from "@galenaglade/membership";
+import { type HostEntry, HostList } from "@galenaglade/platform";
+import { type Either, Left, Right } from "purify-ts";
+
+export const fleetKey = "0123456789abcdef0123456789abcdef";
+
+/** Two availability zones and one service with a server in each. */
+export const declared: ConfigurationInput = {
+    availabilityZones: [{ name: "a" }, { name: "b" }],
+    services: [{
+        name: "tables",
+        authorities: ["*"],
+        patience: [{ callerKind: "default", patienceMs: 1_000 }],
+        backendServers: [
+            { name: "one", availabilityZone: "a", address: "10.0.0.1", port: 80 },
+            { name: "two", availabilityZone: "b", address: "10.0.0.2", port: 80 },
+        ],
+    }],
+};
+
+export const resolved: Configuration = resolveConfiguration(declared).unsafeCoerce();
+
+const firstRevision: RevisedConfiguration = { revision: 1, changeId: "first", configuration: resolved };
+
+const gateway = { name: "entry-1", incarnation: "1", availabilityZone: "a", peerAddress: "10.0.0.9:7400" };
+
+/** Orders changes as the store does, in memory; what a test may switch or hold is public. */
+export class FakeCoordinator extends ChangeCoordinator {
+    /** Every change that took effect, oldest first. */
+    readonly history: RevisedConfiguration[];
+    inForce = true;
+    /** Changes whose write takes effect and whose answer is lost, from the next one on. */
+    answersToLose = 0;
+    /** Awaited before each step, so that a test decides what happens in which order. */
+    turn: (step: string) => Promise<void> = () => Promise.resolve();
+
+    constructor(history: readonly RevisedConfiguration[] = [firstRevision]) {
+        super();
+        this.history = [...history];
+    }
+
+    get present(): RevisedConfiguration {
+        const empty = { timeZone: "UTC", callerKindHeader: "x", availabilityZones: [], services: [] };
+        return this.history.at(-1) ?? { revision: 0, changeId: "", configuration: empty };
+    }
+
+    override async read(): Promise<Either<Failure, RevisedConfiguration>> {
+        await this.turn("read");
+        return Right(this.present);
+    }
+
+    override async apply(req: ChangeRequest): Promise<Either<Failure, Acceptance>> {
+        await this.turn("apply");
+        const before = this.history.find(change => change.changeId === req.changeId);
+        if (before === undefined && req.expectedRevision !== this.present.revision) {
+            return Left(createFailure("revisionConflict", "another revision is present"));
+        }
+        const written = before ?? {
+            revision: this.present.revision + 1,
+            changeId: req.changeId,
+            configuration: req.configuration,
+        };
+        if (before === undefined) {
+            this.history.push(written);
+        }
+        if (this.answersToLose > 0) {
+            this.answersToLose--;
+            return Left(createFailure("storeOutcomeUnknown", "the store did not say"));
+        }
+        await this.turn("answer");
+        return Right(this.#accept(written));
+    }
+
+    override async standing(): Promise<Either<Failure, Acceptance>> {
+        await this.turn("standing");
+        return Right(this.#accept(this.present));
+    }
+
+    #accept({ revision, changeId }: RevisedConfiguration): Acceptance {
+        const state = this.inForce ? "inForce" : "behind";
+        const held = this.inForce ? revision : revision - 1;
+        return { revision, changeId, inForce: this.inForce, gateways: [{ gateway, state, revision: held }] };
+    }
+}
+
+/** A host list that a test writes. */
+export class FakeHostList extends HostList {
+    hosts: readonly HostEntry[] = [];
+
+    override list(): Promise<Either<Failure, readonly HostEntry[]>> {
+        return Promise.resolve(Right(this.hosts));
+    }
+}
--- /dev/null
+++ b/packages/admin/src/__tests__/operatorCalls.test.ts
@@ -0,0 +1,223 @@
+import { type Configuration } from "@galenaglade/configuration";
+import { HostState } from "@galenaglade/schema";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { OperatorCalls } from "../index.js";
+import { declared, FakeCoordinator, FakeHostList, resolved } from "./fakeFleet.js";
+
+function createCalls(coordinator: FakeCoordinator, hosts = new FakeHostList()): OperatorCalls {
+    return new OperatorCalls({ coordinator, hosts, acceptWaitMs: 1_000 });
+}
+
+const zone = (name: string, state: "in" | "out", changeId: string, expectedRevision?: number) => ({
+    name,
+    state,
+    changeId,
+    expectedRevision,
+});
+const statesOf = (cfg: Configuration) => cfg.availabilityZones.map(({ state }) => state);
+
+test("two operators' zone changes at the same moment both take effect", async () => {
+    // Two operators take zones a and b out in the same second. Both calls read revision 1 before either writes; the
+    // store lets one write through. The other must read again and go on top: answered with a conflict, its operator
+    // would believe that the zone could not be taken out; written over, the first zone would get work again.
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    const answers = await Promise.all([
+        calls.changeZone(zone("a", "out", "first")),
+        calls.changeZone(zone("b", "out", "second")),
+    ]);
+    assert.deepEqual(answers.map(answer => answer.isRight()), [true, true]);
+    assert.deepEqual(coordinator.history.map(({ configuration }) => statesOf(configuration)), [
+        ["in", "in"],
+        ["out", "in"],
+        ["out", "out"],
+    ]);
+});
+
+test("whatever the order of steps, each zone change takes effect once and alone", async () => {
+    // Several operators change zones at once, each through another host, some answers are lost and the call is sent
+    // again with its id. A lost update would show as a revision that undoes another's change, a repeated one as a
+    // second revision of the same call.
+    const operators = fc.array(fc.record({ name: fc.constantFrom("a", "b"), state: fc.constantFrom("in", "out") }), {
+        minLength: 2,
+        maxLength: 5,
+    });
+    await fc.assert(
+        fc.asyncProperty(fc.scheduler(), operators, fc.nat(3), async (scheduler, changes, lost) => {
+            const coordinator = new FakeCoordinator();
+            coordinator.answersToLose = lost;
+            coordinator.turn = step => scheduler.schedule(Promise.resolve(), step);
+            const runs = changes.map(async ({ name, state }, i) => {
+                for (;;) {
+                    const answer = await createCalls(coordinator).changeZone(zone(name, state, `change-${i}`));
+                    if (answer.isRight()) {
+                        return;
+                    }
+                    assert.equal(answer.swap().unsafeCoerce().failure.kind, "storeOutcomeUnknown");
+                }
+            });
+            await scheduler.waitFor(Promise.all(runs));
+            checkZoneHistory(coordinator, changes);
+        }),
+        { numRuns: 200 },
+    );
+});
+
+/** Each change once, and no revision changes any zone but the one that its change names. */
+function checkZoneHistory(
+    coordinator: FakeCoordinator,
+    changes: readonly { readonly name: string; readonly state: string; }[],
+): void {
+    const ids = coordinator.history.slice(1).map(({ changeId }) => changeId.split("#")[0]);
+    assert.deepEqual([...ids].sort(), changes.map((_, i) => `change-${i}`).sort());
+    for (const [i, { configuration }] of coordinator.history.slice(1).entries()) {
+        const change = changes[Number(ids[i]?.slice("change-".length))];
+        const before = coordinator.history[i]?.configuration.availabilityZones ?? [];
+        const expected = before.map(({ name, state }) => name === change?.name ? change.state : state);
+        assert.deepEqual(statesOf(configuration), expected);
+    }
+}
+
+test("a stale configuration gets a conflict with the present revision, and nothing is merged", async () => {
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    await calls.changeZone(zone("a", "out", "zone"));
+    const stale = { changeId: "file", expectedRevision: 1, configuration: declared };
+    const { failure, presentRevision } = (await calls.applyConfiguration(stale)).swap().unsafeCoerce();
+    assert.equal(failure.kind, "revisionConflict");
+    assert.equal(presentRevision, 2);
+    assert.equal(coordinator.present.revision, 2);
+});
+
+test("a call whose answer was lost is recognised when it is sent again", async () => {
+    // The store takes the write and its answer is lost. The operator's command sends the call again with the same id;
+    // by then the present revision is 2 and the expected one still 1. It must get the first answer, not a conflict.
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    coordinator.answersToLose = 1;
+    const change = { changeId: "file", expectedRevision: 1, configuration: declared };
+    const first = await calls.applyConfiguration(change);
+    assert.equal(first.swap().unsafeCoerce().failure.kind, "storeOutcomeUnknown");
+    const second = (await calls.applyConfiguration(change)).unsafeCoerce();
+    assert.deepEqual([second.revision, second.changeId, second.inForce], [2, "file", true]);
+    assert.equal(coordinator.history.length, 2);
+});
+
+test("a zone call sent again late doesn't undo what came after it", async () => {
+    // Operator one takes zone a out and the answer is lost; operator two brings it back; operator one's command then
+    // sends its call again. Done a second time, it would take out a zone that operators believe in.
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    coordinator.answersToLose = 1;
+    await calls.changeZone(zone("a", "out", "one"));
+    await calls.changeZone(zone("a", "in", "two"));
+    const again = (await calls.changeZone(zone("a", "out", "one"))).unsafeCoerce();
+    assert.equal(again.revision, 2);
+    assert.deepEqual(statesOf(coordinator.present.configuration), ["in", "in"]);
+});
+
+test("the same id on another call is not taken for the first one sent again", async () => {
+    // A script uses one id for the call that takes a zone out and the call that brings it back. Recognised by its id
+    // alone, the second would be answered as done, and the zone would stay out without anyone knowing.
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    await calls.changeZone(zone("a", "out", "nightly"));
+    await calls.changeZone(zone("a", "in", "nightly"));
+    assert.deepEqual(statesOf(coordinator.present.configuration), ["in", "in"]);
+});
+
+test("a zone change with an expected revision isn't put on top of another", async () => {
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    await calls.changeZone(zone("b", "out", "other"));
+    const answer = await calls.changeZone(zone("a", "out", "mine", 1));
+    const { failure, presentRevision } = answer.swap().unsafeCoerce();
+    assert.deepEqual([failure.kind, presentRevision], ["revisionConflict", 2]);
+});
+
+test("gives up on a zone change that others always overtake", async () => {
+    const coordinator = new FakeCoordinator();
+    let changes = 0;
+    coordinator.turn = step => {
+        if (step === "apply") {
+            const { revision, configuration } = coordinator.present;
+            coordinator.history.push({ revision: revision + 1, changeId: `other-${changes++}`, configuration });
+        }
+        return Promise.resolve();
+    };
+    const answer = await createCalls(coordinator).changeZone(zone("a", "out", "mine"));
+    assert.equal(answer.swap().unsafeCoerce().failure.kind, "revisionConflict");
+    assert.ok(changes > 1);
+});
+
+test("applying a file that says no state keeps a zone out, and says so", async () => {
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    await calls.changeZone(zone("a", "out", "zone"));
+    const change = { changeId: "file", expectedRevision: 2, configuration: declared };
+    const standing = (await calls.applyConfiguration(change)).unsafeCoerce();
+    assert.deepEqual(standing.zonesOut, ["a"]);
+    assert.deepEqual(statesOf(coordinator.present.configuration), ["out", "in"]);
+});
+
+test("names the services that a zone change leaves without servers", async () => {
+    const calls = createCalls(new FakeCoordinator());
+    const first = (await calls.changeZone(zone("a", "out", "one"))).unsafeCoerce();
+    assert.deepEqual(first.unservedServices, []);
+    const second = (await calls.changeZone(zone("b", "out", "two"))).unsafeCoerce();
+    assert.deepEqual(second.unservedServices, ["tables"]);
+});
+
+test("refuses bad input with every fault", async () => {
+    const coordinator = new FakeCoordinator();
+    const calls = createCalls(coordinator);
+    const kindOf = async (change: Parameters<OperatorCalls["applyConfiguration"]>[0]) =>
+        (await calls.applyConfiguration(change)).swap().unsafeCoerce().failure.kind;
+    const good = { changeId: "x", expectedRevision: 1, configuration: declared };
+    assert.equal(await kindOf({ ...good, changeId: "" }), "badRequest");
+    assert.equal(await kindOf({ ...good, changeId: "a#b" }), "badRequest");
+    assert.equal(await kindOf({ ...good, expectedRevision: undefined }), "badRequest");
+    assert.equal(await kindOf({ ...good, configuration: undefined }), "badRequest");
+    const faulty = { ...declared, timeZone: "Nowhere", availabilityZones: [{ name: "a" }] };
+    const answer = await calls.applyConfiguration({ ...good, configuration: faulty });
+    const { failure, faults } = answer.swap().unsafeCoerce();
+    assert.equal(failure.kind, "configurationInvalid");
+    assert.equal(faults?.length, 2);
+    assert.equal(coordinator.history.length, 1);
+});
+
+test("refuses a configuration that the store can't hold", async () => {
+    const servers = Array.from({ length: 9_500 }, (_, i) => ({
+        name: `server-${i}`,
+        availabilityZone: "a",
+        address: `10.0.${i >> 8}.${i & 255}`,
+        port: 80,
+    }));
+    const large = { ...declared, services: declared.services.map(svc => ({ ...svc, backendServers: servers })) };
+    const change = { changeId: "x", expectedRevision: 1, configuration: large };
+    const { failure } = (await createCalls(new FakeCoordinator()).applyConfiguration(change)).swap().unsafeCoerce();
+    assert.match(failure.detail, /the store holds at most/);
+});
+
+test("lists hosts with their gateways, and gateways whose host is not listed", async () => {
+    const hosts = new FakeHostList();
+    hosts.hosts = [{ name: "entry-2", address: "10.0.0.8", availabilityZone: "b", state: "leaving" }];
+    const listed = (await createCalls(new FakeCoordinator(), hosts).listHosts()).unsafeCoerce();
+    assert.deepEqual(listed.map(({ name, state, gateway }) => [name, state, gateway?.revision]), [
+        ["entry-2", HostState.LEAVING, undefined],
+        ["entry-1", HostState.UNLISTED, 1],
+    ]);
+});
+
+test("lists backend servers with the state of their zone", async () => {
+    const calls = createCalls(new FakeCoordinator());
+    await calls.changeZone(zone("b", "out", "x"));
+    const { revision, servers } = (await calls.listBackendServers("tables")).unsafeCoerce();
+    assert.equal(revision, 2);
+    assert.deepEqual(servers.map(({ server, zoneState }) => [server.name, zoneState]), [["one", "in"], ["two", "out"]]);
+    assert.equal(servers[0]?.server, resolved.services[0]?.backendServers[0]);
+    const unknown = await calls.listBackendServers("table");
+    assert.equal(unknown.swap().unsafeCoerce().failure.kind, "notFound");
+});
--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** The operators' server. */
+export { AdminServer, type AdminServerOptions } from "./adminServer.js";
+export { BackendServerObserver, type ServerObservation } from "./backendServerObserver.js";
+export { ChangeSignal, StoreChangeSignal } from "./changeSignal.js";
+export { OperatorCalls, type OperatorCallsOptions } from "./operatorCalls.js";
+export { type StandingEvent, StandingFeed } from "./standingFeed.js";
--- /dev/null
+++ b/packages/admin/src/operatorRoutes.ts
@@ -0,0 +1,98 @@
+import { type MessageInitShape } from "@bufbuild/protobuf";
+import { type ConnectRouter, type HandlerContext } from "@connectrpc/connect";
+import { createFailure } from "@galenaglade/errors";
+import {
+    fromConfigurationMessage,
+    OperatorService,
+    toConfigurationMessage,
+    toZoneStateEnum,
+    type WatchChangesResponseSchema,
+} from "@galenaglade/schema";
+import { type Either } from "purify-ts";
+import { type CallFailure, toCallFailure, toConnectError, toFailureInit } from "./callFailure.js";
+import { operatorsChangeId } from "./changeId.js";
+import { type ListedServer, type OperatorCalls } from "./operatorCalls.js";
+import { type StandingEvent, type StandingFeed } from "./standingFeed.js";
+
+/**
+ * Connects the calls of the schema file to what answers them.
+ *
+ * @param calls - answers the calls
+ * @param feed - answers WatchChanges
+ * @returns routes for a Connect router
+ */
+export function createOperatorRoutes(calls: OperatorCalls, feed: StandingFeed): (router: ConnectRouter) => void {
+    return router => {
+        router.service(OperatorService, {
+            async applyConfiguration({ changeId, expectedRevision, configuration }) {
+                const declared = configuration && fromConfigurationMessage(configuration);
+                const change = { changeId, expectedRevision, configuration: declared };
+                return { standing: unwrap(await calls.applyConfiguration(change)) };
+            },
+            async getConfiguration() {
+                const { revision, changeId, configuration } = unwrap(await calls.getConfiguration());
+                return {
+                    revision,
+                    changeId: operatorsChangeId(changeId),
+                    configuration: revision === 0 ? undefined : toConfigurationMessage(configuration),
+                };
+            },
+            async takeZoneOut({ name, changeId, expectedRevision }) {
+                const change = { name, state: "out", changeId, expectedRevision } as const;
+                return { standing: unwrap(await calls.changeZone(change)) };
+            },
+            async bringZoneIn({ name, changeId, expectedRevision }) {
+                const change = { name, state: "in", changeId, expectedRevision } as const;
+                return { standing: unwrap(await calls.changeZone(change)) };
+            },
+            async listHosts() {
+                return { hosts: unwrap(await calls.listHosts()) };
+            },
+            async listBackendServers({ service }) {
+                const { revision, servers } = unwrap(await calls.listBackendServers(service));
+                return { revision, backendServers: servers.map(toStatusInit) };
+            },
+            async getStanding() {
+                return { standing: unwrap(await calls.getStanding()) };
+            },
+            watchChanges: (_, context) => watchChanges(feed, context),
+        });
+    };
+}
+
+async function* watchChanges(feed: StandingFeed, { signal }: HandlerContext) {
+    if (feed.isFull) {
+        throw toConnectError(toCallFailure(createFailure("overloaded", "too many WatchChanges calls")));
+    }
+    for await (const event of feed.watch(signal)) {
+        yield toWatchInit(event);
+    }
+    // The watch ends with the caller's call or with this process; a watcher must be able to tell the latter from an
+    // end that means that nothing more will change.
+    signal.throwIfAborted();
+}
+
+function toWatchInit(event: StandingEvent): MessageInitShape<typeof WatchChangesResponseSchema> {
+    return event.caseOf<MessageInitShape<typeof WatchChangesResponseSchema>>({
+        Left: failure => ({ event: { case: "failure", value: toFailureInit(failure) } }),
+        Right: standing => ({ event: { case: "standing", value: standing } }),
+    });
+}
+
+function unwrap<T>(answer: Either<CallFailure, T>): T {
+    return answer.caseOf({
+        Left: failure => {
+            throw toConnectError(failure);
+        },
+        Right: value => value,
+    });
+}
+
+function toStatusInit({ service, server, zoneState, observations }: ListedServer) {
+    return {
+        service,
+        backendServer: server,
+        zoneState: toZoneStateEnum(zoneState),
+        observations: observations.map(({ gateway, state, inFlight }) => ({ gateway, state, inFlight })),
+    };
+}
--- /dev/null
+++ b/packages/admin/src/standingMessages.ts
@@ -0,0 +1,78 @@
+import { type Configuration, findUnservedServices } from "@galenaglade/configuration";
+import { type Acceptance, type GatewayStanding } from "@galenaglade/membership";
+import { GatewayState, HostState } from "@galenaglade/schema";
+import { type HostEntry } from "@galenaglade/platform";
+import { operatorsChangeId } from "./changeId.js";
+
+const gatewayStates: Readonly<Record<GatewayStanding["state"], GatewayState>> = {
+    inForce: GatewayState.IN_FORCE,
+    behind: GatewayState.BEHIND,
+    unreachable: GatewayState.UNREACHABLE,
+    lapsed: GatewayState.LAPSED,
+};
+
+const hostStates: Readonly<Record<HostEntry["state"], HostState>> = {
+    live: HostState.LIVE,
+    leaving: HostState.LEAVING,
+};
+
+/**
+ * Makes the message that says how far a change has come.
+ *
+ * @param acceptance - how far it has come
+ * @param cfg - the configuration of that revision; `undefined` where a later one is present already
+ * @returns what a Standing message is made from
+ */
+export function toStandingInit(acceptance: Acceptance, cfg: Configuration | undefined) {
+    const zonesOut = cfg?.availabilityZones.filter(zone => zone.state === "out").map(zone => zone.name) ?? [];
+    return {
+        revision: acceptance.revision,
+        changeId: operatorsChangeId(acceptance.changeId),
+        inForce: acceptance.inForce,
+        gateways: acceptance.gateways.map(toGatewayStandingInit),
+        unservedServices: cfg === undefined ? [] : [...findUnservedServices(cfg)],
+        zonesOut,
+    };
+}
+
+/** What a Standing message is made from. */
+export type StandingInit = ReturnType<typeof toStandingInit>;
+
+function toGatewayStandingInit(standing: GatewayStanding) {
+    return {
+        name: standing.gateway.name,
+        availabilityZone: standing.gateway.availabilityZone,
+        state: gatewayStates[standing.state],
+        revision: standing.revision,
+    };
+}
+
+/**
+ * Joins the platform's hosts with the gateways that run on them.
+ *
+ * @param hosts - the platform's list, which lags
+ * @param gateways - the registered gateways
+ * @returns what Host messages are made from; a gateway whose host isn't listed comes last
+ */
+export function toHostInits(hosts: readonly HostEntry[], gateways: readonly GatewayStanding[]) {
+    const byName = new Map(gateways.map(standing => [standing.gateway.name, standing]));
+    const listed = hosts.map(host => {
+        const standing = byName.get(host.name);
+        byName.delete(host.name);
+        return {
+            name: host.name,
+            address: host.address,
+            availabilityZone: host.availabilityZone,
+            state: hostStates[host.state],
+            gateway: standing && toGatewayStandingInit(standing),
+        };
+    });
+    const unlisted = [...byName.values()].map(standing => ({
+        name: standing.gateway.name,
+        address: "",
+        availabilityZone: standing.gateway.availabilityZone,
+        state: HostState.UNLISTED,
+        gateway: toGatewayStandingInit(standing),
+    }));
+    return [...listed, ...unlisted];
+}
