Add the operators' command

Exit codes tell done from stored but not in force, from a conflict, and from no answer.

An unanswered call is sent again under the same change id, to the next address and on a new connection. With a new id on each try, a change whose answer the store lost conflicted with itself (the test printed '3 !== 0' for the exit code); on the old connection, a call whose connection had gone silent was never answered (five tries, all without an answer).

Ruled out: retrying after every failure. Only those that a second try can mend are sent again; a wrong key or a conflict ends the command at once.

--- /dev/null
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -0,0 +1,262 @@
+import { checkYaml, resolveConfiguration } from "@galenaglade/configuration";
+import { Secret } from "@galenaglade/settings";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { type TestContext, test } from "node:test";
+import { FakeCoordinator, fleetKey } from "../../../admin/src/__tests__/fakeFleet.js";
+import { AdminClient } from "../adminClient.js";
+import { callTries } from "../constants.js";
+import { commands } from "../index.js";
+import { runCli, startAdmin, writeFile } from "./running.js";
+
+const yaml = `availabilityZones:
+    - name: a
+    - name: b
+services:
+    - name: tables
+      authorities: [tables.example]
+      patience:
+          - { callerKind: default, patienceMs: 1000 }
+      backendServers:
+          - { name: one, availabilityZone: a, address: 10.0.0.1, port: 80 }
+`;
+const faultyYaml = yaml.replace("patienceMs: 1000", "patienceMs: long").replace("port: 80", "port: 80, colour: red");
+
+const file = (t: TestContext, text = yaml) => writeFile(t, text);
+/** Where nobody listens: port 1 needs privileges that no test has. */
+const nobody = "http://127.0.0.1:1";
+
+test("help names every command, and every command has its own", async t => {
+    const { code, out } = await runCli(t, [], ["--help"]);
+    assert.equal(code, 0);
+    for (const command of commands) {
+        assert.ok(out.some(line => line.startsWith(command.name)), command.name);
+        const help = await runCli(t, [], [command.name, "--help"]);
+        assert.equal(help.code, 0);
+        assert.match(help.out.join("\n"), /--json/);
+        for (const option of command.options) {
+            assert.ok(help.out.some(line => line.startsWith(`--${option.name} ${option.value}`)));
+        }
+    }
+});
+
+test("names everything that is wrong with the command line, with exit code 2", async t => {
+    const wrong = [
+        "apply",
+        "--admin",
+        "ftp://x",
+        "--key-file",
+        "/none",
+        "--expected-revision",
+        "x",
+        "--change-id",
+        "#",
+    ];
+    const { code, err } = await runCli(t, [], wrong);
+    assert.equal(code, 2);
+    for (const part of ["FILE", "--admin ftp://x", "--key-file /none", "--expected-revision", "--change-id"]) {
+        assert.ok(err.some(line => line.includes(part)), part);
+    }
+    for (const args of [[], ["nothing"], ["check"], ["get"], ["status", "--colour"], ["get", "--change-id", "x"]]) {
+        assert.equal((await runCli(t, [], args)).code, 2, args.join(" "));
+    }
+    assert.equal((await runCli(t, [nobody], ["zone", "up", "a"])).code, 2);
+});
+
+test("check names each fault with its line", async t => {
+    const path = file(t, faultyYaml);
+    const { code, out, err } = await runCli(t, [], ["check", path]);
+    assert.equal(code, 2);
+    assert.deepEqual(out, []);
+    assert.deepEqual(err.join("\n").split("\n").map(line => line.slice(path.length).split(" ", 2).join(" ")), [
+        ":8:36: services[0].patience[0].patienceMs:",
+        ":10:76: services[0].backendServers[0].colour:",
+    ]);
+    const json = await runCli(t, [], ["check", path, "--json"]);
+    const parsed = JSON.parse(json.out.join("")) as { readonly faults: readonly { readonly line: number; }[]; };
+    assert.deepEqual(parsed.faults.map(({ line }) => line), [8, 10]);
+    assert.equal((await runCli(t, [], ["check", "/none"])).code, 2);
+    const good = file(t);
+    const { out: [line] } = await runCli(t, [], ["check", good]);
+    assert.equal(line, `${good}: valid, 2 availability zones, 1 services, 1 backend servers`);
+});
+
+test("apply ends with 0 when the change is in force, with 4 when it is only stored", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    const first = await runCli(t, [url], ["apply", file(t)]);
+    assert.deepEqual([first.code, first.out], [0, ["revision 2: in force, held by 1 of 1 gateways"]]);
+    coordinator.inForce = false;
+    const second = await runCli(t, [url], ["apply", file(t)]);
+    assert.equal(second.code, 4);
+    assert.deepEqual(second.out, [
+        "revision 3: stored, not in force yet, held by 0 of 1 gateways",
+        "GATEWAY  ZONE  STATE   REVISION",
+        "entry-1  a     behind  2",
+    ]);
+});
+
+test("apply writes nothing over a revision that it wasn't made for", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    const { code, err } = await runCli(t, [url], ["apply", file(t), "--expected-revision", "0"]);
+    assert.equal(code, 3);
+    assert.ok(err.includes("present revision: 1"));
+    assert.equal(coordinator.present.revision, 1);
+    const json = await runCli(t, [url], ["apply", file(t), "--expected-revision", "0", "--json"]);
+    const { error } = JSON.parse(json.out.join("")) as { readonly error: Readonly<Record<string, unknown>>; };
+    assert.deepEqual([error["kind"], error["presentRevision"]], ["revisionConflict", 1]);
+});
+
+test("apply sends a change whose answer was lost again under the same id", async t => {
+    // The store takes the change and its answer is lost, twice. Under a new id the second try would conflict with the
+    // first one's effect, and the operator would be told that someone else's change came first.
+    const { url, coordinator } = await startAdmin(t);
+    coordinator.answersToLose = 2;
+    const { code, pauses } = await runCli(t, [url], ["apply", file(t)]);
+    assert.equal(code, 0);
+    assert.equal(pauses.length, 2);
+    assert.equal(coordinator.history.length, 2);
+});
+
+test("a call whose connection goes silent is sent again on another", async t => {
+    // The zone is taken out, but nothing more comes back on that connection: something between the two ends has lost
+    // track of it, while new ones work. Sent again on the same one, the call would go unanswered for good; on a new
+    // one it is answered, and has no second effect.
+    const { url, coordinator } = await startAdmin(t);
+    const client = new AdminClient({
+        addresses: [await startProxy(t, Number(new URL(url).port))],
+        fleetKey: new Secret(fleetKey),
+        pause: () => Promise.resolve(),
+        signal: new AbortController().signal,
+        callTimeoutMs: 500,
+    });
+    const answer = await client.call((operator, options) =>
+        operator.takeZoneOut({ name: "a", changeId: "x" }, options)
+    );
+    assert.equal(answer.unsafeCoerce().standing?.revision, 2);
+    assert.equal(coordinator.history.length, 2);
+});
+
+/** Passes connections on; of the first, only what the client sends. */
+async function startProxy(t: TestContext, port: number): Promise<string> {
+    const sockets: Socket[] = [];
+    const proxy = createServer(client => {
+        const server = connect(port, "127.0.0.1");
+        const isFirst = sockets.length === 0;
+        sockets.push(client, server);
+        [client, server].forEach(socket => socket.on("error", () => socket.destroy()));
+        client.pipe(server);
+        if (!isFirst) {
+            server.pipe(client);
+        }
+    });
+    proxy.listen(0, "127.0.0.1");
+    await once(proxy, "listening");
+    t.after(() => {
+        proxy.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    return `http://127.0.0.1:${(proxy.address() as AddressInfo).port}`;
+}
+
+test("goes on to the next operators' server where one can't be reached", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    const { code } = await runCli(t, [nobody, url], ["zone", "out", "a"]);
+    assert.equal(code, 0);
+    assert.equal(coordinator.present.revision, 2);
+});
+
+test("ends with 5 where nobody answers, and says how to go on", async t => {
+    const { code, err, pauses } = await runCli(t, [nobody], ["zone", "out", "a", "--change-id", "tonight"]);
+    assert.equal(code, 5);
+    assert.equal(pauses.length, callTries - 1);
+    assert.match(err.join("\n"), /--change-id tonight/);
+});
+
+test("ends with 1 at once where the key is wrong", async t => {
+    const { url } = await startAdmin(t);
+    const { code, err, pauses } = await runCli(t, [url], ["get"], { key: `${fleetKey}0` });
+    assert.deepEqual([code, pauses.length], [1, 0]);
+    assert.match(err.join("\n"), /^unauthenticated/);
+});
+
+test("what get prints can be applied", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    const { code, out } = await runCli(t, [url], ["get"]);
+    assert.equal(code, 0);
+    const printed = checkYaml(out.join("\n"), resolveConfiguration).unsafeCoerce();
+    assert.deepEqual(printed, coordinator.present.configuration);
+    assert.match(out.join("\n"), /^# revision 1, change first\n/);
+    const empty = await startAdmin(t, new FakeCoordinator([]));
+    const none = await runCli(t, [empty.url], ["get", "--json"]);
+    assert.deepEqual(JSON.parse(none.out.join("")), { revision: 0, changeId: "" });
+});
+
+test("zone takes out and brings in, and warns of services left without servers", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    assert.equal((await runCli(t, [url], ["zone", "out", "a"])).code, 0);
+    const { code, out } = await runCli(t, [url], ["zone", "out", "b"]);
+    assert.equal(code, 0);
+    assert.deepEqual(out.slice(1), [
+        "availability zones out: a, b",
+        "warning: no backend server in any availability zone that is in: tables",
+    ]);
+    assert.equal((await runCli(t, [url], ["zone", "in", "a"])).code, 0);
+    assert.deepEqual(coordinator.present.configuration.availabilityZones.map(({ state }) => state), ["in", "out"]);
+    const unknown = await runCli(t, [url], ["zone", "out", "c"]);
+    assert.equal(unknown.code, 2);
+    assert.match(unknown.err.join("\n"), /declared: a, b/);
+});
+
+test("status shows gateways, hosts and backend servers", async t => {
+    const { url } = await startAdmin(t);
+    await runCli(t, [url], ["zone", "out", "b"]);
+    const { code, out } = await runCli(t, [url], ["status"]);
+    assert.equal(code, 0);
+    assert.deepEqual(out, [
+        "revision 2: in force, held by 1 of 1 gateways",
+        "availability zones out: b",
+        "",
+        "GATEWAY  ZONE  STATE     REVISION",
+        "entry-1  a     in force  2",
+        "",
+        "HOST     ZONE  ADDRESS   STATE",
+        "entry-1  a     10.0.0.9  live",
+        "",
+        "SERVICE  BACKEND SERVER  ZONE  ADDRESS           STATE",
+        "tables   one             a     10.0.0.1 port 80  declared",
+        "tables   two             b     10.0.0.2 port 80  zone out",
+    ]);
+    const json = await runCli(t, [url], ["status", "--json"]);
+    const { standing } = JSON.parse(json.out.join("")) as { readonly standing: Readonly<Record<string, unknown>>; };
+    assert.deepEqual([standing["revision"], standing["zonesOut"]], [2, ["b"]]);
+});
+
+test("watch tells of each change, and of a gap while its server is replaced", async t => {
+    // The host whose server an operator watches is stopped and replaced. The command must say that it lost touch and
+    // go on with another server: silent, it would look as if nothing changed.
+    const first = await startAdmin(t);
+    const second = await startAdmin(t, first.coordinator);
+    const interrupt = new AbortController();
+    const seen: string[] = [];
+    const { code, err } = await runCli(t, [first.url, second.url], ["watch"], {
+        signal: interrupt.signal,
+        onOut: line => {
+            seen.push(line);
+            if (seen.length === 1) {
+                const { coordinator, signal } = first;
+                coordinator.history.push({ ...coordinator.present, revision: 2, changeId: "x" });
+                signal.announce();
+            }
+            else if (seen.length === 2) {
+                void first.server.stop();
+            }
+            else {
+                interrupt.abort();
+            }
+        },
+    });
+    assert.equal(code, 0);
+    assert.deepEqual(seen.map(line => line.slice(0, line.indexOf(":"))), ["revision 1", "revision 2", "revision 2"]);
+    assert.match(err.join("\n"), /connecting again/);
+});
--- /dev/null
+++ b/packages/cli/src/command.ts
@@ -0,0 +1,77 @@
+import { type AdminClient } from "./adminClient.js";
+import { type CallError, toExitCode } from "./callOutcome.js";
+import { type ExitCode } from "./exitCodes.js";
+import { printable, type Terminal } from "./terminal.js";
+
+/** One option of a command beyond those that all have. */
+export interface CommandOption {
+    readonly name: "expected-revision" | "change-id";
+    /** What stands for its value in the help. */
+    readonly value: string;
+    readonly description: string;
+}
+
+/** What a command is run with. */
+export interface CommandContext {
+    readonly operands: readonly string[];
+    readonly json: boolean;
+    readonly expectedRevision: number | undefined;
+    readonly changeId: string;
+    readonly terminal: Terminal;
+    /** Makes the client; only commands that call the operators' server ask for it. */
+    readonly client: AdminClient;
+}
+
+/** One command. */
+export abstract class Command {
+    abstract readonly name: string;
+    /** Names of its operands. */
+    abstract readonly operands: readonly string[];
+    abstract readonly summary: string;
+    abstract readonly options: readonly CommandOption[];
+    /** Whether it calls the operators' server. */
+    abstract readonly remote: boolean;
+
+    /**
+     * @param context - the command line and the means
+     * @returns how it ended
+     */
+    abstract run(context: CommandContext): Promise<ExitCode>;
+}
+
+/** The options of commands that change something. */
+export const changeOptions: readonly CommandOption[] = [
+    {
+        name: "expected-revision",
+        value: "N",
+        description: "change nothing unless this revision is present",
+    },
+    {
+        name: "change-id",
+        value: "ID",
+        description: "names the change, so that the command can be run again without a second effect",
+    },
+];
+
+/**
+ * Says why a call failed.
+ *
+ * @param context - where to say it
+ * @param error - why
+ * @param changeId - names the change where the call was one
+ * @returns the exit code
+ */
+export function reportCallError({ json, terminal }: CommandContext, error: CallError, changeId?: string): ExitCode {
+    if (json) {
+        terminal.out(JSON.stringify({ error: { ...error, kind: error.kind ?? "unanswered" }, changeId }));
+        return toExitCode(error);
+    }
+    terminal.err(`${error.kind ?? "no answer"}: ${printable(error.detail)}`);
+    if (error.presentRevision !== undefined) {
+        terminal.err(`present revision: ${error.presentRevision}`);
+    }
+    if (changeId !== undefined && (error.kind === undefined || error.kind === "storeOutcomeUnknown")) {
+        terminal.err(`the change may be stored; run the command again with --change-id ${changeId}`);
+    }
+    return toExitCode(error);
+}
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,48 @@
+import { toConfigurationMessage } from "@galenaglade/schema";
+import { type Either, Right } from "purify-ts";
+import { type CallError } from "../callOutcome.js";
+import { changeOptions, Command, type CommandContext, reportCallError } from "../command.js";
+import { readConfigurationFile, reportFileFaults } from "../configurationFile.js";
+import { type ExitCode, exitCodes } from "../exitCodes.js";
+import { reportStanding } from "../standingOutput.js";
+
+/** Replaces the configuration with a file's. */
+export class ApplyCommand extends Command {
+    readonly name = "apply";
+    readonly operands = ["FILE"];
+    readonly summary = "replace the configuration with a file's, and wait until it is in force";
+    readonly options = changeOptions;
+    readonly remote = true;
+
+    override async run(context: CommandContext): Promise<ExitCode> {
+        const [file = ""] = context.operands;
+        const read = readConfigurationFile(file);
+        if (read.isLeft()) {
+            return reportFileFaults(context, read.extract());
+        }
+        const expected = await this.#findExpectedRevision(context);
+        if (expected.isLeft()) {
+            return reportCallError(context, expected.extract());
+        }
+        const { client, changeId } = context;
+        const request = {
+            expectedRevision: expected.unsafeCoerce(),
+            changeId,
+            configuration: toConfigurationMessage(read.unsafeCoerce().declared),
+        };
+        const answer = await client.call((operator, options) => operator.applyConfiguration(request, options));
+        return answer.caseOf<ExitCode>({
+            Left: error => reportCallError(context, error, changeId),
+            Right: ({ standing }) => standing === undefined ? exitCodes.failed : reportStanding(context, standing),
+        });
+    }
+
+    /** Without one on the command line, the change goes over what is present now and over nothing that comes later. */
+    async #findExpectedRevision({ client, expectedRevision }: CommandContext): Promise<Either<CallError, number>> {
+        if (expectedRevision !== undefined) {
+            return Right(expectedRevision);
+        }
+        const answer = await client.call((operator, options) => operator.getConfiguration({}, options));
+        return answer.map(({ revision }) => revision);
+    }
+}
--- /dev/null
+++ b/packages/cli/src/commands/watch.ts
@@ -0,0 +1,59 @@
+import { type WatchChangesResponse } from "@galenaglade/schema";
+import { type CallError } from "../callOutcome.js";
+import { Command, type CommandContext, reportCallError } from "../command.js";
+import { retryDelayMs } from "../constants.js";
+import { type ExitCode, exitCodes } from "../exitCodes.js";
+import { describeExceptions, summarize, toStandingObject } from "../standingOutput.js";
+import { printable } from "../terminal.js";
+
+/** Prints the standing, and again whenever it changes. */
+export class WatchCommand extends Command {
+    readonly name = "watch";
+    readonly operands = [];
+    readonly summary = "print the standing, and again whenever it changes, until interrupted";
+    readonly options = [];
+    readonly remote = true;
+
+    override async run(context: CommandContext): Promise<ExitCode> {
+        const { client } = context;
+        for (;;) {
+            const error = await client.follow(
+                (operator, options) => operator.watchChanges({}, options),
+                response => print(context, response),
+            );
+            if (client.interrupted) {
+                return exitCodes.ok;
+            }
+            if (!error.retryable) {
+                return reportCallError(context, error);
+            }
+            reportGap(context, error);
+            await client.pause(error.retryAfterMs ?? retryDelayMs);
+        }
+    }
+}
+
+function print(context: CommandContext, { event }: WatchChangesResponse): void {
+    const { json, terminal } = context;
+    if (event.case === "standing") {
+        const standing = event.value;
+        const lines = json
+            ? [JSON.stringify(toStandingObject(standing))]
+            : [summarize(standing), ...describeExceptions(standing)];
+        lines.forEach(line => terminal.out(line));
+    }
+    else if (event.case === "failure") {
+        const { kind, detail } = event.value;
+        terminal.out(json ? JSON.stringify({ error: { kind, detail } }) : `${kind}: ${printable(detail)}`);
+    }
+}
+
+/** What changes while nobody is connected is seen with the next standing, but not as it happens. */
+function reportGap({ json, terminal }: CommandContext, { kind, detail }: CallError): void {
+    if (json) {
+        terminal.out(JSON.stringify({ error: { kind: kind ?? "unanswered", detail } }));
+    }
+    else {
+        terminal.err(`${kind ?? "no answer"}: ${printable(detail)}; connecting again`);
+    }
+}
--- /dev/null
+++ b/packages/cli/src/commands/zone.ts
@@ -0,0 +1,39 @@
+import { type BringZoneInResponse, type TakeZoneOutResponse } from "@galenaglade/schema";
+import { type Either } from "purify-ts";
+import { type CallError } from "../callOutcome.js";
+import { changeOptions, Command, type CommandContext, reportCallError } from "../command.js";
+import { type ExitCode, exitCodes } from "../exitCodes.js";
+import { reportStanding } from "../standingOutput.js";
+
+/** Takes an availability zone out or brings it back. */
+export class ZoneCommand extends Command {
+    readonly name = "zone";
+    readonly operands = ["out|in", "NAME"];
+    readonly summary = "take an availability zone out or bring it in, and wait until that is in force";
+    readonly options = changeOptions;
+    readonly remote = true;
+
+    override async run(context: CommandContext): Promise<ExitCode> {
+        const [state, name = ""] = context.operands;
+        if (state !== "out" && state !== "in") {
+            context.terminal.err("zone: expected out or in, then the availability zone's name");
+            return exitCodes.badInput;
+        }
+        const answer = await this.#change(context, state, name);
+        return answer.caseOf<ExitCode>({
+            Left: error => reportCallError(context, error, context.changeId),
+            Right: ({ standing }) => standing === undefined ? exitCodes.failed : reportStanding(context, standing),
+        });
+    }
+
+    #change(
+        { client, changeId, expectedRevision }: CommandContext,
+        state: "out" | "in",
+        name: string,
+    ): Promise<Either<CallError, TakeZoneOutResponse | BringZoneInResponse>> {
+        const request = { name, changeId, expectedRevision };
+        return state === "out"
+            ? client.call((operator, options) => operator.takeZoneOut(request, options))
+            : client.call((operator, options) => operator.bringZoneIn(request, options));
+    }
+}
--- /dev/null
+++ b/packages/cli/src/help.ts
@@ -0,0 +1,58 @@
+import { type Command } from "./command.js";
+import { environment } from "./constants.js";
+import { formatTable } from "./terminal.js";
+
+const exitCodeLines = [
+    "exit codes: 0 done and in force, 1 failed, 2 bad input, 3 conflict, 4 stored but not in force yet,",
+    "            5 unreachable",
+];
+
+/**
+ * Writes the help of the whole command.
+ *
+ * @param commands - the commands
+ * @returns its lines
+ */
+export function formatHelp(commands: readonly Command[]): readonly string[] {
+    const rows = commands.map(command => [synopsis(command), command.summary]);
+    return [
+        "usage: galenaglade COMMAND",
+        "",
+        ...formatTable(["COMMAND", ""], rows),
+        "",
+        "galenaglade COMMAND --help lists a command's options.",
+        ...exitCodeLines,
+    ];
+}
+
+/**
+ * Writes the help of one command.
+ *
+ * @param command - the command
+ * @returns its lines
+ */
+export function formatCommandHelp(command: Command): readonly string[] {
+    const options = [
+        ...command.options.map(({ name, value, description }) => [`--${name} ${value}`, description]),
+        ...(command.remote ? remoteOptions : []),
+        ["--json", "print JSON for scripts"],
+        ["--help", "print this"],
+    ];
+    return [
+        `usage: galenaglade ${synopsis(command)} [OPTION...]`,
+        command.summary,
+        "",
+        ...formatTable(["OPTION", ""], options),
+        "",
+        ...exitCodeLines,
+    ];
+}
+
+const remoteOptions: readonly (readonly string[])[] = [
+    ["--admin URL", `an operators' server, may be given more than once; otherwise ${environment.admin}, by commas`],
+    ["--key-file FILE", `file with the fleet's key; otherwise ${environment.keyFile}`],
+];
+
+function synopsis({ name, operands }: Command): string {
+    return [name, ...operands].join(" ");
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** The operators' command. */
+export { type ExitCode, exitCodes } from "./exitCodes.js";
+export { commands, main, type MainOptions } from "./main.js";
+export { type Terminal } from "./terminal.js";
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,95 @@
+import { Secret } from "@galenaglade/settings";
+import { randomUUID } from "node:crypto";
+import { setTimeout as pause } from "node:timers/promises";
+import { AdminClient } from "./adminClient.js";
+import { type Command } from "./command.js";
+import { type CommandLine, type Environment, parseCommandLine } from "./commandLine.js";
+import { ApplyCommand } from "./commands/apply.js";
+import { CheckCommand } from "./commands/check.js";
+import { GetCommand } from "./commands/get.js";
+import { StatusCommand } from "./commands/status.js";
+import { WatchCommand } from "./commands/watch.js";
+import { ZoneCommand } from "./commands/zone.js";
+import { type ExitCode, exitCodes } from "./exitCodes.js";
+import { formatCommandHelp, formatHelp } from "./help.js";
+import { type Terminal } from "./terminal.js";
+
+/** The commands, in the order of the help. */
+export const commands: readonly Command[] = [
+    new CheckCommand(),
+    new ApplyCommand(),
+    new GetCommand(),
+    new ZoneCommand(),
+    new StatusCommand(),
+    new WatchCommand(),
+];
+
+/** What the command is run in. */
+export interface MainOptions {
+    /** The command line without node and script. */
+    readonly args: readonly string[];
+    readonly env: Environment;
+    readonly terminal: Terminal;
+    /** Aborted when the command is interrupted. */
+    readonly signal: AbortSignal;
+    /** For tests: in place of waiting. */
+    readonly pause?: ((ms: number) => Promise<void>) | undefined;
+}
+
+/**
+ * Runs the command.
+ *
+ * @param options - command line and surroundings
+ * @returns its exit code
+ */
+export async function main(options: MainOptions): Promise<ExitCode> {
+    const { args, env, terminal } = options;
+    const [name = "--help", ...rest] = args;
+    if (name === "--help" || name === "-h") {
+        formatHelp(commands).forEach(line => terminal.out(line));
+        return args.length === 0 ? exitCodes.badInput : exitCodes.ok;
+    }
+    const command = commands.find(candidate => candidate.name === name);
+    if (command === undefined) {
+        terminal.err(`no command ${name}; commands: ${commands.map(candidate => candidate.name).join(", ")}`);
+        return exitCodes.badInput;
+    }
+    return parseCommandLine(command, rest, env).caseOf<ExitCode | Promise<ExitCode>>({
+        Left: faults => {
+            faults.forEach(fault => terminal.err(fault));
+            terminal.err(`galenaglade ${name} --help lists the options`);
+            return exitCodes.badInput;
+        },
+        Right: line => run(line, options),
+    });
+}
+
+function run(line: CommandLine, { terminal, signal, pause: wait }: MainOptions): ExitCode | Promise<ExitCode> {
+    if (line.help) {
+        formatCommandHelp(line.command).forEach(text => terminal.out(text));
+        return exitCodes.ok;
+    }
+    const client = new AdminClient({
+        addresses: line.addresses,
+        fleetKey: line.fleetKey ?? new Secret(""),
+        pause: wait ?? (ms => pauseUnlessInterrupted(ms, signal)),
+        signal,
+    });
+    return line.command.run({
+        operands: line.operands,
+        json: line.json,
+        expectedRevision: line.expectedRevision,
+        changeId: line.changeId ?? randomUUID(),
+        terminal,
+        client,
+    });
+}
+
+async function pauseUnlessInterrupted(ms: number, signal: AbortSignal): Promise<void> {
+    try {
+        await pause(ms, undefined, { signal });
+    }
+    catch {
+        // Interrupted: whoever waits looks at the signal.
+    }
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,6 +1,6 @@
 /** Process settings from YAML: every fault named with its line, all at once, before a port is opened. */
 export { adminSettingsSchema, resolveAdminSettings, type ResolvedAdminSettings } from "./adminSettings.js";
-export { badInputExitCode, maximumFileBytes } from "./constants.js";
+export { badInputExitCode, maximumFileBytes, minimumFleetKeyLength } from "./constants.js";
 export { gatewaySettingsSchema, type ResolvedGatewaySettings, resolveGatewaySettings } from "./gatewaySettings.js";
 export { loadSettings, printSettings, resolveStartup, type ResolveText, type Startup } from "./loadSettings.js";
 export { type ReadText, readTextFile } from "./resolveSettings.js";
