Hand a non-idempotent request over once, and answer for every try

What a caller is told now comes from the attempts' state machine, which undici's handler feeds: the request counts as handed over in the turn right before its first byte, and in that same turn deadline, freshness and the claim of its key are looked at once more. Bodies up to 1 MiB are now read before anything is sent and can be sent again; chunked ones are held to the declared limit; - a caller that hung up cut its return off, so that nobody knew whether it ran; non-idempotent requests now run on to their deadline. Keys are claimed before the send and their end is recorded. Without a store, a keyed request is refused.

--- /dev/null
+++ b/packages/gateway/src/__tests__/engineStore.ts
@@ -0,0 +1,53 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    type CompareAndSwap,
+    type KeyValue,
+    KeyValueStore,
+    type Lease,
+    type SwapOutcome,
+    type WatchEvents,
+} from "@galenaglade/platform";
+import { KeyValueEngine } from "@galenaglade/stand-ins";
+import { type Either, Left, Right } from "purify-ts";
+
+/** The platform's store in the test's own process; what claims don't use is not there. */
+export class EngineStore extends KeyValueStore {
+    down = false;
+    readonly #engine = new KeyValueEngine();
+
+    override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
+        return this.#call(() => this.#engine.get(key, 0));
+    }
+
+    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        return this.#call(() => this.#engine.compareAndSwap(req, 0));
+    }
+
+    override list(): Promise<Either<Failure, never>> {
+        return this.#refuse();
+    }
+
+    override grantLease(): Promise<Either<Failure, Lease>> {
+        return this.#refuse();
+    }
+
+    override renewLease(): Promise<Either<Failure, Lease>> {
+        return this.#refuse();
+    }
+
+    override revokeLease(): Promise<Either<Failure, void>> {
+        return this.#refuse();
+    }
+
+    override watch(): Promise<Either<Failure, WatchEvents>> {
+        return this.#refuse();
+    }
+
+    #call<T>(run: () => T): Promise<Either<Failure, T>> {
+        return this.down ? this.#refuse() : Promise.resolve(Right(run()));
+    }
+
+    #refuse<T>(): Promise<Either<Failure, T>> {
+        return Promise.resolve(Left(createFailure("storeUnavailable", "down")));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/__tests__/rawBackend.ts
@@ -0,0 +1,99 @@
+import { connect, createServer, type Socket } from "node:net";
+import { type AddressInfo } from "node:net";
+import { type TestContext } from "node:test";
+
+/** One request as a raw backend server received it. */
+export interface RawRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly body: string;
+    /** Number of its connection, from 1. */
+    readonly connection: number;
+    /** Number of the request on its connection, from 1. */
+    readonly turn: number;
+    readonly socket: Socket;
+}
+
+/** A backend server made of bare sockets, so that a test decides over each byte and each close. */
+export interface RawBackend {
+    readonly port: number;
+    readonly requests: readonly RawRequest[];
+}
+
+/** Starts one on a free port; it ends with the test. */
+export async function startRawBackend(t: TestContext, serve: (req: RawRequest) => void): Promise<RawBackend> {
+    const requests: RawRequest[] = [];
+    const sockets = new Set<Socket>();
+    let connections = 0;
+    const server = createServer(socket => {
+        const connection = ++connections;
+        let turn = 0;
+        let received = "";
+        sockets.add(socket);
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+            for (let parsed = parseRequest(received); parsed !== undefined; parsed = parseRequest(received)) {
+                received = received.slice(parsed.bytes);
+                const req = { ...parsed, connection, turn: ++turn, socket };
+                requests.push(req);
+                serve(req);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => {
+        server.close();
+        for (const socket of sockets) {
+            socket.destroy();
+        }
+    });
+    return { port: (server.address() as AddressInfo).port, requests };
+}
+
+function parseRequest(
+    received: string,
+): { readonly bytes: number; readonly method: string; readonly path: string; readonly body: string; } | undefined {
+    const headEnd = received.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+        return undefined;
+    }
+    const head = received.slice(0, headEnd);
+    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1] ?? 0);
+    const bytes = headEnd + 4 + length;
+    if (received.length < bytes) {
+        return undefined;
+    }
+    const [method = "", path = ""] = head.split(" ");
+    return { bytes, method, path, body: received.slice(headEnd + 4).slice(0, length) };
+}
+
+/** @returns a whole answer with its length */
+export function renderAnswer(body: string, status = "200 OK", headers: readonly string[] = []): string {
+    return [`HTTP/1.1 ${status}`, `content-length: ${body.length}`, ...headers, "", body].join("\r\n");
+}
+
+/** What a caller's bare socket saw. */
+export interface RawOutcome {
+    readonly text: string;
+    /** Whether the connection was reset rather than ended. */
+    readonly reset: boolean;
+}
+
+/** Sends bytes as a caller and collects what comes until the connection ends. */
+export function sendRaw(url: string, text: string): Promise<RawOutcome> {
+    return new Promise(resolve => {
+        const socket = connect(Number(new URL(url).port), "127.0.0.1");
+        let received = "";
+        let reset = false;
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+        });
+        socket.on("error", () => {
+            reset = true;
+        });
+        socket.on("close", () => resolve({ text: received, reset }));
+        socket.write(text);
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -0,0 +1,244 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { test, type TestContext } from "node:test";
+import { request } from "undici";
+import { EngineStore } from "./engineStore.js";
+import { type RawBackend, type RawRequest, renderAnswer, sendRaw, startRawBackend } from "./rawBackend.js";
+import { describeService, FixedSource, startGateway, type TestGateway } from "./testGateway.js";
+
+const didRunHeader = "x-galenaglade-did-run";
+
+async function startWith(
+    t: TestContext,
+    backends: readonly RawBackend[],
+    more: { readonly patienceMs?: number; readonly store?: EngineStore; readonly source?: FixedSource; } = {},
+): Promise<TestGateway> {
+    const source = more.source ?? new FixedSource();
+    source.apply(1, describeService(backends.map(backend => backend.port), more.patienceMs));
+    return await startGateway(t, source, more.store);
+}
+
+interface Told {
+    readonly status: number;
+    readonly didRun: unknown;
+    readonly retryAfter: unknown;
+    readonly body: string;
+}
+
+async function send(url: string, method: "GET" | "POST" = "GET", idempotencyKey?: string): Promise<Told> {
+    const answer = await request(url, {
+        method,
+        ...(method === "POST" ? { body: "wages" } : {}),
+        headers: idempotencyKey === undefined ? {} : { "idempotency-key": idempotencyKey },
+    });
+    const body = await answer.body.text();
+    return {
+        status: answer.statusCode,
+        didRun: answer.headers[didRunHeader],
+        retryAfter: answer.headers["retry-after"],
+        body,
+    };
+}
+
+const shed = (req: RawRequest): void => {
+    req.socket.write(renderAnswer("shed", "503 Service Unavailable", [`${didRunHeader}: no`]));
+};
+const answer = (req: RawRequest): void => {
+    req.socket.write(renderAnswer(`${req.method} ${req.path}`));
+};
+const close = (req: RawRequest): void => {
+    req.socket.destroy();
+};
+
+// A payroll office files a return. The backend server reads it and its connection breaks before an answer. It may
+// have run, so the caller is told "unknown", and neither this backend server nor the other one gets it again.
+test("a return whose connection closes is handed over once and told as unknown", async t => {
+    const one = await startRawBackend(t, close);
+    const other = await startRawBackend(t, close);
+    const { url } = await startWith(t, [one, other]);
+    const told = await send(`${url}/tables`, "POST");
+    assert.deepEqual([told.status, told.didRun], [502, "unknown"]);
+    assert.equal(one.requests.length + other.requests.length, 1);
+});
+
+// The backend server closes its kept connection just as the next deposit is written to it. On a shared connection
+// the deposit would be unknown for no reason; on one of its own there is nothing that could be closing.
+test("a deposit does not go over a connection that may be closing", async t => {
+    const backend = await startRawBackend(t, req => req.turn > 1 ? close(req) : answer(req));
+    const { url } = await startWith(t, [backend]);
+    assert.equal((await send(`${url}/tables`, "POST")).status, 200);
+    const second = await send(`${url}/tables`, "POST");
+    assert.deepEqual([second.status, second.didRun], [200, "yes"]);
+    assert.equal(backend.requests.length, 2);
+});
+
+// A backend server under load says that it shed the deposit before running it; another takes it. Where all shed, the
+// shopper is told truthfully that nothing ran, and when to come back.
+test("a deposit that was shed before running goes elsewhere, or is refused truthfully", async t => {
+    const full = await startRawBackend(t, shed);
+    const free = await startRawBackend(t, answer);
+    const mixed = await startWith(t, [full, free]);
+    for (let i = 0; i < 4; i++) {
+        assert.equal((await send(`${mixed.url}/tables`, "POST")).status, 200);
+    }
+    const all = await startWith(t, [full]);
+    const told = await send(`${all.url}/tables`, "POST");
+    assert.deepEqual([told.status, told.didRun, told.retryAfter], [503, "no", "1"]);
+});
+
+// A table read is lost with its connection, tried elsewhere and shed there. The first try may have run, so "no",
+// which is what the last try alone would say, would be untrue.
+test("a refusal speaks of every try of a request, not of the last one", async t => {
+    let lost = 0;
+    const loseFirst = (req: RawRequest): void => lost++ === 0 ? close(req) : shed(req);
+    const one = await startRawBackend(t, loseFirst);
+    const other = await startRawBackend(t, loseFirst);
+    const { url } = await startWith(t, [one, other]);
+    const told = await send(`${url}/tables`);
+    assert.deepEqual([told.status, told.didRun], [503, "unknown"]);
+    assert.equal(one.requests.length + other.requests.length, 2);
+});
+
+test("a table read whose connection closes is tried elsewhere", async t => {
+    let lost = 0;
+    const loseFirst = (req: RawRequest): void => lost++ === 0 ? close(req) : answer(req);
+    const backends = [await startRawBackend(t, loseFirst), await startRawBackend(t, loseFirst)];
+    const { url } = await startWith(t, backends);
+    const told = await send(`${url}/tables`);
+    assert.deepEqual([told.status, told.body], [200, "GET /tables"]);
+});
+
+// The backend server's connection ends early: one byte short of its declared length, before its last chunk, or with
+// nothing that declares an end. The union's negotiator must not take what came for the whole table, so the caller's
+// connection is reset, also for a caller of HTTP/1.0, who takes the end of the connection for the end of the answer.
+test("an answer that is cut resets the caller's connection", async t => {
+    const cuts = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n123456789",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\n123456789\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n9\r\n123456789\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n123456789",
+    ];
+    for (const cut of cuts) {
+        const backend = await startRawBackend(t, req => req.socket.end(cut));
+        const { url } = await startWith(t, [backend]);
+        for (const version of ["1.0", "1.1"]) {
+            const seen = await sendRaw(url, `GET /tables HTTP/${version}\r\nhost: a\r\nconnection: close\r\n\r\n`);
+            assert.equal(seen.reset, true, `HTTP/${version} after ${JSON.stringify(cut)} saw ${seen.text}`);
+        }
+    }
+});
+
+// The first caller's patience ends, and it has its refusal at once. Its answer comes when the next caller is already
+// waiting for its own. On a connection used again, the next caller would get the first one's table. So the connection
+// is destroyed with the first caller's refusal, which also tells the backend server to stop.
+test("a late answer is nobody's", { timeout: 30_000 }, async t => {
+    let late: RawRequest | undefined;
+    const backend = await startRawBackend(t, req => {
+        if (req.path === "/tables/late") {
+            late = req;
+            return;
+        }
+        late?.socket.write(renderAnswer("the late answer"));
+        setTimeout(() => answer(req), 20);
+    });
+    const { url } = await startWith(t, [backend], { patienceMs: 200 });
+    const first = await send(`${url}/tables/late`);
+    assert.deepEqual([first.status, first.didRun], [504, "unknown"]);
+    assert.ok(late);
+    if (!late.socket.destroyed) {
+        await once(late.socket, "close");
+    }
+    const next = await send(`${url}/tables/next`);
+    assert.deepEqual([next.status, next.body], [200, "GET /tables/next"]);
+    assert.deepEqual(backend.requests.map(req => req.connection), [1, 2]);
+});
+
+// What allowed a request to be sent is over by the time its connection is open: the process was paused, and lost
+// touch. Nothing may be handed over then, and since nothing was, "it did not run" is true.
+test("a request whose permission ends before its first byte is not sent", async t => {
+    const backend = await startRawBackend(t, answer);
+    const source = new (class extends FixedSource {
+        asked = 0;
+        override mayTakeNewWork(): boolean {
+            return ++this.asked <= 2;
+        }
+    })();
+    const { url } = await startWith(t, [backend], { source });
+    const told = await send(`${url}/tables`, "POST");
+    assert.deepEqual([told.status, told.didRun, told.retryAfter], [503, "no", "2"]);
+    assert.equal(backend.requests.length, 0);
+});
+
+// A shopper's client asks again through another gateway while the first deposit runs, and once more after it.
+test("a deposit sent through two gateways under one key runs once", async t => {
+    let running: RawRequest | undefined;
+    let noteRunning = (): void => undefined;
+    const started = new Promise<void>(resolve => {
+        noteRunning = resolve;
+    });
+    const backend = await startRawBackend(t, req => {
+        running = req;
+        noteRunning();
+    });
+    const store = new EngineStore();
+    const one = await startWith(t, [backend], { store });
+    const other = await startWith(t, [backend], { store });
+    const first = send(`${one.url}/tables`, "POST", "ring-7");
+    await started;
+    const during = await send(`${other.url}/tables`, "POST", "ring-7");
+    assert.deepEqual([during.status, during.didRun, during.retryAfter], [409, "unknown", "1"]);
+    running?.socket.write(renderAnswer("paid"));
+    assert.equal((await first).body, "paid");
+    const after = await send(`${other.url}/tables`, "POST", "ring-7");
+    assert.deepEqual([after.status, after.didRun], [409, "yes"]);
+    const mismatch = await send(`${other.url}/tables/other`, "POST", "ring-7");
+    assert.deepEqual([mismatch.status, mismatch.didRun], [422, "no"]);
+    assert.equal(backend.requests.length, 1);
+});
+
+// The caller hangs up while its return is being taken in. Cut off, nobody would ever know whether it ran; left to
+// finish, the next try is told that it did.
+test("a return goes on when its caller hangs up, and its end is there for the next try", async t => {
+    let running: RawRequest | undefined;
+    let noteRunning = (): void => undefined;
+    const started = new Promise<void>(resolve => {
+        noteRunning = resolve;
+    });
+    const backend = await startRawBackend(t, req => {
+        running = req;
+        noteRunning();
+    });
+    const { url } = await startWith(t, [backend], { store: new EngineStore() });
+    const hangUp = new AbortController();
+    const first = request(`${url}/tables`, {
+        method: "POST",
+        body: "wages",
+        headers: { "idempotency-key": "return-7" },
+        signal: hangUp.signal,
+    });
+    await started;
+    hangUp.abort();
+    await assert.rejects(first);
+    const during = await send(`${url}/tables`, "POST", "return-7");
+    assert.deepEqual([during.status, during.didRun], [409, "unknown"]);
+    assert.ok(running);
+    assert.equal(running.socket.destroyed, false);
+    running.socket.write(renderAnswer("taken in"));
+    let after = await send(`${url}/tables`, "POST", "return-7");
+    while (after.didRun === "unknown") {
+        after = await send(`${url}/tables`, "POST", "return-7");
+    }
+    assert.deepEqual([after.status, after.didRun], [409, "yes"]);
+    assert.equal(backend.requests.length, 1);
+});
+
+test("while the store is down a keyed request is refused at once, and one without a key runs", async t => {
+    const backend = await startRawBackend(t, answer);
+    const store = new EngineStore();
+    store.down = true;
+    const { url } = await startWith(t, [backend], { store });
+    const keyed = await send(`${url}/tables`, "POST", "ring-7");
+    assert.deepEqual([keyed.status, keyed.didRun, keyed.retryAfter], [503, "no", "5"]);
+    assert.equal((await send(`${url}/tables`, "POST")).status, 200);
+    assert.equal(backend.requests.length, 1);
+});
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -1,11 +1,14 @@
 import { type ConfigurationInput, resolveConfiguration, type RevisedConfiguration } from "@galenaglade/configuration";
+import { type KeyValueStore } from "@galenaglade/platform";
 import { createRoutingPolicy } from "@galenaglade/routing";
 import { createLogger, createMetrics, createTracing } from "@galenaglade/telemetry";
 import { type AddressInfo } from "node:net";
 import { createServer, type RequestListener, type Server } from "node:http";
 import { type TestContext } from "node:test";
 import { type ConfigurationSource } from "../configurationSource.js";
+import { systemClock } from "../clock.js";
 import { createGateway, type Gateway } from "../gateway.js";
+import { RequestClaims } from "../requests/requestClaims.js";
 
 /** A configuration source that the test sets. */
 export class FixedSource implements ConfigurationSource {
@@ -70,7 +73,11 @@
 }
 
 /** Starts a gateway on free ports, which ends with the test. */
-export async function startGateway(t: TestContext, source: ConfigurationSource): Promise<TestGateway> {
+export async function startGateway(
+    t: TestContext,
+    source: ConfigurationSource,
+    store?: KeyValueStore,
+): Promise<TestGateway> {
     const logger = createLogger({ process: "gateway-test", level: "error", json: true, write: () => undefined });
     const metrics = createMetrics("gateway-test");
     const gateway = createGateway({
@@ -90,6 +97,7 @@
         logger,
         metrics,
         tracing: createTracing({ process: "gateway-test", sampledShare: 0, logger }),
+        ...(store === undefined ? {} : { claims: new RequestClaims({ store, holder: "test/1", clock: systemClock }) }),
     });
     const { callersPort, operationsPort } = await gateway.start();
     t.after(() => gateway.stop());
--- a/packages/gateway/src/backends/backendConnections.ts
+++ b/packages/gateway/src/backends/backendConnections.ts
@@ -1,5 +1,5 @@
 import { type ServerId } from "@galenaglade/routing";
-import { Pool } from "undici";
+import { Client, type Dispatcher, Pool } from "undici";
 import { connectionsPerServer, connectTimeoutMs, idleConnectionMs } from "../constants.js";
 import { type ServiceTable, type Target } from "../requests/serviceTable.js";
 
@@ -8,9 +8,38 @@
     readonly pool: Pool;
 }
 
+/** What one attempt is sent over. */
+export interface BackendConnection {
+    readonly dispatcher: Dispatcher;
+    /** Call once the attempt has ended. */
+    release(): void;
+}
+
 /** Connections to backend servers, a pool each. One request at a time goes over a connection. */
 export class BackendConnections {
     readonly #held = new Map<ServerId, Held>();
+    readonly #fresh = new Set<Client>();
+
+    /**
+     * Finds a connection for one attempt. A non-idempotent request gets one of its own: a server may close an idle
+     * connection just as a request is written to it, and then nobody can say whether the request ran. A connection
+     * that was opened for the request is not idle before it, so that this doubt does not arise.
+     *
+     * @param target - the backend server
+     * @param idempotent - whether the request may share a connection with those before it
+     */
+    open(target: Target, idempotent: boolean): BackendConnection {
+        if (idempotent) {
+            return { dispatcher: this.poolOf(target), release: () => undefined };
+        }
+        const client = new Client(originOf(target), connectionOptions);
+        this.#fresh.add(client);
+        const release = (): void => {
+            this.#fresh.delete(client);
+            client.close().catch(() => undefined);
+        };
+        return { dispatcher: client, release };
+    }
 
     /** @returns the pool for a backend server, opened when first asked for */
     poolOf(target: Target): Pool {
@@ -45,9 +74,9 @@
 
     /** Closes every connection once nothing is in flight on it. */
     async close(): Promise<void> {
-        const pools = [...this.#held.values()].map(held => held.pool);
+        const open = [...[...this.#held.values()].map(held => held.pool), ...this.#fresh];
         this.#held.clear();
-        await Promise.all(pools.map(pool => pool.close()));
+        await Promise.all(open.map(dispatcher => dispatcher.close()));
     }
 
     #closeGently(pool: Pool): void {
@@ -55,16 +84,17 @@
     }
 }
 
+const connectionOptions = {
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMs },
+    keepAliveTimeout: idleConnectionMs,
+    // Each request has a deadline of its own; undici's timers would end long extracts.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+};
+
 function createPool(origin: string): Pool {
-    return new Pool(origin, {
-        connections: connectionsPerServer,
-        pipelining: 1,
-        connect: { timeout: connectTimeoutMs },
-        keepAliveTimeout: idleConnectionMs,
-        // Each request has a deadline of its own; the pool's timers would end long extracts.
-        headersTimeout: 0,
-        bodyTimeout: 0,
-    });
+    return new Pool(origin, { ...connectionOptions, connections: connectionsPerServer });
 }
 
 function originOf(target: Target): string {
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -98,8 +98,13 @@
         const abort = new AbortController();
         const remainingMs = request.deadlineMs - this.#parts.clock.monotonicMs();
         const timer = setTimeout(() => abort.abort(), Math.max(0, remainingMs));
-        // A caller that is gone wants no answer: the backend server's slot is worth more to the others.
-        res.once("close", () => abort.abort());
+        // A caller that is gone wants no answer: the backend server's slot is worth more to the others. A non-idempotent
+        // request goes on: cut off, nobody would ever know whether it ran, and the caller's next try learns its end.
+        res.once("close", () => {
+            if (request.idempotent) {
+                abort.abort();
+            }
+        });
         try {
             return await this.#parts.forwarder.forward({ request, req, res, span, signal: abort.signal });
         }
--- a/packages/gateway/src/callers/failureAnswer.ts
+++ b/packages/gateway/src/callers/failureAnswer.ts
@@ -1,6 +1,6 @@
 import { type Failure, type ResolvedFailure, resolveFailure } from "@galenaglade/errors";
 import { type ServerResponse } from "node:http";
-import { didRunHeader } from "../constants.js";
+import { didRunHeader } from "@galenaglade/at-most-once";
 
 const contentType = "application/problem+json";
 
@@ -25,6 +25,21 @@
     };
 }
 
+/**
+ * Resets a caller's connection. A mere close would end an answer without a declared length as if it were whole, as
+ * callers of HTTP/1.0 get them.
+ *
+ * @param res - the answer that can't be finished
+ */
+export function cutCaller(res: ServerResponse): void {
+    const { socket } = res;
+    if (socket === null || socket.destroyed) {
+        res.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+}
+
 /**
  * Answers a request with a failure, at once and finally. Once an answer has begun it can't be taken back: the caller's
  * connection is cut instead, so that half an answer is never taken for a whole one.
@@ -36,7 +51,7 @@
  */
 export function writeFailure(res: ServerResponse, failure: Failure, traceId: string | undefined, close: boolean): void {
     if (res.headersSent) {
-        res.destroy();
+        cutCaller(res);
         return;
     }
     const resolved = resolveFailure(failure);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,6 +1,3 @@
-/** Header that says whether a refused or failed request ran: `no`, `yes` or `unknown`. Backend servers may set it too. */
-export const didRunHeader = "x-galenaglade-did-run";
-
 /** Header to backend servers with what is left of the caller's patience, in milliseconds. */
 export const deadlineHeader = "x-deadline-ms";
 
@@ -19,6 +16,12 @@
 /** Connections that one gateway holds to one backend server: 15 gateways share about 200. */
 export const connectionsPerServer = 12;
 
+/** Largest body that is read before anything is sent; a larger one is streamed and sent once. */
+export const heldBodyBytes = 1_048_576;
+
+/** How often claims that wait for the platform's store are looked at. */
+export const claimTickMs = 50;
+
 /** Tries of one request, the first included. */
 export const maximumAttempts = 3;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { type ConfigurationSource } from "./configurationSource.js";
 import { createOperationsServer } from "./operations/operationsServer.js";
 import { Forwarder } from "./requests/forwarder.js";
+import { type RequestClaims } from "./requests/requestClaims.js";
 import { Scheduler, ServerGate } from "./requests/scheduler.js";
 import { createServiceTable, type ServiceTable } from "./requests/serviceTable.js";
 import { RequestTelemetry } from "./telemetry/requestTelemetry.js";
@@ -41,6 +42,8 @@
     readonly clock?: Clock;
     readonly gate?: ServerGate;
     readonly board?: ServerBoard;
+    /** Claims of idempotency keys; without them, requests that carry one are refused. */
+    readonly claims?: RequestClaims;
 }
 
 /** A running gateway. */
@@ -83,7 +86,15 @@
         table: () => table,
         mayTakeNewWork,
     });
-    const forwarder = new Forwarder({ clock, scheduler, board, connections, telemetry });
+    const forwarder = new Forwarder({
+        clock,
+        scheduler,
+        board,
+        connections,
+        telemetry,
+        mayTakeNewWork,
+        claims: parts.claims,
+    });
     const handler = new CallerHandler({
         clock,
         forwarder,
@@ -118,7 +129,11 @@
         callers.closeIdleConnections();
         await settleWithin(idle, parts.stopping.drainMs);
         callers.closeAllConnections();
-        await connections.close();
+        await settleWithin(connections.close(), parts.stopping.drainMs);
+        if (parts.claims !== undefined) {
+            await settleWithin(parts.claims.whenIdle(), parts.stopping.drainMs);
+            parts.claims.stop();
+        }
         operations.close();
         operations.closeAllConnections();
     };
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -5,10 +5,12 @@
 import { createRoutingPolicy, ServerBoard } from "@galenaglade/routing";
 import { type ResolvedGatewaySettings } from "@galenaglade/settings";
 import { createLogger, createMetrics, createTracing, type Logger } from "@galenaglade/telemetry";
-import { randomInt } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
+import { systemClock } from "./clock.js";
 import { createGateway, type Gateway } from "./gateway.js";
+import { RequestClaims } from "./requests/requestClaims.js";
 
 /** A gateway as a process of its own: data path, fleet and platform, from settings. */
 export interface GatewayProcess {
@@ -33,8 +35,9 @@
         client: settings.name,
         timeoutMs: settings.platform.callTimeoutMs,
     });
+    const store = new HttpKeyValueStore(connection);
     const fleet = createFleetMember({
-        store: new HttpKeyValueStore(connection),
+        store,
         hosts: new HttpHostList(connection),
         name: settings.name,
         availabilityZone: settings.availabilityZone,
@@ -57,6 +60,7 @@
         metrics,
         tracing,
         board,
+        claims: new RequestClaims({ store, holder: `${settings.name}/${randomUUID()}`, clock: systemClock }),
     });
     return {
         logger,
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,116 +1,240 @@
-import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    advanceAttempt,
+    type AnswerHead,
+    type Attempt,
+    type AttemptEnd,
+    type AttemptEvent,
+    type AttemptOutcome,
+    combineDidRun,
+    createAttempt,
+    didRunHeader,
+    resolveAttempt,
+} from "@galenaglade/at-most-once";
+import { createFailure, type DidRun, type Failure, FailureError } from "@galenaglade/errors";
 import { type ServerId } from "@galenaglade/routing";
-import { type IncomingMessage, type ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
-import { type Dispatcher, errors, type Pool } from "undici";
-import { backendInFlightHeader, didRunHeader } from "../constants.js";
+import { type ServerResponse } from "node:http";
+import { type Dispatcher } from "undici";
+import { cutCaller } from "../callers/failureAnswer.js";
+import { backendInFlightHeader } from "../constants.js";
+import { resolveFraming } from "./answerFraming.js";
 import { type CallerRequest } from "./callerRequest.js";
 import { type RawHeaders, resolveAnswerHeaders } from "./headers.js";
+import { type RequestBody } from "./requestBody.js";
 
 /** One try of one request on one backend server. */
 export interface AttemptInput {
     readonly request: CallerRequest;
     readonly serverId: ServerId;
-    readonly pool: Pool;
-    readonly req: IncomingMessage;
+    /** Where the request is handed over; a connection of its own for a non-idempotent one. */
+    readonly dispatcher: Dispatcher;
+    readonly body: RequestBody;
     readonly res: ServerResponse;
     readonly headers: string[];
-    /** Aborted when the caller gives up or goes away. */
+    /** Aborted when the caller gives up. */
     readonly signal: AbortSignal;
+    /** What the attempts before this one may have done. */
+    readonly ranBefore: DidRun;
+    /** Asked in the same turn in which the first byte is given to the connection. */
+    readonly findRefusal: () => Failure | undefined;
     /** Called with what the answer's head says of the backend server's load. */
     readonly onInFlight: (inFlight: number) => void;
 }
 
-/** How a try ended. */
-export type AttemptEnd =
-    | { readonly type: "answered"; readonly status: number; readonly headMs: number; }
-    | { readonly type: "failed"; readonly failure: Failure; readonly mayRetry: boolean; };
+/** What came of a try. */
+export interface AttemptResult {
+    readonly outcome: AttemptOutcome;
+    readonly status: number | undefined;
+    readonly headMs: number | undefined;
+    /** Why the caller has no whole answer from this try; `undefined` where it has. */
+    readonly failure: Failure | undefined;
+}
 
 /**
  * Sends a request to a backend server and streams its answer to the caller.
  *
  * @param input - the request, and where it goes
+ * @returns what came of it, as soon as that is known; never fails
  */
-export async function runAttempt(input: AttemptInput): Promise<AttemptEnd> {
-    const startedAt = performance.now();
-    const hasBody = input.request.bodyBytes !== 0;
-    let answer: Dispatcher.ResponseData;
-    try {
-        answer = await input.pool.request({
+export function runAttempt(input: AttemptInput): Promise<AttemptResult> {
+    return new Promise(resolve => {
+        const handler = new AttemptHandler(input, resolve);
+        input.dispatcher.dispatch({
             method: input.request.method,
             path: input.request.url,
             headers: input.headers,
-            body: hasBody ? input.req : undefined,
-            signal: input.signal,
-            responseHeaders: "raw",
-        });
+            body: input.body.open(),
+            // Without it undici takes GET and HEAD alone for repeatable, and lets nothing else share a connection.
+            idempotent: input.request.idempotent,
+        }, handler);
+    });
+}
+
+/** Follows one try on its connection, and passes its answer on. */
+class AttemptHandler implements Dispatcher.DispatchHandler {
+    readonly #input: AttemptInput;
+    readonly #resolve: (result: AttemptResult) => void;
+    readonly #startedAtMs = performance.now();
+    readonly #onAbort = (): void => this.#abandon();
+    #attempt: Attempt;
+    #controller: Dispatcher.DispatchController | undefined;
+    #refusal: Failure | undefined;
+    #headMs: number | undefined;
+    #settled = false;
+
+    constructor(input: AttemptInput, resolve: (result: AttemptResult) => void) {
+        this.#input = input;
+        this.#resolve = resolve;
+        this.#attempt = createAttempt(input.request.idempotent);
+        input.signal.addEventListener("abort", this.#onAbort, { once: true });
     }
-    catch (err) {
-        return resolveSendFailure(input.request, hasBody, err);
+
+    /** Called in the turn in which the request is written, right before its first byte. */
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.#controller = controller;
+        if (this.#settled || this.#attempt.handedOver) {
+            // Given up while it waited for its connection, or about to be written a second time: either way the
+            // request must not leave, since what was said of it already would become untrue.
+            controller.abort(createAbort("the request is not sent any more"));
+            return;
+        }
+        this.#refusal = this.#input.findRefusal();
+        if (this.#refusal !== undefined) {
+            controller.abort(createAbort(this.#refusal.detail));
+            return;
+        }
+        this.#advance({ type: "handOver" });
     }
-    const headMs = performance.now() - startedAt;
-    const raw = answer.headers as unknown as RawHeaders;
-    const inFlight = Number(findHeader(raw, backendInFlightHeader) ?? Number.NaN);
-    if (Number.isFinite(inFlight)) {
-        input.onInFlight(inFlight);
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        if (status < 200 || this.#settled) {
+            return;
+        }
+        const raw = readRawHeaders(controller.rawHeaders);
+        const head = this.#readHead(status, raw);
+        this.#headMs = performance.now() - this.#startedAtMs;
+        this.#advance({ type: "headReceived", head });
+        const inFlight = Number(findHeader(raw, backendInFlightHeader) ?? Number.NaN);
+        if (Number.isFinite(inFlight)) {
+            this.#input.onInFlight(inFlight);
+        }
+        if (!this.#isShed()) {
+            this.#passHeadOn(status, raw);
+        }
     }
-    if (answer.statusCode === 503 && findHeader(raw, didRunHeader) === "no") {
-        await answer.body.dump();
-        return { type: "failed", failure: createFailure("backendShed", "shed before running"), mayRetry: !hasBody };
+
+    onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.#advance({ type: "bodyReceived", bytes: chunk.length });
+        const { res } = this.#input;
+        if (this.#settled || this.#isShed() || res.destroyed) {
+            return;
+        }
+        if (!res.write(chunk)) {
+            controller.pause();
+            const resume = (): void => {
+                res.off("drain", resume);
+                res.off("close", resume);
+                controller.resume();
+            };
+            res.on("drain", resume);
+            res.on("close", resume);
+        }
+    }
+
+    onResponseEnd(): void {
+        this.#end("completed");
     }
-    return await relayAnswer(input, answer, raw, headMs);
-}
 
-async function relayAnswer(
-    input: AttemptInput,
-    answer: Dispatcher.ResponseData,
-    raw: RawHeaders,
-    headMs: number,
-): Promise<AttemptEnd> {
-    const headers = resolveAnswerHeaders(raw);
-    headers.push(didRunHeader, "yes");
-    input.res.writeHead(answer.statusCode, headers);
-    try {
-        await pipeline(answer.body, input.res);
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        this.#end(this.#attempt.handedOver ? "closed" : "connectFailed", err.message);
     }
-    catch {
-        // The answer was cut short: ending it as if whole would hand the caller half an answer, so its connection goes.
-        input.res.destroy();
+
+    /**
+     * The caller's patience has ended: its final answer is due now, whatever the backend server does. The connection
+     * has an answer outstanding, which would be the next caller's if it were used again, so it is destroyed with it.
+     */
+    #abandon(): void {
+        const controller = this.#controller;
+        this.#end("timedOut", "the caller's patience ended");
+        controller?.abort(createAbort("the caller's patience ended"));
+    }
+
+    #advance(event: AttemptEvent): void {
+        this.#attempt = advanceAttempt(this.#attempt, event);
+    }
+
+    #isShed(): boolean {
+        return this.#attempt.head !== undefined && resolveAttempt(this.#attempt).failure === "backendShed";
+    }
+
+    #readHead(status: number, raw: RawHeaders): AnswerHead {
         return {
-            type: "failed",
-            failure: createFailure("truncatedAnswer", "the answer was cut short"),
-            mayRetry: false,
+            status,
+            didRunHeader: findHeader(raw, didRunHeader),
+            framing: resolveFraming(this.#input.request.method, status, name => findHeader(raw, name)),
         };
     }
-    return { type: "answered", status: answer.statusCode, headMs };
-}
 
-function resolveSendFailure(request: CallerRequest, hasBody: boolean, err: unknown): AttemptEnd {
-    if (isConnectFailure(err)) {
-        return { type: "failed", failure: createFailure("connectFailed", describe(err)), mayRetry: !hasBody };
+    #passHeadOn(status: number, raw: RawHeaders): void {
+        const { res, ranBefore } = this.#input;
+        if (res.destroyed) {
+            return;
+        }
+        const headers = resolveAnswerHeaders(raw);
+        headers.push(didRunHeader, combineDidRun([{ didRun: ranBefore }, resolveAttempt(this.#attempt)]));
+        res.writeHead(status, headers);
     }
-    const kind = err instanceof Error && err.name === "AbortError" ? "backendTimeout" : "connectionLost";
-    const mayRetry = request.idempotent && !hasBody && kind === "connectionLost";
-    return { type: "failed", failure: createFailure(kind, describe(err)), mayRetry };
-}
 
-const connectFailureCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+    #end(end: AttemptEnd, detail = ""): void {
+        if (this.#settled) {
+            return;
+        }
+        this.#settled = true;
+        this.#input.signal.removeEventListener("abort", this.#onAbort);
+        this.#advance({ type: "ended", end });
+        const resolved = resolveAttempt(this.#attempt);
+        // What forbids the send now would forbid the next one too.
+        const outcome = this.#refusal === undefined ? resolved : { ...resolved, mayRetry: false };
+        const { res } = this.#input;
+        if (outcome.failure === undefined) {
+            res.end();
+        }
+        else if (res.headersSent) {
+            // Half an answer that ends like a whole one reads as a shorter table, or a smaller catalog. Resetting the
+            // connection is the one way left to say that it is not whole.
+            cutCaller(res);
+        }
+        this.#resolve({
+            outcome,
+            status: this.#attempt.head?.status,
+            headMs: this.#headMs,
+            failure: this.#refusal ?? this.#describe(outcome, detail),
+        });
+    }
+
+    #describe(outcome: AttemptOutcome, detail: string): Failure | undefined {
+        if (outcome.failure === undefined) {
+            return undefined;
+        }
+        return createFailure(outcome.failure, detail === "" ? outcome.failure : detail, { didRun: outcome.didRun });
+    }
+}
 
-function isConnectFailure(err: unknown): boolean {
-    if (err instanceof errors.ConnectTimeoutError) {
-        return true;
+/** Header values are bytes; read in any other way than the one in which they are written, some would change. */
+function readRawHeaders(raw: Dispatcher.DispatchController["rawHeaders"]): RawHeaders {
+    if (!Array.isArray(raw)) {
+        return [];
     }
-    return err instanceof Error && "code" in err && connectFailureCodes.has(String(err.code));
+    return raw.map(part => typeof part === "string" ? part : part.toString("latin1"));
 }
 
-function describe(err: unknown): string {
-    return err instanceof Error ? err.message : String(err);
+function createAbort(detail: string): FailureError {
+    return new FailureError(createFailure("patienceSpent", detail));
 }
 
 function findHeader(raw: RawHeaders, name: string): string | undefined {
     for (let i = 0; i + 1 < raw.length; i += 2) {
-        if (String(raw[i]).toLowerCase() === name) {
-            return String(raw[i + 1]);
+        if (raw[i]?.toLowerCase() === name) {
+            return raw[i + 1];
         }
     }
     return undefined;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -1,14 +1,18 @@
+import { type AttemptOutcome, combineDidRun } from "@galenaglade/at-most-once";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type ServerBoard, type ServerId } from "@galenaglade/routing";
 import { type Span, SpanKind, trace } from "@opentelemetry/api";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Either, Left, Right } from "purify-ts";
 import { type BackendConnections } from "../backends/backendConnections.js";
 import { type Clock } from "../clock.js";
 import { deadlineHeader, maximumAttempts } from "../constants.js";
 import { type RequestTelemetry } from "../telemetry/requestTelemetry.js";
-import { type AttemptEnd, runAttempt } from "./attempt.js";
+import { type AttemptResult, runAttempt } from "./attempt.js";
 import { type CallerRequest } from "./callerRequest.js";
 import { resolveForwardHeaders } from "./headers.js";
+import { readRequestBody, type RequestBody } from "./requestBody.js";
+import { type HeldClaim, type RequestClaims } from "./requestClaims.js";
 import { type Grant, type Scheduler } from "./scheduler.js";
 
 /** A request with its two ends. */
@@ -18,7 +22,7 @@
     readonly res: ServerResponse;
     /** The caller's span. */
     readonly span: Span;
-    /** Aborted when the caller's patience ends or the caller goes away. */
+    /** Aborted when the caller's patience ends, and for an idempotent request when the caller goes away. */
     readonly signal: AbortSignal;
 }
 
@@ -29,6 +33,17 @@
     readonly board: ServerBoard;
     readonly connections: BackendConnections;
     readonly telemetry: RequestTelemetry;
+    /** Whether this gateway's configuration is fresh enough for new work. */
+    readonly mayTakeNewWork: () => boolean;
+    /** Absent where there is no store; requests with an idempotency key are then refused. */
+    readonly claims: RequestClaims | undefined;
+}
+
+/** How a request ended, over all its tries. */
+interface RequestEnd {
+    readonly failure: Failure | undefined;
+    readonly outcomes: readonly AttemptOutcome[];
+    readonly status: number | undefined;
 }
 
 /** Takes a request to a backend server, and to another where the first try may be repeated. */
@@ -44,35 +59,81 @@
      * @returns the failure to answer with, or `undefined` once the caller has its answer
      */
     async forward(exchange: Exchange): Promise<Failure | undefined> {
+        const { request, req, signal } = exchange;
+        const read = await readRequestBody(request, req, signal);
+        if (read.isLeft()) {
+            return read.extract();
+        }
+        const body = read.extract() as RequestBody;
+        const claimed = await this.#claim(request, body);
+        if (claimed.isLeft()) {
+            return claimed.extract();
+        }
+        const claim = claimed.extract() as HeldClaim | undefined;
+        const end = await this.#forwardClaimed(exchange, body, claim);
+        const didRun = combineDidRun(end.outcomes);
+        if (claim !== undefined) {
+            this.#parts.claims?.end(claim, { didRun, status: end.status });
+        }
+        // The failure is the last try's; what is said of the request having run is every try's.
+        return end.failure === undefined ? undefined : { ...end.failure, didRun };
+    }
+
+    async #claim(request: CallerRequest, body: RequestBody): Promise<Either<Failure, HeldClaim | undefined>> {
+        const { idempotent, idempotencyKey } = request;
+        if (idempotent || idempotencyKey === undefined || idempotencyKey === "") {
+            return Right(undefined);
+        }
+        const { claims } = this.#parts;
+        if (claims === undefined) {
+            return Left(createFailure("storeUnavailable", "idempotency keys can't be claimed"));
+        }
+        return await claims.claim(request, idempotencyKey, body);
+    }
+
+    async #forwardClaimed(
+        exchange: Exchange,
+        body: RequestBody,
+        claim: HeldClaim | undefined,
+    ): Promise<RequestEnd> {
+        const { request, signal } = exchange;
+        const { scheduler } = this.#parts;
         const failedOn = new Set<ServerId>();
+        const outcomes: AttemptOutcome[] = [];
         let last: Failure | undefined;
         for (let attempt = 1; attempt <= maximumAttempts; attempt++) {
-            if (exchange.signal.aborted) {
-                return last ?? createFailure("patienceSpent", "the caller's patience ended before a try");
+            if (signal.aborted) {
+                last ??= createFailure("patienceSpent", "the caller's patience ended before a try");
+                break;
             }
-            if (attempt > 1 && !this.#parts.scheduler.takeRetry(exchange.request)) {
-                return last;
+            if (attempt > 1 && !scheduler.takeRetry(request)) {
+                break;
             }
-            const grant = await this.#parts.scheduler.acquire(exchange.request, failedOn);
+            const grant = await scheduler.acquire(request, failedOn);
             if (grant.isLeft()) {
-                // What an earlier try did goes before what this one could not begin: it may have run.
-                return last ?? (grant.extract());
+                // What an earlier try did goes before what this one could not begin.
+                last ??= grant.extract();
+                break;
             }
             const granted = grant.extract() as Grant;
-            const end = await this.#tryOnce(exchange, granted);
-            if (end.type === "answered") {
-                return undefined;
-            }
-            last = end.failure;
-            if (!end.mayRetry) {
-                return last;
+            const result = await this.#tryOnce(exchange, body, claim, granted, outcomes);
+            outcomes.push(result.outcome);
+            last = result.failure;
+            if (last === undefined || !result.outcome.mayRetry || !body.repeatable) {
+                return { failure: last, outcomes, status: result.status };
             }
             failedOn.add(granted.target.serverId);
         }
-        return last;
+        return { failure: last, outcomes, status: undefined };
     }
 
-    async #tryOnce(exchange: Exchange, grant: Grant): Promise<AttemptEnd> {
+    async #tryOnce(
+        exchange: Exchange,
+        body: RequestBody,
+        claim: HeldClaim | undefined,
+        grant: Grant,
+        before: readonly AttemptOutcome[],
+    ): Promise<AttemptResult> {
         const { scheduler, connections, board, clock, telemetry } = this.#parts;
         const { request } = exchange;
         const { serverId } = grant.target;
@@ -87,23 +148,47 @@
             [deadlineHeader]: String(remainingMs),
             ...telemetry.propagationHeaders(span),
         });
-        const end = await runAttempt({
+        const connection = connections.open(grant.target, request.idempotent);
+        const result = await runAttempt({
             request,
             serverId,
-            pool: connections.poolOf(grant.target),
-            req: exchange.req,
+            dispatcher: connection.dispatcher,
+            body,
             res: exchange.res,
             headers,
             signal: exchange.signal,
+            ranBefore: combineDidRun(before),
+            findRefusal: () => this.#findRefusal(request, claim),
             onInFlight: inFlight => board.onReport(serverId, { inFlight }, clock.monotonicMs()),
         });
-        const answered = end.type === "answered";
-        scheduler.release(request, grant, { latencyMs: answered ? end.headMs : undefined, succeeded: answered });
+        connection.release();
+        const answered = result.failure === undefined;
+        scheduler.release(request, grant, { latencyMs: answered ? result.headMs : undefined, succeeded: answered });
         if (!answered) {
-            span.setAttribute("error.type", end.failure.kind);
+            span.setAttribute("error.type", result.failure.kind);
         }
         span.end();
-        return end;
+        return result;
+    }
+
+    /**
+     * Between the grant and the first byte lies a connection to be opened, and perhaps a pause of the whole process:
+     * what allowed the request then may be over. Asked in the turn of the first byte, nothing can come in between.
+     */
+    #findRefusal(request: CallerRequest, claim: HeldClaim | undefined): Failure | undefined {
+        if (this.#parts.clock.monotonicMs() >= request.deadlineMs) {
+            return createFailure("patienceSpent", "the caller's patience ended before the request was sent");
+        }
+        if (!this.#parts.mayTakeNewWork()) {
+            return createFailure("notFresh", "the configuration can't be shown to be current");
+        }
+        if (claim?.mayHandOver() === false) {
+            return createFailure(
+                "patienceSpent",
+                "the claim of the idempotency key ran out before the request was sent",
+            );
+        }
+        return undefined;
     }
 }
 
--- a/packages/gateway/src/requests/headers.ts
+++ b/packages/gateway/src/requests/headers.ts
@@ -1,4 +1,5 @@
-import { backendHeaderPrefix, deadlineHeader, didRunHeader } from "../constants.js";
+import { didRunHeader } from "@galenaglade/at-most-once";
+import { backendHeaderPrefix, deadlineHeader } from "../constants.js";
 
 /** Names and values in turn, as node and undici take them. */
 export type RawHeaders = readonly string[];
