--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,6 +1,3 @@
-/** Header that says whether a refused or failed request ran: `no`, `yes` or `unknown`. Backend servers may set it too. */
-export const didRunHeader = "x-galenaglade-did-run";
-
 /** Header to backend servers with what is left of the caller's patience, in milliseconds. */
 export const deadlineHeader = "x-deadline-ms";
 
@@ -16,9 +13,24 @@
 /** An idle connection to a backend server is closed after this long, before most servers close it themselves. */
 export const idleConnectionMs = 4_000;
 
+/** Idle time after which the system asks the other end of a connection whether it is there; then ten times, a second apart. */
+export const keepAliveProbeMs = 5_000;
+
+/** A request whose caller waits longer than this gets a connection of its own, opened for it. */
+export const ownConnectionPatienceMs = 10_000;
+
 /** Connections that one gateway holds to one backend server: 15 gateways share about 200. */
 export const connectionsPerServer = 12;
 
+/** Largest body that is read before anything is sent; a larger one is streamed and sent once. */
+export const heldBodyBytes = 1_048_576;
+
+/** How often claims that wait for the platform's store are looked at. */
+export const claimTickMs = 50;
+
+/** When to come back after a connection was lost, for whoever may safely send the request again. */
+export const lossRetryAfterSeconds = 1;
+
 /** Tries of one request, the first included. */
 export const maximumAttempts = 3;
 
