Ask the gate again in the turn of a request's first byte

Between leave and first byte lies a connection to be opened, and perhaps a stop of the process. Taken out, the two new tests fail: the request goes out under another permit, and to a server that has begun to leave.

--- a/packages/coldStart/src/__tests__/serverGate.test.ts
+++ b/packages/coldStart/src/__tests__/serverGate.test.ts
@@ -256,3 +256,30 @@
     driver.send(server);
     assert.equal(driver.maySend(server), false);
 });
+
+// A cold server is given too much by a holder that asked in time, opened a connection, was stopped before the first byte
+// and went on when another held the permit.
+test("what allowed a request is asked again in the turn of its first byte", () => {
+    const driver = createDriver();
+    const request = driver.send(server);
+    assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), true);
+    driver.nowMs += 7_000;
+    assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), false);
+    driver.passUntil(driver.nowMs + 3_000);
+    assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), false, "under another permit");
+});
+
+test("a request for a server that has turned cold or begun to leave since isn't handed over", () => {
+    const signals = [
+        { kind: "turnedCold", epoch: 1 },
+        { kind: "leaving", epoch: 0 },
+    ] as const;
+    for (const signal of signals) {
+        const driver = createDriver();
+        warmUp(driver);
+        const request = driver.send(server);
+        assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), true);
+        driver.gate.onSignal({ ...signal, serverId: server, incarnation: undefined, ageMs: 0 }, driver.nowMs);
+        assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), false, signal.kind);
+    }
+});
--- a/packages/coldStart/src/createServerGate.ts
+++ b/packages/coldStart/src/createServerGate.ts
@@ -44,11 +44,7 @@
 
     override maySend(serverId: ServerId, nowMs: number, deadlineMs: number): "yes" | "no" {
         const server = this.#servers.get(serverId);
-        if (server === undefined || !server.isIn || server.leaving.isLeaving) {
-            return "no";
-        }
-        // Out of touch with the majority, a gateway may not have heard that the server turned cold or is leaving.
-        if (!this.#authority.hasContact(nowMs)) {
+        if (server === undefined || !this.#isOpen(server, nowMs)) {
             return "no";
         }
         if (server.state.isFree(nowMs)) {
@@ -59,7 +55,22 @@
     }
 
     override onSent(serverId: ServerId, requestId: string, nowMs: number, deadlineMs: number): void {
-        this.#servers.get(serverId)?.state.onSent(requestId, deadlineMs, nowMs);
+        const server = this.#servers.get(serverId);
+        if (server !== undefined) {
+            server.state.onSent(requestId, deadlineMs, server.warmUp?.stretch, nowMs);
+        }
+    }
+
+    override mayStillSend(serverId: ServerId, requestId: string, nowMs: number): boolean {
+        const server = this.#servers.get(serverId);
+        const sent = server?.state.request(requestId);
+        if (server === undefined || sent === undefined || !this.#isOpen(server, nowMs)) {
+            return false;
+        }
+        if (server.state.isFree(nowMs)) {
+            return true;
+        }
+        return !sent.wasWarm && this.#resolveWarmUp(server, nowMs)?.stretch === sent.stretch;
     }
 
     override onEnd(serverId: ServerId, requestId: string, end: AttemptEnd, nowMs: number): void {
@@ -195,6 +206,11 @@
         return [...urgent].flatMap(serverId => this.#servers.get(serverId)?.signals(nowMs) ?? []);
     }
 
+    #isOpen(server: GatedServerState, nowMs: number): boolean {
+        // Out of touch with the majority, a gateway may not have heard that the server turned cold or is leaving.
+        return server.isIn && !server.leaving.isLeaving && this.#authority.hasContact(nowMs);
+    }
+
     #mayWarmUp(server: GatedServerState, nowMs: number, deadlineMs: number): boolean {
         server.wantedAtMs = nowMs;
         if (!server.mayWarmUp(nowMs)) {
--- a/packages/coldStart/src/serverGate.ts
+++ b/packages/coldStart/src/serverGate.ts
@@ -26,6 +26,13 @@
     abstract maySend(serverId: ServerId, nowMs: number, deadlineMs: number): "yes" | "no";
     /** Notes that a request has been handed to a connection, in the turn that {@link maySend} allowed it. */
     abstract onSent(serverId: ServerId, requestId: string, nowMs: number, deadlineMs: number): void;
+    /**
+     * Asked where a connection had to be opened between {@link onSent} and the first byte: the process may have been
+     * stopped meanwhile, and what allowed the request may be over.
+     *
+     * @returns whether the first byte may be sent in this turn; if not, the request is to be ended as cancelled
+     */
+    abstract mayStillSend(serverId: ServerId, requestId: string, nowMs: number): boolean;
     /** Notes the end of a request. */
     abstract onEnd(serverId: ServerId, requestId: string, end: AttemptEnd, nowMs: number): void;
     /** Takes what the server's health or load endpoint says. */
--- a/packages/coldStart/src/serverState.ts
+++ b/packages/coldStart/src/serverState.ts
@@ -14,11 +14,14 @@
     readonly longestPatienceMs: number;
 }
 
-interface SentRequest {
+/** A request in flight. */
+export interface SentRequest {
     readonly sentAtMs: number;
     readonly deadlineMs: number;
     readonly epoch: number;
     readonly wasWarm: boolean;
+    /** The stretch of authority that it was sent under, where the server was not warm. */
+    readonly stretch: string | undefined;
 }
 
 /** What one gateway believes of one backend server. */
@@ -77,12 +80,18 @@
         return this.#isWarm ? 1 : this.#limit;
     }
 
-    onSent(requestId: string, deadlineMs: number, nowMs: number): void {
+    /** @returns what was noted of a request in flight */
+    request(requestId: string): SentRequest | undefined {
+        return this.#requests.get(requestId);
+    }
+
+    onSent(requestId: string, deadlineMs: number, stretch: string | undefined, nowMs: number): void {
         this.#requests.set(requestId, {
             sentAtMs: nowMs,
             deadlineMs,
             epoch: this.#epoch,
             wasWarm: this.isFree(nowMs),
+            stretch,
         });
     }
 
