--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -1,6 +1,7 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { callerKeepAliveMs } from "../constants.js";
 import { renderRawFailure } from "./failureAnswer.js";
 
 /** Limits on what callers may take up. */
@@ -33,6 +34,9 @@
         requestTimeout: limits.requestTimeoutMs,
         headersTimeout: limits.requestTimeoutMs,
         connectionsCheckingInterval: Math.min(1_000, limits.requestTimeoutMs),
+        // Closed by this side first, a kept connection may break under the next request. Balancers let go of theirs after
+        // a minute at the latest, so with more than that it is they who close.
+        keepAliveTimeout: callerKeepAliveMs,
         // A small answer must not wait for the acknowledgement of the one before it.
         noDelay: true,
     }, (req, res) => {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -48,3 +48,6 @@
 
 /** Share of traces begun here that are recorded; a caller's own decision goes before it. */
 export const sampledShare = 0.001;
+
+/** How long a caller's idle connection is kept: longer than balancers keep theirs. */
+export const callerKeepAliveMs = 75_000;
