Run the operators' server as a process, and prove the command end to end

galenaglade-admin reads its settings, opens its port only when they are whole, and ends a planned stop with code 0 when its calls are answered.

- A stop shorter than the time that a change may wait is refused in the settings: it would cut calls in flight.
- A gateway's stop waited 60 seconds at most by default, which cuts an extract that its caller lets run all night.

--- /dev/null
+++ b/packages/admin/src/adminProcess.ts
@@ -0,0 +1,60 @@
+import { resolveFleetTimings, storeKeys } from "@galenaglade/membership";
+import { createChangeCoordinator } from "@galenaglade/peers";
+import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
+import { type ResolvedAdminSettings } from "@galenaglade/settings";
+import { createLogger, type Logger } from "@galenaglade/telemetry";
+import { AdminServer } from "./adminServer.js";
+import { StoreChangeSignal } from "./changeSignal.js";
+import { OperatorCalls } from "./operatorCalls.js";
+import { StandingFeed } from "./standingFeed.js";
+
+/** The operators' server as a process of its own, from settings. */
+export interface AdminProcess {
+    readonly logger: Logger;
+    /** Opens the port. @returns the port */
+    start(): Promise<number>;
+    /** Planned stop, whole: the calls in flight are answered first. */
+    stop(): Promise<void>;
+}
+
+/**
+ * Puts an operators' server together from its settings.
+ *
+ * @param settings - checked settings
+ * @returns the process's parts, not started
+ */
+export function createAdminProcess(settings: ResolvedAdminSettings): AdminProcess {
+    const logger = createLogger({ process: "admin", level: settings.logging.level });
+    const connection = new PlatformConnection({
+        addresses: [settings.platform.address],
+        client: "admin",
+        timeoutMs: settings.platform.callTimeoutMs,
+    });
+    const store = new HttpKeyValueStore(connection);
+    const calls = new OperatorCalls({
+        coordinator: createChangeCoordinator({
+            store,
+            fleetKey: settings.fleetKey.reveal(),
+            timings: resolveFleetTimings(settings.freshness.maximumAgeMs),
+        }),
+        hosts: new HttpHostList(connection),
+        acceptWaitMs: settings.acceptWaitMs,
+    });
+    const changes = new StoreChangeSignal(store, storeKeys.head);
+    const server = new AdminServer({
+        calls,
+        feed: new StandingFeed(() => calls.getStanding(), changes, settings.maximumWatches),
+        fleetKey: settings.fleetKey,
+        maximumMessageBytes: settings.maximumMessageBytes,
+        maximumConnections: settings.maximumConnections,
+        drainMs: settings.stopping.drainMs,
+    });
+    return {
+        logger,
+        start: () => server.listen(settings.address, settings.port),
+        stop: async () => {
+            await server.stop();
+            await connection.close();
+        },
+    };
+}
--- /dev/null
+++ b/packages/cli/src/__tests__/endToEnd.test.ts
@@ -0,0 +1,97 @@
+import { type ConfigurationInput } from "@galenaglade/configuration";
+import { Fleet, FleetConfigurer } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { request } from "undici";
+import { stringify } from "yaml";
+import { runCli, writeFile } from "./running.js";
+
+const declared: ConfigurationInput = {
+    availabilityZones: [{ name: "a" }, { name: "b" }],
+    services: [{
+        name: "tables",
+        authorities: ["*"],
+        patience: [{ callerKind: "default", patienceMs: 5_000 }],
+        backendServers: [
+            { name: "one", availabilityZone: "a", address: "127.0.0.1", port: 1 },
+            { name: "two", availabilityZone: "b", address: "127.0.0.1", port: 2 },
+        ],
+    }],
+};
+
+// One fleet for all tests of this file, which run in order: two gateways, the operators' server and a stand-in
+// platform, each a process of its own.
+let fleet: Fleet;
+let stopped: readonly string[] | undefined;
+
+before(async () => {
+    fleet = await Fleet.start({ configuration: declared, gateways: 2, admin: true });
+});
+after(async () => {
+    stopped ??= await fleet.stop();
+});
+
+test("a file that is applied is in force on every gateway when the command ends", async t => {
+    const file = writeFile(t, stringify(fleet.configuration));
+    const { code, out, err } = await runCli(t, [fleet.adminUrl], ["apply", file], { key: fleet.fleetKey });
+    assert.deepEqual([code, err], [0, []]);
+    // How many gateways have joined the roster by now is not said here; those that have must all hold it.
+    assert.match(out.join(), /^revision 1: in force, held by (\d) of \1 gateways$/);
+    await fleet.becomeReady();
+});
+
+test("a change whose answer the store loses is stored once and reported as in force", async t => {
+    // The store takes the operators' server's write and closes the connection without an answer. The server has to
+    // find out by reading back that the zone is out; a second write would show as revision 3.
+    const faults = await request(`${fleet.platformUrl}/faults`, {
+        method: "PUT",
+        body: JSON.stringify({ loseAnswers: 1 }),
+    });
+    await faults.body.dump();
+    assert.equal(faults.statusCode, 200);
+    const { code, out } = await runCli(t, [fleet.adminUrl], ["zone", "out", "a"], { key: fleet.fleetKey });
+    assert.equal(code, 0);
+    assert.match(out[0] ?? "", /^revision 2: in force/);
+    assert.equal(out[1], "availability zones out: a");
+});
+
+test("two operators take both zones out and bring them in at the same moment", async t => {
+    const zone = (state: string, name: string) =>
+        runCli(t, [fleet.adminUrl], ["zone", state, name], { key: fleet.fleetKey });
+    for (const state of ["out", "in"]) {
+        const ended = await Promise.all([zone(state, "a"), zone(state, "b")]);
+        assert.deepEqual(ended.map(({ code }) => code), [0, 0]);
+    }
+    const { code, out } = await runCli(t, [fleet.adminUrl], ["status"], { key: fleet.fleetKey });
+    assert.equal(code, 0);
+    assert.match(out[0] ?? "", /^revision 6: in force/);
+    assert.equal(out[1], "");
+});
+
+test("a watch tells of another operator's change", async t => {
+    // The change is written through the store, so that the watcher's server hears of it by the store's watch alone.
+    const other = new FleetConfigurer(fleet);
+    const interrupt = new AbortController();
+    const seen: string[] = [];
+    const watch = await runCli(t, [fleet.adminUrl], ["watch"], {
+        key: fleet.fleetKey,
+        signal: interrupt.signal,
+        onOut: line => {
+            seen.push(line);
+            if (seen.length === 1) {
+                void other.apply(fleet.configuration);
+            }
+            else if (line.startsWith("revision 7: in force")) {
+                interrupt.abort();
+            }
+        },
+    });
+    await other.close();
+    assert.equal(watch.code, 0);
+    assert.match(seen[0] ?? "", /^revision 6: in force/);
+});
+
+test("the planned stop ends every process with code 0", async () => {
+    stopped = await fleet.stop();
+    assert.deepEqual(stopped, []);
+});
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -16,5 +16,5 @@
 } from "./model.js";
 export { defaultCallerKind, resolvePatience } from "./patience.js";
 export { resolveConfiguration } from "./resolve.js";
-export { acceptedKeys, listOptions, type SchemaOption } from "./schemaTree.js";
+export { acceptedKeys, formatOptions, listOptions, type SchemaOption } from "./schemaTree.js";
 export { findUnservedServices, keepZoneStates, setZoneState, type ZoneState } from "./zoneState.js";
--- a/packages/configuration/src/schemaTree.ts
+++ b/packages/configuration/src/schemaTree.ts
@@ -1,15 +1,15 @@
-/** Reads a zod schema's own structure, so that messages and the documentation's test can't differ from it. */
+/** Reads a zod schema's own structure, so that messages and documentation can't differ from it. */
 import { z } from "zod";
 
-/** One option of a schema. */
+/** One option of a schema: a value, or a list of values. */
 export interface SchemaOption {
     /** Keys joined by dots; `[]` stands for each item of a list. */
     readonly path: string;
+    /** What it accepts, for a person. */
+    readonly accepted: string;
     readonly description: string | undefined;
-    /** Whether it may be left out. */
-    readonly optional: boolean;
-    /** What goes where it is left out; `undefined` where there is none. */
-    readonly defaultValue: unknown;
+    /** What goes where it is left out, as YAML; `required` where it can't be, empty where nothing does. */
+    readonly defaultValue: string;
 }
 
 type Schema = z.core.$ZodType;
@@ -18,13 +18,16 @@
     readonly schema: Schema;
     readonly optional: boolean;
     readonly defaultValue: unknown;
+    readonly description: string | undefined;
 }
 
 function unwrap(schema: Schema): Unwrapped {
     let inner = schema;
     let optional = false;
     let defaultValue: unknown;
+    let description: string | undefined;
     for (;;) {
+        description ??= (inner as z.ZodType).description;
         if (inner instanceof z.ZodDefault || inner instanceof z.ZodPrefault) {
             optional = true;
             defaultValue = inner.def.defaultValue;
@@ -35,13 +38,13 @@
             inner = inner.def.innerType;
         }
         else {
-            return { schema: inner, optional, defaultValue };
+            return { schema: inner, optional, defaultValue, description };
         }
     }
 }
 
 /**
- * Lists every option of a schema, outermost first.
+ * Lists every option of a schema.
  *
  * @param schema - a zod object, at any depth of objects and lists
  * @returns the options in the order of declaration
@@ -50,21 +53,58 @@
     return [...walk(schema, "")];
 }
 
-function* walk(schema: Schema, prefix: string): Iterable<SchemaOption> {
-    const { schema: inner } = unwrap(schema);
-    if (inner instanceof z.ZodArray) {
-        yield* walk(inner.element, `${prefix}[]`);
+function* walk(schema: Schema, path: string): Iterable<SchemaOption> {
+    const { schema: inner, optional, defaultValue, description } = unwrap(schema);
+    if (inner instanceof z.ZodArray && unwrap(inner.element).schema instanceof z.ZodObject) {
+        yield* walk(inner.element, `${path}[]`);
         return;
     }
     if (!(inner instanceof z.ZodObject)) {
+        const written = defaultValue === undefined ? "" : JSON.stringify(defaultValue);
+        yield { path, accepted: describeAccepted(inner), description, defaultValue: optional ? written : "required" };
         return;
     }
     for (const [key, child] of Object.entries<z.ZodType>(inner.shape)) {
-        const path = prefix === "" ? key : `${prefix}.${key}`;
-        const { optional, defaultValue } = unwrap(child);
-        yield { path, description: child.description, optional, defaultValue };
-        yield* walk(child, path);
+        yield* walk(child, path === "" ? key : `${path}.${key}`);
+    }
+}
+
+function describeAccepted(schema: Schema): string {
+    if (schema instanceof z.ZodArray) {
+        return `list of ${describeAccepted(unwrap(schema.element).schema)}`;
+    }
+    if (schema instanceof z.ZodEnum) {
+        return schema.options.join(", ");
+    }
+    if (schema instanceof z.ZodBoolean) {
+        return "true, false";
     }
+    if (schema instanceof z.ZodNumber) {
+        return `${schema.format === "safeint" ? "whole number" : "number"} ${describeRange(schema)}`;
+    }
+    return "text";
+}
+
+function describeRange({ minValue, maxValue, def }: z.ZodNumber): string {
+    const isPositive = (def.checks ?? []).some(check =>
+        check instanceof z.core.$ZodCheckGreaterThan && !check._zod.def.inclusive
+    );
+    const from = isPositive ? `above ${minValue ?? 0}` : `from ${minValue ?? 0}`;
+    return `${from} to ${maxValue ?? "any"}`;
+}
+
+/**
+ * Writes a schema's options as a table for the documentation, which a test compares with the pages.
+ *
+ * @param schema - a zod object
+ * @returns a table in Markdown
+ */
+export function formatOptions(schema: Schema): string {
+    const rows = listOptions(schema).map(({ path, accepted, defaultValue, description }) => {
+        const written = defaultValue === "" || defaultValue === "required" ? defaultValue : `\`${defaultValue}\``;
+        return `| \`${path}\` | ${accepted} | ${written} | ${description ?? ""} |`;
+    });
+    return ["| option | accepts | default | meaning |", "| --- | --- | --- | --- |", ...rows].join("\n");
 }
 
 /**
--- a/packages/settings/src/__tests__/settings.test.ts
+++ b/packages/settings/src/__tests__/settings.test.ts
@@ -127,3 +127,19 @@
     assert.equal(settings.acceptWaitMs, 10_000);
     assert.equal(settings.fleetKey.reveal(), key);
 });
+
+test("refuses a planned stop that is too short for a change to be in force", () => {
+    const yaml = `address: 127.0.0.1
+port: 0
+platform: { address: "http://127.0.0.1:1" }
+fleetKey: { value: ${key} }
+stopping:
+    drainMs: 9999
+`;
+    const faults = resolveAdminSettings(yaml).swap().unsafeCoerce();
+    assert.equal(
+        formatFaults("admin.yaml", faults),
+        "admin.yaml:6:5: stopping.drainMs: expected at least acceptWaitMs",
+    );
+    assert.ok(resolveAdminSettings(yaml.replace("9999", "10000")).isRight());
+});
--- a/packages/settings/src/adminSettings.ts
+++ b/packages/settings/src/adminSettings.ts
@@ -19,10 +19,15 @@
     maximumWatches: z.number().int().min(1).max(10_000).default(32)
         .describe("WatchChanges calls at once; more are refused"),
     stopping: z.strictObject({
-        drainMs: milliseconds.default(15_000).describe("time for the calls in flight to finish"),
+        drainMs: milliseconds.default(70_000)
+            .describe("longest time for the calls in flight to finish; a change may take all of acceptWaitMs"),
     }).prefault({}),
     freshness: freshness.prefault({}),
     logging: logging.prefault({}),
+}).refine(settings => settings.stopping.drainMs >= settings.acceptWaitMs, {
+    // A planned stop would cut a call that still waits for its change to be in force, and its operator wouldn't know.
+    error: "expected at least acceptWaitMs",
+    path: ["stopping", "drainMs"],
 });
 
 /** The operators' server's settings with every default filled in and the fleet's key read. */
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -47,8 +47,10 @@
 const stopping = z.strictObject({
     balancerWaitMs: millisecondsOrNone.default(5_000)
         .describe("time for the platform's balancer to see that this host is not ready"),
-    drainMs: milliseconds.default(60_000)
-        .describe("time for the requests in flight to finish, after the wait for the balancer"),
+    // A stop ends as soon as nothing is in flight; the limit only keeps a stuck request from holding it for ever, and a
+    // shorter default would cut an extract that its caller lets run all night.
+    drainMs: milliseconds.default(86_400_000)
+        .describe("longest time for the requests in flight to finish, after the wait for the balancer"),
 });
 
 /** A gateway's settings as written in YAML. */
