--- a/packages/configuration/src/__tests__/checkConfiguration.test.ts
+++ b/packages/configuration/src/__tests__/checkConfiguration.test.ts
@@ -68,6 +68,32 @@
     ]);
 });
 
+test("refuses what would never match a request, or match more than it says", () => {
+    // An operator writes a method in lower case: no request would ever count as non-idempotent, and a filing might be
+    // sent twice. A path with a pattern in it, or an authority with a port, would match others than were meant.
+    const text = yaml.replace(
+        "authorities: [tables.example]",
+        "authorities: [\"tables.example:80\"]\n      nonIdempotentMethods: [post]\n      pathPrefix: /:any",
+    ).concat("callerKindHeader: kind of caller\n");
+    assert.deepEqual(check(text).map(line => line.split(" ")[1]), [
+        "services[0].authorities[0]:",
+        "services[0].nonIdempotentMethods[0]:",
+        "services[0].pathPrefix:",
+        "callerKindHeader:",
+    ]);
+});
+
+test("takes paths for the same that differ in their last slash alone", () => {
+    const second = yaml.slice(yaml.indexOf("    - name: tables"))
+        .replace("name: tables", "name: more")
+        .replaceAll("port: 80", "port: 81")
+        .replace("authorities:", "pathPrefix: /a/\n      authorities:");
+    const found = check(yaml.replace("authorities:", "pathPrefix: /a\n      authorities:") + second);
+    assert.deepEqual(found.map(line => line.slice(line.indexOf(" ") + 1)), [
+        "services[1].authorities[0]: tables.example/a/ is already the route of service tables",
+    ]);
+});
+
 test("survives documents of any shape", () => {
     for (const text of ["", "3", "[]", "services: 3", "availabilityZones: [3]\nservices: [[], { patience: 1 }]"]) {
         assert.ok(checkYaml(text, resolveConfiguration).isLeft(), text);
--- a/packages/configuration/src/model.ts
+++ b/packages/configuration/src/model.ts
@@ -5,21 +5,29 @@
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "lower case letters, digits and hyphens, at most 63");
 const timeOfDay = z.string().regex(/^(([01]\d|2[0-3]):[0-5]\d|24:00)$/, "a time of day such as 08:30, up to 24:00");
+const authority = z.string().regex(
+    /^(\*|[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])$/,
+    "expected a host name or IP number without port, or `*`",
+);
+const pathPrefix = z.string().regex(/^\/[A-Za-z0-9._~/-]*$/, "expected a plain path such as /orders");
+const method = z.string().regex(/^[A-Z]{1,32}$/, "expected a method in upper case such as POST");
+const headerName = z.string().regex(/^[A-Za-z0-9-]{1,64}$/, "expected the name of a header such as x-caller-kind");
 const milliseconds = z.number().int().positive().max(86_400_000);
 
 const patienceRule = z.strictObject({
     callerKind: name.describe("the kind of caller; `default` serves every caller that names none"),
-    weekdays: z.array(z.enum(weekdays)).nonempty().default([...weekdays]),
-    from: timeOfDay.default("00:00"),
-    to: timeOfDay.default("24:00"),
-    patienceMs: milliseconds,
+    weekdays: z.array(z.enum(weekdays)).nonempty().default([...weekdays])
+        .describe("days on which the rule starts; one over midnight belongs to the day before"),
+    from: timeOfDay.default("00:00").describe("time of day from which the rule goes"),
+    to: timeOfDay.default("24:00").describe("time of day before which it goes; earlier than `from` is over midnight"),
+    patienceMs: milliseconds.describe("how long such a caller waits for its whole answer"),
 });
 
 const backendServer = z.strictObject({
-    name,
-    availabilityZone: name,
-    address: z.union([z.ipv4(), z.ipv6()]).describe("IP number"),
-    port: z.number().int().min(1).max(65_535),
+    name: name.describe("its name within the service"),
+    availabilityZone: name.describe("one of `availabilityZones`"),
+    address: z.union([z.ipv4(), z.ipv6()], { error: "expected an IP number such as 10.0.0.4" }).describe("IP number"),
+    port: z.number().int().min(1).max(65_535).describe("port"),
     slots: z.number().int().min(1).max(4_096).default(3).describe("requests that it runs at the same time"),
     connections: z.number().int().min(1).max(65_536).default(200).describe("connections that it holds open"),
 });
@@ -40,12 +48,16 @@
 });
 
 const service = z.strictObject({
-    name,
-    authorities: z.array(z.string().min(1)).nonempty().describe("values of the Host header, without port; `*` for any"),
-    pathPrefix: z.string().startsWith("/").default("/"),
-    nonIdempotentMethods: z.array(z.string()).default(["POST", "PATCH"]),
-    requireIdempotencyKey: z.boolean().default(false),
-    maximumBodyBytes: z.number().int().min(0).max(4_294_967_295).default(1_048_576),
+    name: name.describe("its name"),
+    authorities: z.array(authority).nonempty()
+        .describe("values of the Host header, without port; `*` for those that no other service matches"),
+    pathPrefix: pathPrefix.default("/").describe("beginning of the paths that it serves"),
+    nonIdempotentMethods: z.array(method).default(["POST", "PATCH"])
+        .describe("methods whose requests run at most once: never retried, never hedged"),
+    requireIdempotencyKey: z.boolean().default(false)
+        .describe("refuse non-idempotent requests that carry no `Idempotency-Key`"),
+    maximumBodyBytes: z.number().int().min(0).max(4_294_967_295).default(1_048_576)
+        .describe("size of a request's body; larger ones are refused with 413"),
     patience: z.array(patienceRule).nonempty(),
     coldStart: coldStart.prefault({}),
     loadMeasuring: loadMeasuring.prefault({}),
@@ -53,15 +65,16 @@
 });
 
 const availabilityZone = z.strictObject({
-    name,
-    region: name.default("local"),
-    state: z.enum(["in", "out"]).default("in"),
+    name: name.describe("its name"),
+    region: name.default("local").describe("region in which it lies"),
+    state: z.enum(["in", "out"]).default("in")
+        .describe("whether it takes new work; where none is written, apply leaves the state that the zone has"),
 });
 
 /** What operators declare, as they write it. */
 export const configurationSchema = z.strictObject({
     timeZone: z.string().default("UTC").describe("IANA name; patience is declared in its wall-clock time"),
-    callerKindHeader: z.string().default("x-caller-kind"),
+    callerKindHeader: headerName.default("x-caller-kind").describe("request header that names the kind of caller"),
     availabilityZones: z.array(availabilityZone).nonempty(),
     services: z.array(service),
 });
--- a/packages/configuration/src/references.ts
+++ b/packages/configuration/src/references.ts
@@ -91,7 +91,7 @@
         if (authority === undefined) {
             continue;
         }
-        const route = `${authority.toLowerCase()}${service.pathPrefix}`;
+        const route = `${authority.toLowerCase()}${service.pathPrefix.replace(/\/+$/, "")}/`;
         const before = routes.declare(route, service.name ?? "?");
         if (before !== undefined) {
             yield {
