Say of each backend server what the platform's list says of its host

status listed backend servers as declared, with the state of their zone alone. The platform's list says which hosts are leaving; it is matched by address, and nothing is said where several hosts have the same one or the list can't be read. The call doesn't fail for that.

--- a/packages/admin/src/__tests__/fakeFleet.ts
+++ b/packages/admin/src/__tests__/fakeFleet.ts
@@ -93,8 +93,10 @@
 /** A host list that a test writes. */
 export class FakeHostList extends HostList {
     hosts: readonly HostEntry[] = [];
+    isDown = false;
 
     override list(): Promise<Either<Failure, readonly HostEntry[]>> {
-        return Promise.resolve(Right(this.hosts));
+        const down = createFailure("storeUnavailable", "the platform does not answer");
+        return Promise.resolve(this.isDown ? Left(down) : Right(this.hosts));
     }
 }
--- a/packages/admin/src/__tests__/operatorCalls.test.ts
+++ b/packages/admin/src/__tests__/operatorCalls.test.ts
@@ -211,13 +211,24 @@
     ]);
 });
 
-test("lists backend servers with the state of their zone", async () => {
-    const calls = createCalls(new FakeCoordinator());
+test("lists backend servers with the state of their zone and host", async () => {
+    const hosts = new FakeHostList();
+    const calls = createCalls(new FakeCoordinator(), hosts);
+    const list = async () => (await calls.listBackendServers("tables")).unsafeCoerce();
     await calls.changeZone(zone("b", "out", "x"));
-    const { revision, servers } = (await calls.listBackendServers("tables")).unsafeCoerce();
+    hosts.hosts = [{ name: "one", address: "10.0.0.1", availabilityZone: "a", state: "leaving" }];
+    const { revision, servers } = await list();
     assert.equal(revision, 2);
-    assert.deepEqual(servers.map(({ server, zoneState }) => [server.name, zoneState]), [["one", "in"], ["two", "out"]]);
+    assert.deepEqual(servers.map(({ server, zoneState, hostState }) => [server.name, zoneState, hostState]), [
+        ["one", "in", HostState.LEAVING],
+        ["two", "out", HostState.UNLISTED],
+    ]);
     assert.equal(servers[0]?.server, resolved.services[0]?.backendServers[0]);
+    hosts.hosts = [...hosts.hosts, { name: "other", address: "10.0.0.1", availabilityZone: "a", state: "live" }];
+    assert.equal((await list()).servers[0]?.hostState, HostState.UNSPECIFIED);
+    hosts.isDown = true;
+    assert.equal((await list()).servers[1]?.hostState, HostState.UNSPECIFIED);
+    assert.equal((await calls.listHosts()).swap().unsafeCoerce().failure.kind, "storeUnavailable");
     const unknown = await calls.listBackendServers("table");
     assert.equal(unknown.swap().unsafeCoerce().failure.kind, "notFound");
 });
--- a/packages/admin/src/operatorCalls.ts
+++ b/packages/admin/src/operatorCalls.ts
@@ -10,12 +10,13 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type Acceptance, type ChangeCoordinator } from "@galenaglade/membership";
 import { type HostList } from "@galenaglade/platform";
+import { HostState } from "@galenaglade/schema";
 import { type Either, Left, Right } from "purify-ts";
 import { type BackendServerObserver, type ServerObservation } from "./backendServerObserver.js";
 import { type CallFailure, createInvalidConfiguration, toCallFailure } from "./callFailure.js";
 import { createStoredChangeId } from "./changeId.js";
 import { maximumConfigurationBytes, zoneChangeTries } from "./constants.js";
-import { type StandingInit, toHostInits, toStandingInit } from "./standingMessages.js";
+import { findHostState, type StandingInit, toHostInits, toStandingInit } from "./standingMessages.js";
 
 /** What the calls are answered from. */
 export interface OperatorCallsOptions {
@@ -48,6 +49,7 @@
     readonly service: string;
     readonly server: Configuration["services"][number]["backendServers"][number];
     readonly zoneState: ZoneState;
+    readonly hostState: HostState;
     readonly observations: readonly ServerObservation[];
 }
 
@@ -192,7 +194,9 @@
         if (serviceName !== "" && services.length === 0) {
             return Left(toCallFailure(createFailure("notFound", `service ${serviceName} is not declared`)));
         }
+        // Neither is worth failing the call for: what is declared is said in any case.
         const observations = await this.#options.observer?.observe() ?? [];
+        const hosts = (await this.#options.hosts.list()).toMaybe().extract();
         const out = new Set(
             configuration.availabilityZones.filter(zone => zone.state === "out").map(({ name }) => name),
         );
@@ -201,6 +205,7 @@
                 service: service.name,
                 server,
                 zoneState: out.has(server.availabilityZone) ? "out" : "in",
+                hostState: hosts === undefined ? HostState.UNSPECIFIED : findHostState(hosts, server.address),
                 observations: observations.filter(seen =>
                     seen.service === service.name && seen.backendServer === server.name
                 ),
--- a/packages/admin/src/operatorRoutes.ts
+++ b/packages/admin/src/operatorRoutes.ts
@@ -88,11 +88,12 @@
     });
 }
 
-function toStatusInit({ service, server, zoneState, observations }: ListedServer) {
+function toStatusInit({ service, server, zoneState, hostState, observations }: ListedServer) {
     return {
         service,
         backendServer: server,
         zoneState: toZoneStateEnum(zoneState),
+        hostState,
         observations: observations.map(({ gateway, state, inFlight }) => ({ gateway, state, inFlight })),
     };
 }
--- a/packages/admin/src/standingMessages.ts
+++ b/packages/admin/src/standingMessages.ts
@@ -47,6 +47,21 @@
     };
 }
 
+/**
+ * Finds the state of the host at an address.
+ *
+ * @param hosts - the platform's list, which lags
+ * @param address - IP number
+ * @returns its state; unspecified where several hosts have the address
+ */
+export function findHostState(hosts: readonly HostEntry[], address: string): HostState {
+    const [host, ...others] = hosts.filter(candidate => candidate.address === address);
+    if (host === undefined) {
+        return HostState.UNLISTED;
+    }
+    return others.length > 0 ? HostState.UNSPECIFIED : hostStates[host.state];
+}
+
 /**
  * Joins the platform's hosts with the gateways that run on them.
  *
--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -223,9 +223,9 @@
         "HOST     ZONE  ADDRESS   STATE",
         "entry-1  a     10.0.0.9  live",
         "",
-        "SERVICE  BACKEND SERVER  ZONE  ADDRESS           STATE",
-        "tables   one             a     10.0.0.1 port 80  declared",
-        "tables   two             b     10.0.0.2 port 80  zone out",
+        "SERVICE  BACKEND SERVER  ZONE  ADDRESS           HOST      STATE",
+        "tables   one             a     10.0.0.1 port 80  unlisted  declared",
+        "tables   two             b     10.0.0.2 port 80  unlisted  zone out",
     ]);
     const json = await runCli(t, [url], ["status", "--json"]);
     const { standing } = JSON.parse(json.out.join("")) as { readonly standing: Readonly<Record<string, unknown>>; };
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -69,7 +69,10 @@
             "",
             ...formatTable(["HOST", "ZONE", "ADDRESS", "STATE"], hosts.map(formatHost)),
             "",
-            ...formatTable(["SERVICE", "BACKEND SERVER", "ZONE", "ADDRESS", "STATE"], servers.map(formatServer)),
+            ...formatTable(
+                ["SERVICE", "BACKEND SERVER", "ZONE", "ADDRESS", "HOST", "STATE"],
+                servers.map(formatServer),
+            ),
         ];
     lines.forEach(line => terminal.out(line));
     return standing.inForce ? exitCodes.ok : exitCodes.notInForce;
@@ -83,7 +86,7 @@
     return [name, availabilityZone, address === "" ? "-" : address, hostStates[state]];
 }
 
-function toServerObject({ service, backendServer, zoneState, observations }: BackendServerStatus) {
+function toServerObject({ service, backendServer, zoneState, hostState, observations }: BackendServerStatus) {
     return {
         service,
         name: backendServer?.name,
@@ -91,6 +94,7 @@
         address: backendServer?.address,
         port: backendServer?.port,
         zoneOut: zoneState === ZoneState.OUT,
+        host: hostStates[hostState],
         observations: observations.map(({ gateway, state, inFlight }) => ({
             gateway,
             state: serverStates[state],
@@ -99,12 +103,15 @@
     };
 }
 
-function formatServer({ service, backendServer, zoneState, observations }: BackendServerStatus): readonly string[] {
+function formatServer(
+    { service, backendServer, zoneState, hostState, observations }: BackendServerStatus,
+): readonly string[] {
     return [
         service,
         backendServer?.name ?? "",
         backendServer?.availabilityZone ?? "",
         `${backendServer?.address ?? ""} port ${backendServer?.port ?? ""}`,
+        hostStates[hostState],
         zoneState === ZoneState.OUT ? "zone out" : describeObservations(observations),
     ];
 }
