Log operators' changes with their outcome, and prove a change over an outage

Nobody watches at night, so what operators changed and whether it came into force has to be found in the morning: each change is a line with its zone, id, revision and outcome. Other calls are logged at debug.

The end-to-end test now makes a change while the store refuses every call: the command ends with 5 at once, and the same command run again twice afterwards takes effect once.

--- a/packages/admin/src/__tests__/adminServer.test.ts
+++ b/packages/admin/src/__tests__/adminServer.test.ts
@@ -1,7 +1,8 @@
-import { type Client, Code, ConnectError, createClient, type Transport } from "@connectrpc/connect";
+import { type Client, Code, ConnectError, createClient, type Interceptor, type Transport } from "@connectrpc/connect";
 import { createConnectTransport, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { FailureSchema, OperatorService, toConfigurationMessage } from "@galenaglade/schema";
 import { Secret } from "@galenaglade/settings";
+import { createLogger } from "@galenaglade/telemetry";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
@@ -62,18 +63,18 @@
     baseUrl: string,
     key = fleetKey,
 ): Client<typeof OperatorService> {
-    const interceptors = [(next: (req: never) => Promise<never>) => (req: never) => {
-        (req as { readonly header: Headers; }).header.set("authorization", `Bearer ${key}`);
+    const authorize: Interceptor = next => req => {
+        req.header.set("authorization", `Bearer ${key}`);
         return next(req);
-    }] as unknown as NonNullable<Parameters<typeof createGrpcTransport>[0]["interceptors"]>;
-    return createClient(OperatorService, createTransport(t, protocol, baseUrl, interceptors));
+    };
+    return createClient(OperatorService, createTransport(t, protocol, baseUrl, [authorize]));
 }
 
 function createTransport(
     t: TestContext,
     protocol: Protocol,
     baseUrl: string,
-    interceptors: NonNullable<Parameters<typeof createGrpcTransport>[0]["interceptors"]>,
+    interceptors: Interceptor[],
 ): Transport {
     if (protocol === "Connect over HTTP/1.1") {
         return createConnectTransport({ baseUrl, httpVersion: "1.1", interceptors });
@@ -330,3 +331,35 @@
     }
     assert.deepEqual(seen, ["standing", "out of order", "standing"]);
 });
+
+test("logs each change with its outcome, and nothing of the key", async t => {
+    const lines: string[] = [];
+    const logger = createLogger({ process: "admin", level: "info", json: true, write: line => lines.push(line) });
+    const { url } = await start(t, { logger });
+    const operator = createOperator(t, "gRPC", url);
+    await operator.takeZoneOut({ name: "a", changeId: "x" });
+    await operator.getStanding({});
+    await codeOf(operator.bringZoneIn({ name: "c", changeId: "y" }));
+    const logged = lines.map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
+    assert.deepEqual(logged.map(({ time, process, ...rest }) => [time !== "", process, rest]), [
+        [true, "admin", {
+            level: "info",
+            message: "call answered",
+            call: "TakeZoneOut",
+            zone: "a",
+            changeId: "x",
+            revision: 2,
+            inForce: true,
+        }],
+        [true, "admin", {
+            level: "warn",
+            message: "call failed",
+            call: "BringZoneIn",
+            zone: "c",
+            changeId: "y",
+            code: "not_found",
+            detail: "availability zone c is not declared; declared: a, b",
+        }],
+    ]);
+    assert.ok(!lines.join("").includes(fleetKey));
+});
--- a/packages/admin/src/adminProcess.ts
+++ b/packages/admin/src/adminProcess.ts
@@ -48,6 +48,7 @@
         maximumMessageBytes: settings.maximumMessageBytes,
         maximumConnections: settings.maximumConnections,
         drainMs: settings.stopping.drainMs,
+        logger,
     });
     return {
         logger,
--- a/packages/admin/src/adminServer.ts
+++ b/packages/admin/src/adminServer.ts
@@ -1,11 +1,13 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { type Secret } from "@galenaglade/settings";
+import { type Logger } from "@galenaglade/telemetry";
 import { once } from "node:events";
 import * as http from "node:http";
 import * as http2 from "node:http2";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { Authorization } from "./authorization.js";
+import { createCallLog } from "./callLog.js";
 import { Connection } from "./connection.js";
 import {
     idleTimeoutMs,
@@ -32,6 +34,8 @@
     readonly maximumConnections: number;
     /** Time for the calls in flight to finish when the server stops, in milliseconds. */
     readonly drainMs: number;
+    /** Gets a line for each call; without one, nothing is logged. */
+    readonly logger?: Logger | undefined;
     /** Time in which a request must have arrived, in milliseconds. */
     readonly requestTimeoutMs?: number | undefined;
 }
@@ -54,6 +58,7 @@
         this.#authorization = new Authorization(options.fleetKey);
         this.#handleCall = connectNodeAdapter({
             routes: createOperatorRoutes(options.calls, options.feed),
+            interceptors: options.logger === undefined ? [] : [createCallLog(options.logger)],
             readMaxBytes: options.maximumMessageBytes,
             maxTimeoutMs: maximumCallTimeoutMs,
             shutdownSignal: this.#shutdown.signal,
--- a/packages/cli/src/__tests__/endToEnd.test.ts
+++ b/packages/cli/src/__tests__/endToEnd.test.ts
@@ -1,5 +1,5 @@
 import { type ConfigurationInput } from "@galenaglade/configuration";
-import { Fleet, FleetConfigurer } from "@galenaglade/stand-ins";
+import { Fleet, FleetConfigurer, type PlatformFaults } from "@galenaglade/stand-ins";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { request } from "undici";
@@ -43,18 +43,35 @@
 test("a change whose answer the store loses is stored once and reported as in force", async t => {
     // The store takes the operators' server's write and closes the connection without an answer. The server has to
     // find out by reading back that the zone is out; a second write would show as revision 3.
-    const faults = await request(`${fleet.platformUrl}/faults`, {
-        method: "PUT",
-        body: JSON.stringify({ loseAnswers: 1 }),
-    });
-    await faults.body.dump();
-    assert.equal(faults.statusCode, 200);
+    await setPlatformFaults({ loseAnswers: 1 });
     const { code, out } = await runCli(t, [fleet.adminUrl], ["zone", "out", "a"], { key: fleet.fleetKey });
     assert.equal(code, 0);
     assert.match(out[0] ?? "", /^revision 2: in force/);
     assert.equal(out[1], "availability zones out: a");
 });
 
+test("a change during an outage of the store ends with 5, and takes effect once when it is run again", async t => {
+    // The store refuses every call. The operator is told at once that there was no answer, rather than left to wait;
+    // the same command with the same id is run again after the outage, and then once more by mistake.
+    const zone = () =>
+        runCli(t, [fleet.adminUrl], ["zone", "in", "a", "--change-id", "outage"], { key: fleet.fleetKey });
+    await setPlatformFaults({ down: "refusing" });
+    const during = await zone();
+    assert.equal(during.code, 5);
+    assert.match(during.err.join("\n"), /^storeUnavailable/);
+    await setPlatformFaults({});
+    for (const ended of [await zone(), await zone()]) {
+        assert.equal(ended.code, 0);
+        assert.match(ended.out.join(), /^revision 3: in force/);
+    }
+});
+
+async function setPlatformFaults(faults: Partial<PlatformFaults>): Promise<void> {
+    const res = await request(`${fleet.platformUrl}/faults`, { method: "PUT", body: JSON.stringify(faults) });
+    await res.body.dump();
+    assert.equal(res.statusCode, 200);
+}
+
 test("two operators take both zones out and bring them in at the same moment", async t => {
     const zone = (state: string, name: string) =>
         runCli(t, [fleet.adminUrl], ["zone", state, name], { key: fleet.fleetKey });
@@ -64,7 +81,7 @@
     }
     const { code, out } = await runCli(t, [fleet.adminUrl], ["status"], { key: fleet.fleetKey });
     assert.equal(code, 0);
-    assert.match(out[0] ?? "", /^revision 6: in force/);
+    assert.match(out[0] ?? "", /^revision 7: in force/);
     assert.equal(out[1], "");
 });
 
@@ -81,14 +98,14 @@
             if (seen.length === 1) {
                 void other.apply(fleet.configuration);
             }
-            else if (line.startsWith("revision 7: in force")) {
+            else if (line.startsWith("revision 8: in force")) {
                 interrupt.abort();
             }
         },
     });
     await other.close();
     assert.equal(watch.code, 0);
-    assert.match(seen[0] ?? "", /^revision 6: in force/);
+    assert.match(seen[0] ?? "", /^revision 7: in force/);
 });
 
 test("the planned stop ends every process with code 0", async () => {
