--- a/packages/admin/src/__tests__/operatorCalls.test.ts
+++ b/packages/admin/src/__tests__/operatorCalls.test.ts
@@ -1,5 +1,5 @@
 import { type Configuration } from "@galenaglade/configuration";
-import { checkZoneChanges, type ZoneChangeLine } from "@galenaglade/history";
+import { checkOperatorChanges, type OperatorChangeLine } from "@galenaglade/history";
 import { HostState } from "@galenaglade/schema";
 import fc from "fast-check";
 import assert from "node:assert/strict";
@@ -47,7 +47,7 @@
         maxLength: 5,
     });
     const run = fc.asyncProperty(fc.scheduler(), operators, fc.nat(3), async (scheduler, changes, lost) => {
-        const history: ZoneChangeLine[] = [];
+        const history: OperatorChangeLine[] = [];
         const coordinator = new FakeCoordinator();
         coordinator.answersToLose = lost;
         coordinator.turn = step => scheduler.schedule(Promise.resolve(), step);
@@ -68,7 +68,7 @@
             }
         });
         await scheduler.waitFor(Promise.all(runs));
-        assert.deepEqual(checkZoneChanges(history, { a: "in", b: "in" }), []);
+        assert.deepEqual(checkOperatorChanges(history, { a: "in", b: "in" }), []);
     });
     await fc.assert(run, { numRuns: 200, includeErrorInReport: true });
 });
--- a/packages/history/src/__tests__/zoneChangeChecker.test.ts
+++ b/packages/history/src/__tests__/operatorChangeChecker.test.ts
@@ -1,26 +1,27 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { checkZoneChanges, type ZoneChangeLine, type ZoneStates } from "../index.js";
+import { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "../index.js";
 
 const initial: ZoneStates = { a: "in", b: "in" };
-const call = (changeId: string, availabilityZone: string): ZoneChangeLine => ({
+const call = (changeId: string, availabilityZone: string): OperatorChangeLine => ({
     type: "zoneChangeCalled",
     changeId,
     availabilityZone,
     state: "out",
 });
-const store = (changeId: string, revision: number, a: "in" | "out", b: "in" | "out"): ZoneChangeLine => ({
+const store = (changeId: string, revision: number, a: "in" | "out", b: "in" | "out"): OperatorChangeLine => ({
     type: "revisionStored",
     changeId,
     revision,
     states: { a, b },
 });
-const answer = (changeId: string, revision: number): ZoneChangeLine => ({
+const answer = (changeId: string, revision: number): OperatorChangeLine => ({
     type: "zoneChangeAnswered",
     changeId,
     revision,
 });
-const detailsOf = (history: readonly ZoneChangeLine[]) => checkZoneChanges(history, initial).map(found => found.detail);
+const detailsOf = (history: readonly OperatorChangeLine[]) =>
+    checkOperatorChanges(history, initial).map(found => found.detail);
 
 test("accepts two changes at once, one of them called again", () => {
     const history = [
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -7,8 +7,8 @@
     checkConfigurationOrder,
 } from "./configurationChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
+export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
 export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
-export { checkZoneChanges, type ZoneChangeLine, type ZoneStates } from "./zoneChangeChecker.js";
--- a/packages/history/src/zoneChangeChecker.ts
+++ b/packages/history/src/operatorChangeChecker.ts
@@ -4,7 +4,7 @@
 export type ZoneStates = Readonly<Record<string, "in" | "out">>;
 
 /** One line of the history of operators' zone changes, in the order in which they happened. */
-export type ZoneChangeLine =
+export type OperatorChangeLine =
     /** A change was called; a call that goes unanswered is called again under the same id. */
     | {
         readonly type: "zoneChangeCalled";
@@ -22,8 +22,8 @@
     /** An operator was told that the change is stored. */
     | { readonly type: "zoneChangeAnswered"; readonly changeId: string; readonly revision: number; };
 
-type Called = Extract<ZoneChangeLine, { readonly type: "zoneChangeCalled"; }>;
-type Stored = Extract<ZoneChangeLine, { readonly type: "revisionStored"; }>;
+type Called = Extract<OperatorChangeLine, { readonly type: "zoneChangeCalled"; }>;
+type Stored = Extract<OperatorChangeLine, { readonly type: "revisionStored"; }>;
 
 /**
  * Checks that operators' zone changes are linearizable: each takes effect once at most, between its first call and its
@@ -33,13 +33,16 @@
  * @param initial - states before the run
  * @returns what was found against it, with the lines' indexes; empty where the invariant held
  */
-export function checkZoneChanges(history: readonly ZoneChangeLine[], initial: ZoneStates): readonly Violation[] {
+export function checkOperatorChanges(
+    history: readonly OperatorChangeLine[],
+    initial: ZoneStates,
+): readonly Violation[] {
     const called = new Map<string, Called>();
     const stored = new Map<string, Stored>();
     const violations: Violation[] = [];
     let states = initial;
     for (const [i, line] of history.entries()) {
-        const report = (detail: string) => violations.push({ invariant: "zoneChanges", detail, lines: [i] });
+        const report = (detail: string) => violations.push({ invariant: "operatorChanges", detail, lines: [i] });
         switch (line.type) {
             case "zoneChangeCalled":
                 called.set(line.changeId, line);
