Read configuration files of the target size

The limit for files was the store's megabyte, which refused such a file with a fault about its size alone.

--- a/packages/settings/src/adminSettings.ts
+++ b/packages/settings/src/adminSettings.ts
@@ -12,7 +12,7 @@
     fleetKey,
     acceptWaitMs: milliseconds.max(60_000).default(10_000)
         .describe("how long a call that changes the configuration waits until the change is in force"),
-    maximumMessageBytes: z.number().int().min(1_024).max(4_194_304).default(1_048_576)
+    maximumMessageBytes: z.number().int().min(1_024).max(16_777_216).default(4_194_304)
         .describe("size of one call's message; larger ones are refused"),
     maximumConnections: z.number().int().min(1).max(10_000).default(100)
         .describe("operators' connections held at once; more are closed"),
