--- a/packages/standIns/src/backendServer/backendServer.ts
+++ b/packages/standIns/src/backendServer/backendServer.ts
@@ -14,8 +14,11 @@
 import { type HistoryRecorder, NoHistory } from "../recording/historyFile.js";
 import { type BackendAnswer, backendHeaders, digest } from "./answer.js";
 import { type BackendFaults, backendFaultsSchema } from "./backendFaults.js";
+import { type LoadReport, LoadReports } from "./loadReports.js";
 import { readRequestFacts, readText, type RequestFacts } from "./requestFacts.js";
-import { defaultServerCapacity, type ServerCapacity, ServerModel, type ServerState } from "./serverModel.js";
+import { defaultServerCapacity, type ServerCapacity, ServerModel } from "./serverModel.js";
+import { SlotQueue } from "./slotQueue.js";
+import { resolveRemainingMs, work } from "./work.js";
 import { drawWorkMs, type WorkTimeOptions } from "./workTime.js";
 
 /** How a stand-in backend server is set up. */
@@ -32,14 +35,6 @@
     readonly history?: HistoryRecorder | undefined;
 }
 
-/** What `/load` and `/health` say. */
-export interface LoadReport {
-    readonly state: ServerState;
-    readonly inFlight: number;
-    readonly bears: number;
-    readonly incarnation: string;
-}
-
 /** What `/counters` says. */
 export interface BackendCounters {
     readonly started: number;
@@ -55,16 +50,6 @@
 const defaultWorkTime: WorkTimeOptions = { medianMs: 20, sigma: 0.5 };
 /** How long a fallen server takes over each error. */
 const lateErrorMs = 1_000;
-/** How many load reports are kept for a lagging one. */
-const reportsKept = 10_000;
-
-type Outcome = "done" | "cancelled" | "deadline";
-
-interface TimedReport {
-    readonly atMs: number;
-    readonly report: LoadReport;
-}
-
 /** The stand-in backend server: slots, cold start, drain and faults behind HTTP. */
 export class BackendServer {
     readonly #options: BackendServerOptions;
@@ -72,13 +57,12 @@
     readonly #random: RandomSource;
     readonly #model: ServerModel;
     readonly #firstLife = process.pid;
-    /** Requests that wait for a slot, in order: how to start each, and how to give it up. */
-    readonly #waiting = new Map<() => void, () => void>();
+    readonly #queue: SlotQueue;
+    readonly #reports = new LoadReports();
     readonly #silentSockets = new WeakSet<Socket>();
     readonly #sockets = new Set<Socket>();
     /** Connections on which faults are switched; a restart spares them, so that the switch is answered. */
     readonly #controlSockets = new WeakSet<Socket>();
-    readonly #reports: TimedReport[] = [];
     readonly #counters = { started: 0, finished: 0, shed: 0, cancelled: 0, probes: 0 };
     #faults: BackendFaults = backendFaultsSchema.parse({});
     #listening: ListeningServer | undefined;
@@ -88,6 +72,7 @@
         this.#history = options.history ?? new NoHistory();
         this.#random = createRandomSource(options.seed ?? 1);
         this.#model = new ServerModel({ ...defaultServerCapacity, ...options.capacity }, options.startsCold !== true);
+        this.#queue = new SlotQueue(this.#model);
     }
 
     /** Starts one. */
@@ -163,9 +148,7 @@
     /** A restart closes every connection; turning cold unannounced only sheds what waits. */
     #turnCold(restarted: boolean): void {
         this.#model.turnCold(restarted);
-        for (const giveUp of [...this.#waiting.values()]) {
-            giveUp();
-        }
+        this.#queue.giveUpAll();
         if (!restarted) {
             return;
         }
@@ -207,7 +190,7 @@
         if (this.#isSilent(req)) {
             return;
         }
-        const report = this.#toldLoad();
+        const report = this.#reports.resolve(this.load, this.#faults, performance.now());
         this.#describe(res, report);
         sendJson(res, 200, report);
     }
@@ -225,12 +208,12 @@
             return;
         }
         const admission = this.#faults.shed ? "shed" : this.#model.admit(arrivedAtMs);
-        this.#noteLoad(arrivedAtMs);
+        this.#reports.note(this.load, arrivedAtMs);
         if (admission === "shed") {
             this.#shed(res, "too many requests in flight");
             return;
         }
-        if (admission === "queue" && !await this.#waitForSlot(res, remaining(facts, arrivedAtMs))) {
+        if (admission === "queue" && !await this.#queue.wait(res, resolveRemainingMs(facts, arrivedAtMs))) {
             this.#shed(res, "it waited for a slot in vain");
             return;
         }
@@ -247,16 +230,16 @@
     ): Promise<void> {
         this.#recordStart(facts);
         const failing = fallen || this.#faults.failFast;
-        const outcome = await work(res, this.#resolveWorkMs(facts, fallen), remaining(facts, arrivedAtMs));
+        const outcome = await work(res, this.#resolveWorkMs(facts, fallen), resolveRemainingMs(facts, arrivedAtMs));
         this.#model.end(outcome === "done" && !failing);
-        this.#noteLoad(performance.now());
+        this.#reports.note(this.load, performance.now());
         this.#history.record({
             type: "serverEnded",
             requestId: facts.requestId,
             server: this.#options.name,
             incarnation: this.load.incarnation,
         });
-        this.#startNext();
+        this.#queue.startNext();
         if (outcome === "cancelled") {
             this.#counters.cancelled++;
             return;
@@ -312,36 +295,6 @@
         sendJson(res, 503, { error: reason });
     }
 
-    /** @returns whether a slot came free before the caller went away or its deadline passed */
-    #waitForSlot(res: ServerResponse, deadlineMs: number | undefined): Promise<boolean> {
-        return new Promise(resolve => {
-            const settle = (started: boolean): void => {
-                clearTimeout(timer);
-                res.off("close", giveUp);
-                resolve(started);
-            };
-            const start = (): void => settle(true);
-            const giveUp = (): void => {
-                this.#waiting.delete(start);
-                this.#model.abandonQueued();
-                settle(false);
-            };
-            this.#waiting.set(start, giveUp);
-            res.once("close", giveUp);
-            const timer = deadlineMs === undefined ? undefined : setTimeout(giveUp, deadlineMs);
-        });
-    }
-
-    #startNext(): void {
-        for (const start of [...this.#waiting.keys()]) {
-            if (!this.#model.startQueued()) {
-                return;
-            }
-            this.#waiting.delete(start);
-            start();
-        }
-    }
-
     #resolveWorkMs(facts: RequestFacts, fallen: boolean): number {
         if (fallen) {
             return lateErrorMs;
@@ -375,27 +328,6 @@
         res.setHeader(backendHeaders.bears, report.bears);
     }
 
-    #toldLoad(): LoadReport {
-        switch (this.#faults.loadReport) {
-            case "true":
-                return this.load;
-            case "zero":
-                return { ...this.load, inFlight: 0 };
-            case "lagging": {
-                const beforeMs = performance.now() - this.#faults.loadLagMs;
-                const told = this.#reports.findLast(({ atMs }) => atMs <= beforeMs);
-                return told?.report ?? { ...this.load, inFlight: 0 };
-            }
-        }
-    }
-
-    #noteLoad(atMs: number): void {
-        this.#reports.push({ atMs, report: this.load });
-        if (this.#reports.length > reportsKept) {
-            this.#reports.splice(0, reportsKept / 2);
-        }
-    }
-
     #isSilent(req: IncomingMessage): boolean {
         switch (this.#faults.silent) {
             case "no":
@@ -407,26 +339,3 @@
         }
     }
 }
-
-function remaining(facts: RequestFacts, arrivedAtMs: number): number | undefined {
-    return facts.deadlineMs === undefined ? undefined : arrivedAtMs + facts.deadlineMs - performance.now();
-}
-
-/** Works for a time, unless the caller goes away or its deadline passes first. */
-function work(res: ServerResponse, workMs: number, deadlineMs: number | undefined): Promise<Outcome> {
-    return new Promise(resolve => {
-        if (res.closed) {
-            resolve("cancelled");
-            return;
-        }
-        const late = deadlineMs !== undefined && deadlineMs < workMs;
-        const timer = setTimeout(() => settle(late ? "deadline" : "done"), late ? deadlineMs : workMs);
-        const cancel = (): void => settle("cancelled");
-        const settle = (outcome: Outcome): void => {
-            clearTimeout(timer);
-            res.off("close", cancel);
-            resolve(outcome);
-        };
-        res.once("close", cancel);
-    });
-}
--- a/packages/standIns/src/fleet/fleet.ts
+++ b/packages/standIns/src/fleet/fleet.ts
@@ -6,11 +6,12 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { stringify } from "yaml";
 import { type WorkTimeOptions } from "../backendServer/workTime.js";
 import { type StartedProcess, startProcess } from "../processes/startProcess.js";
 import { placeOnLoopback } from "./fleetConfiguration.js";
+import { type GatewayPorts, renderAdminSettings, renderGatewaySettings, type SharedSettings } from "./fleetSettings.js";
 import { findFreePorts } from "./freePorts.js";
+import { untilReady } from "./readiness.js";
 
 /** What a fleet on loopback consists of. */
 export interface FleetOptions {
@@ -129,20 +130,15 @@
             : [];
     }
 
-    /** Waits until every gateway says that it is ready. */
+    /**
+     * Waits until every gateway says that it is ready.
+     *
+     * @throws Error where one ended, or isn't ready in time
+     */
     async becomeReady(withinMs = 60_000): Promise<void> {
         const untilMs = performance.now() + withinMs;
-        for (const gateway of this.#gateways) {
-            for (
-                let reason = await readReadiness(gateway);
-                reason !== undefined;
-                reason = await readReadiness(gateway)
-            ) {
-                if (performance.now() > untilMs || gateway.process.exit !== undefined) {
-                    throw new Error(`${gateway.name} is not ready: ${reason}`);
-                }
-                await new Promise(resolve => setTimeout(resolve, 100));
-            }
+        for (const { process, operationsUrl } of this.#gateways) {
+            await untilReady(process, operationsUrl, untilMs);
         }
     }
 
@@ -238,44 +234,29 @@
         this.#progress(`${this.#options.gateways} gateways`);
         const zones = this.#options.configuration.availabilityZones;
         const numbers = Array.from({ length: this.#options.gateways }, (_, i) => i);
-        const peerPorts = numbers.map(i => ports[i * portsPerGateway] ?? 0);
-        await eachOf(numbers, async i => {
+        const allPorts = numbers.map(i => resolvePorts(ports.slice(i * portsPerGateway)));
+        await eachOf(allPorts, async (own, i) => {
             const name = `gateway-${i + 1}`;
             const availabilityZone = zones[i % zones.length]?.name ?? "";
-            const operationsPort = ports[i * portsPerGateway + 1] ?? 0;
-            const settings = this.#writeSettings(name, {
+            const others = allPorts.map(({ peers }) => peers).filter(port => port !== own.peers);
+            const settings = this.#writeSettings(
                 name,
-                availabilityZone,
-                callers: { address: "127.0.0.1", port: ports[i * portsPerGateway + 2] },
-                peers: {
-                    address: "127.0.0.1",
-                    port: peerPorts[i],
-                    seeds: peerPorts.filter((_, j) => j !== i).map(port => `127.0.0.1:${port}`),
-                },
-                operations: { port: operationsPort },
-                platform: { address: this.platformUrl },
-                fleetKey: { value: this.fleetKey },
-                stopping: { balancerWaitMs: 100 },
-            });
+                renderGatewaySettings(name, availabilityZone, own, others, this.#shared),
+            );
             const process = await startProcess({
                 name,
                 script: program.script,
                 logPath: this.#logPath(name),
                 args: ["--settings", settings, ...program.args],
             });
-            const operationsUrl = `http://127.0.0.1:${operationsPort}`;
+            const operationsUrl = `http://127.0.0.1:${own.operations}`;
             this.#gateways.push({ name, availabilityZone, process, operationsUrl });
         });
     }
 
     async #startAdmin(port: number): Promise<void> {
         this.#progress("admin");
-        const settings = this.#writeSettings("admin", {
-            address: "127.0.0.1",
-            port,
-            platform: { address: this.platformUrl },
-            fleetKey: { value: this.fleetKey },
-        });
+        const settings = this.#writeSettings("admin", renderAdminSettings(port, this.#shared));
         this.#admin = await startProcess({
             name: "admin",
             script: scripts.admin,
@@ -295,9 +276,13 @@
         await res.body.dump();
     }
 
-    #writeSettings(name: string, settings: unknown): string {
+    get #shared(): SharedSettings {
+        return { platformUrl: this.platformUrl, fleetKey: this.fleetKey };
+    }
+
+    #writeSettings(name: string, settings: string): string {
         const path = join(this.directory, `${name}.yaml`);
-        writeFileSync(path, stringify(settings), { mode: 0o600 });
+        writeFileSync(path, settings, { mode: 0o600 });
         return path;
     }
 
@@ -318,16 +303,8 @@
     return fileURLToPath(new URL(relative, import.meta.url));
 }
 
-/** @returns why the gateway isn't ready, or `undefined` where it is */
-async function readReadiness(gateway: FleetGateway): Promise<string | undefined> {
-    try {
-        const res = await request(`${gateway.operationsUrl}/readyz`);
-        const reason = await res.body.text();
-        return res.statusCode === 200 ? undefined : reason.trim();
-    }
-    catch (err) {
-        return err instanceof Error ? err.message : "failed";
-    }
+function resolvePorts([callers = 0, peers = 0, operations = 0]: readonly number[]): GatewayPorts {
+    return { callers, peers, operations };
 }
 
 async function eachOf<T>(items: readonly T[], run: (item: T, i: number) => Promise<void>): Promise<void> {
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -1,12 +1,8 @@
 /** Small stand-ins for the systems that galenaglade serves and uses; for tests, benches and the playground only. */
 export { type BackendAnswer, backendAnswerSchema, backendHeaders, digest } from "./backendServer/answer.js";
 export { type BackendFaults, backendFaultsSchema } from "./backendServer/backendFaults.js";
-export {
-    type BackendCounters,
-    BackendServer,
-    type BackendServerOptions,
-    type LoadReport,
-} from "./backendServer/backendServer.js";
+export { type BackendCounters, BackendServer, type BackendServerOptions } from "./backendServer/backendServer.js";
+export { type LoadReport } from "./backendServer/loadReports.js";
 export {
     defaultServerCapacity,
     type ServerCapacity,
