Keep the turns of services apart in the round robin baseline

Cause: the policy remembered the name of the last server over all services. Where requests of services come by turns, each change fell back to the first server of the other service.

Change: each server has its own last turn, and the one whose turn is longest ago goes next.

--- a/packages/routing/src/__tests__/policies.test.ts
+++ b/packages/routing/src/__tests__/policies.test.ts
@@ -5,6 +5,7 @@
     type Candidate,
     createRandomSource,
     createRoutingPolicy,
+    createServerId,
     type RoutingPolicy,
     routingPolicyNames,
 } from "../index.js";
@@ -81,3 +82,19 @@
     });
     assert.deepEqual(visited, ["a", "b", "c", "a"]);
 });
+
+test("round robin keeps the turns of services apart", () => {
+    // Two services share the gateway and so the policy, and their requests come by turns.
+    // A turn kept as the last server's name fell back to the first server of either service at each change, which got
+    // nearly all of its requests: the callers saw a third of them refused at 75 in 100 of what all servers can bear.
+    const policy = mustCreate("roundRobin");
+    const random = createRandomSource(1);
+    const describe = (service: string) => (name: string) =>
+        describeCandidate(name, { serverId: createServerId(service, name) });
+    const tables = ["table-1", "table-2", "table-3"].map(describe("tables"));
+    const desks = ["desk-1", "desk-2", "desk-3"].map(describe("desks"));
+    const visited = [tables, desks, tables, desks, tables, desks].map(candidates => {
+        return candidates[policy.choose(candidates, random)]?.server.name;
+    });
+    assert.deepEqual(visited, ["table-1", "desk-1", "table-2", "desk-2", "table-3", "desk-3"]);
+});
--- a/packages/routing/src/policies.ts
+++ b/packages/routing/src/policies.ts
@@ -1,6 +1,7 @@
 import { hotQuantile, sampleSize } from "./constants.js";
 import { type RandomSource } from "./randomSource.js";
 import { type Candidate, RoutingPolicy } from "./routingPolicy.js";
+import { type ServerId } from "./serverSignal.js";
 
 /** Everybody's requests in flight as far as known; own counts are current, others' may be missing. */
 function knownInFlight(candidate: Candidate): number {
@@ -59,16 +60,19 @@
 /** Baseline: one after the other. */
 export class RoundRobinPolicy extends RoutingPolicy {
     override readonly name = "roundRobin";
-    #last = "";
+    readonly #turns = new Map<ServerId, number>();
+    #turn = 0;
 
     override choose(candidates: readonly Candidate[]): number {
-        // Remembering the name, not the position, keeps the turn when candidates come and go.
-        let next = candidates.findIndex(candidate => candidate.server.name > this.#last);
-        if (next < 0) {
-            next = 0;
+        // A position would lose the turn when candidates come and go, and so would one name when requests of another
+        // service come in between: the first server of either would get nearly all. Each server's own last turn can't.
+        const all = candidates.map((_, i) => i);
+        const chosen = lowest(candidates, all, candidate => this.#turns.get(candidate.serverId) ?? 0);
+        const server = candidates[chosen]?.serverId;
+        if (server !== undefined) {
+            this.#turns.set(server, ++this.#turn);
         }
-        this.#last = candidates[next]?.server.name ?? "";
-        return next;
+        return chosen;
     }
 }
 
