--- a/packages/standIns/src/fleet/fleet.ts
+++ b/packages/standIns/src/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { type WorkTimeOptions } from "../backendServer/workTime.js";
-import { type StartedProcess, startProcess } from "../processes/startProcess.js";
+import { type StartedProcess, startProcess, type StartProcessOptions } from "../processes/startProcess.js";
 import { placeOnLoopback } from "./fleetConfiguration.js";
 import { type GatewayPorts, renderAdminSettings, renderGatewaySettings, type SharedSettings } from "./fleetSettings.js";
 import { findFreePorts } from "./freePorts.js";
@@ -24,6 +24,8 @@
     /** Whether histories are kept, see {@link Fleet.histories}. */
     readonly history?: boolean | undefined;
     readonly workTime?: WorkTimeOptions | undefined;
+    /** See {@link StartProcessOptions.ownGroup}. */
+    readonly ownGroup?: boolean | undefined;
     /** Says what is being started. */
     readonly onProgress?: ((text: string) => void) | undefined;
 }
@@ -97,11 +99,11 @@
     }
 
     get backendServers(): readonly FleetBackendServer[] {
-        return this.#backendServers;
+        return this.#backendServers.toSorted((a, b) => compareNames(a.name, b.name));
     }
 
     get gateways(): readonly FleetGateway[] {
-        return this.#gateways;
+        return this.#gateways.toSorted((a, b) => compareNames(a.name, b.name));
     }
 
     get platformUrl(): string {
@@ -186,10 +188,9 @@
 
     async #startAll(): Promise<void> {
         this.#progress("stand-in platform");
-        this.#platform = await startProcess({
+        this.#platform = await this.#startProcess({
             name: "platform",
             script: scripts.platform,
-            logPath: this.#logPath("platform"),
         });
         await this.#startBackendServers();
         const ports = await findFreePorts(this.#options.gateways * portsPerGateway + 1);
@@ -207,10 +208,9 @@
         this.#progress(`${declared.length} backend servers`);
         const workTime = this.#options.workTime;
         await eachOf(declared, async ({ service, server }, i) => {
-            const process = await startProcess({
+            const process = await this.#startProcess({
                 name: `${service}/${server.name}`,
                 script: scripts.backendServer,
-                logPath: this.#logPath(server.name),
                 args: [
                     ...["--name", server.name, "--zone", server.availabilityZone, "--seed", String(i + 1)],
                     ...server.slots === undefined ? [] : ["--slots", String(server.slots)],
@@ -243,10 +243,9 @@
                 name,
                 renderGatewaySettings(name, availabilityZone, own, others, this.#shared),
             );
-            const process = await startProcess({
+            const process = await this.#startProcess({
                 name,
                 script: program.script,
-                logPath: this.#logPath(name),
                 args: ["--settings", settings, ...program.args],
             });
             const operationsUrl = `http://127.0.0.1:${own.operations}`;
@@ -257,10 +256,9 @@
     async #startAdmin(port: number): Promise<void> {
         this.#progress("admin");
         const settings = this.#writeSettings("admin", renderAdminSettings(port, this.#shared));
-        this.#admin = await startProcess({
+        this.#admin = await this.#startProcess({
             name: "admin",
             script: scripts.admin,
-            logPath: this.#logPath("admin"),
             args: ["--settings", settings],
         });
     }
@@ -276,6 +274,11 @@
         await res.body.dump();
     }
 
+    #startProcess(options: Omit<StartProcessOptions, "logPath">): Promise<StartedProcess> {
+        const logName = options.name.replace("/", "-");
+        return startProcess({ ...options, ownGroup: this.#options.ownGroup, logPath: this.#logPath(logName) });
+    }
+
     get #shared(): SharedSettings {
         return { platformUrl: this.platformUrl, fleetKey: this.fleetKey };
     }
@@ -303,17 +306,28 @@
     return fileURLToPath(new URL(relative, import.meta.url));
 }
 
+/** `gateway-10` comes after `gateway-9`. */
+function compareNames(a: string, b: string): number {
+    return a.localeCompare(b, "en", { numeric: true });
+}
+
 function resolvePorts([callers = 0, peers = 0, operations = 0]: readonly number[]): GatewayPorts {
     return { callers, peers, operations };
 }
 
+/** Runs a few at once; where one fails, waits for those under way, so that none starts after all were stopped. */
 async function eachOf<T>(items: readonly T[], run: (item: T, i: number) => Promise<void>): Promise<void> {
-    let next = 0;
+    const left = [...items.entries()];
     const work = async (): Promise<void> => {
-        while (next < items.length) {
-            const i = next++;
-            await run(items[i] as T, i);
+        for (let next = left.shift(); next !== undefined; next = left.shift()) {
+            const [i, item] = next;
+            await run(item, i);
         }
     };
-    await Promise.all(Array.from({ length: startedAtOnce }, work));
+    const ends = await Promise.allSettled(Array.from({ length: startedAtOnce }, work));
+    for (const end of ends) {
+        if (end.status === "rejected") {
+            throw end.reason;
+        }
+    }
 }
--- a/packages/standIns/src/fleet/operator.ts
+++ b/packages/standIns/src/fleet/operator.ts
@@ -28,7 +28,9 @@
      * @throws ConnectError where it was refused, or isn't in force in time
      */
     async apply(cfg: ConfigurationInput): Promise<Standing | undefined> {
+        const { revision } = await this.#client.getConfiguration({});
         const res = await this.#client.applyConfiguration({
+            expectedRevision: revision,
             changeId: randomUUID(),
             configuration: toConfigurationMessage(cfg),
         });
--- a/packages/standIns/src/processes/startProcess.ts
+++ b/packages/standIns/src/processes/startProcess.ts
@@ -13,6 +13,11 @@
     readonly logPath?: string | undefined;
     /** Finds the address in a printed line; by default the ready line of the stand-ins. */
     readonly findReady?: ((line: string) => string | undefined) | undefined;
+    /**
+     * Keeps the terminal's Ctrl-C from it, for a starter that stops what it started in an order of its own: the
+     * platform would otherwise be gone before gateways had given back their leases.
+     */
+    readonly ownGroup?: boolean | undefined;
     /** Wide limit on the time to become ready, in milliseconds. */
     readonly readyWithinMs?: number | undefined;
 }
@@ -101,9 +106,7 @@
     const loader = options.script.endsWith(".ts") ? ["--import", "tsx"] : [];
     const child = spawn(process.execPath, [...loader, options.script, ...options.args ?? []], {
         stdio: ["ignore", "pipe", "pipe"],
-        // A group of its own: Ctrl-C would otherwise reach all at once, and the platform would be gone before the
-        // gateways had given back their leases.
-        detached: true,
+        detached: options.ownGroup ?? false,
     });
     const started = new StartedProcess(options.name, child);
     const log = options.logPath === undefined ? undefined : createWriteStream(options.logPath, { flags: "a" });
@@ -126,6 +129,7 @@
     const url = await settleFirst(ready, started, options.readyWithinMs ?? defaultReadyWithinMs);
     if (url === undefined) {
         started.kill();
+        await started.exited;
         throw new Error(`${options.name} did not become ready:\n${lastLines.join("\n")}`);
     }
     started.becomeReady(url);
--- a/playground/up.ts
+++ b/playground/up.ts
@@ -5,7 +5,14 @@
 import { request } from "undici";
 import { parse } from "yaml";
 import { type ConfigurationInput } from "@galenaglade/configuration";
-import { backendHeaders, Fleet, limitBackendServers, Operator, resolveOutcome } from "@galenaglade/stand-ins";
+import {
+    backendAnswerSchema,
+    backendHeaders,
+    Fleet,
+    limitBackendServers,
+    Operator,
+    resolveOutcome,
+} from "@galenaglade/stand-ins";
 
 const usage = `usage: npm run up -- [--configuration FILE] [--small] [--gateways N] [--once]
     --configuration FILE  what to declare; playground/lonestat.yaml where none is given
@@ -14,6 +21,8 @@
     --once                sends a few requests, prints the answers, stops all and exits with 0 or 1`;
 
 const smallPerService = 2;
+/** Of an answer that isn't a backend server's. */
+const shownCharacters = 200;
 
 type ServiceInput = ConfigurationInput["services"][number];
 
@@ -35,12 +44,15 @@
 }
 
 async function run(): Promise<number> {
+    // From the first moment on: what was started by then would otherwise be left behind.
+    const interrupted = untilInterrupted();
     const declared = parse(readFileSync(values.configuration, "utf8")) as ConfigurationInput;
     const configuration = values.small ? limitBackendServers(declared, smallPerService) : declared;
     const fleet = await Fleet.start({
         configuration,
         gateways: Number(values.gateways),
         admin: true,
+        ownGroup: true,
         onProgress: text => console.log(`starting ${text}`),
     });
     let good = true;
@@ -51,7 +63,8 @@
             good = await sendOnce(fleet, configuration);
         }
         else {
-            await untilInterrupted();
+            console.log("Ctrl-C stops all");
+            await interrupted;
         }
     }
     catch (err) {
@@ -90,18 +103,34 @@
     console.log(`\ntry: curl -i -H 'host: ${authority}' -H 'x-request-id: mine' ${url}\n`);
 }
 
-/** One request to each service through each gateway. @returns whether each got its own whole answer */
+/** Sends with all availability zones in, and once more with one taken out. @returns whether all was as it should be */
 async function sendOnce(fleet: Fleet, cfg: ConfigurationInput): Promise<boolean> {
+    let good = await sendToAll(fleet, cfg, undefined);
+    const zone = cfg.availabilityZones[0]?.name ?? "";
+    const operator = new Operator(fleet);
+    const out = await operator.takeZoneOut(zone);
+    console.log(`${zone} out: revision ${out?.revision ?? 0}, in force: ${out?.inForce ?? false}`);
+    good = await sendToAll(fleet, cfg, zone) && good;
+    const back = await operator.bringZoneIn(zone);
+    console.log(`${zone} back in: revision ${back?.revision ?? 0}, in force: ${back?.inForce ?? false}`);
+    return good && out?.inForce === true && back?.inForce === true;
+}
+
+/** One request to each service through each gateway. @returns whether each got its own whole answer from an open zone */
+async function sendToAll(fleet: Fleet, cfg: ConfigurationInput, zoneOut: string | undefined): Promise<boolean> {
     let good = true;
     for (const service of cfg.services) {
         for (const gateway of fleet.gateways) {
-            good = await sendOne(gateway.process.url, service) && good;
+            const server = await sendOne(gateway.process.url, service);
+            const zone = fleet.backendServers.find(candidate => candidate.name === server)?.availabilityZone;
+            good &&= zone !== undefined && zone !== zoneOut;
         }
     }
     return good;
 }
 
-async function sendOne(gatewayUrl: string, service: ServiceInput): Promise<boolean> {
+/** @returns the backend server whose whole answer came, if one did */
+async function sendOne(gatewayUrl: string, service: ServiceInput): Promise<string | undefined> {
     const requestId = randomUUID();
     const keyed = service.requireIdempotencyKey === true;
     const res = await request(gatewayUrl + (service.pathPrefix ?? "/"), {
@@ -116,12 +145,13 @@
     const text = await res.body.text();
     const bodyDigest = String(res.headers[backendHeaders.bodyDigest] ?? "");
     const outcome = resolveOutcome(requestId, { status: res.statusCode, didRun: undefined, bodyDigest, text });
-    console.log(`${service.name} by ${gatewayUrl}: ${outcome.type}, status ${res.statusCode}, ${text.slice(0, 100)}`);
-    return outcome.type === "whole";
+    const server = outcome.type === "whole" ? backendAnswerSchema.parse(JSON.parse(text)).server : undefined;
+    const shown = server === undefined ? text.slice(0, shownCharacters) : `from ${server}`;
+    console.log(`${service.name} by ${gatewayUrl}: ${outcome.type}, status ${res.statusCode}, ${shown}`);
+    return server;
 }
 
 function untilInterrupted(): Promise<void> {
-    console.log("Ctrl-C stops all");
     return new Promise(resolve => {
         process.once("SIGINT", () => resolve());
         process.once("SIGTERM", () => resolve());
