--- a/packages/standIns/src/fleet/fleet.ts
+++ b/packages/standIns/src/fleet/fleet.ts
@@ -6,11 +6,12 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { stringify } from "yaml";
 import { type WorkTimeOptions } from "../backendServer/workTime.js";
-import { type StartedProcess, startProcess } from "../processes/startProcess.js";
+import { type StartedProcess, startProcess, type StartProcessOptions } from "../processes/startProcess.js";
 import { placeOnLoopback } from "./fleetConfiguration.js";
+import { type GatewayPorts, renderAdminSettings, renderGatewaySettings, type SharedSettings } from "./fleetSettings.js";
 import { findFreePorts } from "./freePorts.js";
+import { untilReady } from "./readiness.js";
 
 /** What a fleet on loopback consists of. */
 export interface FleetOptions {
@@ -23,6 +24,8 @@
     /** Whether histories are kept, see {@link Fleet.histories}. */
     readonly history?: boolean | undefined;
     readonly workTime?: WorkTimeOptions | undefined;
+    /** See {@link StartProcessOptions.ownGroup}. */
+    readonly ownGroup?: boolean | undefined;
     /** Says what is being started. */
     readonly onProgress?: ((text: string) => void) | undefined;
 }
@@ -96,11 +99,11 @@
     }
 
     get backendServers(): readonly FleetBackendServer[] {
-        return this.#backendServers;
+        return this.#backendServers.toSorted((a, b) => compareNames(a.name, b.name));
     }
 
     get gateways(): readonly FleetGateway[] {
-        return this.#gateways;
+        return this.#gateways.toSorted((a, b) => compareNames(a.name, b.name));
     }
 
     get platformUrl(): string {
@@ -129,20 +132,15 @@
             : [];
     }
 
-    /** Waits until every gateway says that it is ready. */
+    /**
+     * Waits until every gateway says that it is ready.
+     *
+     * @throws Error where one ended, or isn't ready in time
+     */
     async becomeReady(withinMs = 60_000): Promise<void> {
         const untilMs = performance.now() + withinMs;
-        for (const gateway of this.#gateways) {
-            for (
-                let reason = await readReadiness(gateway);
-                reason !== undefined;
-                reason = await readReadiness(gateway)
-            ) {
-                if (performance.now() > untilMs || gateway.process.exit !== undefined) {
-                    throw new Error(`${gateway.name} is not ready: ${reason}`);
-                }
-                await new Promise(resolve => setTimeout(resolve, 100));
-            }
+        for (const { process, operationsUrl } of this.#gateways) {
+            await untilReady(process, operationsUrl, untilMs);
         }
     }
 
@@ -190,10 +188,9 @@
 
     async #startAll(): Promise<void> {
         this.#progress("stand-in platform");
-        this.#platform = await startProcess({
+        this.#platform = await this.#startProcess({
             name: "platform",
             script: scripts.platform,
-            logPath: this.#logPath("platform"),
         });
         await this.#startBackendServers();
         const ports = await findFreePorts(this.#options.gateways * portsPerGateway + 1);
@@ -211,10 +208,9 @@
         this.#progress(`${declared.length} backend servers`);
         const workTime = this.#options.workTime;
         await eachOf(declared, async ({ service, server }, i) => {
-            const process = await startProcess({
+            const process = await this.#startProcess({
                 name: `${service}/${server.name}`,
                 script: scripts.backendServer,
-                logPath: this.#logPath(server.name),
                 args: [
                     ...["--name", server.name, "--zone", server.availabilityZone, "--seed", String(i + 1)],
                     ...server.slots === undefined ? [] : ["--slots", String(server.slots)],
@@ -238,48 +234,31 @@
         this.#progress(`${this.#options.gateways} gateways`);
         const zones = this.#options.configuration.availabilityZones;
         const numbers = Array.from({ length: this.#options.gateways }, (_, i) => i);
-        const peerPorts = numbers.map(i => ports[i * portsPerGateway] ?? 0);
-        await eachOf(numbers, async i => {
+        const allPorts = numbers.map(i => resolvePorts(ports.slice(i * portsPerGateway)));
+        await eachOf(allPorts, async (own, i) => {
             const name = `gateway-${i + 1}`;
             const availabilityZone = zones[i % zones.length]?.name ?? "";
-            const operationsPort = ports[i * portsPerGateway + 1] ?? 0;
-            const settings = this.#writeSettings(name, {
+            const others = allPorts.map(({ peers }) => peers).filter(port => port !== own.peers);
+            const settings = this.#writeSettings(
                 name,
-                availabilityZone,
-                callers: { address: "127.0.0.1", port: ports[i * portsPerGateway + 2] },
-                peers: {
-                    address: "127.0.0.1",
-                    port: peerPorts[i],
-                    seeds: peerPorts.filter((_, j) => j !== i).map(port => `127.0.0.1:${port}`),
-                },
-                operations: { port: operationsPort },
-                platform: { address: this.platformUrl },
-                fleetKey: { value: this.fleetKey },
-                stopping: { balancerWaitMs: 100 },
-            });
-            const process = await startProcess({
+                renderGatewaySettings(name, availabilityZone, own, others, this.#shared),
+            );
+            const process = await this.#startProcess({
                 name,
                 script: program.script,
-                logPath: this.#logPath(name),
                 args: ["--settings", settings, ...program.args],
             });
-            const operationsUrl = `http://127.0.0.1:${operationsPort}`;
+            const operationsUrl = `http://127.0.0.1:${own.operations}`;
             this.#gateways.push({ name, availabilityZone, process, operationsUrl });
         });
     }
 
     async #startAdmin(port: number): Promise<void> {
         this.#progress("admin");
-        const settings = this.#writeSettings("admin", {
-            address: "127.0.0.1",
-            port,
-            platform: { address: this.platformUrl },
-            fleetKey: { value: this.fleetKey },
-        });
-        this.#admin = await startProcess({
+        const settings = this.#writeSettings("admin", renderAdminSettings(port, this.#shared));
+        this.#admin = await this.#startProcess({
             name: "admin",
             script: scripts.admin,
-            logPath: this.#logPath("admin"),
             args: ["--settings", settings],
         });
     }
@@ -295,9 +274,18 @@
         await res.body.dump();
     }
 
-    #writeSettings(name: string, settings: unknown): string {
+    #startProcess(options: Omit<StartProcessOptions, "logPath">): Promise<StartedProcess> {
+        const logName = options.name.replace("/", "-");
+        return startProcess({ ...options, ownGroup: this.#options.ownGroup, logPath: this.#logPath(logName) });
+    }
+
+    get #shared(): SharedSettings {
+        return { platformUrl: this.platformUrl, fleetKey: this.fleetKey };
+    }
+
+    #writeSettings(name: string, settings: string): string {
         const path = join(this.directory, `${name}.yaml`);
-        writeFileSync(path, stringify(settings), { mode: 0o600 });
+        writeFileSync(path, settings, { mode: 0o600 });
         return path;
     }
 
@@ -318,25 +306,28 @@
     return fileURLToPath(new URL(relative, import.meta.url));
 }
 
-/** @returns why the gateway isn't ready, or `undefined` where it is */
-async function readReadiness(gateway: FleetGateway): Promise<string | undefined> {
-    try {
-        const res = await request(`${gateway.operationsUrl}/readyz`);
-        const reason = await res.body.text();
-        return res.statusCode === 200 ? undefined : reason.trim();
-    }
-    catch (err) {
-        return err instanceof Error ? err.message : "failed";
-    }
+/** `gateway-10` comes after `gateway-9`. */
+function compareNames(a: string, b: string): number {
+    return a.localeCompare(b, "en", { numeric: true });
 }
 
+function resolvePorts([callers = 0, peers = 0, operations = 0]: readonly number[]): GatewayPorts {
+    return { callers, peers, operations };
+}
+
+/** Runs a few at once; where one fails, waits for those under way, so that none starts after all were stopped. */
 async function eachOf<T>(items: readonly T[], run: (item: T, i: number) => Promise<void>): Promise<void> {
-    let next = 0;
+    const left = [...items.entries()];
     const work = async (): Promise<void> => {
-        while (next < items.length) {
-            const i = next++;
-            await run(items[i] as T, i);
+        for (let next = left.shift(); next !== undefined; next = left.shift()) {
+            const [i, item] = next;
+            await run(item, i);
         }
     };
-    await Promise.all(Array.from({ length: startedAtOnce }, work));
+    const ends = await Promise.allSettled(Array.from({ length: startedAtOnce }, work));
+    for (const end of ends) {
+        if (end.status === "rejected") {
+            throw end.reason;
+        }
+    }
 }
