--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -100,8 +100,9 @@
         const timer = setTimeout(() => abort.abort(), Math.max(0, remainingMs));
         // A caller that is gone wants no answer: the backend server's slot is worth more to the others. A non-idempotent
         // request goes on: cut off, nobody would ever know whether it ran, and the caller's next try learns its end.
+        // After a whole answer there is nothing to abort, and an abort is dear (it builds an exception with its stack).
         res.once("close", () => {
-            if (request.idempotent) {
+            if (request.idempotent && !res.writableFinished) {
                 abort.abort();
             }
         });
