Check histories of real requests under faults of servers and store

Three gateways, three stand-in backend servers and the stand-in store, over real sockets in one process: 120 operations, each with up to four tries through any gateway, some through two at once, while every 100 ms another backend server cuts, sheds, falls silent, fails or restarts and the store loses answers, lags, slows or refuses. The histories of callers and servers pass the checkers for at most once, truthful did-run and whole own answer.

Keyed requests are refused for 200 ms after a failure of the store, in place of 500: with failures of 100 ms each the longer time refused most of them.

--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -25,8 +25,8 @@
 /** A claim that was not handed over within this time after its write was first sent is no longer acted upon. */
 export const claimValidityMs = 30_000;
 
-/** Time for which keyed requests are refused at once after the store failed, before the next try. */
-export const claimBackoffMs = 500;
+/** Time for which keyed requests are refused at once after the store failed; short, since each refusal is a loss. */
+export const claimBackoffMs = 200;
 
 /** Failed calls of one shard in a row after which the claims that wait for it are refused. */
 export const claimFailuresBorne = 2;
--- /dev/null
+++ b/packages/gateway/src/__tests__/requestHistory.test.ts
@@ -0,0 +1,207 @@
+import { checkAtMostOnce, checkTruthfulDidRun, checkWholeAnswer, type HistoryLine } from "@galenaglade/history";
+import { HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import {
+    backendHeaders,
+    BackendServer,
+    MemoryHistory,
+    type Outcome,
+    PlatformServer,
+    resolveOutcome,
+} from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout } from "node:timers/promises";
+import { Agent, request } from "undici";
+import { describeService, FixedSource, startGateway } from "./testGateway.js";
+
+const seed = 20_261_203;
+const patienceMs = 1_000;
+const operations = 120;
+const triesEach = 4;
+const faultMs = 100;
+
+const backendFaults = [
+    {},
+    { closeOnRead: 3 },
+    { closeAfterRun: 3 },
+    { truncateAnswers: 3 },
+    { shed: true },
+    { silent: "openConnections" },
+    { failFast: true },
+    { turnCold: "restarted" },
+] as const;
+const platformFaults = [
+    {},
+    { loseAnswers: 3 },
+    { down: "refusing" },
+    { staleReads: true },
+    { slowMs: 30 },
+    {},
+] as const;
+
+interface World {
+    readonly platform: PlatformServer;
+    readonly backends: readonly BackendServer[];
+    readonly histories: readonly MemoryHistory[];
+    readonly callers: MemoryHistory;
+    readonly urls: readonly string[];
+    readonly agent: Agent;
+}
+
+async function startWorld(t: TestContext): Promise<World> {
+    const platform = await PlatformServer.start();
+    t.after(() => platform.stop());
+    const histories: MemoryHistory[] = [];
+    const backends: BackendServer[] = [];
+    for (let i = 0; i < 3; i++) {
+        const history = new MemoryHistory(`intake-${i}`);
+        const backend = await BackendServer.start({ name: `intake-${i}`, availabilityZone: "north", history, seed: i });
+        t.after(() => backend.stop());
+        histories.push(history);
+        backends.push(backend);
+    }
+    const urls: string[] = [];
+    for (let i = 0; i < 3; i++) {
+        const connection = new PlatformConnection({
+            addresses: [platform.url],
+            client: `gateway-${i}`,
+            timeoutMs: 200,
+        });
+        const source = new FixedSource();
+        source.apply(1, describeService(backends.map(backend => backend.port), patienceMs));
+        urls.push((await startGateway(t, source, new HttpKeyValueStore(connection))).url);
+        t.after(() => connection.close());
+    }
+    const agent = new Agent({ pipelining: 1 });
+    t.after(() => agent.destroy());
+    return { platform, backends, histories, callers: new MemoryHistory("callers"), urls, agent };
+}
+
+/** One try, recorded as its caller sees it. */
+async function sendTry(
+    world: World,
+    url: string,
+    what: { readonly requestId: string; readonly key: string | undefined; readonly workMs: number; },
+): Promise<Outcome> {
+    const { requestId, key, workMs } = what;
+    const idempotent = key === undefined;
+    world.callers.record({
+        type: "callerSent",
+        requestId,
+        service: "tables",
+        idempotent,
+        idempotencyKey: key,
+        patienceMs,
+    });
+    const outcome = await exchange(world, url, requestId, {
+        [backendHeaders.requestId]: requestId,
+        [backendHeaders.workMs]: String(workMs),
+        ...(key === undefined ? {} : { [backendHeaders.idempotencyKey]: key }),
+    }, idempotent ? "GET" : "POST");
+    if (outcome.type === "cutOff") {
+        world.callers.record({ type: "callerCutOff", requestId });
+    }
+    else if (outcome.type === "whole" || outcome.type === "wrong" || outcome.type === "refused") {
+        world.callers.record({
+            type: "callerAnswered",
+            requestId,
+            status: outcome.status,
+            didRun: outcome.type === "refused" ? outcome.didRun : "yes",
+            whole: outcome.type !== "wrong",
+            bodyRequestId: outcome.type === "refused" ? undefined : outcome.bodyRequestId,
+        });
+    }
+    return outcome;
+}
+
+async function exchange(
+    world: World,
+    url: string,
+    requestId: string,
+    headers: Readonly<Record<string, string>>,
+    method: "GET" | "POST",
+): Promise<Outcome> {
+    try {
+        const res = await request(`${url}/tables`, {
+            method,
+            headers,
+            dispatcher: world.agent,
+            ...(method === "POST" ? { body: "wages" } : {}),
+        });
+        return resolveOutcome(requestId, {
+            status: res.statusCode,
+            didRun: String(res.headers[backendHeaders.didRun]),
+            bodyDigest: String(res.headers[backendHeaders.bodyDigest]),
+            text: await res.body.text(),
+        });
+    }
+    catch {
+        return { type: "cutOff" };
+    }
+}
+
+/** A caller that tries on, through any gateway and sometimes through two at once, until it has its answer. */
+async function runOperation(world: World, random: RandomSource, name: string): Promise<void> {
+    const key = random.next() < 0.7 ? `key-${name}` : undefined;
+    const workMs = random.below(40);
+    for (let attempt = 0; attempt < triesEach; attempt++) {
+        const sent = random.next() < 0.2 ? 2 : 1;
+        const tries = Array.from({ length: sent }, (_, i) => {
+            const url = world.urls[random.below(world.urls.length)] ?? "";
+            return sendTry(world, url, { requestId: `${name}-${attempt}-${i}`, key, workMs });
+        });
+        const outcomes = await Promise.all(tries);
+        if (outcomes.some(outcome => outcome.type === "whole")) {
+            return;
+        }
+        await setTimeout(random.below(faultMs));
+    }
+}
+
+async function changeFaults(world: World, random: RandomSource, until: Promise<unknown>): Promise<void> {
+    const over = new AbortController();
+    void until.finally(() => over.abort());
+    while (!over.signal.aborted) {
+        const faulty = random.below(world.backends.length);
+        for (const backend of world.backends) {
+            backend.setFaults({});
+        }
+        world.backends[faulty]?.setFaults(backendFaults[random.below(backendFaults.length)] ?? {});
+        world.platform.setFaults(platformFaults[random.below(platformFaults.length)] ?? {});
+        await setTimeout(faultMs);
+    }
+}
+
+// Returns and reads go through three gateways, each try through any of them, some through two at once. Meanwhile
+// backend servers cut, shed, fall silent and restart, and the store loses answers, lags, slows and refuses.
+test("under faults of servers and store, no return runs twice and no caller is told or given what isn't so", async t => {
+    const world = await startWorld(t);
+    const random = createRandomSource(seed);
+    const running: Promise<void>[] = [];
+    const all = (async () => {
+        for (let i = 0; i < operations; i++) {
+            running.push(runOperation(world, random, `op-${i}`));
+            await setTimeout(random.below(40));
+        }
+        await Promise.all(running);
+    })();
+    await changeFaults(world, random, all);
+    await all;
+    const lines: readonly HistoryLine[] = [world.callers, ...world.histories].flatMap(history => history.lines);
+    const history = lines.toSorted((a, b) => a.atMs - b.atMs).map((line, sequence) => ({ ...line, sequence }));
+    t.diagnostic(JSON.stringify(countKinds(history)));
+    const found = [checkAtMostOnce, checkTruthfulDidRun, checkWholeAnswer].flatMap(check => check(history));
+    assert.deepEqual(found, [], `seed ${seed}`);
+    assert.ok(history.filter(line => line.type === "serverStarted").length > operations / 2, "too little ran");
+});
+
+/** What the run consisted of, for whoever reads its figures. */
+function countKinds(history: readonly HistoryLine[]): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const line of history) {
+        const kind = line.type === "callerAnswered" ? `${line.type} ${line.status} ${line.didRun ?? ""}` : line.type;
+        counts[kind] = (counts[kind] ?? 0) + 1;
+    }
+    return counts;
+}
