Let the gateway ask whether the store is back, not its callers

Through a long outage in which the store's calls time out, each time the refusals paused the next caller's claim was sent to find out, and that caller waited until the call timed out. Found with callers spread over a second of outage: "+ atMs: 500 - atMs: 300" for one that came at 300. The gateway now asks by a read of its own, every 200 ms, and refuses keyed requests in the turn in which they come until the store has answered. A planned stop does not wait for a store that is down unless ends are still to be recorded.

--- a/packages/atMostOnce/src/__tests__/claims.test.ts
+++ b/packages/atMostOnce/src/__tests__/claims.test.ts
@@ -65,17 +65,24 @@
     checkAll(world);
 });
 
-// The store is down. The first caller's refusal takes two timeouts, since one lost answer is borne; after that each
-// is refused in the turn in which it comes, truthfully, and the first after the outage runs.
+// The store is down, and its calls time out. The first caller's refusal takes two timeouts, since one lost answer is
+// borne; after that each is refused in the turn in which it comes, truthfully, however long the outage lasts, and the
+// first after it runs. Were callers used to find out whether the store is back, each would wait out a timeout.
 test("while the store is down keyed requests are refused at once", () => {
     const world = new ClaimWorld([0]);
     world.fateOf = (_client, nowMs) => nowMs < 1_000 ? requestLost : answered;
     world.sendAt(10, { requestId: "r1", key: "k", gateway: 0 });
     world.sendAt(220, { requestId: "r2", key: "k", gateway: 0 });
+    for (const atMs of [300, 400, 500, 777, 950]) {
+        world.sendAt(atMs, { requestId: `at-${atMs}`, key: `k${atMs}`, gateway: 0 });
+    }
     world.sendAt(1_300, { requestId: "r3", key: "k", gateway: 0 });
     world.time.runUntil(2_500);
     assert.deepEqual(world.told.get("r1"), { kind: "storeUnavailable", didRun: "no", atMs: 210 });
     assert.deepEqual(world.told.get("r2"), { kind: "storeUnavailable", didRun: "no", atMs: 220 });
+    for (const atMs of [300, 400, 500, 777, 950]) {
+        assert.deepEqual(world.told.get(`at-${atMs}`), { kind: "storeUnavailable", didRun: "no", atMs });
+    }
     assert.deepEqual(world.started, ["r3"]);
     checkAll(world);
 });
--- a/packages/atMostOnce/src/claimBatcher.ts
+++ b/packages/atMostOnce/src/claimBatcher.ts
@@ -49,7 +49,10 @@
     readonly #underWay = new Map<number, CallUnderWay>();
     readonly #busyShards = new Set<number>();
     readonly #failures = new Map<number, number>();
-    #refuseUntilMs = 0;
+    /** While the store is down: when to ask next whether it answers. */
+    #askStoreAtMs: number | undefined;
+    /** The call that asks. */
+    #question: number | undefined;
     #callCount = 0;
 
     /**
@@ -102,6 +105,9 @@
      * @returns what to do
      */
     answered(callId: number, answer: Either<Failure, ClaimCallAnswer>, time: ClaimTime): readonly ClaimCommand[] {
+        if (callId === this.#question) {
+            return this.#storeAsked(answer.isRight(), time);
+        }
         const underWay = this.#underWay.get(callId);
         if (underWay === undefined) {
             return [];
@@ -115,6 +121,7 @@
         });
         if (failure === undefined) {
             this.#failures.delete(underWay.shard);
+            this.#askStoreAtMs = undefined;
         }
         else {
             this.#failed(underWay.shard, failure, time);
@@ -129,7 +136,22 @@
      * @returns what to do
      */
     tick(time: ClaimTime): readonly ClaimCommand[] {
-        return [...this.#shards.keys()].flatMap(shard => this.#pump(shard, time));
+        const commands = [...this.#shards.keys()].flatMap(shard => this.#pump(shard, time));
+        if (this.#question === undefined && this.#askStoreAtMs !== undefined && this.#askStoreAtMs <= time.nowMs) {
+            this.#question = ++this.#callCount;
+            commands.push({ type: "read", callId: this.#question, key: createClaimDocumentKey(0, 0) });
+        }
+        return commands;
+    }
+
+    /**
+     * The gateway itself asks whether the store is back. Were a caller's claim sent to find out, that caller would
+     * wait until the call times out, again and again through a long outage.
+     */
+    #storeAsked(answered: boolean, time: ClaimTime): readonly ClaimCommand[] {
+        this.#question = undefined;
+        this.#askStoreAtMs = answered ? undefined : time.nowMs + this.#limits.backoffMs;
+        return this.tick(time);
     }
 
     /** Whether nothing waits to be written; a planned stop waits for it, so that every end is recorded. */
@@ -137,6 +159,11 @@
         return this.#underWay.size === 0 && [...this.#shards.values()].every(shard => shard.isIdle);
     }
 
+    /** Whether {@link tick} has to be called. */
+    get needsTicks(): boolean {
+        return !this.isIdle || this.#askStoreAtMs !== undefined;
+    }
+
     /** One lost answer is borne, since the write may have taken effect; a store that is down fails the claims at once. */
     #failed(shard: number, failure: Failure, time: ClaimTime): void {
         const failures = (this.#failures.get(shard) ?? 0) + 1;
@@ -144,13 +171,13 @@
         if (failure.kind === "storeOutcomeUnknown" && failures < this.#limits.failuresBorne) {
             return;
         }
-        this.#refuseUntilMs = time.nowMs + this.#limits.backoffMs;
+        this.#askStoreAtMs = time.nowMs + this.#limits.backoffMs;
     }
 
     #pump(number: number, time: ClaimTime): readonly ClaimCommand[] {
         const shard = this.#shard(number);
         shard.refuseLate(time.nowMs);
-        const storeIsDown = time.nowMs < this.#refuseUntilMs;
+        const storeIsDown = this.#askStoreAtMs !== undefined;
         if (storeIsDown) {
             // Nothing was handed over, so the refusal is truthful; waiting for the store would spend the caller's
             // patience and end in the same refusal, later.
--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -25,7 +25,7 @@
 /** A claim that was not handed over within this time after its write was first sent is no longer acted upon. */
 export const claimValidityMs = 30_000;
 
-/** Time for which keyed requests are refused at once after the store failed; short, since each refusal is a loss. */
+/** While the store is down and keyed requests are refused: time until it is asked again whether it is back. */
 export const claimBackoffMs = 200;
 
 /** Failed calls of one shard in a row after which the claims that wait for it are refused. */
--- a/packages/gateway/src/requests/requestClaims.ts
+++ b/packages/gateway/src/requests/requestClaims.ts
@@ -104,9 +104,11 @@
             }
         }
         if (this.#batcher.isIdle) {
-            this.stop();
             this.#onIdle?.();
         }
+        if (!this.#batcher.needsTicks) {
+            this.stop();
+        }
     }
 
     async #callStore(command: StoreCommand): Promise<void> {
