--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -10,8 +10,8 @@
 /** Statuses that a proxy in front of a server's code may answer in the server's name. */
 export const gatewayStatuses: readonly number[] = [502, 503, 504];
 
-/** Shards over which idempotency keys are spread; fewer batch better, more contend less. */
-export const claimShards = 64;
+/** Shards over which idempotency keys are spread; fewer batch better, more keep what each write carries small. */
+export const claimShards = 256;
 
 /** Length of one time bucket of claims: 3 hours. */
 export const claimBucketMs = 10_800_000;
