--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -10,8 +10,8 @@
 /** Statuses that a proxy in front of a server's code may answer in the server's name. */
 export const gatewayStatuses: readonly number[] = [502, 503, 504];
 
-/** Shards over which idempotency keys are spread; fewer batch better, more contend less. */
-export const claimShards = 64;
+/** Shards over which idempotency keys are spread; fewer batch better, more keep what each write carries small. */
+export const claimShards = 256;
 
 /** Length of one time bucket of claims: 3 hours. */
 export const claimBucketMs = 10_800_000;
@@ -25,8 +25,8 @@
 /** A claim that was not handed over within this time after its write was first sent is no longer acted upon. */
 export const claimValidityMs = 30_000;
 
-/** Time for which keyed requests are refused at once after the store failed, before the next try. */
-export const claimBackoffMs = 500;
+/** While the store is down and keyed requests are refused: time until it is asked again whether it is back. */
+export const claimBackoffMs = 200;
 
 /** Failed calls of one shard in a row after which the claims that wait for it are refused. */
 export const claimFailuresBorne = 2;
