--- a/packages/membership/src/fleetMember.ts
+++ b/packages/membership/src/fleetMember.ts
@@ -29,7 +29,9 @@
         readonly type: "storeRead";
         readonly startedAtMs: number;
         readonly head: RevisedConfiguration | undefined;
-        readonly survey: FleetSurvey;
+        readonly roster: Roster | undefined;
+        /** `undefined` where the registrations couldn't be had. */
+        readonly survey: FleetSurvey | undefined;
     }
     | { readonly type: "storeReadFailed"; }
     | { readonly type: "registered"; readonly startedAtMs: number; readonly ttlMs: number; }
@@ -199,7 +201,7 @@
                 this.#readDueAtMs = nowMs;
                 return this.#tick(nowMs);
             case "storeRead":
-                return this.#storeRead(event.startedAtMs, event.head, event.survey, nowMs);
+                return this.#storeRead(event, nowMs);
             case "storeReadFailed":
                 this.#reading = false;
                 return [];
@@ -299,16 +301,12 @@
         return commands;
     }
 
-    #storeRead(
-        startedAtMs: number,
-        head: RevisedConfiguration | undefined,
-        survey: FleetSurvey,
-        nowMs: number,
-    ): readonly FleetCommand[] {
+    #storeRead(event: Extract<FleetEvent, { readonly type: "storeRead"; }>, nowMs: number): readonly FleetCommand[] {
+        const { startedAtMs, head, roster, survey } = event;
         this.#reading = false;
-        const commands = [...this.#take({ offered: head, roster: survey.roster })];
+        const commands = [...this.#take({ offered: head, roster })];
         const headRevision = head?.revision ?? 0;
-        const rosterVersion = survey.roster?.version ?? 0;
+        const rosterVersion = roster?.version ?? 0;
         // A store that shows less than was already seen has been put back, or answers from the past: it confirms
         // nothing, and nothing is written on the strength of it.
         if (headRevision !== this.#holding.revision || rosterVersion !== this.#holding.rosterVersion) {
@@ -320,7 +318,7 @@
         this.#recovering = false;
         this.#freshness.storeRead(startedAtMs, this.#holding);
         this.#tellKeeperOwnState(nowMs);
-        const swap = this.#keeper.surveyed(survey, nowMs);
+        const swap = survey === undefined ? undefined : this.#keeper.surveyed(survey, nowMs);
         if (swap !== undefined && !this.#stopping) {
             commands.push({ type: "swapRoster", swap });
         }
--- a/packages/peers/src/__tests__/faultyFleet.test.ts
+++ b/packages/peers/src/__tests__/faultyFleet.test.ts
@@ -19,6 +19,8 @@
     "readsStale",
     "watchesSilent",
     "networkCut",
+    "isolated",
+    "isolated",
     "networkLossy",
     "networkSlow",
     "pause",
@@ -50,6 +52,14 @@
         this.#operators = [this.sim.startOperator("op0"), this.sim.startOperator("op1")];
     }
 
+    /** Besides what the steps bring, one operator makes a change every now and then, so that faults meet changes. */
+    changeRegularly(): void {
+        const operator = this.sim.startOperator("regular");
+        for (let atMs = 2_000; atMs < faultyMs; atMs += 2_000 + this.sim.random.below(2_000)) {
+            this.sim.time.after(atMs, () => void this.sim.change(operator, `change-${this.#changes++}`));
+        }
+    }
+
     play({ kind, who, lastsMs }: Step): void {
         const sim = this.sim;
         const gateways = [...sim.gateways.values()];
@@ -99,6 +109,9 @@
                 this.#cut(new Set(chosen), (who & 512) === 0);
                 sim.time.after(lastsMs, () => sim.network.heal());
                 return;
+            case "isolated":
+                this.#isolate(chosen.filter(name => !name.startsWith("op")), lastsMs);
+                return;
             case "networkLossy":
                 sim.network.lossShare = who / 2_048;
                 return;
@@ -131,8 +144,18 @@
         return this.#operators[who % 2] ?? assert.fail();
     }
 
+    /** Cuts gateways off from the store and from everybody else, as a host with a broken network is. */
+    #isolate(names: readonly string[], lastsMs: number): void {
+        this.#cut(new Set(names), true);
+        names.forEach(name => this.sim.cutFromStore.add(name));
+        this.sim.time.after(lastsMs, () => {
+            this.sim.network.heal();
+            names.forEach(name => this.sim.cutFromStore.delete(name));
+        });
+    }
+
     #cut(side: ReadonlySet<string>, bothWays: boolean): void {
-        const names = [...this.sim.gateways.keys(), "op0", "op1"];
+        const names = [...this.sim.gateways.keys(), "op0", "op1", "regular"];
         for (const from of names) {
             for (const to of names) {
                 if (side.has(from) && !side.has(to)) {
@@ -155,6 +178,7 @@
         fc.asyncProperty(fc.integer(), fc.array(step, { minLength: 4, maxLength: 24 }), async (seed, steps) => {
             const run = new FaultyRun(seed);
             const sim = run.sim;
+            run.changeRegularly();
             for (const planned of [...steps].sort((a, b) => a.atMs - b.atMs)) {
                 await sim.run(Math.max(0, planned.atMs - sim.time.nowMs));
                 run.play(planned);
--- a/packages/peers/src/__tests__/support/simulatedStore.ts
+++ b/packages/peers/src/__tests__/support/simulatedStore.ts
@@ -1,4 +1,5 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
+import { storeKeys } from "@galenaglade/membership";
 import {
     type CompareAndSwap,
     type KeyValue,
@@ -21,6 +22,8 @@
     staleEngine: KeyValueEngine | undefined;
     /** Watches that are asked for now never end. */
     silentWatches: boolean;
+    /** The next write of the head takes effect, and its answer is lost. */
+    losesNextHeadAnswer: boolean;
 }
 
 /** The store as one simulated process sees it. */
@@ -62,14 +65,17 @@
         });
     }
 
-    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
-        return this.#call(nowMs => {
+    override async compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        let lost = false;
+        const swap = await this.#call(nowMs => {
             const outcome = this.#engine.compareAndSwap(req, nowMs);
             if (outcome.swapped) {
                 this.#onSwap(req);
+                lost = this.#loses(req);
             }
             return outcome;
         });
+        return lost ? Left(createFailure("storeOutcomeUnknown", "timeout")) : swap;
     }
 
     override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
@@ -103,6 +109,14 @@
         });
     }
 
+    #loses(req: CompareAndSwap): boolean {
+        if (!this.#faults.losesNextHeadAnswer || req.key !== storeKeys.head || req.value === undefined) {
+            return false;
+        }
+        this.#faults.losesNextHeadAnswer = false;
+        return true;
+    }
+
     #readable(): KeyValueEngine {
         return this.#faults.staleEngine ?? this.#engine;
     }
--- a/packages/peers/src/__tests__/support/simulation.ts
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -7,7 +7,13 @@
     type HistoryEvent,
     type HistoryLine,
 } from "@galenaglade/history";
-import { type Acceptance, defaultFleetTimings, type FleetTimings, storeKeys } from "@galenaglade/membership";
+import {
+    type Acceptance,
+    defaultFleetTimings,
+    type FleetTimings,
+    type Roster,
+    storeKeys,
+} from "@galenaglade/membership";
 import { type HostEntry, HostList } from "@galenaglade/platform";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { type CallFate, FakeStore, KeyValueEngine, VirtualTime } from "@galenaglade/stand-ins";
@@ -47,7 +53,7 @@
     readonly random: RandomSource;
     readonly network: SimulatedNetwork;
     readonly engine = new KeyValueEngine();
-    readonly storeFaults: StoreFaults = { staleEngine: undefined, silentWatches: false };
+    readonly storeFaults: StoreFaults = { staleEngine: undefined, silentWatches: false, losesNextHeadAnswer: false };
     /** Names of processes whose calls of the store are lost. */
     readonly cutFromStore = new Set<string>();
     readonly history: HistoryLine[] = [];
@@ -146,18 +152,26 @@
         return standing;
     }
 
-    /** Starts a change and lets the clock run until it has ended, at most `limitMs`. */
-    async changeNow(operator: SimulatedOperator, changeId: string, limitMs = 40_000): Promise<Acceptance> {
-        let applied: Either<Failure, Acceptance> | undefined;
-        void this.change(operator, changeId).then(result => {
-            applied = result;
+    /** Starts a change and lets the clock run until it has ended. */
+    async changeNow(operator: SimulatedOperator, changeId: string): Promise<Acceptance> {
+        const applied = await this.until(this.change(operator, changeId));
+        return applied.caseOf({ Left: failure => assert.fail(failure.detail), Right: acceptance => acceptance });
+    }
+
+    /** Lets the clock run until a promise has settled. */
+    async until<T>(promise: Promise<T>, limitMs = 40_000): Promise<T> {
+        let settled: { readonly value: T; } | undefined;
+        void promise.then(value => {
+            settled = { value };
         });
         const untilMs = this.time.nowMs + limitMs;
-        while (applied === undefined && this.time.nowMs < untilMs) {
-            await this.run(100);
+        while (this.time.nowMs < untilMs) {
+            await this.run(50);
+            if (settled !== undefined) {
+                return settled.value;
+            }
         }
-        return applied?.caseOf({ Left: failure => assert.fail(failure.detail), Right: acceptance => acceptance })
-            ?? assert.fail(`${changeId} has not ended`);
+        return assert.fail("not settled in time");
     }
 
     /** Moves the clock, and lets every promise settle after each event. */
@@ -174,6 +188,17 @@
         this.time.runUntil(untilMs);
     }
 
+    /** @returns how often a change was written */
+    written(changeId: string): number {
+        return this.history.filter(line => line.type === "configurationWritten" && line.changeId === changeId).length;
+    }
+
+    /** @returns the roster as the store has it */
+    roster(): Roster | undefined {
+        const entry = this.engine.get(storeKeys.roster, this.time.nowMs);
+        return entry === undefined ? undefined : JSON.parse(entry.value) as Roster;
+    }
+
     /** Ends every fault; paused processes go on. */
     heal(): void {
         this.network.heal();
--- a/packages/peers/src/changeCoordinatorShell.ts
+++ b/packages/peers/src/changeCoordinatorShell.ts
@@ -195,12 +195,13 @@
     }
 
     #survey(tracker: AcceptanceTracker, fleet: StoredFleet | undefined): void {
-        if (fleet === undefined) {
+        // Without the registrations, a gateway that isn't in the roster would not be asked.
+        if (fleet?.listed === undefined) {
             return;
         }
-        const registered = new Set(fleet.registered.map(gateway => gateway.name));
-        const vouchedFor = fleet.forgotten.filter(name => !registered.has(name));
-        tracker.surveyed(fleet.roster, fleet.registered, new Set(vouchedFor));
+        const { registered, forgotten } = fleet.listed;
+        const names = new Set(registered.map(gateway => gateway.name));
+        tracker.surveyed(fleet.roster, registered, new Set(forgotten.filter(name => !names.has(name))));
     }
 
     async #offerToAll(tracker: AcceptanceTracker, fleet: StoredFleet): Promise<void> {
--- a/packages/peers/src/fleetMemberShell.ts
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -250,12 +250,14 @@
             this.#handle({ type: "storeReadFailed" });
             return;
         }
-        const { head, ...fleet } = read.unsafeCoerce();
+        const { roster, rosterKeyRevision, head, listed } = read.unsafeCoerce();
+        const headRevision = head.head?.revision ?? 0;
         this.#handle({
             type: "storeRead",
             startedAtMs,
             head: head.head,
-            survey: { ...fleet, hostNames: this.#hostNames, headRevision: head.head?.revision ?? 0 },
+            roster,
+            survey: listed && { ...listed, roster, rosterKeyRevision, headRevision, hostNames: this.#hostNames },
         });
     }
 
--- a/packages/peers/src/fleetStore.ts
+++ b/packages/peers/src/fleetStore.ts
@@ -11,10 +11,16 @@
 export interface StoredFleet {
     readonly roster: Roster | undefined;
     readonly rosterKeyRevision: number;
-    readonly registered: readonly GatewayIdentity[];
-    readonly forgotten: readonly string[];
     /** Read after the roster. */
     readonly head: StoredHead;
+    /** Listed after the head; `undefined` where the list failed, or showed the fleet as it was before the head. */
+    readonly listed: ListedFleet | undefined;
+}
+
+/** What the store lists of the fleet. */
+export interface ListedFleet {
+    readonly registered: readonly GatewayIdentity[];
+    readonly forgotten: readonly string[];
 }
 
 /** The head with its key's revision, 0 where it doesn't exist. */
@@ -55,7 +61,7 @@
  * isn't among the registrations registers after the head was written, and reads it after that.
  *
  * @param store - the platform's store
- * @returns all three, or the first failure
+ * @returns roster and head, with the registrations where they could be had; or the first failure
  */
 export async function readFleet(store: KeyValueStore): Promise<Either<Failure, StoredFleet>> {
     const rosterEntry = await readPresent(store, storeKeys.roster);
@@ -68,21 +74,20 @@
     }
     const listed = await store.list(storeKeys.fleetPrefix);
     const roster = rosterEntry.toMaybe().extract();
-    return head.chain(storedHead => listed.chain(list => resolveFleet(roster, storedHead, list)));
+    const rosterKeyRevision = roster?.modifiedRevision ?? 0;
+    return head.chain(storedHead =>
+        parseRoster(roster).map(parsed => {
+            const atLeast = Math.max(rosterKeyRevision, storedHead.keyRevision);
+            const entries = listed.toMaybe().filter(list => list.revision >= atLeast).map(list => list.entries);
+            return { roster: parsed, rosterKeyRevision, head: storedHead, listed: entries.map(sortEntries).extract() };
+        })
+    );
 }
 
-function resolveFleet(
-    rosterEntry: KeyValue | undefined,
-    head: StoredHead,
-    listed: { readonly revision: number; readonly entries: readonly KeyValue[]; },
-): Either<Failure, StoredFleet> {
-    const rosterKeyRevision = rosterEntry?.modifiedRevision ?? 0;
-    if (listed.revision < Math.max(rosterKeyRevision, head.keyRevision)) {
-        return Left(createFailure("storeUnavailable", "the store listed the fleet as it was earlier"));
-    }
+function sortEntries(entries: readonly KeyValue[]): ListedFleet {
     const registered: GatewayIdentity[] = [];
     const forgotten: string[] = [];
-    for (const entry of listed.entries) {
+    for (const entry of entries) {
         if (entry.key.startsWith(storeKeys.memberPrefix)) {
             // One registration that can't be read must not stop everybody's reads.
             parseIdentity(entry).ifRight(identity => registered.push(identity));
@@ -91,7 +96,7 @@
             forgotten.push(entry.key.slice(storeKeys.forgottenPrefix.length));
         }
     }
-    return parseRoster(rosterEntry).map(roster => ({ roster, rosterKeyRevision, registered, forgotten, head }));
+    return { registered, forgotten };
 }
 
 /**
