--- /dev/null
+++ b/packages/membership/src/__tests__/acceptance.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AcceptanceTracker, RosterKeeper } from "../index.js";
+import { answer, gateway, roster, settledMs, survey, timings } from "./fleetBuilders.js";
+
+function createTracker(members: readonly string[], previous?: readonly string[]): AcceptanceTracker {
+    const tracker = new AcceptanceTracker({ revision: 2, rosterVersion: 0 }, timings);
+    tracker.surveyed(roster(1, members, previous), []);
+    return tracker;
+}
+
+test("a change held by all is in force once each has said so twice", () => {
+    const tracker = createTracker(["gw1", "gw2"]);
+    tracker.answered(answer("gw1", 2, 10));
+    tracker.answered(answer("gw2", 2, 10));
+    assert.ok(!tracker.isInForce(12));
+    tracker.answered(answer("gw1", 2, 12));
+    tracker.answered(answer("gw2", 2, 12));
+    assert.ok(tracker.isInForce(14));
+});
+
+// The operator is told that a zone is out, and a gateway that was started anew sends work there.
+// gw1 took the change and ended; its successor learnt the old configuration from gw2 before gw2 took the change. First
+// answers alone would show all, or a majority, holding the change, which was so at no time.
+test("a gateway that was started anew isn't counted for what it held before", () => {
+    const tracker = createTracker(["gw1", "gw2", "gw3"]);
+    tracker.answered(answer("gw1", 2, 10));
+    tracker.answered(answer("gw2", 2, 20));
+    assert.ok(!tracker.isInForce(20 + 2 * settledMs), "gw1 hasn't said it again");
+    tracker.answered(answer("gw1", 1, 30, { gateway: gateway("gw1", "2") }));
+    tracker.answered(answer("gw2", 2, 30));
+    assert.ok(!tracker.isInForce(30 + 2 * settledMs));
+    tracker.answered(answer("gw1", 2, 40, { gateway: gateway("gw1", "2") }));
+    tracker.answered(answer("gw2", 2, 41));
+    tracker.answered(answer("gw1", 2, 50, { gateway: gateway("gw1", "2") }));
+    assert.ok(!tracker.isInForce(41 + settledMs - 1));
+    assert.ok(tracker.isInForce(42 + settledMs));
+});
+
+test("while the roster changes, a majority of the old and of the new is needed", () => {
+    const tracker = createTracker(["gw3", "gw4", "gw5"], ["gw1", "gw2", "gw3"]);
+    for (const startedAtMs of [10, 20]) {
+        ["gw3", "gw4", "gw5"].forEach(name => tracker.answered(answer(name, 2, startedAtMs)));
+    }
+    assert.ok(!tracker.isInForce(10 * settledMs));
+    [30, 40].forEach(startedAtMs => tracker.answered(answer("gw1", 2, startedAtMs)));
+    [42].forEach(startedAtMs => ["gw3", "gw4", "gw5"].forEach(name => tracker.answered(answer(name, 2, startedAtMs))));
+    assert.ok(tracker.isInForce(10 * settledMs));
+});
+
+test("nothing is in force before the registrations have been listed", () => {
+    const tracker = new AcceptanceTracker({ revision: 2, rosterVersion: 0 }, timings);
+    assert.ok(!tracker.isInForce(10 * settledMs));
+});
+
+const changing = roster(2, ["gw1", "gw2", "gw3", "gw4"], ["gw1", "gw2", "gw3"]);
+
+function tellAll(keeper: RosterKeeper, names: readonly string[], startedAtMs: number, revision: number): void {
+    for (const name of names) {
+        keeper.answered(answer(name, revision, startedAtMs, { rosterVersion: 2 }));
+    }
+}
+
+// An accepted change is lost to a gateway of the new roster, which goes on under the old configuration.
+// The change was accepted by the old members alone; the new ones count alone only once they hold the head as well.
+test("the new members count alone only when a majority of them holds the head", () => {
+    const keeper = new RosterKeeper("gw1", timings);
+    const present = survey(changing, ["gw1", "gw2", "gw3", "gw4"]);
+    keeper.surveyed(present, 0);
+    [10, 20].forEach(startedAtMs => tellAll(keeper, ["gw1", "gw2", "gw3", "gw4"], startedAtMs, 0));
+    assert.equal(keeper.surveyed(present, 10 * settledMs), undefined);
+    [30, 40].forEach(startedAtMs => tellAll(keeper, ["gw1", "gw2", "gw3"], startedAtMs, 1));
+    assert.deepEqual(keeper.surveyed(present, 20 * settledMs)?.roster, {
+        version: 3,
+        members: changing.members,
+    });
+});
+
+// A change is called in force while a gateway that has just left the roster sends work under the older one.
+// It was confirmed as a member a moment before, and whoever accepted the change didn't ask it any more.
+test("the old members count for as long as one of them may go on by what it heard", () => {
+    const keeper = new RosterKeeper("gw1", timings);
+    const present = survey(changing, ["gw1", "gw2", "gw3", "gw4"]);
+    keeper.surveyed(present, 0);
+    [10, 20].forEach(startedAtMs => tellAll(keeper, ["gw1", "gw2", "gw3", "gw4"], startedAtMs, 1));
+    assert.equal(keeper.surveyed(present, settledMs), undefined);
+    assert.notEqual(keeper.surveyed(present, settledMs + 11), undefined);
+});
+
+test("gateways join at once and leave when gone for long, all in one change", () => {
+    const keeper = new RosterKeeper("gw1", timings);
+    const settled = roster(3, ["gw1", "gw2", "gw3"]);
+    assert.equal(keeper.surveyed(survey(settled, ["gw1", "gw2"]), 0), undefined);
+    const swap = keeper.surveyed(survey(settled, ["gw1", "gw2", "gw4", "gw5"]), timings.removeAfterMs);
+    assert.deepEqual(swap?.roster, roster(4, ["gw1", "gw2", "gw4", "gw5"], ["gw1", "gw2", "gw3"]));
+    assert.equal(swap.expectedRevision, 3);
+});
--- /dev/null
+++ b/packages/membership/src/__tests__/fleetBuilders.ts
@@ -0,0 +1,88 @@
+import { type RevisedConfiguration } from "@galenaglade/configuration";
+import {
+    defaultFleetTimings,
+    FleetMember,
+    type FleetSurvey,
+    type GatewayIdentity,
+    type Heartbeat,
+    type HoldingAnswer,
+    type Roster,
+} from "../index.js";
+
+export const timings = defaultFleetTimings;
+/** Until this long after a majority held a change, a gateway may not have heard of it and go on. */
+export const settledMs = timings.freshForMs + timings.marginMs;
+
+export function gateway(name: string, incarnation = "1"): GatewayIdentity {
+    return { name, incarnation, availabilityZone: "a", peerAddress: `127.0.0.1:${10_000 + Number(name.slice(2))}` };
+}
+
+export function roster(version: number, names: readonly string[], previous?: readonly string[]): Roster {
+    return {
+        version,
+        members: names.map(name => gateway(name)),
+        previous: previous?.map(name => gateway(name)),
+    };
+}
+
+export function revised(revision: number): RevisedConfiguration {
+    return {
+        revision,
+        changeId: `change-${revision}`,
+        configuration: { timeZone: "UTC", callerKindHeader: "x-caller-kind", availabilityZones: [], services: [] },
+    };
+}
+
+export function heartbeat(from: string, revision: number, more: Partial<Heartbeat> = {}): Heartbeat {
+    return {
+        from: gateway(from),
+        revision,
+        rosterVersion: 1,
+        freshnessAgeMs: undefined,
+        recovering: false,
+        signals: [],
+        loads: [],
+        stopping: false,
+        ...more,
+    };
+}
+
+export function answer(from: string, revision: number, startedAtMs: number, more: Partial<HoldingAnswer> = {}) {
+    return {
+        gateway: gateway(from),
+        revision,
+        rosterVersion: 1,
+        recentCallers: [],
+        startedAtMs,
+        answeredAtMs: startedAtMs + 1,
+        ...more,
+    };
+}
+
+export function survey(present: Roster | undefined, registered: readonly string[]): FleetSurvey {
+    return {
+        roster: present,
+        rosterKeyRevision: present?.version ?? 0,
+        registered: registered.map(name => gateway(name)),
+        forgotten: [],
+        hostNames: undefined,
+        headRevision: 1,
+    };
+}
+
+export function createMember(name = "gw1"): FleetMember {
+    return new FleetMember({ self: gateway(name), seeds: [], timings }, 0);
+}
+
+/** The store was read: first the roster, then the head. */
+export function storeRead(member: FleetMember, startedAtMs: number, nowMs: number, head: number, present: Roster) {
+    return member.handle(
+        { type: "storeRead", startedAtMs, head: revised(head), roster: present, survey: undefined },
+        nowMs,
+    );
+}
+
+export function heard(member: FleetMember, startedAtMs: number, nowMs: number, peer: Heartbeat) {
+    const event = { type: "heartbeatAnswered", address: peer.from.peerAddress, startedAtMs, heartbeat: peer } as const;
+    return member.handle(event, nowMs);
+}
--- a/packages/peers/src/__tests__/support/simulatedStore.ts
+++ b/packages/peers/src/__tests__/support/simulatedStore.ts
@@ -66,16 +66,16 @@
     }
 
     override async compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
-        let lost = false;
         const swap = await this.#call(nowMs => {
             const outcome = this.#engine.compareAndSwap(req, nowMs);
             if (outcome.swapped) {
                 this.#onSwap(req);
-                lost = this.#loses(req);
             }
-            return outcome;
+            return { outcome, lost: outcome.swapped && this.#loses(req) };
         });
-        return lost ? Left(createFailure("storeOutcomeUnknown", "timeout")) : swap;
+        return swap.chain(({ outcome, lost }) =>
+            lost ? Left(createFailure("storeOutcomeUnknown", "timeout")) : Right(outcome)
+        );
     }
 
     override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
