Show that answers count from before they were asked for

A gateway that is paused with a peer's answer on its way, or that reads a slow store, must not count the answer from when it is read.

--- a/packages/peers/src/__tests__/configurationInForce.test.ts
+++ b/packages/peers/src/__tests__/configurationInForce.test.ts
@@ -247,6 +247,49 @@
     sim.check();
 });
 
+// As above, but answers that were asked for before the pause lie waiting when the gateway goes on.
+// They are from before the change. Counted from when they are read, they would let the gateway go on for another while,
+// cut off as it now is from everybody who knows better.
+for (const seed of [1, 2, 3, 4, 5]) {
+    test(`answers from before a pause don't count after it (seed ${seed})`, async () => {
+        const sim = await startFleet(seed);
+        sim.storeDelayMs = 700;
+        sim.network.maximumDelayMs = 450;
+        await sim.run(5_000 + sim.random.below(1_000));
+        sim.gateways.get("gw5")?.process.pause();
+        await sim.run(1_500);
+        sim.heal({ paused: true });
+        split(sim, ["gw5"], [...all, "op1"]);
+        sim.cutFromStore.add("gw5");
+        assert.ok((await sim.changeNow(sim.startOperator("op1"), "zone-out")).inForce);
+        await sim.run(1_000);
+        sim.gateways.get("gw5")?.process.resume();
+        await sim.run(10_000);
+        sim.check();
+    });
+}
+
+// A gateway that is cut off from its peers reads the store, which is slow, and goes on past the time it has.
+// The head is read just before the change is written, and the answer is on its way for long. Whoever accepts the change
+// waits for as long as a read from before it may count, and not for as long as its answer may take.
+for (const seed of [1, 2, 3, 4, 5]) {
+    test(`a slow answer of the store counts from before it was asked (seed ${seed})`, async () => {
+        const sim = await startFleet(seed);
+        sim.storeFaults.silentWatches = true;
+        sim.startGateway("gw5");
+        await sim.run(5_000);
+        split(sim, ["gw5"], [...all, "op1"]);
+        sim.slowStoreFor.set("gw5", 1_500);
+        await sim.run(5_000 + sim.random.below(2_000));
+        const acceptance = sim.changeNow(sim.startOperator("op1"), "zone-out");
+        await untilWritten(sim, "zone-out");
+        sim.cutFromStore.add("gw5");
+        assert.ok((await acceptance).inForce);
+        await sim.run(10_000);
+        sim.check();
+    });
+}
+
 // A gateway that reads the store all the time sends work under a configuration that was replaced long ago.
 // Reads come from a part of the store that has fallen behind, the watch is silent, and peers and admin can't reach it.
 test("reads from the store's past confirm nothing", async () => {
--- a/packages/peers/src/__tests__/support/simulation.ts
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -63,6 +63,8 @@
     /** Share of store calls whose answer is lost after they took effect. */
     lostAnswers = 0;
     storeDelayMs = 5;
+    /** Longest time that one way of a store call takes for a process, in place of {@link storeDelayMs}. */
+    readonly slowStoreFor = new Map<string, number>();
     #starts = 0;
 
     constructor(seed: number) {
@@ -199,15 +201,16 @@
         return entry === undefined ? undefined : JSON.parse(entry.value) as Roster;
     }
 
-    /** Ends every fault; paused processes go on. */
-    heal(): void {
+    /** Ends every fault; paused processes go on unless they are to stay as they are. */
+    heal(stays: { readonly paused: boolean; } = { paused: false }): void {
         this.network.heal();
         this.cutFromStore.clear();
+        this.slowStoreFor.clear();
         this.lostAnswers = 0;
         this.storeDelayMs = 5;
         this.storeFaults.staleEngine = undefined;
         this.storeFaults.silentWatches = false;
-        for (const { process } of this.gateways.values()) {
+        for (const { process } of stays.paused ? [] : this.gateways.values()) {
             process.resume();
         }
     }
@@ -265,11 +268,12 @@
         if (this.cutFromStore.has(client) || this.cutFromStore.has("*")) {
             return { type: "requestLost", timeoutMs: storeTimeoutMs };
         }
-        const outMs = 1 + this.random.below(this.storeDelayMs);
+        const delayMs = this.slowStoreFor.get(client) ?? this.storeDelayMs;
+        const outMs = 1 + this.random.below(delayMs);
         if (this.random.next() < this.lostAnswers) {
             return { type: "answerLost", outMs, timeoutMs: Math.max(storeTimeoutMs, outMs) };
         }
-        return { type: "answered", outMs, backMs: 1 + this.random.below(this.storeDelayMs) };
+        return { type: "answered", outMs, backMs: 1 + this.random.below(delayMs) };
     }
 
     #shownHosts(): readonly HostEntry[] {
