--- /dev/null
+++ b/packages/endToEnd/src/__tests__/zoneOut.test.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { checkWholeAnswer, checkZoneOut, type HistoryLine } from "@galenaglade/history";
+import { FleetRun } from "../index.js";
+
+/** For requests on the wire when the change was accepted. The brief allows a few seconds. */
+const graceMs = 1_000;
+/** Longer than a gateway may serve without word from the store or a majority, and than its lease. */
+const longPauseMs = 12_000;
+
+let run: FleetRun;
+
+before(async () => {
+    run = await FleetRun.start(3);
+});
+
+after(async () => {
+    assert.deepEqual(await run.stop(), []);
+});
+
+function countStarts(history: readonly HistoryLine[], availabilityZone: string): number {
+    return history.filter(line => line.type === "serverStarted" && line.availabilityZone === availabilityZone).length;
+}
+
+// Operators take a zone out while one gateway can't reach the store but serves callers. That gateway learns of the
+// change from its peers or from the offer, or refuses; in no case does it send work into the zone. When the zone comes
+// back it serves again.
+test("a zone that is taken out receives nothing from a gateway that is cut from the store", async () => {
+    await run.setPlatformFaults({ cuts: [{ client: "gateway-2", direction: "toStore" }] });
+    const reading = run.read(6_000, 60);
+    await sleep(1_000);
+    await run.takeZoneOut("north");
+    const outAt = run.history().length;
+    const tally = await reading;
+    await run.bringZoneIn("north");
+    await run.setPlatformFaults({});
+    await run.read(1_500, 60);
+
+    const history = run.history();
+    assert.deepEqual(checkZoneOut(history, graceMs), []);
+    assert.deepEqual(checkWholeAnswer(history), []);
+    assert.ok(countStarts(history.slice(0, outAt), "north") > 0, "the zone served before it was out");
+    assert.ok(countStarts(history.slice(outAt), "north") > 0, "the zone serves again");
+    const counts = tally.countsOf("tables/default");
+    assert.equal(counts.whole, counts.sent, "every caller got its whole answer throughout");
+});
+
+// A gateway's process is stopped for longer than its lease while operators take a zone out, and then continues with
+// callers waiting at its door. It held the old configuration when it stopped; nothing tells it that time has passed but
+// its own clock, which it reads in the turn in which it sends.
+test("a gateway that was stopped past its lease sends nothing into a zone taken out meanwhile", async () => {
+    const paused = run.gateway(0);
+    const others = [run.gateway(1), run.gateway(2)];
+    paused.process.pause();
+    const reading = run.read(longPauseMs, 30, others);
+    await sleep(1_000);
+    await run.takeZoneOut("south");
+    await reading;
+    const atDoor = run.read(2_000, 60, [paused]);
+    await sleep(500);
+    paused.process.resume();
+    await atDoor;
+
+    const history = run.history();
+    assert.deepEqual(checkZoneOut(history, graceMs), []);
+    assert.deepEqual(checkWholeAnswer(history), []);
+    await run.bringZoneIn("south");
+    await run.fleet.becomeReady();
+});
+
+// The store goes down for everybody, for longer than a configuration counts as fresh on the store's word alone. The
+// gateways go on by each other's word, and no caller notices.
+test("service goes on through an outage of the store", async () => {
+    await run.setPlatformFaults({ down: "refusing" });
+    await sleep(7_000);
+    const tally = await run.read(3_000, 60);
+    await run.setPlatformFaults({});
+    const counts = tally.countsOf("tables/default");
+    assert.equal(counts.whole, counts.sent);
+    assert.deepEqual(checkWholeAnswer(run.history()), []);
+});
--- /dev/null
+++ b/packages/endToEnd/src/fleetRun.ts
@@ -0,0 +1,175 @@
+import {
+    type ConfigurationInput,
+    resolveConfiguration,
+    setZoneState,
+    type ZoneState,
+} from "@galenaglade/configuration";
+import { type HistoryLine } from "@galenaglade/history";
+import {
+    Caller,
+    callerPlanSchema,
+    Fleet,
+    FleetConfigurer,
+    type FleetGateway,
+    MemoryHistory,
+    mergeHistories,
+    type PlatformFaults,
+    type Tally,
+} from "@galenaglade/stand-ins";
+import { request } from "undici";
+
+const zones = ["north", "south", "west"];
+const serversPerZone = 2;
+const patienceMs = 4_000;
+
+/** What a caller with an idempotency key was told. */
+export interface KeyedAnswer {
+    readonly status: number;
+    readonly didRun: string | undefined;
+}
+
+/** The small deployment that the tests bring up: one service in three availability zones. */
+function describeDeployment(): ConfigurationInput {
+    return {
+        availabilityZones: zones.map(name => ({ name })),
+        services: [{
+            name: "tables",
+            authorities: ["*"],
+            nonIdempotentMethods: ["POST"],
+            patience: [{ callerKind: "default", patienceMs }],
+            backendServers: zones.flatMap(availabilityZone =>
+                Array.from({ length: serversPerZone }, (_, i) => ({
+                    name: `tables-${availabilityZone}-${i}`,
+                    availabilityZone,
+                    // Replaced by where its stand-in listens.
+                    address: "127.0.0.1",
+                    port: 1,
+                }))
+            ),
+        }],
+    };
+}
+
+/** A fleet of real processes with one service, an operator, callers and a history of all that happens. */
+export class FleetRun {
+    readonly fleet: Fleet;
+    readonly #configurer: FleetConfigurer;
+    readonly #operator = new MemoryHistory("operator");
+    readonly #callers: MemoryHistory[] = [];
+    readonly #zoneStates = new Map<string, ZoneState>();
+
+    private constructor(fleet: Fleet) {
+        this.fleet = fleet;
+        this.#configurer = new FleetConfigurer(fleet);
+    }
+
+    /** Starts the processes, and waits until the first configuration is in force. */
+    static async start(gateways: number): Promise<FleetRun> {
+        const fleet = await Fleet.start({
+            configuration: describeDeployment(),
+            gateways,
+            admin: false,
+            history: true,
+            workTime: { medianMs: 5, sigma: 0.2 },
+        });
+        const run = new FleetRun(fleet);
+        await run.#applyZones();
+        await fleet.becomeReady();
+        return run;
+    }
+
+    gateway(place: number): FleetGateway {
+        const gateway = this.fleet.gateways[place];
+        if (gateway === undefined) {
+            throw new Error(`there is no gateway ${place}`);
+        }
+        return gateway;
+    }
+
+    /** Takes a zone out, and waits until that is in force. */
+    async takeZoneOut(availabilityZone: string): Promise<void> {
+        this.#zoneStates.set(availabilityZone, "out");
+        await this.#applyZones();
+        this.#operator.record({ type: "zoneOutAccepted", availabilityZone });
+    }
+
+    async bringZoneIn(availabilityZone: string): Promise<void> {
+        this.#operator.record({ type: "zoneInRequested", availabilityZone });
+        this.#zoneStates.set(availabilityZone, "in");
+        await this.#applyZones();
+    }
+
+    /** Replaces the stand-in platform's faults. */
+    async setPlatformFaults(faults: Partial<PlatformFaults>): Promise<void> {
+        const res = await request(`${this.fleet.platformUrl}/faults`, { method: "PUT", body: JSON.stringify(faults) });
+        await res.body.dump();
+        if (res.statusCode >= 300) {
+            throw new Error(`the platform took no faults: ${res.statusCode}`);
+        }
+    }
+
+    /** Open-loop table reads at every gateway. @returns what became of them */
+    async read(durationMs: number, requestsPerSecond: number, gateways = this.fleet.gateways): Promise<Tally> {
+        const history = new MemoryHistory(`caller-${this.#callers.length}`);
+        this.#callers.push(history);
+        const plan = callerPlanSchema.parse({
+            name: `caller-${this.#callers.length}`,
+            seed: this.#callers.length,
+            targets: gateways.map(gateway => gateway.process.url),
+            mix: [{ service: "tables", authority: "tables.example", patienceMs, work: { medianMs: 5, sigma: 0.2 } }],
+            phases: [{ durationMs, requestsPerSecond }],
+        });
+        return await new Caller(plan, history).run();
+    }
+
+    /** Files one return under an idempotency key. @returns what the caller was told; `undefined` if it was cut off */
+    async file(gateway: FleetGateway, key: string, workMs: number): Promise<KeyedAnswer | undefined> {
+        const history = new MemoryHistory(`payroll-${this.#callers.length}`);
+        this.#callers.push(history);
+        const requestId = `${key}-${this.#callers.length}`;
+        history.record({
+            type: "callerSent",
+            requestId,
+            service: "tables",
+            idempotent: false,
+            idempotencyKey: key,
+            patienceMs,
+        });
+        try {
+            const res = await request(`${gateway.process.url}/returns`, {
+                method: "POST",
+                headers: { "idempotency-key": key, "x-request-id": requestId, "x-work-ms": String(workMs) },
+                body: "wages=1",
+            });
+            await res.body.dump();
+            const didRun = res.headers["x-galenaglade-did-run"];
+            return { status: res.statusCode, didRun: typeof didRun === "string" ? didRun : undefined };
+        }
+        catch {
+            history.record({ type: "callerCutOff", requestId });
+            return undefined;
+        }
+    }
+
+    /** @returns every line of every process, in the order of the machine's clock */
+    history(): readonly HistoryLine[] {
+        return mergeHistories(this.fleet.histories, [this.#operator, ...this.#callers]);
+    }
+
+    /** Planned stop of all. @returns names of those that didn't end with code 0 */
+    async stop(): Promise<readonly string[]> {
+        await this.#configurer.close();
+        return await this.fleet.stop();
+    }
+
+    async #applyZones(): Promise<void> {
+        let cfg = resolveConfiguration(this.fleet.configuration).unsafeCoerce();
+        for (const [zone, state] of this.#zoneStates) {
+            cfg = setZoneState(cfg, zone, state).unsafeCoerce();
+        }
+        const acceptance = await this.#configurer.apply(cfg);
+        if (!acceptance.inForce) {
+            throw new Error(`revision ${acceptance.revision} is not in force: ${JSON.stringify(acceptance.gateways)}`);
+        }
+    }
+}
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -57,6 +57,8 @@
     | { readonly type: "majorityRound"; readonly gateway: string; readonly startedAtMs: number; }
     | { readonly type: "configurationWritten"; readonly revision: number; readonly changeId: string; }
     | { readonly type: "configurationAccepted"; readonly revision: number; readonly changeId: string; }
+    | { readonly type: "zoneOutAccepted"; readonly availabilityZone: string; }
+    | { readonly type: "zoneInRequested"; readonly availabilityZone: string; }
     | { readonly type: "configurationApplied"; readonly gateway: string; readonly revision: number; }
     | {
         readonly type: "workSent";
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -11,3 +11,4 @@
 export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
+export { checkZoneOut } from "./zoneOutChecker.js";
--- /dev/null
+++ b/packages/history/src/zoneOutChecker.ts
@@ -0,0 +1,40 @@
+import { type HistoryLine, type Violation } from "./events.js";
+
+interface ZoneOut {
+    readonly atMs: number;
+    readonly sequence: number;
+}
+
+/**
+ * Checks that an availability zone that was taken out receives no new work: from `graceMs` after the change was
+ * accepted until the zone is asked back in, no backend server in it starts a request.
+ *
+ * @param history - every line of a run, in the order of its times
+ * @param graceMs - for requests that were on the wire when the change was accepted; the brief's "a few seconds"
+ * @returns what was found against it; empty where the invariant held
+ */
+export function checkZoneOut(history: readonly HistoryLine[], graceMs: number): readonly Violation[] {
+    const out = new Map<string, ZoneOut>();
+    const violations: Violation[] = [];
+    for (const line of history) {
+        if (line.type === "zoneOutAccepted") {
+            out.set(line.availabilityZone, { atMs: line.atMs, sequence: line.sequence });
+        }
+        if (line.type === "zoneInRequested") {
+            out.delete(line.availabilityZone);
+        }
+        if (line.type !== "serverStarted") {
+            continue;
+        }
+        const since = out.get(line.availabilityZone);
+        if (since !== undefined && line.atMs > since.atMs + graceMs) {
+            const lateMs = Math.round(line.atMs - since.atMs);
+            violations.push({
+                invariant: "zoneOut",
+                detail: `${line.server} in ${line.availabilityZone} started a request ${lateMs} ms after it was out`,
+                lines: [since.sequence, line.sequence],
+            });
+        }
+    }
+    return violations;
+}
--- a/packages/standIns/src/recording/historyFile.ts
+++ b/packages/standIns/src/recording/historyFile.ts
@@ -64,10 +64,14 @@
  * Reads the histories of several processes of one machine as one.
  *
  * @param paths - files that {@link HistoryFile} wrote
+ * @param recorded - histories kept by this process
  * @returns all lines in the order of the machine's monotonic clock, numbered anew
  */
-export function mergeHistories(paths: readonly string[]): readonly HistoryLine[] {
-    const lines: HistoryLine[] = [];
+export function mergeHistories(
+    paths: readonly string[],
+    recorded: readonly MemoryHistory[] = [],
+): readonly HistoryLine[] {
+    const lines: HistoryLine[] = recorded.flatMap(history => history.lines);
     for (const path of paths) {
         for (const text of readFileSync(path, "utf8").split("\n")) {
             if (text !== "") {
