--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -19,6 +19,9 @@
 /** Time buckets, besides the open one, in which a claim still counts: with 3 hours each, a claim lasts 24 to 27 hours. */
 export const claimBucketsKept = 8;
 
+/** Age up to which a claim document is written without being read again first. */
+export const claimFreshMs = 5;
+
 /** A claim that was not handed over within this time after its write was first sent is no longer acted upon. */
 export const claimValidityMs = 30_000;
 
@@ -30,3 +33,12 @@
 
 /** Longest claim document that is written, in characters, below the platform's limit of one megabyte. */
 export const claimDocumentCharacters = 900_000;
+
+/** Times its service's average time to the head, after which an overtaken attempt counts as stalled. */
+export const stallFactor = 4;
+
+/** Shortest time after which an attempt can count as stalled; well above a pause of the process or a lost packet. */
+export const stallMinimumMs = 500;
+
+/** Weight of the newest head in the average time to the head. */
+export const stallLatencyWeight = 0.1;
