Let the gateway's scheduler ask the gate of cold start

The scheduler's gate is told of grants, ends and configurations, and is asked again in the turn of the first byte; an answer's head gives the server's own word. The shell makes the gate's calls of the store, exchanges words with peers in rounds, and gives the permits up in a planned stop after the last request. Waiting requests are offered again on each tick.

Two gateways, one cold server that bears one request, 12 callers: every caller gets 200 and the server never has more than one.

Not done: the gateway process doesn't make the shell yet, so it lets everything through as before. That needs the words of cold start carried between peers, and the roster with incarnations told by the fleet. Probing has no shell yet.

--- a/packages/coldStart/src/createServerGate.ts
+++ b/packages/coldStart/src/createServerGate.ts
@@ -42,6 +42,10 @@
         this.#authority = new Authority(self, this.#lease);
     }
 
+    override get leaseId(): string | undefined {
+        return this.#lease.leaseId;
+    }
+
     override maySend(serverId: ServerId, nowMs: number, deadlineMs: number): "yes" | "no" {
         const server = this.#servers.get(serverId);
         if (server === undefined || !this.#isOpen(server, nowMs)) {
--- a/packages/coldStart/src/serverGate.ts
+++ b/packages/coldStart/src/serverGate.ts
@@ -17,6 +17,8 @@
  * does no I/O, and is asked in the very turn in which a request is sent.
  */
 export abstract class ServerGate {
+    /** The lease that the permits are held by; to be revoked in a planned stop, after the last request has ended. */
+    abstract get leaseId(): string | undefined;
     /**
      * @param serverId - the server
      * @param nowMs - the present time
--- /dev/null
+++ b/packages/gateway/src/__tests__/coldStart.test.ts
@@ -0,0 +1,112 @@
+import { type ColdStartWord, signHeaders } from "@galenaglade/cold-start";
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { type CompareAndSwap, type KeyValue, KeyValueStore, type Lease, type SwapOutcome } from "@galenaglade/platform";
+import { KeyValueEngine } from "@galenaglade/stand-ins";
+import { type Either, Left, Right } from "purify-ts";
+import assert from "node:assert/strict";
+import { type RequestListener } from "node:http";
+import { test, type TestContext } from "node:test";
+import { systemClock } from "../clock.js";
+import { ColdStartPeers, ColdStartShell } from "../coldStart/coldStartShell.js";
+import { describeService, FixedSource, startBackend, startGateway } from "./testGateway.js";
+
+/** The store in the test's own process, on the machine's clock. */
+class LocalStore extends KeyValueStore {
+    readonly #engine = new KeyValueEngine();
+
+    override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
+        return Promise.resolve(Right(this.#engine.get(key, performance.now())));
+    }
+
+    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        return Promise.resolve(Right(this.#engine.compareAndSwap(req, performance.now())));
+    }
+
+    override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
+        return Promise.resolve(Right(this.#engine.grantLease(ttlMs, performance.now())));
+    }
+
+    override renewLease(id: string): Promise<Either<Failure, Lease>> {
+        const lease = this.#engine.renewLease(id, performance.now());
+        return Promise.resolve(lease === undefined ? Left(createFailure("notFound", id)) : Right(lease));
+    }
+
+    override revokeLease(id: string): Promise<Either<Failure, void>> {
+        this.#engine.revokeLease(id, performance.now());
+        return Promise.resolve(Right(undefined));
+    }
+
+    override list(): Promise<Either<Failure, never>> {
+        return Promise.resolve(Left(createFailure("internal", "not in this test")));
+    }
+
+    override watch(): Promise<Either<Failure, never>> {
+        return Promise.resolve(Left(createFailure("internal", "not in this test")));
+    }
+}
+
+class LocalPeers extends ColdStartPeers {
+    readonly #shells: Map<string, ColdStartShell>;
+    readonly #self: string;
+
+    constructor(self: string, shells: Map<string, ColdStartShell>) {
+        super();
+        this.#self = self;
+        this.#shells = shells;
+    }
+
+    override roster(): { readonly version: number; readonly members: readonly string[]; } {
+        return { version: 1, members: [...this.#shells.keys()] };
+    }
+
+    override exchange(word: ColdStartWord): readonly Promise<Either<Failure, ColdStartWord>>[] {
+        const peers = [...this.#shells].filter(([name]) => name !== this.#self);
+        return peers.map(([, shell]) => Promise.resolve(Right(shell.onWord(word))));
+    }
+}
+
+/** A cold backend server that counts what it is given, and is warm after five answers. */
+class ColdBackend {
+    inFlight = 0;
+    mostWhileCold = 0;
+    answers = 0;
+    readonly listener: RequestListener = (_, res) => {
+        this.inFlight++;
+        if (this.answers < 5) {
+            this.mostWhileCold = Math.max(this.mostWhileCold, this.inFlight);
+        }
+        setTimeout(() => {
+            this.inFlight--;
+            this.answers++;
+            res.setHeader(signHeaders.state, this.answers < 5 ? "cold" : "warm");
+            res.setHeader(signHeaders.bears, this.answers < 5 ? "1" : "3");
+            res.end("ok");
+        }, 20);
+    };
+}
+
+async function startTwoGateways(t: TestContext, source: FixedSource): Promise<readonly string[]> {
+    const store = new LocalStore();
+    const shells = new Map<string, ColdStartShell>();
+    const urls: string[] = [];
+    for (const self of ["g1/1", "g2/1"]) {
+        shells.set(self, new ColdStartShell({ self, clock: systemClock, store, peers: new LocalPeers(self, shells) }));
+    }
+    for (const gate of shells.values()) {
+        urls.push((await startGateway(t, source, undefined, gate)).url);
+    }
+    return urls;
+}
+
+// Callers of two gateways come at once while the only backend server is cold and bears one request. Each gateway alone
+// would send one, and both would wait for a permit that no timer brings them if waiting requests weren't offered again.
+test("two gateways together give a cold server one request at a time, and every caller its answer", async t => {
+    const backend = new ColdBackend();
+    const port = await startBackend(t, backend.listener);
+    const source = new FixedSource();
+    source.apply(1, describeService([port], 30_000));
+    const urls = await startTwoGateways(t, source);
+    const asked = Array.from({ length: 12 }, (_, i) => fetch(`${urls[i % 2]}/tables/x`).then(res => res.status));
+    assert.deepEqual(new Set(await Promise.all(asked)), new Set([200]));
+    assert.equal(backend.mostWhileCold, 1);
+});
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -8,6 +8,7 @@
 import { type ConfigurationSource } from "../configurationSource.js";
 import { systemClock } from "../clock.js";
 import { createGateway, type Gateway } from "../gateway.js";
+import { type ServerGate } from "../requests/scheduler.js";
 import { RequestClaims } from "../requests/requestClaims.js";
 
 /** A configuration source that the test sets. */
@@ -77,6 +78,7 @@
     t: TestContext,
     source: ConfigurationSource,
     store?: KeyValueStore,
+    gate?: ServerGate,
 ): Promise<TestGateway> {
     const logger = createLogger({ process: "gateway-test", level: "error", json: true, write: () => undefined });
     const metrics = createMetrics("gateway-test");
@@ -97,6 +99,7 @@
         logger,
         metrics,
         tracing: createTracing({ process: "gateway-test", sampledShare: 0, logger }),
+        ...(gate === undefined ? {} : { gate }),
         ...(store === undefined ? {} : { claims: new RequestClaims({ store, holder: "test/1", clock: systemClock }) }),
     });
     const { callersPort, operationsPort } = await gateway.start();
--- /dev/null
+++ b/packages/gateway/src/coldStart/coldStartShell.ts
@@ -0,0 +1,155 @@
+import {
+    type AttemptEnd,
+    type ColdStartWord,
+    createServerGate,
+    type GatedServer,
+    type GatewayRoster,
+    type ServerGate as PermitGate,
+} from "@galenaglade/cold-start";
+import { type Configuration, type RevisedConfiguration, type Service } from "@galenaglade/configuration";
+import { type Failure } from "@galenaglade/errors";
+import { type KeyValueStore } from "@galenaglade/platform";
+import { createServerId } from "@galenaglade/routing";
+import { type Either } from "purify-ts";
+import { type Clock } from "../clock.js";
+import { type Grant, ServerGate } from "../requests/scheduler.js";
+import { type Target } from "../requests/serviceTable.js";
+import { gateRoundMs, gateTickMs } from "./constants.js";
+import { runStoreCommand } from "./storeCalls.js";
+
+/** The other gateways, as cold start needs them. */
+export abstract class ColdStartPeers {
+    /** @returns who counts now, as `name/incarnation`, this gateway included */
+    abstract roster(): GatewayRoster;
+    /** Sends a word to every peer. @returns one promise for each, with its answer */
+    abstract exchange(word: ColdStartWord): readonly Promise<Either<Failure, ColdStartWord>>[];
+}
+
+/** What the shell works with. */
+export interface ColdStartShellParts {
+    /** `name/incarnation` of this gateway. */
+    readonly self: string;
+    readonly clock: Clock;
+    readonly store: KeyValueStore;
+    readonly peers: ColdStartPeers;
+}
+
+/** Feeds the gate of cold start and asks it, for the scheduler. */
+export class ColdStartShell extends ServerGate {
+    readonly #parts: ColdStartShellParts;
+    readonly #gate: PermitGate;
+    #tickTimer: NodeJS.Timeout | undefined;
+    #roundTimer: NodeJS.Timeout | undefined;
+
+    constructor(parts: ColdStartShellParts) {
+        super();
+        this.#parts = parts;
+        this.#gate = createServerGate(parts.self);
+    }
+
+    /** The decisions themselves, for whoever learns of servers by other ways. */
+    get gate(): PermitGate {
+        return this.#gate;
+    }
+
+    override start(reconsider: () => void): void {
+        this.#tickTimer = setInterval(() => {
+            this.#tick();
+            reconsider();
+        }, gateTickMs);
+        this.#roundTimer = setInterval(() => this.#round(), gateRoundMs);
+        this.#round();
+    }
+
+    /** Gives the permits up at once, where the store answers; they lapse otherwise. To be called when nothing is sent. */
+    override async stop(): Promise<void> {
+        clearInterval(this.#tickTimer);
+        clearInterval(this.#roundTimer);
+        const { leaseId } = this.#gate;
+        if (leaseId !== undefined) {
+            await this.#parts.store.revokeLease(leaseId);
+        }
+    }
+
+    /** Takes the servers of a newer configuration. */
+    override onConfiguration(revised: RevisedConfiguration): void {
+        this.#gate.onServers(resolveGatedServers(revised.configuration), this.#now());
+    }
+
+    /** Takes a peer's word. @returns the answer to it */
+    onWord(word: ColdStartWord): ColdStartWord {
+        return this.#gate.onHeartbeat(word, this.#now());
+    }
+
+    override maySend(target: Target, nowMs: number, deadlineMs: number): boolean {
+        return this.#gate.maySend(target.serverId, nowMs, deadlineMs) === "yes";
+    }
+
+    override onGranted(grant: Grant, deadlineMs: number): void {
+        this.#gate.onSent(grant.target.serverId, grant.id, grant.grantedAtMs, deadlineMs);
+    }
+
+    override mayHandOver(grant: Grant, nowMs: number): boolean {
+        return this.#gate.mayStillSend(grant.target.serverId, grant.id, nowMs);
+    }
+
+    override onEnded(grant: Grant, end: AttemptEnd, nowMs: number): void {
+        this.#gate.onEnd(grant.target.serverId, grant.id, end, nowMs);
+        if (this.#gate.takeUrgentSignals(nowMs).length > 0) {
+            // A word carries every signal: a server found cold or leaving is told to all at once.
+            this.#round();
+        }
+    }
+
+    #now(): number {
+        return this.#parts.clock.monotonicMs();
+    }
+
+    #tick(): void {
+        for (const command of this.#gate.tick(this.#now())) {
+            const askedAtMs = this.#now();
+            void runStoreCommand(this.#parts.store, command).then(outcome => {
+                this.#gate.onStoreReply({ command, askedAtMs, outcome }, this.#now());
+            });
+        }
+    }
+
+    #round(): void {
+        const { peers } = this.#parts;
+        this.#gate.onRoster(peers.roster(), this.#now());
+        const startedAtMs = this.#now();
+        const word = this.#gate.beginRound(startedAtMs);
+        const answers: ColdStartWord[] = [];
+        this.#gate.onRound({ startedAtMs, answers }, startedAtMs);
+        for (const asked of peers.exchange(word)) {
+            void asked.then(answer => {
+                answer.ifRight(said => {
+                    answers.push(said);
+                    this.#gate.onRound({ startedAtMs, answers }, this.#now());
+                });
+            });
+        }
+    }
+}
+
+function resolveGatedServers(cfg: Configuration): readonly GatedServer[] {
+    const zonesIn = new Set(cfg.availabilityZones.filter(zone => zone.state === "in").map(zone => zone.name));
+    return cfg.services.flatMap(service => {
+        const longestPatienceMs = Math.max(...service.patience.map(rule => rule.patienceMs));
+        return service.backendServers.map(server => resolveGatedServer(service, server, zonesIn, longestPatienceMs));
+    });
+}
+
+function resolveGatedServer(
+    service: Service,
+    server: Service["backendServers"][number],
+    zonesIn: ReadonlySet<string>,
+    longestPatienceMs: number,
+): GatedServer {
+    const { concurrency, answersToWarm, idleMs } = service.coldStart;
+    return {
+        serverId: createServerId(service.name, server.name),
+        limits: { concurrency, answersToWarm, idleMs, slots: server.slots, longestPatienceMs },
+        isIn: zonesIn.has(server.availabilityZone),
+    };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 import { createOperationsServer } from "./operations/operationsServer.js";
 import { Forwarder } from "./requests/forwarder.js";
 import { type RequestClaims } from "./requests/requestClaims.js";
-import { Scheduler, ServerGate } from "./requests/scheduler.js";
+import { OpenGate, Scheduler, type ServerGate } from "./requests/scheduler.js";
 import { createServiceTable, type ServiceTable } from "./requests/serviceTable.js";
 import { RequestTelemetry } from "./telemetry/requestTelemetry.js";
 
@@ -54,13 +54,6 @@
     stop(): Promise<void>;
 }
 
-/** Lets everything through; what the configuration names may be sent to. */
-class OpenGate extends ServerGate {
-    override maySend(): boolean {
-        return true;
-    }
-}
-
 /**
  * Makes a gateway: callers' requests in, backend servers' answers out.
  *
@@ -71,6 +64,7 @@
     const board = parts.board ?? new ServerBoard();
     const connections = new BackendConnections();
     const telemetry = new RequestTelemetry(parts.tracing, parts.metrics);
+    const gate = parts.gate ?? new OpenGate();
     let table: ServiceTable | undefined;
     let stopping = false;
     let stopped: Promise<void> | undefined;
@@ -81,7 +75,7 @@
         board,
         policy: parts.policy,
         random: createRandomSource(parts.seed),
-        gate: parts.gate ?? new OpenGate(),
+        gate,
         availabilityZone: parts.availabilityZone,
         table: () => table,
         mayTakeNewWork,
@@ -116,6 +110,7 @@
         }
         table = createServiceTable(revised);
         connections.retain(table);
+        gate.onConfiguration(revised);
         scheduler.reconsider();
         parts.logger.info("configuration in force", { revision: revised.revision });
     };
@@ -130,6 +125,8 @@
         await settleWithin(idle, parts.stopping.drainMs);
         callers.closeAllConnections();
         await settleWithin(connections.close(), parts.stopping.drainMs);
+        // The permits go with the lease, and nothing may be sent under them after it: so the last request comes first.
+        await settleWithin(gate.stop(), parts.stopping.drainMs);
         if (parts.claims !== undefined) {
             await settleWithin(parts.claims.whenIdle(), parts.stopping.drainMs);
             parts.claims.stop();
@@ -142,6 +139,7 @@
         start: async () => {
             parts.source.onConfiguration(applyConfiguration);
             applyConfiguration();
+            gate.start(() => scheduler.reconsider());
             const operationsPort = await listen(operations, parts.operations);
             const callersPort = await listen(callers, parts.callers);
             return { callersPort, operationsPort };
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -10,6 +10,7 @@
     didRunHeader,
     resolveAttempt,
 } from "@galenaglade/at-most-once";
+import { type AnswerSigns, noSigns, resolveAnswerSigns } from "@galenaglade/cold-start";
 import { createFailure, type DidRun, type Failure, FailureError } from "@galenaglade/errors";
 import { type ServerId } from "@galenaglade/routing";
 import { type ServerResponse } from "node:http";
@@ -56,6 +57,8 @@
     readonly outcome: AttemptOutcome;
     readonly status: number | undefined;
     readonly headMs: number | undefined;
+    /** What the backend server said of itself in the answer's head. */
+    readonly signs: AnswerSigns;
     /** Whether it was given up for its connection, which went silent. */
     readonly stalled: boolean;
     /** Why the caller has no whole answer from this try; `undefined` where it has. */
@@ -92,6 +95,7 @@
     #controller: Dispatcher.DispatchController | undefined;
     #refusal: Failure | undefined;
     #headMs: number | undefined;
+    #signs = noSigns;
     #settled = false;
     #stalled = false;
     #stallTimer: NodeJS.Timeout | undefined;
@@ -127,6 +131,7 @@
         }
         const raw = readRawHeaders(controller.rawHeaders);
         const head = this.#readHead(status, raw);
+        this.#signs = resolveAnswerSigns(name => findHeader(raw, name));
         this.#headMs = performance.now() - this.#startedAtMs;
         this.#advance({ type: "headReceived", head });
         clearTimeout(this.#stallTimer);
@@ -242,6 +247,7 @@
             outcome,
             status: this.#attempt.head?.status,
             headMs: this.#headMs,
+            signs: this.#signs,
             stalled: this.#stalled,
             failure: this.#refusal ?? this.#describe(outcome, detail),
         });
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -13,6 +13,7 @@
 import { resolveForwardHeaders } from "./headers.js";
 import { readRequestBody, type RequestBody } from "./requestBody.js";
 import { type HeldClaim, type RequestClaims } from "./requestClaims.js";
+import { resolveAttemptEnd } from "../coldStart/attemptEnd.js";
 import { type Grant, type Scheduler } from "./scheduler.js";
 
 /** A request with its two ends. */
@@ -170,14 +171,18 @@
             headers,
             signal: exchange.signal,
             ranBefore: combineDidRun(before),
-            findRefusal: () => this.#findRefusal(request, claim),
+            findRefusal: () => this.#findRefusal(request, grant, claim),
             stall: mayStall ? this.#watchStall(awaited) : undefined,
             onHead: () => this.#stalls.onHead(awaited, clock.monotonicMs()),
             onInFlight: inFlight => board.onReport(serverId, { inFlight }, clock.monotonicMs()),
         });
         connection.release();
         const answered = result.failure === undefined;
-        scheduler.release(request, grant, { latencyMs: answered ? result.headMs : undefined, succeeded: answered });
+        scheduler.release(request, grant, {
+            latencyMs: answered ? result.headMs : undefined,
+            succeeded: answered,
+            attempt: resolveAttemptEnd(result),
+        });
         if (!answered) {
             span.setAttribute("error.type", result.failure.kind);
         }
@@ -196,13 +201,16 @@
      * Between the grant and the first byte lies a connection to be opened, and perhaps a pause of the whole process:
      * what allowed the request then may be over. Asked in the turn of the first byte, nothing can come in between.
      */
-    #findRefusal(request: CallerRequest, claim: HeldClaim | undefined): Failure | undefined {
+    #findRefusal(request: CallerRequest, grant: Grant, claim: HeldClaim | undefined): Failure | undefined {
         if (this.#parts.clock.monotonicMs() >= request.deadlineMs) {
             return createFailure("patienceSpent", "the caller's patience ended before the request was sent");
         }
         if (!this.#parts.mayTakeNewWork()) {
             return createFailure("notFresh", "the configuration can't be shown to be current");
         }
+        if (!this.#parts.scheduler.mayHandOver(grant)) {
+            return createFailure("noBackendServer", "the backend server may not be sent to any more");
+        }
         if (claim?.mayHandOver() === false) {
             return createFailure(
                 "patienceSpent",
--- a/packages/gateway/src/requests/scheduler.ts
+++ b/packages/gateway/src/requests/scheduler.ts
@@ -1,4 +1,6 @@
 import { RetryBudget, WaitQueue } from "@galenaglade/admission";
+import { type AttemptEnd } from "@galenaglade/cold-start";
+import { type RevisedConfiguration } from "@galenaglade/configuration";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import {
     type Candidate,
@@ -21,10 +23,55 @@
      * @param deadlineMs - when the request's caller gives up
      */
     abstract maySend(target: Target, nowMs: number, deadlineMs: number): boolean;
+
+    /** Told when leave has been given, in the same turn as {@link maySend} was asked. */
+    abstract onGranted(grant: Grant, deadlineMs: number): void;
+    /** Asked in the turn of the first byte, for leave may be over by then. */
+    abstract mayHandOver(grant: Grant, nowMs: number): boolean;
+    /** Told how a granted request ended. */
+    abstract onEnded(grant: Grant, end: AttemptEnd, nowMs: number): void;
+    /** Takes the backend servers of a newer configuration. */
+    abstract onConfiguration(revised: RevisedConfiguration): void;
+    /** @param reconsider - to be called when requests that wait may find a backend server that has opened */
+    abstract start(reconsider: () => void): void;
+    abstract stop(): Promise<void>;
+}
+
+/** Lets everything through; what the configuration names may be sent to. */
+export class OpenGate extends ServerGate {
+    override maySend(): boolean {
+        return true;
+    }
+
+    override onGranted(): void {
+        return;
+    }
+
+    override mayHandOver(): boolean {
+        return true;
+    }
+
+    override onEnded(): void {
+        return;
+    }
+
+    override onConfiguration(): void {
+        return;
+    }
+
+    override start(): void {
+        return;
+    }
+
+    override stop(): Promise<void> {
+        return Promise.resolve();
+    }
 }
 
 /** Leave to send one request to one backend server; its slot is counted as taken until {@link Scheduler.release}. */
 export interface Grant {
+    /** Unique within this process. */
+    readonly id: string;
     readonly target: Target;
     readonly grantedAtMs: number;
     /** The configuration revision under which the backend server was chosen. */
@@ -36,6 +83,8 @@
     /** Time to the answer's head; `undefined` where none came. */
     readonly latencyMs: number | undefined;
     readonly succeeded: boolean;
+    /** What the gate is told. */
+    readonly attempt: AttemptEnd;
 }
 
 interface WaitingRequest {
@@ -70,6 +119,7 @@
 export class Scheduler {
     readonly #parts: SchedulerParts;
     readonly #services = new Map<string, ServiceState>();
+    #grants = 0;
 
     constructor(parts: SchedulerParts) {
         this.#parts = parts;
@@ -106,6 +156,7 @@
         const now = clock.monotonicMs();
         const state = this.#stateOf(request.route.service.name);
         board.onEnded(grant.target.serverId, now, end.latencyMs);
+        this.#parts.gate.onEnded(grant, end.attempt, now);
         if (end.succeeded) {
             state.retryBudget.onSuccess();
             state.serviceTimeMs += serviceTimeWeight * (now - grant.grantedAtMs - state.serviceTimeMs);
@@ -114,6 +165,11 @@
         this.#drain(state);
     }
 
+    /** @returns whether a granted request may still be handed over, in this turn */
+    mayHandOver(grant: Grant): boolean {
+        return this.#parts.gate.mayHandOver(grant, this.#parts.clock.monotonicMs());
+    }
+
     /** @returns whether the service's retry budget allows one more try; it is paid for when it does */
     takeRetry(request: CallerRequest): boolean {
         return this.#stateOf(request.route.service.name).retryBudget.take();
@@ -188,7 +244,9 @@
         }
         this.#parts.board.onSent(chosen.serverId);
         const target = { serverId: chosen.serverId, server: chosen.server };
-        return Right({ target, grantedAtMs: nowMs, revision: route.revision });
+        const grant = { id: String(++this.#grants), target, grantedAtMs: nowMs, revision: route.revision };
+        this.#parts.gate.onGranted(grant, request.deadlineMs);
+        return Right(grant);
     }
 
     /** What waited through a change of the configuration goes by the new one. */
