Show that a slow caller holds its backend server back

A test with an answer of 40 MB to a caller that reads slowly: it comes whole, and the backend server may send its end only once the caller has taken more than half.

--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { Readable } from "node:stream";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { request } from "undici";
 import { EngineStore } from "./engineStore.js";
@@ -161,6 +161,55 @@
     }
 });
 
+// A researcher's extract is larger than any buffer on the way, and the researcher reads it slower than the backend
+// server sends it. The gateway holds the backend server back rather than the extract in its memory, and loses nothing.
+test("a large answer comes whole to a slow caller", async t => {
+    const part = "0123456789".repeat(100_000);
+    const parts = 40;
+    const length = part.length * parts;
+    let taken = 0;
+    let takenWhenAllWasSent = 0;
+    const backend = await startRawBackend(t, req => {
+        req.socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n`);
+        const sendParts = (left: number): void => {
+            if (left === 0) {
+                takenWhenAllWasSent = taken;
+                return;
+            }
+            req.socket.write(part, () => sendParts(left - 1));
+        };
+        sendParts(parts);
+    });
+    const { url } = await startWith(t, [backend], { patienceMs: 60_000 });
+    const answered = await request(`${url}/tables`);
+    let wrong = 0;
+    for await (const chunk of answered.body as AsyncIterable<Buffer>) {
+        for (const byte of chunk) {
+            wrong += byte === 48 + taken++ % 10 ? 0 : 1;
+        }
+        await setTimeout(1);
+    }
+    assert.deepEqual([taken, wrong], [length, 0]);
+    assert.ok(takenWhenAllWasSent > length / 2, `all was sent when ${takenWhenAllWasSent} bytes were taken`);
+});
+
+test("answers without a body are whole", async t => {
+    const backend = await startRawBackend(t, req => {
+        req.socket.write(
+            req.method === "HEAD"
+                ? "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"
+                : `HTTP/1.1 ${req.path.slice(-3)} Empty\r\n\r\n`,
+        );
+    });
+    const { url } = await startWith(t, [backend]);
+    for (const status of [204, 304]) {
+        const answered = await request(`${url}/tables/${status}`);
+        assert.deepEqual([answered.statusCode, await answered.body.text()], [status, ""]);
+    }
+    const head = await request(`${url}/tables`, { method: "HEAD" });
+    assert.deepEqual([head.statusCode, head.headers["content-length"], await head.body.text()], [200, "10", ""]);
+});
+
 // The first caller's patience ends, and it has its refusal at once. Its answer comes when the next caller is already
 // waiting for its own. On a connection used again, the next caller would get the first one's table. So the connection
 // is destroyed with the first caller's refusal, which also tells the backend server to stop.
@@ -172,7 +221,7 @@
             return;
         }
         late?.socket.write(renderAnswer("the late answer"));
-        setTimeout(() => answer(req), 20);
+        void setTimeout(20).then(() => answer(req));
     });
     const { url } = await startWith(t, [backend], { patienceMs: 200 });
     const first = await send(`${url}/tables/late`);
