Split the claims of a shard, and leave room in a document for its ends

What a gateway has seen of a shard's documents is a module of its own, and so is the refusal of a claim that comes too late. On the way: a document full of claims could grow past the store's limit as their requests ended (1,116,410 characters for one filled up to 900,000), and then no write of it would succeed; it now takes new claims up to 750,000 only.

--- a/packages/atMostOnce/src/claimDocument.ts
+++ b/packages/atMostOnce/src/claimDocument.ts
@@ -2,19 +2,20 @@
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
 
-const claimEndSchema = z.strictObject({
+// Loose, so that what a newer gateway adds is neither refused nor dropped by an older one during an upgrade.
+const claimEndSchema = z.looseObject({
     didRun: z.enum(["no", "yes", "unknown"]),
     status: z.number().int().optional(),
 }).readonly();
 
-const claimSchema = z.strictObject({
+const claimSchema = z.looseObject({
     fingerprint: z.string(),
     nonce: z.string(),
     holder: z.string(),
     end: claimEndSchema.optional(),
 }).readonly();
 
-const claimDocumentSchema = z.strictObject({
+const claimDocumentSchema = z.looseObject({
     sealed: z.boolean(),
     claims: z.record(z.string(), claimSchema).readonly(),
 }).readonly();
--- a/packages/atMostOnce/src/claimShard.ts
+++ b/packages/atMostOnce/src/claimShard.ts
@@ -1,4 +1,5 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
+import { createBlockedFailure } from "./blockedFailure.js";
 import {
     type Claim,
     type ClaimDocument,
@@ -7,6 +8,7 @@
     emptyClaimDocument,
     encodeClaimDocument,
 } from "./claimDocument.js";
+import { ClaimDocuments } from "./claimDocuments.js";
 import {
     type ClaimCallAnswer,
     type ClaimLimits,
@@ -32,13 +34,6 @@
     | { readonly type: "claimed"; readonly nonce: string; readonly validUntilMs: number; }
     | { readonly type: "refused"; readonly nonce: string; readonly failure: Failure; };
 
-interface CachedDocument {
-    readonly revision: number;
-    readonly document: ClaimDocument;
-    /** Monotonic time at which the store's answer came. */
-    readonly seenMs: number;
-}
-
 interface WaitingClaim {
     readonly req: ClaimRequest;
     /** Buckets read since the claim arrived. */
@@ -59,16 +54,11 @@
     readonly end: ClaimEnd;
 }
 
-interface BlockingClaim {
-    readonly bucket: number;
-    readonly claim: Claim;
-}
-
 /** The claims of one shard as one gateway sees them: which wait, which are held, and what the store last held. */
 export class ClaimShard {
     readonly #holder: string;
     readonly #limits: ClaimLimits;
-    readonly #documents = new Map<number, CachedDocument>();
+    readonly #documents: ClaimDocuments;
     readonly #waiting = new Map<string, WaitingClaim>();
     /** Claims whose write was sent and of which it isn't known yet whether it took effect. */
     readonly #sent = new Map<string, SentClaim>();
@@ -79,6 +69,7 @@
     constructor(holder: string, limits: ClaimLimits) {
         this.#holder = holder;
         this.#limits = limits;
+        this.#documents = new ClaimDocuments(limits);
     }
 
     /** Whether no claim waits and no end is still to be written. */
@@ -135,21 +126,21 @@
     answered(call: ShardCall, answer: ClaimCallAnswer, now: ClaimTime): Failure | undefined {
         if (answer.type === "swapped") {
             if (call.type === "delete") {
-                this.#documents.delete(call.bucket);
+                this.#documents.forget(call.bucket);
                 return undefined;
             }
             this.#observe(call, answer.revision, call.document, now);
             return undefined;
         }
         if (call.type === "delete" && answer.stored === undefined) {
-            this.#documents.delete(call.bucket);
+            this.#documents.forget(call.bucket);
             return undefined;
         }
         return this.#observeStored(call, answer.stored, now);
     }
 
     #observeStored(call: ShardCall, stored: StoredClaims | undefined, now: ClaimTime): Failure | undefined {
-        const cached = this.#documents.get(call.bucket);
+        const cached = this.#documents.find(call.bucket);
         if (call.type === "read" && cached !== undefined && cached.revision > (stored?.revision ?? 0)) {
             // The store's reads may lag, while its writes never do. Taken for the present, an old copy without a
             // claim that is held would make the gateway forget to record its end, and the key would stay taken.
@@ -173,9 +164,9 @@
         if (this.#waiting.size === 0) {
             return undefined;
         }
-        const open = this.#openBucket(time);
-        for (let bucket = open - this.#limits.bucketsKept; bucket < open; bucket++) {
-            const cached = this.#documents.get(bucket);
+        const open = this.#documents.openBucket(time);
+        for (let bucket = this.#documents.oldestBucket(time); bucket < open; bucket++) {
+            const cached = this.#documents.find(bucket);
             if (cached === undefined) {
                 return this.#read(bucket);
             }
@@ -185,8 +176,8 @@
                 return this.#swap(bucket, { ...cached.document, sealed: true });
             }
         }
-        const cached = this.#documents.get(open);
-        if (cached === undefined || this.#isStale(cached, time)) {
+        const cached = this.#documents.find(open);
+        if (cached === undefined || this.#documents.isStale(cached, time)) {
             return this.#read(open);
         }
         return this.#nextBatch(open, time);
@@ -199,7 +190,7 @@
             if (batch.has(keyDigest)) {
                 continue;
             }
-            const blocking = this.#findBlocking(keyDigest);
+            const blocking = this.#documents.findBlocking(keyDigest);
             if (blocking === undefined) {
                 batch.set(keyDigest, waiting);
                 continue;
@@ -214,7 +205,7 @@
     }
 
     #swapWithClaims(open: number, batch: ReadonlyMap<string, WaitingClaim>, time: ClaimTime): ShardCall | undefined {
-        const cached = this.#cached(open);
+        const cached = this.#documents.at(open);
         const claims: Record<string, Claim> = { ...cached.document.claims };
         for (const { req } of batch.values()) {
             claims[req.keyDigest] = { fingerprint: req.fingerprint, nonce: req.nonce, holder: this.#holder };
@@ -236,9 +227,9 @@
 
     #nextForEnds(time: ClaimTime): ShardCall | undefined {
         for (const [nonce, pending] of [...this.#ends]) {
-            const cached = this.#documents.get(pending.bucket);
+            const cached = this.#documents.find(pending.bucket);
             if (cached !== undefined) {
-                return this.#isStale(cached, time)
+                return this.#documents.isStale(cached, time)
                     ? this.#read(pending.bucket)
                     : this.#swap(pending.bucket, cached.document);
             }
@@ -254,7 +245,7 @@
      */
     #nextFence(): ShardCall | undefined {
         for (const [nonce, sent] of [...this.#sent]) {
-            const cached = this.#documents.get(sent.bucket);
+            const cached = this.#documents.find(sent.bucket);
             if (cached !== undefined) {
                 return this.#swap(sent.bucket, cached.document);
             }
@@ -264,55 +255,17 @@
     }
 
     #nextDeletion(time: ClaimTime): ShardCall | undefined {
-        const oldest = this.#openBucket(time) - this.#limits.bucketsKept;
-        for (const [bucket, cached] of this.#documents) {
-            if (bucket < oldest) {
-                const { revision, document } = cached;
-                return {
-                    type: "delete",
-                    bucket,
-                    expectedRevision: revision,
-                    document,
-                    value: undefined,
-                    witnesses: [],
-                };
-            }
-        }
-        return undefined;
-    }
-
-    /**
-     * Another gateway has probably written the document since: a write on this revision would be spent in vain, and
-     * the store takes ten times as many reads as writes.
-     */
-    #isStale(cached: CachedDocument, time: ClaimTime): boolean {
-        return time.nowMs - cached.seenMs > this.#limits.freshMs;
-    }
-
-    #openBucket(time: ClaimTime): number {
-        let open = Math.floor(time.epochMs / this.#limits.bucketMs);
-        for (const [bucket, cached] of this.#documents) {
-            // Buckets never go back, neither for a clock that does nor for one that is behind the others'.
-            open = Math.max(open, cached.document.sealed ? bucket + 1 : bucket);
-        }
-        return open;
-    }
-
-    #findBlocking(keyDigest: string): BlockingClaim | undefined {
-        for (const [bucket, cached] of this.#documents) {
-            const claim = cached.document.claims[keyDigest];
-            // A claim blocks until its request is known not to have run. Its holder's death frees nothing: the
-            // request may be running, and a second try would file the return twice.
-            if (claim !== undefined && claim.end?.didRun !== "no") {
-                return { bucket, claim };
-            }
+        const bucket = this.#documents.findExpired(time);
+        if (bucket === undefined) {
+            return undefined;
         }
-        return undefined;
+        const { revision, document } = this.#documents.at(bucket);
+        return { type: "delete", bucket, expectedRevision: revision, document, value: undefined, witnesses: [] };
     }
 
     #observe(call: ShardCall, revision: number, document: ClaimDocument, now: ClaimTime): void {
         const bucket = call.bucket;
-        this.#documents.set(bucket, { revision, document, seenMs: now.nowMs });
+        this.#documents.see(bucket, { revision, document, seenMs: now.nowMs });
         for (const nonce of call.witnesses) {
             this.#waiting.get(nonce)?.verified.add(bucket);
         }
@@ -353,10 +306,6 @@
         this.#verdicts.push({ type: "refused", nonce, failure });
     }
 
-    #cached(bucket: number): CachedDocument {
-        return this.#documents.get(bucket) ?? { revision: 0, document: emptyClaimDocument, seenMs: 0 };
-    }
-
     #read(bucket: number): ShardCall {
         return {
             type: "read",
@@ -381,21 +330,10 @@
         return {
             type: "swap",
             bucket,
-            expectedRevision: this.#cached(bucket).revision,
+            expectedRevision: this.#documents.at(bucket).revision,
             document: written,
             value: encodeClaimDocument(written),
             witnesses: [...this.#waiting.keys()],
         };
     }
 }
-
-function createBlockedFailure(claim: Claim, req: ClaimRequest): Failure {
-    if (claim.fingerprint !== req.fingerprint) {
-        return createFailure("idempotencyKeyMismatch", "the idempotency key belongs to another request");
-    }
-    if (claim.end === undefined) {
-        return createFailure("idempotencyKeyInUse", "the request was accepted and its end isn't known");
-    }
-    const status = claim.end.status === undefined ? "" : ` with status ${claim.end.status}`;
-    return createFailure("idempotencyKeyEnded", `the request has ended${status}`, { didRun: claim.end.didRun });
-}
--- a/packages/atMostOnce/src/constants.ts
+++ b/packages/atMostOnce/src/constants.ts
@@ -31,8 +31,8 @@
 /** Failed calls of one shard in a row after which the claims that wait for it are refused. */
 export const claimFailuresBorne = 2;
 
-/** Longest claim document that is written, in characters, below the platform's limit of one megabyte. */
-export const claimDocumentCharacters = 900_000;
+/** Longest claim document that takes new claims, in characters; with all their ends it stays below one megabyte. */
+export const claimDocumentCharacters = 750_000;
 
 /** Times its service's average time to the head, after which an overtaken attempt counts as stalled. */
 export const stallFactor = 4;
