--- a/packages/admin/src/__tests__/operatorCalls.test.ts
+++ b/packages/admin/src/__tests__/operatorCalls.test.ts
@@ -1,8 +1,10 @@
 import { type Configuration } from "@galenaglade/configuration";
+import { checkOperatorChanges, type OperatorChangeLine } from "@galenaglade/history";
 import { HostState } from "@galenaglade/schema";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { operatorsChangeId } from "../changeId.js";
 import { OperatorCalls } from "../index.js";
 import { declared, FakeCoordinator, FakeHostList, resolved } from "./fakeFleet.js";
 
@@ -44,42 +46,33 @@
         minLength: 2,
         maxLength: 5,
     });
-    await fc.assert(
-        fc.asyncProperty(fc.scheduler(), operators, fc.nat(3), async (scheduler, changes, lost) => {
-            const coordinator = new FakeCoordinator();
-            coordinator.answersToLose = lost;
-            coordinator.turn = step => scheduler.schedule(Promise.resolve(), step);
-            const runs = changes.map(async ({ name, state }, i) => {
-                for (;;) {
-                    const answer = await createCalls(coordinator).changeZone(zone(name, state, `change-${i}`));
-                    if (answer.isRight()) {
-                        return;
-                    }
-                    assert.equal(answer.swap().unsafeCoerce().failure.kind, "storeOutcomeUnknown");
+    const run = fc.asyncProperty(fc.scheduler(), operators, fc.nat(3), async (scheduler, changes, lost) => {
+        const history: OperatorChangeLine[] = [];
+        const coordinator = new FakeCoordinator();
+        coordinator.answersToLose = lost;
+        coordinator.turn = step => scheduler.schedule(Promise.resolve(), step);
+        coordinator.onStored = ({ revision, changeId, configuration }) => {
+            const states = Object.fromEntries(configuration.availabilityZones.map(({ name, state }) => [name, state]));
+            history.push({ type: "revisionStored", revision, changeId: operatorsChangeId(changeId), states });
+        };
+        const runs = changes.map(async ({ name, state }, i) => {
+            const changeId = `change-${i}`;
+            for (;;) {
+                history.push({ type: "zoneChangeCalled", changeId, availabilityZone: name, state });
+                const answer = await createCalls(coordinator).changeZone(zone(name, state, changeId));
+                if (answer.isRight()) {
+                    history.push({ type: "zoneChangeAnswered", changeId, revision: answer.unsafeCoerce().revision });
+                    return;
                 }
-            });
-            await scheduler.waitFor(Promise.all(runs));
-            checkZoneHistory(coordinator, changes);
-        }),
-        { numRuns: 200 },
-    );
+                assert.equal(answer.swap().unsafeCoerce().failure.kind, "storeOutcomeUnknown");
+            }
+        });
+        await scheduler.waitFor(Promise.all(runs));
+        assert.deepEqual(checkOperatorChanges(history, { a: "in", b: "in" }), []);
+    });
+    await fc.assert(run, { numRuns: 200, includeErrorInReport: true });
 });
 
-/** Each change once, and no revision changes any zone but the one that its change names. */
-function checkZoneHistory(
-    coordinator: FakeCoordinator,
-    changes: readonly { readonly name: string; readonly state: string; }[],
-): void {
-    const ids = coordinator.history.slice(1).map(({ changeId }) => changeId.split("#")[0]);
-    assert.deepEqual([...ids].sort(), changes.map((_, i) => `change-${i}`).sort());
-    for (const [i, { configuration }] of coordinator.history.slice(1).entries()) {
-        const change = changes[Number(ids[i]?.slice("change-".length))];
-        const before = coordinator.history[i]?.configuration.availabilityZones ?? [];
-        const expected = before.map(({ name, state }) => name === change?.name ? change.state : state);
-        assert.deepEqual(statesOf(configuration), expected);
-    }
-}
-
 test("a stale configuration gets a conflict with the present revision, and nothing is merged", async () => {
     const coordinator = new FakeCoordinator();
     const calls = createCalls(coordinator);
@@ -211,13 +204,24 @@
     ]);
 });
 
-test("lists backend servers with the state of their zone", async () => {
-    const calls = createCalls(new FakeCoordinator());
+test("lists backend servers with the state of their zone and host", async () => {
+    const hosts = new FakeHostList();
+    const calls = createCalls(new FakeCoordinator(), hosts);
+    const list = async () => (await calls.listBackendServers("tables")).unsafeCoerce();
     await calls.changeZone(zone("b", "out", "x"));
-    const { revision, servers } = (await calls.listBackendServers("tables")).unsafeCoerce();
+    hosts.hosts = [{ name: "one", address: "10.0.0.1", availabilityZone: "a", state: "leaving" }];
+    const { revision, servers } = await list();
     assert.equal(revision, 2);
-    assert.deepEqual(servers.map(({ server, zoneState }) => [server.name, zoneState]), [["one", "in"], ["two", "out"]]);
+    assert.deepEqual(servers.map(({ server, zoneState, hostState }) => [server.name, zoneState, hostState]), [
+        ["one", "in", HostState.LEAVING],
+        ["two", "out", HostState.UNLISTED],
+    ]);
     assert.equal(servers[0]?.server, resolved.services[0]?.backendServers[0]);
+    hosts.hosts = [...hosts.hosts, { name: "other", address: "10.0.0.1", availabilityZone: "a", state: "live" }];
+    assert.equal((await list()).servers[0]?.hostState, HostState.UNSPECIFIED);
+    hosts.isDown = true;
+    assert.equal((await list()).servers[1]?.hostState, HostState.UNSPECIFIED);
+    assert.equal((await calls.listHosts()).swap().unsafeCoerce().failure.kind, "storeUnavailable");
     const unknown = await calls.listBackendServers("table");
     assert.equal(unknown.swap().unsafeCoerce().failure.kind, "notFound");
 });
