Send nothing for a caller that is gone, and record ends before a stop

A non-idempotent request runs on when its caller hangs up, so that its end is known; but one of which nothing has left yet is not wanted any more. It is now refused in the turn of its first byte, and its key is released. Fails without: "+ 409 - 200" for the next try, the first had run.

--- a/packages/gateway/src/__tests__/engineStore.ts
+++ b/packages/gateway/src/__tests__/engineStore.ts
@@ -13,7 +13,16 @@
 /** The platform's store in the test's own process; what claims don't use is not there. */
 export class EngineStore extends KeyValueStore {
     down = false;
-    readonly #engine = new KeyValueEngine();
+    calls = 0;
+    /** Calls take effect once this is settled. */
+    ready: Promise<void> = Promise.resolve();
+    readonly #engine: KeyValueEngine;
+
+    /** @param engine - shared by the stores of several gateways */
+    constructor(engine = new KeyValueEngine()) {
+        super();
+        this.#engine = engine;
+    }
 
     override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
         return this.#call(() => this.#engine.get(key, 0));
@@ -43,8 +52,10 @@
         return this.#refuse();
     }
 
-    #call<T>(run: () => T): Promise<Either<Failure, T>> {
-        return this.down ? this.#refuse() : Promise.resolve(Right(run()));
+    async #call<T>(run: () => T): Promise<Either<Failure, T>> {
+        this.calls++;
+        await this.ready;
+        return this.down ? await this.#refuse() : Right(run());
     }
 
     #refuse<T>(): Promise<Either<Failure, T>> {
--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -1,5 +1,7 @@
+import { KeyValueEngine } from "@galenaglade/stand-ins";
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { connect } from "node:net";
 import { Readable } from "node:stream";
 import { setImmediate, setTimeout } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
@@ -339,6 +341,60 @@
     assert.equal(backend.requests.length, 1);
 });
 
+// The shopper cancels while the key of the deposit is still being claimed. Nothing has left the gateway, so nothing
+// may leave it any more: the deposit is not wanted, and a next try must find its key free.
+test("a deposit whose caller is gone before it was sent is not sent", async t => {
+    const backend = await startRawBackend(t, answer);
+    const store = new EngineStore();
+    let release = (): void => undefined;
+    store.ready = new Promise(resolve => {
+        release = resolve;
+    });
+    const { url } = await startWith(t, [backend], { store });
+    const client = connect(Number(new URL(url).port), "127.0.0.1");
+    client.write("POST /tables HTTP/1.1\r\nhost: a\r\nidempotency-key: ring-8\r\ncontent-length: 5\r\n\r\nwages");
+    while (store.calls === 0) {
+        await setImmediate();
+    }
+    client.destroy();
+    await setTimeout(200);
+    release();
+    let next = await send(`${url}/tables`, "POST", "ring-8");
+    while (next.didRun === "unknown") {
+        next = await send(`${url}/tables`, "POST", "ring-8");
+    }
+    assert.deepEqual([next.status, next.didRun], [200, "yes"]);
+    assert.equal(backend.requests.filter(req => req.path === "/tables").length, 1);
+});
+
+// The gateway is told to stop while it runs a return. The return finishes, its caller has the answer, and the end is
+// recorded in the store, slow as it is, before the gateway is gone: else the next try would be told "unknown".
+test("a planned stop waits until the end of a return is recorded", async t => {
+    let running: RawRequest | undefined;
+    let noteRunning = (): void => undefined;
+    const started = new Promise<void>(resolve => {
+        noteRunning = resolve;
+    });
+    const backend = await startRawBackend(t, req => {
+        running = req;
+        noteRunning();
+    });
+    const engine = new KeyValueEngine();
+    const store = new EngineStore(engine);
+    const one = await startWith(t, [backend], { store });
+    const other = await startWith(t, [backend], { store: new EngineStore(engine) });
+    const first = send(`${one.url}/tables`, "POST", "return-8");
+    await started;
+    const stopped = one.gateway.stop();
+    store.ready = setTimeout(200);
+    running?.socket.write(renderAnswer("taken in"));
+    assert.equal((await first).body, "taken in");
+    await stopped;
+    store.down = true;
+    const next = await send(`${other.url}/tables`, "POST", "return-8");
+    assert.deepEqual([next.status, next.didRun], [409, "yes"]);
+});
+
 test("while the store is down a keyed request is refused at once, and one without a key runs", async t => {
     const backend = await startRawBackend(t, answer);
     const store = new EngineStore();
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -170,7 +170,7 @@
             headers,
             signal: exchange.signal,
             ranBefore: combineDidRun(before),
-            findRefusal: () => this.#findRefusal(request, claim),
+            findRefusal: () => this.#findRefusal(exchange, claim),
             stall: mayStall ? this.#watchStall(awaited) : undefined,
             onHead: () => this.#stalls.onHead(awaited, clock.monotonicMs()),
             onInFlight: inFlight => board.onReport(serverId, { inFlight }, clock.monotonicMs()),
@@ -196,7 +196,10 @@
      * Between the grant and the first byte lies a connection to be opened, and perhaps a pause of the whole process:
      * what allowed the request then may be over. Asked in the turn of the first byte, nothing can come in between.
      */
-    #findRefusal(request: CallerRequest, claim: HeldClaim | undefined): Failure | undefined {
+    #findRefusal({ request, res }: Exchange, claim: HeldClaim | undefined): Failure | undefined {
+        if (res.destroyed) {
+            return createFailure("patienceSpent", "the caller went away before the request was sent");
+        }
         if (this.#parts.clock.monotonicMs() >= request.deadlineMs) {
             return createFailure("patienceSpent", "the caller's patience ended before the request was sent");
         }
