Refuse what can't be read with its reason, and prove that it hurts nobody else

Change: the port refuses it itself; tests for malformed, oversized, smuggled and slow requests, for connections over the limit, and for bytes that can't be read while an answer is under way.

Ruled out: leaving the refusal to node (no reason, no did-run).

Fails first: with the refusal written although an answer is under way, the test prints the refusal inside the answer. Without Host before the change: "The input did not match /x-galenaglade-did-run: no/ ... HTTP/1.1 400 Bad Request".

--- /dev/null
+++ b/packages/gateway/src/__tests__/badInput.test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { type CallerLimits, createCallerServer } from "../callers/callerServer.js";
+import { sendRaw } from "./rawBackend.js";
+
+const limits: CallerLimits = { maximumConnections: 20, maximumHeaderBytes: 4_096, requestTimeoutMs: 300 };
+const didRun = /x-galenaglade-did-run: no/;
+
+interface Door {
+    readonly url: string;
+    /** Requests that were understood. */
+    readonly handled: () => number;
+}
+
+/** The callers' port alone, with a handler that answers what it understands. */
+async function openDoor(t: TestContext, more: Partial<CallerLimits> = {}): Promise<Door> {
+    let handled = 0;
+    const server = createCallerServer({ ...limits, ...more }, (req, res) => {
+        handled++;
+        req.resume();
+        req.once("end", () => res.end("understood"));
+        req.once("error", () => res.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, handled: () => handled };
+}
+
+async function isServed(url: string): Promise<boolean> {
+    const answer = await request(url);
+    return answer.statusCode === 200 && await answer.body.text() === "understood";
+}
+
+const malformed: readonly (readonly [string, string, RegExp])[] = [
+    ["no HTTP at all", "\u0016\u0003\u0001 hello\r\n\r\n", /^HTTP\/1\.1 400 /],
+    ["no host", "GET / HTTP/1.1\r\n\r\n", /^HTTP\/1\.1 400 /],
+    ["a header without colon", "GET / HTTP/1.1\r\nhost: a\r\nbroken\r\n\r\n", /^HTTP\/1\.1 400 /],
+    ["a negative length", "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n", /^HTTP\/1\.1 400 /],
+    [
+        "two lengths",
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        /^HTTP\/1\.1 400 /,
+    ],
+    [
+        "a length and chunks, by which two requests can be hidden in one",
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n",
+        /^HTTP\/1\.1 400 /,
+    ],
+    ["a chunk with no size", "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", /400 |^$/],
+    ["headers beyond their limit", `GET / HTTP/1.1\r\nhost: a\r\nx: ${"y".repeat(8_192)}\r\n\r\n`, /^HTTP\/1\.1 431 /],
+];
+
+// A caller sends what can't be read. It is told why on its own connection, which ends; a caller who comes at the same
+// time on another connection is served as ever.
+for (const [what, bytes, expected] of malformed) {
+    test(`${what} is refused with its reason and hurts nobody else`, async t => {
+        const { url } = await openDoor(t);
+        const [told, served] = await Promise.all([sendRaw(url, bytes), isServed(url)]);
+        assert.match(told.text, expected);
+        if (told.text !== "") {
+            assert.match(told.text, didRun);
+            assert.match(told.text, /application\/problem\+json/);
+        }
+        assert.ok(served);
+        assert.ok(await isServed(url), "the port goes on");
+    });
+}
+
+// A caller sends its headers a byte at a time, to hold its connection for good. It is told so after the time that a
+// request may take, and its connection ends.
+test("a request that is sent too slowly is refused", async t => {
+    const { url, handled } = await openDoor(t);
+    const told = await sendRaw(url, "GET / HTTP/1.1\r\nhost: a\r\nx-slow: ");
+    assert.match(told.text, /^HTTP\/1\.1 408 /);
+    assert.match(told.text, didRun);
+    assert.equal(handled(), 0);
+});
+
+// Somebody opens connections and holds them. Those over the limit are told so at once; those that were there first are
+// served on, and when they leave there is room again.
+test("connections over the limit are refused, and the others served", async t => {
+    const { url } = await openDoor(t, { maximumConnections: 5, requestTimeoutMs: 60_000 });
+    const held: Socket[] = [];
+    for (let i = 0; i < 5; i++) {
+        const socket = connect(Number(new URL(url).port), "127.0.0.1");
+        await once(socket, "connect");
+        held.push(socket);
+    }
+    const over = await sendRaw(url, "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert.match(over.text, /^HTTP\/1\.1 503 /);
+    assert.match(over.text, /retry-after: 1/);
+    const [first] = held;
+    assert.ok(first !== undefined);
+    first.write("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    const [bytes] = await once(first, "data") as [Buffer];
+    assert.match(bytes.toString(), /^HTTP\/1\.1 200 /);
+    for (const socket of held) {
+        socket.destroy();
+    }
+    while (!await isServed(url).catch(() => false)) {
+        await sleep(10);
+    }
+});
+
+// While an answer is on its way, the same connection brings bytes that can't be read. A refusal written now would land
+// inside that answer, and its caller would take the refusal's bytes for its own table. The connection is cut instead.
+test("a refusal never lands inside an answer that is under way", async t => {
+    let finish = (): void => undefined;
+    const server = createCallerServer(limits, (_req, res) => {
+        res.writeHead(200, { "content-length": "10" });
+        res.write("12345");
+        finish = () => res.end("67890");
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const socket = connect(Number(new URL(url).port), "127.0.0.1");
+    let received = "";
+    socket.on("data", (chunk: Buffer) => {
+        received += chunk.toString();
+    });
+    socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    await once(socket, "data");
+    socket.write("this is no request\r\n\r\n");
+    await once(socket, "close");
+    finish();
+    assert.match(received, /\r\n\r\n12345$/);
+});
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { callerKeepAliveMs } from "../constants.js";
-import { renderRawFailure } from "./failureAnswer.js";
+import { renderRawFailure, writeFailure } from "./failureAnswer.js";
 
 /** Limits on what callers may take up. */
 export interface CallerLimits {
@@ -34,6 +34,8 @@
         requestTimeout: limits.requestTimeoutMs,
         headersTimeout: limits.requestTimeoutMs,
         connectionsCheckingInterval: Math.min(1_000, limits.requestTimeoutMs),
+        // Refused here in place of node, whose own refusal doesn't say why, nor that nothing ran.
+        requireHostHeader: false,
         // Closed by this side first, a kept connection may break under the next request. Balancers let go of theirs after
         // a minute at the latest, so with more than that it is they who close.
         keepAliveTimeout: callerKeepAliveMs,
@@ -41,6 +43,10 @@
         noDelay: true,
     }, (req, res) => {
         answers.set(req.socket, res);
+        if (req.headers.host === undefined && req.httpVersion !== "1.0") {
+            writeFailure(res, createFailure("badRequest", "the Host header is missing"), undefined, true);
+            return;
+        }
         handle(req, res);
     });
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
