--- a/packages/membership/src/__tests__/acceptance.test.ts
+++ b/packages/membership/src/__tests__/acceptance.test.ts
@@ -95,3 +95,26 @@
     assert.deepEqual(swap?.roster, roster(4, ["gw1", "gw2", "gw4", "gw5"], ["gw1", "gw2", "gw3"]));
     assert.equal(swap.expectedRevision, 3);
 });
+
+// A change is called in force while gateways that were counted as gone send work under the older one.
+// The host list comes up short: it is empty, or doesn't show a new host yet.
+test("the host list is believed only of hosts it has shown, and only if it shows one's own", () => {
+    const settled = roster(3, ["gw1", "gw2", "gw3"]);
+    const keeper = new RosterKeeper("gw1", timings);
+    const listing = (hostNames: readonly string[]) => ({ ...survey(settled, ["gw1"]), hostNames });
+    assert.equal(keeper.surveyed(listing(["gw1", "gw2"]), 0), undefined, "gw3 was never shown");
+    assert.equal(keeper.surveyed(listing([]), 10), undefined, "an empty list");
+    assert.deepEqual(keeper.surveyed(listing(["gw1"]), 20)?.roster.members.map(({ name }) => name), ["gw1", "gw3"]);
+});
+
+// The first fleet start of an operator: the quickest gateway makes a roster of itself, is started anew while the store
+// is down, and nobody may serve until the store is back, since the one member can't ask a majority without itself.
+test("the first roster waits for the gateways that start together", () => {
+    const keeper = new RosterKeeper("gw1", timings);
+    assert.equal(keeper.surveyed(survey(undefined, ["gw1"]), 0), undefined);
+    const swap = keeper.surveyed(survey(undefined, ["gw1", "gw2", "gw3"]), timings.rosterTurnMs);
+    assert.deepEqual(swap, {
+        expectedRevision: 0,
+        roster: { version: 1, members: roster(1, ["gw1", "gw2", "gw3"]).members },
+    });
+});
--- a/packages/membership/src/rosterKeeper.ts
+++ b/packages/membership/src/rosterKeeper.ts
@@ -35,6 +35,7 @@
     readonly #name: string;
     readonly #timings: FleetTimings;
     readonly #goneSinceMs = new Map<string, number>();
+    readonly #seenHosts = new Set<string>();
     #settling: AcceptanceTracker | undefined;
     #wantedSinceMs: number | undefined;
 
@@ -54,6 +55,7 @@
      */
     surveyed(survey: FleetSurvey, nowMs: number): RosterSwap | undefined {
         this.#noteGone(survey, nowMs);
+        survey.hostNames?.forEach(name => this.#seenHosts.add(name));
         const next = this.#resolveNext(survey, nowMs);
         if (next === undefined) {
             this.#wantedSinceMs = undefined;
@@ -129,13 +131,25 @@
             if (registered.has(name)) {
                 continue;
             }
-            if (survey.forgotten.includes(name) || survey.hostNames?.includes(name) === false) {
+            if (survey.forgotten.includes(name) || this.#isHostGone(name, survey.hostNames)) {
                 names.add(name);
             }
         }
         return names;
     }
 
+    /**
+     * The host list lags and may come up short: it is believed only if it shows this gateway's own host, and only of a
+     * host that it has shown before. A new host that it doesn't show yet would otherwise be counted as gone while it
+     * serves, cut off from the store, and a change would be called in force that it never heard of.
+     */
+    #isHostGone(name: string, hostNames: readonly string[] | undefined): boolean {
+        if (hostNames?.includes(this.#name) !== true) {
+            return false;
+        }
+        return this.#seenHosts.has(name) && !hostNames.includes(name);
+    }
+
     #noteGone(survey: FleetSurvey, nowMs: number): void {
         const registered = new Set(survey.registered.map(gateway => gateway.name));
         for (const { name } of resolveRosterGateways(survey.roster)) {
@@ -151,8 +165,12 @@
     /** Each registered gateway has its turn to write, so that as a rule only one tries. */
     #turnMs(survey: FleetSurvey): number {
         const names = survey.registered.map(gateway => gateway.name).sort();
-        const turn = names.indexOf(this.#name);
-        return (turn < 0 ? names.length : turn) * this.#timings.rosterTurnMs;
+        const place = names.indexOf(this.#name);
+        const turn = place < 0 ? names.length : place;
+        // The first roster waits a turn for the others that start with this gateway. A roster of the quickest one alone
+        // would have to agree to the next, and if it were started anew just then without the store, nobody could serve.
+        const first = survey.roster === undefined ? 1 : 0;
+        return (turn + first) * this.#timings.rosterTurnMs;
     }
 }
 
--- a/packages/peers/src/__tests__/support/simulatedStore.ts
+++ b/packages/peers/src/__tests__/support/simulatedStore.ts
@@ -33,7 +33,7 @@
     readonly #engine: KeyValueEngine;
     readonly #time: VirtualTime;
     readonly #faults: StoreFaults;
-    readonly #onSwap: (req: CompareAndSwap) => void;
+    readonly #onSwap: (req: CompareAndSwap, swapped: boolean) => void;
 
     constructor(
         process: SimulatedProcess,
@@ -41,7 +41,7 @@
         engine: KeyValueEngine,
         time: VirtualTime,
         faults: StoreFaults,
-        onSwap: (req: CompareAndSwap) => void,
+        onSwap: (req: CompareAndSwap, swapped: boolean) => void,
     ) {
         super();
         this.#process = process;
@@ -68,9 +68,7 @@
     override async compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
         const swap = await this.#call(nowMs => {
             const outcome = this.#engine.compareAndSwap(req, nowMs);
-            if (outcome.swapped) {
-                this.#onSwap(req);
-            }
+            this.#onSwap(req, outcome.swapped);
             return { outcome, lost: outcome.swapped && this.#loses(req) };
         });
         return swap.chain(({ outcome, lost }) =>
--- a/packages/peers/src/__tests__/support/simulation.ts
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -63,6 +63,9 @@
     /** Share of store calls whose answer is lost after they took effect. */
     lostAnswers = 0;
     storeDelayMs = 5;
+    /** The host list shows hosts that have ended for ever. */
+    hostListStands = false;
+    #afterRead: { readonly key: string; readonly run: () => void; } | undefined;
     /** Longest time that one way of a store call takes for a process, in place of {@link storeDelayMs}. */
     readonly slowStoreFor = new Map<string, number>();
     #starts = 0;
@@ -190,6 +193,17 @@
         this.time.runUntil(untilMs);
     }
 
+    /** Does something just after the next call that reads a key. */
+    afterNextRead(key: string, run: () => void): void {
+        this.#afterRead = { key, run };
+    }
+
+    /** Writes a key past everybody. */
+    overwrite(key: string, value: string): void {
+        const expectedRevision = this.engine.get(key, this.time.nowMs)?.modifiedRevision ?? 0;
+        this.engine.compareAndSwap({ key, expectedRevision, value }, this.time.nowMs);
+    }
+
     /** @returns how often a change was written */
     written(changeId: string): number {
         return this.history.filter(line => line.type === "configurationWritten" && line.changeId === changeId).length;
@@ -256,7 +270,15 @@
     }
 
     #createStore(process: SimulatedProcess): SimulatedStore {
-        return new SimulatedStore(process, this.#store, this.engine, this.time, this.storeFaults, req => {
+        return new SimulatedStore(process, this.#store, this.engine, this.time, this.storeFaults, (req, swapped) => {
+            if (process.name.startsWith("op") && req.key === this.#afterRead?.key) {
+                const { run } = this.#afterRead;
+                this.#afterRead = undefined;
+                run();
+            }
+            if (!swapped) {
+                return;
+            }
             if (req.key === storeKeys.head && req.value !== undefined) {
                 const { revision, changeId } = JSON.parse(req.value) as { revision: number; changeId: string; };
                 this.record("store", { type: "configurationWritten", revision, changeId });
@@ -279,7 +301,7 @@
     #shownHosts(): readonly HostEntry[] {
         const names = new Set(this.gateways.keys());
         for (const [name, endedAtMs] of this.#endedHosts) {
-            if (this.time.nowMs < endedAtMs + hostListLagMs) {
+            if (this.hostListStands || this.time.nowMs < endedAtMs + hostListLagMs) {
                 names.add(name);
             }
         }
--- a/packages/peers/src/changeCoordinatorShell.ts
+++ b/packages/peers/src/changeCoordinatorShell.ts
@@ -72,12 +72,15 @@
     }
 
     override async standing(): Promise<Either<Failure, Acceptance>> {
+        // The roster has to be read after the change is known to be written. One that was read before may have been
+        // left behind by the time of the change, and a majority of it says nothing of the gateways that count since.
+        const head = await this.#limited(readHead(this.#store));
         const read = await this.#limited(readFleet(this.#store));
-        if (read.isLeft()) {
-            return Left(read.extract());
+        if (head.isLeft() || read.isLeft()) {
+            return Left((head.isLeft() ? head : read).extract() as Failure);
         }
         const fleet = read.unsafeCoerce();
-        const { revision, changeId } = fleet.head.head ?? emptyConfiguration;
+        const { revision, changeId } = head.unsafeCoerce().head ?? emptyConfiguration;
         const tracker = this.#trackerFor(revision);
         this.#survey(tracker, fleet);
         // Twice: the second round shows that the first one's answers held at the same time.
--- a/packages/peers/src/fleetStore.ts
+++ b/packages/peers/src/fleetStore.ts
@@ -117,6 +117,10 @@
     if (lease.isLeft()) {
         return Left(lease.extract());
     }
+    const remembered = await dropForgotten(store, self.name);
+    if (remembered.isLeft()) {
+        return Left(remembered.extract());
+    }
     const key = `${storeKeys.memberPrefix}${self.name}`;
     const leaseId = lease.unsafeCoerce().id;
     let expectedRevision = 0;
@@ -133,3 +137,23 @@
     }
     return Left(createFailure("revisionConflict", `${key} was written meanwhile`));
 }
+
+/**
+ * Takes back an operator's word that a gateway of this name runs nowhere. Left in place, it would speak for the new
+ * process too: once cut off from the store, that one would be counted as gone while it serves on.
+ */
+async function dropForgotten(store: KeyValueStore, name: string): Promise<Either<Failure, void>> {
+    const key = `${storeKeys.forgottenPrefix}${name}`;
+    const present = await readPresent(store, key);
+    if (present.isLeft()) {
+        return Left(present.extract());
+    }
+    const expectedRevision = present.toMaybe().extract()?.modifiedRevision;
+    if (expectedRevision === undefined) {
+        return Right(undefined);
+    }
+    const swap = await store.compareAndSwap({ key, expectedRevision, value: undefined });
+    return swap.chain(({ swapped }) =>
+        swapped ? Right(undefined) : Left(createFailure("revisionConflict", `${key} was written meanwhile`))
+    );
+}
