--- a/packages/endToEnd/src/__tests__/gatewayEnds.test.ts
+++ b/packages/endToEnd/src/__tests__/gatewayEnds.test.ts
@@ -5,6 +5,7 @@
 import { FleetRun } from "../index.js";
 
 let run: FleetRun;
+let killedName = "";
 
 before(async () => {
     run = await FleetRun.start(3);
@@ -12,7 +13,7 @@
 
 after(async () => {
     // The killed gateway ended by its signal; whoever was not killed ends with code 0.
-    assert.deepEqual(await run.stop(), ["gateway-1 (SIGKILL)"]);
+    assert.deepEqual(await run.stop(), [`${killedName} (SIGKILL)`]);
 });
 
 // A gateway ends as planned while callers read through it. Each request that it took gets its whole answer; whoever
@@ -38,6 +39,7 @@
     const first = keys.map(key => run.file(killed, key, 600));
     await sleep(300);
     killed.process.kill();
+    killedName = killed.name;
     const firstTold = await Promise.all(first);
     const again = await Promise.all(keys.map(key => run.file(other, key, 5)));
     await run.file(other, "fresh", 5);
--- a/packages/endToEnd/src/__tests__/zoneOut.test.ts
+++ b/packages/endToEnd/src/__tests__/zoneOut.test.ts
@@ -8,6 +8,8 @@
 const graceMs = 1_000;
 /** Longer than a gateway may serve without word from the store or a majority, and than its lease. */
 const longPauseMs = 12_000;
+/** Enough that some of them would go into the zone that is out. */
+const patientCallers = 12;
 
 let run: FleetRun;
 
@@ -46,27 +48,30 @@
     assert.equal(counts.whole, counts.sent, "every caller got its whole answer throughout");
 });
 
-// A gateway's process is stopped for longer than its lease while operators take a zone out, and then continues with
-// callers waiting at its door. It held the old configuration when it stopped; nothing tells it that time has passed but
-// its own clock, which it reads in the turn in which it sends.
+// A gateway's process is stopped for longer than its lease, with requests waiting on its open connections; meanwhile
+// operators take a zone out. When it goes on, those requests come first: before any timer, before the peers' word.
+// Nothing tells it that time has passed but its own clock, which it reads in the turn in which it sends; so it refuses.
 test("a gateway that was stopped past its lease sends nothing into a zone taken out meanwhile", async () => {
     const paused = run.gateway(0);
     const others = [run.gateway(1), run.gateway(2)];
+    await run.read(500, 60);
+    const readPatiently = await run.connectPatiently(paused, patientCallers);
     paused.process.pause();
+    const atDoor = readPatiently();
     const reading = run.read(longPauseMs, 30, others);
     await sleep(1_000);
     await run.takeZoneOut("south");
     await reading;
-    const atDoor = run.read(2_000, 60, [paused]);
-    await sleep(500);
     paused.process.resume();
-    await atDoor;
+    const statuses = await atDoor;
+    await run.fleet.becomeReady();
+    await run.read(1_000, 60);
 
     const history = run.history();
     assert.deepEqual(checkZoneOut(history, graceMs), []);
     assert.deepEqual(checkWholeAnswer(history), []);
+    assert.ok(statuses.every(status => status === 200 || status === 503), statuses.join());
     await run.bringZoneIn("south");
-    await run.fleet.becomeReady();
 });
 
 // The store goes down for everybody, for longer than a configuration counts as fresh on the store's word alone. The
--- a/packages/endToEnd/src/fleetRun.ts
+++ b/packages/endToEnd/src/fleetRun.ts
@@ -5,6 +5,8 @@
     type ZoneState,
 } from "@galenaglade/configuration";
 import { type HistoryLine } from "@galenaglade/history";
+import { type Roster, storeKeys } from "@galenaglade/membership";
+import { HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
 import {
     Caller,
     callerPlanSchema,
@@ -16,11 +18,15 @@
     type PlatformFaults,
     type Tally,
 } from "@galenaglade/stand-ins";
-import { request } from "undici";
+import { Agent, request } from "undici";
 
 const zones = ["north", "south", "west"];
 const serversPerZone = 2;
 const patienceMs = 4_000;
+/** Work of the requests that open a patient caller's connection. */
+const openingWorkMs = 200;
+/** Wide limit on an event that has to come. */
+const rosterWithinMs = 60_000;
 
 /** What a caller with an idempotency key was told. */
 export interface KeyedAnswer {
@@ -75,6 +81,7 @@
         const run = new FleetRun(fleet);
         await run.#applyZones();
         await fleet.becomeReady();
+        await run.#waitForRoster(gateways);
         return run;
     }
 
@@ -122,6 +129,32 @@
         return await new Caller(plan, history).run();
     }
 
+    /**
+     * Opens connections of callers who wait for as long as it takes.
+     *
+     * @returns sends one table read on each of them, and gives the statuses
+     */
+    async connectPatiently(gateway: FleetGateway, count: number): Promise<() => Promise<readonly number[]>> {
+        const agent = new Agent({ connections: count, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+        const read = async (workMs: number): Promise<number> => {
+            const res = await request(`${gateway.process.url}/tables`, {
+                dispatcher: agent,
+                headers: { "x-work-ms": String(workMs) },
+            });
+            await res.body.dump();
+            return res.statusCode;
+        };
+        const readOnAll = (workMs: number): Promise<readonly number[]> =>
+            Promise.all(Array.from({ length: count }, () => read(workMs)));
+        // Long enough that none of them is done before the last has opened its connection.
+        await readOnAll(openingWorkMs);
+        return async () => {
+            const statuses = await readOnAll(1);
+            await agent.close();
+            return statuses;
+        };
+    }
+
     /** Files one return under an idempotency key. @returns what the caller was told; `undefined` if it was cut off */
     async file(gateway: FleetGateway, key: string, workMs: number): Promise<KeyedAnswer | undefined> {
         const history = new MemoryHistory(`payroll-${this.#callers.length}`);
@@ -162,6 +195,30 @@
         return await this.fleet.stop();
     }
 
+    /**
+     * A fleet that has just started counts few of its gateways. One that is paused then holds up every change, as it
+     * should; tests of a running fleet begin once all are counted.
+     */
+    async #waitForRoster(gateways: number): Promise<void> {
+        const connection = new PlatformConnection({ addresses: [this.fleet.platformUrl], client: "observer" });
+        const store = new HttpKeyValueStore(connection);
+        const untilMs = performance.now() + rosterWithinMs;
+        try {
+            while (performance.now() < untilMs) {
+                const stored = (await store.get(storeKeys.roster)).toMaybe().extract();
+                const roster = JSON.parse(stored?.value ?? "{}") as Partial<Roster>;
+                if (roster.previous === undefined && roster.members?.length === gateways) {
+                    return;
+                }
+                await new Promise(resolve => setTimeout(resolve, 100));
+            }
+        }
+        finally {
+            await connection.close();
+        }
+        throw new Error("the roster did not come to hold every gateway");
+    }
+
     async #applyZones(): Promise<void> {
         let cfg = resolveConfiguration(this.fleet.configuration).unsafeCoerce();
         for (const [zone, state] of this.#zoneStates) {
