Scale the fleet's times with the freshness that settings name

A margin that stays at 500 ms is too little for a long freshness on clocks that run apart, and heartbeats a second apart are too few for a short one.

--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -58,6 +58,14 @@
  * @returns frozen times
  */
 export function resolveFleetTimings(freshForMs: number): FleetTimings {
-    const storeReadIntervalMs = Math.floor(freshForMs * 0.3);
-    return Object.freeze({ ...defaultFleetTimings, freshForMs, storeReadIntervalMs });
+    const defaults = defaultFleetTimings;
+    const scale = freshForMs / defaults.freshForMs;
+    return Object.freeze({
+        ...defaults,
+        freshForMs,
+        marginMs: Math.max(defaults.marginMs, Math.ceil(defaults.marginMs * scale)),
+        storeReadIntervalMs: Math.floor(defaults.storeReadIntervalMs * scale),
+        heartbeatIntervalMs: Math.min(defaults.heartbeatIntervalMs, Math.floor(defaults.heartbeatIntervalMs * scale)),
+        callTimeoutMs: Math.min(defaults.callTimeoutMs, Math.floor(defaults.callTimeoutMs * scale)),
+    });
 }
--- a/packages/peers/src/clock.ts
+++ b/packages/peers/src/clock.ts
@@ -29,11 +29,18 @@
 /**
  * @param clock - the clock to wait on
  * @param delayMs - how long
+ * @param signal - ends the wait early, so that a process that stops isn't kept alive by it
  * @returns settles after the wait
  */
-export function pause(clock: Clock, delayMs: number): Promise<void> {
+export function pause(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
-        clock.after(delayMs, resolve);
+        const end = (): void => {
+            cancel();
+            signal?.removeEventListener("abort", end);
+            resolve();
+        };
+        const cancel = clock.after(delayMs, end);
+        signal?.addEventListener("abort", end);
     });
 }
 
--- a/packages/peers/src/fleetMemberShell.ts
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -339,7 +339,7 @@
                 () => Left(createFailure("storeUnavailable", "the watch went silent")),
             );
             if (watched.isLeft()) {
-                await pause(this.#clock, watchRetryMs);
+                await pause(this.#clock, watchRetryMs, this.#stopped.signal);
                 continue;
             }
             const events = watched.unsafeCoerce();
@@ -355,7 +355,7 @@
         while (hosts !== undefined && !this.#stopped.signal.aborted) {
             const listed = await this.#limited(hosts.list());
             this.#hostNames = listed.map(entries => entries.map(entry => entry.name)).toMaybe().extract();
-            await pause(this.#clock, this.#timings.removeAfterMs / 3);
+            await pause(this.#clock, this.#timings.removeAfterMs / 3, this.#stopped.signal);
         }
     }
 
