End callers' connections with the answers of a planned stop

Cause: connections kept open past a planned stop were cut at its end; a caller that had just sent its next request on one could not know whether it ran.

Change: from the start of the stop every answer says that its connection ends, those already in flight included.

Ruled out: cutting idle connections alone at the end (a request may be on its way on one).

Fails first: without it the test prints expected 'close', actual 'keep-alive'. Measured: the gateway's tests pass.

--- a/packages/gateway/src/__tests__/gateway.test.ts
+++ b/packages/gateway/src/__tests__/gateway.test.ts
@@ -89,3 +89,30 @@
     assert.equal(await answer.body.text(), "whole");
     await stop;
 });
+
+// The balancer still sends callers to a host whose planned stop has begun. They are served, and told with the answer
+// that their connection ends: a kept one would be cut at the end of the stop, perhaps under the next request.
+test("answers given during a planned stop end their connections", async t => {
+    const answers: (() => void)[] = [];
+    let noteArrival = (): void => undefined;
+    const arrived = new Promise<void>(resolve => {
+        noteArrival = resolve;
+    });
+    const port = await startBackend(t, (_req, res) => {
+        answers.push(() => res.end("whole"));
+        noteArrival();
+    });
+    const source = new FixedSource();
+    source.apply(1, describeService([port]));
+    const { url, gateway } = await startGateway(t, source);
+    const inFlight = request(`${url}/tables`);
+    await arrived;
+    const stop = gateway.stop();
+    for (const finish of answers) {
+        finish();
+    }
+    const answer = await inFlight;
+    assert.equal(answer.headers["connection"], "close");
+    assert.equal(await answer.body.text(), "whole");
+    await stop;
+});
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -23,7 +23,8 @@
 /** Takes each caller's request from its arrival to its one final answer. */
 export class CallerHandler {
     readonly #parts: CallerHandlerParts;
-    #inFlight = 0;
+    readonly #answers = new Set<ServerResponse>();
+    #leaving = false;
     #stopping = false;
     #onIdle: (() => void) | undefined;
 
@@ -31,14 +32,21 @@
         this.#parts = parts;
     }
 
-    get inFlight(): number {
-        return this.#inFlight;
+    /**
+     * From now on each answer ends its caller's connection. A kept one would be cut at the end of the stop, perhaps just
+     * as its caller sends the next request on it, who then couldn't know whether that ran.
+     */
+    leave(): void {
+        this.#leaving = true;
+        for (const res of this.#answers) {
+            res.shouldKeepAlive = false;
+        }
     }
 
     /** From now on new requests are refused. @returns once the last request in flight has its answer */
     stop(): Promise<void> {
         this.#stopping = true;
-        if (this.#inFlight === 0) {
+        if (this.#answers.size === 0) {
             return Promise.resolve();
         }
         return new Promise(resolve => {
@@ -51,7 +59,10 @@
         const { telemetry, clock } = this.#parts;
         const arrivedAtMs = clock.monotonicMs();
         const span = telemetry.startSpan(req.method ?? "GET", SpanKind.SERVER, telemetry.extract(req.headers));
-        this.#inFlight++;
+        this.#answers.add(res);
+        if (this.#leaving) {
+            res.shouldKeepAlive = false;
+        }
         telemetry.onBegun();
         let failure: Failure | undefined;
         let request: CallerRequest | undefined;
@@ -120,7 +131,7 @@
 
     #refuse(req: IncomingMessage, res: ServerResponse, failure: Failure, span: Span): void {
         // An unread body would be taken for the next request's head, so the connection ends unless all was read.
-        writeFailure(res, failure, traceIdOf(span), this.#stopping || !req.complete);
+        writeFailure(res, failure, traceIdOf(span), this.#leaving || !req.complete);
     }
 
     #ended(
@@ -151,8 +162,8 @@
                 traceId,
             });
         }
-        this.#inFlight--;
-        if (this.#inFlight === 0) {
+        this.#answers.delete(res);
+        if (this.#answers.size === 0) {
             this.#onIdle?.();
         }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,6 +122,7 @@
 
     const stop = async (): Promise<void> => {
         stopping = true;
+        handler.leave();
         // Callers that the balancer still sends are served, not refused, until it has noticed.
         await sleep(parts.stopping.balancerWaitMs);
         const idle = handler.stop();
