Test that retries stay within their budget

Sixty reads against three backend servers that close whatever they read make 80 requests: the budget's 20 saved retries, and nothing earned. Without the budget: "180 !== 80". 37 of 37 gateway tests pass.

--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -10,6 +10,8 @@
 import { type RawBackend, type RawRequest, renderAnswer, sendRaw, startRawBackend } from "./rawBackend.js";
 import { describeService, FixedSource, startGateway, type TestGateway } from "./testGateway.js";
 
+/** Retries that a service has saved up when nothing has failed yet. */
+const savedRetries = 20;
 const didRunHeader = "x-galenaglade-did-run";
 
 async function startWith(
@@ -143,6 +145,24 @@
     assert.deepEqual([told.status, told.body], [200, "GET /tables"]);
 });
 
+// Every backend server closes whatever it reads. Were each read tried three times, the servers in trouble would get
+// three times their load just then; the retry budget lets through what it had saved, and nothing was earned since.
+test("retries stay within their budget while everything fails", async t => {
+    const backends = [
+        await startRawBackend(t, close),
+        await startRawBackend(t, close),
+        await startRawBackend(t, close),
+    ];
+    const { url } = await startWith(t, backends);
+    const reads = 60;
+    for (let i = 0; i < reads; i++) {
+        const told = await send(`${url}/tables`);
+        assert.deepEqual([told.status, told.didRun, told.retryAfter], [502, "unknown", "1"]);
+    }
+    const sent = backends.reduce((sum, backend) => sum + backend.requests.length, 0);
+    assert.equal(sent, reads + savedRetries);
+});
+
 // The backend server's connection ends early: one byte short of its declared length, before its last chunk, or with
 // nothing that declares an end. The union's negotiator must not take what came for the whole table, so the caller's
 // connection is reset, also for a caller of HTTP/1.0, who takes the end of the connection for the end of the answer.
