Read the older buckets of a shard together

A gateway's first claim in a shard read nine documents one after the other.

The test that a key is judged by a fresh read had lost its aim, since the open document is now always fresh: it passed with the check taken out. It goes by a sealed bucket now, which stays in memory, and fails without the check: "- 'r3'".

--- a/packages/atMostOnce/src/__tests__/claimWorld.ts
+++ b/packages/atMostOnce/src/__tests__/claimWorld.ts
@@ -175,11 +175,11 @@
             this.swaps++;
         }
         else {
-            this.reads++;
+            this.reads += command.keys.length;
         }
         const fate = this.fateOf(gateway.name, this.time.nowMs);
         if (fate.type === "stale") {
-            const stored = command.type === "read" ? this.#findVersion(command.key, fate.asOfMs) : undefined;
+            const stored = command.type === "read" ? command.keys.map(key => this.#findVersion(key, fate.asOfMs)) : [];
             const stale: ClaimCallAnswer = { type: "read", stored };
             const { nowMs } = this.time;
             this.time.after(2, () => answer(Right(command.type === "read" ? stale : run(this.#engine, nowMs))));
@@ -317,7 +317,7 @@
     const toStored = (found: ReturnType<KeyValueEngine["get"]>) =>
         found === undefined ? undefined : { value: found.value, revision: found.modifiedRevision };
     if (command.type === "read") {
-        return { type: "read", stored: toStored(engine.get(command.key, nowMs)) };
+        return { type: "read", stored: command.keys.map(key => toStored(engine.get(key, nowMs))) };
     }
     const outcome = engine.compareAndSwap(command, nowMs);
     return outcome.swapped
--- a/packages/atMostOnce/src/__tests__/claims.test.ts
+++ b/packages/atMostOnce/src/__tests__/claims.test.ts
@@ -131,14 +131,14 @@
     }
 });
 
-// A gateway saw a key as claimed while another gateway tried it; the server then shed that try. What the first one
-// remembers is out of date, and a refusal out of memory would keep the caller from a deposit that never ran.
+// A gateway saw a key as claimed in a bucket that was then sealed, and keeps that; later the try of the key's holder
+// ended without running. A refusal out of memory would keep the caller from a deposit that never ran.
 test("a key is judged by a read made since its caller asked", () => {
     const world = new ClaimWorld([0, 0]);
-    world.sendAt(10, { requestId: "r1", key: "k", gateway: 0, server: "sheds", pauseMs: 250 });
-    world.sendAt(200, { requestId: "r2", key: "w", gateway: 1 });
-    world.sendAt(800, { requestId: "r3", key: "k", gateway: 1 });
-    world.time.runUntil(2_000);
+    world.sendAt(850, { requestId: "r1", key: "k", gateway: 0, pauseMs: 800 });
+    world.sendAt(1_200, { requestId: "r2", key: "w", gateway: 1 });
+    world.sendAt(1_900, { requestId: "r3", key: "k", gateway: 1 });
+    world.time.runUntil(3_000);
     assert.deepEqual(world.started, ["r2", "r3"]);
     checkAll(world);
 });
--- a/packages/atMostOnce/src/claimBatcher.ts
+++ b/packages/atMostOnce/src/claimBatcher.ts
@@ -139,7 +139,7 @@
         const commands = [...this.#shards.keys()].flatMap(shard => this.#pump(shard, time));
         if (this.#question === undefined && this.#askStoreAtMs !== undefined && this.#askStoreAtMs <= time.nowMs) {
             this.#question = ++this.#callCount;
-            commands.push({ type: "read", callId: this.#question, key: createClaimDocumentKey(0, 0) });
+            commands.push({ type: "read", callId: this.#question, keys: [createClaimDocumentKey(0, 0)] });
         }
         return commands;
     }
@@ -203,10 +203,11 @@
         const callId = ++this.#callCount;
         this.#underWay.set(callId, { shard, call });
         this.#busyShards.add(shard);
-        const key = createClaimDocumentKey(call.bucket, shard);
+        const keys = call.buckets.map(bucket => createClaimDocumentKey(bucket, shard));
         if (call.type === "read") {
-            return { type: "read", callId, key };
+            return { type: "read", callId, keys };
         }
+        const [key = ""] = keys;
         return { type: "swap", callId, key, expectedRevision: call.expectedRevision, value: call.value };
     }
 
--- a/packages/atMostOnce/src/claimMessages.ts
+++ b/packages/atMostOnce/src/claimMessages.ts
@@ -20,13 +20,14 @@
 
 /** Answer of the store to one call of the batcher's. */
 export type ClaimCallAnswer =
-    | { readonly type: "read"; readonly stored: StoredClaims | undefined; }
+    | { readonly type: "read"; readonly stored: readonly (StoredClaims | undefined)[]; }
     | { readonly type: "swapped"; readonly revision: number; }
     | { readonly type: "notSwapped"; readonly stored: StoredClaims | undefined; };
 
 /** What the batcher wants done. */
 export type ClaimCommand =
-    | { readonly type: "read"; readonly callId: number; readonly key: string; }
+    /** Reads all keys at the same time; the answer has them in the same order. */
+    | { readonly type: "read"; readonly callId: number; readonly keys: readonly string[]; }
     | {
         readonly type: "swap";
         readonly callId: number;
--- a/packages/atMostOnce/src/claimShard.ts
+++ b/packages/atMostOnce/src/claimShard.ts
@@ -20,7 +20,8 @@
 /** One call that a shard wants made; a shard has at most one under way. */
 export interface ShardCall {
     readonly type: "read" | "swap" | "delete";
-    readonly bucket: number;
+    /** Several for a read, one for a write. */
+    readonly buckets: readonly number[];
     readonly expectedRevision: number;
     /** What a swap writes. */
     readonly document: ClaimDocument;
@@ -124,37 +125,55 @@
 
     /** Takes in the store's answer to a call. */
     answered(call: ShardCall, answer: ClaimCallAnswer, now: ClaimTime): Failure | undefined {
-        if (answer.type === "swapped") {
-            if (call.type === "delete") {
-                this.#documents.forget(call.bucket);
-                return undefined;
-            }
-            this.#observe(call, answer.revision, call.document, now);
+        if (answer.type === "read") {
+            return this.#readAnswered(call, answer.stored, now);
+        }
+        const [bucket = 0] = call.buckets;
+        const stored = answer.type === "swapped" ? undefined : answer.stored;
+        if (call.type === "delete" && stored === undefined) {
+            this.#documents.forget(bucket);
             return undefined;
         }
-        if (call.type === "delete" && answer.stored === undefined) {
-            this.#documents.forget(call.bucket);
+        if (answer.type === "swapped") {
+            this.#observe(call, bucket, answer.revision, call.document, now);
             return undefined;
         }
-        return this.#observeStored(call, answer.stored, now);
+        return this.#observeStored(call, bucket, stored, now);
     }
 
-    #observeStored(call: ShardCall, stored: StoredClaims | undefined, now: ClaimTime): Failure | undefined {
-        const cached = this.#documents.find(call.bucket);
-        if (call.type === "read" && cached !== undefined && cached.revision > (stored?.revision ?? 0)) {
-            // The store's reads may lag, while its writes never do. Taken for the present, an old copy without a
-            // claim that is held would make the gateway forget to record its end, and the key would stay taken.
-            this.#observe(call, cached.revision, cached.document, now);
-            return undefined;
+    #readAnswered(
+        call: ShardCall,
+        stored: readonly (StoredClaims | undefined)[],
+        now: ClaimTime,
+    ): Failure | undefined {
+        let failure: Failure | undefined;
+        for (const [i, bucket] of call.buckets.entries()) {
+            const seen = this.#documents.at(bucket);
+            if (seen.revision > (stored[i]?.revision ?? 0)) {
+                // The store's reads may lag, while its writes never do. Taken for the present, an old copy without a
+                // claim that is held would make the gateway forget to record its end, and the key would stay taken.
+                this.#observe(call, bucket, seen.revision, seen.document, now);
+                continue;
+            }
+            failure = this.#observeStored(call, bucket, stored[i], now) ?? failure;
         }
+        return failure;
+    }
+
+    #observeStored(
+        call: ShardCall,
+        bucket: number,
+        stored: StoredClaims | undefined,
+        now: ClaimTime,
+    ): Failure | undefined {
         if (stored === undefined) {
-            this.#observe(call, 0, emptyClaimDocument, now);
+            this.#observe(call, bucket, 0, emptyClaimDocument, now);
             return undefined;
         }
         return decodeClaimDocument(stored.value).caseOf<Failure | undefined>({
             Left: failure => failure,
             Right: document => {
-                this.#observe(call, stored.revision, document, now);
+                this.#observe(call, bucket, stored.revision, document, now);
                 return undefined;
             },
         });
@@ -165,24 +184,35 @@
             return undefined;
         }
         const open = this.#documents.openBucket(time);
+        const missing = this.#findMissing(open, time);
+        if (missing.length > 0) {
+            return this.#read(missing);
+        }
         for (let bucket = this.#documents.oldestBucket(time); bucket < open; bucket++) {
-            const cached = this.#documents.find(bucket);
-            if (cached === undefined) {
-                return this.#read(bucket);
-            }
             // Without the seal a gateway whose clock is behind could claim a key in an older bucket after this one
             // has looked there, and the key's request would run twice. A sealed document takes no new claim.
-            if (!cached.document.sealed) {
-                return this.#swap(bucket, { ...cached.document, sealed: true });
+            const { document } = this.#documents.at(bucket);
+            if (!document.sealed) {
+                return this.#swap(bucket, { ...document, sealed: true });
             }
         }
-        const cached = this.#documents.find(open);
-        if (cached === undefined || this.#documents.isStale(cached, time)) {
-            return this.#read(open);
-        }
         return this.#nextBatch(open, time);
     }
 
+    #findMissing(open: number, time: ClaimTime): readonly number[] {
+        const missing: number[] = [];
+        for (let bucket = this.#documents.oldestBucket(time); bucket < open; bucket++) {
+            if (this.#documents.find(bucket) === undefined) {
+                missing.push(bucket);
+            }
+        }
+        const seen = this.#documents.find(open);
+        if (seen === undefined || this.#documents.isStale(seen, time)) {
+            missing.push(open);
+        }
+        return missing;
+    }
+
     #nextBatch(open: number, time: ClaimTime): ShardCall | undefined {
         const batch = new Map<string, WaitingClaim>();
         for (const waiting of [...this.#waiting.values()]) {
@@ -197,7 +227,7 @@
             }
             // What is cached may have ended since; a caller is told so only after a read made since it asked.
             if (!waiting.verified.has(blocking.bucket)) {
-                return this.#read(blocking.bucket);
+                return this.#read([blocking.bucket]);
             }
             this.#refuse(nonce, createBlockedFailure(blocking.claim, waiting.req));
         }
@@ -230,7 +260,7 @@
             const cached = this.#documents.find(pending.bucket);
             if (cached !== undefined) {
                 return this.#documents.isStale(cached, time)
-                    ? this.#read(pending.bucket)
+                    ? this.#read([pending.bucket])
                     : this.#swap(pending.bucket, cached.document);
             }
             this.#ends.delete(nonce);
@@ -260,11 +290,17 @@
             return undefined;
         }
         const { revision, document } = this.#documents.at(bucket);
-        return { type: "delete", bucket, expectedRevision: revision, document, value: undefined, witnesses: [] };
+        return {
+            type: "delete",
+            buckets: [bucket],
+            expectedRevision: revision,
+            document,
+            value: undefined,
+            witnesses: [],
+        };
     }
 
-    #observe(call: ShardCall, revision: number, document: ClaimDocument, now: ClaimTime): void {
-        const bucket = call.bucket;
+    #observe(call: ShardCall, bucket: number, revision: number, document: ClaimDocument, now: ClaimTime): void {
         this.#documents.see(bucket, { revision, document, seenMs: now.nowMs });
         for (const nonce of call.witnesses) {
             this.#waiting.get(nonce)?.verified.add(bucket);
@@ -306,10 +342,10 @@
         this.#verdicts.push({ type: "refused", nonce, failure });
     }
 
-    #read(bucket: number): ShardCall {
+    #read(buckets: readonly number[]): ShardCall {
         return {
             type: "read",
-            bucket,
+            buckets,
             expectedRevision: 0,
             document: emptyClaimDocument,
             value: undefined,
@@ -329,7 +365,7 @@
         const written = { ...document, claims };
         return {
             type: "swap",
-            bucket,
+            buckets: [bucket],
             expectedRevision: this.#documents.at(bucket).revision,
             document: written,
             value: encodeClaimDocument(written),
--- a/packages/gateway/src/requests/requestClaims.ts
+++ b/packages/gateway/src/requests/requestClaims.ts
@@ -9,7 +9,7 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type KeyValue, type KeyValueStore } from "@galenaglade/platform";
 import { createHash, randomUUID } from "node:crypto";
-import { type Either, Left, Right } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 import { type Clock } from "../clock.js";
 import { claimTickMs } from "../constants.js";
 import { type CallerRequest } from "./callerRequest.js";
@@ -121,7 +121,8 @@
     async #send(command: StoreCommand): Promise<Either<Failure, ClaimCallAnswer>> {
         const { store } = this.#parts;
         if (command.type === "read") {
-            return (await store.get(command.key)).map(found => ({ type: "read", stored: toStored(found) }));
+            const found = await Promise.all(command.keys.map(key => store.get(key)));
+            return Either.sequence(found).map(entries => ({ type: "read", stored: entries.map(toStored) }));
         }
         const { key, expectedRevision, value } = command;
         return (await store.compareAndSwap({ key, expectedRevision, value })).map(outcome =>
