Route by the expected requests in flight

Change: a policy that believes the server's last word less the older it is, by the time in which its work turns over, and falls back to what others have on an average server; the own zone decides ties only.

Measured: its tests pass.

--- a/packages/routing/src/__tests__/policies.test.ts
+++ b/packages/routing/src/__tests__/policies.test.ts
@@ -16,6 +16,7 @@
         server: { name, availabilityZone: "north", address: "127.0.0.1", port: 1, slots: 3, connections: 200 },
         ownInFlight: 0,
         othersInFlight: undefined,
+        lastReported: undefined,
         latencyMs: undefined,
         local: true,
         ...more,
@@ -31,6 +32,7 @@
 const candidate = fc.record({
     ownInFlight: fc.nat(3),
     othersInFlight: fc.option(fc.nat(6), { nil: undefined }),
+    lastReported: fc.option(fc.record({ othersInFlight: fc.nat(6), ageMs: fc.nat(10_000) }), { nil: undefined }),
     latencyMs: fc.option(fc.double({ min: 0, max: 100, noNaN: true }), { nil: undefined }),
     local: fc.boolean(),
 });
@@ -98,3 +100,26 @@
     });
     assert.deepEqual(visited, ["table-1", "desk-1", "table-2", "desk-2", "table-3", "desk-3"]);
 });
+
+// One server said long ago that it is idle, the others just now that they have work. If the old word counted, every
+// gateway would send there until it is the slowest; if it were left out, the server would look just as idle.
+test("an old word on a server's load fades into what is usual", () => {
+    const policy = mustCreate("expectedInFlight");
+    const random = createRandomSource(5);
+    const old = describeCandidate("old", { ownInFlight: 1, lastReported: { othersInFlight: 0, ageMs: 5_000 } });
+    const busy = describeCandidate("busy", { lastReported: { othersInFlight: 2, ageMs: 1 } });
+    const fresh = describeCandidate("fresh", { ownInFlight: 1, lastReported: { othersInFlight: 0, ageMs: 1 } });
+    assert.equal(policy.choose([old, busy, fresh], random), 2);
+    const usual = describeCandidate("usual", { lastReported: { othersInFlight: 1, ageMs: 5_000 } });
+    assert.equal(policy.choose([old, usual], random), 1, "with nothing believed, own requests decide");
+});
+
+test("the own availability zone decides between equals only", () => {
+    const policy = mustCreate("expectedInFlight");
+    const random = createRandomSource(6);
+    const distant = describeCandidate("distant", { local: false });
+    const local = describeCandidate("local");
+    const busyLocal = describeCandidate("busyLocal", { ownInFlight: 1 });
+    assert.equal(policy.choose([distant, local], random), 1);
+    assert.equal(policy.choose([distant, busyLocal], random), 0);
+});
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -15,3 +15,9 @@
 
 /** How many requests may be sent on one report before it is left out, so that a stale low count attracts no herd. */
 export const maximumSignalUses = 4;
+
+/** Time in which a server's requests in flight turn over, where its latency isn't known. */
+export const defaultTurnoverMs = 100;
+
+/** What another availability zone costs, in slots: a millisecond on the way beside tens at work decides ties only. */
+export const distantZoneCost = 0.05;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,6 @@
 /** Choosing a backend server. */
 export { createRoutingPolicy, routingPolicyNames } from "./policies.js";
 export { createRandomSource, RandomSource } from "./randomSource.js";
-export { type Candidate, RoutingPolicy } from "./routingPolicy.js";
+export { type Candidate, type LastReport, RoutingPolicy } from "./routingPolicy.js";
 export { type LoadReport, ServerBoard } from "./serverBoard.js";
 export { createServerId, type ServerId, type ServerLoad, type ServerSignal } from "./serverSignal.js";
--- a/packages/routing/src/policies.ts
+++ b/packages/routing/src/policies.ts
@@ -1,4 +1,4 @@
-import { hotQuantile, sampleSize } from "./constants.js";
+import { defaultTurnoverMs, distantZoneCost, hotQuantile, sampleSize } from "./constants.js";
 import { type RandomSource } from "./randomSource.js";
 import { type Candidate, RoutingPolicy } from "./routingPolicy.js";
 import { type ServerId } from "./serverSignal.js";
@@ -149,6 +149,48 @@
     return candidate !== undefined && knownInFlight(candidate) < candidate.server.slots;
 }
 
+/**
+ * Goes by the expected requests in flight: own ones exactly, others' by the server's last word, which is believed less
+ * the older it is, and in its place what others have on an average server of the service.
+ *
+ * A word that is left out when old makes a server look empty of others' work, and draws requests there; a word that is
+ * kept sends a herd. In the time in which a request is answered a server's work turns over, so that is how fast belief
+ * fades; with no belief left anywhere, least own in flight remains.
+ */
+export class ExpectedInFlightPolicy extends RoutingPolicy {
+    override readonly name = "expectedInFlight";
+
+    override choose(candidates: readonly Candidate[], random: RandomSource): number {
+        const averageOthers = resolveAverageOthers(candidates);
+        const all = sample(candidates.length, candidates.length, random);
+        return lowest(candidates, all, candidate => {
+            const expected = candidate.ownInFlight + expectOthers(candidate, averageOthers);
+            return expected / candidate.server.slots + (candidate.local ? 0 : distantZoneCost);
+        });
+    }
+}
+
+function resolveAverageOthers(candidates: readonly Candidate[]): number {
+    let sum = 0;
+    let known = 0;
+    for (const { lastReported } of candidates) {
+        if (lastReported !== undefined) {
+            sum += lastReported.othersInFlight;
+            known++;
+        }
+    }
+    return known === 0 ? 0 : sum / known;
+}
+
+function expectOthers(candidate: Candidate, averageOthers: number): number {
+    const { lastReported, latencyMs } = candidate;
+    if (lastReported === undefined) {
+        return averageOthers;
+    }
+    const belief = Math.exp(-lastReported.ageMs / (latencyMs ?? defaultTurnoverMs));
+    return belief * lastReported.othersInFlight + (1 - belief) * averageOthers;
+}
+
 const policies: readonly (() => RoutingPolicy)[] = [
     () => new RandomPolicy(),
     () => new RoundRobinPolicy(),
@@ -157,6 +199,7 @@
     () => new HotColdPolicy(),
     () => new HotColdWithPeersPolicy(),
     () => new FreeSlotFirstPolicy(),
+    () => new ExpectedInFlightPolicy(),
 ];
 
 /** Names that {@link createRoutingPolicy} takes. */
--- a/packages/routing/src/routingPolicy.ts
+++ b/packages/routing/src/routingPolicy.ts
@@ -2,6 +2,12 @@
 import { type RandomSource } from "./randomSource.js";
 import { type ServerId } from "./serverSignal.js";
 
+/** A backend server's own last word on the load that others put on it. */
+export interface LastReport {
+    readonly othersInFlight: number;
+    readonly ageMs: number;
+}
+
 /** What a policy may know of one backend server that it may send to now. */
 export interface Candidate {
     readonly serverId: ServerId;
@@ -10,6 +16,8 @@
     readonly ownInFlight: number;
     /** Requests in flight from everybody else as last heard; `undefined` where nothing fresh is known. */
     readonly othersInFlight: number | undefined;
+    /** Requests in flight from everybody else when the server last said so, however long ago; `undefined` if never. */
+    readonly lastReported: LastReport | undefined;
     /** Smoothed latency, in milliseconds; `undefined` where nothing fresh is known. */
     readonly latencyMs: number | undefined;
     /** Whether the server is in this gateway's availability zone. */
--- a/packages/routing/src/serverBoard.ts
+++ b/packages/routing/src/serverBoard.ts
@@ -104,6 +104,9 @@
             local,
             ownInFlight: entry.ownInFlight,
             othersInFlight: usesPeerLoads ? peerInFlight(entry, nowMs) : reportedInFlight(entry, nowMs),
+            lastReported: Number.isFinite(entry.reportedAtMs)
+                ? { othersInFlight: entry.reportedOthers, ageMs: nowMs - entry.reportedAtMs }
+                : undefined,
             latencyMs: nowMs - entry.latencyAtMs <= maximumLatencyAgeMs ? entry.latencyMs : undefined,
         };
     }
