Run gateway and admin by one piece of code

Cause: both programs had the same lines for settings, signals and the ready line. Change: runProgram, from the command line to the end of the planned stop.

--- a/packages/admin/src/adminProcess.ts
+++ b/packages/admin/src/adminProcess.ts
@@ -1,29 +1,20 @@
 import { resolveFleetTimings, storeKeys } from "@galenaglade/membership";
 import { createChangeCoordinator } from "@galenaglade/peers";
 import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
-import { type ResolvedAdminSettings } from "@galenaglade/settings";
-import { createLogger, type Logger } from "@galenaglade/telemetry";
+import { type Program, type ResolvedAdminSettings } from "@galenaglade/settings";
+import { createLogger } from "@galenaglade/telemetry";
 import { AdminServer } from "./adminServer.js";
 import { StoreChangeSignal } from "./changeSignal.js";
 import { OperatorCalls } from "./operatorCalls.js";
 import { StandingFeed } from "./standingFeed.js";
 
-/** The operators' server as a process of its own, from settings. */
-export interface AdminProcess {
-    readonly logger: Logger;
-    /** Opens the port. @returns the port */
-    start(): Promise<number>;
-    /** Planned stop, whole: the calls in flight are answered first. */
-    stop(): Promise<void>;
-}
-
 /**
  * Puts an operators' server together from its settings.
  *
  * @param settings - checked settings
  * @returns the process's parts, not started
  */
-export function createAdminProcess(settings: ResolvedAdminSettings): AdminProcess {
+export function createAdminProcess(settings: ResolvedAdminSettings): Program {
     const logger = createLogger({ process: "admin", level: settings.logging.level });
     const connection = new PlatformConnection({
         addresses: [settings.platform.address],
@@ -52,7 +43,11 @@
     });
     return {
         logger,
-        start: () => server.listen(settings.address, settings.port),
+        name: "admin",
+        start: async () => {
+            const port = await server.listen(settings.address, settings.port);
+            return `http://${settings.address}:${port}`;
+        },
         stop: async () => {
             await server.stop();
             await connection.close();
--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -1,5 +1,5 @@
 /** The operators' server. */
-export { type AdminProcess, createAdminProcess } from "./adminProcess.js";
+export { createAdminProcess } from "./adminProcess.js";
 export { AdminServer, type AdminServerOptions } from "./adminServer.js";
 export { BackendServerObserver, type ServerObservation } from "./backendServerObserver.js";
 export { ChangeSignal, StoreChangeSignal } from "./changeSignal.js";
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -1,26 +1,16 @@
-import { type Failure } from "@galenaglade/errors";
+import { FailureError } from "@galenaglade/errors";
 import { resolveFleetTimings } from "@galenaglade/membership";
 import { createFleetMember, type FleetMembership } from "@galenaglade/peers";
 import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
 import { createRoutingPolicy, ServerBoard } from "@galenaglade/routing";
-import { type ResolvedGatewaySettings } from "@galenaglade/settings";
-import { createLogger, createMetrics, createTracing, type Logger } from "@galenaglade/telemetry";
+import { type Program, type ResolvedGatewaySettings } from "@galenaglade/settings";
+import { createLogger, createMetrics, createTracing } from "@galenaglade/telemetry";
 import { randomInt, randomUUID } from "node:crypto";
-import { type Either, Left, Right } from "purify-ts";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
 import { systemClock } from "./clock.js";
-import { createGateway, type Gateway } from "./gateway.js";
+import { createGateway } from "./gateway.js";
 import { RequestClaims } from "./requests/requestClaims.js";
 
-/** A gateway as a process of its own: data path, fleet and platform, from settings. */
-export interface GatewayProcess {
-    readonly logger: Logger;
-    /** Joins the fleet and opens the ports. @returns where callers and operations are listened to */
-    start(): Promise<Either<Failure, { readonly callersPort: number; readonly operationsPort: number; }>>;
-    /** Planned stop, whole: no request in flight is cut, and nothing is left held in the platform's store. */
-    stop(): Promise<void>;
-}
-
 /**
  * Puts a gateway together from its settings.
  *
@@ -30,7 +20,7 @@
 export function createGatewayProcess(
     settings: ResolvedGatewaySettings,
     policyName: string = defaultRoutingPolicy,
-): GatewayProcess {
+): Program {
     const logger = createLogger({ process: settings.name, level: settings.logging.level });
     const metrics = createMetrics("galenaglade-gateway");
     const tracing = createTracing({ process: settings.name, sampledShare, logger });
@@ -68,7 +58,15 @@
     });
     return {
         logger,
-        start: () => startAll(fleet, gateway),
+        name: settings.name,
+        start: async () => {
+            const joined = await fleet.start();
+            joined.ifLeft(failure => {
+                throw new FailureError(failure);
+            });
+            const { callersPort } = await gateway.start();
+            return `http://${settings.callers.address}:${callersPort}`;
+        },
         stop: async () => {
             await gateway.stop();
             stopSharing();
@@ -80,17 +78,6 @@
     };
 }
 
-async function startAll(
-    fleet: FleetMembership,
-    gateway: Gateway,
-): Promise<Either<Failure, { readonly callersPort: number; readonly operationsPort: number; }>> {
-    const joined = await fleet.start();
-    if (joined.isLeft()) {
-        return Left(joined.extract());
-    }
-    return Right(await gateway.start());
-}
-
 /** Tells peers what this gateway has in flight, and takes their word on what they have. */
 function shareLoads(fleet: FleetMembership, board: ServerBoard): () => void {
     fleet.onLoads((loads, from) => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,5 +2,5 @@
 export { type Clock, systemClock } from "./clock.js";
 export { type ConfigurationSource } from "./configurationSource.js";
 export { createGateway, type Gateway, type GatewayParts } from "./gateway.js";
-export { createGatewayProcess, type GatewayProcess } from "./gatewayProcess.js";
+export { createGatewayProcess } from "./gatewayProcess.js";
 export { ServerGate } from "./requests/scheduler.js";
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -4,4 +4,5 @@
 export { gatewaySettingsSchema, type ResolvedGatewaySettings, resolveGatewaySettings } from "./gatewaySettings.js";
 export { loadSettings, printSettings, resolveStartup, type ResolveText, type Startup } from "./loadSettings.js";
 export { type ReadText, readTextFile } from "./resolveSettings.js";
+export { type Program, runProgram } from "./runProgram.js";
 export { Secret } from "./secret.js";
--- a/scripts/bench/gatewayVariant.ts
+++ b/scripts/bench/gatewayVariant.ts
@@ -10,6 +10,4 @@
     .unsafeCoerce();
 const gateway = createGatewayProcess(settings, values.policy);
 stopOnSignal(() => gateway.stop());
-const started = await gateway.start();
-const { callersPort } = started.mapLeft(failure => new Error(failure.detail)).unsafeCoerce();
-printReady(settings.name, `http://${settings.callers.address}:${callersPort}`);
+printReady(gateway.name, await gateway.start());
