--- a/packages/atMostOnce/src/claimShard.ts
+++ b/packages/atMostOnce/src/claimShard.ts
@@ -1,4 +1,5 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
+import { createBlockedFailure } from "./blockedFailure.js";
 import {
     type Claim,
     type ClaimDocument,
@@ -7,6 +8,7 @@
     emptyClaimDocument,
     encodeClaimDocument,
 } from "./claimDocument.js";
+import { ClaimDocuments } from "./claimDocuments.js";
 import {
     type ClaimCallAnswer,
     type ClaimLimits,
@@ -18,7 +20,8 @@
 /** One call that a shard wants made; a shard has at most one under way. */
 export interface ShardCall {
     readonly type: "read" | "swap" | "delete";
-    readonly bucket: number;
+    /** Several for a read, one for a write. */
+    readonly buckets: readonly number[];
     readonly expectedRevision: number;
     /** What a swap writes. */
     readonly document: ClaimDocument;
@@ -32,13 +35,6 @@
     | { readonly type: "claimed"; readonly nonce: string; readonly validUntilMs: number; }
     | { readonly type: "refused"; readonly nonce: string; readonly failure: Failure; };
 
-interface CachedDocument {
-    readonly revision: number;
-    readonly document: ClaimDocument;
-    /** Monotonic time at which the store's answer came. */
-    readonly seenMs: number;
-}
-
 interface WaitingClaim {
     readonly req: ClaimRequest;
     /** Buckets read since the claim arrived. */
@@ -59,16 +55,11 @@
     readonly end: ClaimEnd;
 }
 
-interface BlockingClaim {
-    readonly bucket: number;
-    readonly claim: Claim;
-}
-
 /** The claims of one shard as one gateway sees them: which wait, which are held, and what the store last held. */
 export class ClaimShard {
     readonly #holder: string;
     readonly #limits: ClaimLimits;
-    readonly #documents = new Map<number, CachedDocument>();
+    readonly #documents: ClaimDocuments;
     readonly #waiting = new Map<string, WaitingClaim>();
     /** Claims whose write was sent and of which it isn't known yet whether it took effect. */
     readonly #sent = new Map<string, SentClaim>();
@@ -79,6 +70,7 @@
     constructor(holder: string, limits: ClaimLimits) {
         this.#holder = holder;
         this.#limits = limits;
+        this.#documents = new ClaimDocuments(limits);
     }
 
     /** Whether no claim waits and no end is still to be written. */
@@ -133,37 +125,55 @@
 
     /** Takes in the store's answer to a call. */
     answered(call: ShardCall, answer: ClaimCallAnswer, now: ClaimTime): Failure | undefined {
-        if (answer.type === "swapped") {
-            if (call.type === "delete") {
-                this.#documents.delete(call.bucket);
-                return undefined;
-            }
-            this.#observe(call, answer.revision, call.document, now);
+        if (answer.type === "read") {
+            return this.#readAnswered(call, answer.stored, now);
+        }
+        const [bucket = 0] = call.buckets;
+        const stored = answer.type === "swapped" ? undefined : answer.stored;
+        if (call.type === "delete" && stored === undefined) {
+            this.#documents.forget(bucket);
             return undefined;
         }
-        if (call.type === "delete" && answer.stored === undefined) {
-            this.#documents.delete(call.bucket);
+        if (answer.type === "swapped") {
+            this.#observe(call, bucket, answer.revision, call.document, now);
             return undefined;
         }
-        return this.#observeStored(call, answer.stored, now);
+        return this.#observeStored(call, bucket, stored, now);
     }
 
-    #observeStored(call: ShardCall, stored: StoredClaims | undefined, now: ClaimTime): Failure | undefined {
-        const cached = this.#documents.get(call.bucket);
-        if (call.type === "read" && cached !== undefined && cached.revision > (stored?.revision ?? 0)) {
-            // The store's reads may lag, while its writes never do. Taken for the present, an old copy without a
-            // claim that is held would make the gateway forget to record its end, and the key would stay taken.
-            this.#observe(call, cached.revision, cached.document, now);
-            return undefined;
+    #readAnswered(
+        call: ShardCall,
+        stored: readonly (StoredClaims | undefined)[],
+        now: ClaimTime,
+    ): Failure | undefined {
+        let failure: Failure | undefined;
+        for (const [i, bucket] of call.buckets.entries()) {
+            const seen = this.#documents.at(bucket);
+            if (seen.revision > (stored[i]?.revision ?? 0)) {
+                // The store's reads may lag, while its writes never do. Taken for the present, an old copy without a
+                // claim that is held would make the gateway forget to record its end, and the key would stay taken.
+                this.#observe(call, bucket, seen.revision, seen.document, now);
+                continue;
+            }
+            failure = this.#observeStored(call, bucket, stored[i], now) ?? failure;
         }
+        return failure;
+    }
+
+    #observeStored(
+        call: ShardCall,
+        bucket: number,
+        stored: StoredClaims | undefined,
+        now: ClaimTime,
+    ): Failure | undefined {
         if (stored === undefined) {
-            this.#observe(call, 0, emptyClaimDocument, now);
+            this.#observe(call, bucket, 0, emptyClaimDocument, now);
             return undefined;
         }
         return decodeClaimDocument(stored.value).caseOf<Failure | undefined>({
             Left: failure => failure,
             Right: document => {
-                this.#observe(call, stored.revision, document, now);
+                this.#observe(call, bucket, stored.revision, document, now);
                 return undefined;
             },
         });
@@ -173,25 +183,36 @@
         if (this.#waiting.size === 0) {
             return undefined;
         }
-        const open = this.#openBucket(time);
-        for (let bucket = open - this.#limits.bucketsKept; bucket < open; bucket++) {
-            const cached = this.#documents.get(bucket);
-            if (cached === undefined) {
-                return this.#read(bucket);
-            }
+        const open = this.#documents.openBucket(time);
+        const missing = this.#findMissing(open, time);
+        if (missing.length > 0) {
+            return this.#read(missing);
+        }
+        for (let bucket = this.#documents.oldestBucket(time); bucket < open; bucket++) {
             // Without the seal a gateway whose clock is behind could claim a key in an older bucket after this one
             // has looked there, and the key's request would run twice. A sealed document takes no new claim.
-            if (!cached.document.sealed) {
-                return this.#swap(bucket, { ...cached.document, sealed: true });
+            const { document } = this.#documents.at(bucket);
+            if (!document.sealed) {
+                return this.#swap(bucket, { ...document, sealed: true });
             }
         }
-        const cached = this.#documents.get(open);
-        if (cached === undefined || this.#isStale(cached, time)) {
-            return this.#read(open);
-        }
         return this.#nextBatch(open, time);
     }
 
+    #findMissing(open: number, time: ClaimTime): readonly number[] {
+        const missing: number[] = [];
+        for (let bucket = this.#documents.oldestBucket(time); bucket < open; bucket++) {
+            if (this.#documents.find(bucket) === undefined) {
+                missing.push(bucket);
+            }
+        }
+        const seen = this.#documents.find(open);
+        if (seen === undefined || this.#documents.isStale(seen, time)) {
+            missing.push(open);
+        }
+        return missing;
+    }
+
     #nextBatch(open: number, time: ClaimTime): ShardCall | undefined {
         const batch = new Map<string, WaitingClaim>();
         for (const waiting of [...this.#waiting.values()]) {
@@ -199,14 +220,14 @@
             if (batch.has(keyDigest)) {
                 continue;
             }
-            const blocking = this.#findBlocking(keyDigest);
+            const blocking = this.#documents.findBlocking(keyDigest);
             if (blocking === undefined) {
                 batch.set(keyDigest, waiting);
                 continue;
             }
             // What is cached may have ended since; a caller is told so only after a read made since it asked.
             if (!waiting.verified.has(blocking.bucket)) {
-                return this.#read(blocking.bucket);
+                return this.#read([blocking.bucket]);
             }
             this.#refuse(nonce, createBlockedFailure(blocking.claim, waiting.req));
         }
@@ -214,7 +235,7 @@
     }
 
     #swapWithClaims(open: number, batch: ReadonlyMap<string, WaitingClaim>, time: ClaimTime): ShardCall | undefined {
-        const cached = this.#cached(open);
+        const cached = this.#documents.at(open);
         const claims: Record<string, Claim> = { ...cached.document.claims };
         for (const { req } of batch.values()) {
             claims[req.keyDigest] = { fingerprint: req.fingerprint, nonce: req.nonce, holder: this.#holder };
@@ -236,10 +257,10 @@
 
     #nextForEnds(time: ClaimTime): ShardCall | undefined {
         for (const [nonce, pending] of [...this.#ends]) {
-            const cached = this.#documents.get(pending.bucket);
+            const cached = this.#documents.find(pending.bucket);
             if (cached !== undefined) {
-                return this.#isStale(cached, time)
-                    ? this.#read(pending.bucket)
+                return this.#documents.isStale(cached, time)
+                    ? this.#read([pending.bucket])
                     : this.#swap(pending.bucket, cached.document);
             }
             this.#ends.delete(nonce);
@@ -254,7 +275,7 @@
      */
     #nextFence(): ShardCall | undefined {
         for (const [nonce, sent] of [...this.#sent]) {
-            const cached = this.#documents.get(sent.bucket);
+            const cached = this.#documents.find(sent.bucket);
             if (cached !== undefined) {
                 return this.#swap(sent.bucket, cached.document);
             }
@@ -264,55 +285,23 @@
     }
 
     #nextDeletion(time: ClaimTime): ShardCall | undefined {
-        const oldest = this.#openBucket(time) - this.#limits.bucketsKept;
-        for (const [bucket, cached] of this.#documents) {
-            if (bucket < oldest) {
-                const { revision, document } = cached;
-                return {
-                    type: "delete",
-                    bucket,
-                    expectedRevision: revision,
-                    document,
-                    value: undefined,
-                    witnesses: [],
-                };
-            }
-        }
-        return undefined;
-    }
-
-    /**
-     * Another gateway has probably written the document since: a write on this revision would be spent in vain, and
-     * the store takes ten times as many reads as writes.
-     */
-    #isStale(cached: CachedDocument, time: ClaimTime): boolean {
-        return time.nowMs - cached.seenMs > this.#limits.freshMs;
-    }
-
-    #openBucket(time: ClaimTime): number {
-        let open = Math.floor(time.epochMs / this.#limits.bucketMs);
-        for (const [bucket, cached] of this.#documents) {
-            // Buckets never go back, neither for a clock that does nor for one that is behind the others'.
-            open = Math.max(open, cached.document.sealed ? bucket + 1 : bucket);
-        }
-        return open;
-    }
-
-    #findBlocking(keyDigest: string): BlockingClaim | undefined {
-        for (const [bucket, cached] of this.#documents) {
-            const claim = cached.document.claims[keyDigest];
-            // A claim blocks until its request is known not to have run. Its holder's death frees nothing: the
-            // request may be running, and a second try would file the return twice.
-            if (claim !== undefined && claim.end?.didRun !== "no") {
-                return { bucket, claim };
-            }
+        const bucket = this.#documents.findExpired(time);
+        if (bucket === undefined) {
+            return undefined;
         }
-        return undefined;
+        const { revision, document } = this.#documents.at(bucket);
+        return {
+            type: "delete",
+            buckets: [bucket],
+            expectedRevision: revision,
+            document,
+            value: undefined,
+            witnesses: [],
+        };
     }
 
-    #observe(call: ShardCall, revision: number, document: ClaimDocument, now: ClaimTime): void {
-        const bucket = call.bucket;
-        this.#documents.set(bucket, { revision, document, seenMs: now.nowMs });
+    #observe(call: ShardCall, bucket: number, revision: number, document: ClaimDocument, now: ClaimTime): void {
+        this.#documents.see(bucket, { revision, document, seenMs: now.nowMs });
         for (const nonce of call.witnesses) {
             this.#waiting.get(nonce)?.verified.add(bucket);
         }
@@ -353,14 +342,10 @@
         this.#verdicts.push({ type: "refused", nonce, failure });
     }
 
-    #cached(bucket: number): CachedDocument {
-        return this.#documents.get(bucket) ?? { revision: 0, document: emptyClaimDocument, seenMs: 0 };
-    }
-
-    #read(bucket: number): ShardCall {
+    #read(buckets: readonly number[]): ShardCall {
         return {
             type: "read",
-            bucket,
+            buckets,
             expectedRevision: 0,
             document: emptyClaimDocument,
             value: undefined,
@@ -380,22 +365,11 @@
         const written = { ...document, claims };
         return {
             type: "swap",
-            bucket,
-            expectedRevision: this.#cached(bucket).revision,
+            buckets: [bucket],
+            expectedRevision: this.#documents.at(bucket).revision,
             document: written,
             value: encodeClaimDocument(written),
             witnesses: [...this.#waiting.keys()],
         };
     }
 }
-
-function createBlockedFailure(claim: Claim, req: ClaimRequest): Failure {
-    if (claim.fingerprint !== req.fingerprint) {
-        return createFailure("idempotencyKeyMismatch", "the idempotency key belongs to another request");
-    }
-    if (claim.end === undefined) {
-        return createFailure("idempotencyKeyInUse", "the request was accepted and its end isn't known");
-    }
-    const status = claim.end.status === undefined ? "" : ` with status ${claim.end.status}`;
-    return createFailure("idempotencyKeyEnded", `the request has ended${status}`, { didRun: claim.end.didRun });
-}
