Show operators what each gateway knows of the backend servers

Cause: ListBackendServers had a place for observations and nobody who made them, so that status said "declared" of every server.

Ruled out: heartbeats (they carry only loads above zero, and the operators' server gets none) and the store (too many writes for a table that is looked at now and then).

Change: a call `observe` at the peer port; the operators' server asks all registered gateways at once, each for one call's patience. Their words stay side by side, and whoever gave no usable answer is named. An answer tells of 2,000 servers at most, those with requests in flight first, and every answer of a peer is read up to 1.5 MB. The requests and the server's own last word with its age come from the board. Cold, warm and leaving are `unknown` for now: the gate that knows them is not part of the data path yet. status shows the remaining requests of servers in a zone that is out, too.

--- a/packages/admin/src/adminProcess.ts
+++ b/packages/admin/src/adminProcess.ts
@@ -1,9 +1,10 @@
 import { resolveFleetTimings, storeKeys } from "@galenaglade/membership";
-import { createChangeCoordinator } from "@galenaglade/peers";
+import { createChangeCoordinator, createFleetObserver } from "@galenaglade/peers";
 import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
 import { type ResolvedAdminSettings } from "@galenaglade/settings";
 import { createLogger, type Logger } from "@galenaglade/telemetry";
 import { AdminServer } from "./adminServer.js";
+import { PeerServerObserver } from "./backendServerObserver.js";
 import { StoreChangeSignal } from "./changeSignal.js";
 import { OperatorCalls } from "./operatorCalls.js";
 import { StandingFeed } from "./standingFeed.js";
@@ -31,12 +32,14 @@
         timeoutMs: settings.platform.callTimeoutMs,
     });
     const store = new HttpKeyValueStore(connection);
+    const fleet = {
+        store,
+        fleetKey: settings.fleetKey.reveal(),
+        timings: resolveFleetTimings(settings.freshness.maximumAgeMs),
+    };
     const calls = new OperatorCalls({
-        coordinator: createChangeCoordinator({
-            store,
-            fleetKey: settings.fleetKey.reveal(),
-            timings: resolveFleetTimings(settings.freshness.maximumAgeMs),
-        }),
+        coordinator: createChangeCoordinator(fleet),
+        observer: new PeerServerObserver(createFleetObserver(fleet)),
         hosts: new HttpHostList(connection),
         acceptWaitMs: settings.acceptWaitMs,
     });
--- a/packages/admin/src/backendServerObserver.ts
+++ b/packages/admin/src/backendServerObserver.ts
@@ -1,18 +1,33 @@
-import { type BackendServerState } from "@galenaglade/schema";
+import { type Failure } from "@galenaglade/errors";
+import { type FleetObserver, type ServerObservations } from "@galenaglade/peers";
+import { type Either } from "purify-ts";
 
-/** What one gateway knows of one backend server. */
-export interface ServerObservation {
-    /** Name of the gateway's host. */
-    readonly gateway: string;
-    readonly service: string;
-    readonly backendServer: string;
-    readonly state: BackendServerState;
-    /** Requests in flight from this gateway. */
-    readonly inFlight: number;
+/** What the gateways know of the backend servers. */
+export interface Observed {
+    readonly answered: readonly ServerObservations[];
+    /** Names of the registered gateways that gave no usable answer. */
+    readonly unanswered: readonly string[];
 }
 
 /** Asks the gateways what they know of the backend servers. */
 export abstract class BackendServerObserver {
-    /** @returns what the gateways that answered know; a gateway that can't be asked is left out */
-    abstract observe(): Promise<readonly ServerObservation[]>;
+    /**
+     * @param service - only this service's servers; all where `undefined`
+     * @returns what the gateways that answered know, and which didn't; or why none could be asked
+     */
+    abstract observe(service: string | undefined): Promise<Either<Failure, Observed>>;
+}
+
+/** Asks all registered gateways by their peer ports. */
+export class PeerServerObserver extends BackendServerObserver {
+    readonly #fleet: FleetObserver;
+
+    constructor(fleet: FleetObserver) {
+        super();
+        this.#fleet = fleet;
+    }
+
+    override observe(service: string | undefined): Promise<Either<Failure, Observed>> {
+        return this.#fleet.observe(service);
+    }
 }
--- a/packages/admin/src/operatorCalls.ts
+++ b/packages/admin/src/operatorCalls.ts
@@ -9,10 +9,12 @@
 } from "@galenaglade/configuration";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type Acceptance, type ChangeCoordinator } from "@galenaglade/membership";
+import { type ServerObservation } from "@galenaglade/peers";
 import { type HostList } from "@galenaglade/platform";
 import { HostState } from "@galenaglade/schema";
+import { createServerId, type ServerId } from "@galenaglade/routing";
 import { type Either, Left, Right } from "purify-ts";
-import { type BackendServerObserver, type ServerObservation } from "./backendServerObserver.js";
+import { type BackendServerObserver, type Observed } from "./backendServerObserver.js";
 import { type CallFailure, createInvalidConfiguration, toCallFailure } from "./callFailure.js";
 import { createStoredChangeId } from "./changeId.js";
 import { maximumConfigurationBytes, zoneChangeTries } from "./constants.js";
@@ -50,7 +52,26 @@
     readonly server: Configuration["services"][number]["backendServers"][number];
     readonly zoneState: ZoneState;
     readonly hostState: HostState;
-    readonly observations: readonly ServerObservation[];
+    readonly observations: readonly GatewayObservation[];
+}
+
+/** What one gateway knows of one backend server. */
+export interface GatewayObservation extends ServerObservation {
+    /** Name of the gateway's host. */
+    readonly gateway: string;
+}
+
+/** The declared backend servers with what gateways know of them. */
+export interface ServerList {
+    /** The revision that declares them. */
+    readonly revision: number;
+    readonly servers: readonly ListedServer[];
+    /** Names of the registered gateways that gave no usable answer. */
+    readonly unanswered: readonly string[];
+    /** Observations that gateways left out for size. */
+    readonly omitted: number;
+    /** Why no gateway could be asked. */
+    readonly observationFailure: Failure | undefined;
 }
 
 type Answer<T> = Promise<Either<CallFailure, T>>;
@@ -180,11 +201,9 @@
      * Lists the declared backend servers.
      *
      * @param serviceName - only this service's; all where empty
-     * @returns the revision that declares them, and the servers; `notFound` where the service isn't declared
+     * @returns the servers with what gateways know of them; `notFound` where the service isn't declared
      */
-    async listBackendServers(
-        serviceName: string,
-    ): Answer<{ readonly revision: number; readonly servers: readonly ListedServer[]; }> {
+    async listBackendServers(serviceName: string): Answer<ServerList> {
         const present = await this.#options.coordinator.read();
         if (present.isLeft()) {
             return Left(toCallFailure(present.extract()));
@@ -194,9 +213,14 @@
         if (serviceName !== "" && services.length === 0) {
             return Left(toCallFailure(createFailure("notFound", `service ${serviceName} is not declared`)));
         }
-        // Neither is worth failing the call for: what is declared is said in any case.
-        const observations = await this.#options.observer?.observe() ?? [];
-        const hosts = (await this.#options.hosts.list()).toMaybe().extract();
+        // Neither is worth failing the call for: what is declared is said in any case, and that the rest is lacking.
+        const [observed, listed] = await Promise.all([
+            this.#options.observer?.observe(serviceName === "" ? undefined : serviceName) ?? Right(nobodyAsked),
+            this.#options.hosts.list(),
+        ]);
+        const { answered, unanswered } = observed.orDefault(nobodyAsked);
+        const observations = groupByServer(answered);
+        const hosts = listed.toMaybe().extract();
         const out = new Set(
             configuration.availabilityZones.filter(zone => zone.state === "out").map(({ name }) => name),
         );
@@ -206,12 +230,16 @@
                 server,
                 zoneState: out.has(server.availabilityZone) ? "out" : "in",
                 hostState: hosts === undefined ? HostState.UNSPECIFIED : findHostState(hosts, server.address),
-                observations: observations.filter(seen =>
-                    seen.service === service.name && seen.backendServer === server.name
-                ),
+                observations: observations.get(createServerId(service.name, server.name)) ?? [],
             }))
         );
-        return Right({ revision, servers });
+        return Right({
+            revision,
+            servers,
+            unanswered,
+            omitted: answered.reduce((sum, { omitted }) => sum + omitted, 0),
+            observationFailure: observed.swap().toMaybe().extract(),
+        });
     }
 
     async #apply(
@@ -241,6 +269,21 @@
 
 const noZones: Configuration = { timeZone: "UTC", callerKindHeader: "", availabilityZones: [], services: [] };
 
+const nobodyAsked: Observed = { answered: [], unanswered: [] };
+
+/** Gateways' words are kept side by side: where they differ, that is what an operator looks for. */
+function groupByServer(answered: Observed["answered"]): ReadonlyMap<ServerId, readonly GatewayObservation[]> {
+    const groups = new Map<ServerId, GatewayObservation[]>();
+    for (const { gateway, servers } of answered) {
+        for (const server of servers) {
+            const group = groups.get(server.serverId) ?? [];
+            group.push({ ...server, gateway });
+            groups.set(server.serverId, group);
+        }
+    }
+    return groups;
+}
+
 function resolveOver(
     declared: ConfigurationInput,
     present: RevisedConfiguration,
--- a/packages/admin/src/operatorRoutes.ts
+++ b/packages/admin/src/operatorRoutes.ts
@@ -2,6 +2,7 @@
 import { type ConnectRouter, type HandlerContext } from "@connectrpc/connect";
 import { createFailure } from "@galenaglade/errors";
 import {
+    BackendServerState,
     fromConfigurationMessage,
     OperatorService,
     toConfigurationMessage,
@@ -49,8 +50,14 @@
                 return { hosts: unwrap(await calls.listHosts()) };
             },
             async listBackendServers({ service }) {
-                const { revision, servers } = unwrap(await calls.listBackendServers(service));
-                return { revision, backendServers: servers.map(toStatusInit) };
+                const list = unwrap(await calls.listBackendServers(service));
+                return {
+                    revision: list.revision,
+                    backendServers: list.servers.map(toStatusInit),
+                    unansweredGateways: [...list.unanswered],
+                    omittedObservations: list.omitted,
+                    observationFailure: list.observationFailure?.detail ?? "",
+                };
             },
             async getStanding() {
                 return { standing: unwrap(await calls.getStanding()) };
@@ -88,12 +95,24 @@
     });
 }
 
+const serverStates = {
+    cold: BackendServerState.COLD,
+    warm: BackendServerState.WARM,
+    leaving: BackendServerState.LEAVING,
+} as const;
+
 function toStatusInit({ service, server, zoneState, hostState, observations }: ListedServer) {
     return {
         service,
         backendServer: server,
         zoneState: toZoneStateEnum(zoneState),
         hostState,
-        observations: observations.map(({ gateway, state, inFlight }) => ({ gateway, state, inFlight })),
+        observations: observations.map(seen => ({
+            gateway: seen.gateway,
+            state: seen.state === undefined ? BackendServerState.UNSPECIFIED : serverStates[seen.state],
+            inFlight: seen.ownInFlight,
+            reportedInFlight: seen.reportedInFlight,
+            reportedAgeMs: seen.reportedAgeMs,
+        })),
     };
 }
--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -1,9 +1,12 @@
+import { BackendServerObserver, type Observed } from "@galenaglade/admin";
 import { checkYaml, resolveConfiguration } from "@galenaglade/configuration";
+import { createFailure, type Failure } from "@galenaglade/errors";
 import { Secret } from "@galenaglade/settings";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { type TestContext, test } from "node:test";
+import { type Either, Left, Right } from "purify-ts";
 import { FakeCoordinator, fleetKey } from "../../../admin/src/__tests__/fakeFleet.js";
 import { AdminClient } from "../adminClient.js";
 import { callTries } from "../constants.js";
@@ -232,6 +235,78 @@
     assert.deepEqual([standing["revision"], standing["zonesOut"]], [2, ["b"]]);
 });
 
+class FixedObserver extends BackendServerObserver {
+    readonly #observed: Either<Failure, Observed>;
+
+    constructor(observed: Either<Failure, Observed>) {
+        super();
+        this.#observed = observed;
+    }
+
+    override observe(): Promise<Either<Failure, Observed>> {
+        return Promise.resolve(this.#observed);
+    }
+}
+
+test("status shows what gateways know of each backend server, and what is lacking", async t => {
+    const one = { serverId: "tables/one", state: "warm", ownInFlight: 2 } as const;
+    const two = { serverId: "tables/two", state: undefined, ownInFlight: 1 } as const;
+    const unreported = { reportedInFlight: undefined, reportedAgeMs: undefined };
+    const { url } = await startAdmin(
+        t,
+        new FakeCoordinator(),
+        new FixedObserver(Right({
+            answered: [
+                {
+                    gateway: "entry-1",
+                    servers: [{ ...one, reportedInFlight: 9, reportedAgeMs: 1_240 }, { ...two, ...unreported }],
+                    omitted: 3,
+                },
+                {
+                    gateway: "entry-2",
+                    servers: [{ ...one, state: "cold", reportedInFlight: 4, reportedAgeMs: 310 }],
+                    omitted: 0,
+                },
+            ],
+            unanswered: ["entry-3", "entry-4"],
+        })),
+    );
+    await runCli(t, [url], ["zone", "out", "b"]);
+    const { out } = await runCli(t, [url], ["status"]);
+    const states = out.slice(-4).map(line => line.slice(line.indexOf("unlisted")));
+    assert.deepEqual(states.slice(0, 2), [
+        "unlisted  warm (1), cold (1), 4 in flight, itself 4 (0.3 s ago)",
+        "unlisted  zone out, unknown (1), 1 in flight",
+    ]);
+    assert.deepEqual(out.slice(-2), [
+        "warning: not counted, since they gave no answer: entry-3, entry-4",
+        "warning: gateways left out 3 observations for size",
+    ]);
+    const { out: json } = await runCli(t, [url], ["status", "--json"]);
+    const printed = JSON.parse(json.join("")) as Readonly<Record<string, unknown>>;
+    const [listed] = printed["backendServers"] as readonly { readonly observations: unknown; }[];
+    assert.deepEqual(listed?.observations, [
+        { gateway: "entry-1", state: "warm", inFlight: 2, reportedInFlight: 9, reportedAgeMs: 1_240 },
+        { gateway: "entry-2", state: "cold", inFlight: 2, reportedInFlight: 4, reportedAgeMs: 310 },
+    ]);
+    assert.deepEqual(
+        [printed["unansweredGateways"], printed["omittedObservations"], printed["observationFailure"]],
+        [["entry-3", "entry-4"], 3, ""],
+    );
+});
+
+test("status comes with what is declared where no gateway could be asked", async t => {
+    const failure = createFailure("storeUnavailable", "the platform does not answer");
+    const { url } = await startAdmin(t, new FakeCoordinator(), new FixedObserver(Left(failure)));
+    const { code, out } = await runCli(t, [url], ["status"]);
+    assert.equal(code, 0);
+    assert.match(out.at(-2) ?? "", /declared$/);
+    assert.equal(
+        out.at(-1),
+        "warning: no gateway could be asked of the backend servers: the platform does not answer",
+    );
+});
+
 test("watch tells of each change, and of a gap while its server is replaced", async t => {
     // The host whose server an operator watches is stopped and replaced. The command must say that it lost touch and
     // go on with another server: silent, it would look as if nothing changed.
--- a/packages/cli/src/__tests__/running.ts
+++ b/packages/cli/src/__tests__/running.ts
@@ -1,4 +1,4 @@
-import { AdminServer, ChangeSignal, OperatorCalls, StandingFeed } from "@galenaglade/admin";
+import { AdminServer, type BackendServerObserver, ChangeSignal, OperatorCalls, StandingFeed } from "@galenaglade/admin";
 import { Secret } from "@galenaglade/settings";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -26,10 +26,14 @@
     readonly url: string;
 }
 
-export async function startAdmin(t: TestContext, coordinator = new FakeCoordinator()): Promise<Running> {
+export async function startAdmin(
+    t: TestContext,
+    coordinator = new FakeCoordinator(),
+    observer?: BackendServerObserver,
+): Promise<Running> {
     const hosts = new FakeHostList();
     hosts.hosts = [{ name: "entry-1", address: "10.0.0.9", availabilityZone: "a", state: "live" }];
-    const calls = new OperatorCalls({ coordinator, hosts, acceptWaitMs: 1_000 });
+    const calls = new OperatorCalls({ coordinator, hosts, observer, acceptWaitMs: 1_000 });
     const signal = new ManualSignal();
     const server = new AdminServer({
         calls,
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -4,6 +4,7 @@
     type BackendServerStatus,
     type Host,
     HostState,
+    type ListBackendServersResponse,
     type Standing,
     ZoneState,
 } from "@galenaglade/schema";
@@ -39,7 +40,7 @@
         const answer = await context.client.call(async (operator, options) => ({
             standing: (await operator.getStanding({}, options)).standing,
             hosts: (await operator.listHosts({}, options)).hosts,
-            servers: (await operator.listBackendServers({}, options)).backendServers,
+            servers: await operator.listBackendServers({}, options),
         }));
         return answer.caseOf<ExitCode>({
             Left: error => reportCallError(context, error),
@@ -53,13 +54,16 @@
     { json, terminal }: CommandContext,
     standing: Standing,
     hosts: readonly Host[],
-    servers: readonly BackendServerStatus[],
+    servers: ListBackendServersResponse,
 ): ExitCode {
     const lines = json
         ? [JSON.stringify({
             standing: toStandingObject(standing),
             hosts: hosts.map(toHostObject),
-            backendServers: servers.map(toServerObject),
+            backendServers: servers.backendServers.map(toServerObject),
+            unansweredGateways: servers.unansweredGateways,
+            omittedObservations: servers.omittedObservations,
+            observationFailure: servers.observationFailure,
         })]
         : [
             summarize(standing),
@@ -71,8 +75,9 @@
             "",
             ...formatTable(
                 ["SERVICE", "BACKEND SERVER", "ZONE", "ADDRESS", "HOST", "STATE"],
-                servers.map(formatServer),
+                servers.backendServers.map(formatServer),
             ),
+            ...describeGaps(servers),
         ];
     lines.forEach(line => terminal.out(line));
     return standing.inForce ? exitCodes.ok : exitCodes.notInForce;
@@ -95,10 +100,12 @@
         port: backendServer?.port,
         zoneOut: zoneState === ZoneState.OUT,
         host: hostStates[hostState],
-        observations: observations.map(({ gateway, state, inFlight }) => ({
-            gateway,
-            state: serverStates[state],
-            inFlight,
+        observations: observations.map(seen => ({
+            gateway: seen.gateway,
+            state: serverStates[seen.state],
+            inFlight: seen.inFlight,
+            reportedInFlight: seen.reportedInFlight,
+            reportedAgeMs: seen.reportedAgeMs,
         })),
     };
 }
@@ -112,20 +119,55 @@
         backendServer?.availabilityZone ?? "",
         `${backendServer?.address ?? ""} port ${backendServer?.port ?? ""}`,
         hostStates[hostState],
-        zoneState === ZoneState.OUT ? "zone out" : describeObservations(observations),
+        describeServer(zoneState, observations),
     ];
 }
 
-/** Gateways may see a server differently; each state is said with how many see it so. */
-function describeObservations(observations: readonly BackendServerObservation[]): string {
+function describeServer(zoneState: ZoneState, observations: readonly BackendServerObservation[]): string {
     if (observations.length === 0) {
-        return "declared";
+        return zoneState === ZoneState.OUT ? "zone out" : "declared";
     }
+    const described = describeObservations(observations);
+    return zoneState === ZoneState.OUT ? `zone out, ${described}` : described;
+}
+
+/** Gateways may see a server differently; each state is said with how many see it so. */
+function describeObservations(observations: readonly BackendServerObservation[]): string {
     const counts = new Map<string, number>();
     for (const { state } of observations) {
         counts.set(serverStates[state], (counts.get(serverStates[state]) ?? 0) + 1);
     }
     const states = [...counts].map(([state, count]) => `${state} (${count})`).join(", ");
     const inFlight = observations.reduce((sum, observation) => sum + observation.inFlight, 0);
-    return `${states}, ${inFlight} in flight`;
+    return [states, `${inFlight} in flight`, ...describeReport(observations)].join(", ");
+}
+
+/** The server's own word counts everybody's requests, so that the freshest one stands for all. */
+function describeReport(observations: readonly BackendServerObservation[]): readonly string[] {
+    let freshest: { readonly inFlight: number; readonly ageMs: number; } | undefined;
+    for (const { reportedInFlight, reportedAgeMs } of observations) {
+        if (reportedInFlight === undefined || reportedAgeMs === undefined) {
+            continue;
+        }
+        if (freshest === undefined || reportedAgeMs < freshest.ageMs) {
+            freshest = { inFlight: reportedInFlight, ageMs: reportedAgeMs };
+        }
+    }
+    return freshest === undefined ? [] : [`itself ${freshest.inFlight} (${(freshest.ageMs / 1_000).toFixed(1)} s ago)`];
+}
+
+/** Without it, a table that lacks some gateways' requests would look whole. */
+function describeGaps(servers: ListBackendServersResponse): readonly string[] {
+    const { unansweredGateways, omittedObservations, observationFailure } = servers;
+    const lines: string[] = [];
+    if (observationFailure !== "") {
+        lines.push(`warning: no gateway could be asked of the backend servers: ${observationFailure}`);
+    }
+    if (unansweredGateways.length > 0) {
+        lines.push(`warning: not counted, since they gave no answer: ${unansweredGateways.join(", ")}`);
+    }
+    if (omittedObservations > 0) {
+        lines.push(`warning: gateways left out ${omittedObservations} observations for size`);
+    }
+    return lines;
 }
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -10,6 +10,7 @@
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
 import { systemClock } from "./clock.js";
 import { createGateway, type Gateway } from "./gateway.js";
+import { describeServers } from "./operations/serverObservations.js";
 import { RequestClaims } from "./requests/requestClaims.js";
 
 /** A gateway as a process of its own: data path, fleet and platform, from settings. */
@@ -52,6 +53,11 @@
     });
     const board = new ServerBoard();
     const stopSharing = shareLoads(fleet, board);
+    // The gate that knows which servers are cold or leaving isn't part of the data path yet.
+    const stateOf = () => undefined;
+    fleet.answerObservations(service =>
+        describeServers({ configuration: fleet.current(), board, stateOf }, service, performance.now())
+    );
     const gateway = createGateway({
         availabilityZone: settings.availabilityZone,
         callers: settings.callers,
--- a/packages/peers/src/__tests__/peerPort.test.ts
+++ b/packages/peers/src/__tests__/peerPort.test.ts
@@ -34,6 +34,7 @@
             received.push(got);
             return { gateway: identity, revision: 1, rosterVersion: 1, recentCallers: [] };
         },
+        observe: () => ({ gateway: identity.name, servers: [], omitted: 0 }),
     });
     address = listening.toMaybe().extract() ?? assert.fail();
 });
--- a/packages/peers/src/__tests__/support/simulatedNetwork.ts
+++ b/packages/peers/src/__tests__/support/simulatedNetwork.ts
@@ -4,6 +4,7 @@
 import { type VirtualTime } from "@galenaglade/stand-ins";
 import { type Either, Left, Right } from "purify-ts";
 import { PeerCaller, type PeerHandler, PeerListener } from "../../peerCaller.js";
+import { type ServerObservations } from "../../serverObservation.js";
 import { type SimulatedProcess } from "./simulatedProcess.js";
 
 interface Endpoint {
@@ -124,4 +125,8 @@
     override offer(address: string, offer: ConfigurationOffer): Promise<Either<Failure, OfferAnswer>> {
         return this.#run(address, handler => handler.offer(offer));
     }
+
+    override observe(address: string, service: string | undefined): Promise<Either<Failure, ServerObservations>> {
+        return this.#run(address, handler => handler.observe(service));
+    }
 }
--- a/packages/peers/src/constants.ts
+++ b/packages/peers/src/constants.ts
@@ -1,5 +1,9 @@
 /** Largest body of a call that carries a configuration, in bytes: the store's largest value, and the roster. */
 export const maximumOfferBytes = 1_500_000;
+/** Largest answer that a caller reads, in bytes: an offer, or observations of as many servers as one may name. */
+export const maximumAnswerBytes = 1_500_000;
+/** Backend servers that one answer tells of; with the longest names that are allowed, about 800,000 bytes. */
+export const maximumObservedServers = 2_000;
 /** Largest body of any other call, in bytes. */
 export const maximumCallBytes = 300_000;
 /** Connections that the peer port holds open; a fleet of 15 with two admin calls each uses about 45. */
--- a/packages/peers/src/fleetMemberShell.ts
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -20,6 +20,7 @@
 import { readFleet, register } from "./fleetStore.js";
 import { type PeerCaller, type PeerHandler, type PeerListener } from "./peerCaller.js";
 import { createPeerListener } from "./peerServer.js";
+import { limitObservations, type ObserveServers } from "./serverObservation.js";
 import { createPeerCaller } from "./trpcPeerCaller.js";
 
 /** What a gateway needs to take part in its fleet. */
@@ -62,6 +63,8 @@
     publishLoads(loads: readonly ServerLoad[]): void;
     onSignals(callback: OnSignals): void;
     onLoads(callback: OnLoads): void;
+    /** Sets who says what this gateway knows of the backend servers when an operators' server asks. */
+    answerObservations(observe: ObserveServers): void;
     status(): FleetStatus | undefined;
     /** The planned stop has begun: takes no new work, and says so to peers. */
     beginStop(): void;
@@ -86,6 +89,7 @@
     readonly #onConfiguration: ((configuration: RevisedConfiguration) => void)[] = [];
     readonly #onSignals: OnSignals[] = [];
     readonly #onLoads: OnLoads[] = [];
+    #observe: ObserveServers = () => [];
     readonly #stopped = new AbortController();
     #self: GatewayIdentity | undefined;
     #member: FleetMember | undefined;
@@ -151,6 +155,10 @@
         this.#onLoads.push(callback);
     }
 
+    answerObservations(observe: ObserveServers): void {
+        this.#observe = observe;
+    }
+
     status(): FleetStatus | undefined {
         return this.#member?.status(this.#clock.nowMs());
     }
@@ -183,6 +191,7 @@
                 this.#run(commands);
                 return answer;
             },
+            observe: service => limitObservations(this.#options.name, this.#observe(service)),
         };
     }
 
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -12,6 +12,13 @@
     type OnLoads,
     type OnSignals,
 } from "./fleetMemberShell.js";
+export {
+    createFleetObserver,
+    type FleetObservations,
+    FleetObserver,
+    type FleetObserverOptions,
+} from "./fleetObserver.js";
 export { PeerCaller, type PeerHandler, PeerListener } from "./peerCaller.js";
 export { createPeerListener, type PeerServerOptions } from "./peerServer.js";
+export { type ObserveServers, type ServerObservation, type ServerObservations } from "./serverObservation.js";
 export { createPeerCaller, type PeerCallerOptions } from "./trpcPeerCaller.js";
--- a/packages/peers/src/peerCaller.ts
+++ b/packages/peers/src/peerCaller.ts
@@ -1,6 +1,7 @@
 import { type Failure } from "@galenaglade/errors";
 import { type ConfigurationOffer, type Heartbeat, type OfferAnswer } from "@galenaglade/membership";
 import { type Either } from "purify-ts";
+import { type ServerObservations } from "./serverObservation.js";
 
 /** Calls peers at their addresses. Every failure is `peerUnreachable`. */
 export abstract class PeerCaller {
@@ -8,6 +9,8 @@
     /** Asks for all that a peer holds. */
     abstract fetch(address: string): Promise<Either<Failure, ConfigurationOffer>>;
     abstract offer(address: string, offer: ConfigurationOffer): Promise<Either<Failure, OfferAnswer>>;
+    /** Asks what a gateway knows of one service's backend servers or, without a name, of all. */
+    abstract observe(address: string, service: string | undefined): Promise<Either<Failure, ServerObservations>>;
 }
 
 /** Answers peers' calls. */
@@ -15,6 +18,7 @@
     heartbeat(heartbeat: Heartbeat): Heartbeat;
     fetch(): ConfigurationOffer;
     offer(offer: ConfigurationOffer): OfferAnswer;
+    observe(service: string | undefined): ServerObservations;
 }
 
 /** Where peers' calls come in. */
--- a/packages/peers/src/trpcPeerCaller.ts
+++ b/packages/peers/src/trpcPeerCaller.ts
@@ -4,10 +4,11 @@
 import { type Either, Left, Right } from "purify-ts";
 import { Agent, request } from "undici";
 import { type z } from "zod";
-import { idleConnectionMs } from "./constants.js";
+import { idleConnectionMs, maximumAnswerBytes } from "./constants.js";
 import { PeerCaller } from "./peerCaller.js";
 import { type PeerRouter } from "./peerRouter.js";
-import { heartbeatSchema, offerAnswerSchema, offerSchema } from "./wireSchemas.js";
+import { type ServerObservations } from "./serverObservation.js";
+import { heartbeatSchema, offerAnswerSchema, offerSchema, serverObservationsSchema } from "./wireSchemas.js";
 
 type HttpFetch = NonNullable<Parameters<typeof httpLink>[0]["fetch"]>;
 type FetchInit = Parameters<HttpFetch>[1];
@@ -57,6 +58,14 @@
         return this.#call(address, offerAnswerSchema, (client, signal) => client.offer.mutate(offer, { signal }));
     }
 
+    override observe(address: string, service: string | undefined): Promise<Either<Failure, ServerObservations>> {
+        return this.#call(
+            address,
+            serverObservationsSchema,
+            (client, signal) => client.observe.mutate({ service }, { signal }),
+        );
+    }
+
     /** A timeout closes the connection, so that one which has gone silent isn't used for the next call. */
     async #call<T>(
         address: string,
@@ -86,7 +95,7 @@
             signal: init?.signal ?? undefined,
             dispatcher: this.#agent,
         });
-        return { ok: res.statusCode < 300, json: () => res.body.json() };
+        return { ok: res.statusCode < 300, json: () => readJson(res.body) };
     }
 
     #clientFor(address: string): TRPCClient<PeerRouter> {
@@ -111,3 +120,20 @@
         return client;
     }
 }
+
+/**
+ * Reads an answer up to the largest that is allowed. A faulty peer that sends without end would otherwise fill the
+ * memory of whoever asked, within the time that a call may take.
+ */
+async function readJson(body: AsyncIterable<Buffer>): Promise<unknown> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of body) {
+        bytes += chunk.length;
+        if (bytes > maximumAnswerBytes) {
+            throw new Error(`answered with more than ${maximumAnswerBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return JSON.parse(Buffer.concat(chunks).toString());
+}
--- a/packages/peers/src/wireSchemas.ts
+++ b/packages/peers/src/wireSchemas.ts
@@ -8,6 +8,8 @@
 } from "@galenaglade/membership";
 import { type ServerId } from "@galenaglade/routing";
 import { z } from "zod";
+import { maximumObservedServers } from "./constants.js";
+import { type ServerObservations } from "./serverObservation.js";
 
 /** Most gateways that a message may name. */
 const maximumGateways = 1_000;
@@ -82,3 +84,30 @@
     rosterVersion: count,
     recentCallers: identities,
 });
+
+/** Which backend servers are asked for. */
+export const observationQuerySchema = z.object({ service: name.optional() });
+
+// The operators' messages hold 32 bits. A number beyond them would fail the whole list, with every gateway's word, for
+// the fault of one.
+const count32 = count.max(2 ** 32 - 1);
+
+const serverObservation = z.object({
+    serverId,
+    state: z.enum(["cold", "warm", "leaving"]).optional(),
+    ownInFlight: count32,
+    reportedInFlight: count32.optional(),
+    reportedAgeMs: count32.optional(),
+}).transform(seen => ({
+    ...seen,
+    state: seen.state,
+    reportedInFlight: seen.reportedInFlight,
+    reportedAgeMs: seen.reportedAgeMs,
+}));
+
+/** What a gateway knows of the backend servers. */
+export const serverObservationsSchema: z.ZodType<ServerObservations> = z.object({
+    gateway: name,
+    servers: z.array(serverObservation).max(maximumObservedServers),
+    omitted: count.max(1_000_000),
+});
--- a/packages/routing/src/serverBoard.ts
+++ b/packages/routing/src/serverBoard.ts
@@ -74,16 +74,17 @@
         const loads: ServerLoad[] = [];
         for (const [serverId, entry] of this.#entries) {
             if (entry.ownInFlight > 0) {
-                const ageMs = Number.isFinite(entry.reportedAtMs) ? nowMs - entry.reportedAtMs : 0;
-                const reportedInFlight = Number.isFinite(entry.reportedAtMs)
-                    ? entry.reportedOthers + entry.ownInFlight
-                    : undefined;
-                loads.push({ serverId, ownInFlight: entry.ownInFlight, reportedInFlight, ageMs });
+                loads.push(toLoad(serverId, entry, nowMs));
             }
         }
         return loads;
     }
 
+    /** @returns what this gateway knows of one server's load; zero and no report where it knows nothing */
+    load(serverId: ServerId, nowMs: number): ServerLoad {
+        return toLoad(serverId, this.#entries.get(serverId) ?? new ServerEntry(), nowMs);
+    }
+
     /** @returns requests in flight from this gateway */
     ownInFlight(serverId: ServerId): number {
         return this.#entries.get(serverId)?.ownInFlight ?? 0;
@@ -127,6 +128,13 @@
     }
 }
 
+function toLoad(serverId: ServerId, entry: ServerEntry, nowMs: number): ServerLoad {
+    const { ownInFlight, reportedOthers, reportedAtMs } = entry;
+    return Number.isFinite(reportedAtMs)
+        ? { serverId, ownInFlight, reportedInFlight: reportedOthers + ownInFlight, ageMs: nowMs - reportedAtMs }
+        : { serverId, ownInFlight, reportedInFlight: undefined, ageMs: 0 };
+}
+
 /**
  * A low report attracts every request until the next one comes. It is left out after a few uses or a fraction of a
  * second, so that a stale word costs at most a handful of requests.
