Let operators vouch for a lost host, and refuse it of a live one

Cause: the coordinator could take an operator's word that a gateway runs no more, but no call and no command reached it, and it took any name, that of a serving gateway too.

The word is refused of a gateway that is registered, of one that is cut off from the store but answers at its peer port, and of a name that the fleet doesn't know. Given again it is answered as done. Word and registration may cross: the coordinator looks at the registration again after its write, and a gateway that registers looks for a word again after its own. That is one more read of the store for each registration.

Ruled out: a new kind of error; badRequest and notFound say what is needed.

--- a/packages/admin/src/__tests__/adminServer.test.ts
+++ b/packages/admin/src/__tests__/adminServer.test.ts
@@ -341,6 +341,7 @@
     await operator.takeZoneOut({ name: "a", changeId: "x" });
     await operator.getStanding({});
     await codeOf(operator.bringZoneIn({ name: "c", changeId: "y" }));
+    await operator.forgetHost({ name: "lost" });
     const logged = lines.map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
     assert.deepEqual(logged.map(({ time, process, ...rest }) => [time !== "", process, rest]), [
         [true, "admin", {
@@ -361,6 +362,7 @@
             code: "not_found",
             detail: "availability zone c is not declared; declared: a, b",
         }],
+        [true, "admin", { level: "info", message: "call answered", call: "ForgetHost", host: "lost" }],
     ]);
     assert.ok(!lines.join("").includes(fleetKey));
 });
--- a/packages/admin/src/__tests__/fakeFleet.ts
+++ b/packages/admin/src/__tests__/fakeFleet.ts
@@ -36,6 +36,8 @@
     /** Every change that took effect, oldest first. */
     readonly history: RevisedConfiguration[];
     inForce = true;
+    /** Names of gateways that an operator vouched for. */
+    readonly forgotten: string[] = [];
     /** Called when a change takes effect. */
     onStored: (stored: RevisedConfiguration) => void = () => undefined;
     /** Changes whose write takes effect and whose answer is lost, from the next one on. */
@@ -86,6 +88,14 @@
         return Right(this.#accept(this.present));
     }
 
+    override forget(name: string): Promise<Either<Failure, void>> {
+        if (name === gateway.name) {
+            return Promise.resolve(Left(createFailure("badRequest", "still registered")));
+        }
+        this.forgotten.push(name);
+        return Promise.resolve(Right(undefined));
+    }
+
     #accept({ revision, changeId }: RevisedConfiguration): Acceptance {
         const state = this.inForce ? "inForce" : "behind";
         const held = this.inForce ? revision : revision - 1;
--- a/packages/admin/src/callLog.ts
+++ b/packages/admin/src/callLog.ts
@@ -8,6 +8,7 @@
     "applyConfiguration",
     "takeZoneOut",
     "bringZoneIn",
+    "forgetHost",
 ]);
 
 /**
@@ -20,7 +21,10 @@
 export function createCallLog(logger: Logger): Interceptor {
     return next => async req => {
         const level = (ifChange: "info" | "warn") => changes.has(req.method.localName) ? ifChange : "debug";
-        const request = { call: req.method.name, ...(req.stream ? {} : describeRequest(req.message as ChangeFields)) };
+        const request = {
+            call: req.method.name,
+            ...(req.stream ? {} : describeRequest(req.method.localName, req.message as ChangeFields)),
+        };
         try {
             const res = await next(req);
             const fields = { ...request, ...(res.stream ? {} : describeResponse(res.message as StandingField)) };
@@ -48,7 +52,10 @@
     readonly standing?: Standing;
 }
 
-function describeRequest(message: ChangeFields): LogFields {
+function describeRequest(call: string, message: ChangeFields): LogFields {
+    if (call === "forgetHost") {
+        return { host: message.name };
+    }
     return { zone: message.name, changeId: message.changeId, expectedRevision: message.expectedRevision };
 }
 
--- a/packages/admin/src/operatorCalls.ts
+++ b/packages/admin/src/operatorCalls.ts
@@ -242,6 +242,20 @@
         });
     }
 
+    /**
+     * Takes an operator's word that the gateway of a lost host runs no more.
+     *
+     * @param name - name of the host
+     * @returns nothing; `badRequest` where the gateway lives, `notFound` where the fleet knows none of the name
+     */
+    async forgetHost(name: string): Answer<void> {
+        if (name === "") {
+            return Left(toCallFailure(createFailure("badRequest", "name: missing")));
+        }
+        const forgotten = await this.#options.coordinator.forget(name);
+        return forgotten.mapLeft(toCallFailure);
+    }
+
     async #apply(
         changeId: string,
         expectedRevision: number,
--- a/packages/admin/src/operatorRoutes.ts
+++ b/packages/admin/src/operatorRoutes.ts
@@ -59,6 +59,10 @@
                     observationFailure: list.observationFailure?.detail ?? "",
                 };
             },
+            async forgetHost({ name }) {
+                unwrap(await calls.forgetHost(name));
+                return {};
+            },
             async getStanding() {
                 return { standing: unwrap(await calls.getStanding()) };
             },
--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -307,6 +307,24 @@
     );
 });
 
+// The word can't be checked by the fleet where it is needed, so that a slip must not give it: without --yes the command
+// says what may happen, and calls nobody.
+test("host forget explains itself, and needs --yes", async t => {
+    const { url, coordinator } = await startAdmin(t);
+    const asked = await runCli(t, [url], ["host", "forget", "entry-2"]);
+    assert.deepEqual([asked.code, asked.out, coordinator.forgotten], [2, [], []]);
+    assert.match(asked.err.join("\n"), /runs no more[^]*never heard[^]*--yes/);
+    const done = await runCli(t, [url], ["host", "forget", "entry-2", "--yes"]);
+    assert.deepEqual([done.code, done.out, coordinator.forgotten], [0, ["forgotten: entry-2"], ["entry-2"]]);
+    const refused = await runCli(t, [url], ["host", "forget", "entry-1", "--yes"]);
+    assert.deepEqual([refused.code, refused.err], [2, ["badRequest: still registered"]]);
+    const json = await runCli(t, [url], ["host", "forget", "entry-3", "--yes", "--json"]);
+    assert.deepEqual(JSON.parse(json.out.join("")), { forgotten: "entry-3" });
+    assert.equal((await runCli(t, [url], ["host", "remember", "entry-2", "--yes"])).code, 2);
+    assert.equal((await runCli(t, [url], ["zone", "out", "a", "--yes"])).code, 2);
+    assert.deepEqual(coordinator.forgotten, ["entry-2", "entry-3"]);
+});
+
 test("watch tells of each change, and of a gap while its server is replaced", async t => {
     // The host whose server an operator watches is stopped and replaced. The command must say that it lost touch and
     // go on with another server: silent, it would look as if nothing changed.
--- a/packages/cli/src/__tests__/endToEnd.test.ts
+++ b/packages/cli/src/__tests__/endToEnd.test.ts
@@ -113,6 +113,13 @@
     assert.match(seen[0] ?? "", /^revision 7: in force/);
 });
 
+test("an operator's word for a running gateway is refused", async t => {
+    const [{ name } = assert.fail()] = fleet.gateways;
+    const { code, err } = await runCli(t, [fleet.adminUrl], ["host", "forget", name, "--yes"], { key: fleet.fleetKey });
+    assert.equal(code, 2);
+    assert.match(err.join(), /^badRequest: gateway .* is registered/);
+});
+
 test("the planned stop ends every process with code 0", async () => {
     stopped = await fleet.stop();
     assert.deepEqual(stopped, []);
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -5,8 +5,8 @@
 
 /** One option of a command beyond those that all have. */
 export interface CommandOption {
-    readonly name: "expected-revision" | "change-id";
-    /** What stands for its value in the help. */
+    readonly name: "expected-revision" | "change-id" | "yes";
+    /** What stands for its value in the help; empty where it takes none. */
     readonly value: string;
     readonly description: string;
 }
@@ -17,6 +17,8 @@
     readonly json: boolean;
     readonly expectedRevision: number | undefined;
     readonly changeId: string;
+    /** The operator confirms what the command would otherwise not do. */
+    readonly isConfirmed: boolean;
     readonly terminal: Terminal;
     /** Makes the client; only commands that call the operators' server ask for it. */
     readonly client: AdminClient;
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -12,6 +12,7 @@
     readonly json: boolean;
     readonly expectedRevision: number | undefined;
     readonly changeId: string | undefined;
+    readonly isConfirmed: boolean;
     /** Empty where the command calls nobody. */
     readonly addresses: readonly string[];
     readonly fleetKey: Secret | undefined;
@@ -60,6 +61,7 @@
         json,
         expectedRevision,
         changeId,
+        isConfirmed: values.yes === true,
         addresses,
         fleetKey,
     });
@@ -70,6 +72,7 @@
     json: false,
     expectedRevision: undefined,
     changeId: undefined,
+    isConfirmed: false,
     addresses: [],
     fleetKey: undefined,
 };
@@ -87,9 +90,10 @@
                 "key-file": { type: "string" },
                 "expected-revision": { type: "string" },
                 "change-id": { type: "string" },
+                "yes": { type: "boolean" },
             },
         });
-        for (const name of ["expected-revision", "change-id"] as const) {
+        for (const name of ["expected-revision", "change-id", "yes"] as const) {
             if (parsed.values[name] !== undefined && !allowed.has(name)) {
                 return `${command.name}: no option --${name}`;
             }
--- a/packages/cli/src/help.ts
+++ b/packages/cli/src/help.ts
@@ -33,7 +33,7 @@
  */
 export function formatCommandHelp(command: Command): readonly string[] {
     const options = [
-        ...command.options.map(({ name, value, description }) => [`--${name} ${value}`, description]),
+        ...command.options.map(({ name, value, description }) => [`--${name} ${value}`.trimEnd(), description]),
         ...(command.remote ? remoteOptions : []),
         ["--json", "print JSON for scripts"],
         ["--help", "print this"],
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { ApplyCommand } from "./commands/apply.js";
 import { CheckCommand } from "./commands/check.js";
 import { GetCommand } from "./commands/get.js";
+import { HostCommand } from "./commands/host.js";
 import { StatusCommand } from "./commands/status.js";
 import { WatchCommand } from "./commands/watch.js";
 import { ZoneCommand } from "./commands/zone.js";
@@ -22,6 +23,7 @@
     new ZoneCommand(),
     new StatusCommand(),
     new WatchCommand(),
+    new HostCommand(),
 ];
 
 /** What the command is run in. */
@@ -80,6 +82,7 @@
         json: line.json,
         expectedRevision: line.expectedRevision,
         changeId: line.changeId ?? randomUUID(),
+        isConfirmed: line.isConfirmed,
         terminal,
         client,
     });
--- a/packages/membership/src/changeCoordinator.ts
+++ b/packages/membership/src/changeCoordinator.ts
@@ -38,4 +38,13 @@
     abstract apply(req: ChangeRequest, waitMs: number): Promise<Either<Failure, Acceptance>>;
     /** Says how far the present configuration has come. */
     abstract standing(): Promise<Either<Failure, Acceptance>>;
+    /**
+     * Takes an operator's word that a gateway runs nowhere any more and won't be started again under its name without
+     * the store. Saying so again has no second effect.
+     *
+     * @param name - the gateway's name
+     * @returns nothing; `badRequest` where the gateway lives, `notFound` where the fleet knows none of the name, or the
+     *          store's failure
+     */
+    abstract forget(name: string): Promise<Either<Failure, void>>;
 }
--- a/packages/peers/src/changeCoordinatorShell.ts
+++ b/packages/peers/src/changeCoordinatorShell.ts
@@ -5,11 +5,13 @@
     AcceptanceTracker,
     ChangeCoordinator,
     type ChangeRequest,
+    type ConfigurationOffer,
     createNextHead,
     defaultFleetTimings,
     type FleetTimings,
     findChange,
     type GatewayIdentity,
+    type Roster,
     storeKeys,
     type WrittenChange,
 } from "@galenaglade/membership";
@@ -17,7 +19,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { type Clock, createSystemClock, pause, withinLimit } from "./clock.js";
 import { offerIntervalMs, surveyIntervalMs, writeRetryMs } from "./constants.js";
-import { readFleet, readHead, type StoredFleet } from "./fleetStore.js";
+import { dropForgotten, isForgotten, isRegistered, readFleet, readHead, type StoredFleet } from "./fleetStore.js";
 import { type PeerCaller } from "./peerCaller.js";
 import { createPeerCaller } from "./trpcPeerCaller.js";
 
@@ -94,16 +96,70 @@
      * then counts as having agreed to leave the roster; needed where more than half of the roster was lost at once and
      * the platform's host list doesn't say so.
      *
-     * @param name - the gateway's name
-     * @returns nothing, or the store's failure
+     * A word given for a gateway that lives would let a change be called in force while that gateway still sends work
+     * under the older configuration. So it is refused of a gateway that is registered, and of one that is cut off from
+     * the store but answers here. One that does neither, and serves on, is what the operator vouches against.
      */
-    async forget(name: string): Promise<Either<Failure, void>> {
+    override async forget(name: string): Promise<Either<Failure, void>> {
+        const fleet = await this.#limited(readFleet(this.#store));
+        if (fleet.isLeft()) {
+            return Left(asRead(fleet.extract()));
+        }
+        const known = findByName(fleet.unsafeCoerce().roster, name);
+        const refused = await this.#refuseToForget(name, known);
+        if (refused !== undefined) {
+            return Left(refused);
+        }
         const swap = await this.#limited(this.#store.compareAndSwap({
             key: `${storeKeys.forgottenPrefix}${name}`,
             expectedRevision: 0,
             value: "{}",
         }));
-        return swap.map(() => undefined);
+        if (swap.isLeft()) {
+            return Left(swap.extract());
+        }
+        return this.#takeBackIfRegistered(name);
+    }
+
+    async #refuseToForget(name: string, known: readonly GatewayIdentity[]): Promise<Failure | undefined> {
+        const registered = await this.#limited(isRegistered(this.#store, name));
+        if (registered.isLeft()) {
+            return asRead(registered.extract());
+        }
+        if (registered.unsafeCoerce()) {
+            return createStillRegistered(name);
+        }
+        const answers = await Promise.all(known.map(({ peerAddress }) => this.#caller.offer(peerAddress, nothing)));
+        // The address alone says nothing: it may have been given to another gateway since.
+        if (answers.some(answer => answer.toMaybe().extract()?.gateway.name === name)) {
+            return createFailure("badRequest", `gateway ${name} answers at its peer port`, { didRun: "no" });
+        }
+        if (known.length > 0) {
+            return undefined;
+        }
+        const forgotten = await this.#limited(isForgotten(this.#store, name));
+        return forgotten.caseOf<Failure | undefined>({
+            Left: asRead,
+            Right: isKnown =>
+                isKnown ? undefined : createFailure("notFound", `no gateway ${name} in the fleet's roster`),
+        });
+    }
+
+    /**
+     * A gateway may have registered between the look and the word. It took back what words there were before it
+     * registered, and this one would stay: once its registration lapses while it serves, it would be counted as gone.
+     */
+    async #takeBackIfRegistered(name: string): Promise<Either<Failure, void>> {
+        const registered = await this.#limited(isRegistered(this.#store, name));
+        if (registered.isLeft()) {
+            // The word is stored, and whether it may stay isn't known; said again, it is looked at again.
+            return Left(createFailure("storeOutcomeUnknown", registered.extract().detail));
+        }
+        if (!registered.unsafeCoerce()) {
+            return Right(undefined);
+        }
+        const dropped = await this.#limited(dropForgotten(this.#store, name));
+        return dropped.chain(() => Left(createStillRegistered(name)));
     }
 
     async #write(req: ChangeRequest, deadlineMs: number): Promise<Either<Failure, WrittenChange>> {
@@ -120,8 +176,7 @@
             const failure = tried.failure;
             if (failure !== undefined && !mayBeWritten) {
                 // Nothing but reads has gone unanswered so far, so that the change certainly isn't stored.
-                const kind = failure.kind === "storeOutcomeUnknown" ? "storeUnavailable" : failure.kind;
-                return Left(createFailure(kind, failure.detail, { didRun: "no" }));
+                return Left(asRead(failure));
             }
             if (this.#clock.nowMs() + writeRetryMs >= deadlineMs) {
                 return Left(createFailure("storeOutcomeUnknown", "the store did not say whether the change is stored"));
@@ -241,6 +296,23 @@
     }
 }
 
+const nothing: ConfigurationOffer = Object.freeze({ offered: undefined, roster: undefined });
+
+function findByName(roster: Roster | undefined, name: string): readonly GatewayIdentity[] {
+    const members = [...roster?.members ?? [], ...roster?.previous ?? []];
+    return members.filter(member => member.name === name);
+}
+
+function createStillRegistered(name: string): Failure {
+    const detail = `gateway ${name} is registered; it runs, or ended only some seconds ago`;
+    return createFailure("badRequest", detail, { didRun: "no" });
+}
+
+/** A read changes nothing, though it goes through the store's compare-and-swap. */
+function asRead({ kind, detail }: Failure): Failure {
+    return createFailure(kind === "storeOutcomeUnknown" ? "storeUnavailable" : kind, detail, { didRun: "no" });
+}
+
 type WriteTry =
     | { readonly type: "written"; readonly change: WrittenChange; }
     | { readonly type: "refused"; readonly failure: Failure; }
--- a/packages/peers/src/fleetStore.ts
+++ b/packages/peers/src/fleetStore.ts
@@ -99,6 +99,24 @@
     return { registered, forgotten };
 }
 
+/**
+ * @param store - the platform's store
+ * @param name - a gateway's name
+ * @returns whether the gateway's registration stands
+ */
+export async function isRegistered(store: KeyValueStore, name: string): Promise<Either<Failure, boolean>> {
+    return (await readPresent(store, `${storeKeys.memberPrefix}${name}`)).map(entry => entry !== undefined);
+}
+
+/**
+ * @param store - the platform's store
+ * @param name - a gateway's name
+ * @returns whether an operator's word that it runs nowhere stands
+ */
+export async function isForgotten(store: KeyValueStore, name: string): Promise<Either<Failure, boolean>> {
+    return (await readPresent(store, `${storeKeys.forgottenPrefix}${name}`)).map(entry => entry !== undefined);
+}
+
 /**
  * Registers a gateway under a lease of its own. An earlier registration of the same name is replaced: one gateway runs
  * on a host, so that it belongs to a process that has ended.
@@ -131,7 +149,8 @@
         }
         const outcome = swap.unsafeCoerce();
         if (outcome.swapped) {
-            return Right(leaseId);
+            // Again: a word that was given between the first look and the registration found none to be refused by.
+            return (await dropForgotten(store, self.name)).map(() => leaseId);
         }
         expectedRevision = outcome.current?.modifiedRevision ?? 0;
     }
@@ -141,8 +160,12 @@
 /**
  * Takes back an operator's word that a gateway of this name runs nowhere. Left in place, it would speak for the new
  * process too: once cut off from the store, that one would be counted as gone while it serves on.
+ *
+ * @param store - the platform's store
+ * @param name - the gateway's name
+ * @returns nothing, or the store's failure
  */
-async function dropForgotten(store: KeyValueStore, name: string): Promise<Either<Failure, void>> {
+export async function dropForgotten(store: KeyValueStore, name: string): Promise<Either<Failure, void>> {
     const key = `${storeKeys.forgottenPrefix}${name}`;
     const present = await readPresent(store, key);
     if (present.isLeft()) {
