--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -8,7 +8,12 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
 import { systemClock } from "./clock.js";
+<<<<<<< HEAD
 import { createGateway } from "./gateway.js";
+=======
+import { createGateway, type Gateway } from "./gateway.js";
+import { describeServers } from "./operations/serverObservations.js";
+>>>>>>> operators
 import { RequestClaims } from "./requests/requestClaims.js";
 
 /**
@@ -42,6 +47,11 @@
     });
     const board = new ServerBoard();
     const stopSharing = shareLoads(fleet, board);
+    // The gate that knows which servers are cold or leaving isn't part of the data path yet.
+    const stateOf = () => undefined;
+    fleet.answerObservations(service =>
+        describeServers({ configuration: fleet.current(), board, stateOf }, service, performance.now())
+    );
     const gateway = createGateway({
         availabilityZone: settings.availabilityZone,
         callers: settings.callers,
