--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -8,12 +8,8 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
 import { systemClock } from "./clock.js";
-<<<<<<< HEAD
 import { createGateway } from "./gateway.js";
-=======
-import { createGateway, type Gateway } from "./gateway.js";
 import { describeServers } from "./operations/serverObservations.js";
->>>>>>> operators
 import { RequestClaims } from "./requests/requestClaims.js";
 
 /**
