Let every gateway process ask the cold-start gate before it sends

Cause: the gate was proved as a library and between two gateways in one process, but the gateway process sent to cold servers what its slots allowed.

Change: gateways exchange their words on cold start over the peer port (trpc, checked, under the fleet's key), by the roster; the roster now changes when a gateway is started anew, since what rests on its majority has to tell a process that forgot its requests in flight from the one that knew. A round every 500 ms in place of 300 ms.

Ruled out: leaving the roster as it was at a restart (a gateway started anew would not count, and could send nothing until an operator acted).

Tests: those of the running fleet now begin once each backend server is known to be warm, as the gate gives a server that nobody knows one request at a time; their checks are unchanged.

Conclusion: the price is control traffic, a call to each peer twice a second; it is to be measured and to ride on the heartbeats next.

--- a/packages/endToEnd/src/fleetRun.ts
+++ b/packages/endToEnd/src/fleetRun.ts
@@ -27,6 +27,9 @@
 const openingWorkMs = 200;
 /** Wide limit on an event that has to come. */
 const rosterWithinMs = 60_000;
+const warmWithinMs = 60_000;
+const warmUpMs = 1_500;
+const warmUpRequestsPerSecond = 60;
 
 /** What a caller with an idempotency key was told. */
 export interface KeyedAnswer {
@@ -82,6 +85,7 @@
         await run.#applyZones();
         await fleet.becomeReady();
         await run.#waitForRoster(gateways);
+        await run.#warmUp();
         return run;
     }
 
@@ -219,6 +223,28 @@
         throw new Error("the roster did not come to hold every gateway");
     }
 
+    /**
+     * A gateway that has just started takes every backend server for cold, and gives it one request at a time until an
+     * answer says otherwise; tests of a running fleet begin once every server is known to be warm.
+     */
+    async #warmUp(): Promise<void> {
+        const untilMs = performance.now() + warmWithinMs;
+        while (performance.now() < untilMs) {
+            const tally = await this.read(warmUpMs, warmUpRequestsPerSecond);
+            const { sent, whole } = tally.countsOf("tables/default");
+            const started = new Set<string>();
+            for (const line of this.history()) {
+                if (line.type === "serverStarted") {
+                    started.add(line.server);
+                }
+            }
+            if (whole === sent && started.size === this.fleet.backendServers.length) {
+                return;
+            }
+        }
+        throw new Error("the backend servers did not become warm");
+    }
+
     async #applyZones(): Promise<void> {
         let cfg = resolveConfiguration(this.fleet.configuration).unsafeCoerce();
         for (const [zone, state] of this.#zoneStates) {
--- a/packages/gateway/src/coldStart/constants.ts
+++ b/packages/gateway/src/coldStart/constants.ts
@@ -2,4 +2,4 @@
 export const gateTickMs = 100;
 
 /** How often peers are asked for their word; several rounds fit into the time for which contact counts. */
-export const gateRoundMs = 300;
+export const gateRoundMs = 500;
--- /dev/null
+++ b/packages/gateway/src/coldStart/fleetPeers.ts
@@ -0,0 +1,38 @@
+import { type ColdStartWord, type GatewayRoster } from "@galenaglade/cold-start";
+import { type Failure } from "@galenaglade/errors";
+import { type GatewayIdentity } from "@galenaglade/membership";
+import { type FleetMembership } from "@galenaglade/peers";
+import { type Either } from "purify-ts";
+import { ColdStartPeers } from "./coldStartShell.js";
+
+/** The fleet's roster and peer calls, as cold start needs them. */
+export class FleetColdStartPeers extends ColdStartPeers {
+    readonly #fleet: FleetMembership;
+
+    /** @param fleet - this gateway's part in it */
+    constructor(fleet: FleetMembership) {
+        super();
+        this.#fleet = fleet;
+    }
+
+    override roster(): GatewayRoster {
+        const roster = this.#fleet.roster();
+        if (roster === undefined) {
+            return { version: 0, members: [] };
+        }
+        return {
+            version: roster.version,
+            members: roster.members.map(resolveGatewayLife),
+            previous: roster.previous?.map(resolveGatewayLife),
+        };
+    }
+
+    override exchange(word: ColdStartWord): readonly Promise<Either<Failure, ColdStartWord>>[] {
+        return this.#fleet.exchangeColdStart(word);
+    }
+}
+
+/** @returns the name of one life of a gateway's process: `name/incarnation` */
+export function resolveGatewayLife({ name, incarnation }: Pick<GatewayIdentity, "name" | "incarnation">): string {
+    return `${name}/${incarnation}`;
+}
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -8,6 +8,8 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
 import { systemClock } from "./clock.js";
+import { ColdStartShell } from "./coldStart/coldStartShell.js";
+import { FleetColdStartPeers, resolveGatewayLife } from "./coldStart/fleetPeers.js";
 import { createGateway } from "./gateway.js";
 import { describeServers } from "./operations/serverObservations.js";
 import { RequestClaims } from "./requests/requestClaims.js";
@@ -31,8 +33,11 @@
         timeoutMs: settings.platform.callTimeoutMs,
     });
     const store = new HttpKeyValueStore(connection);
+    const incarnation = randomUUID();
+    const self = resolveGatewayLife({ name: settings.name, incarnation });
     const fleet = createFleetMember({
         store,
+        incarnation,
         hosts: new HttpHostList(connection),
         name: settings.name,
         availabilityZone: settings.availabilityZone,
@@ -43,6 +48,8 @@
     });
     const board = new ServerBoard();
     const stopSharing = shareLoads(fleet, board);
+    const gate = new ColdStartShell({ self, clock: systemClock, store, peers: new FleetColdStartPeers(fleet) });
+    fleet.answerColdStart(word => gate.onWord(word));
     // The gate that knows which servers are cold or leaving isn't part of the data path yet.
     const stateOf = () => undefined;
     fleet.answerObservations(service =>
@@ -60,7 +67,8 @@
         metrics,
         tracing,
         board,
-        claims: new RequestClaims({ store, holder: `${settings.name}/${randomUUID()}`, clock: systemClock }),
+        gate,
+        claims: new RequestClaims({ store, holder: self, clock: systemClock }),
     });
     return {
         logger,
--- a/packages/membership/src/rosterKeeper.ts
+++ b/packages/membership/src/rosterKeeper.ts
@@ -115,8 +115,9 @@
         }
         for (const gateway of registered.values()) {
             const member = members.get(gateway.name);
-            // A restart at the same address is no change; the roster needn't be written for it.
-            if (member?.peerAddress !== gateway.peerAddress) {
+            // A restart is a change: what rests on a majority of the roster has to tell a process that forgot what it
+            // had in flight from the one that knew.
+            if (member?.incarnation !== gateway.incarnation) {
                 members.set(gateway.name, gateway);
             }
         }
@@ -177,6 +178,6 @@
 function isSame(a: readonly GatewayIdentity[], b: readonly GatewayIdentity[]): boolean {
     return a.length === b.length
         && a.every(gateway =>
-            b.some(other => other.name === gateway.name && other.peerAddress === gateway.peerAddress)
+            b.some(other => other.name === gateway.name && other.incarnation === gateway.incarnation)
         );
 }
--- a/packages/peers/src/__tests__/support/simulatedNetwork.ts
+++ b/packages/peers/src/__tests__/support/simulatedNetwork.ts
@@ -1,3 +1,4 @@
+import { type ColdStartWord } from "@galenaglade/cold-start";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type ConfigurationOffer, type Heartbeat, type OfferAnswer } from "@galenaglade/membership";
 import { type RandomSource } from "@galenaglade/routing";
@@ -126,6 +127,10 @@
         return this.#run(address, handler => handler.offer(offer));
     }
 
+    override exchangeColdStart(address: string, word: ColdStartWord): Promise<Either<Failure, ColdStartWord>> {
+        return this.#run(address, handler => handler.exchangeColdStart(word));
+    }
+
     override observe(address: string, service: string | undefined): Promise<Either<Failure, ServerObservations>> {
         return this.#run(address, handler => handler.observe(service));
     }
--- a/packages/peers/src/fleetMemberShell.ts
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -1,3 +1,4 @@
+import { type ColdStartWord } from "@galenaglade/cold-start";
 import { type RevisedConfiguration } from "@galenaglade/configuration";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import {
@@ -9,6 +10,8 @@
     type FleetTimings,
     type GatewayIdentity,
     type Heartbeat,
+    resolveRosterGateways,
+    type Roster,
     storeKeys,
 } from "@galenaglade/membership";
 import { type HostList, type KeyValueStore } from "@galenaglade/platform";
@@ -29,6 +32,8 @@
     /** Tells which hosts are gone for good; without it only an operator can say so. */
     readonly hosts?: HostList | undefined;
     readonly name: string;
+    /** New with every start of the process. */
+    readonly incarnation?: string | undefined;
     readonly availabilityZone: string;
     /** Where the peer port listens; port 0 for any free one. */
     readonly listen: { readonly host: string; readonly port: number; };
@@ -65,6 +70,12 @@
     onLoads(callback: OnLoads): void;
     /** Sets who says what this gateway knows of the backend servers when an operators' server asks. */
     answerObservations(observe: ObserveServers): void;
+    /** Sets who answers peers' words on cold start; until then their calls fail. */
+    answerColdStart(answer: (word: ColdStartWord) => ColdStartWord): void;
+    /** Sends a word on cold start to every other gateway of the roster. @returns one promise for each */
+    exchangeColdStart(word: ColdStartWord): readonly Promise<Either<Failure, ColdStartWord>>[];
+    /** @returns the roster that this gateway knows; `undefined` until it knows one */
+    roster(): Roster | undefined;
     status(): FleetStatus | undefined;
     /** The planned stop has begun: takes no new work, and says so to peers. */
     beginStop(): void;
@@ -90,6 +101,7 @@
     readonly #onSignals: OnSignals[] = [];
     readonly #onLoads: OnLoads[] = [];
     #observe: ObserveServers = () => [];
+    #answerColdStart: ((word: ColdStartWord) => ColdStartWord) | undefined;
     readonly #stopped = new AbortController();
     #self: GatewayIdentity | undefined;
     #member: FleetMember | undefined;
@@ -112,7 +124,7 @@
         return listening.map(peerAddress => {
             const self = {
                 name: this.#options.name,
-                incarnation: randomBytes(incarnationBytes).toString("base64url"),
+                incarnation: this.#options.incarnation ?? randomBytes(incarnationBytes).toString("base64url"),
                 availabilityZone: this.#options.availabilityZone,
                 peerAddress,
             };
@@ -159,6 +171,19 @@
         this.#observe = observe;
     }
 
+    answerColdStart(answer: (word: ColdStartWord) => ColdStartWord): void {
+        this.#answerColdStart = answer;
+    }
+
+    exchangeColdStart(word: ColdStartWord): readonly Promise<Either<Failure, ColdStartWord>>[] {
+        const others = resolveRosterGateways(this.roster()).filter(({ name }) => name !== this.#options.name);
+        return others.map(({ peerAddress }) => this.#caller.exchangeColdStart(peerAddress, word));
+    }
+
+    roster(): Roster | undefined {
+        return this.#member?.roster;
+    }
+
     status(): FleetStatus | undefined {
         return this.#member?.status(this.#clock.nowMs());
     }
@@ -191,6 +216,12 @@
                 this.#run(commands);
                 return answer;
             },
+            exchangeColdStart: word => {
+                if (this.#answerColdStart === undefined) {
+                    throw new Error("cold start isn't looked after here");
+                }
+                return this.#answerColdStart(word);
+            },
             observe: service => limitObservations(this.#options.name, this.#observe(service)),
         };
     }
--- a/packages/peers/src/peerRouter.ts
+++ b/packages/peers/src/peerRouter.ts
@@ -1,7 +1,7 @@
 import { type Heartbeat } from "@galenaglade/membership";
 import { initTRPC } from "@trpc/server";
 import { type PeerHandler } from "./peerCaller.js";
-import { heartbeatSchema, observationQuerySchema, offerSchema } from "./wireSchemas.js";
+import { coldStartWordSchema, heartbeatSchema, observationQuerySchema, offerSchema } from "./wireSchemas.js";
 
 const trpc = initTRPC.create({ isDev: false });
 
@@ -16,6 +16,9 @@
             .mutation(({ input }): Heartbeat => handler.heartbeat(input)),
         fetch: trpc.procedure.mutation(() => handler.fetch()),
         offer: trpc.procedure.input(offerSchema).mutation(({ input }) => handler.offer(input)),
+        exchangeColdStart: trpc.procedure
+            .input(coldStartWordSchema)
+            .mutation(({ input }) => handler.exchangeColdStart(input)),
         observe: trpc.procedure
             .input(observationQuerySchema)
             .mutation(({ input }) => handler.observe(input.service)),
--- a/packages/peers/src/trpcPeerCaller.ts
+++ b/packages/peers/src/trpcPeerCaller.ts
@@ -1,3 +1,4 @@
+import { type ColdStartWord } from "@galenaglade/cold-start";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type ConfigurationOffer, type Heartbeat, type OfferAnswer } from "@galenaglade/membership";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
@@ -8,7 +9,13 @@
 import { PeerCaller } from "./peerCaller.js";
 import { type PeerRouter } from "./peerRouter.js";
 import { type ServerObservations } from "./serverObservation.js";
-import { heartbeatSchema, offerAnswerSchema, offerSchema, serverObservationsSchema } from "./wireSchemas.js";
+import {
+    coldStartWordSchema,
+    heartbeatSchema,
+    offerAnswerSchema,
+    offerSchema,
+    serverObservationsSchema,
+} from "./wireSchemas.js";
 
 type HttpFetch = NonNullable<Parameters<typeof httpLink>[0]["fetch"]>;
 type FetchInit = Parameters<HttpFetch>[1];
@@ -58,6 +65,14 @@
         return this.#call(address, offerAnswerSchema, (client, signal) => client.offer.mutate(offer, { signal }));
     }
 
+    override exchangeColdStart(address: string, word: ColdStartWord): Promise<Either<Failure, ColdStartWord>> {
+        return this.#call(
+            address,
+            coldStartWordSchema,
+            (client, signal) => client.exchangeColdStart.mutate(word, { signal }),
+        );
+    }
+
     override observe(address: string, service: string | undefined): Promise<Either<Failure, ServerObservations>> {
         return this.#call(
             address,
--- a/packages/peers/src/wireSchemas.ts
+++ b/packages/peers/src/wireSchemas.ts
@@ -1,3 +1,4 @@
+import { type ColdStartWord } from "@galenaglade/cold-start";
 import { configurationSchema, type RevisedConfiguration } from "@galenaglade/configuration";
 import {
     type ConfigurationOffer,
@@ -71,6 +72,23 @@
     stopping: z.boolean(),
 }).transform(heartbeat => ({ ...heartbeat, freshnessAgeMs: heartbeat.freshnessAgeMs }));
 
+/** `name/incarnation`. */
+const gatewayLife = z.string().min(1).max(512);
+/** Most backend servers that one word on cold start may be about. */
+const maximumWords = 10_000;
+
+/** What gateways tell each other about servers that they may not send to freely. */
+export const coldStartWordSchema: z.ZodType<ColdStartWord> = z.object({
+    from: gatewayLife,
+    rosterVersion: count,
+    leases: z.array(z.object({ holder: gatewayLife, sequence: count, ageMs })).max(maximumGateways),
+    words: z.array(z.object({ serverId, epoch: count, inFlight: count })).max(maximumWords),
+    departures: z.array(z.object({ gateway: gatewayLife, stoppedAgoMs: z.number() })).max(maximumGateways),
+    absent: z.array(gatewayLife).max(maximumGateways),
+    isAskerSuspended: z.boolean(),
+    signals: z.array(serverSignal).max(maximumWords),
+});
+
 /** All that a process holds. */
 export const offerSchema: z.ZodType<ConfigurationOffer> = z.object({
     offered: revisedConfiguration.optional(),
