Remember hosts that were listed while the store was out of reach

The others saw its host in the platform's list, but only reads of the store made them remember it, so that afterwards nobody could say it was gone: 'the last change came into force' failed, with the change of the roster waiting for ever. No work went out under an older configuration.

A peer's call now also makes a gateway fetch what the peer has newer.

--- a/packages/membership/src/fleetMember.ts
+++ b/packages/membership/src/fleetMember.ts
@@ -34,6 +34,7 @@
         readonly survey: FleetSurvey | undefined;
     }
     | { readonly type: "storeReadFailed"; }
+    | { readonly type: "hostsListed"; readonly names: readonly string[]; }
     | { readonly type: "registered"; readonly startedAtMs: number; readonly ttlMs: number; }
     | { readonly type: "registrationFailed"; }
     | { readonly type: "renewed"; readonly startedAtMs: number; readonly ttlMs: number; }
@@ -162,10 +163,13 @@
         };
     }
 
-    /** Answers a peer's heartbeat. */
-    answerHeartbeat(heartbeat: Heartbeat, nowMs: number): Heartbeat {
+    /** Answers a peer's heartbeat, and fetches from the peer what it has newer. */
+    answerHeartbeat(heartbeat: Heartbeat, nowMs: number): {
+        readonly answer: Heartbeat;
+        readonly commands: readonly FleetCommand[];
+    } {
         this.#callers.received(heartbeat.from, nowMs);
-        return this.#createHeartbeat(0, nowMs);
+        return { answer: this.#createHeartbeat(0, nowMs), commands: this.#fetchNewer(heartbeat) };
     }
 
     /** Takes an offer and says what is held now; the commands are to be carried out before the answer is sent. */
@@ -205,6 +209,9 @@
             case "storeReadFailed":
                 this.#reading = false;
                 return [];
+            case "hostsListed":
+                this.#keeper.hostsListed(event.names);
+                return [];
             case "registered":
                 this.#registration = "held";
                 this.#registrationDueAtMs = event.startedAtMs + event.ttlMs / 3;
@@ -346,6 +353,11 @@
             answeredAtMs: nowMs,
         });
         this.#recoverFromPeers();
+        return this.#fetchNewer(heartbeat);
+    }
+
+    #fetchNewer(heartbeat: Heartbeat): readonly FleetCommand[] {
+        const address = heartbeat.from.peerAddress;
         if (this.#holding.covers(heartbeat.revision, heartbeat.rosterVersion) || this.#fetching.has(address)) {
             return [];
         }
--- a/packages/membership/src/rosterKeeper.ts
+++ b/packages/membership/src/rosterKeeper.ts
@@ -44,6 +44,13 @@
         this.#timings = timings;
     }
 
+    /** Remembers which hosts the platform has shown, also while the store is out of reach. */
+    hostsListed(names: readonly string[]): void {
+        for (const name of names) {
+            this.#seenHosts.add(name);
+        }
+    }
+
     /** Takes a peer's answer, or this gateway's own state, for the change under way. */
     answered(answer: HoldingAnswer): void {
         this.#settling?.answered(answer);
@@ -55,7 +62,7 @@
      */
     surveyed(survey: FleetSurvey, nowMs: number): RosterSwap | undefined {
         this.#noteGone(survey, nowMs);
-        survey.hostNames?.forEach(name => this.#seenHosts.add(name));
+        this.hostsListed(survey.hostNames ?? []);
         const next = this.#resolveNext(survey, nowMs);
         if (next === undefined) {
             this.#wantedSinceMs = undefined;
--- a/packages/peers/src/__tests__/support/simulation.ts
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -30,6 +30,8 @@
 /** The host list shows the end of a host this late, in milliseconds. */
 const hostListLagMs = 4_000;
 const storeTimeoutMs = 1_000;
+/** Moments at which something happens in one run; about ten times those of a long one. */
+const maximumTurns = 1_000_000;
 
 /** Removal from the roster comes sooner than in earnest, so that a run sees several. */
 const timings: FleetTimings = { ...defaultFleetTimings, removeAfterMs: 6_000, rosterTurnMs: 500 };
@@ -69,6 +71,7 @@
     /** Longest time that one way of a store call takes for a process, in place of {@link storeDelayMs}. */
     readonly slowStoreFor = new Map<string, number>();
     #starts = 0;
+    #turns = 0;
 
     constructor(seed: number) {
         this.random = createRandomSource(seed);
@@ -189,6 +192,8 @@
             }
             this.time.runUntil(nextAtMs);
             await settle();
+            // A loop without an end would hide its seed.
+            assert.ok(++this.#turns < maximumTurns, "the run never ends");
         }
         this.time.runUntil(untilMs);
     }
--- a/packages/peers/src/fleetMemberShell.ts
+++ b/packages/peers/src/fleetMemberShell.ts
@@ -175,7 +175,9 @@
             heartbeat: heartbeat => {
                 const member = this.#startedMember();
                 this.#passOn(heartbeat, 0);
-                return member.answerHeartbeat(heartbeat, this.#clock.nowMs());
+                const { answer, commands } = member.answerHeartbeat(heartbeat, this.#clock.nowMs());
+                this.#run(commands);
+                return answer;
             },
             fetch: () => this.#startedMember().createOffer(),
             offer: offer => {
@@ -355,6 +357,7 @@
         while (hosts !== undefined && !this.#stopped.signal.aborted) {
             const listed = await this.#limited(hosts.list());
             this.#hostNames = listed.map(entries => entries.map(entry => entry.name)).toMaybe().extract();
+            this.#handle({ type: "hostsListed", names: this.#hostNames ?? [] });
             await pause(this.#clock, this.#timings.removeAfterMs / 3, this.#stopped.signal);
         }
     }
