--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -1,13 +1,17 @@
+import { KeyValueEngine } from "@galenaglade/stand-ins";
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { connect } from "node:net";
 import { Readable } from "node:stream";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { request } from "undici";
 import { EngineStore } from "./engineStore.js";
 import { type RawBackend, type RawRequest, renderAnswer, sendRaw, startRawBackend } from "./rawBackend.js";
 import { describeService, FixedSource, startGateway, type TestGateway } from "./testGateway.js";
 
+/** Retries that a service has saved up when nothing has failed yet. */
+const savedRetries = 20;
 const didRunHeader = "x-galenaglade-did-run";
 
 async function startWith(
@@ -141,6 +145,24 @@
     assert.deepEqual([told.status, told.body], [200, "GET /tables"]);
 });
 
+// Every backend server closes whatever it reads. Were each read tried three times, the servers in trouble would get
+// three times their load just then; the retry budget lets through what it had saved, and nothing was earned since.
+test("retries stay within their budget while everything fails", async t => {
+    const backends = [
+        await startRawBackend(t, close),
+        await startRawBackend(t, close),
+        await startRawBackend(t, close),
+    ];
+    const { url } = await startWith(t, backends);
+    const reads = 60;
+    for (let i = 0; i < reads; i++) {
+        const told = await send(`${url}/tables`);
+        assert.deepEqual([told.status, told.didRun, told.retryAfter], [502, "unknown", "1"]);
+    }
+    const sent = backends.reduce((sum, backend) => sum + backend.requests.length, 0);
+    assert.equal(sent, reads + savedRetries);
+});
+
 // The backend server's connection ends early: one byte short of its declared length, before its last chunk, or with
 // nothing that declares an end. The union's negotiator must not take what came for the whole table, so the caller's
 // connection is reset, also for a caller of HTTP/1.0, who takes the end of the connection for the end of the answer.
@@ -161,6 +183,55 @@
     }
 });
 
+// A researcher's extract is larger than any buffer on the way, and the researcher reads it slower than the backend
+// server sends it. The gateway holds the backend server back rather than the extract in its memory, and loses nothing.
+test("a large answer comes whole to a slow caller", async t => {
+    const part = "0123456789".repeat(100_000);
+    const parts = 40;
+    const length = part.length * parts;
+    let taken = 0;
+    let takenWhenAllWasSent = 0;
+    const backend = await startRawBackend(t, req => {
+        req.socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n`);
+        const sendParts = (left: number): void => {
+            if (left === 0) {
+                takenWhenAllWasSent = taken;
+                return;
+            }
+            req.socket.write(part, () => sendParts(left - 1));
+        };
+        sendParts(parts);
+    });
+    const { url } = await startWith(t, [backend], { patienceMs: 60_000 });
+    const answered = await request(`${url}/tables`);
+    let wrong = 0;
+    for await (const chunk of answered.body as AsyncIterable<Buffer>) {
+        for (const byte of chunk) {
+            wrong += byte === 48 + taken++ % 10 ? 0 : 1;
+        }
+        await setTimeout(1);
+    }
+    assert.deepEqual([taken, wrong], [length, 0]);
+    assert.ok(takenWhenAllWasSent > length / 2, `all was sent when ${takenWhenAllWasSent} bytes were taken`);
+});
+
+test("answers without a body are whole", async t => {
+    const backend = await startRawBackend(t, req => {
+        req.socket.write(
+            req.method === "HEAD"
+                ? "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"
+                : `HTTP/1.1 ${req.path.slice(-3)} Empty\r\n\r\n`,
+        );
+    });
+    const { url } = await startWith(t, [backend]);
+    for (const status of [204, 304]) {
+        const answered = await request(`${url}/tables/${status}`);
+        assert.deepEqual([answered.statusCode, await answered.body.text()], [status, ""]);
+    }
+    const head = await request(`${url}/tables`, { method: "HEAD" });
+    assert.deepEqual([head.statusCode, head.headers["content-length"], await head.body.text()], [200, "10", ""]);
+});
+
 // The first caller's patience ends, and it has its refusal at once. Its answer comes when the next caller is already
 // waiting for its own. On a connection used again, the next caller would get the first one's table. So the connection
 // is destroyed with the first caller's refusal, which also tells the backend server to stop.
@@ -172,7 +243,7 @@
             return;
         }
         late?.socket.write(renderAnswer("the late answer"));
-        setTimeout(() => answer(req), 20);
+        void setTimeout(20).then(() => answer(req));
     });
     const { url } = await startWith(t, [backend], { patienceMs: 200 });
     const first = await send(`${url}/tables/late`);
@@ -290,6 +361,60 @@
     assert.equal(backend.requests.length, 1);
 });
 
+// The shopper cancels while the key of the deposit is still being claimed. Nothing has left the gateway, so nothing
+// may leave it any more: the deposit is not wanted, and a next try must find its key free.
+test("a deposit whose caller is gone before it was sent is not sent", async t => {
+    const backend = await startRawBackend(t, answer);
+    const store = new EngineStore();
+    let release = (): void => undefined;
+    store.ready = new Promise(resolve => {
+        release = resolve;
+    });
+    const { url } = await startWith(t, [backend], { store });
+    const client = connect(Number(new URL(url).port), "127.0.0.1");
+    client.write("POST /tables HTTP/1.1\r\nhost: a\r\nidempotency-key: ring-8\r\ncontent-length: 5\r\n\r\nwages");
+    while (store.calls === 0) {
+        await setImmediate();
+    }
+    client.destroy();
+    await setTimeout(200);
+    release();
+    let next = await send(`${url}/tables`, "POST", "ring-8");
+    while (next.didRun === "unknown") {
+        next = await send(`${url}/tables`, "POST", "ring-8");
+    }
+    assert.deepEqual([next.status, next.didRun], [200, "yes"]);
+    assert.equal(backend.requests.filter(req => req.path === "/tables").length, 1);
+});
+
+// The gateway is told to stop while it runs a return. The return finishes, its caller has the answer, and the end is
+// recorded in the store, slow as it is, before the gateway is gone: else the next try would be told "unknown".
+test("a planned stop waits until the end of a return is recorded", async t => {
+    let running: RawRequest | undefined;
+    let noteRunning = (): void => undefined;
+    const started = new Promise<void>(resolve => {
+        noteRunning = resolve;
+    });
+    const backend = await startRawBackend(t, req => {
+        running = req;
+        noteRunning();
+    });
+    const engine = new KeyValueEngine();
+    const store = new EngineStore(engine);
+    const one = await startWith(t, [backend], { store });
+    const other = await startWith(t, [backend], { store: new EngineStore(engine) });
+    const first = send(`${one.url}/tables`, "POST", "return-8");
+    await started;
+    const stopped = one.gateway.stop();
+    store.ready = setTimeout(200);
+    running?.socket.write(renderAnswer("taken in"));
+    assert.equal((await first).body, "taken in");
+    await stopped;
+    store.down = true;
+    const next = await send(`${other.url}/tables`, "POST", "return-8");
+    assert.deepEqual([next.status, next.didRun], [409, "yes"]);
+});
+
 test("while the store is down a keyed request is refused at once, and one without a key runs", async t => {
     const backend = await startRawBackend(t, answer);
     const store = new EngineStore();
