Send the probes that the scheduler allows

The scheduler of probes decided, and nothing sent them. The gateway's probing shell ticks it, makes its calls of the store, sends GET /load over a connection of its own, and tells what came of it. Gateways don't start it yet.

Cause of the one change in the scheduler: a probe opens a connection first, so it leaves a turn or more after it was taken out of the budget. A gateway that stands still in between would send from a seat that has lapsed, or right before its own next probe. mayStillSend asks the seat, the lease and the contact again in the turn of the first byte, and the next probe is counted from there. Ruled out: keeping connections open, since a server that is looked at every ten seconds has closed them by then; and those of requests, which may be busy.

The whole suite was not run. The cost of looking at 8,400 targets every 20 ms isn't measured.

--- a/packages/gateway/src/__tests__/coldStart.test.ts
+++ b/packages/gateway/src/__tests__/coldStart.test.ts
@@ -1,50 +1,14 @@
 import { type ColdStartWord, signHeaders } from "@galenaglade/cold-start";
-import { createFailure, type Failure } from "@galenaglade/errors";
-import { type CompareAndSwap, type KeyValue, KeyValueStore, type Lease, type SwapOutcome } from "@galenaglade/platform";
-import { KeyValueEngine } from "@galenaglade/stand-ins";
-import { type Either, Left, Right } from "purify-ts";
+import { type Failure } from "@galenaglade/errors";
+import { type Either, Right } from "purify-ts";
 import assert from "node:assert/strict";
 import { type RequestListener } from "node:http";
 import { test, type TestContext } from "node:test";
 import { systemClock } from "../clock.js";
 import { ColdStartPeers, ColdStartShell } from "../coldStart/coldStartShell.js";
+import { LocalStore } from "./localStore.js";
 import { describeService, FixedSource, startBackend, startGateway } from "./testGateway.js";
 
-/** The store in the test's own process, on the machine's clock. */
-class LocalStore extends KeyValueStore {
-    readonly #engine = new KeyValueEngine();
-
-    override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
-        return Promise.resolve(Right(this.#engine.get(key, performance.now())));
-    }
-
-    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
-        return Promise.resolve(Right(this.#engine.compareAndSwap(req, performance.now())));
-    }
-
-    override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
-        return Promise.resolve(Right(this.#engine.grantLease(ttlMs, performance.now())));
-    }
-
-    override renewLease(id: string): Promise<Either<Failure, Lease>> {
-        const lease = this.#engine.renewLease(id, performance.now());
-        return Promise.resolve(lease === undefined ? Left(createFailure("notFound", id)) : Right(lease));
-    }
-
-    override revokeLease(id: string): Promise<Either<Failure, void>> {
-        this.#engine.revokeLease(id, performance.now());
-        return Promise.resolve(Right(undefined));
-    }
-
-    override list(): Promise<Either<Failure, never>> {
-        return Promise.resolve(Left(createFailure("internal", "not in this test")));
-    }
-
-    override watch(): Promise<Either<Failure, never>> {
-        return Promise.resolve(Left(createFailure("internal", "not in this test")));
-    }
-}
-
 class LocalPeers extends ColdStartPeers {
     readonly #shells: Map<string, ColdStartShell>;
     readonly #self: string;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,4 +3,5 @@
 export { type ConfigurationSource } from "./configurationSource.js";
 export { createGateway, type Gateway, type GatewayParts } from "./gateway.js";
 export { createGatewayProcess } from "./gatewayProcess.js";
+export { ProbingShell, type ProbingShellParts } from "./probing/probingShell.js";
 export { ServerGate } from "./requests/scheduler.js";
--- a/packages/probing/src/__tests__/probeScheduler.test.ts
+++ b/packages/probing/src/__tests__/probeScheduler.test.ts
@@ -89,3 +89,19 @@
     assert.equal(scheduler.takeProbe(3_000), undefined);
     assert.equal(scheduler.takeProbe(3_400), server);
 });
+
+// A holder takes a probe and stands still while its connection opens. Meanwhile its lease lapses, or its next probe
+// comes due: the one that waited would reach the server beside another's, or right before its own next one.
+test("a probe that waited for its connection leaves only while its seat stands, and is counted when it leaves", () => {
+    const scheduler = createHolder();
+    keepUp(scheduler, 3_000);
+    assert.equal(scheduler.takeProbe(3_000), server);
+    assert.equal(scheduler.mayStillSend(server, 3_000, 3_000 + contactLimitMs), false);
+    scheduler.onContact(9_000, 9_000);
+    assert.equal(scheduler.mayStillSend(server, 3_000, 9_000), false, "the lease has lapsed");
+    assert.equal(scheduler.mayStillSend(server, 3_000, 3_400), true);
+    keepUp(scheduler, 4_400);
+    assert.equal(scheduler.takeProbe(4_399), undefined);
+    assert.equal(scheduler.takeProbe(4_400), server);
+    assert.equal(scheduler.mayStillSend(server, 3_400, 4_401), false, "the next one is on its way");
+});
--- a/packages/probing/src/probeScheduler.ts
+++ b/packages/probing/src/probeScheduler.ts
@@ -163,15 +163,14 @@
     }
 
     /**
-     * Takes one probe out of the budget. It has to be sent in the same turn: whether the seat stands is asked here,
-     * and a holder that is stopped and continued comes by here before it sends.
+     * Takes one probe out of the budget. It has to be sent in the same turn, or {@link mayStillSend} asked in the turn
+     * of the send: a holder that is stopped and continued comes by one of them before it sends.
      *
      * @param nowMs - the present time
      * @returns the server to probe now, or `undefined`; to be called again until it says so
      */
     takeProbe(nowMs: number): ServerId | undefined {
-        const isStale = nowMs >= this.#contactAtMs + contactLimitMs;
-        if (isStale || nowMs < this.#nextProbeAtMs || !this.#lease.isValid(nowMs)) {
+        if (nowMs < this.#nextProbeAtMs || !this.#mayAct(nowMs)) {
             return undefined;
         }
         const due = this.#longestSilent(nowMs);
@@ -184,6 +183,32 @@
         return due.serverId;
     }
 
+    /**
+     * Asked in the turn of the first byte, where a connection had to be opened since {@link takeProbe}.
+     *
+     * @param serverId - the server that was taken
+     * @param takenAtMs - when it was taken
+     * @param nowMs - the present time
+     * @returns whether the probe may leave now; the next one is counted from now
+     */
+    mayStillSend(serverId: ServerId, takenAtMs: number, nowMs: number): boolean {
+        for (const probing of this.#services.values()) {
+            const server = probing.servers.get(serverId);
+            // A gateway that stood still while it connected would probe from a seat that another has taken since, or
+            // late, right before its own next probe: the server would see more probes than its budget.
+            const isCurrent = server?.probedAtMs === takenAtMs && this.#mayAct(nowMs);
+            if (server !== undefined && isCurrent && probing.mayProbe(this.#lease.leaseId, nowMs)) {
+                server.probedAtMs = nowMs;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    #mayAct(nowMs: number): boolean {
+        return nowMs < this.#contactAtMs + contactLimitMs && this.#lease.isValid(nowMs);
+    }
+
     #longestSilent(nowMs: number): { readonly serverId: ServerId; readonly server: ProbedServer; } | undefined {
         let longest: { readonly serverId: ServerId; readonly server: ProbedServer; } | undefined;
         for (const probing of this.#services.values()) {
