--- a/packages/membership/src/rosterKeeper.ts
+++ b/packages/membership/src/rosterKeeper.ts
@@ -44,6 +44,13 @@
         this.#timings = timings;
     }
 
+    /** Remembers which hosts the platform has shown, also while the store is out of reach. */
+    hostsListed(names: readonly string[]): void {
+        for (const name of names) {
+            this.#seenHosts.add(name);
+        }
+    }
+
     /** Takes a peer's answer, or this gateway's own state, for the change under way. */
     answered(answer: HoldingAnswer): void {
         this.#settling?.answered(answer);
@@ -55,7 +62,7 @@
      */
     surveyed(survey: FleetSurvey, nowMs: number): RosterSwap | undefined {
         this.#noteGone(survey, nowMs);
-        survey.hostNames?.forEach(name => this.#seenHosts.add(name));
+        this.hostsListed(survey.hostNames ?? []);
         const next = this.#resolveNext(survey, nowMs);
         if (next === undefined) {
             this.#wantedSinceMs = undefined;
@@ -115,8 +122,9 @@
         }
         for (const gateway of registered.values()) {
             const member = members.get(gateway.name);
-            // A restart at the same address is no change; the roster needn't be written for it.
-            if (member?.peerAddress !== gateway.peerAddress) {
+            // A restart is a change: what rests on a majority of the roster has to tell a process that forgot what it
+            // had in flight from the one that knew.
+            if (member?.incarnation !== gateway.incarnation) {
                 members.set(gateway.name, gateway);
             }
         }
@@ -177,6 +185,6 @@
 function isSame(a: readonly GatewayIdentity[], b: readonly GatewayIdentity[]): boolean {
     return a.length === b.length
         && a.every(gateway =>
-            b.some(other => other.name === gateway.name && other.peerAddress === gateway.peerAddress)
+            b.some(other => other.name === gateway.name && other.incarnation === gateway.incarnation)
         );
 }
