Give the gate, the grant, ports and waiting a module each; name pages alike

Change: modules of their own; pages in lower case with hyphens. No behaviour changes. Measured: types, lint and the tests of the pages pass.

--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -8,7 +8,7 @@
 import { type ConfigurationSource } from "../configurationSource.js";
 import { systemClock } from "../clock.js";
 import { createGateway, type Gateway } from "../gateway.js";
-import { type ServerGate } from "../requests/scheduler.js";
+import { type ServerGate } from "../requests/serverGate.js";
 import { RequestClaims } from "../requests/requestClaims.js";
 
 /** A configuration source that the test sets. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,3 @@
-import { type AddressInfo } from "node:net";
-import { type Server } from "node:http";
 import { createRandomSource, type RoutingPolicy, ServerBoard } from "@galenaglade/routing";
 import { type Logger, type Metrics, type Tracing } from "@galenaglade/telemetry";
 import { BackendConnections } from "./backends/backendConnections.js";
@@ -8,18 +6,14 @@
 import { type Clock, systemClock } from "./clock.js";
 import { type ConfigurationSource } from "./configurationSource.js";
 import { createOperationsServer } from "./operations/operationsServer.js";
+import { listen, type ListenAddress } from "./ports.js";
 import { Forwarder } from "./requests/forwarder.js";
 import { type RequestClaims } from "./requests/requestClaims.js";
-import { OpenGate, Scheduler, type ServerGate } from "./requests/scheduler.js";
+import { Scheduler } from "./requests/scheduler.js";
+import { OpenGate, type ServerGate } from "./requests/serverGate.js";
 import { createServiceTable, type ServiceTable } from "./requests/serviceTable.js";
 import { RequestTelemetry } from "./telemetry/requestTelemetry.js";
-
-/** Where a port listens. */
-export interface ListenAddress {
-    readonly address: string;
-    /** 0 for any free one. */
-    readonly port: number;
-}
+import { settleWithin, sleep } from "./waiting.js";
 
 /** What a gateway is told and given. */
 export interface GatewayParts {
@@ -165,29 +159,3 @@
     }
     return fresh ? { ready: true, reason: "ready" } : { ready: false, reason: "the configuration is not fresh" };
 }
-
-function listen(server: Server, at: ListenAddress): Promise<number> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(at.port, at.address, () => {
-            server.off("error", reject);
-            resolve((server.address() as AddressInfo).port);
-        });
-    });
-}
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => {
-        setTimeout(resolve, ms);
-    });
-}
-
-/** Waits for `done`, at most `ms`, and leaves no timer behind. */
-async function settleWithin(done: Promise<void>, ms: number): Promise<void> {
-    let timer: NodeJS.Timeout | undefined;
-    const late = new Promise<void>(resolve => {
-        timer = setTimeout(resolve, ms);
-    });
-    await Promise.race([done, late]);
-    clearTimeout(timer);
-}
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -11,10 +11,11 @@
 import { type AttemptResult, runAttempt, type StallWatch } from "./attempt.js";
 import { type CallerRequest } from "./callerRequest.js";
 import { resolveForwardHeaders } from "./headers.js";
+import { type Grant } from "./grant.js";
 import { readRequestBody, type RequestBody } from "./requestBody.js";
 import { type HeldClaim, type RequestClaims } from "./requestClaims.js";
 import { resolveAttemptEnd } from "../coldStart/attemptEnd.js";
-import { type Grant, type Scheduler } from "./scheduler.js";
+import { type Scheduler } from "./scheduler.js";
 
 /** A request with its two ends. */
 export interface Exchange {
--- a/packages/gateway/src/requests/scheduler.ts
+++ b/packages/gateway/src/requests/scheduler.ts
@@ -1,6 +1,4 @@
 import { RetryBudget, WaitQueue } from "@galenaglade/admission";
-import { type AttemptEnd } from "@galenaglade/cold-start";
-import { type RevisedConfiguration } from "@galenaglade/configuration";
 import { createFailure, type Failure } from "@galenaglade/errors";
 import {
     type Candidate,
@@ -13,86 +11,10 @@
 import { type Clock } from "../clock.js";
 import { initialServiceTimeMs, serviceTimeWeight, warmUpShare } from "../constants.js";
 import { type CallerRequest } from "./callerRequest.js";
+import { type Grant, type GrantEnd } from "./grant.js";
+import { type ServerGate } from "./serverGate.js";
 import { type ServiceRoute, type ServiceTable, type Target } from "./serviceTable.js";
 
-/** Says whether a backend server may get a request now, beyond the configuration's word. */
-export abstract class ServerGate {
-    /**
-     * @param target - the backend server
-     * @param nowMs - the present time
-     * @param deadlineMs - when the request's caller gives up
-     */
-    abstract maySend(target: Target, nowMs: number, deadlineMs: number): boolean;
-
-    /** Whether a backend server is cold, so that what it gets is its warm-up. */
-    abstract isCold(target: Pick<Target, "serverId">): boolean;
-    /** Told when leave has been given, in the same turn as {@link maySend} was asked. */
-    abstract onGranted(grant: Grant, deadlineMs: number): void;
-    /** Asked in the turn of the first byte, for leave may be over by then. */
-    abstract mayHandOver(grant: Grant, nowMs: number): boolean;
-    /** Told how a granted request ended. */
-    abstract onEnded(grant: Grant, end: AttemptEnd, nowMs: number): void;
-    /** Takes the backend servers of a newer configuration. */
-    abstract onConfiguration(revised: RevisedConfiguration): void;
-    /** @param reconsider - to be called when requests that wait may find a backend server that has opened */
-    abstract start(reconsider: () => void): void;
-    abstract stop(): Promise<void>;
-}
-
-/** Lets everything through; what the configuration names may be sent to. */
-export class OpenGate extends ServerGate {
-    override maySend(): boolean {
-        return true;
-    }
-
-    override isCold(): boolean {
-        return false;
-    }
-
-    override onGranted(): void {
-        return;
-    }
-
-    override mayHandOver(): boolean {
-        return true;
-    }
-
-    override onEnded(): void {
-        return;
-    }
-
-    override onConfiguration(): void {
-        return;
-    }
-
-    override start(): void {
-        return;
-    }
-
-    override stop(): Promise<void> {
-        return Promise.resolve();
-    }
-}
-
-/** Leave to send one request to one backend server; its slot is counted as taken until {@link Scheduler.release}. */
-export interface Grant {
-    /** Unique within this process. */
-    readonly id: string;
-    readonly target: Target;
-    readonly grantedAtMs: number;
-    /** The configuration revision under which the backend server was chosen. */
-    readonly revision: number;
-}
-
-/** How a granted request ended. */
-export interface GrantEnd {
-    /** Time to the answer's head; `undefined` where none came. */
-    readonly latencyMs: number | undefined;
-    readonly succeeded: boolean;
-    /** What the gate is told. */
-    readonly attempt: AttemptEnd;
-}
-
 interface WaitingRequest {
     readonly request: CallerRequest;
     readonly excluded: ReadonlySet<ServerId>;
--- a/scripts/__tests__/docs.test.ts
+++ b/scripts/__tests__/docs.test.ts
@@ -26,7 +26,7 @@
 });
 
 test("the page on refused work names only kinds that there are", () => {
-    const unknown = firstCells(read("docs/operations/refusedWork.md"))
+    const unknown = firstCells(read("docs/operations/refused-work.md"))
         .filter(kind => !errorKinds.some(known => known === kind));
     assert.deepEqual(unknown, []);
 });
