Refuse at once when the gate is out of touch, and split two long files

Cause: a gateway cut off from its peers may not send to any backend server, but counted as fresh by the store's word: it took requests and held each until its patience ended, all night for an extract, and said that it was ready. Found by reading the gateway's start.

Change: out of touch with the majority for longer than a moment, it refuses at once (503, did not run, time to come back) and fails its readiness check. Events, loads and departures have modules of their own.

Ruled out: refusing in the very moment that contact runs out (a short pause of the process would turn every waiting caller away).

--- a/packages/coldStart/src/constants.ts
+++ b/packages/coldStart/src/constants.ts
@@ -10,6 +10,9 @@
 /** A gateway that has not exchanged heartbeats with a majority for this long sends nothing. */
 export const contactLimitMs = 1_500;
 
+/** How long after contact was lost it is still likely to be regained in a moment, as after a pause of the process. */
+export const regainContactMs = 1_500;
+
 /** Allowance for clocks that run at different rates, over the longest of the times above. */
 export const clockMarginMs = 250;
 
--- a/packages/coldStart/src/createServerGate.ts
+++ b/packages/coldStart/src/createServerGate.ts
@@ -5,19 +5,14 @@
 import {
     cancellationMarginMs,
     contactLimitMs,
-    longestMemoryMs,
+    regainContactMs,
     signalRepeatMs,
     wantedMs,
     warmSignalsPerHeartbeat,
 } from "./constants.js";
+import { Departures } from "./departures.js";
 import { GatedServerState, type WarmUp } from "./gatedServerState.js";
-import {
-    type ColdStartWord,
-    type DepartureWord,
-    type GatewayRoster,
-    type HeartbeatRound,
-    type ServerWord,
-} from "./heartbeatRound.js";
+import { type ColdStartWord, type GatewayRoster, type HeartbeatRound, type ServerWord } from "./heartbeatRound.js";
 import { InheritedWork } from "./inheritedWork.js";
 import { LeaseKeeper } from "./leaseKeeper.js";
 import { type GatedServer, ServerGate, type ServerStanding } from "./serverGate.js";
@@ -29,8 +24,7 @@
     readonly #lease = new LeaseKeeper();
     readonly #authority: Authority;
     readonly #absences: Absences;
-    /** Gateways that left the roster, with the time by which they have certainly stopped sending. */
-    readonly #departed = new Map<string, number>();
+    readonly #departures = new Departures();
     #urgent = new Set<ServerId>();
     #lastContactMs = Number.NEGATIVE_INFINITY;
     #warmCursor = 0;
@@ -58,6 +52,10 @@
         return this.#mayWarmUp(server, nowMs, deadlineMs) ? "yes" : "no";
     }
 
+    override isInTouch(nowMs: number): boolean {
+        return nowMs < this.#lastContactMs + contactLimitMs + regainContactMs;
+    }
+
     override stateOf(serverId: ServerId): ServerStanding | undefined {
         const server = this.#servers.get(serverId);
         if (server === undefined) {
@@ -163,7 +161,7 @@
         const members = new Set([...roster.members, ...roster.previous ?? []]);
         for (const former of this.#rosterMembers()) {
             if (!members.has(former)) {
-                this.#departed.set(former, Number.POSITIVE_INFINITY);
+                this.#departures.leave(former);
             }
         }
         this.#authority.onRoster(roster);
@@ -182,7 +180,7 @@
         }
         if (this.#authority.onRound(round, nowMs)) {
             this.#noteContact(round.startedAtMs);
-            this.#dateDepartures(nowMs);
+            this.#departures.date(nowMs);
         }
         for (const answer of round.answers) {
             for (const word of answer.words) {
@@ -273,7 +271,7 @@
         for (const { gateway, horizonMs } of server.permit.inherited) {
             gateways.set(gateway, nowMs + horizonMs + cancellationMarginMs);
         }
-        for (const [gateway, stoppedAtMs] of this.#departed) {
+        for (const [gateway, stoppedAtMs] of this.#departures.stoppedAtMs) {
             gateways.set(gateway, stoppedAtMs + longestPatienceMs + cancellationMarginMs);
         }
         for (const gateway of this.#rosterMembers()) {
@@ -300,7 +298,7 @@
 
     #hear(word: ColdStartWord, nowMs: number): void {
         this.#authority.hear(word, nowMs);
-        this.#hearDepartures(word.departures, nowMs);
+        this.#departures.hear(word.departures, nowMs);
         for (const signal of word.signals) {
             this.onSignal(signal, nowMs);
         }
@@ -324,36 +322,6 @@
         this.#lastContactMs = Math.max(this.#lastContactMs, startedAtMs);
     }
 
-    /**
-     * A gateway that left the roster is answered by members that haven't heard of it yet; once a majority knows, its
-     * contact ends, and it sends no more.
-     */
-    #dateDepartures(nowMs: number): void {
-        for (const [gateway, stoppedAtMs] of this.#departed) {
-            if (stoppedAtMs === Number.POSITIVE_INFINITY) {
-                this.#departed.set(gateway, nowMs + contactLimitMs);
-            }
-            else if (nowMs > stoppedAtMs + longestMemoryMs) {
-                this.#departed.delete(gateway);
-            }
-        }
-    }
-
-    /** A fresh gateway never saw those that left before it came, whose requests may still run. */
-    #hearDepartures(departures: readonly DepartureWord[], nowMs: number): void {
-        for (const { gateway, stoppedAgoMs } of departures) {
-            if (!this.#departed.has(gateway)) {
-                this.#departed.set(gateway, nowMs - stoppedAgoMs);
-            }
-        }
-    }
-
-    #departureWords(nowMs: number): readonly DepartureWord[] {
-        return [...this.#departed]
-            .filter(([, stoppedAtMs]) => stoppedAtMs !== Number.POSITIVE_INFINITY)
-            .map(([gateway, stoppedAtMs]) => ({ gateway, stoppedAgoMs: nowMs - stoppedAtMs }));
-    }
-
     /** An availability zone that comes back counts as cold. Whichever gateway hears of it first tells the others. */
     #onZone(server: GatedServerState, isIn: boolean, nowMs: number): void {
         if (server.isIn && !isIn) {
@@ -398,7 +366,7 @@
             rosterVersion: this.#authority.roster.version,
             leases: this.#authority.leases(nowMs),
             words: this.#serverWords(nowMs),
-            departures: this.#departureWords(nowMs),
+            departures: this.#departures.words(nowMs),
             absent: this.#absences.say(this.#authority.roster.members, nowMs),
             isAskerSuspended: false,
             signals: this.#signals(nowMs),
--- a/packages/coldStart/src/serverGate.ts
+++ b/packages/coldStart/src/serverGate.ts
@@ -29,6 +29,11 @@
      * @returns `yes` only if the request may be sent in this turn
      */
     abstract maySend(serverId: ServerId, nowMs: number, deadlineMs: number): "yes" | "no";
+    /**
+     * Whether this gateway has exchanged words with a majority lately, or so lately that it may again in a moment. If
+     * not, {@link maySend} allows nothing, and nothing shows that it will.
+     */
+    abstract isInTouch(nowMs: number): boolean;
     /** @returns how this gateway takes a server to stand; `undefined` for one that isn't declared */
     abstract stateOf(serverId: ServerId): ServerStanding | undefined;
     /** Notes that a request has been handed to a connection, in the turn that {@link maySend} allowed it. */
--- a/packages/gateway/src/coldStart/coldStartShell.ts
+++ b/packages/gateway/src/coldStart/coldStartShell.ts
@@ -86,6 +86,10 @@
         return this.#gate.maySend(target.serverId, nowMs, deadlineMs) === "yes";
     }
 
+    override isInTouch(nowMs: number): boolean {
+        return this.#gate.isInTouch(nowMs);
+    }
+
     override isCold(target: Pick<Target, "serverId">): boolean {
         return this.#gate.stateOf(target.serverId) === "cold";
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,7 +63,9 @@
     let stopping = false;
     let stopped: Promise<void> | undefined;
 
-    const mayTakeNewWork = (): boolean => parts.source.mayTakeNewWork();
+    // A gate that is out of touch lets nothing through. Held until its patience ended, a request would get its refusal
+    // late and be lost to the other gateways; so it is refused at once, and the balancer is told.
+    const mayTakeNewWork = (): boolean => parts.source.mayTakeNewWork() && gate.isInTouch(clock.monotonicMs());
     const scheduler = new Scheduler({
         clock,
         board,
--- a/packages/gateway/src/requests/serverGate.ts
+++ b/packages/gateway/src/requests/serverGate.ts
@@ -12,6 +12,8 @@
      */
     abstract maySend(target: Target, nowMs: number, deadlineMs: number): boolean;
 
+    /** Whether anything may be sent at all, now or in a moment; if not, requests are refused instead of held. */
+    abstract isInTouch(nowMs: number): boolean;
     /** Whether a backend server is cold, so that what it gets is its warm-up. */
     abstract isCold(target: Pick<Target, "serverId">): boolean;
     /** Told when leave has been given, in the same turn as {@link maySend} was asked. */
@@ -33,6 +35,10 @@
         return true;
     }
 
+    override isInTouch(): boolean {
+        return true;
+    }
+
     override isCold(): boolean {
         return false;
     }
--- a/packages/membership/src/fleetMember.ts
+++ b/packages/membership/src/fleetMember.ts
@@ -1,10 +1,11 @@
 import { type RevisedConfiguration } from "@galenaglade/configuration";
-import { type ServerLoad, type ServerSignal } from "@galenaglade/routing";
 import { type FleetTimings, heartbeatBytes, heartbeatEntryBytes } from "./constants.js";
 import { Contacts } from "./contacts.js";
+import { type FleetCommand, type FleetEvent } from "./fleetEvents.js";
 import { Freshness } from "./freshness.js";
 import { HeartbeatSchedule } from "./heartbeatSchedule.js";
 import { Holding, type Taken } from "./holding.js";
+import { LoadRotation } from "./loadRotation.js";
 import {
     type ConfigurationOffer,
     type GatewayIdentity,
@@ -14,56 +15,10 @@
 } from "./messages.js";
 import { RecentCallers } from "./recentCallers.js";
 import { hasMajority, resolveRosterGateways } from "./roster.js";
-import { type FleetSurvey, RosterKeeper, type RosterSwap } from "./rosterKeeper.js";
+import { RosterKeeper } from "./rosterKeeper.js";
 import { SignalBoard } from "./signalBoard.js";
 import { TrafficBudget } from "./trafficBudget.js";
 
-/** What a gateway is told. Times are monotonic, in milliseconds. */
-export type FleetEvent =
-    /** Time has passed; to be told often, about every 100 ms. */
-    | { readonly type: "ticked"; }
-    /** A watch saw something, or ended. */
-    | { readonly type: "storeChanged"; }
-    /** First the roster was read, then the head; both after `startedAtMs`. */
-    | {
-        readonly type: "storeRead";
-        readonly startedAtMs: number;
-        readonly head: RevisedConfiguration | undefined;
-        readonly roster: Roster | undefined;
-        /** `undefined` where the registrations couldn't be had. */
-        readonly survey: FleetSurvey | undefined;
-    }
-    | { readonly type: "storeReadFailed"; }
-    | { readonly type: "hostsListed"; readonly names: readonly string[]; }
-    | { readonly type: "registered"; readonly startedAtMs: number; readonly ttlMs: number; }
-    | { readonly type: "registrationFailed"; }
-    | { readonly type: "renewed"; readonly startedAtMs: number; readonly ttlMs: number; }
-    | { readonly type: "renewalFailed"; readonly lapsed: boolean; }
-    | {
-        readonly type: "heartbeatAnswered";
-        readonly address: string;
-        readonly startedAtMs: number;
-        readonly heartbeat: Heartbeat;
-    }
-    | { readonly type: "heartbeatFailed"; readonly address: string; }
-    | { readonly type: "fetched"; readonly address: string; readonly offer: ConfigurationOffer; }
-    | { readonly type: "fetchFailed"; readonly address: string; }
-    | { readonly type: "signalsPublished"; readonly signals: readonly ServerSignal[]; }
-    | { readonly type: "loadsPublished"; readonly loads: readonly ServerLoad[]; }
-    /** The planned stop begins: no new work from now on. */
-    | { readonly type: "stopping"; };
-
-/** What a gateway is to do. */
-export type FleetCommand =
-    | { readonly type: "readStore"; }
-    | { readonly type: "register"; }
-    | { readonly type: "renew"; }
-    | { readonly type: "sendHeartbeat"; readonly address: string; readonly heartbeat: Heartbeat; }
-    | { readonly type: "fetch"; readonly address: string; }
-    | { readonly type: "swapRoster"; readonly swap: RosterSwap; }
-    /** New work follows this configuration from now on. */
-    | { readonly type: "apply"; readonly configuration: RevisedConfiguration; };
-
 /** Who a gateway is, and where it may find others. */
 export interface FleetMemberOptions {
     readonly self: GatewayIdentity;
@@ -108,9 +63,7 @@
     #registration: "none" | "asking" | "held" = "none";
     #registrationDueAtMs: number;
     readonly #signals: SignalBoard;
-    #loads: readonly ServerLoad[] = [];
-    #loadsAtMs = 0;
-    #nextLoad = 0;
+    readonly #loads = new LoadRotation();
 
     constructor(options: FleetMemberOptions, nowMs: number) {
         this.#self = options.self;
@@ -244,8 +197,7 @@
                 this.#schedule.hurry(this.#peerAddresses(nowMs));
                 return this.#tick(nowMs);
             case "loadsPublished":
-                this.#loads = event.loads;
-                this.#loadsAtMs = nowMs;
+                this.#loads.replace(event.loads, nowMs);
                 return [];
             case "stopping":
                 this.#stopping = true;
@@ -416,25 +368,11 @@
             freshnessAgeMs: this.#freshness.ageMs(nowMs, this.#holding),
             recovering: this.#recovering,
             signals: this.#signals.read(nowMs),
-            loads: this.#someLoads(loadLimit, nowMs),
+            loads: this.#loads.take(loadLimit, nowMs),
             stopping: this.#stopping,
         };
     }
 
-    /** Takes turns over the loads, so that each goes out now and then however small the budget. */
-    #someLoads(limit: number, nowMs: number): readonly ServerLoad[] {
-        const ageMs = nowMs - this.#loadsAtMs;
-        const count = Math.min(limit, this.#loads.length);
-        const chosen: ServerLoad[] = [];
-        for (let i = 0; i < count; i++) {
-            const load = this.#loads[this.#nextLoad++ % this.#loads.length];
-            if (load !== undefined) {
-                chosen.push({ ...load, ageMs: Math.ceil(load.ageMs + ageMs) });
-            }
-        }
-        return chosen;
-    }
-
     #recentCallers(nowMs: number): readonly GatewayIdentity[] {
         return this.#callers.since(nowMs - this.#timings.freshForMs - this.#timings.marginMs);
     }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,13 +3,8 @@
 export { type Acceptance, ChangeCoordinator, type ChangeRequest, type GatewayStanding } from "./changeCoordinator.js";
 export { type ConfigurationHead, createNextHead, findChange, type WrittenChange } from "./configurationHead.js";
 export { defaultFleetTimings, resolveFleetTimings, type FleetTimings, storeKeys } from "./constants.js";
-export {
-    type FleetCommand,
-    type FleetEvent,
-    FleetMember,
-    type FleetMemberOptions,
-    type FleetStatus,
-} from "./fleetMember.js";
+export { type FleetCommand, type FleetEvent } from "./fleetEvents.js";
+export { FleetMember, type FleetMemberOptions, type FleetStatus } from "./fleetMember.js";
 export {
     type ConfigurationOffer,
     type GatewayIdentity,
