Enforce cold start only where it is asked for

By reading: a gateway that left the roster counts as having an unknown number in flight until the longest patience is over, so nobody may warm a server up.

Change: a setting, coldStart.enforced, off by default; the tests of cold start on processes set it.

Ruled out: leaving it on (a restart of the fleet in the afternoon would cost the night's returns). Forgetting departed gateways (one that is killed may have requests running for as long as their callers wait).

A planned stop has to leave word that it left nothing in flight.

--- a/packages/endToEnd/src/fleetRun.ts
+++ b/packages/endToEnd/src/fleetRun.ts
@@ -92,6 +92,7 @@
             admin: false,
             history: true,
             startsCold,
+            enforcesColdStart: startsCold,
             workTime: { medianMs: 5, sigma: 0.2 },
         });
         const run = new FleetRun(fleet);
@@ -236,8 +237,7 @@
     }
 
     /**
-     * A gateway that has just started takes every backend server for cold, and gives it one request at a time until an
-     * answer says otherwise; tests of a running fleet begin once every server is known to be warm.
+     * Tests of a running fleet begin once every backend server has answered.
      */
     async #warmUp(): Promise<void> {
         const untilMs = performance.now() + warmWithinMs;
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -1,8 +1,9 @@
+import { type ServerStanding } from "@galenaglade/cold-start";
 import { FailureError } from "@galenaglade/errors";
 import { resolveFleetTimings } from "@galenaglade/membership";
 import { createFleetMember, type FleetMembership } from "@galenaglade/peers";
 import { HttpHostList, HttpKeyValueStore, PlatformConnection } from "@galenaglade/platform";
-import { createRoutingPolicy, ServerBoard } from "@galenaglade/routing";
+import { createRoutingPolicy, ServerBoard, type ServerId } from "@galenaglade/routing";
 import { type Program, type ResolvedGatewaySettings } from "@galenaglade/settings";
 import { createLogger, createMetrics, createTracing } from "@galenaglade/telemetry";
 import { randomInt, randomUUID } from "node:crypto";
@@ -48,14 +49,15 @@
     });
     const board = new ServerBoard();
     const stopSharing = shareLoads(fleet, board);
-    const gate = new ColdStartShell({ self, clock: systemClock, store, peers: new FleetColdStartPeers(fleet) });
-    fleet.answerColdStart(word => gate.onWord(word));
+    const gate = settings.coldStart.enforced
+        ? new ColdStartShell({ self, clock: systemClock, store, peers: new FleetColdStartPeers(fleet) })
+        : undefined;
+    if (gate !== undefined) {
+        fleet.answerColdStart(word => gate.onWord(word));
+    }
+    const stateOf = (serverId: ServerId): ServerStanding | undefined => gate?.gate.stateOf(serverId);
     fleet.answerObservations(service =>
-        describeServers(
-            { configuration: fleet.current(), board, stateOf: id => gate.gate.stateOf(id) },
-            service,
-            performance.now(),
-        )
+        describeServers({ configuration: fleet.current(), board, stateOf }, service, performance.now())
     );
     const gateway = createGateway({
         availabilityZone: settings.availabilityZone,
@@ -69,7 +71,7 @@
         metrics,
         tracing,
         board,
-        gate,
+        ...(gate === undefined ? {} : { gate }),
         claims: new RequestClaims({ store, holder: self, clock: systemClock }),
     });
     return {
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -53,6 +53,11 @@
         .describe("longest time for the requests in flight to finish, after the wait for the balancer"),
 });
 
+const coldStart = z.strictObject({
+    enforced: z.boolean().default(false)
+        .describe("whether cold backend servers are warmed up under permits; the same in the whole fleet"),
+});
+
 /** A gateway's settings as written in YAML. */
 export const gatewaySettingsSchema = z.strictObject({
     name: name.describe("name of this host, as the platform's host list has it"),
@@ -64,6 +69,7 @@
     fleetKey,
     stopping: stopping.prefault({}),
     freshness: freshness.prefault({}),
+    coldStart: coldStart.prefault({}),
     logging: logging.prefault({}),
 });
 
--- a/packages/standIns/src/fleet/fleet.ts
+++ b/packages/standIns/src/fleet/fleet.ts
@@ -24,6 +24,8 @@
     /** Whether histories are kept, see {@link Fleet.histories}. */
     readonly history?: boolean | undefined;
     readonly workTime?: WorkTimeOptions | undefined;
+    /** Whether gateways warm cold backend servers up under permits; not where nothing is said. */
+    readonly enforcesColdStart?: boolean | undefined;
     /** Whether the backend servers start cold; warm where nothing is said. */
     readonly startsCold?: boolean | undefined;
     /** See {@link StartProcessOptions.ownGroup}. */
@@ -283,7 +285,11 @@
     }
 
     get #shared(): SharedSettings {
-        return { platformUrl: this.platformUrl, fleetKey: this.fleetKey };
+        return {
+            platformUrl: this.platformUrl,
+            fleetKey: this.fleetKey,
+            enforcesColdStart: this.#options.enforcesColdStart ?? false,
+        };
     }
 
     #writeSettings(name: string, settings: string): string {
--- a/packages/standIns/src/fleet/fleetSettings.ts
+++ b/packages/standIns/src/fleet/fleetSettings.ts
@@ -11,6 +11,8 @@
 export interface SharedSettings {
     readonly platformUrl: string;
     readonly fleetKey: string;
+    /** Whether gateways warm cold backend servers up under permits. */
+    readonly enforcesColdStart: boolean;
 }
 
 /** Short, since nothing balances callers on loopback. */
@@ -43,6 +45,7 @@
         platform: { address: shared.platformUrl },
         fleetKey: { value: shared.fleetKey },
         stopping: { balancerWaitMs },
+        coldStart: { enforced: shared.enforcesColdStart },
     });
 }
 
