--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -23,6 +23,7 @@
  *
  * @param limits - what callers may take up
  * @param handle - gets every request that was understood
+ * @returns a server that doesn't listen yet
  */
 export function createCallerServer(
     limits: CallerLimits,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,7 @@
  * Makes a gateway: callers' requests in, backend servers' answers out.
  *
  * @param parts - what it is told and given
+ * @returns a gateway that is not started yet
  */
 export function createGateway(parts: GatewayParts): Gateway {
     const clock = parts.clock ?? systemClock;
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -20,6 +20,7 @@
  *
  * @param settings - checked settings
  * @param policyName - routing policy, for the bench to compare them
+ * @returns the process's parts, not started
  */
 export function createGatewayProcess(
     settings: ResolvedGatewaySettings,
--- a/packages/gateway/src/operations/operationsServer.ts
+++ b/packages/gateway/src/operations/operationsServer.ts
@@ -11,6 +11,7 @@
  * Makes the server for health (`/healthz`), readiness (`/readyz`) and metrics (`/metrics`).
  *
  * @param parts - where the answers come from
+ * @returns a server that doesn't listen yet
  */
 export function createOperationsServer(parts: OperationsParts): Server {
     return createServer({ requestTimeout: 5_000, maxHeaderSize: 8_192 }, (req, res) => {
--- a/packages/gateway/src/requests/headers.ts
+++ b/packages/gateway/src/requests/headers.ts
@@ -51,6 +51,7 @@
  *
  * @param raw - as the caller sent them
  * @param added - what the gateway says itself
+ * @returns names and values in turn
  */
 export function resolveForwardHeaders(raw: RawHeaders, added: Readonly<Record<string, string>>): string[] {
     const kept = keep(raw, name => setByGateway.has(name) || name.startsWith(backendHeaderPrefix));
@@ -64,6 +65,7 @@
  * Headers for the caller.
  *
  * @param raw - as the backend server sent them
+ * @returns names and values in turn
  */
 export function resolveAnswerHeaders(raw: RawHeaders): string[] {
     return keep(raw, name => name.startsWith(backendHeaderPrefix) || name === didRunHeader);
--- a/packages/gateway/src/requests/serviceTable.ts
+++ b/packages/gateway/src/requests/serviceTable.ts
@@ -40,6 +40,7 @@
  * Builds the table for a revision. It is built once for each revision, so that a request costs one look-up.
  *
  * @param revised - the configuration
+ * @returns the table, which never changes
  */
 export function createServiceTable(revised: RevisedConfiguration): ServiceTable {
     const routes = revised.configuration.services.map(service => createRoute(revised, service));
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -16,6 +16,7 @@
  * Makes a process's OpenTelemetry meter, read by scraping; no port is opened here.
  *
  * @param processName - the resource's `service.name`
+ * @returns the meter, to be shut down at the end
  */
 export function createMetrics(processName: string): Metrics {
     const reader = new PrometheusExporter({ preventServerStart: true });
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -58,6 +58,7 @@
  * Makes a process's OpenTelemetry tracer.
  *
  * @param options - name, share and where spans go
+ * @returns the tracer, to be shut down at the end
  */
 export function createTracing(options: TracingOptions): Tracing {
     const provider = new NodeTracerProvider({
