Let callers that hang up leave the queue

Cause: found by reading the scheduler: a waiting request left the queue only at its turn or when its patience ended, also when its caller was gone. With callers who wait all night, 64 that hung up would have everybody else refused.

Change: the signal that ends a request also takes it out of the queue, in place of a timer of the queue's own.

Ruled out: looking for gone callers when the queue is full (their places still lengthen the expected wait of the others).

Fails first: with the timer in place of the signal the new test runs into its limit of 15 s, no place comes free. Measured: the gateway's tests pass.

--- a/packages/gateway/src/__tests__/gateway.test.ts
+++ b/packages/gateway/src/__tests__/gateway.test.ts
@@ -1,8 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { request } from "undici";
 import { describeService, FixedSource, startBackend, startGateway } from "./testGateway.js";
 
+/** Slots of a backend server where the configuration says nothing. */
+const slots = 3;
+/** Most requests that wait for a slot of one service. */
+const queueLength = 64;
+
 test("a request reaches its backend server with its deadline, and its answer comes back whole", async t => {
     let seen: Record<string, unknown> = {};
     const port = await startBackend(t, (req, res) => {
@@ -82,7 +88,7 @@
     const stop = gateway.stop().then(() => {
         stopped = true;
     });
-    await new Promise(resolve => setTimeout(resolve, 20));
+    await setTimeout(20);
     assert.equal(stopped, false);
     finish();
     const answer = await answered;
@@ -116,3 +122,59 @@
     assert.equal(await answer.body.text(), "whole");
     await stop;
 });
+
+// Every slot is taken by long work, and as many callers as the queue holds wait and then hang up. Their places are free
+// at once: the next caller, who would otherwise be refused until their patience ended, waits and is served.
+test("callers that hang up in the queue leave it", async t => {
+    const held: (() => void)[] = [];
+    const port = await startBackend(t, (_req, res) => {
+        held.push(() => res.end("whole"));
+    });
+    const source = new FixedSource();
+    source.apply(1, describeService([port], 60_000));
+    const { url } = await startGateway(t, source);
+    const inSlots = Array.from({ length: slots }, () => request(`${url}/tables`));
+    while (held.length < slots) {
+        await setImmediate();
+    }
+    const abort = new AbortController();
+    const queued = Array.from({ length: queueLength }, () => request(`${url}/tables`, { signal: abort.signal }));
+    const full = await askUntil(url, answer => answer !== undefined);
+    assert.equal(full.refusal, "urn:galenaglade:error:overloaded");
+    abort.abort();
+    await Promise.allSettled(queued);
+    const next = await askUntil(url, answer => answer === undefined);
+    for (const finish of held) {
+        finish();
+    }
+    await Promise.all(inSlots);
+    while (held.length < slots + 1) {
+        await setImmediate();
+    }
+    held.at(-1)?.();
+    assert.equal((await next.asked).statusCode, 200);
+});
+
+interface Asked {
+    readonly asked: ReturnType<typeof request>;
+    /** The kind of the refusal; `undefined` where the request waits. */
+    readonly refusal: unknown;
+}
+
+/** Asks anew, giving up what came before, until the answer that comes at once, or none, is as wanted. */
+async function askUntil(
+    url: string,
+    isWanted: (answer: Awaited<ReturnType<typeof request>> | undefined) => boolean,
+): Promise<Asked> {
+    for (;;) {
+        const abort = new AbortController();
+        const asked = request(`${url}/tables`, { signal: abort.signal });
+        const answer = await Promise.race([asked, setTimeout(200, undefined)]);
+        const problem = await answer?.body.json() as Record<string, unknown> | undefined;
+        if (isWanted(answer)) {
+            return { asked, refusal: problem?.["type"] };
+        }
+        abort.abort();
+        await asked.catch(() => undefined);
+    }
+}
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -115,7 +115,7 @@
             if (attempt > 1 && !isRetryPaid && !scheduler.takeRetry(request)) {
                 break;
             }
-            const grant = await scheduler.acquire(request, failedOn);
+            const grant = await scheduler.acquire(request, failedOn, signal);
             if (grant.isLeft()) {
                 // What an earlier try did goes before what this one could not begin.
                 last ??= grant.extract();
--- a/packages/gateway/src/requests/scheduler.ts
+++ b/packages/gateway/src/requests/scheduler.ts
@@ -58,8 +58,14 @@
      *
      * @param request - the request
      * @param excluded - backend servers that already failed it
+     * @param signal - aborted when its caller's patience ends, or its caller is gone
+     * @returns leave to send it, or the refusal that is its final answer
      */
-    acquire(request: CallerRequest, excluded: ReadonlySet<ServerId>): Promise<Either<Failure, Grant>> {
+    acquire(
+        request: CallerRequest,
+        excluded: ReadonlySet<ServerId>,
+        signal: AbortSignal,
+    ): Promise<Either<Failure, Grant>> {
         const state = this.#stateOf(request.route.service.name);
         const now = this.#parts.clock.monotonicMs();
         if (state.queue.length === 0) {
@@ -75,7 +81,7 @@
                 Left(createFailure("overloaded", "no slot comes free in time", { retryAfterSeconds })),
             );
         }
-        return this.#wait(state, request, excluded, now);
+        return this.#wait(state, request, excluded, signal);
     }
 
     /** Ends a grant and hands the slot to whoever waits. */
@@ -114,19 +120,22 @@
         state: ServiceState,
         request: CallerRequest,
         excluded: ReadonlySet<ServerId>,
-        nowMs: number,
+        signal: AbortSignal,
     ): Promise<Either<Failure, Grant>> {
         return new Promise(resolve => {
-            const timer = setTimeout(() => {
+            // A caller that hung up would keep its place until its patience ended, all night for an extract, and a queue
+            // full of such places would refuse everybody else.
+            const giveUp = (): void => {
                 state.queue.remove(request.id);
                 settle(Left(createFailure("patienceSpent", "no slot came free in time")));
-            }, request.deadlineMs - nowMs);
+            };
             const settle = (result: Either<Failure, Grant>): void => {
-                clearTimeout(timer);
+                signal.removeEventListener("abort", giveUp);
                 state.waiting.delete(request.id);
                 resolve(result);
             };
             state.waiting.set(request.id, { request, excluded, settle });
+            signal.addEventListener("abort", giveUp, { once: true });
         });
     }
 
