--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -41,7 +41,7 @@
 export const serviceTimeWeight = 0.1;
 
 /** The routing policy that goes where nothing else is said. */
-export const defaultRoutingPolicy = "freeSlotFirst";
+export const defaultRoutingPolicy = "expectedInFlight";
 
 /** How often own in-flight counts are handed to the fleet's heartbeats. */
 export const loadPublishingMs = 250;
