--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,8 @@
     "coldStart",
     "probing",
     "history",
+    "fleetState",
+    "placement",
 ];
 
 const inputOutputModules = [
@@ -27,7 +29,9 @@
     "@galenaglade/platform",
     "@galenaglade/peers",
     "@galenaglade/telemetry",
+    "@galenaglade/http-parts",
     "@galenaglade/gateway",
+    "@galenaglade/edge",
     "@galenaglade/admin",
     "@galenaglade/cli",
     "@galenaglade/stand-ins",
@@ -45,7 +49,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/node_modules/**", "**/dist/**", "packages/schema/src/generated/**"] },
+    { ignores: ["**/node_modules/**", "**/dist/**", "target/**", "journal/**", "packages/schema/src/generated/**"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: { allowDefaultProject: ["eslint.config.js"] } } },
--- a/packages/admin/src/callFailure.ts
+++ b/packages/admin/src/callFailure.ts
@@ -37,6 +37,7 @@
     storeUnavailable: Code.Unavailable,
     storeOutcomeUnknown: Code.Unknown,
     storeRateLimited: Code.ResourceExhausted,
+    storeHistoryLost: Code.Unavailable,
     revisionConflict: Code.Aborted,
     configurationInvalid: Code.InvalidArgument,
     notFound: Code.NotFound,
--- /dev/null
+++ b/packages/edge/src/backends/askServer.ts
@@ -0,0 +1,103 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type RawHeaders } from "@galenaglade/http-parts";
+import { type ServerOffer } from "@galenaglade/placement";
+import { type Dispatcher } from "undici";
+import { askTimeoutMs } from "../constants.js";
+import { type EdgeVocabulary } from "../vocabulary.js";
+import { readRawHeaders } from "./rawHeaders.js";
+import { type ServerConnection } from "./serverConnection.js";
+
+const okStatus = 200;
+
+/** What to ask with. */
+export interface AskInput {
+    readonly server: RegisteredServer;
+    readonly connection: ServerConnection;
+    readonly healthPath: string;
+    readonly vocabulary: EdgeVocabulary;
+}
+
+/**
+ * Asks a backend server how loaded it is, right before something is sent to it. Any older figure is worth little: load
+ * moves within milliseconds.
+ *
+ * @param input - whom to ask
+ * @returns what it said, or `undefined` where it didn't answer in time or another server did
+ */
+export function askServer(input: AskInput): Promise<ServerOffer | undefined> {
+    return new Promise(resolve => {
+        const handler = new AskHandler(input, resolve);
+        input.connection.dispatch({ method: "GET", path: input.healthPath }, handler);
+    });
+}
+
+class AskHandler implements Dispatcher.DispatchHandler {
+    readonly #input: AskInput;
+    readonly #resolve: (offer: ServerOffer | undefined) => void;
+    readonly #timer: NodeJS.Timeout;
+    #controller: Dispatcher.DispatchController | undefined;
+    #offer: ServerOffer | undefined;
+    #settled = false;
+
+    constructor(input: AskInput, resolve: (offer: ServerOffer | undefined) => void) {
+        this.#input = input;
+        this.#resolve = resolve;
+        // A connection that went silent stays so; closing it makes the next question open a new one.
+        this.#timer = setTimeout(() => {
+            this.#settle(undefined);
+            if (this.#controller === undefined) {
+                this.#input.connection.destroy();
+                return;
+            }
+            this.#controller.abort(new Error("no answer in time"));
+        }, askTimeoutMs);
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.#controller = controller;
+        if (this.#settled) {
+            controller.abort(new Error("no answer in time"));
+        }
+    }
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        this.#offer = this.#read(status, readRawHeaders(controller.rawHeaders));
+    }
+
+    onResponseData(): void {
+        // The head says all that is asked.
+    }
+
+    onResponseEnd(): void {
+        this.#settle(this.#offer);
+    }
+
+    onResponseError(): void {
+        this.#settle(undefined);
+    }
+
+    #read(status: number, headers: RawHeaders): ServerOffer | undefined {
+        const { server, vocabulary } = this.#input;
+        const signs = vocabulary.readAnswer(status, headers);
+        if (signs.serverId !== server.id) {
+            return undefined;
+        }
+        return {
+            serverId: server.id,
+            availabilityZone: server.availabilityZone,
+            load: signs.load,
+            slots: server.slots,
+            healthy: status === okStatus,
+            coldRemainingMs: signs.coldRemainingMs,
+        };
+    }
+
+    #settle(offer: ServerOffer | undefined): void {
+        if (this.#settled) {
+            return;
+        }
+        this.#settled = true;
+        clearTimeout(this.#timer);
+        this.#resolve(offer);
+    }
+}
--- /dev/null
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -0,0 +1,242 @@
+import { findHeader, type RawHeaders } from "@galenaglade/http-parts";
+import { type NotRunReason, type SendEnd, type UnknownReason } from "@galenaglade/placement";
+import { type Readable } from "node:stream";
+import { type Dispatcher } from "undici";
+import { type AnswerSigns, type EdgeVocabulary } from "../vocabulary.js";
+import { readRawHeaders } from "./rawHeaders.js";
+import { type ServerConnection } from "./serverConnection.js";
+
+/** The head of a backend server's answer. */
+export interface AnswerHead {
+    readonly status: number;
+    readonly headers: RawHeaders;
+    readonly signs: AnswerSigns;
+}
+
+/** A backend server's whole answer. */
+export interface HeldAnswer extends AnswerHead {
+    readonly body: Buffer;
+}
+
+/** Gets the bytes of an answer that is too large to be held. */
+export abstract class AnswerSink {
+    /** @returns whether more may come at once; otherwise `resume` is called when it may */
+    abstract write(chunk: Buffer, resume: () => void): boolean;
+}
+
+/** One send of one request. */
+export interface SendInput {
+    readonly connection: ServerConnection;
+    /** Whether nothing was sent on the connection before, so that what comes answers this request. */
+    readonly fresh: boolean;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: string[];
+    readonly body: Buffer | Readable | undefined;
+    readonly idempotent: boolean;
+    readonly requestId: string | undefined;
+    readonly vocabulary: EdgeVocabulary;
+    readonly heldBytes: number;
+    /** Asked in the turn in which the first byte is written. */
+    readonly mayWrite: () => boolean;
+    /** Asked once an answer is too large to be held. @returns where its bytes go, or `undefined` to give it up */
+    readonly openSink: (head: AnswerHead) => AnswerSink | undefined;
+}
+
+/** How a send ended. */
+export interface SendResult {
+    readonly end: SendEnd;
+    /** The whole answer, where it was held. */
+    readonly answer: HeldAnswer | undefined;
+    /** Whether a sink was opened, so that the caller has had a part of the answer. */
+    readonly streamed: boolean;
+    readonly detail: string;
+    readonly tookMs: number;
+}
+
+/** A send under way. */
+export interface Send {
+    readonly result: Promise<SendResult>;
+    /** Gives it up; its connection is closed, and the server drops the work. */
+    abandon(): void;
+}
+
+const misdirectedStatus = 421;
+
+/**
+ * Sends a request to a backend server over one connection and reads the answer.
+ *
+ * @param input - what goes where
+ */
+export function sendRequest(input: SendInput): Send {
+    let handler: SendHandler | undefined;
+    const result = new Promise<SendResult>(resolve => {
+        handler = new SendHandler(input, resolve);
+        input.connection.dispatch({
+            method: input.method,
+            path: input.path,
+            headers: input.headers,
+            body: input.body,
+            idempotent: input.idempotent,
+        }, handler);
+    });
+    return { result, abandon: () => handler?.abandon() };
+}
+
+class SendHandler implements Dispatcher.DispatchHandler {
+    readonly #input: SendInput;
+    readonly #resolve: (result: SendResult) => void;
+    readonly #startedAtMs = performance.now();
+    readonly #chunks: Buffer[] = [];
+    #heldBytes = 0;
+    #controller: Dispatcher.DispatchController | undefined;
+    #written = false;
+    #refused = false;
+    #head: AnswerHead | undefined;
+    #sink: AnswerSink | undefined;
+    #settled = false;
+
+    constructor(input: SendInput, resolve: (result: SendResult) => void) {
+        this.#input = input;
+        this.#resolve = resolve;
+    }
+
+    /** Called in the turn in which the request is written, right before its first byte. */
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.#controller = controller;
+        // A client that lost its connection may write a request again. What was said of it by then would become untrue.
+        if (this.#settled || this.#written || !this.#input.mayWrite()) {
+            this.#refused = !this.#written;
+            controller.abort(new Error("not sent any more"));
+            return;
+        }
+        this.#written = true;
+    }
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        if (status < 200) {
+            return;
+        }
+        const headers = readRawHeaders(controller.rawHeaders);
+        this.#head = { status, headers, signs: this.#input.vocabulary.readAnswer(status, headers) };
+    }
+
+    onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        if (this.#settled || this.#head === undefined) {
+            return;
+        }
+        if (this.#sink === undefined) {
+            this.#chunks.push(chunk);
+            this.#heldBytes += chunk.length;
+            if (this.#heldBytes > this.#input.heldBytes) {
+                this.#openSink(controller, this.#head);
+            }
+            return;
+        }
+        this.#pass(controller, this.#sink, chunk);
+    }
+
+    onResponseEnd(): void {
+        const head = this.#head;
+        if (head === undefined) {
+            this.#settle({ type: "unknown", reason: "notAnAnswer" }, "ended without an answer");
+            return;
+        }
+        const fault = this.#findFault(head);
+        if (fault !== undefined) {
+            this.#settle({ type: "unknown", reason: fault }, fault);
+            return;
+        }
+        const notRun = findNotRun(head);
+        this.#settle(
+            notRun === undefined ? { type: "answered", status: head.status } : { type: "notRun", reason: notRun },
+            String(head.status),
+        );
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        if (this.#written) {
+            this.#settle(
+                { type: "unknown", reason: this.#head === undefined ? findLoss(err) : "cutShort" },
+                err.message,
+            );
+            return;
+        }
+        this.#settle({ type: "notRun", reason: this.#refused ? "notSent" : "connectFailed" }, err.message);
+    }
+
+    abandon(): void {
+        if (this.#settled) {
+            return;
+        }
+        this.#settle(this.#written ? { type: "abandoned" } : { type: "notRun", reason: "notSent" }, "given up");
+        if (this.#controller === undefined) {
+            this.#input.connection.destroy();
+            return;
+        }
+        this.#controller.abort(new Error("given up"));
+    }
+
+    /** An answer of which something is wrong is nobody's: it may be the end of another one, or half of this. */
+    #findFault({ status, headers, signs }: AnswerHead): UnknownReason | undefined {
+        const { requestId, fresh, connection } = this.#input;
+        // A server that turns a request away may not have read who it is; on a fresh connection it can mean no other.
+        const anonymous = signs.requestId === undefined && fresh && signs.notRun;
+        if (signs.requestId !== requestId && !anonymous) {
+            return "otherRequestsAnswer";
+        }
+        if (findHeader(headers, "content-encoding") !== undefined) {
+            return "encoded";
+        }
+        const untilClose = findHeader(headers, "content-length") === undefined
+            && findHeader(headers, "transfer-encoding") === undefined;
+        if (untilClose && connection.socketFailed) {
+            return "cutShort";
+        }
+        return status < 300 && !signs.signed ? "notSigned" : undefined;
+    }
+
+    #openSink(controller: Dispatcher.DispatchController, head: AnswerHead): void {
+        const sink = this.#findFault(head) === undefined ? this.#input.openSink(head) : undefined;
+        if (sink === undefined) {
+            this.#settle({ type: "unknown", reason: "cutShort" }, "the answer is too large to be held, and not wanted");
+            controller.abort(new Error("not wanted"));
+            return;
+        }
+        this.#sink = sink;
+        this.#pass(controller, sink, Buffer.concat(this.#chunks));
+        this.#chunks.length = 0;
+    }
+
+    #pass(controller: Dispatcher.DispatchController, sink: AnswerSink, chunk: Buffer): void {
+        if (!sink.write(chunk, () => controller.resume())) {
+            controller.pause();
+        }
+    }
+
+    #settle(end: SendEnd, detail: string): void {
+        if (this.#settled) {
+            return;
+        }
+        this.#settled = true;
+        const held = this.#head !== undefined && this.#sink === undefined && end.type === "answered";
+        this.#resolve({
+            end,
+            answer: held && this.#head !== undefined ? { ...this.#head, body: Buffer.concat(this.#chunks) } : undefined,
+            streamed: this.#sink !== undefined,
+            detail,
+            tookMs: performance.now() - this.#startedAtMs,
+        });
+    }
+}
+
+function findNotRun({ status, signs }: AnswerHead): NotRunReason | undefined {
+    if (status === misdirectedStatus) {
+        return "otherServer";
+    }
+    return signs.notRun ? "turnedAway" : undefined;
+}
+
+function findLoss(err: Error): UnknownReason {
+    return err.name === "HTTPParserError" ? "notAnAnswer" : "connectionLost";
+}
--- /dev/null
+++ b/packages/edge/src/callers/answerWriter.ts
@@ -0,0 +1,66 @@
+import { cutCaller, keepEndToEnd } from "@galenaglade/http-parts";
+import { type ServerResponse } from "node:http";
+import { type AnswerHead, AnswerSink, type HeldAnswer } from "../backends/sendRequest.js";
+
+const noContentStatus = 204;
+const notModifiedStatus = 304;
+
+/**
+ * Gives a caller a backend server's whole answer.
+ *
+ * @param res - the caller's answer
+ * @param method - of the request
+ * @param answer - as the server gave it
+ * @param close - whether the caller's connection ends with it
+ */
+export function writeAnswer(res: ServerResponse, method: string, answer: HeldAnswer, close: boolean): void {
+    const { status, headers, body } = answer;
+    const hasBody = method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
+    const kept = keepEndToEnd(headers, name => hasBody && name === "content-length");
+    if (hasBody) {
+        kept.push("content-length", String(body.length));
+    }
+    if (close) {
+        kept.push("connection", "close");
+    }
+    res.writeHead(status, kept);
+    res.end(hasBody ? body : undefined);
+}
+
+/** Passes a large answer on as it comes. */
+export class CallerSink extends AnswerSink {
+    readonly #res: ServerResponse;
+
+    constructor(res: ServerResponse, head: AnswerHead, close: boolean) {
+        super();
+        this.#res = res;
+        const kept = keepEndToEnd(head.headers, () => false);
+        if (close) {
+            kept.push("connection", "close");
+        }
+        res.writeHead(head.status, kept);
+    }
+
+    override write(chunk: Buffer, resume: () => void): boolean {
+        if (this.#res.destroyed || this.#res.write(chunk)) {
+            return true;
+        }
+        const onReady = (): void => {
+            this.#res.off("drain", onReady);
+            this.#res.off("close", onReady);
+            resume();
+        };
+        this.#res.on("drain", onReady);
+        this.#res.on("close", onReady);
+        return false;
+    }
+
+    /** Half an answer that ends like a whole one reads as a shorter table; a reset says that it is not whole. */
+    end(whole: boolean): void {
+        if (whole) {
+            this.#res.end();
+            return;
+        }
+        cutCaller(this.#res);
+    }
+}
--- /dev/null
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -0,0 +1,194 @@
+import { createFailure, type Failure, resolveFailure } from "@galenaglade/errors";
+import { readRequestBody, type RequestBody, writeFailure } from "@galenaglade/http-parts";
+import { resolveComeBack } from "@galenaglade/placement";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Either, Left } from "purify-ts";
+import { heldBodyBytes } from "../constants.js";
+import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
+import { callerGone, cutoffReached, Exchange, type ExchangeEnd, type ExchangeParts } from "../requests/exchange.js";
+import { CallerSink, writeAnswer } from "./answerWriter.js";
+import { type CallerConnections } from "./callerConnections.js";
+
+/** What the handler works with. */
+export interface EdgeHandlerParts extends ExchangeParts {
+    readonly callers: CallerConnections;
+    /** When this process will be killed; requests get their last answer before it. */
+    readonly endsAtMs: () => number | undefined;
+}
+
+/** Takes each caller's request from its arrival to its one final answer. */
+export class EdgeHandler {
+    readonly #parts: EdgeHandlerParts;
+
+    constructor(parts: EdgeHandlerParts) {
+        this.#parts = parts;
+    }
+
+    /** Handles one request; never throws. */
+    handle(req: IncomingMessage, res: ServerResponse): void {
+        const { callers, clock, log } = this.#parts;
+        if (!callers.onRequest(req, res)) {
+            return;
+        }
+        const arrivedAtMs = clock.monotonicMs();
+        const understood = this.#understand(req, arrivedAtMs);
+        understood.caseOf({
+            Left: failure => {
+                this.#fail(req, res, failure);
+                this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
+            },
+            Right: request => {
+                this.#serve(request, req, res).catch((err: unknown) => {
+                    log.log("error", "unexpected", { requestId: request.requestId, error: String(err) });
+                    this.#fail(req, res, createFailure("internal", "unexpected failure"));
+                });
+            },
+        });
+    }
+
+    #understand(req: IncomingMessage, nowMs: number): Either<Failure, EdgeRequest> {
+        const { view, vocabulary, random } = this.#parts;
+        const { inForce } = view;
+        if (inForce === undefined) {
+            const retryAfterSeconds = resolveComeBack("unread", 0, random);
+            return Left(createFailure("notFresh", "the configuration has not been read yet", { retryAfterSeconds }));
+        }
+        const head = {
+            method: req.method ?? "GET",
+            url: req.url ?? "/",
+            authority: req.headers.host ?? "",
+            headers: req.rawHeaders,
+            bodyBytes: resolveBodyBytes(req),
+        };
+        return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs);
+    }
+
+    async #serve(request: EdgeRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const { clock, endsAtMs } = this.#parts;
+        const abort = new AbortController();
+        const cutoffMs = Math.min(request.cutoffMs, endsAtMs() ?? Infinity);
+        const timer = setTimeout(() => abort.abort(cutoffReached), Math.max(0, cutoffMs - clock.monotonicMs()));
+        // A caller that is gone wants no answer: the backend server's slot is worth more to the others.
+        res.once("close", () => {
+            if (!res.writableFinished) {
+                abort.abort(callerGone);
+            }
+        });
+        try {
+            const limits = {
+                bodyBytes: request.bodyBytes,
+                maximumBytes: request.maximumBodyBytes,
+                heldBytes: heldBodyBytes,
+            };
+            const body = await readRequestBody(limits, req, abort.signal);
+            if (body.isLeft()) {
+                const failure = body.extract();
+                this.#fail(req, res, failure);
+                this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
+                return;
+            }
+            await this.#exchange(request, body.unsafeCoerce(), abort.signal, req, res);
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+
+    async #exchange(
+        request: EdgeRequest,
+        body: RequestBody,
+        signal: AbortSignal,
+        req: IncomingMessage,
+        res: ServerResponse,
+    ): Promise<void> {
+        const { callers } = this.#parts;
+        let sink: CallerSink | undefined;
+        const exchange = new Exchange(this.#parts, request, body, signal, head => {
+            sink = new CallerSink(res, head, callers.endsWith(req));
+            return sink;
+        });
+        const end = await exchange.run();
+        switch (end.type) {
+            case "answered":
+                if (!res.destroyed) {
+                    writeAnswer(res, request.method, end.answer, callers.endsWith(req));
+                }
+                break;
+            case "streamed":
+                sink?.end(end.whole);
+                break;
+            case "failed":
+                this.#fail(req, res, end.failure);
+        }
+        this.#report(request, req, end, exchange, signal);
+    }
+
+    #fail(req: IncomingMessage, res: ServerResponse, failure: Failure): void {
+        if (res.destroyed) {
+            return;
+        }
+        // An unread body would be taken for the next request's head, so the connection ends unless all was read.
+        writeFailure(res, failure, undefined, this.#parts.callers.endsWith(req) || !req.complete);
+    }
+
+    #report(
+        request: EdgeRequest,
+        req: IncomingMessage,
+        end: ExchangeEnd,
+        exchange: Exchange,
+        signal: AbortSignal,
+    ): void {
+        if (end.type === "failed") {
+            this.#reportFailure(req, request, end.failure, request.arrivedAtMs, { exchange, signal });
+            return;
+        }
+        const { clock, log, metrics } = this.#parts;
+        const tookMs = Math.round(clock.monotonicMs() - request.arrivedAtMs);
+        const outcome = end.type === "answered" ? String(end.answer.status) : "streamed";
+        metrics.onRequestEnded(request.route.name, outcome, tookMs);
+        log.log("info", "requestEnded", {
+            requestId: request.requestId,
+            route: request.route.name,
+            service: request.rules.name,
+            version: request.version,
+            outcome,
+            tookMs,
+            ...exchange.describe(),
+        });
+    }
+
+    #reportFailure(
+        req: IncomingMessage,
+        request: EdgeRequest | undefined,
+        failure: Failure,
+        arrivedAtMs: number,
+        more: { readonly exchange: Exchange; readonly signal: AbortSignal; } | undefined,
+    ): void {
+        const { clock, log, metrics, view, vocabulary } = this.#parts;
+        const nowMs = clock.monotonicMs();
+        const { status, retryAfterSeconds } = resolveFailure(failure);
+        const tookMs = Math.round(nowMs - arrivedAtMs);
+        metrics.onRequestEnded(request?.route.name ?? "", failure.kind, tookMs);
+        log.log("warn", "requestFailed", {
+            requestId: request?.requestId ?? vocabulary.readRequest(req.rawHeaders).requestId,
+            route: request?.route.name,
+            service: request?.rules.name,
+            version: request?.version ?? view.inForce?.configuration.version,
+            kind: failure.kind,
+            detail: failure.detail,
+            status,
+            retryAfterSeconds,
+            tookMs,
+            ...more?.exchange.describe(),
+            aborted: more?.signal.aborted === true ? String(more.signal.reason) : undefined,
+            sinceStoreMs: Math.round(nowMs - view.lastContactMs),
+        });
+    }
+}
+
+function resolveBodyBytes(req: IncomingMessage): number | undefined {
+    if (req.headers["transfer-encoding"] !== undefined) {
+        return undefined;
+    }
+    return Number(req.headers["content-length"] ?? 0);
+}
--- /dev/null
+++ b/packages/edge/src/constants.ts
@@ -0,0 +1,66 @@
+/** Time to open a connection to a backend server: its handshake takes about 1 ms, a lost packet up to 200 ms more. */
+export const connectTimeoutMs = 300;
+
+/** Time in which a backend server tells its load; it takes 1 to 6 ms and the way there and back up to 4. */
+export const askTimeoutMs = 35;
+
+/** An idle connection to a backend server is closed after this long, before servers close theirs. */
+export const idleConnectionMs = 4_000;
+
+/** Idle connections kept to one backend server: one to ask on while another carries a request. */
+export const idleConnectionsPerServer = 2;
+
+/** Largest body of a request that is read before anything is sent; a larger one is streamed and sent once. */
+export const heldBodyBytes = 1_048_576;
+
+/** Largest answer that is held until it is known to be whole; of a larger one the caller gets the bytes as they come. */
+export const heldAnswerBytes = 262_144;
+
+/** Pause between two calls of the store's watch that brought news, so that changes come in batches. */
+export const watchPauseMs = 250;
+
+/** Longest time that the store holds a watch open: a connection gone silent is found out this long after. */
+export const watchWaitMs = 2_500;
+
+/** Pauses after a failed call of the store: doubled from the first to the last, each drawn from half to the whole. */
+export const firstStorePauseMs = 150;
+export const longestStorePauseMs = 800;
+
+/** Life of a gateway's registration without renewal: longer than outages of the store that change nothing else. */
+export const registrationTtlMs = 15_000;
+
+/** Renewals in one life of a registration. */
+export const renewalsPerLife = 3;
+
+/** How often what was believed for a limited time is looked at. */
+export const expiryTickMs = 100;
+
+/** Connections of callers held at once, for a host with 4,100 descriptors of which backends need up to a thousand. */
+export const maximumCallerConnections = 2_500;
+
+/** Largest request head that is parsed at all; the configuration's own limit is checked on what was parsed. */
+export const maximumHeadBytes = 131_072;
+
+/** Time in which a caller must have sent a whole request, its body included. */
+export const requestTimeoutMs = 30_000;
+
+/** How long callers' idle connections are kept before the configuration says how long. */
+export const initialKeepAliveMs = 15_000;
+
+/** Share of a planned stop in which new connections are still taken, until the balancer has noticed. */
+export const stopListeningShare = 0.5;
+
+/** Time at the end of a planned stop that is kept for the last answers to go out. */
+export const stopMarginMs = 350;
+
+/** Shortest planned stop: the balancer asks once a second and gives up after two misses. */
+export const balancerNoticesMs = 2_300;
+
+/** How often a stopping process looks whether nothing is in flight any more. */
+export const stopTickMs = 50;
+
+/** Lines a second of one kind in the log; what is above is counted and said in the next second. */
+export const logLinesPerSecond = 40;
+
+/** Bytes that the log may hold while its reader is slow; more lines are left out and counted. */
+export const logBufferBytes = 262_144;
--- /dev/null
+++ b/packages/edge/src/edge.ts
@@ -0,0 +1,160 @@
+import { FleetView } from "@galenaglade/fleet-state";
+import {
+    type Clock,
+    createCallerServer,
+    listen,
+    type ListenAddress,
+    sleep,
+    systemClock,
+} from "@galenaglade/http-parts";
+import { RepeatBudget } from "@galenaglade/placement";
+import { type KeyValueStore } from "@galenaglade/platform";
+import { createRandomSource } from "@galenaglade/routing";
+import { type Logger, type Metrics } from "@galenaglade/telemetry";
+import { ServerConnections } from "./backends/serverConnections.js";
+import { CallerConnections } from "./callers/callerConnections.js";
+import { EdgeHandler } from "./callers/edgeHandler.js";
+import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
+import {
+    balancerNoticesMs,
+    initialKeepAliveMs,
+    maximumCallerConnections,
+    maximumHeadBytes,
+    requestTimeoutMs,
+    stopListeningShare,
+    stopMarginMs,
+    stopTickMs,
+} from "./constants.js";
+import { Placer } from "./requests/placer.js";
+import { type ResolvedEdgeSettings } from "./settings.js";
+import { Registration } from "./state/registration.js";
+import { StateSync } from "./state/stateSync.js";
+import { type StateCodec } from "./stateCodec.js";
+import { EdgeLog } from "./telemetry/edgeLog.js";
+import { EdgeMetrics } from "./telemetry/edgeMetrics.js";
+import { type EdgeVocabulary } from "./vocabulary.js";
+
+/** What an edge process is told and given. */
+export interface EdgeParts {
+    readonly settings: ResolvedEdgeSettings;
+    readonly store: KeyValueStore;
+    readonly codec: StateCodec;
+    readonly vocabulary: EdgeVocabulary;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /** Seed of all random choices. */
+    readonly seed: number;
+    readonly clock?: Clock;
+}
+
+/** A running edge process. */
+export interface Edge {
+    /** Opens the ports. @returns once all of them listen */
+    start(): Promise<void>;
+    /** Planned stop: cuts no request in flight. @returns once every one has its answer, or the time is over */
+    stop(): Promise<void>;
+}
+
+/**
+ * Makes an edge process: callers' requests in, backend servers' answers out, and what decides between them.
+ *
+ * @param parts - what it is told and given
+ * @returns a process that is not started yet
+ */
+export function createEdge(parts: EdgeParts): Edge {
+    const { settings, store, codec, vocabulary } = parts;
+    const { name, availabilityZone } = settings;
+    const clock = parts.clock ?? systemClock;
+    const random = createRandomSource(parts.seed);
+    const log = new EdgeLog(parts.logger, () => clock.monotonicMs());
+    const metrics = new EdgeMetrics(parts.metrics);
+    const view = new FleetView();
+    const connections = new ServerConnections();
+    const callers = new CallerConnections();
+    const { ratio, slack, windowSeconds } = settings.repeats;
+    const budget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
+    const placer = new Placer({ name, availabilityZone, view, connections, vocabulary, clock, random, metrics });
+    let endsAtMs: number | undefined;
+    const handler = new EdgeHandler({
+        view,
+        clock,
+        random,
+        placer,
+        connections,
+        budget,
+        vocabulary,
+        log,
+        metrics,
+        callers,
+        endsAtMs: () => endsAtMs,
+    });
+    const callerServer = createCallerServer({
+        maximumConnections: maximumCallerConnections,
+        maximumHeaderBytes: maximumHeadBytes,
+        requestTimeoutMs,
+        keepAliveMs: initialKeepAliveMs,
+    }, (req, res) => handler.handle(req, res));
+
+    const readiness = (): Readiness => {
+        if (endsAtMs !== undefined) {
+            return { ready: false, reason: "stopping" };
+        }
+        return view.inForce === undefined
+            ? { ready: false, reason: "no configuration yet" }
+            : { ready: true, reason: "ready" };
+    };
+    const readinessServer = createReadinessServer(vocabulary.readinessPath, readiness);
+    const metricsServer = createMetricsServer(() => parts.metrics.render());
+
+    const onChange = (): void => {
+        const ids = new Set(view.knownServerIds());
+        connections.retain(ids);
+        placer.retain(ids);
+        const limits = view.inForce?.configuration.limits;
+        if (limits !== undefined) {
+            callerServer.headersTimeout = limits.headerTimeoutMs;
+            callerServer.keepAliveTimeout = limits.idleTimeoutMs;
+        }
+    };
+    const sync = new StateSync({ store, codec, view, clock, random, log, metrics, onChange });
+    const registration = new Registration({ name, store, codec, view, clock, random, log, metrics });
+
+    const stop = async (): Promise<void> => {
+        const beganAtMs = clock.monotonicMs();
+        const graceMs = settings.stopping.graceSeconds * 1_000;
+        const lastMs = beganAtMs + graceMs - stopMarginMs;
+        endsAtMs = lastMs;
+        log.log("info", "stopping", { unanswered: callers.unanswered, graceMs });
+        callers.beginStop();
+        // Callers that the balancer still sends are served, not refused, until it has noticed.
+        await sleep(Math.max(Math.min(balancerNoticesMs, graceMs * stopListeningShare), 0));
+        callers.closeIdle(callerServer);
+        while (callers.unanswered > 0 && clock.monotonicMs() < lastMs + stopMarginMs / 2) {
+            await sleep(stopTickMs);
+        }
+        sync.stop();
+        await registration.stop();
+        connections.close();
+        callerServer.closeAllConnections();
+        readinessServer.close();
+        metricsServer.close();
+        log.log("info", "stopped", { unanswered: callers.unanswered });
+    };
+
+    return {
+        start: async () => {
+            sync.start();
+            registration.start();
+            await listen(readinessServer, parseAddress(settings.listen.readiness));
+            await listen(metricsServer, parseAddress(settings.listen.metrics));
+            await listen(callerServer, parseAddress(settings.listen.callers));
+            log.log("info", "started", { name, availabilityZone, callers: settings.listen.callers });
+        },
+        stop,
+    };
+}
+
+function parseAddress(text: string): ListenAddress {
+    const colon = text.lastIndexOf(":");
+    return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+}
--- /dev/null
+++ b/packages/edge/src/edgeProcess.ts
@@ -0,0 +1,104 @@
+import { formatFaults } from "@galenaglade/configuration";
+import { type KeyValueStore } from "@galenaglade/platform";
+import { createLogger, createMetrics } from "@galenaglade/telemetry";
+import { randomInt } from "node:crypto";
+import { createWriteStream, readFileSync } from "node:fs";
+import { logBufferBytes } from "./constants.js";
+import { createEdge } from "./edge.js";
+import { resolveEdgeSettings, type ResolvedEdgeSettings } from "./settings.js";
+import { type StateCodec } from "./stateCodec.js";
+import { BoundedOutput } from "./telemetry/boundedOutput.js";
+import { type EdgeVocabulary } from "./vocabulary.js";
+
+/** What ties an edge process to the system that it runs on. */
+export interface EdgeBinding {
+    /** Path of the settings file. */
+    readonly settingsPath: string;
+    readonly vocabulary: EdgeVocabulary;
+    readonly codec: StateCodec;
+    readonly createStore: (settings: ResolvedEdgeSettings) => KeyValueStore;
+}
+
+const badSettingsExitCode = 2;
+const failedExitCode = 1;
+const seedLimit = 2 ** 31;
+const standardOutput = 1;
+
+/**
+ * Runs an edge process to its end: checked settings first, a planned stop at SIGTERM or SIGINT and exit code 0 after it,
+ * settings read again at SIGHUP. Exit code 2 means that the settings are faulty; each fault is named with its line.
+ *
+ * @param binding - what ties it to its system
+ */
+export async function runEdge(binding: EdgeBinding): Promise<void> {
+    const settings = loadSettings(binding.settingsPath);
+    if (settings === undefined) {
+        process.exit(badSettingsExitCode);
+    }
+    const output = new BoundedOutput(createWriteStream("", { fd: standardOutput, autoClose: false }), logBufferBytes);
+    const logger = createLogger({
+        process: settings.name,
+        level: settings.logging.level,
+        json: true,
+        write: line => output.write(line),
+    });
+    const edge = createEdge({
+        settings,
+        store: binding.createStore(settings),
+        codec: binding.codec,
+        vocabulary: binding.vocabulary,
+        logger,
+        metrics: createMetrics("galenaglade-edge"),
+        seed: randomInt(seedLimit),
+    });
+    process.on("SIGHUP", () => {
+        const reloaded = loadSettings(binding.settingsPath);
+        // Addresses and names can't change under a running process; what is faulty changes nothing.
+        logger.info("reloaded", {
+            valid: reloaded !== undefined,
+            changed: JSON.stringify(reloaded) !== JSON.stringify(settings),
+        });
+    });
+    stopOnSignals(() => edge.stop());
+    process.on("unhandledRejection", err => {
+        logger.error("unexpected", { error: String(err) });
+    });
+    try {
+        await edge.start();
+    }
+    catch (err) {
+        logger.error("unexpected", { error: `can't start: ${String(err)}` });
+        process.exit(failedExitCode);
+    }
+}
+
+function stopOnSignals(stop: () => Promise<void>): void {
+    let stopping = false;
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+        process.on(signal, () => {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            void stop().then(() => process.exit(0));
+        });
+    }
+}
+
+function loadSettings(path: string): ResolvedEdgeSettings | undefined {
+    let text: string;
+    try {
+        text = readFileSync(path, "utf8");
+    }
+    catch (err) {
+        process.stderr.write(`${path}: ${String(err)}\n`);
+        return undefined;
+    }
+    return resolveEdgeSettings(text).caseOf<ResolvedEdgeSettings | undefined>({
+        Left: faults => {
+            process.stderr.write(`${formatFaults(path, faults)}\n`);
+            return undefined;
+        },
+        Right: settings => settings,
+    });
+}
--- /dev/null
+++ b/packages/edge/src/requests/placer.ts
@@ -0,0 +1,247 @@
+import { type FleetView, type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
+import { type Clock, sleep } from "@galenaglade/http-parts";
+import {
+    askedFirst,
+    choosePlacement,
+    ColdAdmission,
+    type ColdInput,
+    longestPauseMs,
+    orderToAsk,
+    scoreServer,
+    type ServerOffer,
+    type ServerScore,
+    ServerTrust,
+    shortestPauseMs,
+    TypicalWork,
+} from "@galenaglade/placement";
+import { type RandomSource } from "@galenaglade/routing";
+import { askServer } from "../backends/askServer.js";
+import { type ServerConnection } from "../backends/serverConnection.js";
+import { type ServerConnections } from "../backends/serverConnections.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type EdgeVocabulary } from "../vocabulary.js";
+import { RecentSends } from "./recentSends.js";
+
+/** What the placer works with. */
+export interface PlacerParts {
+    readonly name: string;
+    readonly availabilityZone: string;
+    readonly view: FleetView;
+    readonly connections: ServerConnections;
+    readonly vocabulary: EdgeVocabulary;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly metrics: EdgeMetrics;
+}
+
+/** A request in search of a server. */
+export interface PlaceInput {
+    readonly rules: ServiceRules;
+    readonly objectiveMs: number;
+    readonly arrivedAtMs: number;
+    /** When its caller or its route gives up. */
+    readonly cutoffMs: number;
+    /** Servers that it was sent to before. */
+    readonly excluded: ReadonlySet<string>;
+    readonly signal: AbortSignal;
+    /** Whether to look once, and take none but a good server. */
+    readonly onlyGood: boolean;
+}
+
+/** Why no server was found. */
+export type NoPlace = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood" | "abandoned";
+
+/** Where a request goes. */
+export interface Place {
+    readonly server: RegisteredServer;
+    /** The connection on which the server has just answered. */
+    readonly connection: ServerConnection;
+    readonly score: ServerScore;
+    /** Why this server, and what was known of it. */
+    readonly reason: string;
+    readonly asked: number;
+    readonly askedAtMs: number;
+}
+
+interface Asked {
+    readonly server: RegisteredServer;
+    readonly connection: ServerConnection;
+    readonly offer: ServerOffer;
+    readonly askedAtMs: number;
+}
+
+/** Finds a backend server for a request: asks some for their load, and lets the decisions choose, wait or refuse. */
+export class Placer {
+    readonly trust = new ServerTrust();
+    readonly work = new TypicalWork();
+    readonly #parts: PlacerParts;
+    readonly #cold: ColdAdmission;
+    readonly #recent = new RecentSends();
+
+    constructor(parts: PlacerParts) {
+        this.#parts = parts;
+        this.#cold = new ColdAdmission(parts.name);
+    }
+
+    /** @returns where the request goes; whoever gets a place must send or give its connection back */
+    async place(input: PlaceInput): Promise<Place | NoPlace> {
+        const { view, clock, random, availabilityZone } = this.#parts;
+        while (!input.signal.aborted) {
+            const nowMs = clock.monotonicMs();
+            const usable = view.usableServers(input.rules.name, nowMs);
+            // A service with one server left has no other to try.
+            const others = usable.filter(server => !input.excluded.has(server.id));
+            const candidates = others.length > 0 ? others : usable;
+            if (candidates.length === 0) {
+                return "noServer";
+            }
+            const ordered = orderToAsk(candidates, availabilityZone, id => this.trust.isSuspect(id, nowMs), random);
+            const found = await this.#round(input, ordered);
+            if (found !== "wait") {
+                return found;
+            }
+            if (input.onlyGood) {
+                return "noneGood";
+            }
+            await sleep(shortestPauseMs + (longestPauseMs - shortestPauseMs) * random.next());
+        }
+        return "abandoned";
+    }
+
+    /** Gives back what a place holds, where nothing was sent there. */
+    release(place: Place): void {
+        this.#parts.connections.release(place.server.id, place.connection);
+    }
+
+    /** Forgets servers that are no longer there. */
+    retain(serverIds: ReadonlySet<string>): void {
+        this.trust.retain(serverIds);
+        this.#cold.retain(serverIds);
+        this.#recent.retain(serverIds);
+    }
+
+    /** Asks in waves until a server is chosen, or all were asked. */
+    async #round(input: PlaceInput, ordered: readonly RegisteredServer[]): Promise<Place | NoPlace | "wait"> {
+        const asked: Asked[] = [];
+        let next = 0;
+        for (;;) {
+            const wave = ordered.slice(next, next === 0 ? askedFirst : ordered.length);
+            next += wave.length;
+            asked.push(...await this.#ask(input.rules, wave));
+            if (input.signal.aborted) {
+                this.#giveBack(asked, undefined);
+                return "abandoned";
+            }
+            const decision = this.#decide(input, asked, next < ordered.length);
+            switch (decision.type) {
+                case "widen":
+                    continue;
+                case "send": {
+                    if (input.onlyGood && decision.reason !== "good") {
+                        break;
+                    }
+                    const place = this.#take(asked, decision.score, decision.reason, next, input.rules);
+                    this.#giveBack(asked, place);
+                    return place;
+                }
+                case "wait":
+                    break;
+                case "refuse":
+                    this.#giveBack(asked, undefined);
+                    return decision.reason;
+            }
+            this.#giveBack(asked, undefined);
+            return "wait";
+        }
+    }
+
+    #decide(input: PlaceInput, asked: readonly Asked[], hasUnasked: boolean): ReturnType<typeof choosePlacement> {
+        const { clock } = this.#parts;
+        const nowMs = clock.monotonicMs();
+        const typicalMs = this.work.of(input.rules.name, input.objectiveMs);
+        const admitted = asked.filter(entry => this.#isAdmitted(entry, input.rules, nowMs));
+        const healthy = admitted.filter(({ offer }) => offer.healthy);
+        // Health checks may all be wrong at once; with none that says it is well, the others are better than nobody.
+        const choice = healthy.length === 0 && !hasUnasked ? admitted : healthy;
+        return choosePlacement({
+            scores: choice.map(entry => this.#score(entry, typicalMs, nowMs)),
+            hasUnasked,
+            waitedMs: nowMs - input.arrivedAtMs,
+            objectiveMs: input.objectiveMs,
+            remainingMs: input.cutoffMs - nowMs,
+            typicalMs,
+        });
+    }
+
+    #score({ offer, server, askedAtMs }: Asked, typicalMs: number, nowMs: number): ServerScore {
+        return scoreServer(offer, {
+            typicalMs,
+            sentSince: this.#recent.since(server.id, askedAtMs),
+            sameZone: server.availabilityZone === this.#parts.availabilityZone,
+            suspect: this.trust.isSuspect(server.id, nowMs),
+        });
+    }
+
+    #isAdmitted({ offer, server }: Asked, rules: ServiceRules, nowMs: number): boolean {
+        if (!this.#parts.view.isUsable(server.id, nowMs)) {
+            return false;
+        }
+        return offer.coldRemainingMs <= 0 || this.#cold.mayTake(this.#coldInput(server.id, rules, nowMs));
+    }
+
+    #coldInput(serverId: string, rules: ServiceRules, nowMs: number): ColdInput {
+        const { view } = this.#parts;
+        return {
+            serverId,
+            requestsPerSecond: rules.coldRequestsPerSecond,
+            gateways: view.gateways(nowMs),
+            sinceContactMs: nowMs - view.lastContactMs,
+            nowMs,
+        };
+    }
+
+    #take(
+        asked: readonly Asked[],
+        score: ServerScore,
+        reason: string,
+        askedCount: number,
+        rules: ServiceRules,
+    ): Place {
+        const nowMs = this.#parts.clock.monotonicMs();
+        const chosen = asked.find(entry => entry.offer === score.offer);
+        if (chosen === undefined) {
+            throw new Error("the chosen server was not asked");
+        }
+        const { server, connection, askedAtMs } = chosen;
+        this.#recent.onSend(server.id, nowMs);
+        if (score.offer.coldRemainingMs > 0) {
+            this.#cold.onSend(this.#coldInput(server.id, rules, nowMs));
+        }
+        return { server, connection, score, reason, asked: askedCount, askedAtMs };
+    }
+
+    async #ask(rules: ServiceRules, wave: readonly RegisteredServer[]): Promise<readonly Asked[]> {
+        const { connections, vocabulary, clock, metrics } = this.#parts;
+        const answers = await Promise.all(wave.map(async server => {
+            const askedAtMs = clock.monotonicMs();
+            const connection = connections.take(server.id, server.address);
+            const offer = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary });
+            metrics.onAsked(offer === undefined ? "failed" : "answered");
+            if (offer === undefined) {
+                this.trust.onFailure(server.id, clock.monotonicMs());
+                connections.release(server.id, connection);
+                return undefined;
+            }
+            return { server, connection, offer, askedAtMs };
+        }));
+        return answers.filter(answer => answer !== undefined);
+    }
+
+    #giveBack(asked: readonly Asked[], kept: Place | undefined): void {
+        for (const { server, connection } of asked) {
+            if (connection !== kept?.connection) {
+                this.#parts.connections.release(server.id, connection);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/edge/src/settings.ts
@@ -0,0 +1,49 @@
+import { checkYaml, type DeepReadonly, type LocatedFault, resolveBySchema } from "@galenaglade/configuration";
+import { type Either } from "purify-ts";
+import { z } from "zod";
+
+const socketAddress = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected an address such as 10.0.0.4:8080");
+const seconds = z.number().min(0).max(86_400);
+
+const repeats = z.object({
+    ratio: z.number().min(0).max(10).describe("repeats for each request of a service, in the whole fleet"),
+    slack: z.number().min(0).max(1_000_000).describe("repeats besides, in the whole fleet and one window"),
+    windowSeconds: seconds.describe("length of the window"),
+});
+
+/** An edge process's settings as written in YAML. Unknown fields are left alone, so that new ones may come. */
+export const edgeSettingsSchema = z.object({
+    name: z.string().min(1).max(120).describe("name of this host; its registration goes by it"),
+    availabilityZone: z.string().min(1).describe("availability zone in which this host stands"),
+    listen: z.object({
+        callers: socketAddress.describe("where callers' requests are taken"),
+        readiness: socketAddress.describe("where the balancer asks whether to send callers here"),
+        metrics: socketAddress.describe("where metrics are served, under /metrics"),
+    }),
+    store: z.object({
+        address: socketAddress.describe("where the store is reached"),
+        shortestLeaseSeconds: seconds.default(1).describe("shortest lease that the store grants"),
+    }),
+    stopping: z.object({
+        graceSeconds: seconds.describe("time from the signal to stop until the process is killed"),
+    }),
+    repeats,
+    logging: z.object({
+        level: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
+            "least serious level that is logged",
+        ),
+    }).prefault({}),
+});
+
+/** An edge process's settings with every default filled in. */
+export type ResolvedEdgeSettings = DeepReadonly<z.output<typeof edgeSettingsSchema>>;
+
+/**
+ * Checks an edge process's settings and fills in every default.
+ *
+ * @param text - YAML
+ * @returns all faults at once, each with its line, or the frozen settings
+ */
+export function resolveEdgeSettings(text: string): Either<readonly LocatedFault[], ResolvedEdgeSettings> {
+    return checkYaml(text, resolveBySchema(edgeSettingsSchema)).map(settings => Object.freeze(settings));
+}
--- /dev/null
+++ b/packages/edge/src/state/registration.ts
@@ -0,0 +1,115 @@
+import { type Failure } from "@galenaglade/errors";
+import { type FleetView } from "@galenaglade/fleet-state";
+import { type Clock, sleep } from "@galenaglade/http-parts";
+import { type KeyValueStore } from "@galenaglade/platform";
+import { type RandomSource } from "@galenaglade/routing";
+import { longestStorePauseMs, registrationTtlMs, renewalsPerLife } from "../constants.js";
+import { type StateCodec } from "../stateCodec.js";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+
+/** What a registration works with. */
+export interface RegistrationParts {
+    readonly name: string;
+    readonly store: KeyValueStore;
+    readonly codec: StateCodec;
+    readonly view: FleetView;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+}
+
+const renewalMs = registrationTtlMs / renewalsPerLife;
+
+/**
+ * Keeps this gateway's registration in the store, under a lease. The others deal out shares by the number of
+ * registrations, so a gateway that works without one would make the parts add up to more than the whole.
+ */
+export class Registration {
+    readonly #parts: RegistrationParts;
+    #stopped = false;
+    #leaseId: string | undefined;
+
+    constructor(parts: RegistrationParts) {
+        this.#parts = parts;
+    }
+
+    start(): void {
+        void this.#run();
+    }
+
+    /** Ends the registration; the other gateways count this one a little longer all the same. */
+    async stop(): Promise<void> {
+        this.#stopped = true;
+        if (this.#leaseId !== undefined) {
+            const revoked = await this.#parts.store.revokeLease(this.#leaseId);
+            revoked.ifLeft(failure => this.#onFailure("revokeLease", failure));
+        }
+    }
+
+    async #run(): Promise<void> {
+        while (!this.#stopped) {
+            const registered = await this.#register();
+            if (!registered) {
+                await sleep(longestStorePauseMs * (1 + this.#parts.random.next()));
+                continue;
+            }
+            await this.#keep();
+        }
+    }
+
+    async #register(): Promise<boolean> {
+        const { store, codec, name, log, metrics } = this.#parts;
+        const lease = await store.grantLease(registrationTtlMs);
+        if (lease.isLeft()) {
+            this.#onFailure("grantLease", lease.extract());
+            return false;
+        }
+        const { id } = lease.unsafeCoerce();
+        const key = codec.registrationKey(name);
+        let expectedRevision = 0;
+        // A second round takes the place of the registration that this host's life before left behind.
+        for (let round = 0; round < 2; round++) {
+            const swap = await store.compareAndSwap({ key, expectedRevision, value: name, leaseId: id });
+            if (swap.isLeft()) {
+                this.#onFailure("compareAndSwap", swap.extract());
+                return false;
+            }
+            const outcome = swap.unsafeCoerce();
+            metrics.onStoreCall("compareAndSwap", outcome.swapped ? "answered" : "conflict");
+            if (outcome.swapped) {
+                this.#leaseId = id;
+                log.log("info", "registered", { name, leaseId: id, revision: outcome.revision });
+                return true;
+            }
+            expectedRevision = outcome.current?.modifiedRevision ?? 0;
+        }
+        return false;
+    }
+
+    /** Renews until the registration is gone. */
+    async #keep(): Promise<void> {
+        const { store, view, name, clock } = this.#parts;
+        const registeredAtMs = clock.monotonicMs();
+        while (!this.#stopped && this.#leaseId !== undefined) {
+            await sleep(renewalMs);
+            const renewed = await store.renewLease(this.#leaseId);
+            const failure = renewed.isLeft() ? renewed.extract() : undefined;
+            if (failure !== undefined) {
+                this.#onFailure("renewLease", failure);
+            }
+            // The store may take a registration away without a word to its holder; the watch shows that it is gone.
+            const lost = view.lastContactMs - registeredAtMs > renewalMs && !view.isRegistered(name);
+            if (failure?.kind === "notFound" || lost) {
+                this.#leaseId = undefined;
+            }
+        }
+    }
+
+    #onFailure(call: string, failure: Failure): void {
+        const { log, metrics } = this.#parts;
+        metrics.onStoreCall(call, failure.kind);
+        log.log("warn", "registrationFailed", { call, kind: failure.kind, detail: failure.detail });
+    }
+}
--- /dev/null
+++ b/packages/edge/src/stateCodec.ts
@@ -0,0 +1,12 @@
+import { type StateItem } from "@galenaglade/fleet-state";
+import { type KeyValue } from "@galenaglade/platform";
+
+/** How the fleet's state is written in the store. */
+export abstract class StateCodec {
+    /** Beginning of all keys that matter; one watch serves for all of them. */
+    abstract readonly prefix: string;
+    /** Decodes one key; what can't be read names nothing and says why. */
+    abstract decode(entry: KeyValue): StateItem;
+    /** Where a gateway registers itself. */
+    abstract registrationKey(gateway: string): string;
+}
--- /dev/null
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -0,0 +1,69 @@
+import { type LogFields, type Logger, type LogLevel } from "@galenaglade/telemetry";
+import { logLinesPerSecond } from "../constants.js";
+
+/** Every event that an edge process logs. */
+export type EdgeEvent =
+    | "started"
+    | "stopping"
+    | "stopped"
+    | "reloaded"
+    | "storeLost"
+    | "storeRegained"
+    | "belief"
+    | "registered"
+    | "registrationFailed"
+    | "requestEnded"
+    | "requestFailed"
+    | "retry"
+    | "hedge"
+    | "linesLeftOut"
+    | "unexpected";
+
+interface Budget {
+    second: number;
+    lines: number;
+    leftOut: number;
+}
+
+const oneSecondMs = 1_000;
+
+/**
+ * The process's log: one line an event, with a budget a second for each kind, so that a flood of one kind neither costs
+ * much nor hides another. What is left out is counted and said. Failed requests have a budget of their own.
+ */
+export class EdgeLog {
+    readonly #logger: Logger;
+    readonly #nowMs: () => number;
+    readonly #budgets = new Map<EdgeEvent, Budget>();
+
+    constructor(logger: Logger, nowMs: () => number) {
+        this.#logger = logger;
+        this.#nowMs = nowMs;
+    }
+
+    log(level: LogLevel, event: EdgeEvent, fields: LogFields): void {
+        if (this.#take(event)) {
+            this.#logger[level](event, fields);
+        }
+    }
+
+    #take(event: EdgeEvent): boolean {
+        const second = Math.floor(this.#nowMs() / oneSecondMs);
+        const budget = this.#budgets.get(event) ?? { second, lines: 0, leftOut: 0 };
+        this.#budgets.set(event, budget);
+        if (budget.second !== second) {
+            if (budget.leftOut > 0) {
+                this.#logger.warn("linesLeftOut", { event, lines: budget.leftOut });
+            }
+            budget.second = second;
+            budget.lines = 0;
+            budget.leftOut = 0;
+        }
+        if (budget.lines >= logLinesPerSecond) {
+            budget.leftOut++;
+            return false;
+        }
+        budget.lines++;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -0,0 +1,46 @@
+import { type Metrics } from "@galenaglade/telemetry";
+
+/** Counters and histograms of an edge process. */
+export class EdgeMetrics {
+    readonly #requests;
+    readonly #durations;
+    readonly #waits;
+    readonly #sends;
+    readonly #asks;
+    readonly #storeCalls;
+
+    constructor({ meter }: Metrics) {
+        this.#requests = meter.createCounter("galenaglade.requests", { description: "requests by route and outcome" });
+        this.#durations = meter.createHistogram("http.server.request.duration", { unit: "s" });
+        this.#waits = meter.createHistogram("http.placement.request.duration", {
+            unit: "s",
+            description: "time until a backend server was chosen",
+        });
+        this.#sends = meter.createCounter("galenaglade.sends", { description: "sends by service, purpose and end" });
+        this.#asks = meter.createCounter("galenaglade.load_requests", {
+            description: "times a server's load was asked",
+        });
+        this.#storeCalls = meter.createCounter("galenaglade.store_calls", { description: "calls of the store by end" });
+    }
+
+    onRequestEnded(route: string, outcome: string, durationMs: number): void {
+        this.#requests.add(1, { route, outcome });
+        this.#durations.record(durationMs / 1_000, { route, outcome });
+    }
+
+    onPlaced(service: string, waitedMs: number): void {
+        this.#waits.record(waitedMs / 1_000, { service });
+    }
+
+    onSendEnded(service: string, purpose: string, end: string): void {
+        this.#sends.add(1, { service, purpose, end });
+    }
+
+    onAsked(end: "answered" | "failed"): void {
+        this.#asks.add(1, { end });
+    }
+
+    onStoreCall(call: string, end: string): void {
+        this.#storeCalls.add(1, { call, end });
+    }
+}
--- /dev/null
+++ b/packages/edge/src/vocabulary.ts
@@ -0,0 +1,41 @@
+import { type RawHeaders } from "@galenaglade/http-parts";
+import { type LoadReport } from "@galenaglade/placement";
+
+/** What a caller's request says of itself, besides what HTTP says. */
+export interface RequestSigns {
+    /** Names this try of the caller's; `undefined` where it sent none. */
+    readonly requestId: string | undefined;
+    /** How long the caller waits; `undefined` where it doesn't say, or not in numbers. */
+    readonly patienceMs: number | undefined;
+}
+
+/** What the gateway adds to a request for a backend server. */
+export interface ForwardSigns {
+    readonly serverId: string;
+    readonly remainingMs: number;
+}
+
+/** What a backend server's answer says of itself, besides what HTTP says. */
+export interface AnswerSigns {
+    /** The request that it answers. */
+    readonly requestId: string | undefined;
+    /** Whether it bears the server's proof that the body is its own. */
+    readonly signed: boolean;
+    /** Whether the server says that the request has not run. */
+    readonly notRun: boolean;
+    /** The server that answered. */
+    readonly serverId: string | undefined;
+    readonly load: LoadReport | undefined;
+    readonly coldRemainingMs: number;
+}
+
+/** The names that callers and backend servers use for what the product needs to know of them. */
+export abstract class EdgeVocabulary {
+    /** Path on which the balancer asks for readiness. */
+    abstract readonly readinessPath: string;
+    /** Header that says when to come back; in seconds with fractions. */
+    abstract readRequest(headers: RawHeaders): RequestSigns;
+    /** @returns names and values in turn, for a backend server */
+    abstract resolveForwardHeaders(headers: RawHeaders, signs: ForwardSigns): string[];
+    abstract readAnswer(status: number, headers: RawHeaders): AnswerSigns;
+}
--- /dev/null
+++ b/packages/fleetState/src/fleetView.ts
@@ -0,0 +1,201 @@
+import { storeAwayMs } from "./constants.js";
+import { GatewayRoster } from "./gatewayRoster.js";
+import {
+    type FleetConfiguration,
+    type RegisteredServer,
+    type ServiceRules,
+    type StateChanges,
+    type StateItem,
+} from "./model.js";
+import { createRouteTable, type RouteTable } from "./routeTable.js";
+import { ServerDirectory } from "./serverDirectory.js";
+
+/** A configuration in force, ready for look-ups. */
+export interface ConfigurationInForce {
+    readonly configuration: FleetConfiguration;
+    readonly routes: RouteTable;
+    readonly services: ReadonlyMap<string, ServiceRules>;
+}
+
+/** Something that this process believes from now on, for its log. */
+export interface BeliefChange {
+    readonly subject: "configuration" | "availabilityZone" | "server" | "gateway" | "item";
+    readonly name: string;
+    readonly change: string;
+}
+
+/**
+ * What one process believes of the fleet: the configuration in force, availability zones taken out, backend servers and
+ * gateways. Fed by whole readings of the store and by the changes after them; the configuration never goes back.
+ */
+export class FleetView {
+    readonly #directory = new ServerDirectory();
+    readonly #roster = new GatewayRoster();
+    readonly #itemsByKey = new Map<string, StateItem>();
+    readonly #zonesOut = new Set<string>();
+    #inForce: ConfigurationInForce | undefined;
+    #lastContactMs = -Infinity;
+    #awaySinceMs: number | undefined;
+    #isRead = false;
+
+    /** `undefined` until the store gave a configuration. */
+    get inForce(): ConfigurationInForce | undefined {
+        return this.#inForce;
+    }
+
+    /** Whether the store has been read in whole. */
+    get isRead(): boolean {
+        return this.#isRead;
+    }
+
+    /** When the store last answered. */
+    get lastContactMs(): number {
+        return this.#lastContactMs;
+    }
+
+    /** The store answered, whether with news or without. @returns how long it had been away, where it was */
+    onContact(nowMs: number): number | undefined {
+        const awaySinceMs = this.#awaySinceMs;
+        this.#awaySinceMs = undefined;
+        this.#lastContactMs = nowMs;
+        if (awaySinceMs === undefined || nowMs - awaySinceMs <= storeAwayMs) {
+            return undefined;
+        }
+        this.#directory.onStoreReturned(nowMs);
+        return nowMs - awaySinceMs;
+    }
+
+    /** A call of the store has failed. @param sinceMs - from when on the store may have been away */
+    onFailedCall(sinceMs: number): void {
+        this.#awaySinceMs ??= sinceMs;
+    }
+
+    /** A whole reading: what it lacks is gone. */
+    onReading(items: readonly StateItem[], nowMs: number): readonly BeliefChange[] {
+        const read = new Set(items.map(item => item.key));
+        const deletedKeys = [...this.#itemsByKey.keys()].filter(key => !read.has(key));
+        this.#isRead = true;
+        return this.onChanges({ items, deletedKeys }, nowMs);
+    }
+
+    /** What changed since the last reading or change. */
+    onChanges(changes: StateChanges, nowMs: number): readonly BeliefChange[] {
+        const beliefs: BeliefChange[] = [];
+        for (const key of changes.deletedKeys) {
+            this.#forget(key, nowMs, beliefs);
+        }
+        for (const item of changes.items) {
+            this.#learn(item, nowMs, beliefs);
+        }
+        return beliefs;
+    }
+
+    /** Lets go of what was believed for a limited time. */
+    expire(nowMs: number): readonly BeliefChange[] {
+        return this.#directory.expire(nowMs).map(({ id, change }) => ({ subject: "server", name: id, change }));
+    }
+
+    /** @returns backend servers of a service that may be given new work */
+    usableServers(service: string, nowMs: number): readonly RegisteredServer[] {
+        return this.#directory.ready(service, nowMs).filter(server => !this.#zonesOut.has(server.availabilityZone));
+    }
+
+    /** @returns whether a server may be given new work; asked again right before a request is written */
+    isUsable(id: string, nowMs: number): boolean {
+        const server = this.#directory.get(id);
+        return server !== undefined && this.#directory.isReady(id, nowMs)
+            && !this.#zonesOut.has(server.availabilityZone);
+    }
+
+    /** Every backend server that has an entry, whatever its state. */
+    knownServerIds(): readonly string[] {
+        return this.#directory.ids();
+    }
+
+    /** @returns the names of all gateways that count, sorted */
+    gateways(nowMs: number): readonly string[] {
+        return this.#roster.names(nowMs);
+    }
+
+    /** @returns whether a gateway's registration is in the store, as far as is known */
+    isRegistered(name: string): boolean {
+        return this.#roster.present().has(name);
+    }
+
+    #learn(item: StateItem, nowMs: number, beliefs: BeliefChange[]): void {
+        const before = this.#itemsByKey.get(item.key);
+        if (before !== undefined && !isSameSubject(before, item)) {
+            this.#forget(item.key, nowMs, beliefs);
+        }
+        this.#itemsByKey.set(item.key, item);
+        switch (item.type) {
+            case "configuration":
+                this.#learnConfiguration(item.configuration, beliefs);
+                return;
+            case "zoneOut":
+                if (!this.#zonesOut.has(item.availabilityZone)) {
+                    this.#zonesOut.add(item.availabilityZone);
+                    beliefs.push({ subject: "availabilityZone", name: item.availabilityZone, change: "out" });
+                }
+                return;
+            case "server": {
+                const change = this.#directory.onEntry(item.server);
+                if (change !== undefined) {
+                    beliefs.push({ subject: "server", name: change.id, change: change.change });
+                }
+                return;
+            }
+            case "gateway":
+                if (!this.#roster.present().has(item.name)) {
+                    this.#roster.onPresent(item.name);
+                    beliefs.push({ subject: "gateway", name: item.name, change: "present" });
+                }
+                return;
+            case "ignored":
+                if (item.reason !== undefined) {
+                    beliefs.push({ subject: "item", name: item.key, change: `ignored: ${item.reason}` });
+                }
+        }
+    }
+
+    #learnConfiguration(configuration: FleetConfiguration, beliefs: BeliefChange[]): void {
+        const current = this.#inForce?.configuration.version ?? -1;
+        if (configuration.version <= current) {
+            return;
+        }
+        this.#inForce = {
+            configuration,
+            routes: createRouteTable(configuration.routes),
+            services: new Map(configuration.services.map(rules => [rules.name, rules])),
+        };
+        beliefs.push({ subject: "configuration", name: String(configuration.version), change: "inForce" });
+    }
+
+    #forget(key: string, nowMs: number, beliefs: BeliefChange[]): void {
+        const item = this.#itemsByKey.get(key);
+        this.#itemsByKey.delete(key);
+        switch (item?.type) {
+            case "zoneOut":
+                this.#zonesOut.delete(item.availabilityZone);
+                beliefs.push({ subject: "availabilityZone", name: item.availabilityZone, change: "in" });
+                return;
+            case "server": {
+                const change = this.#directory.onMissing(item.server.id, nowMs);
+                if (change !== undefined) {
+                    beliefs.push({ subject: "server", name: change.id, change: change.change });
+                }
+                return;
+            }
+            case "gateway":
+                this.#roster.onGone(item.name, nowMs);
+                beliefs.push({ subject: "gateway", name: item.name, change: "gone" });
+        }
+    }
+}
+
+function isSameSubject(a: StateItem, b: StateItem): boolean {
+    if (a.type === "server" && b.type === "server") {
+        return a.server.id === b.server.id;
+    }
+    return a.type === b.type;
+}
--- /dev/null
+++ b/packages/fleetState/src/gatewayRoster.ts
@@ -0,0 +1,40 @@
+import { departedGatewayMs } from "./constants.js";
+
+/**
+ * The gateways of the fleet, by their registrations in the store. What is dealt out by it (shares of a budget, who
+ * may send to a cold server) must hold while gateways see the roster change at different moments, so a gateway leaves
+ * it late and joins it at once: the number is rather too large than too small.
+ */
+export class GatewayRoster {
+    readonly #present = new Set<string>();
+    readonly #departedAtMs = new Map<string, number>();
+
+    onPresent(name: string): void {
+        this.#present.add(name);
+        this.#departedAtMs.delete(name);
+    }
+
+    onGone(name: string, nowMs: number): void {
+        if (this.#present.delete(name)) {
+            this.#departedAtMs.set(name, nowMs);
+        }
+    }
+
+    /** @returns all names that count now, sorted */
+    names(nowMs: number): readonly string[] {
+        const counted = [...this.#present];
+        for (const [name, departedAtMs] of this.#departedAtMs) {
+            if (nowMs - departedAtMs < departedGatewayMs) {
+                counted.push(name);
+                continue;
+            }
+            this.#departedAtMs.delete(name);
+        }
+        return counted.sort();
+    }
+
+    /** @returns the names with a registration at this moment */
+    present(): ReadonlySet<string> {
+        return this.#present;
+    }
+}
--- /dev/null
+++ b/packages/fleetState/src/index.ts
@@ -0,0 +1,18 @@
+/** What a process believes of the fleet, from the store: configuration, zones, backend servers and gateways. */
+export { departedGatewayMs, lapsedEntryGraceMs, storeAwayMs } from "./constants.js";
+export { type BeliefChange, type ConfigurationInForce, FleetView } from "./fleetView.js";
+export { GatewayRoster } from "./gatewayRoster.js";
+export {
+    type CallerLimits,
+    type Destination,
+    type FleetConfiguration,
+    type RegisteredServer,
+    type Route,
+    type ServerAddress,
+    type ServiceRules,
+    type StateChanges,
+    type StateItem,
+} from "./model.js";
+export { findOwners } from "./rendezvous.js";
+export { createRouteTable, type RouteTable } from "./routeTable.js";
+export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
--- /dev/null
+++ b/packages/fleetState/src/model.ts
@@ -0,0 +1,92 @@
+/** What a fleet's store says, in the product's own terms. All times are milliseconds. */
+
+/** Where a backend server listens. */
+export interface ServerAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** One start of one backend server, as it registered itself. */
+export interface RegisteredServer {
+    readonly id: string;
+    readonly service: string;
+    readonly address: ServerAddress;
+    readonly availabilityZone: string;
+    /** Requests that it runs at the same time. */
+    readonly slots: number;
+    readonly state: "ready" | "draining";
+    /** How much longer it is cold, from when the entry was written. */
+    readonly coldRemainingMs: number;
+    /** When this start began, on the server's clock; tells two starts under one id apart. */
+    readonly startedAtEpochMs: number | undefined;
+}
+
+/** One share of a route's requests. */
+export interface Destination {
+    readonly service: string;
+    /** Its share is this over the sum of all weights of the route. */
+    readonly weight: number;
+}
+
+/** What operators say of one kind of request. */
+export interface Route {
+    readonly name: string;
+    /** Value of the Host header, without port, in lower case. */
+    readonly authority: string;
+    /** Begins and ends with a slash. */
+    readonly pathPrefix: string;
+    /** Whether a request may run more than once. */
+    readonly idempotent: boolean;
+    /** Backend servers on which one request may run, at most. */
+    readonly maximumRuns: number;
+    /** Longest time that a request is kept waiting. */
+    readonly timeoutMs: number;
+    /** Time within which an answer is of full use to its caller. */
+    readonly objectiveMs: number;
+    /** Rank; 0 goes first. */
+    readonly priority: number;
+    readonly destinations: readonly Destination[];
+}
+
+/** What operators say of one service. */
+export interface ServiceRules {
+    readonly name: string;
+    readonly healthPath: string;
+    /** Connections that one backend server accepts from everyone together. */
+    readonly maximumConnections: number;
+    /** Requests a second that a cold backend server bears from everyone together. */
+    readonly coldRequestsPerSecond: number;
+}
+
+/** What callers may take up. */
+export interface CallerLimits {
+    readonly maximumHeaderBytes: number;
+    readonly maximumBodyBytes: number;
+    readonly headerTimeoutMs: number;
+    readonly idleTimeoutMs: number;
+}
+
+/** One version of the operators' configuration. */
+export interface FleetConfiguration {
+    /** Rises with each change, in uneven steps. */
+    readonly version: number;
+    readonly routes: readonly Route[];
+    readonly services: readonly ServiceRules[];
+    readonly limits: CallerLimits;
+}
+
+/** One key of the store, decoded. */
+export type StateItem =
+    | { readonly type: "configuration"; readonly key: string; readonly configuration: FleetConfiguration; }
+    /** Nothing more is to be sent into the availability zone. */
+    | { readonly type: "zoneOut"; readonly key: string; readonly availabilityZone: string; }
+    | { readonly type: "server"; readonly key: string; readonly server: RegisteredServer; }
+    | { readonly type: "gateway"; readonly key: string; readonly name: string; }
+    /** Nobody here needs it, or it can't be read; `reason` says why where it should have been readable. */
+    | { readonly type: "ignored"; readonly key: string; readonly reason: string | undefined; };
+
+/** What the store reported as changed. */
+export interface StateChanges {
+    readonly items: readonly StateItem[];
+    readonly deletedKeys: readonly string[];
+}
--- /dev/null
+++ b/packages/fleetState/src/serverDirectory.ts
@@ -0,0 +1,137 @@
+import { lapsedEntryGraceMs } from "./constants.js";
+import { type RegisteredServer } from "./model.js";
+
+/** A backend server with what this process makes of its entry. */
+interface DirectoryEntry {
+    readonly server: RegisteredServer;
+    /** When the entry was found missing while the store had just come back; `undefined` while it is there. */
+    readonly believedUntilMs: number | undefined;
+}
+
+/** What a change of the directory did to one backend server. */
+export interface ServerChange {
+    readonly id: string;
+    readonly change: "added" | "restarted" | "draining" | "changed" | "lapsed" | "removed";
+}
+
+/**
+ * The backend servers that registered themselves.
+ *
+ * While the store is away, servers can't renew their entries, and all of them may be gone from it when it returns.
+ * Dropped at once, a whole service would be refused although every server of it works. So an entry that goes missing
+ * around an outage is believed a little longer than living servers need to write it again.
+ */
+export class ServerDirectory {
+    readonly #entries = new Map<string, DirectoryEntry>();
+    readonly #byService = new Map<string, Set<string>>();
+    #believeLapsedUntilMs = -Infinity;
+
+    /** The store has just come back after an outage: until when lapsed entries are believed. */
+    onStoreReturned(nowMs: number): void {
+        this.#believeLapsedUntilMs = nowMs + lapsedEntryGraceMs;
+    }
+
+    /** @returns what changed; `undefined` where the entry says nothing new */
+    onEntry(server: RegisteredServer): ServerChange | undefined {
+        const known = this.#entries.get(server.id)?.server;
+        this.#put(server.id, { server, believedUntilMs: undefined });
+        const change = resolveChange(known, server);
+        return change === undefined ? undefined : { id: server.id, change };
+    }
+
+    /** The entry is not in the store any more. */
+    onMissing(id: string, nowMs: number): ServerChange | undefined {
+        const entry = this.#entries.get(id);
+        if (entry === undefined || entry.believedUntilMs !== undefined) {
+            return undefined;
+        }
+        if (nowMs < this.#believeLapsedUntilMs && entry.server.state === "ready") {
+            this.#put(id, { server: entry.server, believedUntilMs: this.#believeLapsedUntilMs });
+            return { id, change: "lapsed" };
+        }
+        this.#remove(id);
+        return { id, change: "removed" };
+    }
+
+    /** @returns the lapsed servers whose time is over, now removed */
+    expire(nowMs: number): readonly ServerChange[] {
+        const expired: ServerChange[] = [];
+        for (const [id, { believedUntilMs }] of this.#entries) {
+            if (believedUntilMs !== undefined && nowMs >= believedUntilMs) {
+                this.#remove(id);
+                expired.push({ id, change: "removed" });
+            }
+        }
+        return expired;
+    }
+
+    get(id: string): RegisteredServer | undefined {
+        return this.#entries.get(id)?.server;
+    }
+
+    /** Every server id that has an entry, or had one that is still believed. */
+    ids(): readonly string[] {
+        return [...this.#entries.keys()];
+    }
+
+    /** @returns the service's backend servers that may be given new work, for all that the store says */
+    ready(service: string, nowMs: number): readonly RegisteredServer[] {
+        const ready: RegisteredServer[] = [];
+        for (const id of this.#byService.get(service) ?? []) {
+            const server = this.#findReady(id, nowMs);
+            if (server !== undefined) {
+                ready.push(server);
+            }
+        }
+        return ready;
+    }
+
+    /** @returns whether the server may be given new work, for all that the store says */
+    isReady(id: string, nowMs: number): boolean {
+        return this.#findReady(id, nowMs) !== undefined;
+    }
+
+    #findReady(id: string, nowMs: number): RegisteredServer | undefined {
+        const entry = this.#entries.get(id);
+        if (entry === undefined || entry.server.state !== "ready") {
+            return undefined;
+        }
+        return entry.believedUntilMs === undefined || nowMs < entry.believedUntilMs ? entry.server : undefined;
+    }
+
+    #put(id: string, entry: DirectoryEntry): void {
+        const before = this.#entries.get(id);
+        if (before !== undefined && before.server.service !== entry.server.service) {
+            this.#byService.get(before.server.service)?.delete(id);
+        }
+        this.#entries.set(id, entry);
+        const ids = this.#byService.get(entry.server.service) ?? new Set();
+        ids.add(id);
+        this.#byService.set(entry.server.service, ids);
+    }
+
+    #remove(id: string): void {
+        const entry = this.#entries.get(id);
+        if (entry !== undefined) {
+            this.#entries.delete(id);
+            this.#byService.get(entry.server.service)?.delete(id);
+        }
+    }
+}
+
+function resolveChange(
+    before: RegisteredServer | undefined,
+    after: RegisteredServer,
+): ServerChange["change"] | undefined {
+    if (before === undefined) {
+        return "added";
+    }
+    if (before.startedAtEpochMs !== after.startedAtEpochMs) {
+        return "restarted";
+    }
+    if (after.state === "draining") {
+        return before.state === "draining" ? undefined : "draining";
+    }
+    const moved = before.address.host !== after.address.host || before.address.port !== after.address.port;
+    return moved || before.state !== after.state || before.service !== after.service ? "changed" : undefined;
+}
--- a/packages/gateway/src/__tests__/attempt.test.ts
+++ b/packages/gateway/src/__tests__/attempt.test.ts
@@ -5,7 +5,7 @@
 import { Dispatcher } from "undici";
 import { type CallerRequest } from "../requests/callerRequest.js";
 import { type AttemptResult, runAttempt } from "../requests/attempt.js";
-import { RequestBody } from "../requests/requestBody.js";
+import { RequestBody } from "@galenaglade/http-parts";
 
 /** A dispatcher that does with the handler what the test says, and counts what the handler aborts. */
 class ScriptedDispatcher extends Dispatcher {
--- a/packages/gateway/src/__tests__/badInput.test.ts
+++ b/packages/gateway/src/__tests__/badInput.test.ts
@@ -4,10 +4,15 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { type CallerLimits, createCallerServer } from "../callers/callerServer.js";
+import { type CallerLimits, createCallerServer } from "@galenaglade/http-parts";
 import { sendRaw } from "./rawBackend.js";
 
-const limits: CallerLimits = { maximumConnections: 20, maximumHeaderBytes: 4_096, requestTimeoutMs: 300 };
+const limits: CallerLimits = {
+    maximumConnections: 20,
+    maximumHeaderBytes: 4_096,
+    requestTimeoutMs: 300,
+    keepAliveMs: 5_000,
+};
 const didRun = /x-galenaglade-did-run: no/;
 
 interface Door {
--- a/packages/gateway/src/__tests__/coldStart.test.ts
+++ b/packages/gateway/src/__tests__/coldStart.test.ts
@@ -5,7 +5,7 @@
 import { type RequestListener } from "node:http";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { systemClock } from "../clock.js";
+import { systemClock } from "@galenaglade/http-parts";
 import { ColdStartPeers, ColdStartShell } from "../coldStart/coldStartShell.js";
 import { LocalStore } from "./localStore.js";
 import { describeService, FixedSource, startBackend, startGateway, type TestGateway } from "./testGateway.js";
--- a/packages/gateway/src/__tests__/probing.test.ts
+++ b/packages/gateway/src/__tests__/probing.test.ts
@@ -5,7 +5,7 @@
 import { type RequestListener, type ServerResponse } from "node:http";
 import { test, type TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
-import { type Clock } from "../clock.js";
+import { type Clock } from "@galenaglade/http-parts";
 import { sendProbe } from "../probing/probeRequest.js";
 import { ProbingShell } from "../probing/probingShell.js";
 import { LocalStore } from "./localStore.js";
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -6,7 +6,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { type TestContext } from "node:test";
 import { type ConfigurationSource } from "../configurationSource.js";
-import { systemClock } from "../clock.js";
+import { systemClock } from "@galenaglade/http-parts";
 import { createGateway, type Gateway } from "../gateway.js";
 import { type ServerGate } from "../requests/serverGate.js";
 import { RequestClaims } from "../requests/requestClaims.js";
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -3,12 +3,11 @@
 import { type Span, SpanKind } from "@opentelemetry/api";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left } from "purify-ts";
-import { type Clock } from "../clock.js";
+import { type Clock, writeFailure } from "@galenaglade/http-parts";
 import { type CallerRequest, resolveCallerRequest } from "../requests/callerRequest.js";
 import { type Forwarder, traceIdOf } from "../requests/forwarder.js";
 import { type ServiceTable } from "../requests/serviceTable.js";
 import { type RequestTelemetry } from "../telemetry/requestTelemetry.js";
-import { writeFailure } from "./failureAnswer.js";
 
 /** What the handler works with. */
 export interface CallerHandlerParts {
--- a/packages/gateway/src/coldStart/coldStartShell.ts
+++ b/packages/gateway/src/coldStart/coldStartShell.ts
@@ -11,7 +11,7 @@
 import { type KeyValueStore } from "@galenaglade/platform";
 import { createServerId } from "@galenaglade/routing";
 import { type Either } from "purify-ts";
-import { type Clock } from "../clock.js";
+import { type Clock } from "@galenaglade/http-parts";
 import { type Grant } from "../requests/grant.js";
 import { ServerGate } from "../requests/serverGate.js";
 import { type Target } from "../requests/serviceTable.js";
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -49,7 +49,7 @@
 /** Share of traces begun here that are recorded; a caller's own decision goes before it. */
 export const sampledShare = 0.001;
 
-/** How long a caller's idle connection is kept: longer than balancers keep theirs. */
+/** How long a caller's idle connection is kept: balancers let go of theirs after a minute at the latest. */
 export const callerKeepAliveMs = 75_000;
 
 /** Share of the requests that go to a cold server first, where this gateway may warm one up. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,24 +1,31 @@
+import {
+    type CallerLimits,
+    type Clock,
+    createCallerServer,
+    listen,
+    type ListenAddress,
+    settleWithin,
+    sleep,
+    systemClock,
+} from "@galenaglade/http-parts";
 import { createRandomSource, type RoutingPolicy, ServerBoard } from "@galenaglade/routing";
 import { type Logger, type Metrics, type Tracing } from "@galenaglade/telemetry";
 import { BackendConnections } from "./backends/backendConnections.js";
 import { CallerHandler } from "./callers/callerHandler.js";
-import { type CallerLimits, createCallerServer } from "./callers/callerServer.js";
-import { type Clock, systemClock } from "./clock.js";
+import { callerKeepAliveMs } from "./constants.js";
 import { type ConfigurationSource } from "./configurationSource.js";
 import { createOperationsServer } from "./operations/operationsServer.js";
-import { listen, type ListenAddress } from "./ports.js";
 import { Forwarder } from "./requests/forwarder.js";
 import { type RequestClaims } from "./requests/requestClaims.js";
 import { Scheduler } from "./requests/scheduler.js";
 import { OpenGate, type ServerGate } from "./requests/serverGate.js";
 import { createServiceTable, type ServiceTable } from "./requests/serviceTable.js";
 import { RequestTelemetry } from "./telemetry/requestTelemetry.js";
-import { settleWithin, sleep } from "./waiting.js";
 
 /** What a gateway is told and given. */
 export interface GatewayParts {
     readonly availabilityZone: string;
-    readonly callers: ListenAddress & CallerLimits;
+    readonly callers: ListenAddress & Omit<CallerLimits, "keepAliveMs">;
     readonly operations: ListenAddress;
     readonly stopping: {
         /** Time that the platform's balancer needs to notice that this host is not ready. */
@@ -94,7 +101,10 @@
         table: () => table,
         mayTakeNewWork,
     });
-    const callers = createCallerServer(parts.callers, (req, res) => handler.handle(req, res));
+    const callers = createCallerServer(
+        { ...parts.callers, keepAliveMs: callerKeepAliveMs },
+        (req, res) => handler.handle(req, res),
+    );
     const operations = createOperationsServer({
         readiness: () => resolveReadiness(stopping, table, mayTakeNewWork()),
         renderMetrics: () => parts.metrics.render(),
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -8,7 +8,7 @@
 import { createLogger, createMetrics, createTracing } from "@galenaglade/telemetry";
 import { randomInt, randomUUID } from "node:crypto";
 import { defaultRoutingPolicy, loadPublishingMs, sampledShare } from "./constants.js";
-import { systemClock } from "./clock.js";
+import { systemClock } from "@galenaglade/http-parts";
 import { ColdStartShell } from "./coldStart/coldStartShell.js";
 import { FleetColdStartPeers, resolveGatewayLife } from "./coldStart/fleetPeers.js";
 import { createGateway } from "./gateway.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,4 @@
 /** The data path: callers' requests in, backend servers' answers out. */
-export { type Clock, systemClock } from "./clock.js";
 export { type ConfigurationSource } from "./configurationSource.js";
 export { createGateway, type Gateway, type GatewayParts } from "./gateway.js";
 export { createGatewayProcess } from "./gatewayProcess.js";
--- a/packages/gateway/src/probing/probingShell.ts
+++ b/packages/gateway/src/probing/probingShell.ts
@@ -3,7 +3,7 @@
 import { type KeyValueStore } from "@galenaglade/platform";
 import { type ProbedService, ProbeScheduler } from "@galenaglade/probing";
 import { createServerId, type LoadReport, type RandomSource, type ServerId } from "@galenaglade/routing";
-import { type Clock } from "../clock.js";
+import { type Clock } from "@galenaglade/http-parts";
 import { runStoreCommand } from "../coldStart/storeCalls.js";
 import { busyPauseMs, idlePauseMs, seatTickMs } from "./constants.js";
 import { sendProbe } from "./probeRequest.js";
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -12,15 +12,14 @@
 } from "@galenaglade/at-most-once";
 import { type AnswerSigns, noSigns, resolveAnswerSigns } from "@galenaglade/cold-start";
 import { createFailure, type DidRun, type Failure, FailureError } from "@galenaglade/errors";
+import { cutCaller, findHeader, type RawHeaders, type RequestBody } from "@galenaglade/http-parts";
 import { type ServerId } from "@galenaglade/routing";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
-import { cutCaller } from "../callers/failureAnswer.js";
 import { backendInFlightHeader } from "../constants.js";
 import { resolveFraming } from "./answerFraming.js";
 import { type CallerRequest } from "./callerRequest.js";
-import { type RawHeaders, resolveAnswerHeaders } from "./headers.js";
-import { type RequestBody } from "./requestBody.js";
+import { resolveAnswerHeaders } from "./headers.js";
 
 /** Finds out whether an attempt's connection has gone silent. */
 export interface StallWatch {
@@ -272,12 +271,3 @@
 function createAbort(detail: string): FailureError {
     return new FailureError(createFailure("patienceSpent", detail));
 }
-
-function findHeader(raw: RawHeaders, name: string): string | undefined {
-    for (let i = 0; i + 1 < raw.length; i += 2) {
-        if (raw[i]?.toLowerCase() === name) {
-            return raw[i + 1];
-        }
-    }
-    return undefined;
-}
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -5,14 +5,19 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { type BackendConnections } from "../backends/backendConnections.js";
-import { type Clock } from "../clock.js";
-import { deadlineHeader, lossRetryAfterSeconds, maximumAttempts, ownConnectionPatienceMs } from "../constants.js";
+import { type Clock, readRequestBody, type RequestBody } from "@galenaglade/http-parts";
+import {
+    deadlineHeader,
+    heldBodyBytes,
+    lossRetryAfterSeconds,
+    maximumAttempts,
+    ownConnectionPatienceMs,
+} from "../constants.js";
 import { type RequestTelemetry } from "../telemetry/requestTelemetry.js";
 import { type AttemptResult, runAttempt, type StallWatch } from "./attempt.js";
 import { type CallerRequest } from "./callerRequest.js";
 import { resolveForwardHeaders } from "./headers.js";
 import { type Grant } from "./grant.js";
-import { readRequestBody, type RequestBody } from "./requestBody.js";
 import { type HeldClaim, type RequestClaims } from "./requestClaims.js";
 import { resolveAttemptEnd } from "../coldStart/attemptEnd.js";
 import { type Scheduler } from "./scheduler.js";
@@ -63,7 +68,12 @@
      */
     async forward(exchange: Exchange): Promise<Failure | undefined> {
         const { request, req, signal } = exchange;
-        const read = await readRequestBody(request, req, signal);
+        const limits = {
+            bodyBytes: request.bodyBytes,
+            maximumBytes: request.route.service.maximumBodyBytes,
+            heldBytes: heldBodyBytes,
+        };
+        const read = await readRequestBody(limits, req, signal);
         if (read.isLeft()) {
             return read.extract();
         }
--- a/packages/gateway/src/requests/requestClaims.ts
+++ b/packages/gateway/src/requests/requestClaims.ts
@@ -10,10 +10,9 @@
 import { type KeyValue, type KeyValueStore } from "@galenaglade/platform";
 import { createHash, randomUUID } from "node:crypto";
 import { Either, Left, Right } from "purify-ts";
-import { type Clock } from "../clock.js";
+import { type Clock, type RequestBody } from "@galenaglade/http-parts";
 import { claimTickMs } from "../constants.js";
 import { type CallerRequest } from "./callerRequest.js";
-import { type RequestBody } from "./requestBody.js";
 
 /** What claims are made with. */
 export interface RequestClaimsParts {
--- a/packages/gateway/src/requests/scheduler.ts
+++ b/packages/gateway/src/requests/scheduler.ts
@@ -8,7 +8,7 @@
     type ServerId,
 } from "@galenaglade/routing";
 import { type Either, Left, Right } from "purify-ts";
-import { type Clock } from "../clock.js";
+import { type Clock } from "@galenaglade/http-parts";
 import { initialServiceTimeMs, serviceTimeWeight, warmUpShare } from "../constants.js";
 import { type CallerRequest } from "./callerRequest.js";
 import { type Grant, type GrantEnd } from "./grant.js";
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/httpParts/src/callerServer.ts
@@ -1,7 +1,6 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
-import { callerKeepAliveMs } from "../constants.js";
 import { renderRawFailure, writeFailure } from "./failureAnswer.js";
 
 /** Limits on what callers may take up. */
@@ -10,6 +9,8 @@
     readonly maximumHeaderBytes: number;
     /** Time to send a whole request, body included. */
     readonly requestTimeoutMs: number;
+    /** How long an idle connection is kept. */
+    readonly keepAliveMs: number;
 }
 
 const kindByCode: Readonly<Record<string, ErrorKind>> = {
@@ -37,9 +38,9 @@
         connectionsCheckingInterval: Math.min(1_000, limits.requestTimeoutMs),
         // Refused here in place of node, whose own refusal doesn't say why, nor that nothing ran.
         requireHostHeader: false,
-        // Closed by this side first, a kept connection may break under the next request. Balancers let go of theirs after
-        // a minute at the latest, so with more than that it is they who close.
-        keepAliveTimeout: callerKeepAliveMs,
+        // Closed by this side first, a kept connection may break under the next request, so the time must be longer than
+        // callers keep theirs.
+        keepAliveTimeout: limits.keepAliveMs,
         // A small answer must not wait for the acknowledgement of the one before it.
         noDelay: true,
     }, (req, res) => {
--- a/packages/gateway/src/callers/failureAnswer.ts
+++ b/packages/httpParts/src/failureAnswer.ts
@@ -1,6 +1,7 @@
 import { type Failure, type ResolvedFailure, resolveFailure } from "@galenaglade/errors";
 import { type ServerResponse } from "node:http";
 import { didRunHeader } from "@galenaglade/at-most-once";
+import { cutCaller } from "./cutCaller.js";
 
 const contentType = "application/problem+json";
 
@@ -25,21 +26,6 @@
     };
 }
 
-/**
- * Resets a caller's connection. A mere close would end an answer without a declared length as if it were whole, as
- * callers of HTTP/1.0 get them.
- *
- * @param res - the answer that can't be finished
- */
-export function cutCaller(res: ServerResponse): void {
-    const { socket } = res;
-    if (socket === null || socket.destroyed) {
-        res.destroy();
-        return;
-    }
-    socket.resetAndDestroy();
-}
-
 /**
  * Answers a request with a failure, at once and finally. Once an answer has begun it can't be taken back: the caller's
  * connection is cut instead, so that half an answer is never taken for a whole one.
--- a/packages/gateway/src/requests/requestBody.ts
+++ b/packages/httpParts/src/requestBody.ts
@@ -2,8 +2,16 @@
 import { type IncomingMessage } from "node:http";
 import { PassThrough, type Readable } from "node:stream";
 import { type Either, Left, Right } from "purify-ts";
-import { heldBodyBytes } from "../constants.js";
-import { type CallerRequest } from "./callerRequest.js";
+
+/** How much of a body is taken, and how much of it is held. */
+export interface BodyLimits {
+    /** Declared length in bytes; `undefined` where the body is sent in chunks. */
+    readonly bodyBytes: number | undefined;
+    /** A longer body is refused. */
+    readonly maximumBytes: number;
+    /** A body declared longer than this is streamed. */
+    readonly heldBytes: number;
+}
 
 /** A request's body, as attempts send it. */
 export abstract class RequestBody {
@@ -52,24 +60,24 @@
  * Reads a request's body before anything is sent, so that a slow sender takes up no slot of a backend server, and a
  * try that did not run can be repeated. A body that is declared too large to hold is streamed, and sent once.
  *
- * @param request - the request
+ * @param limits - how much is taken and held
  * @param req - where its body comes from
  * @param signal - aborted when the caller's patience ends
  * @returns the body, or why it can't be had
  */
 export async function readRequestBody(
-    request: CallerRequest,
+    limits: BodyLimits,
     req: IncomingMessage,
     signal: AbortSignal,
 ): Promise<Either<Failure, RequestBody>> {
-    const { bodyBytes } = request;
+    const { bodyBytes, maximumBytes, heldBytes } = limits;
     if (bodyBytes === 0) {
         return Right(new HeldBody(Buffer.alloc(0)));
     }
-    if (bodyBytes !== undefined && bodyBytes > heldBodyBytes) {
+    if (bodyBytes !== undefined && bodyBytes > heldBytes) {
         return Right(new StreamedBody(req));
     }
-    const limit = Math.min(heldBodyBytes, request.route.service.maximumBodyBytes);
+    const limit = Math.min(heldBytes, maximumBytes);
     return (await holdBody(req, limit, signal)).map(held => new HeldBody(held));
 }
 
--- /dev/null
+++ b/packages/placement/src/choosePlacement.ts
@@ -0,0 +1,73 @@
+import { goodFactor, leastTimeShare, waitShare } from "./constants.js";
+import { type ServerScore } from "./serverScore.js";
+
+/** What to do with a request now that servers have answered for themselves. */
+export type PlacementDecision =
+    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best" | "queued"; }
+    /** Ask the servers that were not asked yet. */
+    | { readonly type: "widen"; }
+    /** Ask again after a pause. */
+    | { readonly type: "wait"; }
+    | { readonly type: "refuse"; readonly reason: "allFull" | "tooLate" | "noOffer"; };
+
+/** What decides. */
+export interface PlacementInput {
+    /** The servers that may be sent to, scored. */
+    readonly scores: readonly ServerScore[];
+    readonly hasUnasked: boolean;
+    /** Since the request arrived. */
+    readonly waitedMs: number;
+    readonly objectiveMs: number;
+    /** Until its caller or its route gives up. */
+    readonly remainingMs: number;
+    readonly typicalMs: number;
+}
+
+/**
+ * Decides for one request. Load moves within milliseconds: at any moment a fourth of the servers may be four times
+ * slower, for some 300 ms. So a good server is taken at once; where only slow or full ones answered, the rest is asked,
+ * and then a short wait at the gateway, which can still choose, is better than a place in the queue of a slow server,
+ * which can't be left any more. The wait ends while the answer can still be of full use, and what then can't be
+ * answered before the caller gives up is refused, so that the caller may try elsewhere in time.
+ *
+ * @param input - what decides
+ */
+export function choosePlacement(input: PlacementInput): PlacementDecision {
+    const { scores, remainingMs, typicalMs, waitedMs, objectiveMs } = input;
+    if (remainingMs < typicalMs * leastTimeShare) {
+        return { type: "refuse", reason: "tooLate" };
+    }
+    const best = findBest(scores);
+    if (best !== undefined && best.free && best.factor <= goodFactor && !best.suspect) {
+        return { type: "send", score: best, reason: "good" };
+    }
+    if (input.hasUnasked) {
+        return { type: "widen" };
+    }
+    if (best !== undefined && best.free && waitedMs + best.expectedMs <= objectiveMs) {
+        return { type: "send", score: best, reason: "inTime" };
+    }
+    if (waitedMs < objectiveMs * waitShare) {
+        return { type: "wait" };
+    }
+    if (best === undefined) {
+        return { type: "refuse", reason: "noOffer" };
+    }
+    if (best.free) {
+        return { type: "send", score: best, reason: "best" };
+    }
+    return best.expectedMs <= remainingMs ? { type: "send", score: best, reason: "queued" } : {
+        type: "refuse",
+        reason: "allFull",
+    };
+}
+
+function findBest(scores: readonly ServerScore[]): ServerScore | undefined {
+    let best: ServerScore | undefined;
+    for (const score of scores) {
+        if (best === undefined || score.expectedMs < best.expectedMs) {
+            best = score;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/placement/src/constants.ts
@@ -0,0 +1,64 @@
+/** Load, limits and times on which placement, waiting, refusal and repeats rest. Times are milliseconds. */
+
+/** Backend servers asked for their load before a request is sent: enough that one of them is neither slow nor full. */
+export const askedFirst = 4;
+
+/** Share of a server's slots from which on its work gets slower. */
+export const nearlyFullShare = 0.8;
+
+/** How many times longer work takes on a server that is nearly full. */
+export const nearlyFullFactor = 1.7;
+
+/** A server on which work takes at most this many times its usual time is taken without asking further ones. */
+export const goodFactor = 1.3;
+
+/** Share of a request's objective for which it is held for a better server before it takes what there is. */
+export const waitShare = 0.3;
+
+/** Shortest and longest pause until servers are asked again; drawn in between, so that gateways don't ask in step. */
+export const shortestPauseMs = 10;
+export const longestPauseMs = 25;
+
+/** What crossing into another availability zone adds to a server's expected time: its way there and back, and its price. */
+export const otherZoneMs = 12;
+
+/** How many times longer a suspected server's work is taken to last, so that it is chosen only before a queue. */
+export const suspectFactor = 4;
+
+/** How long a server is suspected after its first failure; doubled with each further one. */
+export const firstSuspicionMs = 1_000;
+export const longestSuspicionMs = 8_000;
+
+/** Expected time of a request before any was measured, as a share of its objective. */
+export const initialWorkShare = 0.4;
+
+/** Weight of the newest request in a service's typical time. */
+export const workWeight = 0.1;
+
+/** Gateways that may send to one cold server. Two, so that one of them may be gone. */
+export const coldOwners = 2;
+
+/** Share of what a cold server bears that its owners give it together, for the time between ask and arrival. */
+export const coldShare = 0.9;
+
+/** Time without word from the store after which a gateway can't know any more whether it is an owner. */
+export const ownershipMs = 8_000;
+
+/** Share of the fleet's allowance for repeats that is dealt out; the rest is for views of the roster that differ. */
+export const repeatShare = 0.8;
+
+/** Share of a gateway's repeats that hedges may use; retries of what failed go before them. */
+export const hedgeShare = 0.6;
+
+/** Share of the objective after which an idempotent request that has no answer is sent to a second server. */
+export const hedgeAfterShare = 0.55;
+
+/** Sends of one request, those that a server turned away included. */
+export const maximumSends = 6;
+
+/** Time that must be left for a try to make sense, as a share of the typical time. */
+export const leastTimeShare = 0.5;
+
+/** Shortest and longest time after which a refused caller is asked back while servers merely turned its request away. */
+export const shortestComeBackMs = 20;
+export const longestComeBackMs = 120;
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,28 @@
+/** Where a request goes: whom to ask, whom to send to, when to wait, to repeat and to refuse. */
+export { orderToAsk } from "./askOrder.js";
+export { choosePlacement, type PlacementDecision, type PlacementInput } from "./choosePlacement.js";
+export { ColdAdmission, type ColdInput } from "./coldAdmission.js";
+export { type RefusalCause, resolveComeBack } from "./comeBack.js";
+export {
+    askedFirst,
+    hedgeAfterShare,
+    leastTimeShare,
+    longestPauseMs,
+    maximumSends,
+    shortestPauseMs,
+} from "./constants.js";
+export { drawDestination } from "./destination.js";
+export { type LoadReport, type ServerOffer } from "./loadReport.js";
+export {
+    isFailureOfServer,
+    isServerFailure,
+    mayTryAgain,
+    type NextTryInput,
+    type NotRunReason,
+    type SendEnd,
+    type UnknownReason,
+} from "./nextTry.js";
+export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
+export { type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
+export { ServerTrust } from "./serverTrust.js";
+export { TypicalWork } from "./typicalWork.js";
--- /dev/null
+++ b/packages/placement/src/nextTry.ts
@@ -0,0 +1,66 @@
+import { maximumSends } from "./constants.js";
+
+/** How one send of a request ended. */
+export type SendEnd =
+    /** A whole answer of the server's to this very request. */
+    | { readonly type: "answered"; readonly status: number; }
+    /** It has not run there and never will. */
+    | { readonly type: "notRun"; readonly reason: NotRunReason; }
+    /** Nobody can say whether it ran. */
+    | { readonly type: "unknown"; readonly reason: UnknownReason; }
+    /** Given up from here. */
+    | { readonly type: "abandoned"; };
+
+/** Why a request is known not to have run. */
+export type NotRunReason = "connectFailed" | "notSent" | "turnedAway" | "otherServer";
+/** Why it is not known whether a request ran. */
+export type UnknownReason =
+    | "connectionLost"
+    | "notAnAnswer"
+    | "otherRequestsAnswer"
+    | "cutShort"
+    | "notSigned"
+    | "encoded";
+
+const firstServerErrorStatus = 500;
+
+/** What decides over another try. */
+export interface NextTryInput {
+    readonly idempotent: boolean;
+    /** Whether the body can be sent once more. */
+    readonly repeatable: boolean;
+    readonly maximumRuns: number;
+    /** Ends of all sends so far. */
+    readonly ends: readonly SendEnd[];
+    /** Sends that are still under way. */
+    readonly underWay: number;
+}
+
+/**
+ * Decides whether a request may be sent again after its latest send has ended. A non-idempotent request is sent again
+ * only where no send of it can have run; any request only while its possible runs are fewer than its route allows.
+ *
+ * @param input - what decides
+ */
+export function mayTryAgain(input: NextTryInput): boolean {
+    const { ends, underWay } = input;
+    if (!input.repeatable || ends.length + underWay >= maximumSends) {
+        return false;
+    }
+    const possibleRuns = underWay + ends.filter(end => end.type !== "notRun").length;
+    if (!input.idempotent) {
+        return possibleRuns === 0;
+    }
+    return possibleRuns < input.maximumRuns;
+}
+
+/** @returns whether an answer is the server's own failure, which another server may not have */
+export function isServerFailure(end: SendEnd): boolean {
+    return end.type === "answered" && end.status >= firstServerErrorStatus;
+}
+
+/** @returns whether the end says something against its server */
+export function isFailureOfServer(end: SendEnd): boolean {
+    return end.type === "unknown" || isServerFailure(end)
+        || (end.type === "notRun" && end.reason === "connectFailed");
+}
--- /dev/null
+++ b/packages/placement/src/serverScore.ts
@@ -0,0 +1,44 @@
+import { nearlyFullFactor, nearlyFullShare, otherZoneMs, suspectFactor } from "./constants.js";
+import { type ServerOffer } from "./loadReport.js";
+
+/** What a request may expect of a server that answered for itself. */
+export interface ServerScore {
+    readonly offer: ServerOffer;
+    /** Whether a slot is free for the request at once. */
+    readonly free: boolean;
+    /** How many times its usual time the work takes, without the time in the queue. */
+    readonly factor: number;
+    /** From now until the answer. */
+    readonly expectedMs: number;
+    readonly suspect: boolean;
+}
+
+/** What is known besides the offer. */
+export interface ScoreContext {
+    readonly typicalMs: number;
+    /** Requests that this gateway sent after the server told its load. */
+    readonly sentSince: number;
+    readonly sameZone: boolean;
+    readonly suspect: boolean;
+}
+
+/**
+ * Estimates when a server would answer.
+ *
+ * @param offer - what it said of itself
+ * @param context - what is known besides
+ */
+export function scoreServer(offer: ServerOffer, context: ScoreContext): ServerScore {
+    const { load } = offer;
+    const slots = Math.max(1, load?.slots ?? offer.slots);
+    const ahead = (load?.running ?? 0) + (load?.waiting ?? 0) + context.sentSince;
+    const free = ahead < slots;
+    const nearlyFull = ahead + 1 >= slots * nearlyFullShare;
+    const factor = (load?.slowdown ?? 1) * (nearlyFull ? nearlyFullFactor : 1);
+    const workMs = context.typicalMs * factor;
+    // Slots come free one after the other, evenly spread over the time that work takes.
+    const queueMs = free ? 0 : workMs * (ahead - slots + 1) / slots;
+    const expectedMs = (workMs + queueMs) * (context.suspect ? suspectFactor : 1)
+        + (context.sameZone ? 0 : otherZoneMs);
+    return { offer, free, factor, expectedMs, suspect: context.suspect };
+}
