Frame an answer without a length as its server framed it, and bound the questions for load

Ruled out: telling such an answer's end from the reset alone; a crash closes the connection like an end. Change: an answer ended by close is tried again where its request is idempotent, and else passed on with no length and the connection's end; questions come from a part of the fleet's allowance, half of the savings kept for arrivals. The bundle takes only the parts of undici, zod, consola and OpenTelemetry that run.

--- a/packages/atMostOnce/src/claimDocument.ts
+++ b/packages/atMostOnce/src/claimDocument.ts
@@ -1,6 +1,6 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 // Loose, so that what a newer gateway adds is neither refused nor dropped by an older one during an upgrade.
 const claimEndSchema = z.looseObject({
--- a/packages/configuration/src/model.ts
+++ b/packages/configuration/src/model.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Days of the week as an operator writes them. */
 export const weekdays = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"] as const;
--- a/packages/configuration/src/references.ts
+++ b/packages/configuration/src/references.ts
@@ -1,5 +1,5 @@
 /** What a schema can't say of a configuration: names are unique, and every name that is referred to exists. */
-import { z } from "zod";
+import * as z from "zod";
 import { type DocumentFault } from "./documentFaults.js";
 import { defaultCallerKind } from "./patience.js";
 
--- a/packages/configuration/src/schemaTree.ts
+++ b/packages/configuration/src/schemaTree.ts
@@ -1,5 +1,5 @@
 /** Reads a zod schema's own structure, so that messages and documentation can't differ from it. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** One option of a schema: a value, or a list of values. */
 export interface SchemaOption {
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -16,6 +16,11 @@
 /** A backend server's whole answer. */
 export interface HeldAnswer extends AnswerHead {
     readonly body: Buffer;
+    /**
+     * Whether the server ended it by closing the connection. A server that crashes closes it too, so nobody can tell
+     * whether such an answer is whole.
+     */
+    readonly endedByClose: boolean;
 }
 
 /** Gets the bytes of an answer that is too large to be held. */
@@ -62,6 +67,8 @@
 }
 
 const misdirectedStatus = 421;
+const noContentStatus = 204;
+const notModifiedStatus = 304;
 
 /**
  * Sends a request to a backend server over one connection and reads the answer.
@@ -188,9 +195,7 @@
         if (findHeader(headers, "content-encoding") !== undefined) {
             return "encoded";
         }
-        const untilClose = findHeader(headers, "content-length") === undefined
-            && findHeader(headers, "transfer-encoding") === undefined;
-        if (untilClose && connection.socketFailed) {
+        if (isEndedByClose(this.#input.method, status, headers) && connection.socketFailed) {
             return "cutShort";
         }
         return status < 300 && !signs.signed ? "notSigned" : undefined;
@@ -222,7 +227,13 @@
         const held = this.#head !== undefined && this.#sink === undefined && end.type === "answered";
         this.#resolve({
             end,
-            answer: held && this.#head !== undefined ? { ...this.#head, body: Buffer.concat(this.#chunks) } : undefined,
+            answer: held && this.#head !== undefined
+                ? {
+                    ...this.#head,
+                    body: Buffer.concat(this.#chunks),
+                    endedByClose: isEndedByClose(this.#input.method, this.#head.status, this.#head.headers),
+                }
+                : undefined,
             streamed: this.#sink !== undefined,
             detail,
             tookMs: performance.now() - this.#startedAtMs,
@@ -230,6 +241,13 @@
     }
 }
 
+/** How an answer's end is marked: RFC 9112, section 6.3. */
+function isEndedByClose(method: string, status: number, headers: RawHeaders): boolean {
+    return method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus
+        && findHeader(headers, "content-length") === undefined
+        && findHeader(headers, "transfer-encoding") === undefined;
+}
+
 function findNotRun({ status, signs }: AnswerHead): NotRunReason | undefined {
     if (status === misdirectedStatus) {
         return "otherServer";
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -8,6 +8,7 @@
     readonly address: ServerAddress;
     readonly #client: Client;
     #socketFailed = false;
+    #wasReset = false;
     #destroyed = false;
 
     constructor(address: ServerAddress) {
@@ -45,6 +46,11 @@
         this.#client.dispatch(options, handler);
     }
 
+    /** Whether the other end reset it, as servers do that have forgotten an idle connection. */
+    get wasReset(): boolean {
+        return this.#wasReset;
+    }
+
     /** Whether it is closed for good. */
     get destroyed(): boolean {
         return this.#destroyed;
@@ -58,9 +64,11 @@
 
     #watch(socket: Socket): void {
         this.#socketFailed = false;
+        this.#wasReset = false;
         // Placed before the client's own listener, so that the failure is known when the client reports the answer.
-        socket.on("error", () => {
+        socket.on("error", (err: NodeJS.ErrnoException) => {
             this.#socketFailed = true;
+            this.#wasReset = err.code === "ECONNRESET" || err.code === "EPIPE";
         });
     }
 }
--- a/packages/edge/src/callers/answerWriter.ts
+++ b/packages/edge/src/callers/answerWriter.ts
@@ -17,10 +17,14 @@
     const { status, headers, body } = answer;
     const hasBody = method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
     const kept = keepEndToEnd(headers, name => hasBody && name === "content-length");
-    if (hasBody) {
+    if (answer.endedByClose) {
+        // With a length it would look whole, which nobody knows; the caller gets it framed as the server framed it.
+        res.removeHeader("transfer-encoding");
+    }
+    else if (hasBody) {
         kept.push("content-length", String(body.length));
     }
-    if (close) {
+    if (close || answer.endedByClose) {
         kept.push("connection", "close");
     }
     res.writeHead(status, kept);
--- a/packages/edge/src/callers/callerConnections.ts
+++ b/packages/edge/src/callers/callerConnections.ts
@@ -60,6 +60,20 @@
         return true;
     }
 
+    /**
+     * Lets the connection end with this answer, where nothing else is due on it.
+     *
+     * @returns whether it ends with it
+     */
+    endWith(req: IncomingMessage): boolean {
+        const state = this.#states.get(req.socket);
+        if (state === undefined || state.latest !== req || state.unanswered > 1) {
+            return false;
+        }
+        state.closing = true;
+        return true;
+    }
+
     /** From now on connections end with the last answer that is due on them. */
     beginStop(): void {
         this.#stopping = true;
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -6,6 +6,7 @@
 import { heldBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { callerGone, cutoffReached, Exchange, type ExchangeEnd, type ExchangeParts } from "../requests/exchange.js";
+import { type HeldAnswer } from "../backends/sendRequest.js";
 import { CallerSink, writeAnswer } from "./answerWriter.js";
 import { type CallerConnections } from "./callerConnections.js";
 
@@ -110,9 +111,7 @@
         const end = await exchange.run();
         switch (end.type) {
             case "answered":
-                if (!res.destroyed) {
-                    writeAnswer(res, request.method, end.answer, callers.endsWith(req));
-                }
+                this.#answer(request, end.answer, req, res);
                 break;
             case "streamed":
                 sink?.end(end.whole);
@@ -123,6 +122,19 @@
         this.#report(request, req, end, exchange, signal);
     }
 
+    #answer(request: EdgeRequest, answer: HeldAnswer, req: IncomingMessage, res: ServerResponse): void {
+        const { callers } = this.#parts;
+        if (res.destroyed) {
+            return;
+        }
+        // An answer that ends with its connection would take the answers behind it away.
+        if (answer.endedByClose && !callers.endWith(req)) {
+            this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"));
+            return;
+        }
+        writeAnswer(res, request.method, answer, callers.endsWith(req));
+    }
+
     #fail(req: IncomingMessage, res: ServerResponse, failure: Failure): void {
         if (res.destroyed) {
             return;
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -4,8 +4,8 @@
 /** Time in which a backend server tells its load; it takes 1 to 6 ms and the way there and back up to 4. */
 export const askTimeoutMs = 35;
 
-/** An idle connection to a backend server is closed after this long, before servers close theirs. */
-export const idleConnectionMs = 4_000;
+/** An idle connection to a backend server is closed after this long, or a little before the server says it would. */
+export const idleConnectionMs = 8_000;
 
 /** Idle connections kept to one backend server: one to ask on while another carries a request. */
 export const idleConnectionsPerServer = 2;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -73,7 +73,17 @@
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
     const budget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
-    const placer = new Placer({ name, availabilityZone, view, connections, vocabulary, clock, random, metrics });
+    const placer = new Placer({
+        name,
+        availabilityZone,
+        view,
+        connections,
+        vocabulary,
+        clock,
+        random,
+        metrics,
+        asksPerServerAndSecond: settings.asking.perServerAndSecond,
+    });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
         view,
--- a/packages/edge/src/edgeProcess.ts
+++ b/packages/edge/src/edgeProcess.ts
@@ -1,6 +1,6 @@
 import { formatFaults } from "@galenaglade/configuration";
 import { type KeyValueStore } from "@galenaglade/platform";
-import { createLogger, createMetrics } from "@galenaglade/telemetry";
+import { createJsonLogger, createMetrics } from "@galenaglade/telemetry";
 import { randomInt } from "node:crypto";
 import { createWriteStream, readFileSync } from "node:fs";
 import { logBufferBytes } from "./constants.js";
@@ -36,10 +36,9 @@
         process.exit(badSettingsExitCode);
     }
     const output = new BoundedOutput(createWriteStream("", { fd: standardOutput, autoClose: false }), logBufferBytes);
-    const logger = createLogger({
+    const logger = createJsonLogger({
         process: settings.name,
         level: settings.logging.level,
-        json: true,
         write: line => output.write(line),
     });
     const edge = createEdge({
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -80,7 +80,7 @@
     readonly #unread = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
     readonly #triedServers = new Set<string>();
-    #serverFailure: HeldAnswer | undefined;
+    #fallback: HeldAnswer | undefined;
     #streaming = false;
     #placedAfterMs: number | undefined;
 
@@ -157,11 +157,12 @@
         }
         const mayGoOn = this.#mayTryAgain();
         if (answer !== undefined && end.type === "answered") {
-            if (!isServerFailure(end)) {
+            if (!isServerFailure(end) && !answer.endedByClose) {
                 return { type: "answered", answer };
             }
-            // The server's own failure is an answer; kept for the case that no other server does better.
-            this.#serverFailure = answer;
+            // The server's own failure is an answer, and so is one that may be cut short; kept for the case that no other
+            // server does better.
+            this.#fallback = answer;
         }
         if (mayGoOn && await this.#tryAgain(underWay, result)) {
             return undefined;
@@ -389,8 +390,8 @@
 
     /** All tries have failed. */
     #resolveFailed(): ExchangeEnd {
-        if (this.#serverFailure !== undefined) {
-            return { type: "answered", answer: this.#serverFailure };
+        if (this.#fallback !== undefined) {
+            return { type: "answered", answer: this.#fallback };
         }
         if (this.#ends.every(end => end.type === "notRun")) {
             return this.#refuse("backendShed", describeEnds(this.#ends), "turnedAway");
@@ -401,8 +402,8 @@
     /** The time is over, or nobody waits any more. */
     #resolveAborted(): ExchangeEnd {
         const mayHaveRun = this.#ends.some(end => end.type !== "notRun") || this.#underWay.size > 0;
-        if (this.#serverFailure !== undefined) {
-            return { type: "answered", answer: this.#serverFailure };
+        if (this.#fallback !== undefined) {
+            return { type: "answered", answer: this.#fallback };
         }
         if (!mayHaveRun) {
             return this.#refuse("overloaded", "no server could be found in time", "full");
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -1,6 +1,7 @@
 import { type FleetView, type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
 import { type Clock, sleep } from "@galenaglade/http-parts";
 import {
+    AskBudget,
     askedFirst,
     choosePlacement,
     ColdAdmission,
@@ -32,6 +33,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly metrics: EdgeMetrics;
+    /** Questions for a server's load that all gateways may ask together, a server and second. */
+    readonly asksPerServerAndSecond: number;
 }
 
 /** A request in search of a server. */
@@ -76,17 +79,19 @@
     readonly work = new TypicalWork();
     readonly #parts: PlacerParts;
     readonly #cold: ColdAdmission;
+    readonly #askBudget: AskBudget;
     readonly #recent = new RecentSends();
 
     constructor(parts: PlacerParts) {
         this.#parts = parts;
         this.#cold = new ColdAdmission(parts.name);
+        this.#askBudget = new AskBudget(parts.asksPerServerAndSecond);
     }
 
     /** @returns where the request goes; whoever gets a place must send or give its connection back */
     async place(input: PlaceInput): Promise<Place | NoPlace> {
         const { view, clock, random, availabilityZone } = this.#parts;
-        while (!input.signal.aborted) {
+        for (let round = 0; !input.signal.aborted; round++) {
             const nowMs = clock.monotonicMs();
             const usable = view.usableServers(input.rules.name, nowMs);
             // A service with one server left has no other to try.
@@ -96,7 +101,7 @@
                 return "noServer";
             }
             const ordered = orderToAsk(candidates, availabilityZone, id => this.trust.isSuspect(id, nowMs), random);
-            const found = await this.#round(input, ordered);
+            const found = await this.#round(input, ordered, usable.length, round === 0 ? "arrival" : "waiting");
             if (found !== "wait") {
                 return found;
             }
@@ -121,12 +126,18 @@
     }
 
     /** Asks in waves until a server is chosen, or all were asked. */
-    async #round(input: PlaceInput, ordered: readonly RegisteredServer[]): Promise<Place | NoPlace | "wait"> {
+    async #round(
+        input: PlaceInput,
+        ordered: readonly RegisteredServer[],
+        usable: number,
+        purpose: "arrival" | "waiting",
+    ): Promise<Place | NoPlace | "wait"> {
         const asked: Asked[] = [];
         let next = 0;
         for (;;) {
-            const wave = ordered.slice(next, next === 0 ? askedFirst : ordered.length);
-            next += wave.length;
+            const wanted = Math.min(askedFirst, ordered.length - next);
+            const wave = ordered.slice(next, next + this.#takeAsks(input.rules.name, purpose, wanted, usable));
+            next = wave.length < wanted ? ordered.length : next + wave.length;
             asked.push(...await this.#ask(input.rules, wave));
             if (input.signal.aborted) {
                 this.#giveBack(asked, undefined);
@@ -155,6 +166,13 @@
         }
     }
 
+    #takeAsks(service: string, purpose: "arrival" | "waiting", wanted: number, servers: number): number {
+        const { view, clock } = this.#parts;
+        const nowMs = clock.monotonicMs();
+        const fleet = { servers, gateways: view.gateways(nowMs).length };
+        return this.#askBudget.take(service, purpose, wanted, fleet, nowMs);
+    }
+
     #decide(input: PlaceInput, asked: readonly Asked[], hasUnasked: boolean): ReturnType<typeof choosePlacement> {
         const { clock } = this.#parts;
         const nowMs = clock.monotonicMs();
@@ -225,7 +243,9 @@
         const answers = await Promise.all(wave.map(async server => {
             const askedAtMs = clock.monotonicMs();
             const connection = connections.take(server.id, server.address);
-            const offer = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary });
+            const question = { server, connection, healthPath: rules.healthPath, vocabulary };
+            // A kept connection may have been closed by its server meanwhile; the second question opens a new one.
+            const offer = await askServer(question) ?? (connection.wasReset ? await askServer(question) : undefined);
             metrics.onAsked(offer === undefined ? "failed" : "answered");
             if (offer === undefined) {
                 this.trust.onFailure(server.id, clock.monotonicMs());
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -1,6 +1,6 @@
 import { checkYaml, type DeepReadonly, type LocatedFault, resolveBySchema } from "@galenaglade/configuration";
 import { type Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const socketAddress = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected an address such as 10.0.0.4:8080");
 const seconds = z.number().min(0).max(86_400);
@@ -28,6 +28,10 @@
         graceSeconds: seconds.describe("time from the signal to stop until the process is killed"),
     }),
     repeats,
+    asking: z.object({
+        perServerAndSecond: z.number().positive().default(30)
+            .describe("times a second that one backend server may be asked for its load, by the whole fleet"),
+    }).prefault({}),
     logging: z.object({
         level: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
             "least serious level that is logged",
--- a/packages/gateway/src/probing/loadAnswer.ts
+++ b/packages/gateway/src/probing/loadAnswer.ts
@@ -1,6 +1,6 @@
 import { type AnswerSigns } from "@galenaglade/cold-start";
 import { Maybe } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.number().int().min(0).max(999_999);
 
--- a/packages/peers/src/storeCodec.ts
+++ b/packages/peers/src/storeCodec.ts
@@ -3,7 +3,7 @@
 import { type ConfigurationHead, type GatewayIdentity, type Roster } from "@galenaglade/membership";
 import { type KeyValue } from "@galenaglade/platform";
 import { type Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { identitySchema, rosterSchema } from "./wireSchemas.js";
 
 const headSchema: z.ZodType<ConfigurationHead> = z.object({
--- a/packages/peers/src/wireSchemas.ts
+++ b/packages/peers/src/wireSchemas.ts
@@ -8,7 +8,7 @@
     type Roster,
 } from "@galenaglade/membership";
 import { type ServerId } from "@galenaglade/routing";
-import { z } from "zod";
+import * as z from "zod";
 import { maximumObservedServers } from "./constants.js";
 import { type ServerObservations } from "./serverObservation.js";
 
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -3,6 +3,12 @@
 /** Backend servers asked for their load before a request is sent: enough that one of them is neither slow nor full. */
 export const askedFirst = 4;
 
+/** Share of the fleet's allowance of questions that is dealt out; the rest is for rosters that differ. */
+export const askBudgetShare = 0.8;
+
+/** How long questions that were not asked are saved, in milliseconds: about as long as a burst lasts. */
+export const askSavingsMs = 6_000;
+
 /** Share of a server's slots from which on its work gets slower. */
 export const nearlyFullShare = 0.8;
 
--- a/packages/platform/src/protocol.ts
+++ b/packages/platform/src/protocol.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * How the platform's service is called over HTTP: each operation is one POST with a JSON body, answered by a JSON body.
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -1,6 +1,6 @@
 import { type LocatedFault } from "@galenaglade/configuration";
 import { type Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { type ReadText, readTextFile, type ResolvedOf, resolveSettings } from "./resolveSettings.js";
 import {
     fleetKey,
--- a/packages/settings/src/parts.ts
+++ b/packages/settings/src/parts.ts
@@ -1,5 +1,5 @@
 /** Pieces that more than one settings schema is made of. */
-import { z } from "zod";
+import * as z from "zod";
 import { minimumFleetKeyLength } from "./constants.js";
 
 /** An IP number to listen on or to be reached at. */
--- a/packages/standIns/src/backendServer/answer.ts
+++ b/packages/standIns/src/backendServer/answer.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Headers between gateways and backend servers. */
 export const backendHeaders = Object.freeze({
--- a/packages/standIns/src/caller/plan.ts
+++ b/packages/standIns/src/caller/plan.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const loopback = z.string().regex(/^http:\/\/127\.\d+\.\d+\.\d+:\d+$/, "a loopback URL; callers go nowhere else");
 
--- a/packages/standIns/src/caller/tally.ts
+++ b/packages/standIns/src/caller/tally.ts
@@ -1,5 +1,5 @@
 import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from "hdr-histogram-js";
-import { z } from "zod";
+import * as z from "zod";
 import { type Outcome } from "./outcome.js";
 
 /** Histograms count in hundredths of a millisecond. */
--- a/packages/standIns/src/platform/platformFaults.ts
+++ b/packages/standIns/src/platform/platformFaults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Faults that the stand-in platform can be given; `PUT /faults` replaces them all. */
 export const platformFaultsSchema = z.strictObject({
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -9,7 +9,7 @@
     type SpanExporter,
     TraceIdRatioBasedSampler,
 } from "@opentelemetry/sdk-trace-node";
-import { type Logger } from "./logger.js";
+import { type Logger } from "./logFields.js";
 
 /** A process's tracer. */
 export interface Tracing {
--- a/scripts/buildEdge.ts
+++ b/scripts/buildEdge.ts
@@ -22,6 +22,8 @@
     platform: "node",
     format: "cjs",
     target: "node20",
+    // The libraries' ES modules can be cut down to what is used; their CommonJS files come whole.
+    mainFields: ["module", "main"],
     minify: true,
     keepNames: true,
     legalComments: "none",
