--- /dev/null
+++ b/packages/edge/src/__tests__/fleetState.test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { request } from "undici";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    call,
+    createConfiguration,
+    eventually,
+    register,
+    startBackend,
+    startEdge,
+    tables,
+    whenReady,
+} from "./support/testEdge.js";
+
+test("before the configuration is read, requests are refused at once and the balancer is told", async t => {
+    const store = new MemoryStore();
+    store.down = true;
+    const edge = await startEdge(t, store);
+    const got = await call(edge, "/tables/x");
+    assert.equal(got.status, 503);
+    assert.ok(Number(got.headers["retry-after"]) > 0);
+    const readiness = await request(edge.readinessUrl);
+    await readiness.body.dump();
+    assert.equal(readiness.statusCode, 503);
+
+    store.down = false;
+    store.put("configuration", createConfiguration(1));
+    register(store, await startBackend(t, "a"));
+    await whenReady(edge);
+    assert.equal((await call(edge, "/tables/x")).status, 200);
+});
+
+test("a new configuration is in force for new requests, and an older one never again", async t => {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(3));
+    register(store, await startBackend(t, "a"));
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    assert.equal((await call(edge, "/new/x")).status, 404);
+    store.put("configuration", createConfiguration(5, [{ ...tables, pathPrefix: "/new/" }]));
+    await eventually(async () => (await call(edge, "/new/x")).status === 200, "the new route is served");
+    assert.equal((await call(edge, "/tables/x")).status, 404);
+    store.put("configuration", createConfiguration(4));
+    register(store, await startBackend(t, "b"));
+    await eventually(
+        () => edge.logs.some(line => line["subject"] === "server" && line["name"] === "b"),
+        "what came after it is known",
+    );
+    assert.equal((await call(edge, "/tables/x")).status, 404);
+});
+
+test("a server that drains, and one whose zone is taken out, get nothing more", async t => {
+    const store = new MemoryStore();
+    const a = await startBackend(t, "a");
+    const b = await startBackend(t, "b");
+    const c = await startBackend(t, "c");
+    store.put("configuration", createConfiguration(1));
+    register(store, a);
+    register(store, b, { availabilityZone: "south" });
+    register(store, c);
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    register(store, a, { state: "draining" });
+    store.put("out/south", {});
+    await eventually(
+        () => edge.logs.filter(line => line["message"] === "belief" && line["change"] === "out").length > 0,
+        "it is known",
+    );
+    const before = a.served().length + b.served().length;
+    for (let i = 0; i < 10; i++) {
+        assert.equal((await call(edge, "/tables/x")).body, "from c");
+    }
+    assert.equal(a.served().length + b.served().length, before);
+    store.remove("out/south");
+    c.load = "3,9,3,4";
+    await eventually(async () => (await call(edge, "/tables/x")).body === "from b", "the zone is used again");
+});
+
+test("while the store is away, requests are served by what was known", async t => {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    register(store, await startBackend(t, "a"));
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    store.down = true;
+    register(store, await startBackend(t, "b"));
+    await eventually(() => edge.logs.some(line => line["message"] === "storeLost"), "the loss is logged");
+    assert.equal((await call(edge, "/tables/x")).status, 200);
+    store.down = false;
+    await eventually(() => edge.logs.some(line => line["message"] === "storeRegained"), "the return is logged");
+});
+
+// The store drops its history while changes are made, and cuts the watches. A gateway that went on from its last
+// revision would never hear of a server that left in the gap.
+test("after the store forgot its history, everything is read anew", async t => {
+    const store = new MemoryStore();
+    const a = await startBackend(t, "a");
+    const b = await startBackend(t, "b");
+    store.put("configuration", createConfiguration(1));
+    register(store, a);
+    register(store, b);
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    store.historyLost = true;
+    store.remove("servers/a");
+    await eventually(() => edge.logs.some(line => line["name"] === "a" && line["change"] === "removed"), "a is gone");
+    assert.equal((await call(edge, "/tables/x")).body, "from b");
+});
+
+test("metrics count requests by outcome", async t => {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    register(store, await startBackend(t, "a"));
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    await call(edge, "/tables/x");
+    const res = await request(edge.metricsUrl);
+    const text = await res.body.text();
+    assert.match(text, /galenaglade_requests_total\{[^}]*route="tables"[^}]*outcome="200"[^}]*\} 1/);
+    assert.match(text, /http_server_request_duration/);
+});
--- /dev/null
+++ b/packages/edge/src/__tests__/stopping.test.ts
@@ -0,0 +1,84 @@
+import { sendRaw } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    call,
+    createConfiguration,
+    eventually,
+    register,
+    renderSigned,
+    startBackend,
+    startEdge,
+    type TestEdge,
+    whenReady,
+} from "./support/testEdge.js";
+
+async function startSlowPath(t: TestContext, workMs: number): Promise<TestEdge> {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    register(
+        store,
+        await startBackend(t, "a", req => {
+            setTimeout(() => req.socket.write(renderSigned(req, req.path)), workMs);
+        }),
+    );
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    return edge;
+}
+
+test("requests in flight at a planned stop get their whole answers, and those that still arrive too", async t => {
+    const edge = await startSlowPath(t, 400);
+    const inFlight = Array.from({ length: 8 }, (_, i) => call(edge, `/returns/${i}`, { method: "POST" }));
+    await sleep(100);
+    const stopped = edge.stop();
+    const readiness = await request(edge.readinessUrl);
+    await readiness.body.dump();
+    assert.equal(readiness.statusCode, 503);
+    const late = await call(edge, "/tables/late");
+    assert.deepEqual([late.status, late.headers["connection"]], [200, "close"]);
+    for (const [i, got] of (await Promise.all(inFlight)).entries()) {
+        assert.deepEqual([got.status, got.body], [200, `/returns/${i}`]);
+    }
+    await stopped;
+    assert.equal(edge.logs.at(-1)?.["message"], "stopped");
+    assert.equal(edge.logs.at(-1)?.["unanswered"], 0);
+});
+
+// A caller has sent three requests ahead when its gateway is told to stop. Closed with the first answer, the connection
+// would take two answers away that servers were already at work on.
+test("a connection with requests ahead ends with the last answer that is due on it", async t => {
+    const edge = await startSlowPath(t, 200);
+    const render = (n: number): string => `GET /tables/${n} HTTP/1.1\r\nhost: survey.example\r\nx-id: p${n}\r\n\r\n`;
+    const received = sendRaw(edge.url, render(1) + render(2) + render(3));
+    await sleep(80);
+    const stopped = edge.stop();
+    const { text, reset } = await received;
+    assert.equal(reset, false);
+    assert.deepEqual(text.match(/\/tables\/\d/g), ["/tables/1", "/tables/2", "/tables/3"]);
+    assert.equal(text.match(/connection: close/gi)?.length, 1);
+    await stopped;
+});
+
+test("a request that outlasts the stop gets an answer before the process ends", async t => {
+    const edge = await startSlowPath(t, 60_000);
+    const pending = call(edge, "/returns/x", { method: "POST" });
+    await eventually(() => true, "time passes");
+    await sleep(50);
+    await edge.stop();
+    assert.equal((await pending).status, 504);
+});
+
+// The store stops answering just before a gateway is told to stop. Waiting for its registration to be taken back, the
+// process would be killed at the end of its time, with the requests that it still had.
+test("a store that doesn't answer doesn't hold a stop up", async t => {
+    const edge = await startSlowPath(t, 10);
+    await eventually(() => edge.logs.some(line => line["message"] === "registered"), "the gateway is registered");
+    edge.store.hangs = true;
+    const startedAtMs = performance.now();
+    await edge.stop();
+    assert.ok(performance.now() - startedAtMs < 3_000);
+});
--- /dev/null
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -0,0 +1,200 @@
+import { type FleetConfiguration, type RegisteredServer, type Route } from "@galenaglade/fleet-state";
+import { findFreePorts, type RawBackend, type RawRequest, startRawBackend } from "@galenaglade/stand-ins";
+import { createJsonLogger, createMetrics } from "@galenaglade/telemetry";
+import { type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { createEdge, type Edge, resolveEdgeSettings } from "../../index.js";
+import { type MemoryStore } from "./memoryStore.js";
+import { TestCodec, TestVocabulary } from "./testNames.js";
+
+/** A backend server of the tests: tells its load as the test says, and serves requests as the test says. */
+export interface TestBackend {
+    readonly id: string;
+    readonly raw: RawBackend;
+    /** Requests other than questions for its load. */
+    readonly served: () => readonly RawRequest[];
+    /** What it answers a question for its load with; `undefined` for no answer. */
+    load: string | undefined;
+    coldMs: number;
+}
+
+/** One edge process in the test's own process, with its store. */
+export interface TestEdge {
+    readonly store: MemoryStore;
+    readonly edge: Edge;
+    readonly url: string;
+    readonly readinessUrl: string;
+    readonly metricsUrl: string;
+    readonly logs: readonly Readonly<Record<string, unknown>>[];
+    /** Stops it, once. */
+    readonly stop: () => Promise<void>;
+}
+
+/** @returns an answer to a request as a whole and signed one */
+export function renderSigned(req: RawRequest, body: string, status = "200 OK", more: readonly string[] = []): string {
+    const head = [
+        `HTTP/1.1 ${status}`,
+        `content-length: ${body.length}`,
+        `x-id: ${req.headers.get("x-id") ?? ""}`,
+        "x-signed: 1",
+        ...more,
+    ];
+    return [...head, "", body].join("\r\n");
+}
+
+export async function startBackend(
+    t: TestContext,
+    id: string,
+    serve: (req: RawRequest) => void = req => req.socket.write(renderSigned(req, `from ${id}`)),
+): Promise<TestBackend> {
+    const served: RawRequest[] = [];
+    const raw = await startRawBackend(t, req => {
+        if (req.path !== "/health") {
+            served.push(req);
+            serve(req);
+            return;
+        }
+        if (backend.load !== undefined) {
+            const head = ["HTTP/1.1 200 OK", "content-length: 0", `x-server: ${id}`, `x-load: ${backend.load}`];
+            req.socket.write([...head, `x-cold-ms: ${backend.coldMs}`, "", ""].join("\r\n"));
+        }
+    });
+    const backend: TestBackend = { id, raw, served: () => served, load: "0,0,3,1", coldMs: 0 };
+    return backend;
+}
+
+export const tables: Route = {
+    name: "tables",
+    authority: "survey.example",
+    pathPrefix: "/tables/",
+    idempotent: true,
+    maximumRuns: 2,
+    timeoutMs: 1_500,
+    objectiveMs: 800,
+    priority: 1,
+    destinations: [{ service: "tables", weight: 1 }],
+};
+
+export const returns: Route = { ...tables, name: "returns", pathPrefix: "/returns/", idempotent: false };
+
+export function createConfiguration(version: number, routes: readonly Route[] = [tables, returns]): FleetConfiguration {
+    return {
+        version,
+        routes,
+        services: [{ name: "tables", healthPath: "/health", maximumConnections: 200, coldRequestsPerSecond: 4 }],
+        limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    };
+}
+
+/** Writes a backend server's entry. */
+export function register(store: MemoryStore, { id, raw }: TestBackend, more: Partial<RegisteredServer> = {}): void {
+    store.put(
+        `servers/${id}`,
+        {
+            id,
+            service: "tables",
+            address: { host: "127.0.0.1", port: raw.port },
+            availabilityZone: "north",
+            slots: 3,
+            state: "ready",
+            coldRemainingMs: 0,
+            startedAtEpochMs: 1,
+            ...more,
+        } satisfies RegisteredServer,
+    );
+}
+
+export async function startEdge(
+    t: TestContext,
+    store: MemoryStore,
+    more: { readonly graceSeconds?: number; readonly name?: string; } = {},
+): Promise<TestEdge> {
+    const [callers, readiness, metrics] = await findFreePorts(3);
+    const settings = resolveEdgeSettings(JSON.stringify({
+        name: more.name ?? "edge-1",
+        availabilityZone: "north",
+        listen: {
+            callers: `127.0.0.1:${callers}`,
+            readiness: `127.0.0.1:${readiness}`,
+            metrics: `127.0.0.1:${metrics}`,
+        },
+        store: { address: "127.0.0.1:1" },
+        stopping: { graceSeconds: more.graceSeconds ?? 3 },
+        repeats: { ratio: 0.2, slack: 100, windowSeconds: 0.01 },
+    })).unsafeCoerce();
+    const logs: Record<string, unknown>[] = [];
+    const edge = createEdge({
+        settings,
+        store,
+        codec: new TestCodec(),
+        vocabulary: new TestVocabulary(),
+        logger: createJsonLogger({
+            process: settings.name,
+            level: "info",
+            write: line => logs.push(JSON.parse(line) as Record<string, unknown>),
+        }),
+        metrics: createMetrics("test"),
+        seed: 1,
+    });
+    await edge.start();
+    let stopped: Promise<void> | undefined;
+    const stop = (): Promise<void> => {
+        stopped ??= edge.stop();
+        return stopped;
+    };
+    t.after(stop);
+    return {
+        store,
+        edge,
+        url: `http://127.0.0.1:${callers}`,
+        readinessUrl: `http://127.0.0.1:${readiness}/ready`,
+        metricsUrl: `http://127.0.0.1:${metrics}/metrics`,
+        logs,
+        stop,
+    };
+}
+
+/** Waits until something holds, for ten seconds at most. */
+export async function eventually(holds: () => boolean | Promise<boolean>, what: string): Promise<void> {
+    for (let i = 0; i < 500; i++) {
+        if (await holds()) {
+            return;
+        }
+        await sleep(20);
+    }
+    throw new Error(`it never came about that ${what}`);
+}
+
+/** Waits until the edge process says that it is ready. */
+export async function whenReady({ readinessUrl }: TestEdge): Promise<void> {
+    await eventually(async () => {
+        const res = await request(readinessUrl);
+        await res.body.dump();
+        return res.statusCode === 200;
+    }, "the process is ready");
+}
+
+/** What a caller got. */
+export interface Got {
+    readonly status: number;
+    readonly body: string;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+let requests = 0;
+
+/** Sends one request as a caller. */
+export async function call(
+    { url }: TestEdge,
+    path: string,
+    more: { readonly method?: "GET" | "POST"; readonly body?: string; readonly signal?: AbortSignal; } = {},
+): Promise<Got> {
+    const res = await request(url + path, {
+        method: more.method ?? "GET",
+        headers: { "host": "survey.example", "x-id": `r${++requests}`, "x-patience-ms": "2000" },
+        body: more.body ?? null,
+        ...(more.signal === undefined ? {} : { signal: more.signal }),
+    });
+    return { status: res.statusCode, body: await res.body.text(), headers: res.headers };
+}
--- /dev/null
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -0,0 +1,57 @@
+import { type FleetConfiguration, type RegisteredServer, type StateItem } from "@galenaglade/fleet-state";
+import { findHeader, keepEndToEnd, type RawHeaders } from "@galenaglade/http-parts";
+import { type KeyValue } from "@galenaglade/platform";
+import { type AnswerSigns, EdgeVocabulary, type ForwardSigns, type RequestSigns, StateCodec } from "../../index.js";
+
+/** Header names of the tests' callers and backend servers. */
+export class TestVocabulary extends EdgeVocabulary {
+    override readonly readinessPath = "/ready";
+
+    override readRequest(headers: RawHeaders): RequestSigns {
+        const patience = findHeader(headers, "x-patience-ms");
+        return {
+            requestId: findHeader(headers, "x-id"),
+            patienceMs: patience === undefined ? undefined : Number(patience),
+        };
+    }
+
+    override resolveForwardHeaders(headers: RawHeaders, signs: ForwardSigns): string[] {
+        const kept = keepEndToEnd(headers, name => name === "x-patience-ms");
+        return [...kept, "x-patience-ms", String(signs.remainingMs), "x-for", signs.serverId];
+    }
+
+    override readAnswer(_status: number, headers: RawHeaders): AnswerSigns {
+        const load = findHeader(headers, "x-load")?.split(",").map(Number);
+        const [running = 0, waiting = 0, slots = 3, slowdown = 1] = load ?? [];
+        return {
+            requestId: findHeader(headers, "x-id"),
+            signed: findHeader(headers, "x-signed") !== undefined,
+            notRun: findHeader(headers, "x-not-run") !== undefined,
+            serverId: findHeader(headers, "x-server"),
+            load: load === undefined ? undefined : { running, waiting, slots, slowdown },
+            coldRemainingMs: Number(findHeader(headers, "x-cold-ms") ?? 0),
+        };
+    }
+}
+
+/** The tests' keys: each value is the item itself. */
+export class TestCodec extends StateCodec {
+    override readonly prefix = "";
+
+    override registrationKey(gateway: string): string {
+        return `gateways/${gateway}`;
+    }
+
+    override decode({ key, value }: KeyValue): StateItem {
+        if (key.startsWith("gateways/")) {
+            return { type: "gateway", key, name: key.slice("gateways/".length) };
+        }
+        if (key.startsWith("out/")) {
+            return { type: "zoneOut", key, availabilityZone: key.slice("out/".length) };
+        }
+        if (key === "configuration") {
+            return { type: "configuration", key, configuration: JSON.parse(value) as FleetConfiguration };
+        }
+        return { type: "server", key, server: JSON.parse(value) as RegisteredServer };
+    }
+}
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -92,6 +92,9 @@
                 return this.#onFailure("watch", failure, startedAtMs);
             },
             Right: ({ revision, changed, deleted }) => {
+                if (this.#stop.signal.aborted) {
+                    return 0;
+                }
                 this.#onContact("watch");
                 this.#afterRevision = Math.max(afterRevision, revision);
                 const items = changed.map(entry => codec.decode(entry));
--- /dev/null
+++ b/packages/fleetState/src/__tests__/gatewayRoster.test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { departedGatewayMs, findOwners, GatewayRoster } from "../index.js";
+
+// A gateway's registration lapses while it still works, cut off from the store. Were it dropped from the number at once,
+// the others would take its share while it uses it too, and together they would exceed the whole.
+test("a gateway that is gone counts for a while", () => {
+    const roster = new GatewayRoster();
+    roster.onPresent("a");
+    roster.onPresent("b");
+    roster.onGone("a", 1_000);
+    assert.deepEqual(roster.names(1_000 + departedGatewayMs - 1), ["a", "b"]);
+    assert.deepEqual(roster.names(1_000 + departedGatewayMs), ["b"]);
+});
+
+test("a gateway that comes back counts once", () => {
+    const roster = new GatewayRoster();
+    roster.onPresent("a");
+    roster.onGone("a", 1_000);
+    roster.onPresent("a");
+    assert.deepEqual(roster.names(1_001), ["a"]);
+});
+
+test("owners are the same for everyone, spread evenly, and move only with those who leave", () => {
+    const names = Array.from({ length: 15 }, (_, i) => `gateway-${i}`);
+    const subjects = Array.from({ length: 600 }, (_, i) => `server-${i}`);
+    const owned = new Map<string, number>();
+    for (const subject of subjects) {
+        const owners = findOwners(subject, names, 2);
+        assert.deepEqual(findOwners(subject, [...names].reverse(), 2), owners);
+        for (const owner of owners) {
+            owned.set(owner, (owned.get(owner) ?? 0) + 1);
+        }
+        const without = findOwners(subject, names.filter(name => name !== "gateway-3"), 2);
+        if (!owners.includes("gateway-3")) {
+            assert.deepEqual(without, owners);
+        }
+    }
+    const counts = names.map(name => owned.get(name) ?? 0);
+    assert.ok(Math.min(...counts) > 40 && Math.max(...counts) < 130, `80 each on average: ${counts.join(" ")}`);
+});
--- a/packages/gateway/src/__tests__/badInput.test.ts
+++ b/packages/gateway/src/__tests__/badInput.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { type CallerLimits, createCallerServer } from "@galenaglade/http-parts";
-import { sendRaw } from "./rawBackend.js";
+import { sendRaw } from "@galenaglade/stand-ins";
 
 const limits: CallerLimits = {
     maximumConnections: 20,
--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -8,7 +8,7 @@
 import { test, type TestContext } from "node:test";
 import { request } from "undici";
 import { EngineStore } from "./engineStore.js";
-import { type RawBackend, type RawRequest, renderAnswer, sendRaw, startRawBackend } from "./rawBackend.js";
+import { type RawBackend, type RawRequest, renderAnswer, sendRaw, startRawBackend } from "@galenaglade/stand-ins";
 import { describeService, FixedSource, startGateway, type TestGateway } from "./testGateway.js";
 
 /** Retries that a service has saved up when nothing has failed yet. */
--- /dev/null
+++ b/packages/placement/src/__tests__/choosePlacement.test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { choosePlacement, type LoadReport, type PlacementInput, scoreServer, type ServerScore } from "../index.js";
+
+const objectiveMs = 400;
+const typicalMs = 160;
+
+function score(
+    load: Partial<LoadReport>,
+    more: { readonly sameZone?: boolean; readonly suspect?: boolean; } = {},
+): ServerScore {
+    return scoreServer({
+        serverId: JSON.stringify(load),
+        availabilityZone: "north",
+        load: { running: 0, waiting: 0, slots: 3, slowdown: 1, ...load },
+        slots: 3,
+        healthy: true,
+        coldRemainingMs: 0,
+    }, { typicalMs, sentSince: 0, sameZone: true, suspect: false, ...more });
+}
+
+function choose(scores: readonly ServerScore[], more: Partial<PlacementInput> = {}): string {
+    const decision = choosePlacement({
+        scores,
+        hasUnasked: false,
+        waitedMs: 0,
+        objectiveMs,
+        remainingMs: 1_000,
+        typicalMs,
+        ...more,
+    });
+    return decision.type === "send" ? decision.score.offer.serverId : decision.type;
+}
+
+test("a fast server with room is taken at once", () => {
+    assert.equal(choose([score({ running: 1 }), score({ slowdown: 4 })], { hasUnasked: true }), "{\"running\":1}");
+});
+
+test("where only slow or full ones answered, the rest is asked, and then a better one is waited for", () => {
+    const poor = [score({ slowdown: 4 }), score({ running: 3 })];
+    assert.equal(choose(poor, { hasUnasked: true }), "widen");
+    assert.equal(choose(poor), "wait");
+});
+
+test("a server that answers within the objective is taken though it is slower than usual", () => {
+    assert.equal(choose([score({ slowdown: 2 })]), "{\"slowdown\":2}");
+});
+
+test("once the wait is over, the server that answers first goes, slow or with a queue, and a queue before a refusal", () => {
+    const late = { waitedMs: 200 };
+    assert.equal(choose([score({ slowdown: 4 }), score({ running: 3, waiting: 4 })], late), "{\"slowdown\":4}");
+    assert.equal(choose([score({ running: 3 })], late), "{\"running\":3}");
+    assert.equal(choose([score({ running: 3, waiting: 6, slowdown: 4 })], late), "refuse");
+});
+
+test("what can't be answered in the time that is left is refused at once", () => {
+    assert.equal(choose([score({})], { remainingMs: 50 }), "refuse");
+});
+
+test("a suspected server is not good, but better than none", () => {
+    const suspect = score({}, { suspect: true });
+    assert.equal(choose([suspect], { hasUnasked: true }), "widen");
+    assert.equal(choose([suspect], { waitedMs: 200 }), "{}");
+});
+
+test("a server in another zone is taken only where it is clearly faster", () => {
+    const far = score({ running: 0 }, { sameZone: false });
+    assert.equal(choose([score({ running: 1 }), far]), "{\"running\":1}");
+    assert.equal(choose([score({ running: 2 }), far]), "{\"running\":0}");
+});
+
+/** Servers of which a fourth is four times slower for 300 ms at a time; work slows down and speeds up with its server. */
+class ShiftingServers {
+    readonly #slowUntilShift: boolean[];
+    readonly #work: { remaining: number; readonly startedAtMs: number; }[][];
+    readonly #random: RandomSource;
+    readonly tookMs: number[] = [];
+
+    constructor(count: number, random: RandomSource) {
+        this.#random = random;
+        this.#slowUntilShift = Array.from({ length: count }, () => random.next() < 0.25);
+        this.#work = Array.from({ length: count }, () => []);
+    }
+
+    report(i: number): LoadReport {
+        const work = this.#work[i]?.length ?? 0;
+        return { running: Math.min(3, work), waiting: Math.max(0, work - 3), slots: 3, slowdown: this.#slow(i) };
+    }
+
+    send(i: number, arrivedAtMs: number): void {
+        this.#work[i]?.push({ remaining: typicalMs * (0.7 + 0.6 * this.#random.next()), startedAtMs: arrivedAtMs });
+    }
+
+    step(nowMs: number, stepMs: number): void {
+        for (const [i, work] of this.#work.entries()) {
+            if (this.#random.next() < stepMs / 300) {
+                this.#slowUntilShift[i] = this.#random.next() < 0.25;
+            }
+            for (const item of work.slice(0, 3)) {
+                item.remaining -= stepMs / this.#slow(i);
+            }
+            for (const done of work.filter(({ remaining }) => remaining <= 0)) {
+                this.tookMs.push(nowMs - done.startedAtMs);
+            }
+            this.#work[i] = work.filter(({ remaining }) => remaining > 0);
+        }
+    }
+
+    #slow(i: number): number {
+        return this.#slowUntilShift[i] === true ? 4 : 1;
+    }
+}
+
+type Chooser = (servers: ShiftingServers, asked: readonly number[], waitedMs: number) => number | undefined;
+
+/** @returns the share of requests answered within their objective */
+function replay(seed: number, perSecond: number, choosePlace: Chooser): number {
+    const random = createRandomSource(seed);
+    const count = 12;
+    const servers = new ShiftingServers(count, random);
+    const waiting: number[] = [];
+    const stepMs = 5;
+    let sent = 0;
+    for (let nowMs = 0; nowMs < 60_000; nowMs += stepMs) {
+        if (random.next() < perSecond * stepMs / 1_000) {
+            waiting.push(nowMs);
+            sent++;
+        }
+        for (const arrivedAtMs of waiting.splice(0)) {
+            const asked = Array.from({ length: 4 }, () => random.below(count));
+            const chosen = choosePlace(servers, asked, nowMs - arrivedAtMs);
+            if (chosen === undefined) {
+                waiting.push(arrivedAtMs);
+                continue;
+            }
+            servers.send(chosen, arrivedAtMs);
+        }
+        servers.step(nowMs, stepMs);
+    }
+    return servers.tookMs.filter(ms => ms <= objectiveMs).length / sent;
+}
+
+// A fourth of the servers is four times slower at any moment, for 300 ms in turn. A request that is sent to one of them
+// misses its objective although three in four servers were idle.
+test("asking before sending answers far more requests within their objective than sending anywhere", () => {
+    const blind: Chooser = (_servers, asked) => asked[0];
+    const asking: Chooser = (servers, asked, waitedMs) => {
+        const scores = asked.map(i =>
+            scoreServer({
+                serverId: String(i),
+                availabilityZone: "north",
+                load: servers.report(i),
+                slots: 3,
+                healthy: true,
+                coldRemainingMs: 0,
+            }, { typicalMs, sentSince: 0, sameZone: true, suspect: false })
+        );
+        const decision = choosePlacement({
+            scores,
+            hasUnasked: false,
+            waitedMs,
+            objectiveMs,
+            remainingMs: 1_000 - waitedMs,
+            typicalMs,
+        });
+        return decision.type === "send" ? Number(decision.score.offer.serverId) : undefined;
+    };
+    for (const perSecond of [40, 90]) {
+        const blindShare = replay(7, perSecond, blind);
+        const askingShare = replay(7, perSecond, asking);
+        assert.ok(askingShare > 0.9, `${askingShare} at ${perSecond} a second`);
+        assert.ok(askingShare > blindShare + 0.1, `${askingShare} against ${blindShare}`);
+    }
+});
--- /dev/null
+++ b/packages/placement/src/__tests__/limits.test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandomSource } from "@galenaglade/routing";
+import fc from "fast-check";
+import { AskBudget, ColdAdmission, RepeatBudget } from "../index.js";
+
+/** @returns the largest number of times within any window of that length */
+function most(timesMs: readonly number[], windowMs: number): number {
+    const sorted = [...timesMs].sort((a, b) => a - b);
+    let largest = 0;
+    let first = 0;
+    for (let i = 0; i < sorted.length; i++) {
+        while ((sorted[i] ?? 0) - (sorted[first] ?? 0) >= windowMs) {
+            first++;
+        }
+        largest = Math.max(largest, i - first + 1);
+    }
+    return largest;
+}
+
+// Every request of a service fails at first, at 15 gateways with uneven traffic, and any of them is killed and starts
+// again at any time, forgetting what it repeated. Repeats of the whole fleet within any ten seconds must stay below the
+// allowance, or the service gets each request several times over and stays down.
+test("repeats of a whole fleet stay within the allowance, restarts included", () => {
+    const allowance = { ratio: 0.2, slack: 58, windowMs: 10_000 };
+    fc.assert(
+        fc.property(fc.integer(), seed => {
+            const random = createRandomSource(seed);
+            const gateways = 15;
+            const budgets = Array.from({ length: gateways }, () => new RepeatBudget(allowance, -10_000));
+            const requests: number[] = [];
+            const repeats: number[] = [];
+            for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+                const i = Math.floor(random.next() ** 2 * gateways);
+                if (random.below(400) === 0) {
+                    budgets[i] = new RepeatBudget(allowance, nowMs);
+                }
+                const budget = budgets[i];
+                budget?.onRequest("tables", nowMs);
+                requests.push(nowMs);
+                while (budget?.take("tables", "retry", gateways, nowMs) === true) {
+                    repeats.push(nowMs);
+                }
+            }
+            const limit = allowance.ratio * most(requests, allowance.windowMs) + allowance.slack;
+            assert.ok(
+                most(repeats, allowance.windowMs) <= limit,
+                `${most(repeats, allowance.windowMs)} above ${limit}`,
+            );
+            assert.ok(repeats.length > 100, "and they are used");
+        }),
+        { numRuns: 40 },
+    );
+});
+
+test("hedges leave a part of the allowance to retries", () => {
+    const budget = new RepeatBudget({ ratio: 0, slack: 50, windowMs: 10_000 }, -10_000);
+    let hedges = 0;
+    while (budget.take("tables", "hedge", 2, 0)) {
+        hedges++;
+    }
+    assert.equal(hedges, 12);
+    assert.ok(budget.take("tables", "retry", 2, 0));
+});
+
+// A server turns cold and looks idle, so every gateway of the fleet wants to send to it in the same moment. Half of the
+// gateways have not heard yet that three others are gone, so that two rosters name different owners.
+test("a cold server gets less than it bears from all gateways together, while rosters differ", () => {
+    const bears = { perSecond: 4.2, overshoot: 1.5, slack: 5 };
+    const names = Array.from({ length: 15 }, (_, i) => `gateway-${i}`);
+    fc.assert(
+        fc.property(fc.string({ minLength: 1 }), fc.shuffledSubarray(names, { minLength: 12 }), (serverId, some) => {
+            const admissions = names.map(name => ({ name, admission: new ColdAdmission(name) }));
+            const sent: number[] = [];
+            for (let nowMs = 0; nowMs < 6_000; nowMs += 5) {
+                for (const [i, { admission }] of admissions.entries()) {
+                    const gateways = i % 2 === 0 ? names : some;
+                    const input = { serverId, requestsPerSecond: bears.perSecond, gateways, sinceContactMs: 0, nowMs };
+                    if (admission.mayTake(input)) {
+                        admission.onSend(input);
+                        sent.push(nowMs);
+                    }
+                }
+            }
+            assert.ok(sent.length > 0, "and it gets something");
+            assert.ok(
+                most(sent, 1_000) <= bears.perSecond * bears.overshoot + bears.slack,
+                `${most(sent, 1_000)} a second`,
+            );
+        }),
+        { numRuns: 60 },
+    );
+});
+
+test("a gateway that lost touch with the store sends nothing to cold servers", () => {
+    const admission = new ColdAdmission("a");
+    const input = { serverId: "s", requestsPerSecond: 4, gateways: ["a"], nowMs: 0 };
+    assert.ok(admission.mayTake({ ...input, sinceContactMs: 100 }));
+    assert.equal(admission.mayTake({ ...input, sinceContactMs: 60_000 }), false);
+});
+
+// All requests of all gateways wait and ask again without a pause. Before there was a limit, servers were asked 100
+// times a second each.
+test("a fleet of waiting requests asks each server no more than it may", () => {
+    const gateways = 13;
+    const servers = 9;
+    const perSecond = 60;
+    const budgets = Array.from({ length: gateways }, () => new AskBudget(perSecond));
+    let asks = 0;
+    const seconds = 32;
+    for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += 10) {
+        for (const budget of budgets) {
+            asks += budget.take("tables", "waiting", 4, { servers, gateways }, nowMs);
+        }
+    }
+    assert.ok(asks / servers / seconds <= perSecond, `${asks / servers / seconds} a server and second`);
+});
+
+test("waiting requests leave questions to those that arrive, which may always ask one server", () => {
+    const budget = new AskBudget(10);
+    const fleet = { servers: 3, gateways: 1 };
+    while (budget.take("tables", "waiting", 4, fleet, 0) > 0) {
+        // Until no more are left to them.
+    }
+    assert.equal(budget.take("tables", "arrival", 4, fleet, 0), 4);
+    while (budget.take("tables", "arrival", 4, fleet, 0) > 1) {
+        // Until the savings are used up.
+    }
+    assert.equal(budget.take("tables", "arrival", 4, fleet, 0), 1);
+});
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -39,4 +39,12 @@
     startProcess,
     type StartProcessOptions,
 } from "./processes/startProcess.js";
+export {
+    type RawBackend,
+    type RawOutcome,
+    type RawRequest,
+    renderAnswer,
+    sendRaw,
+    startRawBackend,
+} from "./raw/rawBackend.js";
 export { HistoryFile, HistoryRecorder, MemoryHistory, mergeHistories, NoHistory } from "./recording/historyFile.js";
--- a/packages/gateway/src/__tests__/rawBackend.ts
+++ b/packages/standIns/src/raw/rawBackend.ts
@@ -1,11 +1,12 @@
-import { connect, createServer, type Socket } from "node:net";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { type TestContext } from "node:test";
 
 /** One request as a raw backend server received it. */
 export interface RawRequest {
     readonly method: string;
     readonly path: string;
+    /** By lower-case names. */
+    readonly headers: ReadonlyMap<string, string>;
     readonly body: string;
     /** Number of its connection, from 1. */
     readonly connection: number;
@@ -54,19 +55,24 @@
 
 function parseRequest(
     received: string,
-): { readonly bytes: number; readonly method: string; readonly path: string; readonly body: string; } | undefined {
+): (Pick<RawRequest, "method" | "path" | "headers" | "body"> & { readonly bytes: number; }) | undefined {
     const headEnd = received.indexOf("\r\n\r\n");
     if (headEnd < 0) {
         return undefined;
     }
     const head = received.slice(0, headEnd);
-    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1] ?? 0);
+    const [requestLine = "", ...lines] = head.split("\r\n");
+    const headers = new Map(lines.map(line => {
+        const colon = line.indexOf(":");
+        return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }));
+    const length = Number(headers.get("content-length") ?? 0);
     const bytes = headEnd + 4 + length;
     if (received.length < bytes) {
         return undefined;
     }
-    const [method = "", path = ""] = head.split(" ");
-    return { bytes, method, path, body: received.slice(headEnd + 4).slice(0, length) };
+    const [method = "", path = ""] = requestLine.split(" ");
+    return { bytes, method, path, headers, body: received.slice(headEnd + 4).slice(0, length) };
 }
 
 /** @returns a whole answer with its length */
