Start from compiled code, keep a registration over a restart, and wait longer for a second answer

Ruled out: taking registrations back at a stop (two events a restart in place of none); one process-wide blame for silent servers.

--- a/packages/edge/src/__tests__/requestPath.test.ts
+++ b/packages/edge/src/__tests__/requestPath.test.ts
@@ -26,6 +26,8 @@
     }
     const edge = await startEdge(t, store);
     await whenReady(edge);
+    // Until it counts itself, it may repeat nothing.
+    await eventually(() => edge.logs.some(line => line["subject"] === "gateway"), "the gateway knows of itself");
     return edge;
 }
 
@@ -277,9 +279,16 @@
     const a = await startBackend(t, "a");
     a.coldMs = 3_000;
     const edge = await startPath(t, a);
-    await eventually(() => edge.logs.some(line => line["message"] === "registered"), "the gateway is registered");
-    await sleep(400);
     const got = await Promise.all(Array.from({ length: 20 }, () => call(edge, "/tables/x")));
     assert.ok(got.filter(({ status }) => status === 200).length <= 3);
     assert.ok(got.every(({ status }) => status === 200 || status === 503));
 });
+
+// A host gets little of its processor for a moment, or has just started: servers answer the question for their load
+// later than usual. Given up each time after the same short wait, every request would be refused though all are well.
+test("a server that is slow to tell its load is waited for longer the second time", async t => {
+    const a = await startBackend(t, "a");
+    a.tellsAfterMs = 60;
+    const edge = await startPath(t, a);
+    assert.equal((await call(edge, "/tables/x")).status, 200);
+});
--- a/packages/edge/src/__tests__/stopping.test.ts
+++ b/packages/edge/src/__tests__/stopping.test.ts
@@ -72,7 +72,7 @@
     assert.equal((await pending).status, 504);
 });
 
-// The store stops answering just before a gateway is told to stop. Waiting for its registration to be taken back, the
+// The store stops answering just before a gateway is told to stop. Waiting for an answer of it, the
 // process would be killed at the end of its time, with the requests that it still had.
 test("a store that doesn't answer doesn't hold a stop up", async t => {
     const edge = await startSlowPath(t, 10);
--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -17,6 +17,8 @@
     /** What it answers a question for its load with; `undefined` for no answer. */
     load: string | undefined;
     coldMs: number;
+    /** How long it takes to answer a question for its load. */
+    tellsAfterMs: number;
 }
 
 /** One edge process in the test's own process, with its store. */
@@ -57,10 +59,11 @@
         }
         if (backend.load !== undefined) {
             const head = ["HTTP/1.1 200 OK", "content-length: 0", `x-server: ${id}`, `x-load: ${backend.load}`];
-            req.socket.write([...head, `x-cold-ms: ${backend.coldMs}`, "", ""].join("\r\n"));
+            const answer = [...head, `x-cold-ms: ${backend.coldMs}`, "", ""].join("\r\n");
+            setTimeout(() => req.socket.write(answer), backend.tellsAfterMs);
         }
     });
-    const backend: TestBackend = { id, raw, served: () => served, load: "0,0,3,1", coldMs: 0 };
+    const backend: TestBackend = { id, raw, served: () => served, load: "0,0,3,1", coldMs: 0, tellsAfterMs: 0 };
     return backend;
 }
 
--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -42,9 +42,9 @@
         return `gateways/${gateway}`;
     }
 
-    override decode({ key, value }: KeyValue): StateItem {
+    override decode({ key, value, leaseId }: KeyValue): StateItem {
         if (key.startsWith("gateways/")) {
-            return { type: "gateway", key, name: key.slice("gateways/".length) };
+            return { type: "gateway", key, name: key.slice("gateways/".length), leaseId };
         }
         if (key.startsWith("out/")) {
             return { type: "zoneOut", key, availabilityZone: key.slice("out/".length) };
--- a/packages/edge/src/backends/askServer.ts
+++ b/packages/edge/src/backends/askServer.ts
@@ -2,7 +2,6 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
 import { type ServerOffer } from "@galenaglade/placement";
 import { type Dispatcher } from "undici";
-import { askTimeoutMs } from "../constants.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
 import { readRawHeaders } from "./rawHeaders.js";
 import { type ServerConnection } from "./serverConnection.js";
@@ -15,6 +14,7 @@
     readonly connection: ServerConnection;
     readonly healthPath: string;
     readonly vocabulary: EdgeVocabulary;
+    readonly timeoutMs: number;
 }
 
 /**
@@ -50,7 +50,7 @@
                 return;
             }
             this.#controller.abort(new Error("no answer in time"));
-        }, askTimeoutMs);
+        }, input.timeoutMs);
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -4,6 +4,12 @@
 /** Time in which a backend server tells its load; it takes 1 to 6 ms and the way there and back up to 4. */
 export const askTimeoutMs = 35;
 
+/**
+ * Longest such time, for a request that got no answer before: after a start, or while this host gets little of its
+ * processor, answers come later than the first limit although every server is well.
+ */
+export const longestAskTimeoutMs = 150;
+
 /** An idle connection to a backend server is closed after this long, or a little before the server says it would. */
 export const idleConnectionMs = 8_000;
 
@@ -17,7 +23,7 @@
 export const heldAnswerBytes = 262_144;
 
 /** Pause between two calls of the store's watch that brought news, so that changes come in batches. */
-export const watchPauseMs = 250;
+export const watchPauseMs = 450;
 
 /** Longest time that the store holds a watch open: a connection gone silent is found out this long after. */
 export const watchWaitMs = 2_500;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -136,8 +136,7 @@
         endsAtMs = lastMs;
         log.log("info", "stopping", { unanswered: callers.unanswered, graceMs });
         callers.beginStop();
-        // Not waited for: a slow store must not hold the process past the time at which it is killed.
-        void registration.stop();
+        registration.stop();
         // Callers that the balancer still sends are served, not refused, until it has noticed.
         await sleep(Math.max(Math.min(balancerNoticesMs, graceMs * stopListeningShare), 0));
         callers.closeIdle(callerServer);
--- a/packages/edge/src/edgeProcess.ts
+++ b/packages/edge/src/edgeProcess.ts
@@ -1,7 +1,7 @@
 import { formatFaults } from "@galenaglade/configuration";
 import { type KeyValueStore } from "@galenaglade/platform";
 import { createJsonLogger, createMetrics } from "@galenaglade/telemetry";
-import { randomInt } from "node:crypto";
+import murmurHash from "imurmurhash";
 import { createWriteStream, readFileSync } from "node:fs";
 import { logBufferBytes } from "./constants.js";
 import { createEdge } from "./edge.js";
@@ -21,7 +21,6 @@
 
 const badSettingsExitCode = 2;
 const failedExitCode = 1;
-const seedLimit = 2 ** 31;
 const standardOutput = 1;
 
 /**
@@ -48,7 +47,8 @@
         vocabulary: binding.vocabulary,
         logger,
         metrics: createMetrics("galenaglade-edge"),
-        seed: randomInt(seedLimit),
+        // Different on every host and in every life, without the time that loading a source of secrets takes.
+        seed: murmurHash(`${settings.name} ${process.pid} ${process.hrtime.bigint()}`).result(),
     });
     process.on("SIGHUP", () => {
         const reloaded = loadSettings(binding.settingsPath);
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -19,6 +19,7 @@
 import { askServer } from "../backends/askServer.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
+import { askTimeoutMs, longestAskTimeoutMs } from "../constants.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
 import { RecentSends } from "./recentSends.js";
@@ -101,7 +102,7 @@
                 return "noServer";
             }
             const ordered = orderToAsk(candidates, availabilityZone, id => this.trust.isSuspect(id, nowMs), random);
-            const found = await this.#round(input, ordered, usable.length, round === 0 ? "arrival" : "waiting");
+            const found = await this.#round(input, ordered, usable.length, round);
             if (found !== "wait") {
                 return found;
             }
@@ -130,15 +131,17 @@
         input: PlaceInput,
         ordered: readonly RegisteredServer[],
         usable: number,
-        purpose: "arrival" | "waiting",
+        round: number,
     ): Promise<Place | NoPlace | "wait"> {
+        const purpose = round === 0 ? "arrival" : "waiting";
+        const timeoutMs = Math.min(longestAskTimeoutMs, askTimeoutMs * 2 ** round);
         const asked: Asked[] = [];
         let next = 0;
         for (;;) {
             const wanted = Math.min(askedFirst, ordered.length - next);
             const wave = ordered.slice(next, next + this.#takeAsks(input.rules.name, purpose, wanted, usable));
             next = wave.length < wanted ? ordered.length : next + wave.length;
-            asked.push(...await this.#ask(input.rules, wave));
+            asked.push(...await this.#ask(input.rules, wave, timeoutMs));
             if (input.signal.aborted) {
                 this.#giveBack(asked, undefined);
                 return "abandoned";
@@ -238,23 +241,45 @@
         return { server, connection, score, reason, asked: askedCount, askedAtMs };
     }
 
-    async #ask(rules: ServiceRules, wave: readonly RegisteredServer[]): Promise<readonly Asked[]> {
+    async #ask(
+        rules: ServiceRules,
+        wave: readonly RegisteredServer[],
+        timeoutMs: number,
+    ): Promise<readonly Asked[]> {
         const { connections, vocabulary, clock, metrics } = this.#parts;
         const answers = await Promise.all(wave.map(async server => {
             const askedAtMs = clock.monotonicMs();
             const connection = connections.take(server.id, server.address);
-            const question = { server, connection, healthPath: rules.healthPath, vocabulary };
+            const question = { server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs };
             // A kept connection may have been closed by its server meanwhile; the second question opens a new one.
             const offer = await askServer(question) ?? (connection.wasReset ? await askServer(question) : undefined);
             metrics.onAsked(offer === undefined ? "failed" : "answered");
             if (offer === undefined) {
-                this.trust.onFailure(server.id, clock.monotonicMs());
                 connections.release(server.id, connection);
                 return undefined;
             }
             return { server, connection, offer, askedAtMs };
         }));
-        return answers.filter(answer => answer !== undefined);
+        const asked = answers.filter(answer => answer !== undefined);
+        this.#suspectSilent(wave, asked);
+        return asked;
+    }
+
+    /**
+     * A server that doesn't tell its load is asked last for a while, or every request would wait for it. Where none of
+     * several answered, this process itself was slow, as right after a start, or its host is cut off: blamed for that,
+     * all servers would be suspected at once.
+     */
+    #suspectSilent(wave: readonly RegisteredServer[], asked: readonly Asked[]): void {
+        if (asked.length === 0 && wave.length > 1) {
+            return;
+        }
+        const nowMs = this.#parts.clock.monotonicMs();
+        for (const { id } of wave) {
+            if (!asked.some(({ server }) => server.id === id)) {
+                this.trust.onFailure(id, nowMs);
+            }
+        }
     }
 
     #giveBack(asked: readonly Asked[], kept: Place | undefined): void {
--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -3,7 +3,7 @@
 import { type Clock, sleep } from "@galenaglade/http-parts";
 import { type KeyValueStore } from "@galenaglade/platform";
 import { type RandomSource } from "@galenaglade/routing";
-import { longestStorePauseMs, registrationTtlMs, renewalsPerLife } from "../constants.js";
+import { expiryTickMs, longestStorePauseMs, registrationTtlMs, renewalsPerLife } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -25,11 +25,16 @@
 /**
  * Keeps this gateway's registration in the store, under a lease. The others deal out shares by the number of
  * registrations, so a gateway that works without one would make the parts add up to more than the whole.
+ *
+ * A process that was restarted goes on with the lease of its life before. Each write of a registration is news to every
+ * gateway of the fleet, and each of them makes a call to hear it: a restart that writes nothing costs a fleet of 15 about
+ * 30 calls less.
  */
 export class Registration {
     readonly #parts: RegistrationParts;
     #stopped = false;
     #leaseId: string | undefined;
+    #lostLeaseId: string | undefined;
 
     constructor(parts: RegistrationParts) {
         this.#parts = parts;
@@ -39,18 +44,17 @@
         void this.#run();
     }
 
-    /** Ends the registration; the other gateways count this one a little longer all the same. */
-    async stop(): Promise<void> {
+    /** Renews no more. The registration stays for the next life of this host, or falls with its lease. */
+    stop(): void {
         this.#stopped = true;
-        if (this.#leaseId !== undefined) {
-            const revoked = await this.#parts.store.revokeLease(this.#leaseId);
-            revoked.ifLeft(failure => this.#onFailure("revokeLease", failure));
-        }
     }
 
     async #run(): Promise<void> {
+        while (!this.#parts.view.isRead) {
+            await sleep(expiryTickMs);
+        }
         while (!this.#stopped) {
-            const registered = await this.#register();
+            const registered = await this.#adopt() || await this.#register();
             if (!registered) {
                 await sleep(longestStorePauseMs * (1 + this.#parts.random.next()));
                 continue;
@@ -59,6 +63,23 @@
         }
     }
 
+    /** Goes on with the registration that this host's life before left, where its lease still holds. */
+    async #adopt(): Promise<boolean> {
+        const { store, view, name, log } = this.#parts;
+        const leaseId = view.registrationLease(name);
+        if (leaseId === undefined || leaseId === this.#lostLeaseId) {
+            return false;
+        }
+        const renewed = await store.renewLease(leaseId);
+        if (renewed.isLeft()) {
+            this.#onFailure("renewLease", renewed.extract());
+            return false;
+        }
+        this.#leaseId = leaseId;
+        log.log("info", "registered", { name, leaseId, adopted: true });
+        return true;
+    }
+
     async #register(): Promise<boolean> {
         const { store, codec, name, log, metrics } = this.#parts;
         const lease = await store.grantLease(registrationTtlMs);
@@ -102,6 +123,7 @@
             // The store may take a registration away without a word to its holder; the watch shows that it is gone.
             const lost = view.lastContactMs - registeredAtMs > renewalMs && !view.isRegistered(name);
             if (failure?.kind === "notFound" || lost) {
+                this.#lostLeaseId = this.#leaseId;
                 this.#leaseId = undefined;
             }
         }
--- a/packages/fleetState/src/__tests__/gatewayRoster.test.ts
+++ b/packages/fleetState/src/__tests__/gatewayRoster.test.ts
@@ -6,8 +6,8 @@
 // the others would take its share while it uses it too, and together they would exceed the whole.
 test("a gateway that is gone counts for a while", () => {
     const roster = new GatewayRoster();
-    roster.onPresent("a");
-    roster.onPresent("b");
+    roster.onPresent("a", "lease-1");
+    roster.onPresent("b", "lease-1");
     roster.onGone("a", 1_000);
     assert.deepEqual(roster.names(1_000 + departedGatewayMs - 1), ["a", "b"]);
     assert.deepEqual(roster.names(1_000 + departedGatewayMs), ["b"]);
@@ -15,9 +15,9 @@
 
 test("a gateway that comes back counts once", () => {
     const roster = new GatewayRoster();
-    roster.onPresent("a");
+    roster.onPresent("a", "lease-1");
     roster.onGone("a", 1_000);
-    roster.onPresent("a");
+    roster.onPresent("a", "lease-1");
     assert.deepEqual(roster.names(1_001), ["a"]);
 });
 
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -119,7 +119,12 @@
 
     /** @returns whether a gateway's registration is in the store, as far as is known */
     isRegistered(name: string): boolean {
-        return this.#roster.present().has(name);
+        return this.#roster.isPresent(name);
+    }
+
+    /** @returns the lease that a gateway's registration is under, as far as is known */
+    registrationLease(name: string): string | undefined {
+        return this.#roster.leaseOf(name);
     }
 
     #learn(item: StateItem, nowMs: number, beliefs: BeliefChange[]): void {
@@ -146,10 +151,10 @@
                 return;
             }
             case "gateway":
-                if (!this.#roster.present().has(item.name)) {
-                    this.#roster.onPresent(item.name);
+                if (!this.#roster.isPresent(item.name)) {
                     beliefs.push({ subject: "gateway", name: item.name, change: "present" });
                 }
+                this.#roster.onPresent(item.name, item.leaseId);
                 return;
             case "ignored":
                 if (item.reason !== undefined) {
--- a/packages/fleetState/src/gatewayRoster.ts
+++ b/packages/fleetState/src/gatewayRoster.ts
@@ -6,11 +6,11 @@
  * it late and joins it at once: the number is rather too large than too small.
  */
 export class GatewayRoster {
-    readonly #present = new Set<string>();
+    readonly #present = new Map<string, string | undefined>();
     readonly #departedAtMs = new Map<string, number>();
 
-    onPresent(name: string): void {
-        this.#present.add(name);
+    onPresent(name: string, leaseId: string | undefined): void {
+        this.#present.set(name, leaseId);
         this.#departedAtMs.delete(name);
     }
 
@@ -22,7 +22,7 @@
 
     /** @returns all names that count now, sorted */
     names(nowMs: number): readonly string[] {
-        const counted = [...this.#present];
+        const counted = [...this.#present.keys()];
         for (const [name, departedAtMs] of this.#departedAtMs) {
             if (nowMs - departedAtMs < departedGatewayMs) {
                 counted.push(name);
@@ -33,8 +33,13 @@
         return counted.sort();
     }
 
-    /** @returns the names with a registration at this moment */
-    present(): ReadonlySet<string> {
-        return this.#present;
+    /** @returns whether a gateway's registration is there at this moment */
+    isPresent(name: string): boolean {
+        return this.#present.has(name);
+    }
+
+    /** @returns the lease of a gateway's registration */
+    leaseOf(name: string): string | undefined {
+        return this.#present.get(name);
     }
 }
--- a/packages/fleetState/src/model.ts
+++ b/packages/fleetState/src/model.ts
@@ -81,7 +81,13 @@
     /** Nothing more is to be sent into the availability zone. */
     | { readonly type: "zoneOut"; readonly key: string; readonly availabilityZone: string; }
     | { readonly type: "server"; readonly key: string; readonly server: RegisteredServer; }
-    | { readonly type: "gateway"; readonly key: string; readonly name: string; }
+    | {
+        readonly type: "gateway";
+        readonly key: string;
+        readonly name: string;
+        /** With which the registration falls; `undefined` for one that stays. */
+        readonly leaseId: string | undefined;
+    }
     /** Nobody here needs it, or it can't be read; `reason` says why where it should have been readable. */
     | { readonly type: "ignored"; readonly key: string; readonly reason: string | undefined; };
 
--- /dev/null
+++ b/scripts/edgeBundle/start.ts
@@ -0,0 +1,39 @@
+/**
+ * Starts the bundled edge process from compiled code. Compiling its scripts takes about a third of a start, and after a
+ * power cut every caller waits for that; compiled code is made once, at build time, from a start that is then thrown
+ * away. Without it, or where it doesn't fit this node, the scripts are compiled as usual.
+ */
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import { createRequire, Module } from "node:module";
+import { dirname, join } from "node:path";
+import { Script } from "node:vm";
+
+type ModuleBody = (exports: object, require: NodeJS.Require, module: object, file: string, dir: string) => void;
+
+/** Set at build time alone: how long to run before the compiled code is written, in milliseconds. */
+const recordVariable = "GALENAGLADE_RECORD_MS";
+
+const dir = dirname(process.argv[1] ?? "");
+const bundlePath = join(dir, "galenaglade-edge.bundle.cjs");
+const cachePath = join(dir, "galenaglade-edge.cache");
+
+const script = new Script(Module.wrap(readFileSync(bundlePath, "utf8")), {
+    filename: bundlePath,
+    ...(existsSync(cachePath) ? { cachedData: readFileSync(cachePath) } : {}),
+});
+if (script.cachedDataRejected === true) {
+    console.error(
+        JSON.stringify({ level: "warn", message: "the compiled code was made with other flags or another node" }),
+    );
+}
+const body = script.runInThisContext() as ModuleBody;
+const module = { exports: {} };
+body(module.exports, createRequire(bundlePath), module, bundlePath, dir);
+
+const recordMs = process.env[recordVariable];
+if (recordMs !== undefined) {
+    setTimeout(() => {
+        writeFileSync(cachePath, script.createCachedData());
+        process.exit(0);
+    }, Number(recordMs));
+}
