--- a/packages/edge/src/__tests__/requestPath.test.ts
+++ b/packages/edge/src/__tests__/requestPath.test.ts
@@ -292,3 +292,15 @@
     const edge = await startPath(t, a);
     assert.equal((await call(edge, "/tables/x")).status, 200);
 });
+
+// A server turns four times slower while it is at work on a request. Waited for until half of the objective is over, a
+// second server would have too little time left.
+test("a request whose server turns slow is sent to a second one early", async t => {
+    const slowing = await startBackend(t, "slowing", () => slowing.load = "1,0,3,4");
+    const b = await startBackend(t, "b");
+    b.load = "1,0,3,1.2";
+    const edge = await startPath(t, slowing, b);
+    const startedAtMs = performance.now();
+    assert.equal((await call(edge, "/tables/x")).body, "from b");
+    assert.ok(performance.now() - startedAtMs < 0.5 * tables.objectiveMs, `${performance.now() - startedAtMs} ms`);
+});
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -13,6 +13,7 @@
     type ServerScore,
     ServerTrust,
     shortestPauseMs,
+    turnedSlowFactor,
     TypicalWork,
 } from "@galenaglade/placement";
 import { type RandomSource } from "@galenaglade/routing";
@@ -114,6 +115,16 @@
         return "abandoned";
     }
 
+    /** @returns whether work takes much longer than usual on a server right now; `false` where it doesn't say */
+    async hasTurnedSlow(server: RegisteredServer, rules: ServiceRules): Promise<boolean> {
+        const [asked] = await this.#ask(rules, [server], askTimeoutMs);
+        if (asked === undefined) {
+            return false;
+        }
+        this.#giveBack([asked], undefined);
+        return (asked.offer.load?.slowdown ?? 1) >= turnedSlowFactor;
+    }
+
     /** Gives back what a place holds, where nothing was sent there. */
     release(place: Place): void {
         this.#parts.connections.release(place.server.id, place.connection);
