--- /dev/null
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { explainRequest, summarizeFailures } from "../explain/explainRequest.js";
+import { readLog } from "../explain/logLine.js";
+
+function render(time: number, process: string, message: string, fields: object): string {
+    return JSON.stringify({ time: new Date(time).toISOString(), level: "info", process, message, ...fields });
+}
+
+const log = [
+    render(1_000, "host-2", "belief", { subject: "server", name: "i-1", change: "draining" }),
+    render(2_000, "host-1", "belief", { subject: "server", name: "i-1", change: "added" }),
+    render(2_500, "host-1", "belief", { subject: "server", name: "i-9", change: "added" }),
+    render(2_600, "host-1", "storeLost", { call: "watch", kind: "storeUnavailable" }),
+    `12.5 host-1 ${
+        render(3_000, "host-1", "retry", { requestId: "r1", from: "i-1", to: "i-2", after: "connectionLost" })
+    }`,
+    render(3_200, "host-1", "requestFailed", {
+        requestId: "r1",
+        kind: "connectionLost",
+        detail: "connectionLost, cutShort",
+    }),
+    render(3_300, "host-1", "requestFailed", { requestId: "r2", kind: "overloaded", detail: "allFull" }),
+    render(3_400, "host-2", "requestFailed", { requestId: "r3", kind: "overloaded", detail: "allFull" }),
+    "Warning: something that is no log line",
+].join("\n");
+
+test("a request's story has its own lines and what its host learnt of its servers and its store before", () => {
+    const { lines, unreadable } = readLog(log);
+    assert.equal(unreadable, 1);
+    const story = explainRequest("r1", lines).map(({ message, fields }) => [message, fields["name"]]);
+    assert.deepEqual(story, [
+        ["belief", "i-1"],
+        ["storeLost", undefined],
+        ["retry", undefined],
+        ["requestFailed", undefined],
+    ]);
+});
+
+test("a request that no line names has no story", () => {
+    assert.deepEqual(explainRequest("r7", readLog(log).lines), []);
+});
+
+test("failures are counted by cause, the most frequent first, each with an example", () => {
+    assert.deepEqual(summarizeFailures(readLog(log).lines), [
+        { kind: "overloaded", detail: "allFull", count: 2, example: "r2" },
+        { kind: "connectionLost", detail: "connectionLost, cutShort", count: 1, example: "r1" },
+    ]);
+});
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -27,7 +27,7 @@
 /** One command. */
 export abstract class Command {
     abstract readonly name: string;
-    /** Names of its operands. */
+    /** Names of its operands; a last one that ends with dots stands for one or more. */
     abstract readonly operands: readonly string[];
     abstract readonly summary: string;
     abstract readonly options: readonly CommandOption[];
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -43,7 +43,7 @@
         return Right({ ...nothing, command, help: true });
     }
     const faults: string[] = [];
-    if (positionals.length !== command.operands.length) {
+    if (!fits(positionals.length, command.operands)) {
         faults.push(`${command.name}: expected ${command.operands.join(" ") || "no operand"}`);
     }
     const expectedRevision = parseRevision(values["expected-revision"], faults);
@@ -67,6 +67,11 @@
     });
 }
 
+/** The last operand may stand for one or more, as its dots say. */
+function fits(given: number, operands: readonly string[]): boolean {
+    return operands.at(-1)?.endsWith("...") === true ? given >= operands.length : given === operands.length;
+}
+
 const nothing = {
     operands: [],
     json: false,
--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,63 @@
+import { readTextFile } from "@galenaglade/settings";
+import { Command, type CommandContext } from "../command.js";
+import { type ExitCode, exitCodes } from "../exitCodes.js";
+import { explainRequest, formatLine, summarizeFailures } from "../explain/explainRequest.js";
+import { type LogLine, readLog } from "../explain/logLine.js";
+import { printable } from "../terminal.js";
+
+/** In place of a request's id: all requests that failed, by cause. */
+const everything = "all";
+
+/** Tells from the logs of several hosts what became of a request. */
+export class ExplainCommand extends Command {
+    readonly name = "explain";
+    readonly operands = ["REQUEST-ID|all", "FILE..."];
+    readonly summary = "tell from hosts' logs what became of a request, or count all failures by cause";
+    readonly options = [];
+    readonly remote = false;
+
+    override run(context: CommandContext): Promise<ExitCode> {
+        const { operands: [requestId = "", ...files], terminal } = context;
+        const lines: LogLine[] = [];
+        for (const file of files) {
+            try {
+                const read = readLog(readTextFile(file));
+                lines.push(...read.lines);
+                if (read.unreadable > 0) {
+                    terminal.err(`${file}: ${read.unreadable} lines are no log lines and were passed over`);
+                }
+            }
+            catch (err) {
+                terminal.err(`${file}: ${err instanceof Error ? err.message : String(err)}`);
+                return Promise.resolve(exitCodes.badInput);
+            }
+        }
+        return Promise.resolve(
+            requestId === everything ? this.#summarize(context, lines) : this.#tell(context, requestId, lines),
+        );
+    }
+
+    #summarize({ json, terminal }: CommandContext, lines: readonly LogLine[]): ExitCode {
+        const causes = summarizeFailures(lines);
+        if (json) {
+            terminal.out(JSON.stringify(causes));
+            return exitCodes.ok;
+        }
+        for (const { kind, detail, count, example } of causes) {
+            terminal.out(`${count} ${kind}: ${printable(detail)} (such as ${printable(example)})`);
+        }
+        return exitCodes.ok;
+    }
+
+    #tell({ json, terminal }: CommandContext, requestId: string, lines: readonly LogLine[]): ExitCode {
+        const story = explainRequest(requestId, lines);
+        if (story.length === 0) {
+            terminal.err(`no line names the request ${printable(requestId)}`);
+            return exitCodes.badInput;
+        }
+        for (const line of story) {
+            terminal.out(json ? JSON.stringify(line) : printable(formatLine(line)));
+        }
+        return exitCodes.ok;
+    }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
 import { type CommandLine, type Environment, parseCommandLine } from "./commandLine.js";
 import { ApplyCommand } from "./commands/apply.js";
 import { CheckCommand } from "./commands/check.js";
+import { ExplainCommand } from "./commands/explain.js";
 import { GetCommand } from "./commands/get.js";
 import { HostCommand } from "./commands/host.js";
 import { StatusCommand } from "./commands/status.js";
@@ -24,6 +25,7 @@
     new StatusCommand(),
     new WatchCommand(),
     new HostCommand(),
+    new ExplainCommand(),
 ];
 
 /** What the command is run in. */
--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -124,6 +124,7 @@
         },
         store: { address: "127.0.0.1:1" },
         stopping: { graceSeconds: more.graceSeconds ?? 3 },
+        asking: { perServerAndSecond: 30 },
         repeats: { ratio: 0.2, slack: 100, windowSeconds: 0.01 },
     })).unsafeCoerce();
     const logs: Record<string, unknown>[] = [];
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -2,7 +2,6 @@
 import { type FleetView } from "@galenaglade/fleet-state";
 import { type Clock, type RequestBody } from "@galenaglade/http-parts";
 import {
-    checkAfterShares,
     hedgeAfterShare,
     isFailureOfServer,
     isServerFailure,
@@ -129,20 +128,16 @@
 
     /** Follows the sends under way until one of them, or none, has the caller's answer. */
     async #follow(): Promise<ExchangeEnd> {
-        const mayHedge = this.#request.route.idempotent && this.#body.repeatable;
-        // A server that turns slow under a request is found out by asking it; past the last time nobody is asked.
-        const times = mayHedge ? [...checkAfterShares, hedgeAfterShare].map(share => this.#timeAt(share)) : [];
+        const hedge = this.#request.route.idempotent && this.#body.repeatable ? this.#hedgeTime() : undefined;
+        let hedged = hedge === undefined;
         while (this.#unread.size > 0) {
-            const next = await this.#awaitNext(times[0]);
+            const next = await this.#awaitNext(hedged ? undefined : hedge);
             if (next === "aborted") {
                 return this.#resolveAborted();
             }
             if (next === "hedge") {
-                times.shift();
-                if (times.length === 0 || await this.#hasTurnedSlow()) {
-                    times.length = 0;
-                    await this.#tryHedge();
-                }
+                hedged = true;
+                await this.#tryHedge();
                 continue;
             }
             const end = await this.#onEnded(next);
@@ -344,18 +339,8 @@
         return next;
     }
 
-    /** @returns when a share of the objective is over */
-    #timeAt(share: number): number {
-        return this.#request.arrivedAtMs + this.#request.route.objectiveMs * share;
-    }
-
-    /** Whether the one server that is at work on the request has become slow since it was chosen. */
-    async #hasTurnedSlow(): Promise<boolean> {
-        const [only, other] = this.#underWay;
-        if (only === undefined || other !== undefined || !this.#mayTryAgain()) {
-            return false;
-        }
-        return await this.#parts.placer.hasTurnedSlow(only.place.server, this.#request.rules);
+    #hedgeTime(): number {
+        return this.#request.arrivedAtMs + this.#request.route.objectiveMs * hedgeAfterShare;
     }
 
     #mayTryAgain(): boolean {
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -13,8 +13,8 @@
     type ServerScore,
     ServerTrust,
     shortestPauseMs,
-    turnedSlowFactor,
     TypicalWork,
+    waitShare,
 } from "@galenaglade/placement";
 import { type RandomSource } from "@galenaglade/routing";
 import { askServer } from "../backends/askServer.js";
@@ -115,16 +115,6 @@
         return "abandoned";
     }
 
-    /** @returns whether work takes much longer than usual on a server right now; `false` where it doesn't say */
-    async hasTurnedSlow(server: RegisteredServer, rules: ServiceRules): Promise<boolean> {
-        const [asked] = await this.#ask(rules, [server], askTimeoutMs);
-        if (asked === undefined) {
-            return false;
-        }
-        this.#giveBack([asked], undefined);
-        return (asked.offer.load?.slowdown ?? 1) >= turnedSlowFactor;
-    }
-
     /** Gives back what a place holds, where nothing was sent there. */
     release(place: Place): void {
         this.#parts.connections.release(place.server.id, place.connection);
@@ -144,7 +134,8 @@
         usable: number,
         round: number,
     ): Promise<Place | NoPlace | "wait"> {
-        const purpose = round === 0 ? "arrival" : "waiting";
+        // Its last look is as good as a new request's: refused for want of a question, it would be lost to free servers.
+        const purpose = round === 0 || this.#isLastRound(input) ? "arrival" : "waiting";
         const timeoutMs = Math.min(longestAskTimeoutMs, askTimeoutMs * 2 ** round);
         const asked: Asked[] = [];
         let next = 0;
@@ -152,6 +143,9 @@
             const wanted = Math.min(askedFirst, ordered.length - next);
             const wave = ordered.slice(next, next + this.#takeAsks(input.rules.name, purpose, wanted, usable));
             next = wave.length < wanted ? ordered.length : next + wave.length;
+            if (wave.length === 0 && asked.length === 0) {
+                return "wait";
+            }
             asked.push(...await this.#ask(input.rules, wave, timeoutMs));
             if (input.signal.aborted) {
                 this.#giveBack(asked, undefined);
@@ -180,6 +174,11 @@
         }
     }
 
+    /** Whether the time for which a request is held for a better server is over. */
+    #isLastRound({ arrivedAtMs, objectiveMs }: PlaceInput): boolean {
+        return this.#parts.clock.monotonicMs() - arrivedAtMs >= objectiveMs * waitShare;
+    }
+
     #takeAsks(service: string, purpose: "arrival" | "waiting", wanted: number, servers: number): number {
         const { view, clock } = this.#parts;
         const nowMs = clock.monotonicMs();
--- a/packages/placement/src/askBudget.ts
+++ b/packages/placement/src/askBudget.ts
@@ -1,4 +1,4 @@
-import { askBudgetShare, askSavingsMs } from "./constants.js";
+import { askBudgetShare, askSavingsMs, leastAsked } from "./constants.js";
 
 /**
  * Limits how often backend servers are asked for their load. Each request asks a few, and one that waits asks again and
@@ -34,7 +34,7 @@
         const most = perMs * askSavingsMs;
         const saved = this.#saved.get(service) ?? { asks: most, atMs: nowMs };
         const asks = Math.min(most, saved.asks + (nowMs - saved.atMs) * perMs);
-        const usable = purpose === "arrival" ? Math.max(1, asks) : asks - most / 2;
+        const usable = purpose === "arrival" ? Math.max(leastAsked, asks) : asks - most / 2;
         const taken = Math.max(0, Math.min(wanted, Math.floor(usable)));
         this.#saved.set(service, { asks: asks - taken, atMs: nowMs });
         return taken;
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -3,6 +3,9 @@
 /** Backend servers asked for their load before a request is sent: enough that one of them is neither slow nor full. */
 export const askedFirst = 4;
 
+/** Backend servers that a request may always ask when it arrives and before it is refused: a choice of two. */
+export const leastAsked = 2;
+
 /** Share of the fleet's allowance of questions that is dealt out; the rest is for rosters that differ. */
 export const askBudgetShare = 0.8;
 
@@ -59,12 +62,6 @@
 /** Share of the objective after which an idempotent request that has no answer is sent to a second server. */
 export const hedgeAfterShare = 0.55;
 
-/** Shares of the objective at which its server is asked before that; a second server is tried where it turned slow. */
-export const checkAfterShares = [0.2, 0.38] as const;
-
-/** A server on which work takes this many times its usual time has turned slow. */
-export const turnedSlowFactor = 2;
-
 /** Sends of one request, those that a server turned away included. */
 export const maximumSends = 6;
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -6,13 +6,12 @@
 export { type RefusalCause, resolveComeBack } from "./comeBack.js";
 export {
     askedFirst,
-    checkAfterShares,
     hedgeAfterShare,
     leastTimeShare,
     longestPauseMs,
     maximumSends,
     shortestPauseMs,
-    turnedSlowFactor,
+    waitShare,
 } from "./constants.js";
 export { drawDestination } from "./destination.js";
 export { type LoadReport, type ServerOffer } from "./loadReport.js";
