--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -23,9 +23,10 @@
 import { heldAnswerBytes } from "../constants.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type LogFields } from "@galenaglade/telemetry";
 import { type EdgeVocabulary } from "../vocabulary.js";
 import { type EdgeRequest } from "./edgeRequest.js";
-import { type NoPlace, type Place, type Placer } from "./placer.js";
+import { type NoPlace, type Place, type Placer, type SearchTrace } from "./placer.js";
 
 /** Why an exchange's signal is aborted: the caller has closed its connection. */
 export const callerGone = "callerGone";
@@ -82,7 +83,9 @@
     readonly #triedServers = new Set<string>();
     #fallback: HeldAnswer | undefined;
     #streaming = false;
+    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
     #placedAfterMs: number | undefined;
+    #firstReason: string | undefined;
 
     /**
      * @param parts - what it works with
@@ -106,8 +109,10 @@
     }
 
     /** What happened on the way, for the log. */
-    describe(): { readonly sends: string; readonly servers: string; readonly placedAfterMs: number | undefined; } {
+    describe(): LogFields {
         return {
+            ...this.#trace,
+            placed: this.#firstReason,
             sends: this.#ends.map(end => end.type === "answered" ? String(end.status) : describeEnd(end)).join(","),
             servers: [...this.#triedServers].join(","),
             placedAfterMs: this.#placedAfterMs,
@@ -224,8 +229,10 @@
             excluded: this.#triedServers,
             signal: this.#signal,
             onlyGood: purpose === "hedge",
+            trace: this.#trace,
         });
         if (purpose === "first") {
+            this.#firstReason = typeof found === "string" ? found : found.reason;
             this.#placedAfterMs = Math.round(clock.monotonicMs() - arrivedAtMs);
             metrics.onPlaced(rules.name, this.#placedAfterMs);
         }
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -51,21 +51,31 @@
     readonly signal: AbortSignal;
     /** Whether to look once, and take none but a good server. */
     readonly onlyGood: boolean;
+    /** Counted up while the search goes on. */
+    readonly trace: SearchTrace;
 }
 
 /** Why no server was found. */
 export type NoPlace = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood" | "abandoned";
 
+/** What a search for a server looked at, for the log. */
+export interface SearchTrace {
+    /** Servers that may be given work, at the last look. */
+    usable: number;
+    /** Questions for load. */
+    asked: number;
+    /** Answers to them. */
+    offers: number;
+}
+
 /** Where a request goes. */
 export interface Place {
     readonly server: RegisteredServer;
     /** The connection on which the server has just answered. */
     readonly connection: ServerConnection;
     readonly score: ServerScore;
-    /** Why this server, and what was known of it. */
+    /** Why this server. */
     readonly reason: string;
-    readonly asked: number;
-    readonly askedAtMs: number;
 }
 
 interface Asked {
@@ -96,6 +106,7 @@
         for (let round = 0; !input.signal.aborted; round++) {
             const nowMs = clock.monotonicMs();
             const usable = view.usableServers(input.rules.name, nowMs);
+            input.trace.usable = usable.length;
             // A service with one server left has no other to try.
             const others = usable.filter(server => !input.excluded.has(server.id));
             const candidates = others.length > 0 ? others : usable;
@@ -146,7 +157,10 @@
             if (wave.length === 0 && asked.length === 0) {
                 return "wait";
             }
-            asked.push(...await this.#ask(input.rules, wave, timeoutMs));
+            const answered = await this.#ask(input.rules, wave, timeoutMs);
+            input.trace.asked += wave.length;
+            input.trace.offers += answered.length;
+            asked.push(...answered);
             if (input.signal.aborted) {
                 this.#giveBack(asked, undefined);
                 return "abandoned";
@@ -159,7 +173,7 @@
                     if (input.onlyGood && decision.reason !== "good") {
                         break;
                     }
-                    const place = this.#take(asked, decision.score, decision.reason, next, input.rules);
+                    const place = this.#take(asked, decision.score, decision.reason, input.rules);
                     this.#giveBack(asked, place);
                     return place;
                 }
@@ -235,7 +249,6 @@
         asked: readonly Asked[],
         score: ServerScore,
         reason: string,
-        askedCount: number,
         rules: ServiceRules,
     ): Place {
         const nowMs = this.#parts.clock.monotonicMs();
@@ -243,12 +256,12 @@
         if (chosen === undefined) {
             throw new Error("the chosen server was not asked");
         }
-        const { server, connection, askedAtMs } = chosen;
+        const { server, connection } = chosen;
         this.#recent.onSend(server.id, nowMs);
         if (score.offer.coldRemainingMs > 0) {
             this.#cold.onSend(this.#coldInput(server.id, rules, nowMs));
         }
-        return { server, connection, score, reason, asked: askedCount, askedAtMs };
+        return { server, connection, score, reason };
     }
 
     async #ask(
--- a/scripts/options/render.ts
+++ b/scripts/options/render.ts
@@ -1,4 +1,5 @@
 import { configurationSchema, formatOptions } from "@galenaglade/configuration";
+import { edgeSettingsSchema } from "@galenaglade/edge";
 import { adminSettingsSchema, gatewaySettingsSchema } from "@galenaglade/settings";
 import { type z } from "zod";
 
@@ -11,6 +12,7 @@
 /** Every page with options. */
 export const optionPages: readonly OptionPage[] = [
     { path: "docs/config/gateway.md", schema: gatewaySettingsSchema },
+    { path: "docs/config/edge.md", schema: edgeSettingsSchema },
     { path: "docs/config/admin.md", schema: adminSettingsSchema },
     { path: "docs/config/configuration.md", schema: configurationSchema },
 ];
