--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -1,9 +1,9 @@
-import { goodFactor, leastTimeShare, waitShare } from "./constants.js";
+import { goodFactor, leastTimeShare, tooSlowFactor, waitShare } from "./constants.js";
 import { type ServerScore } from "./serverScore.js";
 
 /** What to do with a request now that servers have answered for themselves. */
 export type PlacementDecision =
-    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best" | "queued"; }
+    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best"; }
     /** Ask the servers that were not asked yet. */
     | { readonly type: "widen"; }
     /** Ask again after a pause. */
@@ -27,8 +27,9 @@
  * Decides for one request. Load moves within milliseconds: at any moment a fourth of the servers may be four times
  * slower, for some 300 ms. So a good server is taken at once; where only slow or full ones answered, the rest is asked,
  * and then a short wait at the gateway, which can still choose, is better than a place in the queue of a slow server,
- * which can't be left any more. The wait ends while the answer can still be of full use, and what then can't be
- * answered before the caller gives up is refused, so that the caller may try elsewhere in time.
+ * which can't be left any more. The wait ends while the answer can still be of full use. What then finds no free slot is
+ * refused with a time to come back: in a server's queue it would be late itself, and keep the slots from requests that
+ * could still be in time, until nearly every answer is late.
  *
  * @param input - what decides
  */
@@ -53,13 +54,15 @@
     if (best === undefined) {
         return { type: "refuse", reason: "noOffer" };
     }
-    if (best.free) {
-        return { type: "send", score: best, reason: "best" };
-    }
-    return best.expectedMs <= remainingMs ? { type: "send", score: best, reason: "queued" } : {
-        type: "refuse",
-        reason: "allFull",
-    };
+    const bearable = findBest(scores.filter(isBearable));
+    return bearable === undefined
+        ? { type: "refuse", reason: "allFull" }
+        : { type: "send", score: bearable, reason: "best" };
+}
+
+/** An idle server is never passed over, however slow: the request takes nothing from others there. */
+function isBearable({ free, idle, factor }: ServerScore): boolean {
+    return free && (idle || factor < tooSlowFactor);
 }
 
 function findBest(scores: readonly ServerScore[]): ServerScore | undefined {
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -21,6 +21,12 @@
 /** A server on which work takes at most this many times its usual time is taken without asking further ones. */
 export const goodFactor = 1.3;
 
+/**
+ * A server on which work takes this many times its usual time gets a request past its wait only while it is idle. Work
+ * on it is late and holds a slot for long; refused, most callers come back to a server that answers in time.
+ */
+export const tooSlowFactor = 3;
+
 /** Share of a request's objective for which it is held for a better server before it takes what there is. */
 export const waitShare = 0.3;
 
--- a/packages/placement/src/serverScore.ts
+++ b/packages/placement/src/serverScore.ts
@@ -6,6 +6,8 @@
     readonly offer: ServerOffer;
     /** Whether a slot is free for the request at once. */
     readonly free: boolean;
+    /** Whether nothing else is there. */
+    readonly idle: boolean;
     /** How many times its usual time the work takes, without the time in the queue. */
     readonly factor: number;
     /** From now until the answer. */
@@ -40,5 +42,5 @@
     const queueMs = free ? 0 : workMs * (ahead - slots + 1) / slots;
     const expectedMs = (workMs + queueMs) * (context.suspect ? suspectFactor : 1)
         + (context.sameZone ? 0 : otherZoneMs);
-    return { offer, free, factor, expectedMs, suspect: context.suspect };
+    return { offer, free, idle: ahead === 0, factor, expectedMs, suspect: context.suspect };
 }
