--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,6 +19,10 @@
     "placement",
 ];
 
+/** Keys, headers and fields of the users' platform that mean nothing elsewhere. */
+const platformNames =
+    "/kv-(range|watch|txn|lease|keep|key)|expected-instance|response-signature|not-executed|cold-start-ms|routeAction|matchCriteria|coldRemainingS/i";
+
 const inputOutputModules = [
     "node:*",
     "undici",
@@ -85,6 +89,18 @@
             "no-restricted-properties": ["error", { object: "Math", property: "random" }],
         },
     },
+    {
+        // What runs on the users' platform knows its names in platform/ alone.
+        files: ["packages/**/*.ts", "scripts/**/*.ts", "playground/**/*.ts"],
+        ignores: ["**/__tests__/**"],
+        rules: {
+            "no-restricted-syntax": ["error", {
+                selector:
+                    `:matches(Literal[value=${platformNames}], TemplateElement[value.raw=${platformNames}], Property > Identifier.key[name=${platformNames}])`,
+                message: "the platform's names stand in platform/ alone",
+            }],
+        },
+    },
     {
         files: ["**/__tests__/**/*.ts"],
         rules: {
--- a/packages/edge/src/vocabulary.ts
+++ b/packages/edge/src/vocabulary.ts
@@ -33,9 +33,10 @@
 export abstract class EdgeVocabulary {
     /** Path on which the balancer asks for readiness. */
     abstract readonly readinessPath: string;
-    /** Header that says when to come back; in seconds with fractions. */
+    /** @returns what the headers of a caller's request say */
     abstract readRequest(headers: RawHeaders): RequestSigns;
     /** @returns names and values in turn, for a backend server */
     abstract resolveForwardHeaders(headers: RawHeaders, signs: ForwardSigns): string[];
+    /** @returns what a backend server's answer says, to a request or to a question for its load */
     abstract readAnswer(status: number, headers: RawHeaders): AnswerSigns;
 }
