--- /dev/null
+++ b/packages/history/src/__tests__/fleetCheckers.test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkColdRate, checkDrained, checkRepeatBudget, type HistoryEvent, type HistoryLine } from "../index.js";
+
+/** @returns a history of events at given times */
+function record(...events: readonly (readonly [atMs: number, event: HistoryEvent])[]): readonly HistoryLine[] {
+    return events.map(([atMs, event], i) => ({ ...event, atMs, sequence: i + 1, process: "p" }));
+}
+
+function started(requestId: string, cold = false): HistoryEvent {
+    return {
+        type: "serverStarted",
+        requestId,
+        server: "s1",
+        availabilityZone: "north",
+        incarnation: "s1",
+        cold,
+        inFlight: 1,
+        bears: 3,
+    };
+}
+
+function sent(requestId: string): HistoryEvent {
+    return { type: "callerSent", requestId, service: "tables", idempotent: true, patienceMs: 1_000 };
+}
+
+function turnedAway(requestId: string, cold = false): HistoryEvent {
+    return { type: "serverTurnedAway", requestId, server: "s1", availabilityZone: "north", cold };
+}
+
+test("a cold server may be given its rate, and not one request more in any second", () => {
+    const allowed = record([0, started("a", true)], [900, turnedAway("b", true)], [1_000, started("c", true)]);
+    assert.deepEqual(checkColdRate(allowed, 2), []);
+    const oneMore = record([0, started("a", true)], [900, turnedAway("b", true)], [999, started("c", true)]);
+    assert.equal(checkColdRate(oneMore, 2).length, 1);
+    assert.deepEqual(checkColdRate(record([0, started("a")], [1, started("b")], [2, started("c")]), 2), []);
+});
+
+test("a draining server may be given what was on its way, and nothing later", () => {
+    const drained: HistoryEvent = { type: "drainAccepted", server: "s1" };
+    assert.deepEqual(checkDrained(record([0, started("a")], [10, drained], [2_010, started("b")]), 2_000), []);
+    assert.equal(checkDrained(record([10, drained], [2_011, started("b")]), 2_000).length, 1);
+    assert.equal(checkDrained(record([10, drained], [2_011, turnedAway("b")]), 2_000).length, 1);
+});
+
+test("repeats stay within a share of the requests and the fixed part, those that were turned away included", () => {
+    const bounds = { ratio: 0.5, slack: 1, windowMs: 1_000 };
+    const events: (readonly [number, HistoryEvent])[] = [
+        [0, sent("a")],
+        [1, sent("b")],
+        [10, turnedAway("a")],
+        [20, turnedAway("a")],
+        [30, started("a")],
+    ];
+    assert.deepEqual(checkRepeatBudget(record(...events), bounds), []);
+    assert.equal(checkRepeatBudget(record(...events, [40, started("a")]), bounds).length, 1);
+    // A window later the earlier repeats count no more.
+    assert.deepEqual(checkRepeatBudget(record(...events, [1_100, started("a")]), bounds), []);
+});
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -45,6 +45,14 @@
         readonly server: string;
         readonly incarnation: string;
     }
+    /** A server rejected a request that reached it. */
+    | {
+        readonly type: "serverTurnedAway";
+        readonly requestId: string;
+        readonly server: string;
+        readonly availabilityZone: string;
+        readonly cold: boolean;
+    }
     | { readonly type: "serverProbed"; readonly server: string; readonly gateway: string; }
     | { readonly type: "serverLeaving"; readonly server: string; }
     | { readonly type: "serverTurnedCold"; readonly server: string; }
@@ -57,6 +65,8 @@
     | { readonly type: "majorityRound"; readonly gateway: string; readonly startedAtMs: number; }
     | { readonly type: "configurationWritten"; readonly revision: number; readonly changeId: string; }
     | { readonly type: "configurationAccepted"; readonly revision: number; readonly changeId: string; }
+    /** The store took the word that a server is leaving, or gone. */
+    | { readonly type: "drainAccepted"; readonly server: string; }
     | { readonly type: "zoneOutAccepted"; readonly availabilityZone: string; }
     | { readonly type: "zoneInRequested"; readonly availabilityZone: string; }
     | { readonly type: "configurationApplied"; readonly gateway: string; readonly revision: number; }
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,14 +1,17 @@
 /** Recorded histories of concurrent runs, and the pure checkers that read them. */
 export { checkAtMostOnce } from "./atMostOnceChecker.js";
+export { checkColdRate } from "./coldRateChecker.js";
 export { checkColdStart, type ColdStartBounds } from "./coldStartChecker.js";
 export {
     checkConfigurationInForce,
     checkConfigurationNeverReverts,
     checkConfigurationOrder,
 } from "./configurationChecker.js";
+export { checkDrained } from "./drainChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
+export { checkRepeatBudget, type RepeatBounds } from "./repeatBudgetChecker.js";
 export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
--- /dev/null
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -0,0 +1,114 @@
+import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkSoak, type SoakRecord } from "../checks.js";
+import { type CallerEnd } from "../soakCaller.js";
+import { Spans } from "../spans.js";
+
+const serviceOf = new Map([["s1", "tables"], ["s2", "returns"]]);
+
+function record(
+    ...events: readonly (readonly [atMs: number, process: string, event: HistoryEvent])[]
+): readonly HistoryLine[] {
+    return events.map(([atMs, process, event], i) => ({ ...event, atMs, sequence: i + 1, process }));
+}
+
+function started(requestId: string, server: string): HistoryEvent {
+    const more = { availabilityZone: "north", incarnation: server, cold: false, inFlight: 1, bears: 3 };
+    return { type: "serverStarted", requestId, server, ...more };
+}
+
+function sent(requestId: string): HistoryEvent {
+    return { type: "callerSent", requestId, service: "moving", idempotent: true, patienceMs: 3_000 };
+}
+
+function answered(requestId: string): HistoryEvent {
+    return { type: "callerAnswered", requestId, status: 200, didRun: undefined, whole: true, bodyRequestId: requestId };
+}
+
+function version(type: "configurationWritten" | "configurationAccepted", revision: number): HistoryEvent {
+    return { type, revision, changeId: "" };
+}
+
+const served: CallerEnd = {
+    requestId: "last",
+    route: "read",
+    status: 200,
+    sentAtMs: 17_500,
+    endedAtMs: 17_600,
+    connected: true,
+    hungUp: false,
+    gaveUp: false,
+    retryAfter: undefined,
+};
+
+function check(
+    history: readonly HistoryLine[],
+    more: { readonly harmed?: Spans; readonly ends?: readonly CallerEnd[]; readonly edgeHarmed?: Spans; } = {},
+): readonly string[] {
+    const ends = [served, ...more.ends ?? []].map(end => ({ end, killed: false }));
+    return checkSoak(
+        {
+            history,
+            harmed: more.harmed ?? new Spans(),
+            edges: [{ ends, harmed: more.edgeHarmed ?? new Spans() }],
+            serviceOf,
+            findings: [],
+            endedAtMs: 20_000,
+        } satisfies SoakRecord,
+    );
+}
+
+// Version 2 sends the moving route to tables, version 3 to returns.
+const changed = record(
+    [0, "op", version("configurationWritten", 2)],
+    [1, "op", version("configurationAccepted", 2)],
+    [5_000, "op", version("configurationWritten", 3)],
+    [5_010, "op", version("configurationAccepted", 3)],
+    [7_000, "edge-1/1", sent("soon")],
+    [7_010, "s1", started("soon", "s1")],
+    [8_000, "edge-1/1", sent("late")],
+    [8_010, "s1", started("late", "s1")],
+);
+
+test("a version that is not in force in time is found, unless something was harmed", () => {
+    assert.deepEqual(check(changed), ["configurationInForce: late went to tables, as no version from 3 on says"]);
+    const harmed = new Spans();
+    harmed.begin(5_500)(6_000);
+    assert.deepEqual(check(changed, { harmed }), []);
+});
+
+test("a gateway that goes back to an older version is found, in one life only", () => {
+    const back = (life: string): readonly HistoryLine[] =>
+        record(
+            [0, "op", version("configurationWritten", 2)],
+            [1, "op", version("configurationAccepted", 2)],
+            [100, "op", version("configurationWritten", 3)],
+            [110, "op", version("configurationAccepted", 3)],
+            [200, "edge-1/1", sent("new")],
+            [210, "s2", started("new", "s2")],
+            [220, "edge-1/1", answered("new")],
+            [500, life, sent("old")],
+            [510, "s1", started("old", "s1")],
+        );
+    assert.equal(check(back("edge-1/1")).length, 1);
+    assert.deepEqual(check(back("edge-1/2")), []);
+});
+
+test("a request that is held, lost, denied or refused without a time to come back is found", () => {
+    const end = { ...served, requestId: "r", status: undefined, sentAtMs: 1_000, endedAtMs: 5_000 };
+    const held = { ...end, gaveUp: true };
+    assert.equal(check([], { ends: [held] }).length, 1);
+    const paused = new Spans();
+    paused.begin(2_000)(3_000);
+    assert.deepEqual(check([], { ends: [held], edgeHarmed: paused }), []);
+    assert.equal(check(record([1_010, "s1", started("r", "s1")]), { ends: [end] }).length, 1);
+    assert.deepEqual(check([], { ends: [end] }), []);
+    assert.equal(check([], { ends: [{ ...end, status: 404 }] }).length, 1);
+    assert.equal(check([], { ends: [{ ...end, status: 503 }] }).length, 1);
+    assert.deepEqual(check([], { ends: [{ ...end, status: 503, retryAfter: "0.2" }] }), []);
+});
+
+test("a fleet that doesn't recover is found", () => {
+    assert.equal(check([], { ends: [{ ...served, status: 503, retryAfter: "1" }] }).length, 1);
+});
--- /dev/null
+++ b/packages/soak/src/__tests__/faultProxy.test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { FaultProxy } from "../faultProxy.js";
+
+interface World {
+    readonly proxy: FaultProxy;
+    /** All that the echo has written. */
+    readonly echoed: () => string;
+    /** @returns a connection through the proxy, with what came back on it so far */
+    readonly open: () => Promise<{ readonly socket: Socket; readonly received: () => string; }>;
+}
+
+/** An echo behind the proxy. */
+async function startWorld(t: TestContext): Promise<World> {
+    let echoed = "";
+    const echo = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            socket.write(chunk, () => {
+                echoed += chunk.toString();
+            });
+        });
+    });
+    await new Promise<void>(resolve => echo.listen(0, "127.0.0.1", resolve));
+    const proxy = await FaultProxy.start((echo.address() as AddressInfo).port);
+    t.after(() => {
+        proxy.close();
+        echo.close();
+    });
+    return {
+        proxy,
+        echoed: () => echoed,
+        open: async () => {
+            const socket = connect(proxy.port, "127.0.0.1");
+            t.after(() => socket.destroy());
+            let text = "";
+            socket.on("data", chunk => {
+                text += chunk.toString();
+            });
+            socket.on("error", () => undefined);
+            await new Promise(resolve => socket.once("connect", resolve));
+            return { socket, received: () => text };
+        },
+    };
+}
+
+async function eventually(holds: () => boolean): Promise<void> {
+    for (let i = 0; i < 500 && !holds(); i++) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    assert.ok(holds());
+}
+
+test("without a fault all passes, both ways", async t => {
+    const { open } = await startWorld(t);
+    const { socket, received } = await open();
+    socket.write("hello");
+    await eventually(() => received() === "hello");
+});
+
+// What comes after a delay has ended must not overtake what was put off: a stream in another order is a garbled one.
+test("delayed bytes keep their order past the end of the delay", async t => {
+    const { proxy, open } = await startWorld(t);
+    const { socket, received } = await open();
+    proxy.begin("delay");
+    socket.write("one ");
+    await new Promise(resolve => setTimeout(resolve, 40));
+    proxy.end("delay");
+    socket.write("two");
+    await eventually(() => received() === "one two");
+});
+
+test("a silenced connection stays silent, and a new one works", async t => {
+    const { proxy, open } = await startWorld(t);
+    const old = await open();
+    old.socket.write("a");
+    await eventually(() => old.received() === "a");
+    proxy.begin("silence");
+    proxy.end("silence");
+    old.socket.write("b");
+    const fresh = await open();
+    fresh.socket.write("c");
+    await eventually(() => fresh.received() === "c");
+    assert.equal(old.received(), "a");
+    assert.ok(!old.socket.destroyed);
+});
+
+test("a connection is cut one way", async t => {
+    const { proxy, open, echoed } = await startWorld(t);
+    const { socket, received } = await open();
+    const other = await open();
+    proxy.begin("cutBack");
+    socket.write("a");
+    await eventually(() => echoed() === "a");
+    // What the echo has written is at the proxy some milliseconds later.
+    await new Promise(resolve => setTimeout(resolve, 100));
+    proxy.end("cutBack");
+    other.socket.write("b");
+    await eventually(() => other.received() === "b");
+    assert.equal(received(), "");
+});
+
+test("open connections are reset, and new ones at once", async t => {
+    const { proxy, open } = await startWorld(t);
+    const { socket } = await open();
+    const late = await open();
+    proxy.begin("reset");
+    await eventually(() => socket.destroyed && late.socket.destroyed);
+    proxy.end("reset");
+    const fresh = await open();
+    fresh.socket.write("c");
+    await eventually(() => fresh.received() === "c");
+});
--- /dev/null
+++ b/packages/soak/src/__tests__/plan.test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { faultyMs } from "../constants.js";
+import { planFaults } from "../plan.js";
+
+test("a seed draws the same troubles each time, another one others", () => {
+    assert.deepEqual(planFaults(7), planFaults(7));
+    assert.notDeepEqual(planFaults(7), planFaults(8));
+});
+
+test("every trouble is over when the calm time begins, whatever the seed", () => {
+    for (let seed = 0; seed < 500; seed++) {
+        for (const { atMs, forMs } of planFaults(seed)) {
+            assert.ok(atMs >= 0 && atMs <= faultyMs);
+            assert.ok(atMs + forMs <= faultyMs, `seed ${seed}: ${atMs} + ${forMs}`);
+        }
+    }
+});
+
+test("all kinds of trouble come, in series and overlapping", () => {
+    const kinds = new Set<string>();
+    let overlapping = 0;
+    for (let seed = 0; seed < 200; seed++) {
+        const faults = planFaults(seed);
+        for (const [i, { kind, atMs }] of faults.entries()) {
+            kinds.add(kind);
+            const before = faults[i - 1];
+            overlapping += before !== undefined && before.kind === kind && before.atMs + before.forMs > atMs ? 1 : 0;
+        }
+    }
+    assert.equal(kinds.size, 25);
+    assert.ok(overlapping > 50, `only ${overlapping} overlap`);
+});
--- /dev/null
+++ b/packages/soak/src/command.ts
@@ -0,0 +1,87 @@
+import { rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { runSoak, type SoakResult } from "./runSoak.js";
+import { type SoakSystem } from "./soakSystem.js";
+
+const badArgumentsExitCode = 2;
+
+const usage = `soak [--seed N] [--runs N] [--parallel N] [--out DIR]
+  --seed      the first seed; each further run takes the next one. Default: drawn
+  --runs      how many runs. Default: 1
+  --parallel  how many at a time; each has 12 processes. Default: 1
+  --out       where runs that found something keep their histories and logs
+Exit codes: 0 nothing found, 1 something found, 2 arguments that can't be taken.
+`;
+
+/**
+ * The command of the soak.
+ *
+ * @param system - what is soaked
+ * @param args - as written on the command line
+ * @returns its exit code
+ */
+export async function runSoakCommand(system: SoakSystem, args: readonly string[]): Promise<number> {
+    const options = readOptions(args);
+    if (options === undefined) {
+        process.stderr.write(usage);
+        return badArgumentsExitCode;
+    }
+    const { seed, runs, parallel, dir } = options;
+    const seeds = Array.from({ length: runs }, (_, i) => seed + i);
+    let failed = 0;
+    await Promise.all(Array.from({ length: parallel }, async () => {
+        for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
+            const result = await runSoak({ system, seed: next, dir });
+            failed += result.findings.length > 0 ? 1 : 0;
+            report(result);
+        }
+    }));
+    process.stdout.write(`${runs - failed} passed, ${failed} failed\n`);
+    return failed > 0 ? 1 : 0;
+}
+
+function report({ seed, faults, findings, requests, served, dir }: SoakResult): void {
+    const kinds = faults.map(({ kind, link }) => kind.endsWith("Link") ? `${kind}.${link}` : kind).join(" ");
+    process.stdout.write(
+        `seed ${seed}: ${findings.length === 0 ? "held" : "FOUND"}, ${served} of ${requests} served; ${kinds}\n`,
+    );
+    if (findings.length === 0) {
+        rmSync(dir, { recursive: true, force: true });
+        return;
+    }
+    for (const finding of findings) {
+        process.stdout.write(`  ${finding}\n`);
+    }
+    process.stdout.write(`  kept in ${dir}\n`);
+}
+
+interface CommandOptions {
+    readonly seed: number;
+    readonly runs: number;
+    readonly parallel: number;
+    readonly dir: string;
+}
+
+function readOptions(args: readonly string[]): CommandOptions | undefined {
+    const drawn = String(Math.floor(Math.random() * 2 ** 31));
+    try {
+        const { values } = parseArgs({
+            args: [...args],
+            options: {
+                seed: { type: "string", default: drawn },
+                runs: { type: "string", default: "1" },
+                parallel: { type: "string", default: "1" },
+                out: { type: "string", default: join(tmpdir(), "galenaglade-soak") },
+            },
+        });
+        const [seed, runs, parallel] = [Number(values.seed), Number(values.runs), Number(values.parallel)];
+        const valid = [seed, runs, parallel].every(Number.isInteger) && seed >= 0 && runs > 0 && parallel > 0;
+        return valid ? { seed, runs, parallel, dir: values.out } : undefined;
+    }
+    catch (err) {
+        process.stderr.write(`${String(err)}\n`);
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/soak/src/constants.ts
@@ -0,0 +1,74 @@
+/** Sizes and times of a soak run. Times are milliseconds. */
+
+/** Entry hosts: enough that shares and owners are dealt out, few enough for several runs side by side. */
+export const edgeCount = 3;
+
+/** Backend servers of each service, dealt over the availability zones in turn. */
+export const serversPerService = 4;
+
+export const availabilityZones = ["north", "middle", "south"] as const;
+
+export const services = ["tables", "returns"] as const;
+
+/** Time until callers are let in, for the gateways to read the store and register. */
+export const settleMs = 2_500;
+
+/** Time in which faults begin. */
+export const faultyMs = 11_000;
+
+/** Calm time at the end: the last fault's end, the time to recover, and the span that is looked at. */
+export const calmMs = 9_000;
+
+/** The last part of the calm time, in which nearly everything must be served. */
+export const recoveredMs = 3_000;
+
+/** Least share served in that part. */
+export const recoveredShare = 0.95;
+
+/** Requests a second from all callers in calm times: a tenth of what the servers bear. */
+export const requestsPerSecond = 50;
+
+/** Longest time for which a caller waits. */
+export const patienceMs = 3_000;
+
+/** Longest time for which the operator lets a request wait. */
+export const routeTimeoutMs = 2_000;
+
+export const objectiveMs = 600;
+
+/** Time beyond its route's timeout after which a request counts as held: one of half a second, on a machine that is shared. */
+export const heldSlackMs = 1_500;
+
+/** A planned stop must be over after this time. */
+export const graceMs = 6_000;
+
+/** Calm time after which every gateway must know what the store says; half a second above what the users give. */
+export const settledMs = 3_500;
+
+/** Time after the store's word in which a configuration must be in force and a draining server left alone. */
+export const applyMs = 2_500;
+
+/** Time after the store's word in which an availability zone that was taken out must be left alone. */
+export const zoneOutMs = 5_500;
+
+/** Requests a second that a cold server bears, and how long it is cold. */
+export const coldRequestsPerSecond = 4.2;
+export const coldMs = 3_000;
+
+/** What a cold server may be given in one second, with the users' tolerance: 1.5 times the rate and 5 more. */
+export const coldPerSecondLimit = coldRequestsPerSecond * 1.5 + 5;
+
+/** Repeats that the whole fleet may send: a share of the requests and a fixed part in a window. */
+export const repeatRatio = 0.2;
+export const repeatSlack = 30;
+export const repeatWindowMs = 10_000;
+
+/** Usual work of one request on a backend server. */
+export const workMs = 40;
+
+/** Requests that a backend server runs at the same time, and that wait for it. */
+export const serverSlots = 3;
+export const serverQueue = 6;
+
+/** Leases of the store don't get shorter than this. */
+export const shortestLeaseSeconds = 1;
--- /dev/null
+++ b/packages/soak/src/plan.ts
@@ -0,0 +1,95 @@
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { faultyMs } from "./constants.js";
+import { type Fault, type FaultKind, type LinkFault } from "./faults.js";
+
+/** How often each kind is drawn, and how long it lasts, in milliseconds. */
+interface KindOfFault {
+    readonly weight: number;
+    readonly shortestMs: number;
+    readonly longestMs: number;
+}
+
+const kinds: Readonly<Record<FaultKind, KindOfFault>> = Object.freeze({
+    edgeTerm: { weight: 3, shortestMs: 300, longestMs: 1_500 },
+    edgeKill: { weight: 2, shortestMs: 200, longestMs: 2_000 },
+    edgePause: { weight: 2, shortestMs: 200, longestMs: 4_000 },
+    edgeHup: { weight: 1, shortestMs: 0, longestMs: 0 },
+    allEdgesKill: { weight: 0.5, shortestMs: 300, longestMs: 1_500 },
+    storeLink: { weight: 3, shortestMs: 500, longestMs: 5_000 },
+    storeRefuse: { weight: 1.5, shortestMs: 500, longestMs: 5_000 },
+    storeHang: { weight: 1.5, shortestMs: 500, longestMs: 5_000 },
+    storeSlow: { weight: 1, shortestMs: 500, longestMs: 4_000 },
+    storeLoseAnswers: { weight: 1, shortestMs: 500, longestMs: 4_000 },
+    storeCompact: { weight: 1, shortestMs: 0, longestMs: 0 },
+    storePause: { weight: 0.5, shortestMs: 500, longestMs: 3_000 },
+    serverLink: { weight: 3, shortestMs: 500, longestMs: 4_000 },
+    serverKill: { weight: 2, shortestMs: 500, longestMs: 3_000 },
+    serverPause: { weight: 1, shortestMs: 300, longestMs: 3_000 },
+    serverSlow: { weight: 2, shortestMs: 500, longestMs: 5_000 },
+    serverFail: { weight: 2, shortestMs: 500, longestMs: 4_000 },
+    serverShed: { weight: 1, shortestMs: 500, longestMs: 4_000 },
+    serverDrain: { weight: 3, shortestMs: 500, longestMs: 3_000 },
+    serverCold: { weight: 2, shortestMs: 0, longestMs: 0 },
+    serverSpoil: { weight: 2, shortestMs: 500, longestMs: 4_000 },
+    configure: { weight: 4, shortestMs: 0, longestMs: 0 },
+    zoneOut: { weight: 1.5, shortestMs: 1_000, longestMs: 8_000 },
+    burst: { weight: 1.5, shortestMs: 500, longestMs: 3_000 },
+    hangUp: { weight: 1, shortestMs: 500, longestMs: 3_000 },
+});
+
+const linkFaults: readonly LinkFault[] = ["delay", "reset", "cutThere", "cutBack", "silence"];
+
+const fewestFaults = 5;
+const mostFaults = 16;
+/** Share of the faults that come in series: the same kind again, shortly after. */
+const seriesShare = 0.3;
+const seriesGapMs = 700;
+
+/**
+ * Draws the troubles of one run. They may overlap, and the same one may come again while it lasts.
+ *
+ * @param seed - the same seed draws the same troubles
+ * @returns them in the order in which they begin
+ */
+export function planFaults(seed: number): readonly Fault[] {
+    const random = createRandomSource(seed);
+    const count = fewestFaults + random.below(mostFaults - fewestFaults + 1);
+    const faults: Fault[] = [];
+    while (faults.length < count) {
+        const before = faults.at(-1);
+        if (before !== undefined && random.next() < seriesShare) {
+            const atMs = Math.min(faultyMs, before.atMs + random.next() * seriesGapMs);
+            const forMs = Math.min(before.forMs, faultyMs - atMs);
+            faults.push({ ...before, atMs, forMs, target: before.target + random.below(2) });
+            continue;
+        }
+        faults.push(drawFault(random));
+    }
+    return faults.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawFault(random: RandomSource): Fault {
+    const kind = drawKind(random);
+    const { shortestMs, longestMs } = kinds[kind];
+    const atMs = random.next() * faultyMs;
+    return {
+        kind,
+        atMs,
+        // Everything ends with the time of faults, so that the calm time after it is calm.
+        forMs: Math.min(shortestMs + random.next() * (longestMs - shortestMs), faultyMs - atMs),
+        target: random.below(1_000),
+        link: linkFaults[random.below(linkFaults.length)] ?? "reset",
+    };
+}
+
+function drawKind(random: RandomSource): FaultKind {
+    const all = Object.entries(kinds) as readonly (readonly [FaultKind, KindOfFault])[];
+    let left = random.next() * all.reduce((sum, [, { weight }]) => sum + weight, 0);
+    for (const [kind, { weight }] of all) {
+        left -= weight;
+        if (left < 0) {
+            return kind;
+        }
+    }
+    return "configure";
+}
--- /dev/null
+++ b/packages/soak/src/runSoak.ts
@@ -0,0 +1,126 @@
+import { mergeHistories } from "@galenaglade/stand-ins";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { mkdirSync, rmSync } from "node:fs";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { checkSoak } from "./checks.js";
+import { calmMs, faultyMs, requestsPerSecond, settleMs } from "./constants.js";
+import { type Fault } from "./faults.js";
+import { planFaults } from "./plan.js";
+import { type SoakRoute } from "./soakConfiguration.js";
+import { type SoakEdge } from "./soakEdge.js";
+import { type SoakSystem } from "./soakSystem.js";
+import { SoakWorld } from "./soakWorld.js";
+import { machineNow } from "./spans.js";
+
+/** What one run found. */
+export interface SoakResult {
+    readonly seed: number;
+    readonly faults: readonly Fault[];
+    /** One line each; empty where every promise held. */
+    readonly findings: readonly string[];
+    readonly requests: number;
+    readonly served: number;
+    /** Histories and logs of all processes; gone where nothing was found. */
+    readonly dir: string;
+}
+
+/** What a run is told. */
+export interface SoakOptions {
+    readonly system: SoakSystem;
+    readonly seed: number;
+    /** Where runs keep their files. */
+    readonly dir: string;
+    /** Takes the place of the faults that the seed draws. */
+    readonly faults?: readonly Fault[] | undefined;
+}
+
+const routes: readonly SoakRoute[] = ["read", "read", "file", "moving"];
+
+/**
+ * Plays one run: starts every process, lets callers in, brings the faults, waits until all is calm again, and checks.
+ *
+ * @param options - what the run is told
+ * @returns what it found
+ */
+export async function runSoak(
+    { system, seed, dir: parent, faults = planFaults(seed) }: SoakOptions,
+): Promise<SoakResult> {
+    const dir = join(parent, `seed-${seed}`);
+    rmSync(dir, { recursive: true, force: true });
+    mkdirSync(dir, { recursive: true });
+    const world = await SoakWorld.start(system, dir, seed);
+    try {
+        await sleep(settleMs);
+        const load = new SoakLoad(world, createRandomSource(seed + 2));
+        const callers = load.run(faultyMs + calmMs);
+        await Promise.all(faults.map(async fault => {
+            await sleep(fault.atMs);
+            await world.apply(fault);
+        }));
+        await callers;
+        const endedAtMs = machineNow();
+        const findings = checkSoak({
+            history: mergeHistories(
+                world.targets.map(({ historyPath }) => historyPath),
+                [world.history, ...world.edges.flatMap(({ histories }) => histories)],
+            ),
+            harmed: world.harmed,
+            edges: world.edges,
+            serviceOf: new Map(world.targets.map(({ place }) => [place.id, place.service])),
+            findings: world.edges.flatMap(edge => edge.findings),
+            endedAtMs,
+        });
+        const ends = world.edges.flatMap(edge => edge.ends);
+        const served = ends.filter(({ end }) => end.status === 200).length;
+        return { seed, faults, findings, requests: ends.length, served, dir };
+    }
+    finally {
+        await world.close();
+    }
+}
+
+/** Callers' load on all gateways. */
+class SoakLoad {
+    readonly #world: SoakWorld;
+    readonly #random: RandomSource;
+    readonly #open = new Set<Promise<void>>();
+    #sent = 0;
+
+    constructor(world: SoakWorld, random: RandomSource) {
+        this.#world = world;
+        this.#random = random;
+    }
+
+    /** Sends for a while, then waits for the last answers. */
+    async run(forMs: number): Promise<void> {
+        const untilMs = machineNow() + forMs;
+        while (machineNow() < untilMs) {
+            const { load, hangUpShare } = this.#world.mood;
+            this.#send(this.#random.next() < hangUpShare);
+            await sleep(this.#random.next() * 2_000 / (requestsPerSecond * load));
+        }
+        await Promise.all(this.#open);
+    }
+
+    #send(hangsUp: boolean): void {
+        const caller = this.#pickEdge().caller;
+        const route = routes[this.#random.below(routes.length)] ?? "read";
+        if (caller === undefined) {
+            return;
+        }
+        const done = caller.send(`r${++this.#sent}`, route, hangsUp).finally(() => this.#open.delete(done));
+        this.#open.add(done);
+    }
+
+    /** The balancer sends to gateways that are ready, and to all where none is. */
+    #pickEdge(): SoakEdge {
+        const ready = this.#world.edges.filter(({ inRotation }) => inRotation);
+        const choice = ready.length > 0 ? ready : this.#world.edges;
+        const edge = choice[this.#random.below(choice.length)];
+        if (edge === undefined) {
+            throw new Error("a run needs a gateway");
+        }
+        return edge;
+    }
+}
--- /dev/null
+++ b/packages/soak/src/serverNames.ts
@@ -0,0 +1,31 @@
+import { type IncomingHttpHeaders } from "node:http";
+
+/** What a request says to a backend server. */
+export interface ArrivedRequest {
+    readonly requestId: string;
+    /** The only server that may run it; `undefined` where any may. */
+    readonly expectedServer: string | undefined;
+    /** How long it may work. */
+    readonly remainingMs: number;
+}
+
+/** What a backend server says of itself. */
+export interface ServerState {
+    readonly id: string;
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+    readonly slowdown: number;
+    readonly coldRemainingMs: number;
+}
+
+/** The names that a backend server of the system under test uses on the wire. */
+export abstract class ServerNames {
+    abstract readonly healthPath: string;
+    abstract readRequest(headers: IncomingHttpHeaders): ArrivedRequest;
+    abstract renderState(state: ServerState): Readonly<Record<string, string>>;
+    /** @returns headers of an answer to a request that ran */
+    abstract renderRan(requestId: string, signed: boolean): Readonly<Record<string, string>>;
+    /** @returns headers of an answer to a request that has not run and never will */
+    abstract renderNotRun(requestId: string): Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/packages/soak/src/soakConfiguration.ts
@@ -0,0 +1,104 @@
+import { type FleetConfiguration, type Route } from "@galenaglade/fleet-state";
+import { stringify } from "yaml";
+import {
+    coldRequestsPerSecond,
+    graceMs,
+    objectiveMs,
+    repeatRatio,
+    repeatSlack,
+    repeatWindowMs,
+    routeTimeoutMs,
+    services,
+    shortestLeaseSeconds,
+} from "./constants.js";
+
+/** Host name under which all routes of a run lie. */
+export const authority = "soak.example";
+
+/** The kinds of request that callers send. */
+export type SoakRoute = "read" | "file" | "moving";
+
+export const pathOf: Readonly<Record<SoakRoute, string>> = Object.freeze({
+    read: "/tables/read/",
+    file: "/returns/file/",
+    moving: "/moving/",
+});
+
+/** @returns the service that serves a route under one version; the moving one goes to another with each version */
+export function serviceOf(route: SoakRoute, version: number): string {
+    switch (route) {
+        case "read":
+            return services[0];
+        case "file":
+            return services[1];
+        case "moving":
+            return services[version % services.length] ?? services[0];
+    }
+}
+
+/** @returns one version of the operator's configuration */
+export function createSoakConfiguration(version: number): FleetConfiguration {
+    return {
+        version,
+        routes: [
+            createRoute("read", version, true),
+            createRoute("file", version, false),
+            createRoute("moving", version, true),
+        ],
+        services: services.map(name => ({
+            name,
+            healthPath: "/health",
+            maximumConnections: 220,
+            coldRequestsPerSecond,
+        })),
+        limits: {
+            maximumHeaderBytes: 16_384,
+            maximumBodyBytes: 1_048_576,
+            headerTimeoutMs: 3_000,
+            idleTimeoutMs: 15_000,
+        },
+    };
+}
+
+function createRoute(name: SoakRoute, version: number, idempotent: boolean): Route {
+    return {
+        name,
+        authority,
+        pathPrefix: pathOf[name],
+        idempotent,
+        maximumRuns: 2,
+        timeoutMs: routeTimeoutMs,
+        objectiveMs,
+        priority: 1,
+        destinations: [{ service: serviceOf(name, version), weight: 1 }],
+    };
+}
+
+/** Where an edge process listens. */
+export interface EdgePorts {
+    readonly callers: number;
+    readonly readiness: number;
+    readonly metrics: number;
+}
+
+/** @returns the text of an edge process's settings */
+export function renderEdgeSettings(
+    name: string,
+    availabilityZone: string,
+    ports: EdgePorts,
+    storePort: number,
+): string {
+    return stringify({
+        name,
+        availabilityZone,
+        listen: {
+            callers: `127.0.0.1:${ports.callers}`,
+            readiness: `127.0.0.1:${ports.readiness}`,
+            metrics: `127.0.0.1:${ports.metrics}`,
+        },
+        store: { address: `127.0.0.1:${storePort}`, shortestLeaseSeconds },
+        stopping: { graceSeconds: graceMs / 1_000 },
+        repeats: { ratio: repeatRatio, slack: repeatSlack, windowSeconds: repeatWindowMs / 1_000 },
+        asking: { perServerAndSecond: 60 },
+    });
+}
--- /dev/null
+++ b/packages/soak/src/soakEdge.ts
@@ -0,0 +1,221 @@
+import { type RandomSource } from "@galenaglade/routing";
+import { findFreePorts, MemoryHistory, type StartedProcess, startProcess } from "@galenaglade/stand-ins";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { graceMs } from "./constants.js";
+import { FaultProxy } from "./faultProxy.js";
+import { type CallerEnd, SoakCaller } from "./soakCaller.js";
+import { type EdgePorts, renderEdgeSettings } from "./soakConfiguration.js";
+import { type SoakSystem } from "./soakSystem.js";
+import { machineNow, Spans } from "./spans.js";
+
+/** Time beyond the grace time until a process that doesn't stop is killed, and is reported. */
+const killSlackMs = 1_500;
+/** How often the balancer asks for readiness, and after how many misses it sends nobody. */
+const readinessMs = 500;
+const missesOut = 2;
+const askTimeoutMs = 400;
+
+interface Life {
+    readonly process: StartedProcess;
+    readonly caller: SoakCaller;
+    readonly history: MemoryHistory;
+    /** What was done to it; anything else that ends it is its own fault. */
+    ending: "no" | "asked" | "killed";
+}
+
+/** One gateway over all its lives, with its way to the store and the balancer's view of it. */
+export class SoakEdge {
+    readonly name: string;
+    readonly storeProxy: FaultProxy;
+    /** When it was stopped, paused or killed: what callers got then proves nothing. */
+    readonly harmed = new Spans();
+    readonly findings: string[] = [];
+    readonly #system: SoakSystem;
+    readonly #random: RandomSource;
+    readonly #logPath: string;
+    readonly #settingsPath: string;
+    readonly #ports: EdgePorts;
+    readonly #lives: Life[] = [];
+    #misses = missesOut;
+    #ended = false;
+
+    private constructor(name: string, system: SoakSystem, random: RandomSource, dir: string, more: {
+        readonly storeProxy: FaultProxy;
+        readonly ports: EdgePorts;
+        readonly settingsPath: string;
+    }) {
+        this.name = name;
+        this.storeProxy = more.storeProxy;
+        this.#system = system;
+        this.#random = random;
+        this.#logPath = join(dir, `${name}.log`);
+        this.#settingsPath = more.settingsPath;
+        this.#ports = more.ports;
+    }
+
+    /** Starts its first life. */
+    static async start(
+        name: string,
+        availabilityZone: string,
+        system: SoakSystem,
+        random: RandomSource,
+        dir: string,
+        storePort: number,
+    ): Promise<SoakEdge> {
+        const storeProxy = await FaultProxy.start(storePort);
+        const [callers = 0, readiness = 0, metrics = 0] = await findFreePorts(3);
+        const ports = { callers, readiness, metrics };
+        const settingsPath = join(dir, `${name}.yaml`);
+        writeFileSync(settingsPath, renderEdgeSettings(name, availabilityZone, ports, storeProxy.port));
+        const edge = new SoakEdge(name, system, random, dir, { storeProxy, ports, settingsPath });
+        await edge.#live();
+        void edge.#askForReadiness();
+        return edge;
+    }
+
+    /** Whether the balancer sends callers here. */
+    get inRotation(): boolean {
+        return this.#misses < missesOut;
+    }
+
+    /** Sends callers' requests to the present life. */
+    get caller(): SoakCaller | undefined {
+        return this.#lives.at(-1)?.caller;
+    }
+
+    /** What callers of all lives got. */
+    get ends(): readonly { readonly end: CallerEnd; readonly killed: boolean; }[] {
+        return this.#lives.flatMap(({ caller, ending }) =>
+            caller.ends.map(end => ({ end, killed: ending === "killed" }))
+        );
+    }
+
+    get histories(): readonly MemoryHistory[] {
+        return this.#lives.map(({ history }) => history);
+    }
+
+    /** Planned stop, and the next life after a while. */
+    async restart(downMs: number): Promise<void> {
+        const life = this.#lives.at(-1);
+        if (life === undefined || life.process.exit !== undefined || life.ending !== "no") {
+            return;
+        }
+        life.ending = "asked";
+        const endHarm = this.harmed.begin(machineNow());
+        const beganAtMs = machineNow();
+        const exit = await life.process.stop(graceMs + killSlackMs);
+        const tookMs = Math.round(machineNow() - beganAtMs);
+        // Asked again: it may have been killed by another fault meanwhile.
+        if (this.#wasAsked(life) && (exit.code !== 0 || tookMs > graceMs)) {
+            this.findings.push(`${this.name} ended its planned stop with ${JSON.stringify(exit)} after ${tookMs} ms`);
+        }
+        await this.#liveAgain(life, downMs);
+        endHarm(machineNow());
+    }
+
+    /** Ends without warning, and the next life after a while. */
+    async kill(downMs: number): Promise<void> {
+        const life = this.#lives.at(-1);
+        if (life === undefined || life.process.exit !== undefined || life.ending === "killed") {
+            return;
+        }
+        const isStopping = life.ending === "asked";
+        life.ending = "killed";
+        const endHarm = this.harmed.begin(machineNow());
+        life.process.kill();
+        await life.process.exited;
+        if (!isStopping) {
+            await this.#liveAgain(life, downMs);
+        }
+        endHarm(machineNow());
+    }
+
+    /** Stands still for a while. */
+    async pause(forMs: number): Promise<void> {
+        const process = this.#lives.at(-1)?.process;
+        const endHarm = this.harmed.begin(machineNow());
+        process?.pause();
+        await sleep(forMs);
+        process?.resume();
+        endHarm(machineNow());
+    }
+
+    hangUp(): void {
+        this.#lives.at(-1)?.process.hangUp();
+    }
+
+    /** Ends for good, with everything that belongs to it. */
+    async close(): Promise<void> {
+        this.#ended = true;
+        const life = this.#lives.at(-1);
+        if (life !== undefined) {
+            life.ending = "killed";
+            life.process.kill();
+            await life.process.exited;
+        }
+        for (const { caller } of this.#lives) {
+            await caller.close();
+        }
+        this.storeProxy.close();
+    }
+
+    #wasAsked(life: Life): boolean {
+        return life.ending === "asked";
+    }
+
+    async #liveAgain(life: Life, downMs: number): Promise<void> {
+        await sleep(downMs);
+        if (!this.#ended && this.#lives.at(-1) === life) {
+            await this.#live();
+        }
+    }
+
+    async #live(): Promise<void> {
+        const { script, args, env, nodeFlags } = this.#system.resolveEdge(this.#settingsPath);
+        const process = await startProcess({
+            name: this.name,
+            script,
+            args,
+            env,
+            nodeFlags,
+            logPath: this.#logPath,
+            findReady: line => line.includes("\"started\"") ? `http://127.0.0.1:${this.#ports.callers}` : undefined,
+        });
+        const history = new MemoryHistory(`${this.name}/${this.#lives.length + 1}`);
+        const life: Life = {
+            process,
+            history,
+            caller: new SoakCaller(process.url, this.#system, history, this.#random),
+            ending: "no",
+        };
+        this.#lives.push(life);
+        void process.exited.then(exit => {
+            if (life.ending === "no") {
+                this.findings.push(`${this.name} ended by itself with ${JSON.stringify(exit)}`);
+            }
+        });
+    }
+
+    async #askForReadiness(): Promise<void> {
+        while (!this.#ended) {
+            this.#misses = await this.#isReady() ? 0 : this.#misses + 1;
+            await sleep(readinessMs);
+        }
+    }
+
+    async #isReady(): Promise<boolean> {
+        try {
+            const url = `http://127.0.0.1:${this.#ports.readiness}${this.#system.readinessPath}`;
+            const res = await request(url, { signal: AbortSignal.timeout(askTimeoutMs) });
+            await res.body.dump();
+            return res.statusCode === 200;
+        }
+        catch {
+            // Down or standing still: a miss like any other.
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/packages/soak/src/soakServer.ts
@@ -0,0 +1,201 @@
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { type HistoryRecorder } from "@galenaglade/stand-ins";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { text } from "node:stream/consumers";
+import { serverQueue, serverSlots, workMs } from "./constants.js";
+import { type ArrivedRequest, type ServerNames, type ServerState } from "./serverNames.js";
+import { type ServerOrder, type ServerTrouble, soundServer } from "./soakSystem.js";
+
+/** Share of the requests that a failing or shedding server fails or turns away, and that a spoiling one spoils. */
+const troubleShare = 0.5;
+const spoilShare = 0.2;
+/** How much longer work takes while a server is cold. */
+const coldSlowdown = 2;
+/** How late an answer comes that belongs to a request which was answered before. */
+const extraAnswerMs = 30;
+
+/** How an answer is spoilt. */
+const spoilings = ["lost", "cut", "doubled", "unsigned"] as const;
+type Spoiling = typeof spoilings[number];
+
+/** A stand-in of a backend server: slots, a short queue, load and cold time, and faults as orders. Says what it ran. */
+export class SoakServer {
+    readonly #order: ServerOrder;
+    readonly #names: ServerNames;
+    readonly #history: HistoryRecorder;
+    readonly #random: RandomSource;
+    readonly #queue: (() => void)[] = [];
+    #trouble: ServerTrouble = soundServer;
+    #coldUntilMs = -Infinity;
+    #running = 0;
+
+    constructor(order: ServerOrder, names: ServerNames, history: HistoryRecorder) {
+        this.#order = order;
+        this.#names = names;
+        this.#history = history;
+        this.#random = createRandomSource(order.seed);
+    }
+
+    /** @returns a server that doesn't listen yet */
+    createServer(): Server {
+        return createServer((req, res) => void this.#handle(req, res));
+    }
+
+    async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const body = await text(req);
+        if (req.url === "/control") {
+            this.#trouble = JSON.parse(body) as ServerTrouble;
+            this.#coldUntilMs = Math.max(this.#coldUntilMs, performance.now() + this.#trouble.coldMs);
+            res.end();
+            return;
+        }
+        if (req.url === this.#names.healthPath) {
+            res.writeHead(this.#trouble.leaves ? 503 : 200, this.#names.renderState(this.#state())).end();
+            return;
+        }
+        await this.#serve(this.#names.readRequest(req.headers), res);
+    }
+
+    async #serve(request: ArrivedRequest, res: ServerResponse): Promise<void> {
+        const { requestId, expectedServer } = request;
+        if (expectedServer !== undefined && expectedServer !== this.#order.id) {
+            res.writeHead(421, this.#names.renderState(this.#state())).end();
+            return;
+        }
+        const sheds = this.#trouble.sheds && this.#random.next() < troubleShare;
+        if (sheds || this.#queue.length >= serverQueue || !await this.#getSlot(res, request.remainingMs)) {
+            this.#turnAway(requestId, res);
+            return;
+        }
+        this.#record("serverStarted", requestId);
+        const done = await this.#work(res, request.remainingMs);
+        this.#running--;
+        this.#queue.shift()?.();
+        this.#history.record({
+            type: "serverEnded",
+            requestId,
+            server: this.#order.id,
+            incarnation: this.#order.id,
+        });
+        if (done) {
+            this.#answer(requestId, res);
+        }
+    }
+
+    /** @returns whether a slot was got in time */
+    async #getSlot(res: ServerResponse, remainingMs: number): Promise<boolean> {
+        if (this.#running < serverSlots) {
+            this.#running++;
+            return true;
+        }
+        return new Promise(resolve => {
+            const start = (): void => {
+                clearTimeout(timer);
+                this.#running++;
+                resolve(true);
+            };
+            const giveUp = (): void => {
+                const at = this.#queue.indexOf(start);
+                if (at >= 0) {
+                    this.#queue.splice(at, 1);
+                    clearTimeout(timer);
+                    resolve(false);
+                }
+            };
+            const timer = setTimeout(giveUp, remainingMs);
+            this.#queue.push(start);
+            res.once("close", giveUp);
+        });
+    }
+
+    /** @returns whether the work came to its end while somebody waited for it */
+    #work(res: ServerResponse, remainingMs: number): Promise<boolean> {
+        const cold = this.#isCold() ? coldSlowdown : 1;
+        const tookMs = workMs * (0.5 + this.#random.next()) * this.#trouble.slowdown * cold;
+        return new Promise(resolve => {
+            const timer = setTimeout(
+                () => resolve(!res.destroyed && tookMs <= remainingMs),
+                Math.min(tookMs, remainingMs),
+            );
+            res.once("close", () => {
+                clearTimeout(timer);
+                resolve(false);
+            });
+        });
+    }
+
+    #answer(requestId: string, res: ServerResponse): void {
+        const body = JSON.stringify({ requestId, server: this.#order.id, padding: "x".repeat(200) });
+        if (this.#trouble.fails && this.#random.next() < troubleShare) {
+            res.writeHead(500, { ...this.#names.renderRan(requestId, true) }).end("failed");
+            return;
+        }
+        const spoiling = this.#drawSpoiling();
+        if (spoiling === "lost") {
+            res.socket?.destroy();
+            return;
+        }
+        const headers = { ...this.#names.renderRan(requestId, spoiling !== "unsigned"), "content-length": body.length };
+        res.writeHead(200, headers);
+        if (spoiling === "cut") {
+            const { socket } = res;
+            res.write(body.slice(0, body.length / 2), () => socket?.destroy());
+            return;
+        }
+        const { socket } = res;
+        res.end(body);
+        if (spoiling === "doubled") {
+            const names = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+            const extra = ["HTTP/1.1 200 OK", ...names, "", body].join("\r\n");
+            setTimeout(() => socket?.write(extra), extraAnswerMs);
+        }
+    }
+
+    #drawSpoiling(): Spoiling | undefined {
+        if (!this.#trouble.spoils || this.#random.next() >= spoilShare) {
+            return undefined;
+        }
+        return spoilings[this.#random.below(spoilings.length)];
+    }
+
+    #turnAway(requestId: string, res: ServerResponse): void {
+        this.#history.record({
+            type: "serverTurnedAway",
+            requestId,
+            server: this.#order.id,
+            availabilityZone: this.#order.availabilityZone,
+            cold: this.#isCold(),
+        });
+        if (!res.destroyed) {
+            res.writeHead(503, this.#names.renderNotRun(requestId)).end();
+        }
+    }
+
+    #record(type: "serverStarted", requestId: string): void {
+        this.#history.record({
+            type,
+            requestId,
+            server: this.#order.id,
+            availabilityZone: this.#order.availabilityZone,
+            incarnation: this.#order.id,
+            cold: this.#isCold(),
+            inFlight: this.#running,
+            bears: serverSlots,
+        });
+    }
+
+    #isCold(): boolean {
+        return performance.now() < this.#coldUntilMs;
+    }
+
+    #state(): ServerState {
+        return {
+            id: this.#order.id,
+            running: this.#running,
+            waiting: this.#queue.length,
+            slots: serverSlots,
+            slowdown: this.#trouble.slowdown,
+            coldRemainingMs: Math.max(0, this.#coldUntilMs - performance.now()),
+        };
+    }
+}
--- /dev/null
+++ b/packages/soak/src/soakSystem.ts
@@ -0,0 +1,101 @@
+import { type FleetConfiguration, type RegisteredServer } from "@galenaglade/fleet-state";
+
+/** A program that the soak starts. */
+export interface SoakProgram {
+    /** Path of a TypeScript or JavaScript file. */
+    readonly script: string;
+    readonly args: readonly string[];
+    /** Flags of node itself. */
+    readonly nodeFlags: readonly string[];
+    readonly env: Readonly<Record<string, string>>;
+}
+
+/** A key of the store with what is written there. */
+export interface StoreWrite {
+    readonly key: string;
+    readonly value: string;
+}
+
+/** What a stand-in of a backend server is told. */
+export interface ServerOrder {
+    readonly id: string;
+    readonly service: string;
+    readonly availabilityZone: string;
+    readonly historyPath: string;
+    readonly seed: number;
+}
+
+/** What an answer's headers say. */
+export interface AnswerMarks {
+    readonly requestId: string | undefined;
+    /** Whether it bears a backend server's proof that the body is its own. */
+    readonly signed: boolean;
+}
+
+/** The names that a system uses on the wire, and the stand-ins that speak them. */
+export abstract class SoakSystem {
+    /** Path on which the balancer asks for readiness. */
+    abstract readonly readinessPath: string;
+    /** The program under test. */
+    abstract resolveEdge(settingsPath: string): SoakProgram;
+    /** A store that says its address in its ready line and takes {@link StoreOrder}s on `/control`. */
+    abstract readonly store: SoakProgram;
+    /** A backend server that says its address in its ready line and takes `ServerTrouble`s on `/control`. */
+    abstract resolveServer(order: ServerOrder): SoakProgram;
+    abstract renderConfiguration(configuration: FleetConfiguration): StoreWrite;
+    abstract renderServer(server: RegisteredServer): StoreWrite;
+    abstract zoneOutKey(availabilityZone: string): string;
+    /** @returns the headers of a caller's request */
+    abstract renderRequest(requestId: string, patienceMs: number): Readonly<Record<string, string>>;
+    abstract readAnswer(headers: Readonly<Record<string, string | readonly string[] | undefined>>): AnswerMarks;
+}
+
+/** What the stand-in store is told: writes of the operator and of backend servers, and faults. */
+export interface StoreOrder {
+    readonly puts?: readonly StoreWrite[] | undefined;
+    readonly deletes?: readonly string[] | undefined;
+    /** Forgets all history: a watch that asks for older changes is told so. */
+    readonly compact?: boolean | undefined;
+    readonly faults?: StoreTrouble | undefined;
+}
+
+/** Faults of the stand-in store; each order replaces them all. */
+export interface StoreTrouble {
+    readonly refuses: boolean;
+    readonly hangs: boolean;
+    readonly slowMs: number;
+    /** Writes take effect, and their connections close without an answer. */
+    readonly losesAnswers: boolean;
+}
+
+/** Faults of a stand-in backend server; each order replaces them all. */
+export interface ServerTrouble {
+    /** How many times longer work takes; told in the answer to a question for load. */
+    readonly slowdown: number;
+    /** Fails half of the requests after it ran them, and says that it is well. */
+    readonly fails: boolean;
+    /** Turns half of the requests away. */
+    readonly sheds: boolean;
+    /** Cuts, doubles or garbles some answers, or loses them. */
+    readonly spoils: boolean;
+    /** Says that it is leaving. */
+    readonly leaves: boolean;
+    /** Turns cold now, for that long. */
+    readonly coldMs: number;
+}
+
+export const soundServer: ServerTrouble = Object.freeze({
+    slowdown: 1,
+    fails: false,
+    sheds: false,
+    spoils: false,
+    leaves: false,
+    coldMs: 0,
+});
+
+export const soundStore: StoreTrouble = Object.freeze({
+    refuses: false,
+    hangs: false,
+    slowMs: 0,
+    losesAnswers: false,
+});
--- /dev/null
+++ b/packages/soak/src/soakTarget.ts
@@ -0,0 +1,105 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type StartedProcess, startProcess } from "@galenaglade/stand-ins";
+import { join } from "node:path";
+import { request } from "undici";
+import { serverSlots } from "./constants.js";
+import { FaultProxy } from "./faultProxy.js";
+import { type ServerTrouble, type SoakSystem, soundServer } from "./soakSystem.js";
+
+/** Where a backend server of a run stands. */
+export interface TargetPlace {
+    readonly id: string;
+    readonly service: string;
+    readonly availabilityZone: string;
+}
+
+/** One start of one backend server, behind the proxy through which all gateways reach it. */
+export class SoakTarget {
+    readonly place: TargetPlace;
+    readonly proxy: FaultProxy;
+    readonly historyPath: string;
+    readonly #process: StartedProcess;
+    readonly #startedAtEpochMs = Date.now();
+    readonly #troubles: Partial<ServerTrouble>[] = [];
+
+    private constructor(place: TargetPlace, process: StartedProcess, proxy: FaultProxy, historyPath: string) {
+        this.place = place;
+        this.proxy = proxy;
+        this.historyPath = historyPath;
+        this.#process = process;
+    }
+
+    static async start(place: TargetPlace, system: SoakSystem, dir: string, seed: number): Promise<SoakTarget> {
+        const historyPath = join(dir, `${place.id}.history`);
+        const program = system.resolveServer({ ...place, historyPath, seed });
+        const process = await startProcess({ name: place.id, ...program });
+        const proxy = await FaultProxy.start(Number(new URL(process.url).port));
+        return new SoakTarget(place, process, proxy, historyPath);
+    }
+
+    /** @returns what it writes into the store */
+    register(state: RegisteredServer["state"], coldRemainingMs: number): RegisteredServer {
+        return {
+            ...this.place,
+            address: { host: "127.0.0.1", port: this.proxy.port },
+            slots: serverSlots,
+            state,
+            coldRemainingMs,
+            startedAtEpochMs: this.#startedAtEpochMs,
+        };
+    }
+
+    /** Begins a trouble. @returns ends it */
+    async trouble(trouble: Partial<ServerTrouble>): Promise<() => Promise<void>> {
+        this.#troubles.push(trouble);
+        await this.#order(0);
+        return async () => {
+            this.#troubles.splice(this.#troubles.indexOf(trouble), 1);
+            await this.#order(0);
+        };
+    }
+
+    turnCold(forMs: number): Promise<void> {
+        return this.#order(forMs);
+    }
+
+    pause(): void {
+        this.#process.pause();
+    }
+
+    resume(): void {
+        this.#process.resume();
+    }
+
+    async kill(): Promise<void> {
+        this.#process.kill();
+        await this.#process.exited;
+    }
+
+    async close(): Promise<void> {
+        await this.kill();
+        this.proxy.close();
+    }
+
+    async #order(coldMs: number): Promise<void> {
+        const trouble = this.#troubles.reduce<ServerTrouble>((sum, each) => ({ ...sum, ...each }), soundServer);
+        const order: ServerTrouble = { ...trouble, coldMs };
+        if (this.#hasEnded()) {
+            return;
+        }
+        try {
+            const res = await request(`${this.#process.url}/control`, { method: "POST", body: JSON.stringify(order) });
+            await res.body.dump();
+        }
+        catch (err) {
+            // Killed between the question and its answer, by another fault of the run.
+            if (!this.#hasEnded()) {
+                throw err;
+            }
+        }
+    }
+
+    #hasEnded(): boolean {
+        return this.#process.exit !== undefined;
+    }
+}
--- /dev/null
+++ b/packages/soak/src/soakWorld.ts
@@ -0,0 +1,278 @@
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { MemoryHistory } from "@galenaglade/stand-ins";
+import { setTimeout as sleep } from "node:timers/promises";
+import { applyMs, availabilityZones, coldMs, edgeCount, serversPerService, services } from "./constants.js";
+import { type Fault } from "./faults.js";
+import { createSoakConfiguration } from "./soakConfiguration.js";
+import { SoakEdge } from "./soakEdge.js";
+import { SoakStore } from "./soakStore.js";
+import { type ServerTrouble, type SoakSystem, type StoreTrouble } from "./soakSystem.js";
+import { SoakTarget } from "./soakTarget.js";
+import { machineNow, Spans } from "./spans.js";
+
+/** A process that is gone without a word keeps its entry for about this long, in milliseconds. */
+const lostEntryMs = 1_500;
+/** How long a drained server serves on after its entry is gone, in milliseconds. */
+const drainedStaysMs = 600;
+const slowdown = 5;
+const storeSlowMs = 400;
+const firstVersion = 2;
+
+/** How callers behave at a moment. */
+export interface CallerMood {
+    /** Times the usual number of requests. */
+    readonly load: number;
+    /** Share of the callers who leave early. */
+    readonly hangUpShare: number;
+}
+
+/** All processes of a run, and what is done to them. */
+export class SoakWorld {
+    readonly history = new MemoryHistory("operator");
+    /** When the store, a gateway or a way between them was harmed, or a way to a server. */
+    readonly harmed = new Spans();
+    readonly targets: SoakTarget[] = [];
+    readonly edges: SoakEdge[] = [];
+    readonly #system: SoakSystem;
+    readonly #dir: string;
+    readonly #random: RandomSource;
+    readonly #store: SoakStore;
+    readonly #live: SoakTarget[] = [];
+    readonly #leaving = new Set<SoakTarget>();
+    readonly #zonesOut = new Set<string>();
+    #version = firstVersion;
+    #started = 0;
+    #mood: CallerMood = { load: 1, hangUpShare: 0 };
+
+    private constructor(system: SoakSystem, dir: string, random: RandomSource, store: SoakStore) {
+        this.#system = system;
+        this.#dir = dir;
+        this.#random = random;
+        this.#store = store;
+    }
+
+    /** Starts all processes. */
+    static async start(system: SoakSystem, dir: string, seed: number): Promise<SoakWorld> {
+        const world = new SoakWorld(system, dir, createRandomSource(seed + 1), await SoakStore.start(system));
+        await world.#configure();
+        const places = services.flatMap(service =>
+            Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
+        );
+        await Promise.all(places.map(({ service, i }) => world.#startTarget(service, zoneAt(i), false)));
+        for (let i = 0; i < edgeCount; i++) {
+            const name = `edge-${i + 1}`;
+            world.edges.push(
+                await SoakEdge.start(
+                    name,
+                    zoneAt(i),
+                    system,
+                    createRandomSource(seed + 10 + i),
+                    dir,
+                    world.#store.port,
+                ),
+            );
+        }
+        return world;
+    }
+
+    get mood(): CallerMood {
+        return this.#mood;
+    }
+
+    /** Carries out one fault, from its beginning to its end. */
+    async apply(fault: Fault): Promise<void> {
+        const { kind, forMs } = fault;
+        const edge = pick(this.edges, fault.target);
+        const target = pick(this.#live, fault.target);
+        switch (kind) {
+            case "edgeTerm":
+                return this.#harm(() => edge.restart(forMs));
+            case "edgeKill":
+                return this.#harm(() => edge.kill(forMs));
+            case "edgePause":
+                return this.#harm(() => edge.pause(forMs));
+            case "edgeHup":
+                edge.hangUp();
+                return;
+            case "allEdgesKill":
+                return this.#harm(async () => {
+                    await Promise.all(this.edges.map(each => each.kill(forMs)));
+                });
+            case "storeLink":
+                return this.#harm(() => harmLink(edge.storeProxy, fault));
+            case "storeRefuse":
+                return this.#harmStore({ refuses: true }, forMs);
+            case "storeHang":
+                return this.#harmStore({ hangs: true }, forMs);
+            case "storeSlow":
+                return this.#harmStore({ slowMs: storeSlowMs }, forMs);
+            case "storeLoseAnswers":
+                return this.#harmStore({ losesAnswers: true }, forMs);
+            case "storeCompact":
+                return this.#harm(() => this.#store.order({ compact: true }));
+            case "storePause":
+                return this.#harm(async () => {
+                    this.#store.pause();
+                    await sleep(forMs);
+                    this.#store.resume();
+                });
+            case "serverLink":
+                return this.#harm(() => harmLink(target.proxy, fault));
+            case "serverKill":
+                return this.#replaceKilled(target, forMs);
+            case "serverPause":
+                return this.#harm(async () => {
+                    target.pause();
+                    await sleep(forMs);
+                    target.resume();
+                });
+            case "serverSlow":
+                return harmServer(target, { slowdown }, forMs);
+            case "serverFail":
+                return harmServer(target, { fails: true }, forMs);
+            case "serverShed":
+                return harmServer(target, { sheds: true }, forMs);
+            case "serverSpoil":
+                return harmServer(target, { spoils: true }, forMs);
+            case "serverCold":
+                return target.turnCold(coldMs);
+            case "serverDrain":
+                return this.#replaceDrained(target, forMs);
+            case "configure":
+                return this.#configure();
+            case "zoneOut":
+                return this.#takeZoneOut(zoneAt(fault.target), forMs);
+            case "burst":
+                return this.#changeMood({ load: 5 }, forMs);
+            case "hangUp":
+                return this.#changeMood({ hangUpShare: 0.4 }, forMs);
+        }
+    }
+
+    /** Ends every process of the run. */
+    async close(): Promise<void> {
+        await Promise.all([...this.edges, ...this.targets].map(each => each.close()));
+        await this.#store.close();
+    }
+
+    async #harm(run: () => Promise<void>): Promise<void> {
+        const end = this.harmed.begin(machineNow());
+        await run();
+        end(machineNow());
+    }
+
+    #harmStore(trouble: Partial<StoreTrouble>, forMs: number): Promise<void> {
+        return this.#harm(async () => {
+            const end = await this.#store.trouble(trouble);
+            await sleep(forMs);
+            await end();
+        });
+    }
+
+    async #startTarget(service: string, availabilityZone: string, cold: boolean): Promise<void> {
+        const number = ++this.#started;
+        const place = { id: `server-${number}`, service, availabilityZone };
+        const target = await SoakTarget.start(place, this.#system, this.#dir, number);
+        this.targets.push(target);
+        this.#live.push(target);
+        const coldForMs = cold ? coldMs : 0;
+        await target.turnCold(coldForMs);
+        await this.#store.order({ puts: [this.#system.renderServer(target.register("ready", coldForMs))] });
+    }
+
+    #deleteEntry(target: SoakTarget): Promise<void> {
+        const { key } = this.#system.renderServer(target.register("draining", 0));
+        return this.#store.order({ deletes: [key] });
+    }
+
+    /** The server crashes; its entry lapses, and another one comes up in its place, cold. */
+    async #replaceKilled(target: SoakTarget, downMs: number): Promise<void> {
+        if (!this.#beginLeaving(target)) {
+            return;
+        }
+        await target.kill();
+        await sleep(lostEntryMs);
+        await this.#deleteEntry(target);
+        await sleep(downMs);
+        await this.#startTarget(target.place.service, target.place.availabilityZone, true);
+    }
+
+    /** Its successor starts first; then the server says that it leaves, serves on, and ends. */
+    async #replaceDrained(target: SoakTarget, staysMs: number): Promise<void> {
+        if (!this.#beginLeaving(target)) {
+            return;
+        }
+        await this.#startTarget(target.place.service, target.place.availabilityZone, true);
+        await this.#store.order({ puts: [this.#system.renderServer(target.register("draining", 0))] });
+        this.history.record({ type: "drainAccepted", server: target.place.id });
+        await target.trouble({ leaves: true });
+        await sleep(applyMs + staysMs);
+        await this.#deleteEntry(target);
+        await sleep(drainedStaysMs);
+        await target.kill();
+    }
+
+    /** @returns whether it is the first to end this server */
+    #beginLeaving(target: SoakTarget): boolean {
+        if (this.#leaving.has(target)) {
+            return false;
+        }
+        this.#leaving.add(target);
+        this.#live.splice(this.#live.indexOf(target), 1);
+        return true;
+    }
+
+    async #configure(): Promise<void> {
+        this.#version += 1 + this.#random.below(3);
+        const revision = this.#version;
+        const write = this.#system.renderConfiguration(createSoakConfiguration(revision));
+        this.history.record({ type: "configurationWritten", revision, changeId: "" });
+        await this.#store.order({ puts: [write] });
+        this.history.record({ type: "configurationAccepted", revision, changeId: "" });
+    }
+
+    async #takeZoneOut(availabilityZone: string, forMs: number): Promise<void> {
+        // With a second zone out too little would be left to tell a refusal from a fault.
+        if (this.#zonesOut.size > 0) {
+            return;
+        }
+        this.#zonesOut.add(availabilityZone);
+        const key = this.#system.zoneOutKey(availabilityZone);
+        await this.#store.order({ puts: [{ key, value: "{}" }] });
+        this.history.record({ type: "zoneOutAccepted", availabilityZone });
+        await sleep(forMs);
+        this.history.record({ type: "zoneInRequested", availabilityZone });
+        await this.#store.order({ deletes: [key] });
+        this.#zonesOut.delete(availabilityZone);
+    }
+
+    async #changeMood(mood: Partial<CallerMood>, forMs: number): Promise<void> {
+        this.#mood = { ...this.#mood, ...mood };
+        await sleep(forMs);
+        this.#mood = { load: 1, hangUpShare: 0 };
+    }
+}
+
+async function harmLink(proxy: SoakEdge["storeProxy"], { link, forMs }: Fault): Promise<void> {
+    proxy.begin(link);
+    await sleep(forMs);
+    proxy.end(link);
+}
+
+async function harmServer(target: SoakTarget, trouble: Partial<ServerTrouble>, forMs: number): Promise<void> {
+    const end = await target.trouble(trouble);
+    await sleep(forMs);
+    await end();
+}
+
+function pick<T>(things: readonly T[], number: number): T {
+    const thing = things[number % things.length];
+    if (thing === undefined) {
+        throw new Error("a run needs at least one of each");
+    }
+    return thing;
+}
+
+function zoneAt(number: number): string {
+    return availabilityZones[number % availabilityZones.length] ?? availabilityZones[0];
+}
--- a/packages/standIns/src/processes/startProcess.ts
+++ b/packages/standIns/src/processes/startProcess.ts
@@ -9,6 +9,10 @@
     /** Path of a TypeScript or JavaScript file. */
     readonly script: string;
     readonly args?: readonly string[] | undefined;
+    /** Flags of node itself. */
+    readonly nodeFlags?: readonly string[] | undefined;
+    /** Variables besides this process's own. */
+    readonly env?: Readonly<Record<string, string>> | undefined;
     /** Gets what the program prints; without one it is dropped. */
     readonly logPath?: string | undefined;
     /** Finds the address in a printed line; by default the ready line of the stand-ins. */
@@ -93,6 +97,11 @@
     kill(): void {
         this.#child.kill("SIGKILL");
     }
+
+    /** Is told that its settings may have changed. */
+    hangUp(): void {
+        this.#child.kill("SIGHUP");
+    }
 }
 
 /**
@@ -104,7 +113,13 @@
  */
 export async function startProcess(options: StartProcessOptions): Promise<StartedProcess> {
     const loader = options.script.endsWith(".ts") ? ["--import", "tsx"] : [];
-    const child = spawn(process.execPath, [...loader, options.script, ...options.args ?? []], {
+    const child = spawn(process.execPath, [
+        ...options.nodeFlags ?? [],
+        ...loader,
+        options.script,
+        ...options.args ?? [],
+    ], {
+        env: { ...process.env, ...options.env },
         stdio: ["ignore", "pipe", "pipe"],
         detached: options.ownGroup ?? false,
     });
