Ask a fixed few servers of the own zone first, and drop the probing that no process starts

Change: each gateway asks twelve servers of a service in its zone before the others, by rendezvous hashing; the rest as before where these are slow or full. Test: 38 gateways before 45 servers; less than 5 in 100 questions open a connection, and every server is asked about as often. Gone: packages/probing with the gateway's shell for it, 760 lines with their tests: seats under lease for probes that the gateway process never sent.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,6 @@
     "admission",
     "atMostOnce",
     "coldStart",
-    "probing",
     "history",
     "fleetState",
     "placement",
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -11,6 +11,7 @@
     scoreServer,
     type ServerOffer,
     type ServerScore,
+    ServerSubset,
     ServerTrust,
     shortestPauseMs,
     TypicalWork,
@@ -93,6 +94,7 @@
     readonly #cold: ColdAdmission;
     readonly #askBudget: AskBudget;
     readonly #recent = new RecentSends();
+    readonly #subsets = new Map<string, ServerSubset>();
 
     constructor(parts: PlacerParts) {
         this.#parts = parts;
@@ -113,7 +115,13 @@
             if (candidates.length === 0) {
                 return "noServer";
             }
-            const ordered = orderToAsk(candidates, availabilityZone, id => this.trust.isSuspect(id, nowMs), random);
+            const ordered = orderToAsk({
+                servers: candidates,
+                availabilityZone,
+                subset: this.#subsetOf(input.rules.name, usable),
+                isSuspect: id => this.trust.isSuspect(id, nowMs),
+                random,
+            });
             const found = await this.#round(input, ordered, usable.length, round);
             if (found !== "wait") {
                 return found;
@@ -138,6 +146,13 @@
         this.#recent.retain(serverIds);
     }
 
+    #subsetOf(service: string, usable: readonly RegisteredServer[]): ReadonlySet<string> {
+        const { name, availabilityZone } = this.#parts;
+        const subset = this.#subsets.get(service) ?? new ServerSubset(name);
+        this.#subsets.set(service, subset);
+        return subset.of(usable.filter(server => server.availabilityZone === availabilityZone));
+    }
+
     /** Asks in waves until a server is chosen, or all were asked. */
     async #round(
         input: PlaceInput,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,5 +2,4 @@
 export { type ConfigurationSource } from "./configurationSource.js";
 export { createGateway, type Gateway, type GatewayParts } from "./gateway.js";
 export { createGatewayProcess } from "./gatewayProcess.js";
-export { ProbingShell, type ProbingShellParts } from "./probing/probingShell.js";
 export { ServerGate } from "./requests/serverGate.js";
--- /dev/null
+++ b/packages/placement/src/__tests__/askOrder.test.ts
@@ -0,0 +1,93 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { createRandomSource } from "@galenaglade/routing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { askedFirst, orderToAsk, ServerSubset, subsetServers } from "../index.js";
+
+function createServers(count: number, zones: readonly string[]): readonly RegisteredServer[] {
+    return Array.from({ length: count }, (_, i) => ({
+        id: `server-${i}`,
+        service: "tables",
+        address: { host: "127.0.0.1", port: 9_000 + i },
+        availabilityZone: zones[i % zones.length] ?? "",
+        slots: 3,
+        state: "ready",
+        coldRemainingMs: 0,
+        startedAtEpochMs: undefined,
+    }));
+}
+
+function inZone(servers: readonly RegisteredServer[], zone: string): readonly RegisteredServer[] {
+    return servers.filter(({ availabilityZone }) => availabilityZone === zone);
+}
+
+test("trusted before suspected ones, the own zone before others, there the gateway's own few", () => {
+    const servers = createServers(90, ["north", "south"]);
+    const subset = new ServerSubset("gateway-1").of(inZone(servers, "north"));
+    const ordered = orderToAsk({
+        servers,
+        availabilityZone: "north",
+        subset,
+        isSuspect: id => id === "server-0",
+        random: createRandomSource(1),
+    });
+    assert.equal(ordered.length, servers.length);
+    assert.ok(ordered.slice(0, subsetServers - 1).every(({ id }) => subset.has(id)));
+    const firstOfOther = ordered.findIndex(({ availabilityZone }) => availabilityZone === "south");
+    assert.ok(ordered.slice(firstOfOther, -1).every(({ availabilityZone }) => availabilityZone === "south"));
+    assert.equal(ordered.at(-1)?.id, "server-0");
+});
+
+test("where there are few, all of them are asked alike", () => {
+    const servers = createServers(4, ["north"]);
+    assert.equal(new ServerSubset("gateway-1").of(servers).size, 4);
+});
+
+test("a server that comes or goes changes a gateway's few by no more than one", () => {
+    const servers = createServers(45, ["north"]);
+    const subset = new ServerSubset("gateway-1");
+    const before = subset.of(servers);
+    for (const gone of servers) {
+        const after = subset.of(servers.filter(server => server !== gone));
+        assert.ok([...after].filter(id => !before.has(id)).length <= 1);
+    }
+});
+
+// 38 gateways of a zone before 45 servers, each asking four for each of its requests. Asked from all, a pair of a gateway
+// and a server is used once in 25 s, and its connection is closed before; that is a connection for nearly every question.
+test("most questions find a connection that was used shortly before, and every server is asked about as often", () => {
+    const servers = createServers(45, ["north"]);
+    const random = createRandomSource(1);
+    const idleMs = 8_000;
+    const perGatewayAndSecond = 2;
+    const lastAskedMs = new Map<string, number>();
+    const asks = new Map<string, number>();
+    let opened = 0;
+    let asked = 0;
+    const gateways = Array.from(
+        { length: 38 },
+        (_, i) => ({ name: `gateway-${i}`, subset: new ServerSubset(`gateway-${i}`) }),
+    );
+    for (let atMs = 0; atMs < 60_000; atMs += 1_000 / perGatewayAndSecond) {
+        for (const { name, subset } of gateways) {
+            const ordered = orderToAsk({
+                servers,
+                availabilityZone: "north",
+                subset: subset.of(servers),
+                isSuspect: () => false,
+                random,
+            });
+            for (const { id } of ordered.slice(0, askedFirst)) {
+                const pair = `${name} ${id}`;
+                asked++;
+                opened += atMs - (lastAskedMs.get(pair) ?? -Infinity) > idleMs ? 1 : 0;
+                lastAskedMs.set(pair, atMs);
+                asks.set(id, (asks.get(id) ?? 0) + 1);
+            }
+        }
+    }
+    assert.ok(opened / asked < 0.05, `${opened} of ${asked} questions opened a connection`);
+    const counts = servers.map(({ id }) => asks.get(id) ?? 0);
+    const mean = asked / servers.length;
+    assert.ok(Math.min(...counts) > mean * 0.4 && Math.max(...counts) < mean * 1.8, counts.join(" "));
+});
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -3,6 +3,12 @@
 /** Backend servers asked for their load before a request is sent: enough that one of them is neither slow nor full. */
 export const askedFirst = 4;
 
+/**
+ * Backend servers of its own zone that a gateway asks before others: three times as many as are asked at once, so that
+ * nearly always one of them is neither slow nor full.
+ */
+export const subsetServers = 12;
+
 /** Backend servers that a request may always ask when it arrives and before it is refused: a choice of two. */
 export const leastAsked = 2;
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,6 +1,6 @@
 /** Where a request goes: whom to ask, whom to send to, when to wait, to repeat and to refuse. */
 export { AskBudget } from "./askBudget.js";
-export { orderToAsk } from "./askOrder.js";
+export { type AskOrderInput, orderToAsk } from "./askOrder.js";
 export { choosePlacement, type PlacementDecision, type PlacementInput } from "./choosePlacement.js";
 export { ColdAdmission, type ColdInput } from "./coldAdmission.js";
 export { type RefusalCause, resolveComeBack } from "./comeBack.js";
@@ -11,6 +11,7 @@
     longestPauseMs,
     maximumSends,
     shortestPauseMs,
+    subsetServers,
     waitShare,
 } from "./constants.js";
 export { drawDestination } from "./destination.js";
@@ -26,5 +27,6 @@
 } from "./nextTry.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
 export { type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
+export { ServerSubset } from "./serverSubset.js";
 export { ServerTrust } from "./serverTrust.js";
 export { TypicalWork } from "./typicalWork.js";
--- a/packages/probing/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Measuring backend servers' load within a budget that all gateways share. */
-export { type ProbedService, ProbeScheduler } from "./probeScheduler.js";
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,6 +2,7 @@
     checkAtMostOnce,
     checkColdRate,
     checkDrained,
+    checkProbeBudget,
     checkRepeatBudget,
     checkTruthfulDidRun,
     checkWholeAnswer,
@@ -11,6 +12,7 @@
 } from "@galenaglade/history";
 import {
     applyMs,
+    asksPerServerAndSecond,
     coldPerSecondLimit,
     recoveredMs,
     recoveredShare,
@@ -60,6 +62,7 @@
         ...checkTruthfulDidRun(history),
         ...checkWholeAnswer(history),
         ...checkRepeatBudget(history, { ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs }),
+        ...checkProbeBudget(history, { probesPerSecond: asksPerServerAndSecond, seats: asksPerServerAndSecond * 10 }),
         ...checkColdRate(history, coldPerSecondLimit),
         ...checkDrained(calm, applyMs),
         ...checkZoneOut(calm, zoneOutMs),
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -1,11 +1,14 @@
 /** Sizes and times of a soak run. Times are milliseconds. */
 
-/** Entry hosts: enough that shares and owners are dealt out, few enough for several runs side by side. */
-export const edgeCount = 3;
+/** Entry hosts: two in each of two zones, so that one of each reads the store and one asks it, few enough for several runs. */
+export const edgeCount = 4;
 
 /** Backend servers of each service, dealt over the availability zones in turn. */
 export const serversPerService = 4;
 
+/** Availability zones in which gateways stand. */
+export const gatewayZones = 2;
+
 export const availabilityZones = ["north", "middle", "south"] as const;
 
 export const services = ["tables", "returns"] as const;
@@ -72,3 +75,6 @@
 
 /** Leases of the store don't get shorter than this. */
 export const shortestLeaseSeconds = 1;
+
+/** Questions for its load that one backend server may be asked a second, from all gateways together. */
+export const asksPerServerAndSecond = 60;
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -1,6 +1,7 @@
 import { type FleetConfiguration, type Route } from "@galenaglade/fleet-state";
 import { stringify } from "yaml";
 import {
+    asksPerServerAndSecond,
     coldRequestsPerSecond,
     graceMs,
     objectiveMs,
@@ -101,6 +102,6 @@
         store: { address: `127.0.0.1:${storePort}`, shortestLeaseSeconds },
         stopping: { graceSeconds: graceMs / 1_000 },
         repeats: { ratio: repeatRatio, slack: repeatSlack, windowSeconds: repeatWindowMs / 1_000 },
-        asking: { perServerAndSecond: 60 },
+        asking: { perServerAndSecond: asksPerServerAndSecond },
     });
 }
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -50,6 +50,7 @@
             return;
         }
         if (req.url === this.#names.healthPath) {
+            this.#history.record({ type: "serverProbed", server: this.#order.id, gateway: "" });
             res.writeHead(this.#trouble.leaves ? 503 : 200, this.#names.renderState(this.#state())).end();
             return;
         }
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -1,7 +1,15 @@
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { MemoryHistory } from "@galenaglade/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
-import { applyMs, availabilityZones, coldMs, edgeCount, serversPerService, services } from "./constants.js";
+import {
+    applyMs,
+    availabilityZones,
+    coldMs,
+    edgeCount,
+    gatewayZones,
+    serversPerService,
+    services,
+} from "./constants.js";
 import { type Fault } from "./faults.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
@@ -64,7 +72,7 @@
             world.edges.push(
                 await SoakEdge.start(
                     name,
-                    zoneAt(i),
+                    zoneAt(i % gatewayZones),
                     system,
                     createRandomSource(seed + 10 + i),
                     dir,
