Ask ten servers of the own zone first, as eight leave some servers to too few gateways

Ruled out: dealing the servers out evenly by the roster, since each change of the roster would move all of it.

--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -4,10 +4,10 @@
 export const askedFirst = 4;
 
 /**
- * Backend servers of its own zone that a gateway asks before others: twice as many as are asked at once, so that
+ * Backend servers of its own zone that a gateway asks before others: more than twice as many as are asked at once, so that
  * nearly always one of them is neither slow nor full.
  */
-export const subsetServers = 8;
+export const subsetServers = 10;
 
 /** Backend servers that a request may always ask when it arrives and before it is refused: a choice of two. */
 export const leastAsked = 2;
