--- /dev/null
+++ b/packages/placement/src/__tests__/replayedLoads.test.ts
@@ -0,0 +1,123 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { objectiveMs, patienceMs, ReplayFleet, type ReplayInput } from "./support/replay.js";
+
+/** Twelve servers of three slots bear about 110 requests a second, a fourth of them being slow at any moment. */
+const usual = { seed: 5, gateways: 15, servers: 12, forMs: 20_000 } satisfies Partial<ReplayInput>;
+const coldLimit = 4.2 * 1.5 + 5;
+
+/** @returns the most arrivals at one server in any one second while it was cold */
+function findBusiestColdSecond(fleet: ReplayFleet): number {
+    const counts = fleet.servers.flatMap(({ coldArrivalsMs }) =>
+        coldArrivalsMs.map(fromMs => coldArrivalsMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length)
+    );
+    return Math.max(0, ...counts);
+}
+
+// The load goes up threefold within 10 ms, to more than the servers bear, and falls again. Sent on, all of it queues at
+// servers and is late, and for seconds after the load has fallen the queues are still there.
+test("a load that jumps above what the servers bear: far more is answered in time, while it lasts and after it", () => {
+    const load = (nowMs: number): number => nowMs >= 5_000 && nowMs < 10_000 ? 200 : 70;
+    for (const seed of [5, 6, 7]) {
+        const deciding = new ReplayFleet({ ...usual, seed, load }).run();
+        const blind = new ReplayFleet({ ...usual, seed, load, blind: true }).run();
+        for (const [fromMs, toMs, gain] of [[0, 5_000, 0.15], [5_000, 10_000, 0.15], [11_000, 16_000, 0.1]] as const) {
+            const share = deciding.shareInTime(fromMs, toMs);
+            const without = blind.shareInTime(fromMs, toMs);
+            assert.ok(share > without + gain, `seed ${seed}, from ${fromMs} ms: ${share} against ${without}`);
+        }
+    }
+});
+
+// 2.4 times the load, and 40 in 100 callers come back at once, up to four times. Each refusal makes more load; what is
+// answered must not sink below what the servers bear.
+test("2.4 times the load with 40 in 100 callers repeating at once: the servers' work is still of use", () => {
+    const load = (nowMs: number): number => nowMs >= 5_000 && nowMs < 12_000 ? 240 : 100;
+    const more = { ...usual, load, impatientShare: 0.4 };
+    const deciding = new ReplayFleet(more).run();
+    const blind = new ReplayFleet({ ...more, blind: true }).run();
+    const during = deciding.shareInTime(5_000, 12_000);
+    assert.ok(during > blind.shareInTime(5_000, 12_000) + 0.15, `${during} in time`);
+    const tries = deciding.tries / deciding.callers.length;
+    assert.ok(tries < 2.5, `${tries} tries a caller`);
+});
+
+// A zone is taken out at nearly full load and comes back cold: its servers look idle, and every gateway has requests that
+// wait. Given all of them, the servers would fall over one after the other.
+test("a zone out at full load and back cold: its servers get what they bear and no more", () => {
+    const input: ReplayInput = {
+        ...usual,
+        load: () => 95,
+        onStep: (fleet, nowMs) => {
+            if (nowMs === 4_000) {
+                fleet.zonesOut.add("north");
+            }
+            if (nowMs === 10_000) {
+                fleet.zonesOut.delete("north");
+                for (const server of fleet.servers.filter(each => each.registered.availabilityZone === "north")) {
+                    server.coldUntilMs = 13_000;
+                }
+            }
+        },
+    };
+    const deciding = new ReplayFleet(input).run();
+    const most = findBusiestColdSecond(deciding);
+    assert.ok(most > 0 && most <= coldLimit, `${most} in one second`);
+    assert.ok(deciding.servers.some(({ coldArrivalsMs }) => coldArrivalsMs.length > 3), "cold servers are used");
+    assert.ok(findBusiestColdSecond(new ReplayFleet({ ...input, blind: true }).run()) > coldLimit);
+    assert.ok(deciding.shareInTime(14_000, 19_000) > 0.75, `${deciding.shareInTime(14_000, 19_000)} once all are warm`);
+});
+
+// All servers turn half of the requests away although they have room. Each is sent once more while the allowance lasts,
+// which is for the whole fleet, and then its caller is asked back shortly.
+test("servers that turn half away: repeats stay within the allowance, and nearly all are served", () => {
+    const fleet = new ReplayFleet({
+        ...usual,
+        load: () => 60,
+        onStep: ({ servers }, nowMs) => {
+            for (const server of servers) {
+                server.rejects = nowMs >= 5_000 && nowMs < 12_000 ? 0.5 : 0;
+            }
+        },
+    }).run();
+    assert.ok(fleet.repeated < fleet.tries * 0.2 + 58 * 2, `${fleet.repeated} repeats of ${fleet.tries}`);
+    assert.ok(fleet.shareServed(5_000, 12_000) > 0.8, `${fleet.shareServed(5_000, 12_000)} served`);
+    assert.ok(fleet.shareInTime(13_000, 18_000) > 0.95);
+});
+
+// Half of the gateways lose power under load and are back a second later, with new allowances. Those that stay take twice
+// the requests, and the fleet as a whole may repeat no more than before.
+test("half of the gateways restarted under load: the others serve on, and the allowance holds", () => {
+    const fleet = new ReplayFleet({
+        ...usual,
+        load: () => 90,
+        onStep: (each, nowMs) => {
+            if (nowMs === 6_000 || nowMs === 9_000) {
+                each.restart(0.5, nowMs, 1_000);
+            }
+            for (const server of each.servers) {
+                server.rejects = nowMs >= 5_000 && nowMs < 15_000 ? 0.3 : 0;
+            }
+        },
+    }).run();
+    assert.ok(fleet.repeated < fleet.tries * 0.2 + 58 * 2, `${fleet.repeated} repeats of ${fleet.tries}`);
+    assert.ok(fleet.shareServed(6_000, 12_000) > 0.9, `${fleet.shareServed(6_000, 12_000)} served`);
+});
+
+// Near the limit, half of the callers leave after half of the objective. Their work is given up, and the slots go to those
+// who stay: more of them are answered in time than when everyone stays.
+test("callers leaving at half their objective: the slots that they free serve the others", () => {
+    const load = (): number => 170;
+    const staying = new ReplayFleet({ ...usual, load }).run();
+    const leaving = new ReplayFleet({
+        ...usual,
+        load,
+        resolvePatienceMs: random => random.next() < 0.5 ? objectiveMs / 2 : patienceMs,
+    }).run();
+    const stayed = leaving.callers.filter(caller => caller.patienceMs === patienceMs);
+    const inTime = stayed.filter(({ arrivedAtMs, answeredAtMs }) =>
+        answeredAtMs !== undefined && answeredAtMs - arrivedAtMs <= objectiveMs
+    );
+    const share = inTime.length / stayed.length;
+    assert.ok(share > staying.shareInTime(0, 19_000) + 0.03, `${share} against ${staying.shareInTime(0, 19_000)}`);
+});
--- /dev/null
+++ b/packages/placement/src/__tests__/support/replayServer.ts
@@ -0,0 +1,99 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type RandomSource } from "@galenaglade/routing";
+import { type ServerOffer } from "../../index.js";
+
+/** Usual time of the work in milliseconds. */
+export const workMs = 160;
+const slots = 3;
+const queueLimit = 6;
+/** A fourth of the servers is four times slower at any moment, for 300 ms in turn. */
+const slowShare = 0.25;
+const slowFactor = 4;
+const shiftMs = 300;
+/** Work on a server whose slots are all taken takes longer. */
+const fullFactor = 1.7;
+
+/** One request at work or in the queue of a server. */
+export interface Job {
+    remainingMs: number;
+    readonly onDone: () => void;
+    /** Whether nobody waits for it any more, so that it frees its slot. */
+    readonly isAbandoned: () => boolean;
+}
+
+/** A backend server of a replayed load. */
+export class ReplayServer {
+    readonly registered: RegisteredServer;
+    /** Share of the requests that it turns away although it has room. */
+    rejects = 0;
+    /** Cold until this time. */
+    coldUntilMs = -Infinity;
+    /** When requests reached it while it was cold. */
+    readonly coldArrivalsMs: number[] = [];
+    arrivals = 0;
+    readonly #random: RandomSource;
+    #jobs: Job[] = [];
+    #isSlow = false;
+
+    constructor(id: string, availabilityZone: string, random: RandomSource) {
+        this.registered = {
+            id,
+            service: "tables",
+            address: { host: "127.0.0.1", port: 1 },
+            availabilityZone,
+            slots,
+            state: "ready",
+            coldRemainingMs: 0,
+            startedAtEpochMs: undefined,
+        };
+        this.#random = random;
+    }
+
+    offer(nowMs: number): ServerOffer {
+        const { id, availabilityZone } = this.registered;
+        return {
+            serverId: id,
+            availabilityZone,
+            load: {
+                running: Math.min(slots, this.#jobs.length),
+                waiting: Math.max(0, this.#jobs.length - slots),
+                slots,
+                slowdown: this.#isSlow ? slowFactor : 1,
+            },
+            slots,
+            healthy: true,
+            coldRemainingMs: Math.max(0, this.coldUntilMs - nowMs),
+        };
+    }
+
+    /** @returns whether it takes the request; one that it doesn't take has not run */
+    arrive(job: Omit<Job, "remainingMs">, nowMs: number): boolean {
+        this.arrivals++;
+        if (nowMs < this.coldUntilMs) {
+            this.coldArrivalsMs.push(nowMs);
+        }
+        if (this.#jobs.length >= slots + queueLimit || this.#random.next() < this.rejects) {
+            return false;
+        }
+        this.#jobs.push({ ...job, remainingMs: workMs * (0.7 + 0.6 * this.#random.next()) });
+        return true;
+    }
+
+    /** Works for a while. */
+    step(stepMs: number): void {
+        if (this.#random.next() < stepMs / shiftMs) {
+            this.#isSlow = this.#random.next() < slowShare;
+        }
+        this.#jobs = this.#jobs.filter(job => !job.isAbandoned());
+        const isFull = this.#jobs.length >= slots;
+        const factor = (this.#isSlow ? slowFactor : 1) * (isFull ? fullFactor : 1);
+        for (const job of this.#jobs.slice(0, slots)) {
+            job.remainingMs -= stepMs / factor;
+        }
+        const done = this.#jobs.filter(({ remainingMs }) => remainingMs <= 0);
+        this.#jobs = this.#jobs.filter(({ remainingMs }) => remainingMs > 0);
+        for (const job of done) {
+            job.onDone();
+        }
+    }
+}
