--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -9,11 +9,11 @@
 const badArgumentsExitCode = 2;
 
 const usage = `soak [--seed N] [--runs N | --regressions] [--parallel N] [--out DIR]
-  --seed      the first seed; each further run takes the next one. Default: drawn
-  --runs      how many runs. Default: 1
+  --seed         the first seed; each further run takes the next one. Default: drawn
+  --runs         how many runs. Default: 1
   --regressions  plays the seeds that once found something
-  --parallel  how many at a time; each has 12 processes. Default: 1
-  --out       where runs that found something keep their histories and logs
+  --parallel     how many at a time; each has 13 processes or more. Default: 1
+  --out          where runs that found something keep their histories and logs
 Exit codes: 0 nothing found, 1 something found, 2 arguments that can't be taken.
 `;
 
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -6,11 +6,11 @@
 /** Backend servers of each service, dealt over the availability zones in turn. */
 export const serversPerService = 4;
 
-/** Availability zones in which gateways stand. */
-export const gatewayZones = 2;
-
 export const availabilityZones = ["north", "middle", "south"] as const;
 
+/** How many of the availability zones have gateways. */
+export const gatewayZones = 2;
+
 export const services = ["tables", "returns"] as const;
 
 /** Time until callers are let in, for the gateways to read the store and register. */
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -17,7 +17,7 @@
     readonly #server: Server;
     readonly #links = new Set<Link>();
     readonly #faults: LinkFault[] = [];
-    #targetPort: number;
+    readonly #targetPort: number;
 
     private constructor(targetPort: number) {
         this.#targetPort = targetPort;
@@ -35,11 +35,6 @@
         return (this.#server.address() as AddressInfo).port;
     }
 
-    /** Where new connections go from now on. */
-    retarget(port: number): void {
-        this.#targetPort = port;
-    }
-
     /** Begins a fault. The same one may be begun several times, and ends as often. */
     begin(fault: LinkFault): void {
         this.#faults.push(fault);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -64,12 +64,12 @@
         const endedAtMs = machineNow();
         const findings = checkSoak({
             history: mergeHistories(
-                world.targets.map(({ historyPath }) => historyPath),
+                world.backends.map(({ historyPath }) => historyPath),
                 [world.history, ...world.edges.flatMap(({ histories }) => histories)],
             ),
             harmed: world.harmed,
             edges: world.edges,
-            serviceOf: new Map(world.targets.map(({ place }) => [place.id, place.service])),
+            serviceOf: new Map(world.backends.map(({ place }) => [place.id, place.service])),
             findings: world.edges.flatMap(edge => edge.findings),
             endedAtMs,
         });
--- a/packages/soak/src/soakTarget.ts
+++ b/packages/soak/src/soakBackend.ts
@@ -7,34 +7,34 @@
 import { type ServerTrouble, type SoakSystem, soundServer } from "./soakSystem.js";
 
 /** Where a backend server of a run stands. */
-export interface TargetPlace {
+export interface BackendPlace {
     readonly id: string;
     readonly service: string;
     readonly availabilityZone: string;
 }
 
 /** One start of one backend server, behind the proxy through which all gateways reach it. */
-export class SoakTarget {
-    readonly place: TargetPlace;
+export class SoakBackend {
+    readonly place: BackendPlace;
     readonly proxy: FaultProxy;
     readonly historyPath: string;
     readonly #process: StartedProcess;
     readonly #startedAtEpochMs = Date.now();
     readonly #troubles: Partial<ServerTrouble>[] = [];
 
-    private constructor(place: TargetPlace, process: StartedProcess, proxy: FaultProxy, historyPath: string) {
+    private constructor(place: BackendPlace, process: StartedProcess, proxy: FaultProxy, historyPath: string) {
         this.place = place;
         this.proxy = proxy;
         this.historyPath = historyPath;
         this.#process = process;
     }
 
-    static async start(place: TargetPlace, system: SoakSystem, dir: string, seed: number): Promise<SoakTarget> {
+    static async start(place: BackendPlace, system: SoakSystem, dir: string, seed: number): Promise<SoakBackend> {
         const historyPath = join(dir, `${place.id}.history`);
         const program = system.resolveServer({ ...place, historyPath, seed });
         const process = await startProcess({ name: place.id, ...program });
         const proxy = await FaultProxy.start(Number(new URL(process.url).port));
-        return new SoakTarget(place, process, proxy, historyPath);
+        return new SoakBackend(place, process, proxy, historyPath);
     }
 
     /** @returns what it writes into the store */
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -14,21 +14,28 @@
 /** A caller that hangs up does so within this time. */
 const hangUpMs = 60;
 
+/** Share of the requests that are sent on a connection of their own. */
+const freshShare = 0.3;
+
+/** What came back. */
+interface Received {
+    /** `undefined` where no answer came. */
+    readonly status: number | undefined;
+    readonly retryAfter: string | undefined;
+    /** Whether the caller could connect at all. */
+    readonly connected: boolean;
+}
+
 /** How one request ended for its caller. */
-export interface CallerEnd {
+export interface CallerEnd extends Received {
     readonly requestId: string;
     readonly route: SoakRoute;
-    /** `undefined` where no answer came. */
-    readonly status: number | undefined;
     readonly sentAtMs: number;
     readonly endedAtMs: number;
-    /** Whether the caller could connect at all. */
-    readonly connected: boolean;
     /** Whether it left early. */
     readonly hungUp: boolean;
     /** Whether it waited in vain. */
     readonly gaveUp: boolean;
-    readonly retryAfter: string | undefined;
 }
 
 /** Sends requests to one life of one gateway over kept and over new connections, and records what came of each. */
@@ -53,18 +60,36 @@
 
     /** Sends one request and waits for its end, which it never fails. @param hangsUp - whether it leaves early */
     async send(requestId: string, route: SoakRoute, hangsUp: boolean): Promise<void> {
-        const idempotent = route !== "file";
-        const fresh = this.#random.next() < 0.3;
+        const fresh = this.#random.next() < freshShare;
         const agent = fresh ? new Agent({ connect: { timeout: connectTimeoutMs } }) : this.#kept;
         const givesUp = new AbortController();
         // Past its patience and what is allowed beyond it: whoever is silent for so long holds the request.
         const waitMs = hangsUp ? this.#random.next() * hangUpMs : routeTimeoutMs + heldSlackMs;
         const timer = setTimeout(() => givesUp.abort(), waitMs);
         const sentAtMs = machineNow();
+        const got = await this.#request(agent, requestId, route, givesUp.signal);
+        clearTimeout(timer);
+        this.#ends.push({
+            ...got,
+            requestId,
+            route,
+            sentAtMs,
+            endedAtMs: machineNow(),
+            hungUp: hangsUp,
+            gaveUp: givesUp.signal.aborted && !hangsUp,
+        });
+        if (fresh) {
+            await agent.destroy();
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.#kept.destroy();
+    }
+
+    async #request(agent: Agent, requestId: string, route: SoakRoute, signal: AbortSignal): Promise<Received> {
+        const idempotent = route !== "file";
         this.#history.record({ type: "callerSent", requestId, service: route, idempotent, patienceMs });
-        let status: number | undefined;
-        let retryAfter: string | undefined;
-        let connected = true;
         try {
             const res = await agent.request({
                 origin: this.#url,
@@ -72,47 +97,37 @@
                 path: `${pathOf[route]}${requestId}`,
                 headers: { host: authority, ...this.#system.renderRequest(requestId, patienceMs) },
                 body: idempotent ? null : `return ${requestId}`,
-                signal: givesUp.signal,
+                signal,
                 headersTimeout: 0,
                 bodyTimeout: 0,
             });
             const body = await res.body.text();
-            status = res.statusCode;
-            retryAfter = readText(res.headers["retry-after"]);
-            const marks = this.#system.readAnswer(res.headers);
-            const own = status === okStatus ? findRequestId(body) : undefined;
-            this.#history.record({
-                type: "callerAnswered",
-                requestId,
-                status,
-                didRun: notRunStatuses.has(status) ? "no" : undefined,
-                whole: status !== okStatus || (marks.signed && marks.requestId === requestId && own !== undefined),
-                bodyRequestId: own,
-            });
+            this.#recordAnswer(requestId, res.statusCode, res.headers, body);
+            const retryAfter = readText(res.headers["retry-after"]);
+            return { status: res.statusCode, retryAfter, connected: true };
         }
         catch (err) {
-            connected = !isConnectFailure(err);
-            this.#history.record({ type: givesUp.signal.aborted ? "callerGaveUp" : "callerCutOff", requestId });
+            this.#history.record({ type: signal.aborted ? "callerGaveUp" : "callerCutOff", requestId });
+            return { status: undefined, retryAfter: undefined, connected: !isConnectFailure(err) };
         }
-        clearTimeout(timer);
-        this.#ends.push({
+    }
+
+    #recordAnswer(
+        requestId: string,
+        status: number,
+        headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+        body: string,
+    ): void {
+        const marks = this.#system.readAnswer(headers);
+        const own = status === okStatus ? findRequestId(body) : undefined;
+        this.#history.record({
+            type: "callerAnswered",
             requestId,
-            route,
             status,
-            sentAtMs,
-            endedAtMs: machineNow(),
-            connected,
-            hungUp: hangsUp,
-            gaveUp: givesUp.signal.aborted && !hangsUp,
-            retryAfter,
+            didRun: notRunStatuses.has(status) ? "no" : undefined,
+            whole: status !== okStatus || (marks.signed && marks.requestId === requestId && own !== undefined),
+            bodyRequestId: own,
         });
-        if (fresh) {
-            await agent.destroy();
-        }
-    }
-
-    async close(): Promise<void> {
-        await this.#kept.destroy();
     }
 }
 
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -15,7 +15,7 @@
 import { SoakEdge } from "./soakEdge.js";
 import { SoakStore } from "./soakStore.js";
 import { type ServerTrouble, type SoakSystem, type StoreTrouble } from "./soakSystem.js";
-import { SoakTarget } from "./soakTarget.js";
+import { SoakBackend } from "./soakBackend.js";
 import { machineNow, Spans } from "./spans.js";
 
 /** A process that is gone without a word keeps its entry for about this long, in milliseconds. */
@@ -39,14 +39,14 @@
     readonly history = new MemoryHistory("operator");
     /** When the store, a gateway or a way between them was harmed, or a way to a server. */
     readonly harmed = new Spans();
-    readonly targets: SoakTarget[] = [];
+    readonly backends: SoakBackend[] = [];
     readonly edges: SoakEdge[] = [];
     readonly #system: SoakSystem;
     readonly #dir: string;
     readonly #random: RandomSource;
     readonly #store: SoakStore;
-    readonly #live: SoakTarget[] = [];
-    readonly #leaving = new Set<SoakTarget>();
+    readonly #live: SoakBackend[] = [];
+    readonly #leaving = new Set<SoakBackend>();
     readonly #zonesOut = new Set<string>();
     #version = firstVersion;
     #started = 0;
@@ -66,7 +66,7 @@
         const places = services.flatMap(service =>
             Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
         );
-        await Promise.all(places.map(({ service, i }) => world.#startTarget(service, zoneAt(i), false)));
+        await Promise.all(places.map(({ service, i }) => world.#startBackend(service, zoneAt(i), false)));
         for (let i = 0; i < edgeCount; i++) {
             const name = `edge-${i + 1}`;
             world.edges.push(
@@ -91,7 +91,7 @@
     async apply(fault: Fault): Promise<void> {
         const { kind, forMs } = fault;
         const edge = pick(this.edges, fault.target);
-        const target = pick(this.#live, fault.target);
+        const backend = pick(this.#live, fault.target);
         switch (kind) {
             case "edgeTerm":
                 return this.#harm(() => edge.restart(forMs));
@@ -125,27 +125,27 @@
                     this.#store.resume();
                 });
             case "serverLink":
-                return this.#harm(() => harmLink(target.proxy, fault));
+                return this.#harm(() => harmLink(backend.proxy, fault));
             case "serverKill":
-                return this.#replaceKilled(target, forMs);
+                return this.#replaceKilled(backend, forMs);
             case "serverPause":
                 return this.#harm(async () => {
-                    target.pause();
+                    backend.pause();
                     await sleep(forMs);
-                    target.resume();
+                    backend.resume();
                 });
             case "serverSlow":
-                return harmServer(target, { slowdown }, forMs);
+                return harmServer(backend, { slowdown }, forMs);
             case "serverFail":
-                return harmServer(target, { fails: true }, forMs);
+                return harmServer(backend, { fails: true }, forMs);
             case "serverShed":
-                return harmServer(target, { sheds: true }, forMs);
+                return harmServer(backend, { sheds: true }, forMs);
             case "serverSpoil":
-                return harmServer(target, { spoils: true }, forMs);
+                return harmServer(backend, { spoils: true }, forMs);
             case "serverCold":
-                return target.turnCold(coldMs);
+                return backend.turnCold(coldMs);
             case "serverDrain":
-                return this.#replaceDrained(target, forMs);
+                return this.#replaceDrained(backend, forMs);
             case "configure":
                 return this.#configure();
             case "zoneOut":
@@ -159,14 +159,14 @@
 
     /** Ends every process of the run without waiting, as where the soak itself is told to end: none may be left behind. */
     abort(): void {
-        for (const each of [...this.edges, ...this.targets, this.#store]) {
+        for (const each of [...this.edges, ...this.backends, this.#store]) {
             each.abort();
         }
     }
 
     /** Ends every process of the run. */
     async close(): Promise<void> {
-        await Promise.all([...this.edges, ...this.targets].map(each => each.close()));
+        await Promise.all([...this.edges, ...this.backends].map(each => each.close()));
         await this.#store.close();
     }
 
@@ -184,56 +184,56 @@
         });
     }
 
-    async #startTarget(service: string, availabilityZone: string, cold: boolean): Promise<void> {
+    async #startBackend(service: string, availabilityZone: string, cold: boolean): Promise<void> {
         const number = ++this.#started;
         const place = { id: `server-${number}`, service, availabilityZone };
-        const target = await SoakTarget.start(place, this.#system, this.#dir, number);
-        this.targets.push(target);
-        this.#live.push(target);
+        const backend = await SoakBackend.start(place, this.#system, this.#dir, number);
+        this.backends.push(backend);
+        this.#live.push(backend);
         const coldForMs = cold ? coldMs : 0;
-        await target.turnCold(coldForMs);
-        await this.#store.order({ puts: [this.#system.renderServer(target.register("ready", coldForMs))] });
+        await backend.turnCold(coldForMs);
+        await this.#store.order({ puts: [this.#system.renderServer(backend.register("ready", coldForMs))] });
     }
 
-    #deleteEntry(target: SoakTarget): Promise<void> {
-        const { key } = this.#system.renderServer(target.register("draining", 0));
+    #deleteEntry(backend: SoakBackend): Promise<void> {
+        const { key } = this.#system.renderServer(backend.register("draining", 0));
         return this.#store.order({ deletes: [key] });
     }
 
     /** The server crashes; its entry lapses, and another one comes up in its place, cold. */
-    async #replaceKilled(target: SoakTarget, downMs: number): Promise<void> {
-        if (!this.#beginLeaving(target)) {
+    async #replaceKilled(backend: SoakBackend, downMs: number): Promise<void> {
+        if (!this.#beginLeaving(backend)) {
             return;
         }
-        await target.kill();
+        await backend.kill();
         await sleep(lostEntryMs);
-        await this.#deleteEntry(target);
+        await this.#deleteEntry(backend);
         await sleep(downMs);
-        await this.#startTarget(target.place.service, target.place.availabilityZone, true);
+        await this.#startBackend(backend.place.service, backend.place.availabilityZone, true);
     }
 
     /** Its successor starts first; then the server says that it leaves, serves on, and ends. */
-    async #replaceDrained(target: SoakTarget, staysMs: number): Promise<void> {
-        if (!this.#beginLeaving(target)) {
+    async #replaceDrained(backend: SoakBackend, staysMs: number): Promise<void> {
+        if (!this.#beginLeaving(backend)) {
             return;
         }
-        await this.#startTarget(target.place.service, target.place.availabilityZone, true);
-        await this.#store.order({ puts: [this.#system.renderServer(target.register("draining", 0))] });
-        this.history.record({ type: "drainAccepted", server: target.place.id });
-        await target.trouble({ leaves: true });
+        await this.#startBackend(backend.place.service, backend.place.availabilityZone, true);
+        await this.#store.order({ puts: [this.#system.renderServer(backend.register("draining", 0))] });
+        this.history.record({ type: "drainAccepted", server: backend.place.id });
+        await backend.trouble({ leaves: true });
         await sleep(applyMs + staysMs);
-        await this.#deleteEntry(target);
+        await this.#deleteEntry(backend);
         await sleep(drainedStaysMs);
-        await target.kill();
+        await backend.kill();
     }
 
     /** @returns whether it is the first to end this server */
-    #beginLeaving(target: SoakTarget): boolean {
-        if (this.#leaving.has(target)) {
+    #beginLeaving(backend: SoakBackend): boolean {
+        if (this.#leaving.has(backend)) {
             return false;
         }
-        this.#leaving.add(target);
-        this.#live.splice(this.#live.indexOf(target), 1);
+        this.#leaving.add(backend);
+        this.#live.splice(this.#live.indexOf(backend), 1);
         return true;
     }
 
@@ -274,8 +274,8 @@
     proxy.end(link);
 }
 
-async function harmServer(target: SoakTarget, trouble: Partial<ServerTrouble>, forMs: number): Promise<void> {
-    const end = await target.trouble(trouble);
+async function harmServer(backend: SoakBackend, trouble: Partial<ServerTrouble>, forMs: number): Promise<void> {
+    const end = await backend.trouble(trouble);
     await sleep(forMs);
     await end();
 }
