--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { checkSoak } from "./checks.js";
-import { calmMs, faultyMs, requestsPerSecond, settleMs } from "./constants.js";
+import { calmMs, requestsPerSecond, settleMs } from "./constants.js";
 import { type Fault } from "./faults.js";
 import { planFaults } from "./plan.js";
 import { type SoakRoute } from "./soakConfiguration.js";
@@ -55,13 +55,11 @@
     try {
         await sleep(settleMs);
         const load = new SoakLoad(world, createRandomSource(seed + 2));
-        const callers = load.run(faultyMs + calmMs);
-        await Promise.all(faults.map(async fault => {
+        const faultsOver = Promise.all(faults.map(async fault => {
             await sleep(fault.atMs);
             await world.apply(fault);
         }));
-        await callers;
-        const endedAtMs = machineNow();
+        const [endedAtMs] = await Promise.all([load.run(faultsOver), faultsOver]);
         const findings = checkSoak({
             history: mergeHistories(
                 world.backends.map(({ historyPath }) => historyPath),
@@ -95,15 +93,26 @@
         this.#random = random;
     }
 
-    /** Sends for a while, then waits for the last answers. */
-    async run(forMs: number): Promise<void> {
-        const untilMs = machineNow() + forMs;
+    /**
+     * Sends until all faults are over and the calm time after them too, then waits for the last answers. Processes start
+     * slowly on a busy machine: ended by the clock alone, the calm time would be over before the last fault is.
+     *
+     * @returns when it stopped sending
+     */
+    async run(faultsOver: Promise<unknown>): Promise<number> {
+        let untilMs = Infinity;
+        const onOver = (): void => {
+            untilMs = machineNow() + calmMs;
+        };
+        faultsOver.then(onOver, onOver);
         while (machineNow() < untilMs) {
             const { load, hangUpShare } = this.#world.mood;
             this.#send(this.#random.next() < hangUpShare);
             await sleep(this.#random.next() * 2_000 / (requestsPerSecond * load));
         }
+        const stoppedAtMs = machineNow();
         await Promise.all(this.#open);
+        return stoppedAtMs;
     }
 
     #send(hangsUp: boolean): void {
