Give the soak's gateways ports that outgoing connections don't take

Cause: the ports came from the range that the system gives to outgoing connections (32768 to 60999), and one took a gateway's port before the gateway listened on it or while it was down. Change: ports between 10,000 and 30,000 that nothing listens on.

--- /dev/null
+++ b/packages/soak/src/lastingPorts.ts
@@ -0,0 +1,32 @@
+import { randomInt } from "node:crypto";
+import { createServer } from "node:net";
+
+/** Below the ports that the system gives to outgoing connections. */
+const firstPort = 10_000;
+const lastPort = 30_000;
+
+/**
+ * Finds ports on 127.0.0.1 for a process that is stopped and started again on them. A port that the system chose would be
+ * given to somebody's outgoing connection meanwhile, and the process could not start again.
+ *
+ * @param count - how many
+ * @returns ports that nothing listens on now, all different
+ */
+export async function findLastingPorts(count: number): Promise<readonly number[]> {
+    const ports = new Set<number>();
+    while (ports.size < count) {
+        const port = randomInt(firstPort, lastPort);
+        if (await isFree(port)) {
+            ports.add(port);
+        }
+    }
+    return [...ports];
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
