Count questions for load against each server's own allowance

Cause: the allowance is a server's own, and the budget was kept for a service as a whole. Whoever asks its own zone first, and there a fixed few, spends all of it on these: 4 gateways before 3 servers asked the one in the zone of two gateways 72 times a second where 60 are allowed. Ruled out: a smaller share (the surplus grows with the imbalance); dropping the own zone's preference. Change: AskBudget has one part for each server, and a request asks the first ones in its order that still have some; what the two questions that an arrival may always ask overdraw is paid back first. The test of a waiting fleet now checks each server and not their mean; the one of arrivals is the same over the new call.

Open: the two questions that an arrival may always ask can go beyond the allowance while arrivals alone are above it.

--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -3,6 +3,7 @@
 import {
     AskBudget,
     askedFirst,
+    type AskPurpose,
     choosePlacement,
     ColdAdmission,
     type ColdInput,
@@ -122,7 +123,7 @@
                 isSuspect: id => this.trust.isSuspect(id, nowMs),
                 random,
             });
-            const found = await this.#round(input, ordered, usable.length, round);
+            const found = await this.#round(input, ordered, round);
             if (found !== "wait") {
                 return found;
             }
@@ -142,6 +143,7 @@
     /** Forgets servers that are no longer there. */
     retain(serverIds: ReadonlySet<string>): void {
         this.trust.retain(serverIds);
+        this.#askBudget.retain(serverIds);
         this.#cold.retain(serverIds);
         this.#recent.retain(serverIds);
     }
@@ -157,18 +159,17 @@
     async #round(
         input: PlaceInput,
         ordered: readonly RegisteredServer[],
-        usable: number,
         round: number,
     ): Promise<Place | NoPlace | "wait"> {
         // Its last look is as good as a new request's: refused for want of a question, it would be lost to free servers.
         const purpose = round === 0 || this.#isLastRound(input) ? "arrival" : "waiting";
         const timeoutMs = Math.min(longestAskTimeoutMs, askTimeoutMs * 2 ** round);
         const asked: Asked[] = [];
-        let next = 0;
+        let unasked = ordered;
         for (;;) {
-            const wanted = Math.min(askedFirst, ordered.length - next);
-            const wave = ordered.slice(next, next + this.#takeAsks(input.rules.name, purpose, wanted, usable));
-            next = wave.length < wanted ? ordered.length : next + wave.length;
+            const wanted = Math.min(askedFirst, unasked.length);
+            const wave = this.#takeAsks(unasked, purpose, wanted);
+            unasked = wave.length < wanted ? [] : unasked.filter(server => !wave.includes(server));
             if (wave.length === 0 && asked.length === 0) {
                 return "wait";
             }
@@ -180,7 +181,7 @@
                 this.#giveBack(asked, undefined);
                 return "abandoned";
             }
-            const decision = this.#decide(input, asked, next < ordered.length);
+            const decision = this.#decide(input, asked, unasked.length > 0);
             switch (decision.type) {
                 case "widen":
                     continue;
@@ -208,11 +209,14 @@
         return this.#parts.clock.monotonicMs() - arrivedAtMs >= objectiveMs * waitShare;
     }
 
-    #takeAsks(service: string, purpose: "arrival" | "waiting", wanted: number, servers: number): number {
+    #takeAsks(
+        ordered: readonly RegisteredServer[],
+        purpose: AskPurpose,
+        wanted: number,
+    ): readonly RegisteredServer[] {
         const { view, clock } = this.#parts;
         const nowMs = clock.monotonicMs();
-        const fleet = { servers, gateways: view.gateways(nowMs).length };
-        return this.#askBudget.take(service, purpose, wanted, fleet, nowMs);
+        return this.#askBudget.take({ ordered, purpose, wanted, gateways: view.gateways(nowMs).length, nowMs });
     }
 
     #decide(input: PlaceInput, asked: readonly Asked[], hasUnasked: boolean): ReturnType<typeof choosePlacement> {
--- a/packages/placement/src/__tests__/limits.test.ts
+++ b/packages/placement/src/__tests__/limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { createRandomSource } from "@galenaglade/routing";
 import fc from "fast-check";
-import { AskBudget, ColdAdmission, RepeatBudget } from "../index.js";
+import { AskBudget, type AskPurpose, ColdAdmission, RepeatBudget } from "../index.js";
 
 /** @returns the largest number of times within any window of that length */
 function most(timesMs: readonly number[], windowMs: number): number {
@@ -106,25 +106,34 @@
     const servers = 9;
     const perSecond = 60;
     const budgets = Array.from({ length: gateways }, () => new AskBudget(perSecond));
-    let asks = 0;
+    const ordered = Array.from({ length: servers }, (_, i) => ({ id: `server-${i}` }));
+    const asks = new Map<string, number>();
     const seconds = 32;
     for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += 10) {
         for (const budget of budgets) {
-            asks += budget.take("tables", "waiting", 4, { servers, gateways }, nowMs);
+            for (const { id } of budget.take({ ordered, purpose: "waiting", wanted: 4, gateways, nowMs })) {
+                asks.set(id, (asks.get(id) ?? 0) + 1);
+            }
         }
     }
-    assert.ok(asks / servers / seconds <= perSecond, `${asks / servers / seconds} a server and second`);
+    for (const { id } of ordered) {
+        const asked = (asks.get(id) ?? 0) / seconds;
+        assert.ok(asked > 0 && asked <= perSecond, `${id} was asked ${asked} times a second`);
+    }
 });
 
 test("waiting requests leave questions to those that arrive, which may always ask two servers", () => {
     const budget = new AskBudget(10);
-    const fleet = { servers: 3, gateways: 1 };
-    while (budget.take("tables", "waiting", 4, fleet, 0) > 0) {
+    const ordered = Array.from({ length: 4 }, (_, i) => ({ id: `server-${i}` }));
+    const take = (purpose: AskPurpose): number =>
+        budget.take({ ordered, purpose, wanted: 4, gateways: 1, nowMs: 0 }).length;
+    while (take("waiting") > 0) {
         // Until no more are left to them.
     }
-    assert.equal(budget.take("tables", "arrival", 4, fleet, 0), 4);
-    while (budget.take("tables", "arrival", 4, fleet, 0) > 2) {
+    assert.equal(take("arrival"), 4);
+    while (take("arrival") > 2) {
         // Until the savings are used up.
     }
-    assert.equal(budget.take("tables", "arrival", 4, fleet, 0), 2);
+    assert.equal(take("arrival"), 2);
+    assert.equal(take("waiting"), 0);
 });
--- a/packages/placement/src/__tests__/support/replay.ts
+++ b/packages/placement/src/__tests__/support/replay.ts
@@ -224,22 +224,27 @@
     #place(gateway: Gateway, pending: Pending, nowMs: number): void {
         const usable = this.#usable();
         const ordered = this.#order(gateway, usable);
-        const fleet = { servers: usable.length, gateways: this.#gateways.length };
         const waitedMs = nowMs - pending.arrivedAtMs;
         const purpose = waitedMs === 0 || waitedMs >= objectiveMs * waitShare ? "arrival" : "waiting";
         const asked: ReplayServer[] = [];
-        for (let next = 0;;) {
-            const wanted = Math.min(askedFirst, ordered.length - next);
-            const taken = gateway.asks.take("tables", purpose, wanted, fleet, nowMs);
-            asked.push(...ordered.slice(next, next + taken));
-            next = taken < wanted ? ordered.length : next + taken;
+        for (let unasked = ordered;;) {
+            const wanted = Math.min(askedFirst, unasked.length);
+            const wave = gateway.asks.take({
+                ordered: unasked,
+                purpose,
+                wanted,
+                gateways: this.#gateways.length,
+                nowMs,
+            });
+            asked.push(...wave);
+            unasked = wave.length < wanted ? [] : unasked.filter(server => !wave.includes(server));
             if (asked.length === 0) {
                 gateway.pending.push(pending);
                 return;
             }
             const decision = choosePlacement({
                 scores: this.#score(gateway, asked, nowMs),
-                hasUnasked: next < ordered.length,
+                hasUnasked: unasked.length > 0,
                 waitedMs,
                 objectiveMs,
                 remainingMs: pending.caller.arrivedAtMs + pending.caller.patienceMs - nowMs,
--- a/packages/placement/src/__tests__/support/replayServer.ts
+++ b/packages/placement/src/__tests__/support/replayServer.ts
@@ -23,6 +23,7 @@
 
 /** A backend server of a replayed load. */
 export class ReplayServer {
+    readonly id: string;
     readonly registered: RegisteredServer;
     /** Share of the requests that it turns away although it has room. */
     rejects = 0;
@@ -36,6 +37,7 @@
     #isSlow = false;
 
     constructor(id: string, availabilityZone: string, random: RandomSource) {
+        this.id = id;
         this.registered = {
             id,
             service: "tables",
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,5 @@
 /** Where a request goes: whom to ask, whom to send to, when to wait, to repeat and to refuse. */
-export { AskBudget } from "./askBudget.js";
+export { AskBudget, type AskInput, type AskPurpose } from "./askBudget.js";
 export { type AskOrderInput, orderToAsk } from "./askOrder.js";
 export { choosePlacement, type PlacementDecision, type PlacementInput } from "./choosePlacement.js";
 export { ColdAdmission, type ColdInput } from "./coldAdmission.js";
