--- a/packages/edge/src/__tests__/registration.test.ts
+++ b/packages/edge/src/__tests__/registration.test.ts
@@ -26,7 +26,7 @@
 });
 
 // Kept over a restart with other settings, the registration would send the others to a port where nobody answers.
-test("a gateway that is asked for news at another port than in its life before registers anew", async t => {
+test("a gateway that is asked for changes at another port than in its life before registers anew", async t => {
     const store = new MemoryStore();
     store.put("configuration", createConfiguration(1));
     const first = await startEdge(t, store);
--- a/packages/edge/src/__tests__/news.test.ts
+++ b/packages/edge/src/__tests__/relay.test.ts
@@ -14,7 +14,7 @@
 
 interface TestFleet {
     readonly store: MemoryStore;
-    readonly reader: Member;
+    readonly relay: Member;
     readonly followers: readonly Member[];
 }
 
@@ -37,20 +37,20 @@
     }
     // Those that were asked while they knew only a part of the fleet read the store for some seconds more.
     await sleep(directMs + 1_500);
-    const findReader = (): Member | undefined =>
+    const findRelay = (): Member | undefined =>
         members.find(member => {
             const others = members.filter(other => other !== member);
             return others.every(other => findSource(other) === member.edge.name);
         });
-    await eventually(() => findReader() !== undefined, "all but one ask the same gateway");
-    const reader = findReader();
-    assert.ok(reader);
-    return { store, reader, followers: members.filter(member => member !== reader) };
+    await eventually(() => findRelay() !== undefined, "all but one ask the same gateway");
+    const relay = findRelay();
+    assert.ok(relay);
+    return { store, relay, followers: members.filter(member => member !== relay) };
 }
 
-/** @returns whom a gateway asks for the news, as it logged last */
+/** @returns whom a gateway asks for changes, as it logged last */
 function findSource({ edge }: Member): unknown {
-    return edge.logs.findLast(line => line["message"] === "newsSource")?.["peer"];
+    return edge.logs.findLast(line => line["message"] === "relayChosen")?.["peer"];
 }
 
 /** Writes a version and waits until gateways have it. */
@@ -63,11 +63,11 @@
     );
 }
 
-test("one gateway reads the store, and the others make hardly a call and hear the news all the same", async t => {
-    const { store, reader, followers } = await startFleet(t, 4);
+test("one gateway reads the store, and the others make hardly a call and hear of changes all the same", async t => {
+    const { store, relay, followers } = await startFleet(t, 4);
     const before = followers.map(({ link }) => link.calls);
     for (let version = 2; version < 6; version++) {
-        await applyVersion(store, [reader, ...followers], version);
+        await applyVersion(store, [relay, ...followers], version);
     }
     for (const [i, { link }] of followers.entries()) {
         // A renewal of the registration may fall into the time.
@@ -76,7 +76,7 @@
 });
 
 // The gateway that reads the store loses power or is cut off from it, right before a change. The others are well, and
-// the change must be in force with them in time, whoever they heard the news from before.
+// the change must be in force with them in time, whoever they heard of changes from before.
 for (
     const [what, harm] of [
         ["ends", async ({ edge }: Member) => edge.stop()],
@@ -90,18 +90,18 @@
         }],
     ] as const
 ) {
-    test(`where the gateway that reads the store ${what}, the others hear the news from elsewhere`, async t => {
-        const { store, reader, followers } = await startFleet(t, 4);
-        await harm(reader);
+    test(`where the gateway that reads the store ${what}, the others hear of changes from elsewhere`, async t => {
+        const { store, relay, followers } = await startFleet(t, 4);
+        await harm(relay);
         await applyVersion(store, followers, 2);
-        await eventually(() => followers.every(member => hasLogged(member, "newsLost")), "all have noticed");
+        await eventually(() => followers.every(member => hasLogged(member, "relayLost")), "all have noticed");
         await applyVersion(store, followers, 3);
     });
 }
 
 test("all are cut off, and hear what they missed when they reach the store again", async t => {
-    const { store, reader, followers } = await startFleet(t, 3);
-    const members = [reader, ...followers];
+    const { store, relay, followers } = await startFleet(t, 3);
+    const members = [relay, ...followers];
     for (const { link } of members) {
         link.cut = true;
     }
@@ -113,15 +113,15 @@
     await applyVersion(store, members, 8);
 });
 
-test("a question for news that can't be read is refused, and the gateway serves on", async t => {
-    const { reader } = await startFleet(t, 2);
-    for (const path of ["/", "/news", "/news?after=x&wait=1", "/news?after=1&wait=-1", "/news?after=1"]) {
-        const res = await request(`${reader.edge.peersUrl}${path}`);
+test("a question for changes that can't be read is refused, and the gateway serves on", async t => {
+    const { relay } = await startFleet(t, 2);
+    for (const path of ["/", "/changes", "/changes?after=x&wait=1", "/changes?after=1&wait=-1", "/changes?after=1"]) {
+        const res = await request(`${relay.edge.peersUrl}${path}`);
         await res.body.dump();
         assert.equal(res.statusCode, 400, path);
     }
     // One that asks to wait for ever gets its answer after the usual time.
-    const res = await request(`${reader.edge.peersUrl}/news?after=999999&wait=99999999`);
+    const res = await request(`${relay.edge.peersUrl}/changes?after=999999&wait=99999999`);
     assert.equal(res.statusCode, 200);
     const answer = await res.body.json() as { readonly changed: readonly unknown[]; };
     assert.deepEqual(answer.changed, []);
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -22,7 +22,7 @@
 /** Largest answer that is held until it is known to be whole; of a larger one the caller gets the bytes as they come. */
 export const heldAnswerBytes = 262_144;
 
-/** Pause between two calls of the store's watch that brought news, so that changes come in batches. */
+/** Pause between two calls of the store's watch that brought changes, so that changes come in batches. */
 export const watchPauseMs = 250;
 
 /** Longest time that the store holds a watch open: a connection gone silent is found out this long after. */
@@ -72,27 +72,27 @@
 export const logBufferBytes = 262_144;
 
 /**
- * How long a gateway that reads the store holds another's question open for news, in milliseconds. One that stands still
- * or is cut off is found out this long and the slack after; with the time of a second question that is 1.3 s, and news
+ * How long a gateway that reads the store holds another's question open for changes, in milliseconds. One that stands still
+ * or is cut off is found out this long and the slack after; with the time of a second question that is 1.3 s, and changes
  * must be in force after 2 s.
  */
-export const newsWaitMs = 600;
+export const relayWaitMs = 600;
 
 /** Time beyond the wait in which an answer must come: what a busy host takes for a turn, twice. */
-export const newsSlackMs = 350;
+export const relaySlackMs = 350;
 
 /** Time in which another gateway must answer a question that doesn't wait. */
 export const catchUpTimeoutMs = 300;
 
 /**
- * How often a gateway that others ask proves that it reaches the store, and how long the proof may take. Its watch alone
+ * How often a gateway that others ask checks that it reaches the store, and how long the check may take. Its watch alone
  * would find a cut out after three seconds, and all that ask it would be as late.
  */
-export const proofMs = 500;
-export const proofTimeoutMs = 400;
+export const storeCheckMs = 500;
+export const storeCheckTimeoutMs = 400;
 
 /** Difference between the two clocks' steps from which this host is taken to have stood still, in milliseconds. */
-export const stoodStillMs = 700;
+export const hostPauseMs = 700;
 
 /** Wait of a gateway that is the first of its fleet, as far as it knows, for the others to register, in milliseconds. */
-export const firstNewsPauseMs = 1_200;
+export const firstWatchPauseMs = 1_200;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -27,7 +27,7 @@
 } from "./constants.js";
 import { Placer } from "./requests/placer.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
-import { NewsServer } from "./state/newsServer.js";
+import { RelayServer } from "./state/relayServer.js";
 import { Registration } from "./state/registration.js";
 import { StateSync } from "./state/stateSync.js";
 import { type StateCodec } from "./stateCodec.js";
@@ -149,12 +149,12 @@
         random,
         log,
         metrics,
-        prove: () => registration.prove(),
+        checkStore: () => registration.checkStore(),
         onChange,
-        onNews: () => newsServer.onChange(),
+        onChanged: () => relayServer.onChange(),
     });
-    const newsServer = new NewsServer(sync);
-    const peerServer = newsServer.createServer();
+    const relayServer = new RelayServer(sync);
+    const peerServer = relayServer.createServer();
 
     const stop = async (): Promise<void> => {
         const beganAtMs = clock.monotonicMs();
@@ -163,7 +163,7 @@
         endsAtMs = lastMs;
         log.log("info", "stopping", { unanswered: callers.unanswered, graceMs });
         callers.beginStop();
-        newsServer.stop();
+        relayServer.stop();
         registration.stop();
         // Callers that the balancer still sends are served, not refused, until it has noticed.
         await sleep(Math.max(Math.min(balancerNoticesMs, graceMs * stopListeningShare), 0));
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,17 +1,5 @@
-import { createFailure, type Failure } from "@galenaglade/errors";
-import { type FleetView } from "@galenaglade/fleet-state";
-import { type Clock, type RequestBody } from "@galenaglade/http-parts";
-import {
-    hedgeAfterShare,
-    isFailureOfServer,
-    isServerFailure,
-    mayTryAgain,
-    type RepeatBudget,
-    resolveComeBack,
-    type SendEnd,
-} from "@galenaglade/placement";
-import { type RandomSource } from "@galenaglade/routing";
-import { type ServerConnections } from "../backends/serverConnections.js";
+import { type RequestBody } from "@galenaglade/http-parts";
+import { hedgeAfterShare, isFailureOfServer, isServerFailure, mayTryAgain, type SendEnd } from "@galenaglade/placement";
 import {
     type AnswerHead,
     type AnswerSink,
@@ -21,38 +9,12 @@
     type SendResult,
 } from "../backends/sendRequest.js";
 import { heldAnswerBytes } from "../constants.js";
-import { type EdgeLog } from "../telemetry/edgeLog.js";
-import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type LogFields } from "@galenaglade/telemetry";
-import { type EdgeVocabulary } from "../vocabulary.js";
+import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest } from "./edgeRequest.js";
-import { type NoPlace, type Place, type Placer, type SearchTrace } from "./placer.js";
-
-/** Why an exchange's signal is aborted: the caller has closed its connection. */
-export const callerGone = "callerGone";
-
-/** Why an exchange's signal is aborted: the final answer is due. */
-export const cutoffReached = "cutoffReached";
-
-/** What exchanges work with. */
-export interface ExchangeParts {
-    readonly view: FleetView;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly placer: Placer;
-    readonly connections: ServerConnections;
-    readonly budget: RepeatBudget;
-    readonly vocabulary: EdgeVocabulary;
-    readonly log: EdgeLog;
-    readonly metrics: EdgeMetrics;
-}
-
-/** What the caller gets. */
-export type ExchangeEnd =
-    | { readonly type: "answered"; readonly answer: HeldAnswer; }
-    /** The sink got it, whole or broken off. */
-    | { readonly type: "streamed"; readonly whole: boolean; }
-    | { readonly type: "failed"; readonly failure: Failure; };
+import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
+import { callerGone, type ExchangeParts } from "./exchangeParts.js";
+import { type NoPlace, type Place, type SearchTrace } from "./placer.js";
 
 /** Why a server is looked for once more. */
 type Purpose = "first" | "retry" | "hedge";
@@ -81,6 +43,7 @@
     readonly #unread = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
     readonly #triedServers = new Set<string>();
+    readonly #answers: ExchangeAnswers;
     #fallback: HeldAnswer | undefined;
     #streaming = false;
     readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
@@ -103,6 +66,7 @@
     ) {
         this.#parts = parts;
         this.#request = request;
+        this.#answers = new ExchangeAnswers(request, parts.placer.work, parts.random);
         this.#body = body;
         this.#signal = signal;
         this.#openSink = openSink;
@@ -125,7 +89,7 @@
         budget.onRequest(this.#request.rules.name, clock.monotonicMs());
         const place = await this.#place("first");
         if (typeof place === "string") {
-            return this.#finish(this.#resolveNoPlace(place));
+            return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
         }
         this.#send(place, "first");
         return this.#finish(await this.#follow());
@@ -140,7 +104,7 @@
             if (next === "aborted") {
                 return this.#resolveAborted();
             }
-            if (next === "hedge") {
+            if (next === "late") {
                 hedged = true;
                 await this.#tryHedge();
                 continue;
@@ -172,7 +136,7 @@
         if (mayGoOn && await this.#tryAgain(underWay, result)) {
             return undefined;
         }
-        return this.#unread.size > 0 ? undefined : this.#resolveFailed();
+        return this.#unread.size > 0 ? undefined : this.#answers.allFailed(this.#ends, this.#fallback);
     }
 
     async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
@@ -317,33 +281,9 @@
     }
 
     /** Waits for the next send to end, the time to hedge, or the end of all patience. */
-    async #awaitNext(hedgeAtMs: number | undefined): Promise<EndedSend | "hedge" | "aborted"> {
-        const signal = this.#signal;
-        if (signal.aborted) {
-            return "aborted";
-        }
-        let timer: NodeJS.Timeout | undefined;
-        let onAbort: (() => void) | undefined;
-        const waits: Promise<EndedSend | "hedge" | "aborted">[] = [...this.#unread].map(({ ended }) => ended);
-        waits.push(
-            new Promise(resolve => {
-                onAbort = () => resolve("aborted");
-                signal.addEventListener("abort", onAbort, { once: true });
-            }),
-        );
-        if (hedgeAtMs !== undefined) {
-            waits.push(
-                new Promise(resolve => {
-                    timer = setTimeout(() => resolve("hedge"), Math.max(0, hedgeAtMs - this.#nowMs()));
-                }),
-            );
-        }
-        const next = await Promise.race(waits);
-        clearTimeout(timer);
-        if (onAbort !== undefined) {
-            signal.removeEventListener("abort", onAbort);
-        }
-        return next;
+    #awaitNext(hedgeAtMs: number | undefined): Promise<EndedSend | "late" | "aborted"> {
+        const lateAfterMs = hedgeAtMs === undefined ? undefined : Math.max(0, hedgeAtMs - this.#nowMs());
+        return awaitFirst([...this.#unread].map(({ ended }) => ended), this.#signal, lateAfterMs);
     }
 
     #hedgeTime(): number {
@@ -386,61 +326,8 @@
         return end;
     }
 
-    #resolveNoPlace(reason: NoPlace): ExchangeEnd {
-        if (reason === "abandoned") {
-            return this.#resolveAborted();
-        }
-        const cause = reason === "noServer" || reason === "noOffer" ? "noServer" : "full";
-        const kind = cause === "noServer" ? "noBackendServer" : "overloaded";
-        return this.#refuse(kind, reason, cause);
-    }
-
-    /** All tries have failed. */
-    #resolveFailed(): ExchangeEnd {
-        if (this.#fallback !== undefined) {
-            return { type: "answered", answer: this.#fallback };
-        }
-        if (this.#ends.every(end => end.type === "notRun")) {
-            return this.#refuse("backendShed", describeEnds(this.#ends), "turnedAway");
-        }
-        return { type: "failed", failure: createFailure("connectionLost", describeEnds(this.#ends)) };
-    }
-
     /** The time is over, or nobody waits any more. */
     #resolveAborted(): ExchangeEnd {
-        const mayHaveRun = this.#ends.some(end => end.type !== "notRun") || this.#underWay.size > 0;
-        if (this.#fallback !== undefined) {
-            return { type: "answered", answer: this.#fallback };
-        }
-        if (!mayHaveRun) {
-            return this.#refuse("overloaded", "no server could be found in time", "full");
-        }
-        return { type: "failed", failure: createFailure("backendTimeout", describeEnds(this.#ends)) };
+        return this.#answers.outOfTime(this.#ends, this.#underWay.size, this.#fallback);
     }
-
-    #refuse(
-        kind: "noBackendServer" | "overloaded" | "backendShed",
-        detail: string,
-        cause: Parameters<typeof resolveComeBack>[0],
-    ): ExchangeEnd {
-        const { placer, random } = this.#parts;
-        const { rules, route } = this.#request;
-        const retryAfterSeconds = resolveComeBack(cause, placer.work.of(rules.name, route.objectiveMs), random);
-        return { type: "failed", failure: createFailure(kind, detail, { retryAfterSeconds }) };
-    }
-}
-
-function describeEnd(end: SendEnd): string {
-    switch (end.type) {
-        case "answered":
-            return `answered ${end.status}`;
-        case "abandoned":
-            return "abandoned";
-        default:
-            return end.reason;
-    }
-}
-
-function describeEnds(ends: readonly SendEnd[]): string {
-    return ends.length === 0 ? "no answer" : ends.map(describeEnd).join(", ");
 }
--- /dev/null
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -0,0 +1,82 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { resolveComeBack, type SendEnd, type TypicalWork } from "@galenaglade/placement";
+import { type RandomSource } from "@galenaglade/routing";
+import { type HeldAnswer } from "../backends/sendRequest.js";
+import { type EdgeRequest } from "./edgeRequest.js";
+import { type NoPlace } from "./placer.js";
+
+/** What the caller gets. */
+export type ExchangeEnd =
+    | { readonly type: "answered"; readonly answer: HeldAnswer; }
+    /** The sink got it, whole or broken off. */
+    | { readonly type: "streamed"; readonly whole: boolean; }
+    | { readonly type: "failed"; readonly failure: Failure; };
+
+/** Chooses what the caller of one request gets where no server's answer is at hand, and when it should come back. */
+export class ExchangeAnswers {
+    readonly #request: EdgeRequest;
+    readonly #work: TypicalWork;
+    readonly #random: RandomSource;
+
+    constructor(request: EdgeRequest, work: TypicalWork, random: RandomSource) {
+        this.#request = request;
+        this.#work = work;
+        this.#random = random;
+    }
+
+    /** No server was found. */
+    noPlace(reason: Exclude<NoPlace, "abandoned">): ExchangeEnd {
+        return reason === "noServer" || reason === "noOffer"
+            ? this.#refuse("noBackendServer", reason, "noServer")
+            : this.#refuse("overloaded", reason, "full");
+    }
+
+    /** All tries have failed. */
+    allFailed(ends: readonly SendEnd[], fallback: HeldAnswer | undefined): ExchangeEnd {
+        if (fallback !== undefined) {
+            return { type: "answered", answer: fallback };
+        }
+        if (ends.every(end => end.type === "notRun")) {
+            return this.#refuse("backendShed", describeEnds(ends), "turnedAway");
+        }
+        return { type: "failed", failure: createFailure("connectionLost", describeEnds(ends)) };
+    }
+
+    /** The time is over, or nobody waits any more. @param underWay - sends that have not ended */
+    outOfTime(ends: readonly SendEnd[], underWay: number, fallback: HeldAnswer | undefined): ExchangeEnd {
+        if (fallback !== undefined) {
+            return { type: "answered", answer: fallback };
+        }
+        if (underWay === 0 && ends.every(end => end.type === "notRun")) {
+            return this.#refuse("overloaded", "no server could be found in time", "full");
+        }
+        return { type: "failed", failure: createFailure("backendTimeout", describeEnds(ends)) };
+    }
+
+    #refuse(
+        kind: "noBackendServer" | "overloaded" | "backendShed",
+        detail: string,
+        cause: Parameters<typeof resolveComeBack>[0],
+    ): ExchangeEnd {
+        const { rules, route } = this.#request;
+        const typicalMs = this.#work.of(rules.name, route.objectiveMs);
+        const retryAfterSeconds = resolveComeBack(cause, typicalMs, this.#random);
+        return { type: "failed", failure: createFailure(kind, detail, { retryAfterSeconds }) };
+    }
+}
+
+/** @returns how a send ended, in a word for logs and metrics */
+export function describeEnd(end: SendEnd): string {
+    switch (end.type) {
+        case "answered":
+            return `answered ${end.status}`;
+        case "abandoned":
+            return "abandoned";
+        default:
+            return end.reason;
+    }
+}
+
+function describeEnds(ends: readonly SendEnd[]): string {
+    return ends.length === 0 ? "no answer" : ends.map(describeEnd).join(", ");
+}
--- /dev/null
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -0,0 +1,28 @@
+import { type FleetView } from "@galenaglade/fleet-state";
+import { type Clock } from "@galenaglade/http-parts";
+import { type RepeatBudget } from "@galenaglade/placement";
+import { type RandomSource } from "@galenaglade/routing";
+import { type ServerConnections } from "../backends/serverConnections.js";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type EdgeVocabulary } from "../vocabulary.js";
+import { type Placer } from "./placer.js";
+
+/** Why an exchange's signal is aborted: the caller has closed its connection. */
+export const callerGone = "callerGone";
+
+/** Why an exchange's signal is aborted: the final answer is due. */
+export const cutoffReached = "cutoffReached";
+
+/** What exchanges work with. */
+export interface ExchangeParts {
+    readonly view: FleetView;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly placer: Placer;
+    readonly connections: ServerConnections;
+    readonly budget: RepeatBudget;
+    readonly vocabulary: EdgeVocabulary;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+}
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -19,7 +19,7 @@
         callers: socketAddress.describe("where callers' requests are taken"),
         readiness: socketAddress.describe("where the balancer asks whether to send callers here"),
         peers: socketAddress.optional().describe(
-            "where other gateways ask for the news of the store; without it none asks this one",
+            "where other gateways ask for changes of the store; without it none asks this one",
         ),
         metrics: socketAddress.describe("where metrics are served, under /metrics"),
     }),
--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -12,7 +12,7 @@
 /** What a registration works with. */
 export interface RegistrationParts {
     readonly name: string;
-    /** What the registration says of this gateway; `undefined` where it tells others no news. */
+    /** What the registration says of this gateway; `undefined` where it relays no changes. */
     readonly registration: GatewayRegistration | undefined;
     readonly store: KeyValueStore;
     readonly codec: StateCodec;
@@ -29,7 +29,7 @@
  * Keeps this gateway's registration in the store, under a lease. The others deal out shares by the number of
  * registrations, so a gateway that works without one would make the parts add up to more than the whole.
  *
- * A process that was restarted goes on with the lease of its life before. Each write of a registration is news to every
+ * A process that was restarted goes on with the lease of its life before. Each write of a registration is a change for every
  * gateway of the fleet, and each of them makes a call to hear it: a restart that writes nothing costs a fleet of 15 about
  * 30 calls less.
  */
@@ -53,7 +53,7 @@
     }
 
     /** Shows whether the store is reached, by the cheapest call: the renewal of the lease, where there is one. */
-    prove(): Promise<Either<Failure, unknown>> {
+    checkStore(): Promise<Either<Failure, unknown>> {
         const { store, codec, name } = this.#parts;
         return this.#leaseId === undefined ? store.get(codec.registrationKey(name)) : store.renewLease(this.#leaseId);
     }
--- a/packages/edge/src/state/newsClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -2,35 +2,35 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
 import { type Either, Left, Right } from "purify-ts";
 import { Client } from "undici";
-import { catchUpTimeoutMs, newsSlackMs, newsWaitMs } from "../constants.js";
-import { newsAnswer, type NewsAnswer, newsPath, newsQuery, newsStatus } from "./newsMessages.js";
+import { catchUpTimeoutMs, relaySlackMs, relayWaitMs } from "../constants.js";
+import { relayAnswer, type RelayAnswer, relayPath, relayQuery, relayStatus } from "./relayMessages.js";
 
-/** A question for news. */
-export interface NewsQuestion {
+/** A question for changes. */
+export interface RelayRequest {
     readonly address: ServerAddress;
     readonly afterRevision: number;
-    /** Whether to wait for news; otherwise the answer comes at once. */
+    /** Whether to wait for changes; otherwise the answer comes at once. */
     readonly waits: boolean;
     readonly signal: AbortSignal;
 }
 
-/** Asks other gateways for the news of the store, over one kept connection. */
-export class NewsClient {
+/** Asks other gateways for changes of the store, over one kept connection. */
+export class RelayClient {
     #client: Client | undefined;
     #origin = "";
 
     /**
      * @param question - what to ask, and whom
-     * @returns the news, or `storeHistoryLost` where the peer doesn't know that far back, or why none came
+     * @returns the changes, or `storeHistoryLost` where the peer doesn't know that far back, or why none came
      */
-    async ask({ address, afterRevision, waits, signal }: NewsQuestion): Promise<Either<Failure, NewsAnswer>> {
-        const waitMs = waits ? newsWaitMs : 0;
-        const timeout = AbortSignal.timeout(waits ? newsWaitMs + newsSlackMs : catchUpTimeoutMs);
+    async ask({ address, afterRevision, waits, signal }: RelayRequest): Promise<Either<Failure, RelayAnswer>> {
+        const waitMs = waits ? relayWaitMs : 0;
+        const timeout = AbortSignal.timeout(waits ? relayWaitMs + relaySlackMs : catchUpTimeoutMs);
         try {
             const res = await this.#connect(address).request({
                 method: "GET",
-                path: newsPath,
-                query: { [newsQuery.after]: String(afterRevision), [newsQuery.wait]: String(waitMs) },
+                path: relayPath,
+                query: { [relayQuery.after]: String(afterRevision), [relayQuery.wait]: String(waitMs) },
                 signal: AbortSignal.any([timeout, signal]),
             });
             const text = await res.body.text();
@@ -59,14 +59,14 @@
     }
 }
 
-function readAnswer(status: number, text: string): Either<Failure, NewsAnswer> {
-    if (status === newsStatus.forgotten) {
+function readAnswer(status: number, text: string): Either<Failure, RelayAnswer> {
+    if (status === relayStatus.forgotten) {
         return Left(createFailure("storeHistoryLost", "the peer doesn't know that far back"));
     }
-    if (status !== newsStatus.told) {
+    if (status !== relayStatus.told) {
         return Left(createFailure("peerUnreachable", `status ${status}`));
     }
-    const parsed = newsAnswer.safeParse(parseJson(text));
+    const parsed = relayAnswer.safeParse(parseJson(text));
     return parsed.success ? Right(parsed.data) : Left(createFailure("peerUnreachable", "the answer is malformed"));
 }
 
--- a/packages/edge/src/state/newsMessages.ts
+++ b/packages/edge/src/state/relayMessages.ts
@@ -1,19 +1,19 @@
 import { type DeepReadonly } from "@galenaglade/configuration";
 import * as z from "zod";
 
-/** Path on which a gateway tells others the news of the store. */
-export const newsPath = "/news";
+/** Path on which a gateway tells others changes of the store. */
+export const relayPath = "/changes";
 
-/** Query parameters of a question for news. */
-export const newsQuery = Object.freeze({
+/** Query parameters of a question for changes. */
+export const relayQuery = Object.freeze({
     /** Revision up to which the asking gateway knows everything. */
     after: "after",
-    /** How long to wait for news, in milliseconds. */
+    /** How long to wait for changes, in milliseconds. */
     wait: "wait",
 });
 
-/** Statuses of answers to a question for news. */
-export const newsStatus = Object.freeze({
+/** Statuses of answers to a question for changes. */
+export const relayStatus = Object.freeze({
     told: 200,
     malformed: 400,
     /** What came after the revision is not known any more: the store has to be read. */
@@ -23,8 +23,8 @@
 });
 
 /** What a gateway answers where it reads the store. */
-export const newsAnswer = z.object({
-    /** Up to which the news go. */
+export const relayAnswer = z.object({
+    /** Up to which the changes go. */
     revision: z.number(),
     changed: z.array(z.object({
         key: z.string(),
@@ -37,5 +37,5 @@
     ageMs: z.number(),
 });
 
-/** The news that one gateway tells another. */
-export type NewsAnswer = DeepReadonly<z.output<typeof newsAnswer>>;
+/** Changes that one gateway relays to another. */
+export type RelayAnswer = DeepReadonly<z.output<typeof relayAnswer>>;
--- a/packages/edge/src/state/newsServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -1,10 +1,10 @@
 import { type MirroredChanges } from "@galenaglade/fleet-state";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { newsWaitMs } from "../constants.js";
-import { type NewsAnswer, newsPath, newsQuery, newsStatus } from "./newsMessages.js";
+import { relayWaitMs } from "../constants.js";
+import { type RelayAnswer, relayPath, relayQuery, relayStatus } from "./relayMessages.js";
 
 /** What a gateway tells of the store. */
-export abstract class NewsTeller {
+export abstract class RelayFeed {
     /** Whether this gateway reads the store itself now, and reaches it. */
     abstract readonly reachesStore: boolean;
     /** How long ago the store was heard. */
@@ -25,13 +25,13 @@
 /** Time for a gateway that is asked for the first time to hear of the store itself, in milliseconds. */
 const firstAnswerMs = 200;
 
-/** Answers other gateways' questions for news, at once where there are some and otherwise when they come. */
-export class NewsServer {
-    readonly #teller: NewsTeller;
+/** Answers other gateways' questions for changes, at once where there are some and otherwise when they come. */
+export class RelayServer {
+    readonly #teller: RelayFeed;
     readonly #waiting = new Set<Waiting>();
     #stopped = false;
 
-    constructor(teller: NewsTeller) {
+    constructor(teller: RelayFeed) {
         this.#teller = teller;
     }
 
@@ -40,7 +40,7 @@
         return createServer({ maxHeaderSize: 4_096 }, (req, res) => this.#handle(req, res));
     }
 
-    /** Something that is told has changed: news came, or the store was lost or found. */
+    /** Something that is told has changed: changes came, or the store was lost or found. */
     onChange(): void {
         for (const waiting of [...this.#waiting]) {
             this.#answerIfDue(waiting, false);
@@ -55,14 +55,14 @@
 
     #handle(req: IncomingMessage, res: ServerResponse): void {
         const url = new URL(req.url ?? "/", "http://gateway");
-        const afterRevision = Number(url.searchParams.get(newsQuery.after) ?? Number.NaN);
-        const waitMs = Number(url.searchParams.get(newsQuery.wait) ?? Number.NaN);
-        if (url.pathname !== newsPath || !Number.isFinite(afterRevision) || !(waitMs >= 0)) {
-            send(res, newsStatus.malformed, noBody);
+        const afterRevision = Number(url.searchParams.get(relayQuery.after) ?? Number.NaN);
+        const waitMs = Number(url.searchParams.get(relayQuery.wait) ?? Number.NaN);
+        if (url.pathname !== relayPath || !Number.isFinite(afterRevision) || !(waitMs >= 0)) {
+            send(res, relayStatus.malformed, noBody);
             return;
         }
         this.#teller.onAsked();
-        const untilMs = this.#teller.reachesStore ? Math.min(waitMs, newsWaitMs) : firstAnswerMs;
+        const untilMs = this.#teller.reachesStore ? Math.min(waitMs, relayWaitMs) : firstAnswerMs;
         const waiting: Waiting = {
             res,
             afterRevision,
@@ -76,19 +76,19 @@
     #answerIfDue(waiting: Waiting, timeIsOver: boolean): void {
         const { reachesStore, ageMs } = this.#teller;
         if (this.#stopped || (!reachesStore && timeIsOver)) {
-            this.#answer(waiting, newsStatus.away, noBody);
+            this.#answer(waiting, relayStatus.away, noBody);
             return;
         }
         if (!reachesStore) {
             return;
         }
-        const news = this.#teller.changesSince(waiting.afterRevision);
-        if (news === undefined) {
-            this.#answer(waiting, newsStatus.forgotten, noBody);
+        const changes = this.#teller.changesSince(waiting.afterRevision);
+        if (changes === undefined) {
+            this.#answer(waiting, relayStatus.forgotten, noBody);
             return;
         }
-        if (timeIsOver || news.changed.length + news.deleted.length > 0) {
-            this.#answer(waiting, newsStatus.told, JSON.stringify({ ...news, ageMs } satisfies NewsAnswer));
+        if (timeIsOver || changes.changed.length + changes.deleted.length > 0) {
+            this.#answer(waiting, relayStatus.told, JSON.stringify({ ...changes, ageMs } satisfies RelayAnswer));
         }
     }
 
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -2,87 +2,76 @@
 import {
     type BeliefChange,
     directMs,
-    type FleetView,
     type MirroredChanges,
-    type NewsSource,
-    NewsSources,
+    type WatchSource,
+    RelaySources,
     StoreMirror,
 } from "@galenaglade/fleet-state";
-import { type Clock, sleep } from "@galenaglade/http-parts";
+import { sleep } from "@galenaglade/http-parts";
 import { type KeyValueStore, type WatchEvents } from "@galenaglade/platform";
-import { type RandomSource } from "@galenaglade/routing";
 import { type Either } from "purify-ts";
 import {
     expiryTickMs,
-    firstNewsPauseMs,
-    firstStorePauseMs,
-    longestStorePauseMs,
-    proofMs,
-    proofTimeoutMs,
-    stoodStillMs,
+    firstWatchPauseMs,
+    storeCheckMs,
+    storeCheckTimeoutMs,
     watchPauseMs,
     watchWaitMs,
 } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
-import { type EdgeLog } from "../telemetry/edgeLog.js";
-import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
-import { NewsClient } from "./newsClient.js";
-import { NewsTeller } from "./newsServer.js";
+import { RelayClient } from "./relayClient.js";
+import { RelayFeed } from "./relayServer.js";
+import { PauseDetector } from "./pauseDetector.js";
+import { StoreContact, type StoreContactParts } from "./storeContact.js";
 
 /** What the synchronisation works with. */
-export interface StateSyncParts {
+export interface StateSyncParts extends StoreContactParts {
     /** Of this gateway, as in its registration. */
     readonly name: string;
     readonly availabilityZone: string;
     readonly store: KeyValueStore;
     readonly codec: StateCodec;
-    readonly view: FleetView;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly log: EdgeLog;
-    readonly metrics: EdgeMetrics;
     /** Makes the cheapest call that shows whether the store is reached. */
-    readonly prove: () => Promise<Either<Failure, unknown>>;
+    readonly checkStore: () => Promise<Either<Failure, unknown>>;
     /** Called after each change of what is believed. */
     readonly onChange: () => void;
     /** Called when other gateways may be told something new. */
-    readonly onNews: () => void;
+    readonly onChanged: () => void;
 }
 
 /**
- * Keeps the view of the fleet in step with the store: one whole reading, then one question for news after the other, to
+ * Keeps the view of the fleet in step with the store: one whole reading, then one question for changes after the other, to
  * the store itself or to a gateway that reads it.
  */
-export class StateSync extends NewsTeller {
+export class StateSync extends RelayFeed {
     readonly #parts: StateSyncParts;
     readonly #stop = new AbortController();
-    readonly #sources: NewsSources;
-    readonly #news = new NewsClient();
+    readonly #sources: RelaySources;
+    readonly #relay = new RelayClient();
     readonly #mirror = new StoreMirror();
+    readonly #contact: StoreContact;
+    readonly #pauseDetector: PauseDetector;
     /** Aborted where another source must be asked at once. */
     #turn = new AbortController();
     #afterRevision: number | undefined;
-    #source: NewsSource["type"] = "store";
-    /** Whether the store itself has answered since it was last chosen, and is not in doubt. */
+    #source: WatchSource["type"] = "store";
+    /** Whether the store itself has answered since it was last chosen, and no check has failed since. */
     #confirmed = false;
     #askedAtMs = -Infinity;
-    #failures = 0;
-    /** When a peer or a proof first said that the store may be away; a failed call of one's own makes it so. */
-    #doubtedSinceMs: number | undefined;
     #timers: readonly NodeJS.Timeout[] = [];
-    #clockSkewMs = 0;
 
     constructor(parts: StateSyncParts) {
         super();
         this.#parts = parts;
-        this.#sources = new NewsSources(parts.name, parts.availabilityZone);
+        this.#sources = new RelaySources(parts.name, parts.availabilityZone);
+        this.#contact = new StoreContact(parts);
+        this.#pauseDetector = new PauseDetector(parts.clock);
     }
 
     start(): void {
-        this.#clockSkewMs = this.#readSkew();
         this.#timers = [
             setInterval(() => this.#tick(), expiryTickMs),
-            setInterval(() => void this.#prove(), proofMs),
+            setInterval(() => void this.#checkStore(), storeCheckMs),
         ];
         void this.#run();
     }
@@ -93,7 +82,7 @@
         }
         this.#stop.abort();
         this.#turn.abort();
-        this.#news.close();
+        this.#relay.close();
     }
 
     override get reachesStore(): boolean {
@@ -140,7 +129,7 @@
         if (source.type === "peer") {
             this.#source = "peer";
             this.#confirmed = false;
-            return this.#askPeer(source, afterRevision);
+            return this.#watchPeer(source, afterRevision);
         }
         this.#chooseStore();
         return this.#watch(afterRevision);
@@ -165,9 +154,9 @@
                 this.#afterRevision = revision;
                 this.#mirror.onReading(revision, entries);
                 this.#report(view.onReading(entries.map(entry => codec.decode(entry)), this.#now()));
-                this.#parts.onNews();
-                // When a whole fleet starts, each registration would be news of its own to every gateway.
-                return isFirst && view.registeredGateways().length === 0 ? firstNewsPauseMs : 0;
+                this.#parts.onChanged();
+                // When a whole fleet starts, each registration would be a change of its own for every gateway.
+                return isFirst && view.registeredGateways().length === 0 ? firstWatchPauseMs : 0;
             },
         });
     }
@@ -175,7 +164,7 @@
     async #watch(afterRevision: number): Promise<number> {
         const { store, codec } = this.#parts;
         const startedAtMs = this.#now();
-        // Somebody waits to hear whether the store is reached: a watch without news would say so seconds later.
+        // Somebody waits to hear whether the store is reached: a watch without changes would say so seconds later.
         const waitMs = this.#isAsked() && !this.#confirmed ? 0 : watchWaitMs;
         const { signal } = this.#turn;
         const seen = await store.watch({ prefix: codec.prefix, afterRevision, waitMs, signal });
@@ -193,17 +182,17 @@
             Right: events => {
                 this.#onContact("watch");
                 this.#learn(events);
-                // A store that answers a watch at once without news must not be asked in a tight loop.
+                // A store that answers a watch at once without changes must not be asked in a tight loop.
                 const cameEarly = waitMs > 0 && this.#now() - startedAtMs < watchPauseMs;
-                return cameEarly || isNews(events) ? watchPauseMs : 0;
+                return cameEarly || hasChanges(events) ? watchPauseMs : 0;
             },
         });
     }
 
-    async #askPeer(peer: Extract<NewsSource, { readonly type: "peer"; }>, afterRevision: number): Promise<number> {
-        const { log, view, metrics } = this.#parts;
+    async #watchPeer(peer: Extract<WatchSource, { readonly type: "peer"; }>, afterRevision: number): Promise<number> {
+        const { log, metrics } = this.#parts;
         const { signal } = this.#turn;
-        const told = await this.#news.ask({ address: peer.address, afterRevision, waits: peer.known, signal });
+        const told = await this.#relay.ask({ address: peer.address, afterRevision, waits: peer.known, signal });
         if (signal.aborted) {
             return 0;
         }
@@ -213,19 +202,19 @@
                     this.#afterRevision = undefined;
                     return 0;
                 }
-                metrics.onNewsAsked(failure.kind);
-                this.#doubtedSinceMs ??= this.#now();
+                metrics.onRelayRequest(failure.kind);
+                this.#contact.onSuspected(this.#now());
                 this.#sources.onFailure(peer.name, this.#now());
-                log.log("warn", "newsLost", { peer: peer.name, kind: failure.kind, detail: failure.detail });
+                log.log("warn", "relayLost", { peer: peer.name, kind: failure.kind, detail: failure.detail });
                 return 0;
             },
             Right: answer => {
                 if (!peer.known) {
-                    log.log("info", "newsSource", { peer: peer.name, revision: answer.revision, ageMs: answer.ageMs });
+                    log.log("info", "relayChosen", { peer: peer.name, revision: answer.revision, ageMs: answer.ageMs });
                 }
-                metrics.onNewsAsked("answered");
+                metrics.onRelayRequest("answered");
                 this.#sources.onAnswer(peer.name);
-                this.#onStoreHeard(view.onContact(this.#now(), answer.ageMs));
+                this.#contact.onPassedOn(answer.ageMs);
                 this.#learn(answer);
                 return 0;
             },
@@ -238,39 +227,39 @@
         this.#mirror.onChanges(events);
         const items = events.changed.map(entry => codec.decode(entry));
         this.#report(view.onChanges({ items, deletedKeys: events.deleted }, this.#now()));
-        if (isNews(events)) {
-            this.#parts.onNews();
+        if (hasChanges(events)) {
+            this.#parts.onChanged();
         }
     }
 
     /**
-     * Proves to those that ask this gateway that it still reaches the store. Where the proof fails they are sent elsewhere
-     * at once, and the watch, whose connection may be as dead, is opened anew.
+     * Checks that the store is still reached, while other gateways ask this one. Where it isn't, they are sent elsewhere at
+     * once, and the watch, whose connection may be as dead, is opened anew.
      */
-    async #prove(): Promise<void> {
+    async #checkStore(): Promise<void> {
         if (!this.#isAsked() || !this.reachesStore) {
             return;
         }
         const { metrics, view, log } = this.#parts;
         const startedAtMs = this.#now();
-        const proof = await Promise.race([this.#parts.prove(), sleep(proofTimeoutMs)]);
-        const failure = proof?.swap().toMaybe().extract();
-        if (proof !== undefined && (failure === undefined || failure.kind === "notFound")) {
-            metrics.onStoreCall("prove", "answered");
+        const outcome = await Promise.race([this.#parts.checkStore(), sleep(storeCheckTimeoutMs)]);
+        const failure = outcome?.swap().toMaybe().extract();
+        if (outcome !== undefined && (failure === undefined || failure.kind === "notFound")) {
+            metrics.onStoreCall("check", "answered");
             view.onContact(this.#now());
             return;
         }
-        metrics.onStoreCall("prove", failure?.kind ?? "late");
+        metrics.onStoreCall("check", failure?.kind ?? "late");
         if (view.lastContactMs > startedAtMs) {
             return;
         }
-        log.log("warn", "storeDoubted", {
+        log.log("warn", "storeSuspected", {
             kind: failure?.kind ?? "late",
             tookMs: Math.round(this.#now() - startedAtMs),
         });
-        this.#doubtedSinceMs ??= startedAtMs;
+        this.#contact.onSuspected(startedAtMs);
         this.#confirmed = false;
-        this.#parts.onNews();
+        this.#parts.onChanged();
         this.#turnNow();
     }
 
@@ -285,62 +274,31 @@
 
     #tick(): void {
         this.#report(this.#parts.view.expire(this.#now()));
-        // The steady clock stands still with the host. What it believes is as old as the time that it missed, and
-        // connections may be dead, so the present turn is given up and the store asked anew.
-        const skewMs = this.#readSkew();
-        if (Math.abs(skewMs - this.#clockSkewMs) > stoodStillMs) {
-            this.#parts.log.log("warn", "stoodStill", { forMs: Math.round(skewMs - this.#clockSkewMs) });
+        // What a host believes that stood still is as old as the time that it missed, and its connections may be dead: the
+        // present turn is given up and the source asked anew.
+        const stoodMs = this.#pauseDetector.check();
+        if (stoodMs !== undefined) {
+            this.#parts.log.log("warn", "hostPaused", { forMs: Math.round(stoodMs) });
             this.#confirmed = false;
             this.#turnNow();
         }
-        this.#clockSkewMs = skewMs;
-    }
-
-    #readSkew(): number {
-        const { clock } = this.#parts;
-        return clock.epochMs() - clock.monotonicMs();
     }
 
     #onContact(call: string): void {
-        const { view, metrics } = this.#parts;
-        metrics.onStoreCall(call, "answered");
-        this.#onStoreHeard(view.onContact(this.#now()));
+        this.#contact.onAnswered(call);
         if (!this.#confirmed) {
             this.#confirmed = true;
-            this.#parts.onNews();
-        }
-    }
-
-    #onStoreHeard(awayMs: number | undefined): void {
-        if (this.#failures > 0) {
-            this.#parts.log.log("info", "storeRegained", { failedCalls: this.#failures, awayMs });
+            this.#parts.onChanged();
         }
-        this.#failures = 0;
-        this.#doubtedSinceMs = undefined;
     }
 
     #onFailure(call: string, failure: Failure, startedAtMs: number): number {
-        const { view, log, metrics } = this.#parts;
         if (this.#stop.signal.aborted) {
             return 0;
         }
-        const nowMs = this.#now();
-        metrics.onStoreCall(call, failure.kind);
-        // A call that got no answer may have been lost since it began; one that was refused was refused just now.
-        const sinceMs = failure.kind === "storeOutcomeUnknown" ? startedAtMs : nowMs;
-        view.onFailedCall(Math.min(sinceMs, this.#doubtedSinceMs ?? sinceMs));
-        if (this.#failures === 0) {
-            log.log("warn", "storeLost", { call, kind: failure.kind, detail: failure.detail });
-        }
         this.#confirmed = false;
-        this.#parts.onNews();
-        return this.#pauseAfterFailure();
-    }
-
-    #pauseAfterFailure(): number {
-        const limitMs = Math.min(longestStorePauseMs, firstStorePauseMs * 2 ** this.#failures);
-        this.#failures++;
-        return limitMs * (1 + this.#parts.random.next()) / 2;
+        this.#parts.onChanged();
+        return this.#contact.onFailed(call, failure, startedAtMs);
     }
 
     #now(): number {
@@ -358,6 +316,6 @@
     }
 }
 
-function isNews({ changed, deleted }: Pick<WatchEvents, "changed" | "deleted">): boolean {
+function hasChanges({ changed, deleted }: Pick<WatchEvents, "changed" | "deleted">): boolean {
     return changed.length + deleted.length > 0;
 }
--- /dev/null
+++ b/packages/edge/src/state/storeContact.ts
@@ -0,0 +1,69 @@
+import { type Failure } from "@galenaglade/errors";
+import { type FleetView } from "@galenaglade/fleet-state";
+import { type Clock } from "@galenaglade/http-parts";
+import { type RandomSource } from "@galenaglade/routing";
+import { firstStorePauseMs, longestStorePauseMs } from "../constants.js";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+
+/** What contact with the store is kept with. */
+export interface StoreContactParts {
+    readonly view: FleetView;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+}
+
+/** Keeps account of whether the store is heard, by itself or through another gateway, and says when it is lost and found. */
+export class StoreContact {
+    readonly #parts: StoreContactParts;
+    #failures = 0;
+    /** When a relay or a check first said that the store may be away; only a failed call of one's own makes it so. */
+    #suspectedSinceMs: number | undefined;
+
+    constructor(parts: StoreContactParts) {
+        this.#parts = parts;
+    }
+
+    /** A call of the store was answered. */
+    onAnswered(call: string): void {
+        const { view, metrics, clock } = this.#parts;
+        metrics.onStoreCall(call, "answered");
+        this.#onHeard(view.onContact(clock.monotonicMs()));
+    }
+
+    /** Another gateway passed on what it heard of the store. @param ageMs - how long ago it heard it */
+    onPassedOn(ageMs: number): void {
+        const { view, clock } = this.#parts;
+        this.#onHeard(view.onContact(clock.monotonicMs(), ageMs));
+    }
+
+    /** The store may be away since then. */
+    onSuspected(sinceMs: number): void {
+        this.#suspectedSinceMs ??= sinceMs;
+    }
+
+    /** A call of the store has failed. @returns how long to pause before the next one, in milliseconds */
+    onFailed(call: string, failure: Failure, startedAtMs: number): number {
+        const { view, clock, random, log, metrics } = this.#parts;
+        metrics.onStoreCall(call, failure.kind);
+        // A call that got no answer may have been lost since it began; one that was refused was refused just now.
+        const sinceMs = failure.kind === "storeOutcomeUnknown" ? startedAtMs : clock.monotonicMs();
+        view.onFailedCall(Math.min(sinceMs, this.#suspectedSinceMs ?? sinceMs));
+        if (this.#failures === 0) {
+            log.log("warn", "storeLost", { call, kind: failure.kind, detail: failure.detail });
+        }
+        const limitMs = Math.min(longestStorePauseMs, firstStorePauseMs * 2 ** this.#failures);
+        this.#failures++;
+        return limitMs * (1 + random.next()) / 2;
+    }
+
+    #onHeard(awayMs: number | undefined): void {
+        if (this.#failures > 0) {
+            this.#parts.log.log("info", "storeRegained", { failedCalls: this.#failures, awayMs });
+        }
+        this.#failures = 0;
+        this.#suspectedSinceMs = undefined;
+    }
+}
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -8,7 +8,7 @@
     readonly #sends;
     readonly #asks;
     readonly #storeCalls;
-    readonly #newsAsks;
+    readonly #relayRequests;
 
     constructor({ meter }: Metrics) {
         this.#requests = meter.createCounter("galenaglade.requests", { description: "requests by route and outcome" });
@@ -22,8 +22,8 @@
             description: "times a server's load was asked",
         });
         this.#storeCalls = meter.createCounter("galenaglade.store_calls", { description: "calls of the store by end" });
-        this.#newsAsks = meter.createCounter("galenaglade.news_requests", {
-            description: "times another gateway was asked for the news of the store",
+        this.#relayRequests = meter.createCounter("galenaglade.relay_requests", {
+            description: "times another gateway was asked for changes of the store",
         });
     }
 
@@ -48,7 +48,7 @@
         this.#storeCalls.add(1, { call, end });
     }
 
-    onNewsAsked(end: string): void {
-        this.#newsAsks.add(1, { end });
+    onRelayRequest(end: string): void {
+        this.#relayRequests.add(1, { end });
     }
 }
--- a/packages/fleetState/src/__tests__/newsSources.test.ts
+++ b/packages/fleetState/src/__tests__/relaySources.test.ts
@@ -3,9 +3,9 @@
 import {
     directMs,
     failedPeerMs,
-    followersPerReader,
-    type NewsSource,
-    NewsSources,
+    followersPerRelay,
+    type WatchSource,
+    RelaySources,
     type RegisteredGateway,
 } from "../index.js";
 
@@ -20,11 +20,11 @@
     }));
 }
 
-function createSources(fleet: readonly RegisteredGateway[]): ReadonlyMap<string, NewsSources> {
-    return new Map(fleet.map(({ name, availabilityZone }) => [name, new NewsSources(name, availabilityZone)]));
+function createSources(fleet: readonly RegisteredGateway[]): ReadonlyMap<string, RelaySources> {
+    return new Map(fleet.map(({ name, availabilityZone }) => [name, new RelaySources(name, availabilityZone)]));
 }
 
-function nameOf(source: NewsSource | undefined): string {
+function nameOf(source: WatchSource | undefined): string {
     return source?.type === "peer" ? source.name : "store";
 }
 
@@ -37,32 +37,32 @@
     const choices = [...createSources(fleet)].map(([name, sources]) =>
         [name, nameOf(sources.choose(fleet, 0))] as const
     );
-    const readers = new Set(choices.filter(([, source]) => source === "store").map(([name]) => name));
-    assert.equal(readers.size, 3);
+    const relays = new Set(choices.filter(([, source]) => source === "store").map(([name]) => name));
+    assert.equal(relays.size, 3);
     for (const [name, source] of choices) {
         if (source !== "store") {
-            assert.ok(readers.has(source), `${name} asks ${source}, which doesn't read the store`);
+            assert.ok(relays.has(source), `${name} asks ${source}, which doesn't read the store`);
             assert.equal(zoneOf(fleet, source), zoneOf(fleet, name));
         }
     }
-    const larger = createFleet(3 * (followersPerReader + 1));
+    const larger = createFleet(3 * (followersPerRelay + 1));
     const direct = [...createSources(larger).values()].filter(sources => nameOf(sources.choose(larger, 0)) === "store");
     assert.equal(direct.length, 6);
 });
 
 test("a gateway that knows of no other one reads the store", () => {
     const alone = createFleet(1);
-    const sources = new NewsSources("gateway-0", "north");
+    const sources = new RelaySources("gateway-0", "north");
     assert.equal(nameOf(sources.choose([], 0)), "store");
     assert.equal(nameOf(sources.choose(alone, 0)), "store");
 });
 
-// The reader of a zone loses power. Its followers are well and in touch, and a change must be in force with them after
+// The relay of a zone loses power. Its followers are well and in touch, and a change must be in force with them after
 // two seconds: they may spend no more than two questions in vain before they ask the store themselves.
-test("after its reader a gateway asks another zone's, and after two in vain the store", () => {
+test("after its relay a gateway asks another zone's, and after two in vain the store", () => {
     const fleet = createFleet(15);
     const [follower, first] = findFollower(fleet);
-    const sources = new NewsSources(follower.name, follower.availabilityZone);
+    const sources = new RelaySources(follower.name, follower.availabilityZone);
     assert.equal(nameOf(sources.choose(fleet, 0)), first);
     sources.onFailure(first, 950);
     const second = nameOf(sources.choose(fleet, 950));
@@ -70,14 +70,14 @@
     sources.onFailure(second, 1_250);
     assert.equal(nameOf(sources.choose(fleet, 1_250)), "store");
     assert.equal(nameOf(sources.choose(fleet, 1_250 + directMs - 1)), "store");
-    // Its own zone's reader is asked again once it has had the time to restart.
+    // Its own zone's relay is asked again once it has had the time to restart.
     assert.equal(nameOf(sources.choose(fleet, 950 + failedPeerMs)), first);
 });
 
 test("a question that is answered makes earlier failures forgotten", () => {
     const fleet = createFleet(15);
     const [follower, first] = findFollower(fleet);
-    const sources = new NewsSources(follower.name, follower.availabilityZone);
+    const sources = new RelaySources(follower.name, follower.availabilityZone);
     sources.onFailure(first, 0);
     const second = nameOf(sources.choose(fleet, 0));
     sources.onAnswer(second);
@@ -85,12 +85,12 @@
     assert.notEqual(nameOf(sources.choose(fleet, 1_000)), "store");
 });
 
-// Two gateways see different rosters, so that one asks another that asks somebody itself. Passed on like that, news
+// Two gateways see different rosters, so that one asks another that asks somebody itself. Passed on like that, changes
 // could go round in a circle and grow old with nobody noticing.
 test("a gateway that is asked reads the store itself for as long as it is asked", () => {
     const fleet = createFleet(15);
     const [follower, first] = findFollower(fleet);
-    const sources = new NewsSources(follower.name, follower.availabilityZone);
+    const sources = new RelaySources(follower.name, follower.availabilityZone);
     sources.onAsked(0);
     assert.equal(nameOf(sources.choose(fleet, directMs - 1)), "store");
     sources.onAsked(directMs - 1);
@@ -100,7 +100,7 @@
 
 function findFollower(fleet: readonly RegisteredGateway[]): readonly [RegisteredGateway, string] {
     for (const gateway of fleet) {
-        const source = nameOf(new NewsSources(gateway.name, gateway.availabilityZone).choose(fleet, 0));
+        const source = nameOf(new RelaySources(gateway.name, gateway.availabilityZone).choose(fleet, 0));
         if (source !== "store") {
             return [gateway, source];
         }
--- a/packages/fleetState/src/constants.ts
+++ b/packages/fleetState/src/constants.ts
@@ -7,7 +7,7 @@
 
 /**
  * Time without an answer from the store after which it counts as having been away, in milliseconds: one failed call
- * and its repetition, so that a single lost connection doesn't put off news of servers that leave.
+ * and its repetition, so that a single lost connection doesn't put off word of servers that leave.
  */
 export const storeAwayMs = 1_200;
 
@@ -17,16 +17,16 @@
  */
 export const departedGatewayMs = 10_000;
 
-/** Gateways of one availability zone that hear the news from one that reads the store; its polls take about 1% of a core. */
-export const followersPerReader = 40;
+/** Gateways of one availability zone that hear of changes from one that reads the store; its polls take about 1% of a core. */
+export const followersPerRelay = 40;
 
-/** How long a reader that didn't answer is not asked again, in milliseconds: a restart takes less. */
+/** How long a relay that didn't answer is not asked again, in milliseconds: a restart takes less. */
 export const failedPeerMs = 5_000;
 
-/** Readers that are asked in vain, one after the other, before the store itself is. */
+/** Relays that are asked in vain, one after the other, before the store itself is. */
 export const mostPeersAsked = 2;
 
-/** How long a gateway reads the store itself, after its readers failed or since it was last asked, in milliseconds. */
+/** How long a gateway reads the store itself, after its relays failed or since it was last asked, in milliseconds. */
 export const directMs = 4_000;
 
 /** Deletions that are remembered for gateways that ask: some minutes of a fleet with thousands of servers. */
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -7,7 +7,7 @@
     type StateChanges,
     type StateItem,
 } from "./model.js";
-import { type RegisteredGateway } from "./newsSources.js";
+import { type RegisteredGateway } from "./relaySources.js";
 import { createRouteTable, type RouteTable } from "./routeTable.js";
 import { ServerDirectory } from "./serverDirectory.js";
 
@@ -55,7 +55,7 @@
     }
 
     /**
-     * The store answered, whether with news or without.
+     * The store answered, whether with changes or without.
      *
      * @param nowMs - the present time
      * @param ageMs - how long ago, where another gateway passes the answer on
@@ -124,7 +124,7 @@
         return this.#roster.names(nowMs);
     }
 
-    /** @returns the gateways that tell others the news of the store */
+    /** @returns the gateways that tell others changes of the store */
     registeredGateways(): readonly RegisteredGateway[] {
         return this.#roster.registered();
     }
--- a/packages/fleetState/src/gatewayRegistration.ts
+++ b/packages/fleetState/src/gatewayRegistration.ts
@@ -3,7 +3,7 @@
 /** What a gateway's registration says of it. */
 export interface GatewayRegistration {
     readonly availabilityZone: string;
-    /** Where it tells other gateways the news of the store. */
+    /** Where it tells other gateways changes of the store. */
     readonly peers: ServerAddress;
 }
 
@@ -18,7 +18,7 @@
  * Reads the value of a registration.
  *
  * @param value - as it lies in the store
- * @returns what it says, or `undefined` where it says less: such a gateway counts, and nobody asks it for news
+ * @returns what it says, or `undefined` where it says less: such a gateway counts, and nobody asks it for changes
  */
 export function readGatewayRegistration(value: string): GatewayRegistration | undefined {
     let read: { readonly availabilityZone?: unknown; readonly peers?: unknown; };
--- a/packages/fleetState/src/gatewayRoster.ts
+++ b/packages/fleetState/src/gatewayRoster.ts
@@ -1,6 +1,6 @@
 import { departedGatewayMs } from "./constants.js";
 import { type GatewayRegistration } from "./gatewayRegistration.js";
-import { type RegisteredGateway } from "./newsSources.js";
+import { type RegisteredGateway } from "./relaySources.js";
 
 interface PresentGateway {
     readonly leaseId: string | undefined;
@@ -50,7 +50,7 @@
         return this.#present.get(name)?.leaseId;
     }
 
-    /** @returns the gateways that are registered at this moment and say where they tell the news */
+    /** @returns the gateways that are registered at this moment and say where they relay changes */
     registered(): readonly RegisteredGateway[] {
         const gateways: RegisteredGateway[] = [];
         for (const [name, { registration }] of this.#present) {
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -3,7 +3,7 @@
     departedGatewayMs,
     directMs,
     failedPeerMs,
-    followersPerReader,
+    followersPerRelay,
     lapsedEntryGraceMs,
     storeAwayMs,
 } from "./constants.js";
@@ -21,7 +21,7 @@
     type StateChanges,
     type StateItem,
 } from "./model.js";
-export { type NewsSource, NewsSources, type RegisteredGateway } from "./newsSources.js";
+export { type WatchSource, RelaySources, type RegisteredGateway } from "./relaySources.js";
 export { findOwners } from "./rendezvous.js";
 export { createRouteTable, type RouteTable } from "./routeTable.js";
 export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
--- a/packages/fleetState/src/newsSources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -1,33 +1,33 @@
-import { directMs, failedPeerMs, followersPerReader, mostPeersAsked } from "./constants.js";
+import { directMs, failedPeerMs, followersPerRelay, mostPeersAsked } from "./constants.js";
 import { type GatewayRegistration } from "./gatewayRegistration.js";
 import { type ServerAddress } from "./model.js";
 import { findOwners } from "./rendezvous.js";
 
-/** A gateway that is registered and tells others the news. */
+/** A gateway that is registered and relays changes to others. */
 export interface RegisteredGateway extends GatewayRegistration {
     readonly name: string;
 }
 
 /** Where a gateway hears of changes in the store. */
-export type NewsSource =
+export type WatchSource =
     | { readonly type: "store"; }
     /** `known` where the last question to it was answered. */
     | { readonly type: "peer"; readonly name: string; readonly address: ServerAddress; readonly known: boolean; };
 
-const readerSubject = "news";
-const store: NewsSource = Object.freeze({ type: "store" });
+const relaySubject = "relay";
+const store: WatchSource = Object.freeze({ type: "store" });
 
 /**
  * Chooses where a gateway hears of changes in the store. Each call of the store is paid for and its rates grow more
- * slowly than the fleet, while a change is news to every gateway: with a watch each, a fleet of 114 makes 40 calls a host
- * in 42 calm seconds. So a few gateways of each availability zone read the store, chosen by rendezvous hashing over the
- * registrations without a word between them, and the others ask these.
+ * slowly than the fleet, while every gateway has to hear of each change: with a watch each, a fleet of 114 makes 40 calls
+ * a host in 42 calm seconds. So a few gateways of each availability zone watch the store and relay its changes. They are
+ * chosen by rendezvous hashing over the registrations, without a message between them, and the others ask these.
  *
- * Bounds hold for each gateway by itself, whoever else is cut off or stands still. So a gateway whose reader doesn't
- * answer asks the reader of another zone, and after two in vain the store itself: a gateway is never worse off than with
+ * Bounds hold for each gateway by itself, whoever else is cut off or stands still. So a gateway whose relay doesn't
+ * answer asks the relay of another zone, and after two in vain the store itself: a gateway is never worse off than with
  * a watch of its own by more than the time of these two questions.
  */
-export class NewsSources {
+export class RelaySources {
     readonly #self: string;
     readonly #availabilityZone: string;
     readonly #failedUntilMs = new Map<string, number>();
@@ -45,25 +45,25 @@
     }
 
     /** @returns where to ask next */
-    choose(gateways: readonly RegisteredGateway[], nowMs: number): NewsSource {
+    choose(gateways: readonly RegisteredGateway[], nowMs: number): WatchSource {
         if (nowMs < this.#directUntilMs) {
             return store;
         }
         const own = gateways.filter(({ availabilityZone }) => availabilityZone === this.#availabilityZone);
-        const ownReaders = findReaders(own);
-        if (ownReaders.length === 0 || ownReaders.includes(this.#self)) {
+        const ownRelays = findRelays(own);
+        if (ownRelays.length === 0 || ownRelays.includes(this.#self)) {
             return store;
         }
         const others = gateways.filter(({ availabilityZone }) => availabilityZone !== this.#availabilityZone);
-        const ordered = [...this.#order(ownReaders), ...this.#order(findReadersByZone(others))];
-        const name = ordered.find(reader => nowMs >= (this.#failedUntilMs.get(reader) ?? -Infinity));
+        const ordered = [...this.#order(ownRelays), ...this.#order(findRelaysByZone(others))];
+        const name = ordered.find(relay => nowMs >= (this.#failedUntilMs.get(relay) ?? -Infinity));
         const peer = gateways.find(gateway => gateway.name === name);
         return peer === undefined
             ? store
             : { type: "peer", name: peer.name, address: peer.peers, known: peer.name === this.#known };
     }
 
-    /** A peer told its news, or that there is none. */
+    /** A relay answered, with changes or without. */
     onAnswer(name: string): void {
         this.#known = name;
         this.#failuresInRow = 0;
@@ -86,17 +86,17 @@
         this.#directUntilMs = Math.max(this.#directUntilMs, nowMs + directMs);
     }
 
-    #order(readers: readonly string[]): readonly string[] {
-        return findOwners(this.#self, readers, readers.length);
+    #order(relays: readonly string[]): readonly string[] {
+        return findOwners(this.#self, relays, relays.length);
     }
 }
 
-function findReaders(gateways: readonly RegisteredGateway[]): readonly string[] {
-    const count = Math.ceil(gateways.length / followersPerReader);
-    return findOwners(readerSubject, gateways.map(({ name }) => name), count);
+function findRelays(gateways: readonly RegisteredGateway[]): readonly string[] {
+    const count = Math.ceil(gateways.length / followersPerRelay);
+    return findOwners(relaySubject, gateways.map(({ name }) => name), count);
 }
 
-function findReadersByZone(gateways: readonly RegisteredGateway[]): readonly string[] {
+function findRelaysByZone(gateways: readonly RegisteredGateway[]): readonly string[] {
     const zones = [...new Set(gateways.map(({ availabilityZone }) => availabilityZone))];
-    return zones.flatMap(zone => findReaders(gateways.filter(({ availabilityZone }) => availabilityZone === zone)));
+    return zones.flatMap(zone => findRelays(gateways.filter(({ availabilityZone }) => availabilityZone === zone)));
 }
