--- a/packages/atMostOnce/src/claimBatcher.ts
+++ b/packages/atMostOnce/src/claimBatcher.ts
@@ -8,7 +8,8 @@
     type ClaimRequest,
     type ClaimTime,
 } from "./claimMessages.js";
-import { ClaimShard, type ShardCall } from "./claimShard.js";
+import { ClaimShard } from "./claimShard.js";
+import { type ShardCall } from "./shardCall.js";
 import {
     claimBackoffMs,
     claimBucketMs,
--- a/packages/atMostOnce/src/claimShard.ts
+++ b/packages/atMostOnce/src/claimShard.ts
@@ -16,44 +16,14 @@
     type ClaimTime,
     type StoredClaims,
 } from "./claimMessages.js";
-
-/** One call that a shard wants made; a shard has at most one under way. */
-export interface ShardCall {
-    readonly type: "read" | "swap" | "delete";
-    /** Several for a read, one for a write. */
-    readonly buckets: readonly number[];
-    readonly expectedRevision: number;
-    /** What a swap writes. */
-    readonly document: ClaimDocument;
-    readonly value: string | undefined;
-    /** Claims that waited when the call was made; the answer is fresh for them. */
-    readonly witnesses: readonly string[];
-}
-
-/** What became of a claim. */
-export type ClaimVerdict =
-    | { readonly type: "claimed"; readonly nonce: string; readonly validUntilMs: number; }
-    | { readonly type: "refused"; readonly nonce: string; readonly failure: Failure; };
-
-interface WaitingClaim {
-    readonly req: ClaimRequest;
-    /** Buckets read since the claim arrived. */
-    readonly verified: Set<number>;
-    firstSentMs: number | undefined;
-}
-
-interface ClaimPlace {
-    readonly bucket: number;
-    readonly keyDigest: string;
-}
-
-interface SentClaim extends ClaimPlace {
-    readonly expectedRevision: number;
-}
-
-interface PendingEnd extends ClaimPlace {
-    readonly end: ClaimEnd;
-}
+import {
+    type ClaimPlace,
+    type ClaimVerdict,
+    type PendingEnd,
+    type SentClaim,
+    type ShardCall,
+    type WaitingClaim,
+} from "./shardCall.js";
 
 /** The claims of one shard as one gateway sees them: which wait, which are held, and what the store last held. */
 export class ClaimShard {
--- a/packages/peers/src/__tests__/support/simulation.ts
+++ b/packages/peers/src/__tests__/support/simulation.ts
@@ -20,7 +20,8 @@
 import assert from "node:assert/strict";
 import { type Either, Right } from "purify-ts";
 import { createChangeCoordinator, type StoreChangeCoordinator } from "../../changeCoordinatorShell.js";
-import { createFleetMember, type FleetMembership } from "../../fleetMemberShell.js";
+import { createFleetMember } from "../../fleetMemberShell.js";
+import { type FleetMembership } from "../../fleetMembership.js";
 import { SimulatedNetwork } from "./simulatedNetwork.js";
 import { SimulatedProcess } from "./simulatedProcess.js";
 import { SimulatedStore, type StoreFaults } from "./simulatedStore.js";
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -5,13 +5,8 @@
     StoreChangeCoordinator,
 } from "./changeCoordinatorShell.js";
 export { Clock, createSystemClock } from "./clock.js";
-export {
-    createFleetMember,
-    type FleetMembership,
-    type FleetMembershipOptions,
-    type OnLoads,
-    type OnSignals,
-} from "./fleetMemberShell.js";
+export { createFleetMember } from "./fleetMemberShell.js";
+export { type FleetMembership, type FleetMembershipOptions, type OnLoads, type OnSignals } from "./fleetMembership.js";
 export {
     createFleetObserver,
     type FleetObservations,
