--- a/packages/edge/src/backends/askServer.ts
+++ b/packages/edge/src/backends/askServer.ts
@@ -42,15 +42,9 @@
     constructor(input: AskInput, resolve: (offer: ServerOffer | undefined) => void) {
         this.#input = input;
         this.#resolve = resolve;
-        // A connection that went silent stays so; closing it makes the next question open a new one.
-        this.#timer = setTimeout(() => {
-            this.#settle(undefined);
-            if (this.#controller === undefined) {
-                this.#input.connection.destroy();
-                return;
-            }
-            this.#controller.abort(new Error("no answer in time"));
-        }, input.timeoutMs);
+        // After a long turn of the event loop its timers come before what has been received meanwhile. Taken for silent then,
+        // servers would be blamed and connections closed for this process's own delay.
+        this.#timer = setTimeout(() => setImmediate(() => this.#giveUp()), input.timeoutMs);
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -76,6 +70,14 @@
         this.#settle(undefined);
     }
 
+    #giveUp(): void {
+        if (this.#settled) {
+            return;
+        }
+        this.#settle(undefined);
+        this.#controller?.abort(new Error("no answer in time"));
+    }
+
     #read(status: number, headers: RawHeaders): ServerOffer | undefined {
         const { server, vocabulary } = this.#input;
         const signs = vocabulary.readAnswer(status, headers);
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -32,8 +32,8 @@
 /** One send of one request. */
 export interface SendInput {
     readonly connection: ServerConnection;
-    /** Whether nothing was sent on the connection before, so that what comes answers this request. */
-    readonly fresh: boolean;
+    /** Whether no request was sent on the connection before, so that a request turned away on it can only be this one. */
+    readonly firstRequest: boolean;
     readonly method: string;
     readonly path: string;
     readonly headers: string[];
@@ -186,9 +186,9 @@
 
     /** An answer of which something is wrong is nobody's: it may be the end of another one, or half of this. */
     #findFault({ status, headers, signs }: AnswerHead): UnknownReason | undefined {
-        const { requestId, fresh, connection } = this.#input;
-        // A server that turns a request away may not have read who it is; on a fresh connection it can mean no other.
-        const anonymous = signs.requestId === undefined && fresh && signs.notRun;
+        const { requestId, firstRequest, connection } = this.#input;
+        // A server that turns a request away may not have read who it is; as the first one here it can mean no other.
+        const anonymous = signs.requestId === undefined && firstRequest && signs.notRun;
         if (signs.requestId !== requestId && !anonymous) {
             return "otherRequestsAnswer";
         }
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -8,7 +8,6 @@
     readonly address: ServerAddress;
     readonly #client: Client;
     #socketFailed = false;
-    #wasReset = false;
     #destroyed = false;
 
     constructor(address: ServerAddress) {
@@ -46,11 +45,6 @@
         this.#client.dispatch(options, handler);
     }
 
-    /** Whether the other end reset it, as servers do that have forgotten an idle connection. */
-    get wasReset(): boolean {
-        return this.#wasReset;
-    }
-
     /** Whether it is closed for good. */
     get destroyed(): boolean {
         return this.#destroyed;
@@ -64,11 +58,9 @@
 
     #watch(socket: Socket): void {
         this.#socketFailed = false;
-        this.#wasReset = false;
         // Placed before the client's own listener, so that the failure is known when the client reports the answer.
-        socket.on("error", (err: NodeJS.ErrnoException) => {
+        socket.on("error", () => {
             this.#socketFailed = true;
-            this.#wasReset = err.code === "ECONNRESET" || err.code === "EPIPE";
         });
     }
 }
--- a/packages/edge/src/backends/serverConnections.ts
+++ b/packages/edge/src/backends/serverConnections.ts
@@ -1,10 +1,25 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
-import { idleConnectionsPerServer } from "../constants.js";
+import { heardLatelyMs, idleConnectionsPerServer, quietMs } from "../constants.js";
 import { ServerConnection } from "./serverConnection.js";
 
+/** What a connection is given back after. */
+export interface ConnectionUse {
+    readonly after: "question" | "request";
+    readonly nowMs: number;
+}
+
+interface IdleConnection {
+    readonly connection: ServerConnection;
+    /** When its server last answered a question on it, if nothing else was sent since. */
+    readonly heardAtMs: number;
+    /** When the last request on it ended. */
+    readonly requestAtMs: number;
+}
+
 /** Kept connections to backend servers, by server. */
 export class ServerConnections {
-    readonly #idle = new Map<string, ServerConnection[]>();
+    readonly #idle = new Map<string, IdleConnection[]>();
+    readonly #requestAtMs = new WeakMap<ServerConnection, number>();
     #opened = 0;
 
     /** Connections opened so far, first uses of kept ones included. */
@@ -12,16 +27,30 @@
         return this.#opened;
     }
 
-    /** @returns a connection that waits for work, or a new one */
+    /** @returns a connection that waits for work, the one that was used last, or a new one */
     take(serverId: string, address: ServerAddress): ServerConnection {
-        const idle = this.#idle.get(serverId);
-        for (let kept = idle?.pop(); kept !== undefined; kept = idle?.pop()) {
-            if (kept.address.host === address.host && kept.address.port === address.port) {
-                return kept;
-            }
-            kept.destroy();
-        }
-        return this.open(address);
+        return this.#takeWhere(serverId, address, () => true) ?? this.open(address);
+    }
+
+    /**
+     * For what may be sent only once. A server may close a kept connection just as something is written to it, or send a
+     * late answer of a request before, and then nobody can say whether this one ran. Neither is to be feared where the
+     * server answered a question on it a moment ago and no request ended on it for a while.
+     *
+     * @returns such a connection, or a new one
+     */
+    takeQuiet(serverId: string, address: ServerAddress, nowMs: number): ServerConnection {
+        const quiet = this.#takeWhere(
+            serverId,
+            address,
+            ({ heardAtMs, requestAtMs }) => nowMs - heardAtMs <= heardLatelyMs && nowMs - requestAtMs >= quietMs,
+        );
+        return quiet ?? this.open(address);
+    }
+
+    /** @returns whether no request was sent on a connection before; every question on it has had its answer */
+    isFirstRequest(connection: ServerConnection): boolean {
+        return !this.#requestAtMs.has(connection);
     }
 
     /** @returns a connection that nothing was sent on before */
@@ -31,7 +60,7 @@
     }
 
     /** Keeps a connection on which nothing is under way. */
-    release(serverId: string, connection: ServerConnection): void {
+    release(serverId: string, connection: ServerConnection, { after, nowMs }: ConnectionUse): void {
         if (connection.destroyed) {
             return;
         }
@@ -41,7 +70,14 @@
             connection.destroy();
             return;
         }
-        idle.push(connection);
+        if (after === "request") {
+            this.#requestAtMs.set(connection, nowMs);
+        }
+        idle.push({
+            connection,
+            heardAtMs: after === "question" ? nowMs : -Infinity,
+            requestAtMs: this.#requestAtMs.get(connection) ?? -Infinity,
+        });
     }
 
     /** Closes the connections to servers that are no longer there. */
@@ -49,7 +85,7 @@
         for (const [serverId, idle] of this.#idle) {
             if (!serverIds.has(serverId)) {
                 this.#idle.delete(serverId);
-                idle.forEach(connection => connection.destroy());
+                idle.forEach(({ connection }) => connection.destroy());
             }
         }
     }
@@ -57,4 +93,25 @@
     close(): void {
         this.retain(new Set());
     }
+
+    #takeWhere(
+        serverId: string,
+        { host, port }: ServerAddress,
+        fits: (idle: IdleConnection) => boolean,
+    ): ServerConnection | undefined {
+        const idle = this.#idle.get(serverId) ?? [];
+        for (let i = idle.length - 1; i >= 0; i--) {
+            const kept = idle[i];
+            if (kept === undefined || !fits(kept)) {
+                continue;
+            }
+            idle.splice(i, 1);
+            const { address } = kept.connection;
+            if (address.host === host && address.port === port) {
+                return kept.connection;
+            }
+            kept.connection.destroy();
+        }
+        return undefined;
+    }
 }
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -13,8 +13,14 @@
 /** An idle connection to a backend server is closed after this long, or a little before the server says it would. */
 export const idleConnectionMs = 8_000;
 
-/** Idle connections kept to one backend server: one to ask on while another carries a request. */
-export const idleConnectionsPerServer = 2;
+/** Idle connections kept to one backend server: some to ask on while requests on the others have ended just now. */
+export const idleConnectionsPerServer = 4;
+
+/** How long after an answer on it a connection may be taken for a request that must not run twice, in milliseconds. */
+export const heardLatelyMs = 50;
+
+/** How long no request has ended on a connection that is taken for one that must not run twice, in milliseconds. */
+export const quietMs = 400;
 
 /** Largest body of a request that is read before anything is sent; a larger one is streamed and sent once. */
 export const heldBodyBytes = 1_048_576;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -7,7 +7,7 @@
     sleep,
     systemClock,
 } from "@galenaglade/http-parts";
-import { RepeatBudget } from "@galenaglade/placement";
+import { PlacementBoard, RepeatBudget } from "@galenaglade/placement";
 import { type KeyValueStore } from "@galenaglade/platform";
 import { createRandomSource } from "@galenaglade/routing";
 import { type Logger, type Metrics } from "@galenaglade/telemetry";
@@ -74,23 +74,21 @@
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
     const budget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
-    const placer = new Placer({
+    const board = new PlacementBoard({
         name,
         availabilityZone,
-        view,
-        connections,
-        vocabulary,
-        clock,
         random,
-        metrics,
         asksPerServerAndSecond: settings.asking.perServerAndSecond,
+        startedAtMs: clock.monotonicMs(),
     });
+    const placer = new Placer({ view, board, connections, vocabulary, clock, metrics });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
         view,
         clock,
         random,
         placer,
+        board,
         connections,
         budget,
         vocabulary,
@@ -120,7 +118,7 @@
     const onChange = (): void => {
         const ids = new Set(view.knownServerIds());
         connections.retain(ids);
-        placer.retain(ids);
+        board.retain(ids);
         const limits = view.inForce?.configuration.limits;
         if (limits !== undefined) {
             callerServer.headersTimeout = limits.headerTimeoutMs;
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -9,6 +9,7 @@
     type SendResult,
 } from "../backends/sendRequest.js";
 import { heldAnswerBytes } from "../constants.js";
+import { type ServerConnection } from "../backends/serverConnection.js";
 import { type LogFields } from "@galenaglade/telemetry";
 import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest } from "./edgeRequest.js";
@@ -66,7 +67,7 @@
     ) {
         this.#parts = parts;
         this.#request = request;
-        this.#answers = new ExchangeAnswers(request, parts.placer.work, parts.random);
+        this.#answers = new ExchangeAnswers(request, parts.board.work, parts.random);
         this.#body = body;
         this.#signal = signal;
         this.#openSink = openSink;
@@ -85,8 +86,10 @@
 
     /** @returns what the caller gets; never fails */
     async run(): Promise<ExchangeEnd> {
-        const { budget, clock } = this.#parts;
-        budget.onRequest(this.#request.rules.name, clock.monotonicMs());
+        const { budget, board } = this.#parts;
+        const { rules, route } = this.#request;
+        budget.onRequest(rules.name, this.#nowMs());
+        board.onRequest(rules.name, route.priority, this.#nowMs());
         const place = await this.#place("first");
         if (typeof place === "string") {
             return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
@@ -175,7 +178,6 @@
             return;
         }
         if (this.#signal.aborted || this.#underWay.size < this.#unread.size || !this.#takeRepeat("hedge")) {
-            this.#parts.placer.release(place);
             return;
         }
         this.#parts.log.log("info", "hedge", { requestId: this.#request.requestId, to: place.server.id });
@@ -188,6 +190,7 @@
         const found = await placer.place({
             rules,
             objectiveMs: route.objectiveMs,
+            rank: route.priority,
             arrivedAtMs,
             cutoffMs,
             excluded: this.#triedServers,
@@ -208,16 +211,12 @@
         const { method, url, headers, route, requestId, cutoffMs } = this.#request;
         const { server } = place;
         this.#triedServers.add(server.id);
-        // A kept connection may be closed by its server just as a request is written to it, and then nobody can say
-        // whether that ran. A connection that was opened for the request can't be.
-        const fresh = !route.idempotent;
-        if (fresh) {
-            this.#parts.placer.release(place);
-        }
-        const connection = fresh ? connections.open(server.address) : place.connection;
+        const connection = route.idempotent
+            ? connections.take(server.id, server.address)
+            : connections.takeQuiet(server.id, server.address, clock.monotonicMs());
         const send = sendRequest({
             connection,
-            fresh,
+            firstRequest: connections.isFirstRequest(connection),
             method,
             path: url,
             headers: vocabulary.resolveForwardHeaders(headers, {
@@ -237,7 +236,7 @@
             place,
             purpose,
             ended: send.result.then(result => {
-                this.#onSendEnded(underWay, connection, fresh, result);
+                this.#onSendEnded(underWay, connection, result);
                 return { underWay, result };
             }),
         };
@@ -245,30 +244,31 @@
         this.#unread.add(underWay);
     }
 
-    #onSendEnded(
-        underWay: SendUnderWay,
-        connection: Place["connection"],
-        fresh: boolean,
-        result: SendResult,
-    ): void {
-        const { connections, placer, clock, metrics } = this.#parts;
+    #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, { end, answer, tookMs }: SendResult): void {
+        const { connections, board, clock, metrics } = this.#parts;
         const { server, score } = underWay.place;
         const service = this.#request.rules.name;
+        const nowMs = clock.monotonicMs();
         this.#underWay.delete(underWay);
-        this.#ends.push(result.end);
-        if (fresh) {
+        this.#ends.push(end);
+        if (end.type === "unknown") {
+            // What comes on it later would be taken for the answer to whatever is sent next.
             connection.destroy();
         }
         else {
-            connections.release(server.id, connection);
+            connections.release(server.id, connection, { after: "request", nowMs });
+        }
+        metrics.onSendEnded(service, underWay.purpose, describeEnd(end));
+        if (isFailureOfServer(end)) {
+            board.onFailure(service, server.id, nowMs);
         }
-        metrics.onSendEnded(service, underWay.purpose, describeEnd(result.end));
-        if (isFailureOfServer(result.end)) {
-            placer.trust.onFailure(server.id, clock.monotonicMs());
+        else if (end.type === "answered") {
+            board.trust.onSuccess(server.id);
+            board.work.onAnswer(service, tookMs, score.factor);
         }
-        else if (result.end.type === "answered") {
-            placer.trust.onSuccess(server.id);
-            placer.work.onAnswer(service, result.tookMs, score.factor);
+        const load = answer?.signs.load;
+        if (load !== undefined) {
+            board.onLoad(service, server, load, nowMs);
         }
     }
 
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -1,6 +1,6 @@
 import { type FleetView } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
-import { type RepeatBudget } from "@galenaglade/placement";
+import { type PlacementBoard, type RepeatBudget } from "@galenaglade/placement";
 import { type RandomSource } from "@galenaglade/routing";
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
@@ -20,6 +20,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly placer: Placer;
+    readonly board: PlacementBoard;
     readonly connections: ServerConnections;
     readonly budget: RepeatBudget;
     readonly vocabulary: EdgeVocabulary;
--- a/packages/placement/src/__tests__/support/replay.ts
+++ b/packages/placement/src/__tests__/support/replay.ts
@@ -1,17 +1,12 @@
-import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type ServiceRules } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import {
-    AskBudget,
-    askedFirst,
-    choosePlacement,
-    ColdAdmission,
-    type ColdInput,
-    orderToAsk,
+    type FleetSight,
+    PlacementBoard,
     RepeatBudget,
     resolveComeBack,
-    scoreServer,
-    ServerSubset,
-    waitShare,
+    type SearchStep,
+    ServerSearch,
 } from "../../index.js";
 import { ReplayServer, workMs } from "./replayServer.js";
 
@@ -22,6 +17,12 @@
 const coldPerSecond = 4.2;
 const repeats = { ratio: 0.2, slack: 58, windowMs: 10_000 };
 const asksPerServerAndSecond = 60;
+const rules: ServiceRules = {
+    name: "tables",
+    healthPath: "/health",
+    maximumConnections: 200,
+    coldRequestsPerSecond: coldPerSecond,
+};
 /** Sends of one request at most, those that were turned away included. */
 const mostSends = 6;
 
@@ -32,6 +33,8 @@
     readonly impatient: boolean;
     /** How long it waits. */
     readonly patienceMs: number;
+    /** 0 is the most urgent. */
+    readonly rank: number;
     answeredAtMs: number | undefined;
     tries: number;
 }
@@ -40,15 +43,16 @@
     readonly caller: ReplayCaller;
     readonly arrivedAtMs: number;
     sends: number;
+    search: ServerSearch;
+    /** When it looks for a server again. */
+    lookAtMs: number;
 }
 
 interface Gateway {
     readonly name: string;
     readonly availabilityZone: string;
-    asks: AskBudget;
+    board: PlacementBoard;
     repeats: RepeatBudget;
-    cold: ColdAdmission;
-    readonly subset: ServerSubset;
     pending: Pending[];
     downUntilMs: number;
 }
@@ -65,6 +69,8 @@
     readonly impatientShare?: number;
     /** How long a caller waits; by default two seconds. */
     readonly resolvePatienceMs?: (random: RandomSource, nowMs: number) => number;
+    /** Rank of the next request; by default all are alike. */
+    readonly resolveRank?: (random: RandomSource) => number;
     /** Called before each step, to change what the load is about. */
     readonly onStep?: (fleet: ReplayFleet, nowMs: number) => void;
     /** Sends to any server at once and never refuses, in place of the decisions: what a gain is measured against. */
@@ -120,7 +126,8 @@
             for (const { caller } of gateway.pending) {
                 this.#returning.push({ atMs: nowMs + stepMs, caller });
             }
-            Object.assign(gateway, this.#createLife(gateway.name, nowMs), { pending: [], downUntilMs: nowMs + downMs });
+            const life = this.#createLife(gateway.name, gateway.availabilityZone, nowMs);
+            Object.assign(gateway, life, { pending: [], downUntilMs: nowMs + downMs });
         }
     }
 
@@ -143,19 +150,18 @@
         return {
             name,
             availabilityZone: zones[i % zones.length] ?? "",
-            subset: new ServerSubset(name),
             pending: [],
             downUntilMs: -Infinity,
             // What was saved and spent before the replayed time is as after a calm time.
-            ...this.#createLife(name, -repeats.windowMs),
+            ...this.#createLife(name, zones[i % zones.length] ?? "", -repeats.windowMs),
         };
     }
 
-    #createLife(name: string, startedAtMs: number): Pick<Gateway, "asks" | "repeats" | "cold"> {
+    #createLife(name: string, availabilityZone: string, startedAtMs: number): Pick<Gateway, "board" | "repeats"> {
+        const random = this.#random;
         return {
-            asks: new AskBudget(asksPerServerAndSecond),
+            board: new PlacementBoard({ name, availabilityZone, random, asksPerServerAndSecond, startedAtMs }),
             repeats: new RepeatBudget(repeats, startedAtMs),
-            cold: new ColdAdmission(name),
         };
     }
 
@@ -168,6 +174,7 @@
                 arrivedAtMs: nowMs,
                 impatient: this.#random.next() < (this.#input.impatientShare ?? 0),
                 patienceMs: this.#input.resolvePatienceMs?.(this.#random, nowMs) ?? patienceMs,
+                rank: this.#input.resolveRank?.(this.#random) ?? 0,
                 answeredAtMs: undefined,
                 tries: 0,
             };
@@ -189,8 +196,10 @@
         }
         caller.tries++;
         this.tries++;
-        gateway.repeats.onRequest("tables", nowMs);
-        gateway.pending.push({ caller, arrivedAtMs: nowMs, sends: 0 });
+        gateway.repeats.onRequest(rules.name, nowMs);
+        gateway.board.onRequest(rules.name, caller.rank, nowMs);
+        const search = this.#createSearch(gateway, caller, nowMs);
+        gateway.pending.push({ caller, arrivedAtMs: nowMs, sends: 0, search, lookAtMs: nowMs });
     }
 
     #usable(): readonly ReplayServer[] {
@@ -221,91 +230,68 @@
         }
     }
 
+    #createSearch(gateway: Gateway, caller: ReplayCaller, nowMs: number): ServerSearch {
+        return new ServerSearch(gateway.board, {
+            rules,
+            objectiveMs,
+            rank: caller.rank,
+            arrivedAtMs: nowMs,
+            cutoffMs: caller.arrivedAtMs + caller.patienceMs,
+            excluded: new Set(),
+            onlyGood: false,
+        });
+    }
+
     #place(gateway: Gateway, pending: Pending, nowMs: number): void {
+        if (nowMs < pending.lookAtMs) {
+            gateway.pending.push(pending);
+            return;
+        }
         const usable = this.#usable();
-        const ordered = this.#order(gateway, usable);
-        const waitedMs = nowMs - pending.arrivedAtMs;
-        const purpose = waitedMs === 0 || waitedMs >= objectiveMs * waitShare ? "arrival" : "waiting";
-        const asked: ReplayServer[] = [];
-        for (let unasked = ordered;;) {
-            const wanted = Math.min(askedFirst, unasked.length);
-            const wave = gateway.asks.take({
-                ordered: unasked,
-                purpose,
-                wanted,
-                gateways: this.#gateways.length,
-                nowMs,
-            });
-            asked.push(...wave);
-            unasked = wave.length < wanted ? [] : unasked.filter(server => !wave.includes(server));
-            if (asked.length === 0) {
+        const byId = new Map(usable.map(server => [server.registered.id, server]));
+        const sight: FleetSight = {
+            usable: usable.map(server => server.registered),
+            gateways: this.#gateways.map(({ name }) => name),
+            sinceContactMs: 0,
+            nowMs,
+        };
+        const step = this.#askUntilDecided(gateway, pending.search, sight, byId);
+        switch (step.type) {
+            case "pause":
+                pending.lookAtMs = nowMs + step.forMs;
                 gateway.pending.push(pending);
                 return;
-            }
-            const decision = choosePlacement({
-                scores: this.#score(gateway, asked, nowMs),
-                hasUnasked: unasked.length > 0,
-                waitedMs,
-                objectiveMs,
-                remainingMs: pending.caller.arrivedAtMs + pending.caller.patienceMs - nowMs,
-                typicalMs: workMs,
-            });
-            switch (decision.type) {
-                case "widen":
-                    continue;
-                case "wait":
-                    gateway.pending.push(pending);
-                    return;
-                case "refuse":
-                    this.#refuse(pending.caller, "full", nowMs);
-                    return;
-                case "send": {
-                    const server = asked.find(each => each.registered.id === decision.score.offer.serverId);
-                    if (server !== undefined) {
-                        this.#send(gateway, pending, server, nowMs);
-                    }
-                    return;
+            case "refuse":
+                this.#refuse(pending.caller, "full", nowMs);
+                return;
+            case "send": {
+                const server = byId.get(step.server.id);
+                if (server !== undefined) {
+                    this.#send(gateway, pending, server, nowMs);
                 }
             }
         }
     }
 
-    #order(gateway: Gateway, usable: readonly ReplayServer[]): readonly ReplayServer[] {
-        const registered = usable.map(server => server.registered);
-        const own = registered.filter(({ availabilityZone }) => availabilityZone === gateway.availabilityZone);
-        const ordered = orderToAsk({
-            servers: registered,
-            availabilityZone: gateway.availabilityZone,
-            subset: gateway.subset.of(own),
-            isSuspect: () => false,
-            random: this.#random,
-        });
-        const byId = new Map<string, ReplayServer>(usable.map(server => [server.registered.id, server]));
-        return ordered.flatMap(({ id }: RegisteredServer) => byId.get(id) ?? []);
-    }
-
-    #score(gateway: Gateway, asked: readonly ReplayServer[], nowMs: number): ReturnType<typeof scoreServer>[] {
-        return asked
-            .map(server => server.offer(nowMs))
-            .filter(offer => offer.coldRemainingMs <= 0 || gateway.cold.mayTake(this.#coldInput(offer.serverId, nowMs)))
-            .map(offer =>
-                scoreServer(offer, {
-                    typicalMs: workMs,
-                    sentSince: 0,
-                    sameZone: offer.availabilityZone === gateway.availabilityZone,
-                    suspect: false,
-                })
-            );
-    }
-
-    #coldInput(serverId: string, nowMs: number): ColdInput {
-        return {
-            serverId,
-            requestsPerSecond: coldPerSecond,
-            gateways: this.#gateways.map(({ name }) => name),
-            sinceContactMs: 0,
-            nowMs,
-        };
+    #askUntilDecided(
+        gateway: Gateway,
+        search: ServerSearch,
+        sight: FleetSight,
+        byId: ReadonlyMap<string, ReplayServer>,
+    ): Exclude<SearchStep, { readonly type: "ask"; }> {
+        for (;;) {
+            const step = search.step(sight);
+            if (step.type !== "ask") {
+                return step;
+            }
+            for (const { id } of step.servers) {
+                const server = byId.get(id);
+                if (server !== undefined) {
+                    server.questions++;
+                    gateway.board.onOffer(rules.name, server.offer(sight.nowMs), sight.nowMs);
+                }
+            }
+        }
     }
 
     #send(gateway: Gateway, pending: Pending, server: ReplayServer, nowMs: number): void {
@@ -314,12 +300,13 @@
             this.repeated++;
         }
         pending.sends++;
-        if (nowMs < server.coldUntilMs) {
-            gateway.cold.onSend(this.#coldInput(server.registered.id, nowMs));
-        }
         const taken = server.arrive({
             onDone: () => {
                 caller.answeredAtMs ??= this.#now + stepMs;
+                const { load } = server.offer(this.#now);
+                if (load !== undefined) {
+                    gateway.board.onLoad(rules.name, server.registered, load, this.#now);
+                }
             },
             isAbandoned: () => this.#now - caller.arrivedAtMs >= caller.patienceMs,
         }, nowMs);
@@ -327,8 +314,9 @@
             return;
         }
         const mayRepeat = pending.sends < mostSends
-            && gateway.repeats.take("tables", "retry", this.#gateways.length, nowMs);
+            && gateway.repeats.take(rules.name, "retry", this.#gateways.length, nowMs);
         if (mayRepeat) {
+            pending.search = this.#createSearch(gateway, caller, pending.arrivedAtMs);
             gateway.pending.push(pending);
             return;
         }
--- a/packages/placement/src/__tests__/support/replayServer.ts
+++ b/packages/placement/src/__tests__/support/replayServer.ts
@@ -32,6 +32,8 @@
     /** When requests reached it while it was cold. */
     readonly coldArrivalsMs: number[] = [];
     arrivals = 0;
+    /** Times it was asked for its load. */
+    questions = 0;
     readonly #random: RandomSource;
     #jobs: Job[] = [];
     #isSlow = false;
--- a/packages/placement/src/askBudget.ts
+++ b/packages/placement/src/askBudget.ts
@@ -1,4 +1,4 @@
-import { askBudgetShare, askSavingsMs, leastAsked } from "./constants.js";
+import { askBudgetShare, askSavingsMs, startSavingsMs } from "./constants.js";
 
 /** Who looks for a server: one that has just arrived or looks for the last time, or one that looks again and again. */
 export type AskPurpose = "arrival" | "waiting";
@@ -16,30 +16,37 @@
 }
 
 interface Savings {
-    /** Below zero where more was asked than was saved; paid back before anything is saved again. */
     readonly asks: number;
     readonly atMs: number;
 }
 
 /**
- * Limits how often backend servers are asked for their load. Each request asks a few, and one that waits asks again and
- * again; when every gateway has requests waiting, the questions alone would keep the servers busy. The allowance is a
- * server's own and for the whole fleet, so a gateway has one part of it for each server: kept for a service as a whole, it
- * would be exceeded at the servers that many gateways ask first. What is not used in calm times is saved for some seconds
- * of high load.
+ * Limits how often backend servers are asked for their load. When every gateway has requests waiting that ask again and
+ * again, the questions alone would keep the servers busy. The allowance is a server's own and for the whole fleet, so a
+ * gateway has one part of it for each server, and nothing is granted beyond it: exceptions for requests that arrive are
+ * made by all of them at once under overload, and then there is no limit. A request without a question is placed by what
+ * others were told.
+ *
+ * In any ten seconds a server is asked at most `askBudgetShare` of the allowance of the ten seconds, the savings and what
+ * every gateway has after a restart, which is less than the allowance.
  */
 export class AskBudget {
     readonly #perServerAndSecond: number;
     readonly #saved = new Map<string, Savings>();
+    readonly #startedAtMs: number;
 
-    /** @param perServerAndSecond - from all gateways together */
-    constructor(perServerAndSecond: number) {
+    /**
+     * @param perServerAndSecond - from all gateways together
+     * @param startedAtMs - when this process began; it doesn't know what it asked in a life before
+     */
+    constructor(perServerAndSecond: number, startedAtMs: number) {
         this.#perServerAndSecond = perServerAndSecond;
+        this.#startedAtMs = startedAtMs;
     }
 
     /**
      * Chooses whom a request may ask now, and counts the questions. A request that waits leaves half of the savings to those
-     * that arrive; these may always ask two, or they would be refused although servers are free.
+     * that arrive.
      *
      * @param input - what decides
      * @returns the servers to ask, in their order
@@ -47,29 +54,18 @@
     take<Server extends { readonly id: string; }>(input: AskInput<Server>): readonly Server[] {
         const { ordered, purpose, wanted, gateways, nowMs } = input;
         const perMs = this.#perServerAndSecond * askBudgetShare / Math.max(1, gateways) / 1_000;
-        const most = Math.max(1, perMs * askSavingsMs);
-        const kept = purpose === "waiting" ? most / 2 : 0;
+        const kept = purpose === "waiting" ? mostSaved(perMs) / 2 : 0;
         const chosen: Server[] = [];
         for (const server of ordered) {
             if (chosen.length >= wanted) {
                 break;
             }
-            if (this.#asksOf(server.id, perMs, most, nowMs) - 1 >= kept) {
+            const asks = this.#asksOf(server.id, perMs, nowMs);
+            if (asks - 1 >= kept) {
+                this.#saved.set(server.id, { asks: asks - 1, atMs: nowMs });
                 chosen.push(server);
             }
         }
-        const least = purpose === "arrival" ? Math.min(leastAsked, wanted) : 0;
-        for (const server of ordered) {
-            if (chosen.length >= least) {
-                break;
-            }
-            if (!chosen.includes(server)) {
-                chosen.push(server);
-            }
-        }
-        for (const { id } of chosen) {
-            this.#saved.set(id, { asks: this.#asksOf(id, perMs, most, nowMs) - 1, atMs: nowMs });
-        }
         return chosen;
     }
 
@@ -82,8 +78,15 @@
         }
     }
 
-    #asksOf(id: string, perMs: number, most: number, nowMs: number): number {
-        const { asks, atMs } = this.#saved.get(id) ?? { asks: most, atMs: nowMs };
+    #asksOf(id: string, perMs: number, nowMs: number): number {
+        const most = mostSaved(perMs);
+        const { asks, atMs } = this.#saved.get(id)
+            ?? { asks: Math.min(most, Math.max(1, perMs * startSavingsMs)), atMs: this.#startedAtMs };
         return Math.min(most, asks + (nowMs - atMs) * perMs);
     }
 }
+
+/** At least one question, or a gateway of a large fleet could never ask. */
+function mostSaved(perMs: number): number {
+    return Math.max(1, perMs * askSavingsMs);
+}
--- a/packages/placement/src/askOrder.ts
+++ b/packages/placement/src/askOrder.ts
@@ -1,8 +1,6 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { type RandomSource } from "@galenaglade/routing";
-
-/** Behind every trusted server, whatever its zone. */
-const suspectRank = 3;
+import { otherSubsetPenalty, otherZonePenalty, spreadShare, suspectPenalty } from "./constants.js";
 
 /** What decides whom to ask first. */
 export interface AskOrderInput {
@@ -13,28 +11,32 @@
     /** Those of its own zone that this gateway asks before others. */
     readonly subset: ReadonlySet<string>;
     readonly isSuspect: (serverId: string) => boolean;
+    /** How likely a server is good now, from 0 to 1. */
+    readonly chanceOf: (serverId: string) => number;
     readonly random: RandomSource;
 }
 
 /**
- * Orders a service's servers by who is to be asked first: trusted ones before suspected ones, those of the gateway's own
- * availability zone before others, there those of its subset, and drawn anew each time within that, so that no server is
- * asked by everyone.
+ * Orders a service's servers by who is to be asked first: trusted ones before suspected ones, and then those that are
+ * likely good, where one of the own availability zone and there of the gateway's subset goes before others unless it is
+ * clearly less likely. Among equals the order is drawn anew each time, so that no server is asked by everyone.
  *
  * @param input - what decides
  */
 export function orderToAsk(input: AskOrderInput): readonly RegisteredServer[] {
-    const { servers, availabilityZone, subset, isSuspect, random } = input;
-    const rank = ({ id, availabilityZone: zone }: RegisteredServer): number => {
-        if (zone !== availabilityZone) {
-            return 2;
-        }
-        return subset.has(id) ? 0 : 1;
-    };
+    const { servers, isSuspect, chanceOf, random } = input;
     const keyed = servers.map(server => ({
         server,
-        key: (isSuspect(server.id) ? suspectRank : 0) + rank(server) + random.next(),
+        key: (isSuspect(server.id) ? suspectPenalty : 0) + resolveDistance(server, input)
+            - chanceOf(server.id) + spreadShare * random.next(),
     }));
     keyed.sort((a, b) => a.key - b.key);
     return keyed.map(({ server }) => server);
 }
+
+function resolveDistance(server: RegisteredServer, { availabilityZone, subset }: AskOrderInput): number {
+    if (server.availabilityZone !== availabilityZone) {
+        return otherZonePenalty;
+    }
+    return subset.has(server.id) ? 0 : otherSubsetPenalty;
+}
--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -1,9 +1,9 @@
-import { goodFactor, leastTimeShare, tooSlowFactor, waitShare } from "./constants.js";
-import { type ServerScore } from "./serverScore.js";
+import { leastTimeShare, tooSlowFactor, waitShare } from "./constants.js";
+import { isGood, type ServerScore } from "./serverScore.js";
 
 /** What to do with a request now that servers have answered for themselves. */
 export type PlacementDecision =
-    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best"; }
+    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best" | "likely"; }
     /** Ask the servers that were not asked yet. */
     | { readonly type: "widen"; }
     /** Ask again after a pause. */
@@ -15,6 +15,8 @@
     /** The servers that may be sent to, scored. */
     readonly scores: readonly ServerScore[];
     readonly hasUnasked: boolean;
+    /** Whether there is someone to ask, but no question left for the moment. */
+    readonly mayAskLater: boolean;
     /** Since the request arrived. */
     readonly waitedMs: number;
     readonly objectiveMs: number;
@@ -39,7 +41,7 @@
         return { type: "refuse", reason: "tooLate" };
     }
     const best = findBest(scores);
-    if (best !== undefined && best.free && best.factor <= goodFactor && !best.suspect) {
+    if (best !== undefined && isGood(best)) {
         return { type: "send", score: best, reason: "good" };
     }
     if (input.hasUnasked) {
@@ -52,7 +54,10 @@
         return { type: "wait" };
     }
     if (best === undefined) {
-        return { type: "refuse", reason: "noOffer" };
+        // Nothing is known of the servers: refused for want of a question, requests would be lost while there is room.
+        return input.mayAskLater && waitedMs + typicalMs < objectiveMs
+            ? { type: "wait" }
+            : { type: "refuse", reason: "noOffer" };
     }
     const bearable = findBest(scores.filter(isBearable));
     return bearable === undefined
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -1,7 +1,53 @@
 /** Load, limits and times on which placement, waiting, refusal and repeats rest. Times are milliseconds. */
 
-/** Backend servers asked for their load before a request is sent: enough that one of them is neither slow nor full. */
-export const askedFirst = 4;
+/** Backend servers asked for their load at once, at most. */
+export const mostAskedAtOnce = 4;
+
+/** Chance with which one of the servers that are asked at once is to be good. */
+export const wantedChance = 0.9;
+
+/** Chance from which on a server that was looked at a moment ago is sent to without asking it again. */
+export const sureChance = 0.95;
+
+/** Age from which on a server is asked again whatever it said. */
+export const sureMs = 25;
+
+/** A server less likely good than this is not asked while others are known: the answer would change nothing. */
+export const leastAskedChance = 0.05;
+
+/** Age up to which what a server said decides where nobody can be asked. */
+export const rememberedMs = 50;
+
+/**
+ * The same for a request that looks for the last time. Not longer: a server that turned cold meanwhile would be given its
+ * usual load by every gateway that doesn't ask.
+ */
+export const lastResortMs = 300;
+
+/** Chance from which on a server that was full when it was last looked at gets a request that would else be refused. */
+export const likelyChance = 0.3;
+
+/** How long a send may be missing from what a server says of its load. */
+export const sentMemoryMs = 400;
+
+/** Share of good servers that is assumed before any was looked at. */
+export const initialGoodShare = 0.75;
+
+/** Samples that a guess counts like, until as many were seen. */
+export const priorSamples = 20;
+
+/** Least weight of the newest sample, so that what changed since is noticed. */
+export const leastLearningWeight = 0.02;
+
+/** How much likelier good a server of another zone, or outside of the subset, must be to be asked before a near one. */
+export const otherZonePenalty = 0.3;
+export const otherSubsetPenalty = 0.15;
+
+/** Puts a suspected server behind every trusted one. */
+export const suspectPenalty = 3;
+
+/** How much less likely good a server may be and still be asked before another one by the draw. */
+export const spreadShare = 0.1;
 
 /**
  * Backend servers of its own zone that a gateway asks before others: more than twice as many as are asked at once, so that
@@ -9,14 +55,23 @@
  */
 export const subsetServers = 10;
 
-/** Backend servers that a request may always ask when it arrives and before it is refused: a choice of two. */
-export const leastAsked = 2;
+/**
+ * Share of the fleet's allowance of questions that is dealt out: with the savings below, ten seconds' questions stay under
+ * the allowance of ten seconds, also where every gateway is restarted within them.
+ */
+export const askBudgetShare = 0.85;
+
+/** How long questions that were not asked are saved. */
+export const askSavingsMs = 1_000;
+
+/** Savings of a gateway that has just started. */
+export const startSavingsMs = 500;
 
-/** Share of the fleet's allowance of questions that is dealt out; the rest is for rosters that differ. */
-export const askBudgetShare = 0.8;
+/** Time in which what was seen of the ranks of requests fades. */
+export const mixMemoryMs = 5_000;
 
-/** How long questions that were not asked are saved, in milliseconds: about as long as a burst lasts. */
-export const askSavingsMs = 6_000;
+/** Largest share of a server's slots that less urgent requests leave to more urgent ones. */
+export const mostReservedShare = 0.5;
 
 /** Share of a server's slots from which on its work gets slower. */
 export const nearlyFullShare = 0.8;
@@ -34,7 +89,7 @@
 export const tooSlowFactor = 3;
 
 /** Share of a request's objective for which it is held for a better server before it takes what there is. */
-export const waitShare = 0.3;
+export const waitShare = 0.16;
 
 /** Shortest and longest pause until servers are asked again; drawn in between, so that gateways don't ask in step. */
 export const shortestPauseMs = 10;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,20 +1,21 @@
 /** Where a request goes: whom to ask, whom to send to, when to wait, to repeat and to refuse. */
 export { AskBudget, type AskInput, type AskPurpose } from "./askBudget.js";
+export { countToAsk } from "./askCount.js";
 export { type AskOrderInput, orderToAsk } from "./askOrder.js";
 export { choosePlacement, type PlacementDecision, type PlacementInput } from "./choosePlacement.js";
 export { ColdAdmission, type ColdInput } from "./coldAdmission.js";
 export { type RefusalCause, resolveComeBack } from "./comeBack.js";
 export {
-    askedFirst,
     hedgeAfterShare,
     leastTimeShare,
-    longestPauseMs,
     maximumSends,
-    shortestPauseMs,
+    mostAskedAtOnce,
     subsetServers,
     waitShare,
 } from "./constants.js";
 export { drawDestination } from "./destination.js";
+export { type EarlierLook, GoodChances } from "./goodChances.js";
+export { LoadMemory, type RememberedOffer } from "./loadMemory.js";
 export { type LoadReport, type ServerOffer } from "./loadReport.js";
 export {
     isFailureOfServer,
@@ -25,8 +26,12 @@
     type SendEnd,
     type UnknownReason,
 } from "./nextTry.js";
+export { type BoardParts, type FleetSight, PlacementBoard, type RatedServer } from "./placementBoard.js";
+export { RankMix } from "./rankMix.js";
+export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
-export { type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
+export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
+export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
 export { ServerSubset } from "./serverSubset.js";
 export { ServerTrust } from "./serverTrust.js";
 export { TypicalWork } from "./typicalWork.js";
--- /dev/null
+++ b/packages/placement/src/placementBoard.ts
@@ -0,0 +1,219 @@
+import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
+import { type RandomSource } from "@galenaglade/routing";
+import { AskBudget, type AskPurpose } from "./askBudget.js";
+import { orderToAsk } from "./askOrder.js";
+import { ColdAdmission, type ColdInput } from "./coldAdmission.js";
+import { LoadMemory } from "./loadMemory.js";
+import { type LoadReport, type ServerOffer } from "./loadReport.js";
+import { RankMix } from "./rankMix.js";
+import { RecentSends } from "./recentSends.js";
+import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
+import { ServerSubset } from "./serverSubset.js";
+import { ServerTrust } from "./serverTrust.js";
+import { TypicalWork } from "./typicalWork.js";
+
+/** What a board is made with. */
+export interface BoardParts {
+    /** Name of this gateway, as in its registration. */
+    readonly name: string;
+    /** The gateway's own. */
+    readonly availabilityZone: string;
+    readonly random: RandomSource;
+    /** Questions for a server's load that all gateways may ask together, a server and second. */
+    readonly asksPerServerAndSecond: number;
+    readonly startedAtMs: number;
+}
+
+/** What is believed of the fleet at one moment. */
+export interface FleetSight {
+    /** Servers of the service that may be given work. */
+    readonly usable: readonly RegisteredServer[];
+    /** Names of all gateways that count. */
+    readonly gateways: readonly string[];
+    /** Since the store last answered this gateway. */
+    readonly sinceContactMs: number;
+    readonly nowMs: number;
+}
+
+/** What is known of one server at one moment. */
+export interface RatedServer {
+    readonly server: RegisteredServer;
+    /** By what it said last; `undefined` where nothing is known. */
+    readonly score: ServerScore | undefined;
+    /** How old that is. */
+    readonly ageMs: number;
+    /** Chance that it is good now, from 0 to 1. */
+    readonly chance: number;
+    /** Whether work may be sent there: a cold server has owners, and takes little from each. */
+    readonly admitted: boolean;
+}
+
+/**
+ * What one gateway has learnt of backend servers, shared by all its requests: what they said of their load, what was sent
+ * there since, whom to trust, how long work takes, and what may still be asked.
+ */
+export class PlacementBoard {
+    readonly trust = new ServerTrust();
+    readonly work = new TypicalWork();
+    readonly random: RandomSource;
+    readonly #parts: BoardParts;
+    readonly #cold: ColdAdmission;
+    readonly #asks: AskBudget;
+    readonly #sends = new RecentSends();
+    readonly #ranks = new RankMix();
+    readonly #memories = new Map<string, LoadMemory>();
+    readonly #subsets = new Map<string, ServerSubset>();
+
+    constructor(parts: BoardParts) {
+        this.#parts = parts;
+        this.random = parts.random;
+        this.#cold = new ColdAdmission(parts.name);
+        this.#asks = new AskBudget(parts.asksPerServerAndSecond, parts.startedAtMs);
+    }
+
+    /** A request for a service has arrived. @param rank - 0 is the most urgent */
+    onRequest(service: string, rank: number, nowMs: number): void {
+        this.#ranks.onRequest(service, rank, nowMs);
+    }
+
+    /** A server answered for itself. @param atMs - when it was asked */
+    onOffer(service: string, offer: ServerOffer, atMs: number): void {
+        const score = scoreServer(offer, {
+            typicalMs: 0,
+            sentSince: 0,
+            sameZone: true,
+            suspect: false,
+            reservedSlots: 0,
+        });
+        this.#memoryOf(service).onOffer(offer, offer.healthy && isGood(score), atMs);
+    }
+
+    /** A server told its load with the answer to a request. How long it is cold it says only when it is asked. */
+    onLoad(service: string, server: RegisteredServer, load: LoadReport, nowMs: number): void {
+        const before = this.#memoryOf(service).recall(server.id);
+        const coldRemainingMs = before === undefined
+            ? 0
+            : Math.max(0, before.offer.coldRemainingMs - (nowMs - before.atMs));
+        this.onOffer(service, {
+            serverId: server.id,
+            availabilityZone: server.availabilityZone,
+            load,
+            slots: server.slots,
+            healthy: before?.offer.healthy ?? true,
+            coldRemainingMs,
+        }, nowMs);
+    }
+
+    /** A server did not answer for itself, or failed a request. */
+    onFailure(service: string, serverId: string, nowMs: number): void {
+        this.trust.onFailure(serverId, nowMs);
+        this.#memoryOf(service).forget(serverId);
+    }
+
+    /** @returns what is known of servers of a service */
+    rate(
+        rules: ServiceRules,
+        servers: readonly RegisteredServer[],
+        { objectiveMs, rank }: { readonly objectiveMs: number; readonly rank: number; },
+        sight: FleetSight,
+    ): readonly RatedServer[] {
+        const memory = this.#memoryOf(rules.name);
+        const typicalMs = this.work.of(rules.name, objectiveMs);
+        return servers.map(server => this.#rate(server, memory, rules, typicalMs, rank, sight));
+    }
+
+    /** Takes whom a request may ask now out of those that it would ask. */
+    takeAsks(
+        rated: readonly RatedServer[],
+        purpose: AskPurpose,
+        wanted: number,
+        { gateways, nowMs }: FleetSight,
+    ): readonly RegisteredServer[] {
+        const ordered = rated.map(({ server }) => server);
+        return this.#asks.take({ ordered, purpose, wanted, gateways: gateways.length, nowMs });
+    }
+
+    /** @returns rated servers by who is to be asked first */
+    order(service: string, rated: readonly RatedServer[], { usable, nowMs }: FleetSight): readonly RatedServer[] {
+        const byId = new Map(rated.map(each => [each.server.id, each]));
+        const ordered = orderToAsk({
+            servers: rated.map(({ server }) => server),
+            availabilityZone: this.#parts.availabilityZone,
+            subset: this.#subsetOf(service, usable),
+            isSuspect: id => this.trust.isSuspect(id, nowMs),
+            chanceOf: id => byId.get(id)?.chance ?? 0,
+            random: this.random,
+        });
+        return ordered.flatMap(({ id }) => byId.get(id) ?? []);
+    }
+
+    /** A request goes to a server. */
+    onSend(rules: ServiceRules, { offer }: ServerScore, sight: FleetSight): void {
+        this.#sends.onSend(offer.serverId, sight.nowMs);
+        if (offer.coldRemainingMs > 0) {
+            this.#cold.onSend(createColdInput(offer.serverId, rules, sight));
+        }
+    }
+
+    /** Forgets servers that are no longer there. */
+    retain(serverIds: ReadonlySet<string>): void {
+        this.trust.retain(serverIds);
+        this.#asks.retain(serverIds);
+        this.#cold.retain(serverIds);
+        this.#sends.retain(serverIds);
+        for (const memory of this.#memories.values()) {
+            memory.retain(serverIds);
+        }
+    }
+
+    #rate(
+        server: RegisteredServer,
+        memory: LoadMemory,
+        rules: ServiceRules,
+        typicalMs: number,
+        rank: number,
+        sight: FleetSight,
+    ): RatedServer {
+        const { nowMs } = sight;
+        const last = memory.recall(server.id);
+        if (last === undefined) {
+            const chance = memory.chanceOf(server.id, true, nowMs);
+            return { server, score: undefined, ageMs: Infinity, chance, admitted: true };
+        }
+        const ageMs = nowMs - last.atMs;
+        const offer = { ...last.offer, coldRemainingMs: Math.max(0, last.offer.coldRemainingMs - ageMs) };
+        const score = scoreServer(offer, {
+            typicalMs,
+            sentSince: this.#sends.since(server.id, last.atMs),
+            sameZone: server.availabilityZone === this.#parts.availabilityZone,
+            suspect: this.trust.isSuspect(server.id, nowMs),
+            reservedSlots: this.#ranks.reservedSlots(rules.name, rank, offer.load?.slots ?? offer.slots, nowMs),
+        });
+        const admitted = offer.coldRemainingMs <= 0 || this.#cold.mayTake(createColdInput(server.id, rules, sight));
+        const chance = admitted ? memory.chanceOf(server.id, last.wasGood && isGood(score), nowMs) : 0;
+        return { server, score, ageMs, chance, admitted };
+    }
+
+    #memoryOf(service: string): LoadMemory {
+        const memory = this.#memories.get(service) ?? new LoadMemory();
+        this.#memories.set(service, memory);
+        return memory;
+    }
+
+    #subsetOf(service: string, usable: readonly RegisteredServer[]): ReadonlySet<string> {
+        const { name, availabilityZone } = this.#parts;
+        const subset = this.#subsets.get(service) ?? new ServerSubset(name);
+        this.#subsets.set(service, subset);
+        return subset.of(usable.filter(server => server.availabilityZone === availabilityZone));
+    }
+}
+
+function createColdInput(serverId: string, rules: ServiceRules, sight: FleetSight): ColdInput {
+    return {
+        serverId,
+        requestsPerSecond: rules.coldRequestsPerSecond,
+        gateways: sight.gateways,
+        sinceContactMs: sight.sinceContactMs,
+        nowMs: sight.nowMs,
+    };
+}
--- a/packages/edge/src/requests/recentSends.ts
+++ b/packages/placement/src/recentSends.ts
@@ -1,12 +1,11 @@
-/** How long a send may be missing from what a server says of its load, in milliseconds. */
-const rememberedMs = 200;
+import { sentMemoryMs } from "./constants.js";
 
 /** This gateway's latest sends, a server: they may not be in the load that the server told before. */
 export class RecentSends {
     readonly #sentAtMs = new Map<string, number[]>();
 
     onSend(serverId: string, nowMs: number): void {
-        const times = (this.#sentAtMs.get(serverId) ?? []).filter(sentAtMs => nowMs - sentAtMs < rememberedMs);
+        const times = (this.#sentAtMs.get(serverId) ?? []).filter(sentAtMs => nowMs - sentAtMs < sentMemoryMs);
         times.push(nowMs);
         this.#sentAtMs.set(serverId, times);
     }
--- a/packages/placement/src/serverScore.ts
+++ b/packages/placement/src/serverScore.ts
@@ -1,4 +1,4 @@
-import { nearlyFullFactor, nearlyFullShare, otherZoneMs, suspectFactor } from "./constants.js";
+import { goodFactor, nearlyFullFactor, nearlyFullShare, otherZoneMs, suspectFactor } from "./constants.js";
 import { type ServerOffer } from "./loadReport.js";
 
 /** What a request may expect of a server that answered for itself. */
@@ -22,6 +22,8 @@
     readonly sentSince: number;
     readonly sameZone: boolean;
     readonly suspect: boolean;
+    /** Slots that the request leaves to more urgent ones. */
+    readonly reservedSlots: number;
 }
 
 /**
@@ -34,7 +36,7 @@
     const { load } = offer;
     const slots = Math.max(1, load?.slots ?? offer.slots);
     const ahead = (load?.running ?? 0) + (load?.waiting ?? 0) + context.sentSince;
-    const free = ahead < slots;
+    const free = ahead < slots - context.reservedSlots || ahead === 0;
     const nearlyFull = ahead + 1 >= slots * nearlyFullShare;
     const factor = (load?.slowdown ?? 1) * (nearlyFull ? nearlyFullFactor : 1);
     const workMs = context.typicalMs * factor;
@@ -44,3 +46,8 @@
         + (context.sameZone ? 0 : otherZoneMs);
     return { offer, free, idle: ahead === 0, factor, expectedMs, suspect: context.suspect };
 }
+
+/** @returns whether the server is to be taken without a further look: it has room, and its work takes its usual time */
+export function isGood({ free, factor, suspect }: ServerScore): boolean {
+    return free && factor <= goodFactor && !suspect;
+}
--- /dev/null
+++ b/packages/placement/src/serverSearch.ts
@@ -0,0 +1,227 @@
+import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
+import { type AskPurpose } from "./askBudget.js";
+import { countToAsk } from "./askCount.js";
+import { choosePlacement, type PlacementDecision } from "./choosePlacement.js";
+import {
+    lastResortMs,
+    leastAskedChance,
+    likelyChance,
+    longestPauseMs,
+    rememberedMs,
+    shortestPauseMs,
+    sureChance,
+    sureMs,
+    waitShare,
+} from "./constants.js";
+import { type FleetSight, type PlacementBoard, type RatedServer } from "./placementBoard.js";
+import { isGood, type ServerScore } from "./serverScore.js";
+
+/** A request in search of a server. */
+export interface SearchInput {
+    readonly rules: ServiceRules;
+    readonly objectiveMs: number;
+    /** 0 is the most urgent. */
+    readonly rank: number;
+    readonly arrivedAtMs: number;
+    /** When its caller or its route gives up. */
+    readonly cutoffMs: number;
+    /** Servers that it was sent to before. */
+    readonly excluded: ReadonlySet<string>;
+    /** Whether to look once, and take none but a good server. */
+    readonly onlyGood: boolean;
+}
+
+/** Why no server was found. */
+export type NoServer = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood";
+
+/** What to do next in a search. */
+export type SearchStep =
+    /** Ask these for their load, and go on once one of them is good or all have answered. */
+    | { readonly type: "ask"; readonly servers: readonly RegisteredServer[]; readonly round: number; }
+    | {
+        readonly type: "send";
+        readonly server: RegisteredServer;
+        readonly score: ServerScore;
+        readonly reason: string;
+        /** Age of what the server said, in milliseconds. */
+        readonly ageMs: number;
+    }
+    /** Look again after a pause. */
+    | { readonly type: "pause"; readonly forMs: number; }
+    | { readonly type: "refuse"; readonly reason: NoServer; };
+
+/**
+ * Looks for a server for one request, step by step. What the process knows from other requests comes first: a server that
+ * was good a moment ago is taken without a question. Otherwise as few are asked as hold a good one with the chance wanted,
+ * and never one of which it is known that the answer would change nothing.
+ */
+export class ServerSearch {
+    readonly #board: PlacementBoard;
+    readonly #input: SearchInput;
+    /** When servers were asked in this round. */
+    readonly #askedAtMs = new Map<string, number>();
+    #round = 0;
+
+    constructor(board: PlacementBoard, input: SearchInput) {
+        this.#board = board;
+        this.#input = input;
+    }
+
+    /** @param sight - what is believed of the fleet now */
+    step(sight: FleetSight): SearchStep {
+        const candidates = this.#findCandidates(sight.usable);
+        if (candidates.length === 0) {
+            return { type: "refuse", reason: "noServer" };
+        }
+        const rated = this.#board.rate(this.#input.rules, candidates, this.#input, sight);
+        const unasked = this.#findUnasked(rated);
+        if (unasked.length > 0) {
+            const decision = this.#decide(rated.filter(each => this.#isSure(each, sight)), { hasUnasked: true }, sight);
+            if (decision.type !== "widen") {
+                return this.#act(decision, rated, sight);
+            }
+            const servers = this.#takeAsks(unasked, sight);
+            if (servers.length > 0) {
+                return { type: "ask", servers, round: this.#round };
+            }
+        }
+        const known = rated.filter(each => this.#isKnown(each, sight));
+        const decision = this.#decide(known, { hasUnasked: false, mayAskLater: unasked.length > 0 }, sight);
+        const likely = decision.type === "refuse" && decision.reason === "allFull" ? findLikely(known) : undefined;
+        return likely === undefined
+            ? this.#act(decision, rated, sight)
+            : this.#act({ type: "send", score: likely, reason: "likely" }, rated, sight);
+    }
+
+    /** A service with one server left has no other to try. */
+    #findCandidates(usable: readonly RegisteredServer[]): readonly RegisteredServer[] {
+        const others = usable.filter(({ id }) => !this.#input.excluded.has(id));
+        return others.length > 0 ? others : usable;
+    }
+
+    /** Those that are worth a question; any, where nothing is known of the others. */
+    #findUnasked(rated: readonly RatedServer[]): readonly RatedServer[] {
+        const unasked = rated.filter(({ server }) => !this.#askedAtMs.has(server.id));
+        const worthIt = unasked.filter(({ chance }) => chance >= leastAskedChance);
+        const knowsNone = rated.every(({ ageMs }) => ageMs > rememberedMs);
+        return worthIt.length === 0 && knowsNone ? unasked.filter(({ admitted }) => admitted) : worthIt;
+    }
+
+    #isSure(rated: RatedServer, sight: FleetSight): boolean {
+        const { score, ageMs, chance } = rated;
+        if (score === undefined) {
+            return false;
+        }
+        return this.#hasAnswered(rated, sight) || (ageMs <= sureMs && chance >= sureChance && isGood(score));
+    }
+
+    #isKnown(rated: RatedServer, sight: FleetSight): boolean {
+        const oldestMs = this.#isLastLook(sight.nowMs) ? lastResortMs : rememberedMs;
+        return rated.ageMs <= oldestMs || this.#hasAnswered(rated, sight);
+    }
+
+    #hasAnswered({ server, ageMs }: RatedServer, { nowMs }: FleetSight): boolean {
+        const askedAtMs = this.#askedAtMs.get(server.id);
+        return askedAtMs !== undefined && nowMs - ageMs >= askedAtMs;
+    }
+
+    /** Whether the time for which a request is held for a better server is over. */
+    #isLastLook(nowMs: number): boolean {
+        const { arrivedAtMs, objectiveMs } = this.#input;
+        return nowMs - arrivedAtMs >= objectiveMs * waitShare;
+    }
+
+    #takeAsks(unasked: readonly RatedServer[], sight: FleetSight): readonly RegisteredServer[] {
+        const ordered = this.#board.order(this.#input.rules.name, unasked, sight);
+        const wanted = countToAsk(ordered.map(({ chance }) => chance));
+        const servers = this.#board.takeAsks(ordered, this.#resolvePurpose(sight.nowMs), wanted, sight);
+        for (const { id } of servers) {
+            this.#askedAtMs.set(id, sight.nowMs);
+        }
+        return servers;
+    }
+
+    /**
+     * A request's first questions go before everybody's further ones: two for each find a better server for all of them than
+     * many for a few. Its last look is as good as a new request's.
+     */
+    #resolvePurpose(nowMs: number): AskPurpose {
+        if (this.#input.onlyGood || this.#askedAtMs.size > 0) {
+            return "waiting";
+        }
+        return this.#round === 0 || this.#isLastLook(nowMs) ? "arrival" : "waiting";
+    }
+
+    #decide(
+        known: readonly RatedServer[],
+        { hasUnasked, mayAskLater = false }: { readonly hasUnasked: boolean; readonly mayAskLater?: boolean; },
+        { nowMs }: FleetSight,
+    ): PlacementDecision {
+        const { rules, arrivedAtMs, objectiveMs, cutoffMs } = this.#input;
+        const scores = known.flatMap(({ score, admitted }) => score !== undefined && admitted ? [score] : []);
+        const healthy = scores.filter(({ offer }) => offer.healthy);
+        // Health checks may all be wrong at once; with none that says it is well, the others are better than nobody.
+        return choosePlacement({
+            scores: healthy.length === 0 && !hasUnasked ? scores : healthy,
+            hasUnasked,
+            mayAskLater,
+            waitedMs: nowMs - arrivedAtMs,
+            objectiveMs,
+            remainingMs: cutoffMs - nowMs,
+            typicalMs: this.#board.work.of(rules.name, objectiveMs),
+        });
+    }
+
+    #act(decision: PlacementDecision, rated: readonly RatedServer[], sight: FleetSight): SearchStep {
+        switch (decision.type) {
+            case "refuse":
+                return decision;
+            case "send":
+                return this.#input.onlyGood && decision.reason !== "good"
+                    ? { type: "refuse", reason: "noneGood" }
+                    : this.#send(decision, rated, sight);
+            default:
+                return this.#pause();
+        }
+    }
+
+    #send(
+        { score, reason }: PlacementDecision & { readonly type: "send"; },
+        rated: readonly RatedServer[],
+        sight: FleetSight,
+    ): SearchStep {
+        const chosen = rated.find(({ server }) => server.id === score.offer.serverId);
+        if (chosen === undefined) {
+            throw new Error("the chosen server is none of the candidates");
+        }
+        this.#board.onSend(this.#input.rules, score, sight);
+        return { type: "send", server: chosen.server, score, reason, ageMs: chosen.ageMs };
+    }
+
+    #pause(): SearchStep {
+        if (this.#input.onlyGood) {
+            return { type: "refuse", reason: "noneGood" };
+        }
+        this.#round++;
+        this.#askedAtMs.clear();
+        return {
+            type: "pause",
+            forMs: shortestPauseMs + (longestPauseMs - shortestPauseMs) * this.#board.random.next(),
+        };
+    }
+}
+
+/**
+ * A server that was full a while ago is likely not any more. Refused for that, requests would be lost while there is room;
+ * where servers are full for long, the chances learnt say so.
+ */
+function findLikely(known: readonly RatedServer[]): ServerScore | undefined {
+    let best: RatedServer | undefined;
+    for (const each of known) {
+        const fits = each.admitted && each.score?.offer.healthy === true && each.chance >= likelyChance;
+        if (fits && each.chance > (best?.chance ?? 0)) {
+            best = each;
+        }
+    }
+    return best?.score;
+}
