Drop likely servers in place of refusals, log the age of what decided, and ask unread callers back sooner

A request's last line gives the age of what its server had said when it was chosen. A gateway that has just started reads the store within a tenth of a second, so its callers are asked back after 40 to 120 ms (100 to 300 before).

--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -49,6 +49,8 @@
     #streaming = false;
     readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
     #placedAfterMs: number | undefined;
+    /** Age of what the first server had said of its load when it was chosen. */
+    #offerAgeMs: number | undefined;
     #firstReason: string | undefined;
 
     /**
@@ -81,6 +83,7 @@
             sends: this.#ends.map(end => end.type === "answered" ? String(end.status) : describeEnd(end)).join(","),
             servers: [...this.#triedServers].join(","),
             placedAfterMs: this.#placedAfterMs,
+            offerAgeMs: this.#offerAgeMs,
         };
     }
 
@@ -200,6 +203,7 @@
         });
         if (purpose === "first") {
             this.#firstReason = typeof found === "string" ? found : found.reason;
+            this.#offerAgeMs = typeof found === "string" ? undefined : Math.round(found.ageMs);
             this.#placedAfterMs = Math.round(clock.monotonicMs() - arrivedAtMs);
             metrics.onPlaced(rules.name, this.#placedAfterMs);
         }
--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -3,7 +3,7 @@
 
 /** What to do with a request now that servers have answered for themselves. */
 export type PlacementDecision =
-    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best" | "likely"; }
+    | { readonly type: "send"; readonly score: ServerScore; readonly reason: "good" | "inTime" | "best"; }
     /** Ask the servers that were not asked yet. */
     | { readonly type: "widen"; }
     /** Ask again after a pause. */
--- a/packages/placement/src/comeBack.ts
+++ b/packages/placement/src/comeBack.ts
@@ -8,8 +8,8 @@
 const longestMs: Readonly<Record<Exclude<RefusalCause, "turnedAway" | "full">, number>> = {
     // A server that is back, or news of one, takes the store's and the registration's time: some hundred milliseconds.
     noServer: 900,
-    // A gateway that has not read the store yet does so within a second, and others have.
-    unread: 300,
+    // A gateway that has just started reads the store within a tenth of a second, and others have.
+    unread: 120,
 };
 
 /**
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -24,9 +24,6 @@
  */
 export const lastResortMs = 300;
 
-/** Chance from which on a server that was full when it was last looked at gets a request that would else be refused. */
-export const likelyChance = 0.3;
-
 /** How long a send may be missing from what a server says of its load. */
 export const sentMemoryMs = 400;
 
@@ -59,13 +56,13 @@
  * Share of the fleet's allowance of questions that is dealt out: with the savings below, ten seconds' questions stay under
  * the allowance of ten seconds, also where every gateway is restarted within them.
  */
-export const askBudgetShare = 0.85;
+export const askBudgetShare = 0.8;
 
 /** How long questions that were not asked are saved. */
 export const askSavingsMs = 1_000;
 
 /** Savings of a gateway that has just started. */
-export const startSavingsMs = 500;
+export const startSavingsMs = 1_000;
 
 /** Time in which what was seen of the ranks of requests fades. */
 export const mixMemoryMs = 5_000;
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -5,7 +5,6 @@
 import {
     lastResortMs,
     leastAskedChance,
-    likelyChance,
     longestPauseMs,
     rememberedMs,
     shortestPauseMs,
@@ -86,11 +85,8 @@
             }
         }
         const known = rated.filter(each => this.#isKnown(each, sight));
-        const decision = this.#decide(known, { hasUnasked: false, mayAskLater: unasked.length > 0 }, sight);
-        const likely = decision.type === "refuse" && decision.reason === "allFull" ? findLikely(known) : undefined;
-        return likely === undefined
-            ? this.#act(decision, rated, sight)
-            : this.#act({ type: "send", score: likely, reason: "likely" }, rated, sight);
+        const mayAskLater = unasked.length > 0;
+        return this.#act(this.#decide(known, { hasUnasked: false, mayAskLater }, sight), rated, sight);
     }
 
     /** A service with one server left has no other to try. */
@@ -210,18 +206,3 @@
         };
     }
 }
-
-/**
- * A server that was full a while ago is likely not any more. Refused for that, requests would be lost while there is room;
- * where servers are full for long, the chances learnt say so.
- */
-function findLikely(known: readonly RatedServer[]): ServerScore | undefined {
-    let best: RatedServer | undefined;
-    for (const each of known) {
-        const fits = each.admitted && each.score?.offer.healthy === true && each.chance >= likelyChance;
-        if (fits && each.chance > (best?.chance ?? 0)) {
-            best = each;
-        }
-    }
-    return best?.score;
-}
