--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -1,7 +1,7 @@
-/** Time to open a connection to a backend server: its handshake takes about 1 ms, a lost packet up to 200 ms more. */
+/** Time to open a connection to a backend server, in milliseconds: a lost packet is sent again within it. */
 export const connectTimeoutMs = 300;
 
-/** Time in which a backend server tells its load; it takes 1 to 6 ms and the way there and back up to 4. */
+/** Time in which a backend server tells its load, in milliseconds; it does so without waiting for a slot. */
 export const askTimeoutMs = 35;
 
 /**
@@ -47,7 +47,7 @@
 /** How often what was believed for a limited time is looked at. */
 export const expiryTickMs = 100;
 
-/** Connections of callers held at once, for a host with 4,100 descriptors of which backends need up to a thousand. */
+/** Connections of callers held at once; the host's other descriptors are for backend servers. */
 export const maximumCallerConnections = 2_500;
 
 /** Largest request head that is parsed at all; the configuration's own limit is checked on what was parsed. */
--- a/packages/fleetState/src/constants.ts
+++ b/packages/fleetState/src/constants.ts
@@ -17,7 +17,7 @@
  */
 export const departedGatewayMs = 10_000;
 
-/** Gateways of one availability zone that hear of changes from one that reads the store; its polls take about 1% of a core. */
+/** Gateways of one availability zone that hear of changes from one that reads the store. */
 export const followersPerRelay = 40;
 
 /** How long a relay that didn't answer is not asked again, in milliseconds: a restart takes less. */
--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * Decides for one request. Load moves within milliseconds: at any moment a fourth of the servers may be four times
- * slower, for some 300 ms. So a good server is taken at once; where only slow or full ones answered, the rest is asked,
+ * Decides for one request. Load moves within milliseconds: at any moment some servers are several times slower than others,
+ * for a short while. So a good server is taken at once; where only slow or full ones answered, the rest is asked,
  * and then a short wait at the gateway, which can still choose, is better than a place in the queue of a slow server,
  * which can't be left any more. The wait ends while the answer can still be of full use. What then finds no free slot is
  * refused with a time to come back: in a server's queue it would be late itself, and keep the slots from requests that
--- a/packages/placement/src/serverSubset.ts
+++ b/packages/placement/src/serverSubset.ts
@@ -3,8 +3,7 @@
 
 /**
  * The backend servers that this gateway asks first. In a fleet of a hundred gateways and as many servers of a service,
- * each gateway asks each server so rarely that nearly every question would open a connection: 18 thousand connections for
- * 15 thousand requests in 30 s. Asked from a fixed few of them, most questions find one open. Rendezvous hashing by the
+ * each gateway asks each server so rarely that nearly every question would open a connection. Asked from a fixed few of them, most questions find one open. Rendezvous hashing by the
  * gateway's name gives every server about as many gateways, and moves few when servers come and go; the rest is still
  * asked where these are slow or full.
  */
