Ask a server that only its answers tell of before it gets more, and take the least filled of equals

A server may turn cold at any moment and says so only when it is asked. Answers to requests refresh what is remembered of its load, so a server whose answers come often enough would never be asked again, and would get its usual load from every gateway while it is cold.

Now the least filled one is taken.

--- a/packages/placement/src/__tests__/loadMemory.test.ts
+++ b/packages/placement/src/__tests__/loadMemory.test.ts
@@ -24,8 +24,8 @@
 
 test("what came late doesn't replace what is newer, and a server that is gone is forgotten", () => {
     const memory = new LoadMemory();
-    memory.onOffer(createOffer("a", 1), true, 100);
-    memory.onOffer(createOffer("a", 4), false, 60);
+    memory.onOffer(createOffer("a", 1), true, 100, true);
+    memory.onOffer(createOffer("a", 4), false, 60, true);
     assert.equal(memory.recall("a")?.offer.load?.slowdown, 1);
     memory.retain(new Set(["b"]));
     assert.equal(memory.recall("a"), undefined);
--- a/packages/placement/src/__tests__/serverSearch.test.ts
+++ b/packages/placement/src/__tests__/serverSearch.test.ts
@@ -131,6 +131,21 @@
     assert.equal(step.type === "send" && step.server.id, "d");
 });
 
+// A server turns cold, which it says only when it is asked, and goes on answering requests with its load. Taken for word of
+// itself, each answer would bring the next request unasked, from every gateway at once, and the server would fall over.
+test("a server whose answers alone tell its load is asked before it gets more", () => {
+    const board = createBoard();
+    const only = createServer("a");
+    tell(board, "a", idle, 0);
+    for (let nowMs = 20; nowMs <= 1_000; nowMs += 20) {
+        board.onLoad("tables", only, idle, nowMs);
+    }
+    assert.deepEqual(expectAsk(search(board, { arrivedAtMs: 1_005 }).step(look(1_005, [only]))), ["a"]);
+    const lastLook = search(board, { arrivedAtMs: 900 });
+    assert.deepEqual(expectAsk(lastLook.step(look(1_005, [only]))), ["a"]);
+    assert.notEqual(lastLook.step(look(1_006, [only])).type, "send");
+});
+
 test("a server that said it is cold gets nothing from a gateway that doesn't own it, and no question", () => {
     const board = createBoard();
     tell(board, "a", idle, 0, 3_000);
--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -73,9 +73,14 @@
 function findBest(scores: readonly ServerScore[]): ServerScore | undefined {
     let best: ServerScore | undefined;
     for (const score of scores) {
-        if (best === undefined || score.expectedMs < best.expectedMs) {
+        if (best === undefined || isBetter(score, best)) {
             best = score;
         }
     }
     return best;
 }
+
+/** Among equals the least filled one: taken in the order of a list, the same server would be everybody's choice. */
+function isBetter(a: ServerScore, b: ServerScore): boolean {
+    return a.expectedMs < b.expectedMs || (a.expectedMs === b.expectedMs && a.fill < b.fill);
+}
--- a/packages/placement/src/loadMemory.ts
+++ b/packages/placement/src/loadMemory.ts
@@ -8,6 +8,8 @@
     readonly atMs: number;
     /** Whether it was good then. */
     readonly wasGood: boolean;
+    /** When it was last asked itself. Whether it is cold it says only then. */
+    readonly askedAtMs: number;
 }
 
 /**
@@ -19,13 +21,15 @@
     readonly #latest = new Map<string, RememberedOffer>();
     readonly #chances = new GoodChances();
 
-    onOffer(offer: ServerOffer, isGood: boolean, atMs: number): void {
+    /** @param wasAsked - whether the server was asked; otherwise its load came with the answer to a request */
+    onOffer(offer: ServerOffer, isGood: boolean, atMs: number, wasAsked: boolean): void {
         const before = this.#latest.get(offer.serverId);
         if (before !== undefined && before.atMs > atMs) {
             return;
         }
         this.#chances.onLook(isGood, before && { wasGood: before.wasGood, ageMs: atMs - before.atMs });
-        this.#latest.set(offer.serverId, { offer, atMs, wasGood: isGood });
+        const askedAtMs = wasAsked ? atMs : before?.askedAtMs ?? -Infinity;
+        this.#latest.set(offer.serverId, { offer, atMs, wasGood: isGood, askedAtMs });
     }
 
     /** What it said is not to be relied on any more. */
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -42,6 +42,8 @@
     readonly score: ServerScore | undefined;
     /** How old that is. */
     readonly ageMs: number;
+    /** How long ago it was asked itself and answered. */
+    readonly askedAgoMs: number;
     /** Chance that it is good now, from 0 to 1. */
     readonly chance: number;
     /** Whether work may be sent there: a cold server has owners, and takes little from each. */
@@ -78,14 +80,7 @@
 
     /** A server answered for itself. @param atMs - when it was asked */
     onOffer(service: string, offer: ServerOffer, atMs: number): void {
-        const score = scoreServer(offer, {
-            typicalMs: 0,
-            sentSince: 0,
-            sameZone: true,
-            suspect: false,
-            reservedSlots: 0,
-        });
-        this.#memoryOf(service).onOffer(offer, offer.healthy && isGood(score), atMs);
+        this.#remember(service, offer, atMs, true);
     }
 
     /** A server told its load with the answer to a request. How long it is cold it says only when it is asked. */
@@ -94,14 +89,19 @@
         const coldRemainingMs = before === undefined
             ? 0
             : Math.max(0, before.offer.coldRemainingMs - (nowMs - before.atMs));
-        this.onOffer(service, {
-            serverId: server.id,
-            availabilityZone: server.availabilityZone,
-            load,
-            slots: server.slots,
-            healthy: before?.offer.healthy ?? true,
-            coldRemainingMs,
-        }, nowMs);
+        this.#remember(
+            service,
+            {
+                serverId: server.id,
+                availabilityZone: server.availabilityZone,
+                load,
+                slots: server.slots,
+                healthy: before?.offer.healthy ?? true,
+                coldRemainingMs,
+            },
+            nowMs,
+            false,
+        );
     }
 
     /** A server did not answer for itself, or failed a request. */
@@ -166,6 +166,17 @@
         }
     }
 
+    #remember(service: string, offer: ServerOffer, atMs: number, wasAsked: boolean): void {
+        const score = scoreServer(offer, {
+            typicalMs: 0,
+            sentSince: 0,
+            sameZone: true,
+            suspect: false,
+            reservedSlots: 0,
+        });
+        this.#memoryOf(service).onOffer(offer, offer.healthy && isGood(score), atMs, wasAsked);
+    }
+
     #rate(
         server: RegisteredServer,
         memory: LoadMemory,
@@ -178,7 +189,7 @@
         const last = memory.recall(server.id);
         if (last === undefined) {
             const chance = memory.chanceOf(server.id, true, nowMs);
-            return { server, score: undefined, ageMs: Infinity, chance, admitted: true };
+            return { server, score: undefined, ageMs: Infinity, askedAgoMs: Infinity, chance, admitted: true };
         }
         const ageMs = nowMs - last.atMs;
         const offer = { ...last.offer, coldRemainingMs: Math.max(0, last.offer.coldRemainingMs - ageMs) };
@@ -191,7 +202,7 @@
         });
         const admitted = offer.coldRemainingMs <= 0 || this.#cold.mayTake(createColdInput(server.id, rules, sight));
         const chance = admitted ? memory.chanceOf(server.id, last.wasGood && isGood(score), nowMs) : 0;
-        return { server, score, ageMs, chance, admitted };
+        return { server, score, ageMs, askedAgoMs: nowMs - last.askedAtMs, chance, admitted };
     }
 
     #memoryOf(service: string): LoadMemory {
--- a/packages/placement/src/serverScore.ts
+++ b/packages/placement/src/serverScore.ts
@@ -6,6 +6,8 @@
     readonly offer: ServerOffer;
     /** Whether a slot is free for the request at once. */
     readonly free: boolean;
+    /** Requests there for each slot. */
+    readonly fill: number;
     /** Whether nothing else is there. */
     readonly idle: boolean;
     /** How many times its usual time the work takes, without the time in the queue. */
@@ -44,7 +46,7 @@
     const queueMs = free ? 0 : workMs * (ahead - slots + 1) / slots;
     const expectedMs = (workMs + queueMs) * (context.suspect ? suspectFactor : 1)
         + (context.sameZone ? 0 : otherZoneMs);
-    return { offer, free, idle: ahead === 0, factor, expectedMs, suspect: context.suspect };
+    return { offer, free, fill: ahead / slots, idle: ahead === 0, factor, expectedMs, suspect: context.suspect };
 }
 
 /** @returns whether the server is to be taken without a further look: it has room, and its work takes its usual time */
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -108,17 +108,18 @@
         if (score === undefined) {
             return false;
         }
-        return this.#hasAnswered(rated, sight) || (ageMs <= sureMs && chance >= sureChance && isGood(score));
+        return this.#hasAnswered(rated, sight)
+            || (ageMs <= sureMs && chance >= sureChance && isGood(score) && isSurelyWarm(rated));
     }
 
     #isKnown(rated: RatedServer, sight: FleetSight): boolean {
         const oldestMs = this.#isLastLook(sight.nowMs) ? lastResortMs : rememberedMs;
-        return rated.ageMs <= oldestMs || this.#hasAnswered(rated, sight);
+        return this.#hasAnswered(rated, sight) || (rated.ageMs <= oldestMs && isSurelyWarm(rated));
     }
 
-    #hasAnswered({ server, ageMs }: RatedServer, { nowMs }: FleetSight): boolean {
+    #hasAnswered({ server, askedAgoMs }: RatedServer, { nowMs }: FleetSight): boolean {
         const askedAtMs = this.#askedAtMs.get(server.id);
-        return askedAtMs !== undefined && nowMs - ageMs >= askedAtMs;
+        return askedAtMs !== undefined && nowMs - askedAgoMs >= askedAtMs;
     }
 
     /** Whether the time for which a request is held for a better server is over. */
@@ -206,3 +207,11 @@
         };
     }
 }
+
+/**
+ * A server may turn cold at any moment, and says so only when it is asked. Sent to by what its answers say alone, it would go
+ * on getting its usual load from every gateway; asked within this time, it gets that no longer than for this time.
+ */
+function isSurelyWarm({ askedAgoMs }: RatedServer): boolean {
+    return askedAgoMs <= lastResortMs;
+}
