--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -19,7 +19,7 @@
  * Puts a gateway together from its settings.
  *
  * @param settings - checked settings
- * @param policyName - routing policy, for the bench to compare them
+ * @param policyName - routing policy; others than the default are for comparing them
  * @returns the process's parts, not started
  */
 export function createGatewayProcess(
