Give every started process of the tests ports that outgoing connections don't take

Ruled out: two runs choosing the same port, as each tries the port it chose and the range is 20,000 wide (still possible, but rare).

--- a/packages/soak/src/soakEdge.ts
+++ b/packages/soak/src/soakEdge.ts
@@ -1,12 +1,11 @@
 import { type RandomSource } from "@galenaglade/routing";
-import { MemoryHistory, type StartedProcess, startProcess } from "@galenaglade/stand-ins";
+import { findFreePorts, MemoryHistory, type StartedProcess, startProcess } from "@galenaglade/stand-ins";
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { graceMs } from "./constants.js";
 import { FaultProxy } from "./faultProxy.js";
-import { findLastingPorts } from "./lastingPorts.js";
 import { type CallerEnd, SoakCaller } from "./soakCaller.js";
 import { type EdgePorts, renderEdgeSettings } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -67,7 +66,7 @@
         storePort: number,
     ): Promise<SoakEdge> {
         const storeProxy = await FaultProxy.start(storePort);
-        const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await findLastingPorts(4);
+        const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
         const ports = { callers, readiness, peers, metrics };
         const settingsPath = join(dir, `${name}.yaml`);
         writeFileSync(settingsPath, renderEdgeSettings(name, availabilityZone, ports, storeProxy.port));
--- a/packages/standIns/src/fleet/freePorts.ts
+++ b/packages/standIns/src/fleet/freePorts.ts
@@ -1,24 +1,32 @@
-import { createServer, type Server } from "node:net";
-import { type AddressInfo } from "node:net";
+import { randomInt } from "node:crypto";
+import { createServer } from "node:net";
+
+/** Below the ports that the system gives to outgoing connections. */
+const firstPort = 10_000;
+const lastPort = 30_000;
 
 /**
- * Finds ports on 127.0.0.1 that nothing listens on, all different. Another program may take one before it is used.
+ * Finds ports on 127.0.0.1 for a process that is started, or started again, on them. A port that the system chose might be
+ * given to somebody's outgoing connection before the process listens, and it could not start.
  *
  * @param count - how many
+ * @returns ports that nothing listens on now, all different
  */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-    const servers: Server[] = [];
-    for (let i = 0; i < count; i++) {
-        const server = createServer();
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(0, "127.0.0.1", resolve);
-        });
-        servers.push(server);
-    }
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    for (const server of servers) {
-        await new Promise(resolve => server.close(resolve));
+    const ports = new Set<number>();
+    while (ports.size < count) {
+        const port = randomInt(firstPort, lastPort);
+        if (await isFree(port)) {
+            ports.add(port);
+        }
     }
-    return ports;
+    return [...ports];
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
 }
