--- a/eslint.config.js
+++ b/eslint.config.js
@@ -78,7 +78,10 @@
         },
     },
     {
-        files: decisionPackages.map(name => `packages/${name}/src/**/*.ts`),
+        files: [
+            ...decisionPackages.map(name => `packages/${name}/src/**/*.ts`),
+            "packages/replay/src/{world,report}/**/*.ts",
+        ],
         ignores: ["**/__tests__/**"],
         rules: {
             "no-restricted-imports": ["error", {
--- a/packages/placement/src/__tests__/replayedLoads.test.ts
+++ b/packages/placement/src/__tests__/replayedLoads.test.ts
@@ -5,6 +5,11 @@
 /** Twelve servers of three slots bear about 110 requests a second, a fourth of them being slow at any moment. */
 const usual = { seed: 5, gateways: 15, servers: 12, forMs: 20_000 } satisfies Partial<ReplayInput>;
 const coldLimit = 4.2 * 1.5 + 5;
+const seeds = [5, 6, 7];
+
+function mean(figures: readonly number[]): number {
+    return figures.reduce((sum, figure) => sum + figure, 0) / figures.length;
+}
 
 /** @returns the most arrivals at one server in any one second while it was cold */
 function findBusiestColdSecond(fleet: ReplayFleet): number {
@@ -50,39 +55,48 @@
         load: () => 95,
         onStep: (fleet, nowMs) => {
             if (nowMs === 4_000) {
-                fleet.zonesOut.add("north");
+                fleet.setZoneOut("north", true);
             }
             if (nowMs === 10_000) {
-                fleet.zonesOut.delete("north");
+                fleet.setZoneOut("north", false);
                 for (const server of fleet.servers.filter(each => each.registered.availabilityZone === "north")) {
                     server.coldUntilMs = 13_000;
                 }
             }
         },
     };
-    const deciding = new ReplayFleet(input).run();
-    const most = findBusiestColdSecond(deciding);
-    assert.ok(most > 0 && most <= coldLimit, `${most} in one second`);
-    assert.ok(deciding.servers.some(({ coldArrivalsMs }) => coldArrivalsMs.length > 3), "cold servers are used");
+    const fleets = seeds.map(seed => new ReplayFleet({ ...input, seed }).run());
+    for (const fleet of fleets) {
+        const most = findBusiestColdSecond(fleet);
+        assert.ok(most > 0 && most <= coldLimit, `${most} in one second`);
+        assert.ok(fleet.servers.some(({ coldArrivalsMs }) => coldArrivalsMs.length > 3), "cold servers are used");
+    }
     assert.ok(findBusiestColdSecond(new ReplayFleet({ ...input, blind: true }).run()) > coldLimit);
-    assert.ok(deciding.shareInTime(14_000, 19_000) > 0.75, `${deciding.shareInTime(14_000, 19_000)} once all are warm`);
+    const share = mean(fleets.map(fleet => fleet.shareInTime(14_000, 19_000)));
+    assert.ok(share > 0.75, `${share} once all are warm`);
 });
 
 // All servers turn half of the requests away although they have room. Each is sent once more while the allowance lasts,
 // which is for the whole fleet, and then its caller is asked back shortly.
 test("servers that turn half away: repeats stay within the allowance, and nearly all are served", () => {
-    const fleet = new ReplayFleet({
-        ...usual,
-        load: () => 60,
-        onStep: ({ servers }, nowMs) => {
-            for (const server of servers) {
-                server.rejects = nowMs >= 5_000 && nowMs < 12_000 ? 0.5 : 0;
-            }
-        },
-    }).run();
-    assert.ok(fleet.repeated < fleet.tries * 0.2 + 58 * 2, `${fleet.repeated} repeats of ${fleet.tries}`);
-    assert.ok(fleet.shareServed(5_000, 12_000) > 0.8, `${fleet.shareServed(5_000, 12_000)} served`);
-    assert.ok(fleet.shareInTime(13_000, 18_000) > 0.95);
+    const fleets = seeds.map(seed =>
+        new ReplayFleet({
+            ...usual,
+            seed,
+            load: () => 60,
+            onStep: ({ servers }, nowMs) => {
+                for (const server of servers) {
+                    server.rejects = nowMs >= 5_000 && nowMs < 12_000 ? 0.5 : 0;
+                }
+            },
+        }).run()
+    );
+    for (const fleet of fleets) {
+        assert.ok(fleet.repeated < fleet.tries * 0.2 + 58 * 2, `${fleet.repeated} repeats of ${fleet.tries}`);
+        assert.ok(fleet.shareServed(5_000, 12_000) > 0.8, `${fleet.shareServed(5_000, 12_000)} served`);
+    }
+    const after = mean(fleets.map(fleet => fleet.shareInTime(13_000, 18_000)));
+    assert.ok(after > 0.95, `${after} in time afterwards`);
 });
 
 // Half of the gateways lose power under load and are back a second later, with new allowances. Those that stay take twice
@@ -93,7 +107,7 @@
         load: () => 90,
         onStep: (each, nowMs) => {
             if (nowMs === 6_000 || nowMs === 9_000) {
-                each.restart(0.5, nowMs, 1_000);
+                each.restart(0.5, 1_000);
             }
             for (const server of each.servers) {
                 server.rejects = nowMs >= 5_000 && nowMs < 15_000 ? 0.3 : 0;
@@ -133,10 +147,10 @@
         impatientShare: 0.4,
         onStep: (fleet, nowMs) => {
             if (nowMs === 6_000 || nowMs === 9_000) {
-                fleet.restart(0.5, nowMs, 700);
+                fleet.restart(0.5, 700);
             }
             if (nowMs % 500 === 0) {
-                marks.push({ atMs: nowMs, counts: fleet.servers.map(({ questions }) => questions) });
+                marks.push({ atMs: nowMs, counts: fleet.servers.map(({ probes }) => probes) });
             }
         },
     }).run();
@@ -162,7 +176,7 @@
 test("load above what the servers bear: urgent requests are served before others", () => {
     const resolveRank: ReplayInput["resolveRank"] = random => random.next() < 0.25 ? 0 : 2;
     const servedShare = (fleet: ReplayFleet, rank: number): number => {
-        const came = fleet.callers.filter(caller => caller.rank === rank && caller.arrivedAtMs > 4_000);
+        const came = fleet.callers.filter(caller => caller.kind.priority === rank && caller.arrivedAtMs > 4_000);
         const inTime = came.filter(({ arrivedAtMs, answeredAtMs }) =>
             answeredAtMs !== undefined && answeredAtMs - arrivedAtMs <= objectiveMs
         );
--- a/packages/placement/src/__tests__/shapes.test.ts
+++ b/packages/placement/src/__tests__/shapes.test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ReplayFleet, type ReplayInput } from "./support/replay.js";
-import { type ServerShape, usualShape } from "./support/replayServer.js";
+import { ReplayFleet, type ReplayInput, type UsualShape, usualShape } from "./support/replay.js";
 
 /** Work of a replay, so that each shape is replayed for about as many requests. */
 const replayedWorks = 80;
@@ -13,7 +12,7 @@
 interface Case {
     readonly what: string;
     readonly servers: number;
-    readonly shape: Partial<ServerShape>;
+    readonly shape: Partial<UsualShape>;
 }
 
 const cases: readonly Case[] = [
--- a/packages/placement/src/__tests__/support/replay.ts
+++ b/packages/placement/src/__tests__/support/replay.ts
@@ -1,75 +1,48 @@
-import { type ServiceRules } from "@galenaglade/fleet-state";
-import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import {
-    type FleetSight,
-    PlacementBoard,
-    RepeatBudget,
-    resolveComeBack,
-    type SearchStep,
-    ServerSearch,
-} from "../../index.js";
-import { ReplayServer, type ServerShape, usualShape } from "./replayServer.js";
+    FleetReplay,
+    noCosts,
+    type Scenario,
+    type ServerShape,
+    type SimulatedCaller,
+    type SimulatedServer,
+} from "@galenaglade/replay";
+import { type RandomSource } from "@galenaglade/routing";
+
+/** What a test's servers are like. */
+export interface UsualShape {
+    readonly slots: number;
+    /** Usual time of the work in milliseconds. */
+    readonly workMs: number;
+    /** Share of the servers that is slow at any moment, by how much, and for how long in turn. */
+    readonly slowShare: number;
+    readonly slowFactor: number;
+    readonly shiftMs: number;
+}
+
+export const usualShape: UsualShape = { slots: 3, workMs: 160, slowShare: 0.25, slowFactor: 4, shiftMs: 300 };
 
-/** Longest step of a replay; the work takes several of them. */
-const longestStepMs = 5;
-const stepsOfWork = 16;
 /** Objective and patience of callers, as multiples of the work. */
 const objectiveFactor = 2.5;
 const patienceFactor = 12.5;
 export const objectiveMs = usualShape.workMs * objectiveFactor;
 export const patienceMs = usualShape.workMs * patienceFactor;
 const zones = ["north", "middle", "south"];
-const coldPerSecond = 4.2;
-const repeats = { ratio: 0.2, slack: 58, windowMs: 10_000 };
-const asksPerServerAndSecond = 60;
-const rules: ServiceRules = {
-    name: "tables",
-    healthPath: "/health",
-    maximumConnections: 200,
-    coldRequestsPerSecond: coldPerSecond,
-};
-/** Sends of one request at most, those that were turned away included. */
-const mostSends = 6;
-
-/** One caller with its request, over all its tries. */
-export interface ReplayCaller {
-    readonly arrivedAtMs: number;
-    /** Whether it comes back at once when it is refused, and again, whatever it was told. */
-    readonly impatient: boolean;
-    /** How long it waits. */
-    readonly patienceMs: number;
-    /** 0 is the most urgent. */
-    readonly rank: number;
-    answeredAtMs: number | undefined;
-    tries: number;
-}
-
-interface Pending {
-    readonly caller: ReplayCaller;
-    readonly arrivedAtMs: number;
-    sends: number;
-    search: ServerSearch;
-    /** When it looks for a server again. */
-    lookAtMs: number;
-}
-
-interface Gateway {
-    readonly name: string;
-    readonly availabilityZone: string;
-    board: PlacementBoard;
-    repeats: RepeatBudget;
-    pending: Pending[];
-    downUntilMs: number;
-}
-
-/** A load that is replayed on the decisions, without I/O and on a clock of its own. */
+/** Requests that wait at a server, at most, for each of its slots. */
+const queuedPerSlot = 2;
+/** Work takes longer on a server whose slots are all taken. */
+const fullFactor = 1.7;
+const workSpread = 0.3;
+const service = "tables";
+const impatientTries = 3;
+
+/** A load that is replayed on the decisions alone: the event loop and the network take no time. */
 export interface ReplayInput {
     readonly seed: number;
     readonly gateways: number;
     readonly servers: number;
     readonly forMs: number;
     /** What the servers are like; by default three slots, and a fourth of them slow at any moment. */
-    readonly shape?: Partial<ServerShape>;
+    readonly shape?: Partial<UsualShape>;
     /** Requests a second at a time. */
     readonly load: (nowMs: number) => number;
     /** Share of the callers who repeat at once and often. */
@@ -84,266 +57,119 @@
     readonly blind?: boolean;
 }
 
+const stepMs = 5;
+
 /** Gateways and backend servers of a replayed load. */
 export class ReplayFleet {
-    readonly servers: readonly ReplayServer[];
-    readonly callers: ReplayCaller[] = [];
-    /** Zones that are out. */
-    readonly zonesOut = new Set<string>();
-    /** Arrivals at servers beyond the first of each try. */
-    repeated = 0;
-    /** Tries of all callers. */
-    tries = 0;
-    readonly #input: ReplayInput;
-    readonly #random: RandomSource;
-    readonly #gateways: readonly Gateway[];
-    readonly #shape: ServerShape;
-    readonly #stepMs: number;
-    readonly #objectiveMs: number;
-    readonly #patienceMs: number;
-    #now = 0;
-    readonly #returning: { readonly atMs: number; readonly caller: ReplayCaller; }[] = [];
+    readonly #fleet: FleetReplay;
 
     constructor(input: ReplayInput) {
-        this.#input = input;
-        this.#random = createRandomSource(input.seed);
-        this.#shape = { ...usualShape, ...input.shape };
-        this.#stepMs = Math.min(longestStepMs, this.#shape.workMs / stepsOfWork);
-        this.#objectiveMs = this.#shape.workMs * objectiveFactor;
-        this.#patienceMs = this.#shape.workMs * patienceFactor;
-        this.servers = Array.from(
-            { length: input.servers },
-            (_, i) => new ReplayServer(`server-${i}`, zones[i % zones.length] ?? "", this.#random, this.#shape),
-        );
-        this.#gateways = Array.from({ length: input.gateways }, (_, i) => this.#createGateway(`gateway-${i}`, i));
-    }
-
-    /** Plays the load to its end. */
-    run(): this {
-        const { forMs, load, onStep } = this.#input;
-        for (let nowMs = 0; nowMs < forMs; nowMs += this.#stepMs) {
-            onStep?.(this, nowMs);
-            this.#arrive(load(nowMs), nowMs);
-            for (const gateway of this.#gateways) {
-                this.#decide(gateway, nowMs);
-            }
-            for (const server of this.servers) {
-                server.step(this.#stepMs);
-            }
-            this.#now = nowMs + this.#stepMs;
-        }
-        return this;
-    }
-
-    /** Restarts a share of the gateways: what they know and have is gone. */
-    restart(share: number, nowMs: number, downMs: number): void {
-        for (const gateway of this.#gateways.slice(0, Math.round(this.#gateways.length * share))) {
-            for (const { caller } of gateway.pending) {
-                this.#returning.push({ atMs: nowMs + this.#stepMs, caller });
-            }
-            const life = this.#createLife(gateway.name, gateway.availabilityZone, nowMs);
-            Object.assign(gateway, life, { pending: [], downUntilMs: nowMs + downMs });
-        }
-    }
-
-    /** @returns the share answered within the objective of those who came in a time */
-    shareInTime(fromMs: number, toMs: number): number {
-        const came = this.callers.filter(({ arrivedAtMs }) => arrivedAtMs >= fromMs && arrivedAtMs < toMs);
-        const inTime = came.filter(({ arrivedAtMs, answeredAtMs }) =>
-            answeredAtMs !== undefined && answeredAtMs - arrivedAtMs <= this.#objectiveMs
-        );
-        return inTime.length / came.length;
-    }
-
-    /** @returns the share answered at all of those who came in a time */
-    shareServed(fromMs: number, toMs: number): number {
-        const came = this.callers.filter(({ arrivedAtMs }) => arrivedAtMs >= fromMs && arrivedAtMs < toMs);
-        return came.filter(({ answeredAtMs }) => answeredAtMs !== undefined).length / came.length;
+        const { load, resolvePatienceMs, resolveRank, onStep, impatientShare = 0 } = input;
+        this.#fleet = new FleetReplay(createScenario(input), {
+            crowd: {
+                rateFactor: load,
+                ...resolvePatienceMs === undefined ? {} : { resolvePatienceMs },
+                ...resolveRank === undefined ? {} : { resolvePriority: resolveRank },
+            },
+            onTick: { everyMs: stepMs, run: (_, nowMs) => onStep?.(this, nowMs) },
+        });
+        this.#fleet.crowd.mood.impatience.add({ share: impatientShare, tries: impatientTries });
     }
 
-    #createGateway(name: string, i: number): Gateway {
-        return {
-            name,
-            availabilityZone: zones[i % zones.length] ?? "",
-            pending: [],
-            downUntilMs: -Infinity,
-            // What was saved and spent before the replayed time is as after a calm time.
-            ...this.#createLife(name, zones[i % zones.length] ?? "", -repeats.windowMs),
-        };
+    get servers(): readonly SimulatedServer[] {
+        return this.#fleet.servers;
     }
 
-    #createLife(name: string, availabilityZone: string, startedAtMs: number): Pick<Gateway, "board" | "repeats"> {
-        const random = this.#random;
-        return {
-            board: new PlacementBoard({ name, availabilityZone, random, asksPerServerAndSecond, startedAtMs }),
-            repeats: new RepeatBudget(repeats, startedAtMs),
-        };
+    get callers(): readonly SimulatedCaller[] {
+        return this.#fleet.callers;
     }
 
-    #arrive(perSecond: number, nowMs: number): void {
-        for (let expected = perSecond * this.#stepMs / 1_000; expected > 0; expected--) {
-            if (this.#random.next() >= expected) {
-                continue;
-            }
-            const caller: ReplayCaller = {
-                arrivedAtMs: nowMs,
-                impatient: this.#random.next() < (this.#input.impatientShare ?? 0),
-                patienceMs: this.#input.resolvePatienceMs?.(this.#random, nowMs) ?? this.#patienceMs,
-                rank: this.#input.resolveRank?.(this.#random) ?? 0,
-                answeredAtMs: undefined,
-                tries: 0,
-            };
-            this.callers.push(caller);
-            this.#try(caller, nowMs);
-        }
-        const due = this.#returning.filter(({ atMs }) => atMs <= nowMs);
-        this.#returning.splice(0, this.#returning.length, ...this.#returning.filter(({ atMs }) => atMs > nowMs));
-        for (const { caller } of due) {
-            this.#try(caller, nowMs);
-        }
+    /** Tries of all callers. */
+    get tries(): number {
+        return this.#fleet.tries;
     }
 
-    #try(caller: ReplayCaller, nowMs: number): void {
-        const up = this.#gateways.filter(({ downUntilMs }) => nowMs >= downUntilMs);
-        const gateway = up[this.#random.below(up.length)];
-        if (gateway === undefined || nowMs - caller.arrivedAtMs >= caller.patienceMs) {
-            return;
-        }
-        caller.tries++;
-        this.tries++;
-        gateway.repeats.onRequest(rules.name, nowMs);
-        gateway.board.onRequest(rules.name, caller.rank, nowMs);
-        const search = this.#createSearch(gateway, caller, nowMs);
-        gateway.pending.push({ caller, arrivedAtMs: nowMs, sends: 0, search, lookAtMs: nowMs });
+    /** Arrivals at servers beyond the first of each try. */
+    get repeated(): number {
+        return this.#fleet.gateways.reduce((sum, { repeatedArrivals }) => sum + repeatedArrivals, 0);
     }
 
-    #usable(): readonly ReplayServer[] {
-        return this.servers.filter(({ registered }) => !this.zonesOut.has(registered.availabilityZone));
+    /** Plays the load to its end. */
+    run(): this {
+        this.#fleet.run();
+        return this;
     }
 
-    #decide(gateway: Gateway, nowMs: number): void {
-        if (nowMs < gateway.downUntilMs) {
-            return;
-        }
-        for (const pending of gateway.pending.splice(0)) {
-            if (nowMs - pending.caller.arrivedAtMs >= pending.caller.patienceMs) {
-                continue;
-            }
-            if (this.#input.blind === true) {
-                this.#sendBlind(gateway, pending, nowMs);
-                continue;
-            }
-            this.#place(gateway, pending, nowMs);
-        }
+    setZoneOut(zone: string, out: boolean): void {
+        this.#fleet.directory.setZoneOut(zone, out);
     }
 
-    #sendBlind(gateway: Gateway, pending: Pending, nowMs: number): void {
-        const usable = this.#usable();
-        const server = usable[this.#random.below(usable.length)];
-        if (server !== undefined) {
-            this.#send(gateway, pending, server, nowMs);
-        }
+    /** Restarts a share of the gateways: what they know and have is gone. */
+    restart(share: number, downMs: number): void {
+        this.#fleet.restartGateways(share, downMs);
     }
 
-    #createSearch(gateway: Gateway, caller: ReplayCaller, nowMs: number): ServerSearch {
-        return new ServerSearch(gateway.board, {
-            rules,
-            objectiveMs: this.#objectiveMs,
-            rank: caller.rank,
-            arrivedAtMs: nowMs,
-            cutoffMs: caller.arrivedAtMs + caller.patienceMs,
-            excluded: new Set(),
-            onlyGood: false,
-        });
+    /** @returns the share answered within the objective of those who came in a time */
+    shareInTime(fromMs: number, toMs: number): number {
+        const came = this.#came(fromMs, toMs);
+        return came.filter(caller => caller.isInTime).length / came.length;
     }
 
-    #place(gateway: Gateway, pending: Pending, nowMs: number): void {
-        if (nowMs < pending.lookAtMs) {
-            gateway.pending.push(pending);
-            return;
-        }
-        const usable = this.#usable();
-        const byId = new Map(usable.map(server => [server.registered.id, server]));
-        const sight: FleetSight = {
-            usable: usable.map(server => server.registered),
-            gateways: this.#gateways.map(({ name }) => name),
-            sinceContactMs: 0,
-            nowMs,
-        };
-        const step = this.#askUntilDecided(gateway, pending.search, sight, byId);
-        switch (step.type) {
-            case "pause":
-                pending.lookAtMs = nowMs + step.forMs;
-                gateway.pending.push(pending);
-                return;
-            case "refuse":
-                this.#refuse(pending.caller, "full", nowMs);
-                return;
-            case "send": {
-                const server = byId.get(step.server.id);
-                if (server !== undefined) {
-                    this.#send(gateway, pending, server, nowMs);
-                }
-            }
-        }
+    /** @returns the share answered at all of those who came in a time */
+    shareServed(fromMs: number, toMs: number): number {
+        const came = this.#came(fromMs, toMs);
+        return came.filter(({ answeredAtMs }) => answeredAtMs !== undefined).length / came.length;
     }
 
-    #askUntilDecided(
-        gateway: Gateway,
-        search: ServerSearch,
-        sight: FleetSight,
-        byId: ReadonlyMap<string, ReplayServer>,
-    ): Exclude<SearchStep, { readonly type: "ask"; }> {
-        for (;;) {
-            const step = search.step(sight);
-            if (step.type !== "ask") {
-                return step;
-            }
-            for (const { id } of step.servers) {
-                const server = byId.get(id);
-                if (server !== undefined) {
-                    server.questions++;
-                    gateway.board.onOffer(rules.name, server.offer(sight.nowMs), sight.nowMs);
-                }
-            }
-        }
+    #came(fromMs: number, toMs: number): readonly SimulatedCaller[] {
+        return this.callers.filter(({ arrivedAtMs }) => arrivedAtMs >= fromMs && arrivedAtMs < toMs);
     }
+}
 
-    #send(gateway: Gateway, pending: Pending, server: ReplayServer, nowMs: number): void {
-        const { caller } = pending;
-        if (pending.sends > 0) {
-            this.repeated++;
-        }
-        pending.sends++;
-        const taken = server.arrive({
-            onDone: () => {
-                caller.answeredAtMs ??= this.#now + this.#stepMs;
-                const { load } = server.offer(this.#now);
-                if (load !== undefined) {
-                    gateway.board.onLoad(rules.name, server.registered, load, this.#now);
-                }
-            },
-            isAbandoned: () => this.#now - caller.arrivedAtMs >= caller.patienceMs,
-        }, nowMs);
-        if (taken) {
-            return;
-        }
-        const mayRepeat = pending.sends < mostSends
-            && gateway.repeats.take(rules.name, "retry", this.#gateways.length, nowMs);
-        if (mayRepeat) {
-            pending.search = this.#createSearch(gateway, caller, pending.arrivedAtMs);
-            gateway.pending.push(pending);
-            return;
-        }
-        this.#refuse(caller, "turnedAway", nowMs);
-    }
+function createScenario({ seed, gateways, servers, forMs, shape, blind = false }: ReplayInput): Scenario {
+    const own = { ...usualShape, ...shape };
+    return {
+        name: "load",
+        seed,
+        durationMs: forMs,
+        windowMs: 1_000,
+        zones,
+        gateways: [{ count: gateways, cores: 1 }],
+        services: [{ name: service, servers, coldPerSecond: 4.2, shape: createShape(own) }],
+        requests: [{
+            name: service,
+            service,
+            // The rate is the load's own factor.
+            perSecond: 1,
+            workMs: own.workMs,
+            workSpread,
+            objectiveMs: own.workMs * objectiveFactor,
+            timeoutMs: own.workMs * patienceFactor,
+            patienceMs: own.workMs * patienceFactor,
+            idempotent: false,
+            priority: 0,
+            retries: 1,
+        }],
+        costs: noCosts,
+        repeats: { ratio: 0.2, slack: 58, windowMs: 10_000 },
+        probesPerServerAndSecond: 60,
+        unknownGateways: 0,
+        events: [],
+        policy: {},
+        blind,
+    };
+}
 
-    #refuse(caller: ReplayCaller, cause: "full" | "turnedAway", nowMs: number): void {
-        const mostTries = caller.impatient ? 4 : 2;
-        if (caller.tries >= mostTries) {
-            return;
-        }
-        const afterMs = caller.impatient ? 0 : resolveComeBack(cause, this.#shape.workMs, this.#random) * 1_000;
-        this.#returning.push({ atMs: nowMs + Math.max(this.#stepMs, afterMs), caller });
-    }
+function createShape({ slots, slowShare, slowFactor, shiftMs }: UsualShape): ServerShape {
+    return {
+        slots,
+        queue: slots * queuedPerSlot,
+        kneeShare: 1,
+        kneeFactor: fullFactor,
+        slowShare,
+        slowFactor,
+        shiftMs,
+        coldFactor: 1,
+        onFull: "refuse",
+    };
 }
--- a/packages/placement/src/choosePlacement.ts
+++ b/packages/placement/src/choosePlacement.ts
@@ -1,4 +1,5 @@
-import { leastTimeShare, tooSlowFactor, waitShare } from "./constants.js";
+import { leastTimeShare } from "./constants.js";
+import { defaultPlacementPolicy, type PlacementPolicy } from "./policy.js";
 import { isGood, type ServerScore } from "./serverScore.js";
 
 /** What to do with a request now that servers have answered for themselves. */
@@ -34,14 +35,18 @@
  * could still be in time, until nearly every answer is late.
  *
  * @param input - what decides
+ * @param policy - for how long a request waits, and what counts as good or bearable
  */
-export function choosePlacement(input: PlacementInput): PlacementDecision {
+export function choosePlacement(
+    input: PlacementInput,
+    policy: PlacementPolicy = defaultPlacementPolicy,
+): PlacementDecision {
     const { scores, remainingMs, typicalMs, waitedMs, objectiveMs } = input;
     if (remainingMs < typicalMs * leastTimeShare) {
         return { type: "refuse", reason: "tooLate" };
     }
     const best = findBest(scores);
-    if (best !== undefined && isGood(best)) {
+    if (best !== undefined && isGood(best, policy)) {
         return { type: "send", score: best, reason: "good" };
     }
     if (input.hasUnasked) {
@@ -50,7 +55,7 @@
     if (best !== undefined && best.free && waitedMs + best.expectedMs <= objectiveMs) {
         return { type: "send", score: best, reason: "inTime" };
     }
-    if (waitedMs < objectiveMs * waitShare) {
+    if (waitedMs < objectiveMs * policy.waitShare) {
         return { type: "wait" };
     }
     if (best === undefined) {
@@ -59,14 +64,14 @@
             ? { type: "wait" }
             : { type: "refuse", reason: "noOffer" };
     }
-    const bearable = findBest(scores.filter(isBearable));
+    const bearable = findBest(scores.filter(score => isBearable(score, policy)));
     return bearable === undefined
         ? { type: "refuse", reason: "allFull" }
         : { type: "send", score: bearable, reason: "best" };
 }
 
 /** An idle server is never passed over, however slow: the request takes nothing from others there. */
-function isBearable({ free, idle, factor }: ServerScore): boolean {
+function isBearable({ free, idle, factor }: ServerScore, { tooSlowFactor }: PlacementPolicy): boolean {
     return free && (idle || factor < tooSlowFactor);
 }
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -27,6 +27,7 @@
     type UnknownReason,
 } from "./nextTry.js";
 export { type BoardParts, type FleetSight, PlacementBoard, type RatedServer } from "./placementBoard.js";
+export { defaultPlacementPolicy, type PlacementPolicy, resolvePlacementPolicy } from "./policy.js";
 export { RankMix } from "./rankMix.js";
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -5,6 +5,7 @@
 import { ColdAdmission, type ColdInput } from "./coldAdmission.js";
 import { LoadMemory } from "./loadMemory.js";
 import { type LoadReport, type ServerOffer } from "./loadReport.js";
+import { defaultPlacementPolicy, type PlacementPolicy } from "./policy.js";
 import { RankMix } from "./rankMix.js";
 import { RecentSends } from "./recentSends.js";
 import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
@@ -22,6 +23,7 @@
     /** Questions for a server's load that all gateways may ask together, a server and second. */
     readonly asksPerServerAndSecond: number;
     readonly startedAtMs: number;
+    readonly policy?: PlacementPolicy;
 }
 
 /** What is believed of the fleet at one moment. */
@@ -58,6 +60,7 @@
     readonly trust = new ServerTrust();
     readonly work = new TypicalWork();
     readonly random: RandomSource;
+    readonly policy: PlacementPolicy;
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
     readonly #asks: AskBudget;
@@ -69,6 +72,7 @@
     constructor(parts: BoardParts) {
         this.#parts = parts;
         this.random = parts.random;
+        this.policy = parts.policy ?? defaultPlacementPolicy;
         this.#cold = new ColdAdmission(parts.name);
         this.#asks = new AskBudget(parts.asksPerServerAndSecond, parts.startedAtMs);
     }
@@ -173,8 +177,8 @@
             sameZone: true,
             suspect: false,
             reservedSlots: 0,
-        });
-        this.#memoryOf(service).onOffer(offer, offer.healthy && isGood(score), atMs, wasAsked);
+        }, this.policy);
+        this.#memoryOf(service).onOffer(offer, offer.healthy && isGood(score, this.policy), atMs, wasAsked);
     }
 
     #rate(
@@ -199,9 +203,9 @@
             sameZone: server.availabilityZone === this.#parts.availabilityZone,
             suspect: this.trust.isSuspect(server.id, nowMs),
             reservedSlots: this.#ranks.reservedSlots(rules.name, rank, offer.load?.slots ?? offer.slots, nowMs),
-        });
+        }, this.policy);
         const admitted = offer.coldRemainingMs <= 0 || this.#cold.mayTake(createColdInput(server.id, rules, sight));
-        const chance = admitted ? memory.chanceOf(server.id, last.wasGood && isGood(score), nowMs) : 0;
+        const chance = admitted ? memory.chanceOf(server.id, last.wasGood && isGood(score, this.policy), nowMs) : 0;
         return { server, score, ageMs, askedAgoMs: nowMs - last.askedAtMs, chance, admitted };
     }
 
@@ -213,7 +217,7 @@
 
     #subsetOf(service: string, usable: readonly RegisteredServer[]): ReadonlySet<string> {
         const { name, availabilityZone } = this.#parts;
-        const subset = this.#subsets.get(service) ?? new ServerSubset(name);
+        const subset = this.#subsets.get(service) ?? new ServerSubset(name, this.policy.subsetServers);
         this.#subsets.set(service, subset);
         return subset.of(usable.filter(server => server.availabilityZone === availabilityZone));
     }
--- a/packages/placement/src/serverScore.ts
+++ b/packages/placement/src/serverScore.ts
@@ -1,5 +1,6 @@
-import { goodFactor, nearlyFullFactor, nearlyFullShare, otherZoneMs, suspectFactor } from "./constants.js";
+import { otherZoneMs, suspectFactor } from "./constants.js";
 import { type ServerOffer } from "./loadReport.js";
+import { defaultPlacementPolicy, type PlacementPolicy } from "./policy.js";
 
 /** What a request may expect of a server that answered for itself. */
 export interface ServerScore {
@@ -33,8 +34,13 @@
  *
  * @param offer - what it said of itself
  * @param context - what is known besides
+ * @param policy - from when on a server is nearly full
  */
-export function scoreServer(offer: ServerOffer, context: ScoreContext): ServerScore {
+export function scoreServer(
+    offer: ServerOffer,
+    context: ScoreContext,
+    { nearlyFullShare, nearlyFullFactor }: PlacementPolicy = defaultPlacementPolicy,
+): ServerScore {
     const { load } = offer;
     const slots = Math.max(1, load?.slots ?? offer.slots);
     const ahead = (load?.running ?? 0) + (load?.waiting ?? 0) + context.sentSince;
@@ -50,6 +56,9 @@
 }
 
 /** @returns whether the server is to be taken without a further look: it has room, and its work takes its usual time */
-export function isGood({ free, factor, suspect }: ServerScore): boolean {
+export function isGood(
+    { free, factor, suspect }: ServerScore,
+    { goodFactor }: PlacementPolicy = defaultPlacementPolicy,
+): boolean {
     return free && factor <= goodFactor && !suspect;
 }
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -2,17 +2,9 @@
 import { type AskPurpose } from "./askBudget.js";
 import { countToAsk } from "./askCount.js";
 import { choosePlacement, type PlacementDecision } from "./choosePlacement.js";
-import {
-    lastResortMs,
-    leastAskedChance,
-    longestPauseMs,
-    rememberedMs,
-    shortestPauseMs,
-    sureChance,
-    sureMs,
-    waitShare,
-} from "./constants.js";
+import { leastAskedChance, longestPauseMs, shortestPauseMs } from "./constants.js";
 import { type FleetSight, type PlacementBoard, type RatedServer } from "./placementBoard.js";
+import { type PlacementPolicy } from "./policy.js";
 import { isGood, type ServerScore } from "./serverScore.js";
 
 /** A request in search of a server. */
@@ -99,22 +91,24 @@
     #findUnasked(rated: readonly RatedServer[]): readonly RatedServer[] {
         const unasked = rated.filter(({ server }) => !this.#askedAtMs.has(server.id));
         const worthIt = unasked.filter(({ chance }) => chance >= leastAskedChance);
-        const knowsNone = rated.every(({ ageMs }) => ageMs > rememberedMs);
+        const knowsNone = rated.every(({ ageMs }) => ageMs > this.#policy.rememberedMs);
         return worthIt.length === 0 && knowsNone ? unasked.filter(({ admitted }) => admitted) : worthIt;
     }
 
     #isSure(rated: RatedServer, sight: FleetSight): boolean {
         const { score, ageMs, chance } = rated;
+        const { sureMs, sureChance } = this.#policy;
         if (score === undefined) {
             return false;
         }
         return this.#hasAnswered(rated, sight)
-            || (ageMs <= sureMs && chance >= sureChance && isGood(score) && isSurelyWarm(rated));
+            || (ageMs <= sureMs && chance >= sureChance && isGood(score, this.#policy) && this.#isSurelyWarm(rated));
     }
 
     #isKnown(rated: RatedServer, sight: FleetSight): boolean {
+        const { lastResortMs, rememberedMs } = this.#policy;
         const oldestMs = this.#isLastLook(sight.nowMs) ? lastResortMs : rememberedMs;
-        return this.#hasAnswered(rated, sight) || (rated.ageMs <= oldestMs && isSurelyWarm(rated));
+        return this.#hasAnswered(rated, sight) || (rated.ageMs <= oldestMs && this.#isSurelyWarm(rated));
     }
 
     #hasAnswered({ server, askedAgoMs }: RatedServer, { nowMs }: FleetSight): boolean {
@@ -125,12 +119,12 @@
     /** Whether the time for which a request is held for a better server is over. */
     #isLastLook(nowMs: number): boolean {
         const { arrivedAtMs, objectiveMs } = this.#input;
-        return nowMs - arrivedAtMs >= objectiveMs * waitShare;
+        return nowMs - arrivedAtMs >= objectiveMs * this.#policy.waitShare;
     }
 
     #takeAsks(unasked: readonly RatedServer[], sight: FleetSight): readonly RegisteredServer[] {
         const ordered = this.#board.order(this.#input.rules.name, unasked, sight);
-        const wanted = countToAsk(ordered.map(({ chance }) => chance));
+        const wanted = countToAsk(ordered.map(({ chance }) => chance), this.#policy);
         const servers = this.#board.takeAsks(ordered, this.#resolvePurpose(sight.nowMs), wanted, sight);
         for (const { id } of servers) {
             this.#askedAtMs.set(id, sight.nowMs);
@@ -166,7 +160,7 @@
             objectiveMs,
             remainingMs: cutoffMs - nowMs,
             typicalMs: this.#board.work.of(rules.name, objectiveMs),
-        });
+        }, this.#policy);
     }
 
     #act(decision: PlacementDecision, rated: readonly RatedServer[], sight: FleetSight): SearchStep {
@@ -206,12 +200,16 @@
             forMs: shortestPauseMs + (longestPauseMs - shortestPauseMs) * this.#board.random.next(),
         };
     }
-}
 
-/**
- * A server may turn cold at any moment, and says so only when it is asked. Sent to by what its answers say alone, it would go
- * on getting its usual load from every gateway; asked within this time, it gets that no longer than for this time.
- */
-function isSurelyWarm({ askedAgoMs }: RatedServer): boolean {
-    return askedAgoMs <= lastResortMs;
+    /**
+     * A server may turn cold at any moment, and says so only when it is asked. Sent to by what its answers say alone, it would go
+     * on getting its usual load from every gateway; asked within this time, it gets that no longer than for this time.
+     */
+    #isSurelyWarm({ askedAgoMs }: RatedServer): boolean {
+        return askedAgoMs <= this.#policy.lastResortMs;
+    }
+
+    get #policy(): PlacementPolicy {
+        return this.#board.policy;
+    }
 }
--- a/packages/placement/src/serverSubset.ts
+++ b/packages/placement/src/serverSubset.ts
@@ -1,5 +1,5 @@
 import { findOwners, type RegisteredServer } from "@galenaglade/fleet-state";
-import { subsetServers } from "./constants.js";
+import { defaultPlacementPolicy } from "./policy.js";
 
 /**
  * The backend servers that this gateway asks first. In a fleet of a hundred gateways and as many servers of a service,
@@ -9,12 +9,17 @@
  */
 export class ServerSubset {
     readonly #gateway: string;
+    readonly #size: number;
     #members: ReadonlySet<string> = new Set();
     #chosenFrom = "";
 
-    /** @param gateway - name of this gateway */
-    constructor(gateway: string) {
+    /**
+     * @param gateway - name of this gateway
+     * @param size - servers in the subset, at most
+     */
+    constructor(gateway: string, size = defaultPlacementPolicy.subsetServers) {
         this.#gateway = gateway;
+        this.#size = size;
     }
 
     /**
@@ -26,7 +31,7 @@
         const chosenFrom = ids.join(" ");
         if (chosenFrom !== this.#chosenFrom) {
             this.#chosenFrom = chosenFrom;
-            this.#members = new Set(findOwners(this.#gateway, ids, subsetServers));
+            this.#members = new Set(findOwners(this.#gateway, ids, this.#size));
         }
         return this.#members;
     }
--- /dev/null
+++ b/packages/replay/src/report/fleetRecorder.ts
@@ -0,0 +1,166 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { type FleetReplay } from "../world/fleetReplay.js";
+import { type SimulatedCaller } from "../world/simulatedCaller.js";
+
+/** What became of the callers of one span of time. Shares go from 0 to 1. */
+export interface ReplayWindow {
+    /** Start of the span, in seconds. */
+    readonly fromSeconds: number;
+    readonly asked: number;
+    readonly inTime: number;
+    readonly late: number;
+    readonly refused: number;
+    readonly failed: number;
+    /** Questions for load, a server and second. */
+    readonly probes: number;
+    /** Share of all servers' slots that were taken, on average. */
+    readonly slots: number;
+}
+
+/** Figures of one kind of request. */
+export interface KindFigures {
+    readonly name: string;
+    readonly asked: number;
+    readonly inTime: number;
+    /** In milliseconds. */
+    readonly p50: number;
+    readonly p99: number;
+}
+
+/** What a replay showed. */
+export interface ReplayReport {
+    readonly scenario: string;
+    readonly seed: number;
+    readonly callers: number;
+    /** Share of the callers that were answered within their objective. */
+    readonly inTime: number;
+    /** Mean share of the two windows with the lowest one. */
+    readonly worstWindows: number;
+    readonly refused: number;
+    /** Questions for load and new connections, for each caller. */
+    readonly probesPerCaller: number;
+    readonly connectionsPerCaller: number;
+    /** Most questions to one server within ten seconds. */
+    readonly mostProbes: number;
+    /** Most requests to one cold server within a second. */
+    readonly mostColdArrivals: number;
+    readonly kinds: readonly KindFigures[];
+    readonly windows: readonly ReplayWindow[];
+}
+
+const sampleMs = 100;
+const probeWindowMs = 10_000;
+const worstWindows = 2;
+
+/** Notes what servers do while a replay goes on, and sums up at its end. */
+export class FleetRecorder {
+    readonly everyMs = sampleMs;
+    readonly #slotSamples: { readonly atMs: number; readonly share: number; }[] = [];
+
+    /** Called by the replay as time passes. */
+    readonly run = (fleet: FleetReplay, nowMs: number): void => {
+        let running = 0;
+        let slots = 0;
+        for (const server of fleet.servers) {
+            if (server.isRegistered) {
+                running += server.running;
+                slots += server.registered.slots;
+            }
+        }
+        this.#slotSamples.push({ atMs: nowMs, share: slots === 0 ? 0 : running / slots });
+    };
+
+    /** @returns the report of a replay that has ended */
+    report(fleet: FleetReplay): ReplayReport {
+        const { scenario, callers, servers, gateways } = fleet;
+        // Those of the last moment had no time to be answered.
+        const settled = callers.filter(({ arrivedAtMs, kind }) =>
+            arrivedAtMs + kind.objectiveMs <= scenario.durationMs
+        );
+        const windows = this.#createWindows(fleet, settled);
+        const shares = windows.filter(({ asked }) => asked > 0).map(({ asked, inTime }) => inTime / asked);
+        const worst = shares.sort((a, b) => a - b).slice(0, worstWindows);
+        const probes = sum(servers.map(server => server.probes));
+        return {
+            scenario: scenario.name,
+            seed: scenario.seed,
+            callers: settled.length,
+            inTime: shareOf(settled, caller => caller.isInTime),
+            worstWindows: sum(worst) / Math.max(1, worst.length),
+            refused: shareOf(settled, ({ end }) => end === "refused"),
+            probesPerCaller: probes / Math.max(1, settled.length),
+            connectionsPerCaller: sum(gateways.map(each => each.connectionsOpened)) / Math.max(1, settled.length),
+            mostProbes: Math.max(0, ...servers.map(({ probesAtMs }) => findMostWithin(probesAtMs, probeWindowMs))),
+            mostColdArrivals: Math.max(0, ...servers.map(server => server.findBusiestColdSecond())),
+            kinds: scenario.requests.map(({ name }) => describeKind(name, settled)),
+            windows,
+        };
+    }
+
+    #createWindows(fleet: FleetReplay, callers: readonly SimulatedCaller[]): readonly ReplayWindow[] {
+        const { durationMs, windowMs } = fleet.scenario;
+        const windows: ReplayWindow[] = [];
+        for (let fromMs = 0; fromMs < durationMs; fromMs += windowMs) {
+            const isInside = (atMs: number): boolean => atMs >= fromMs && atMs < fromMs + windowMs;
+            const came = callers.filter(({ arrivedAtMs }) => isInside(arrivedAtMs));
+            const inTime = came.filter(caller => caller.isInTime).length;
+            const answered = came.filter(({ answeredAtMs }) => answeredAtMs !== undefined).length;
+            const refused = came.filter(({ end }) => end === "refused").length;
+            const samples = this.#slotSamples.filter(({ atMs }) => isInside(atMs));
+            const probes = sum(fleet.servers.map(({ probesAtMs }) => probesAtMs.filter(isInside).length));
+            windows.push({
+                fromSeconds: fromMs / 1_000,
+                asked: came.length,
+                inTime,
+                late: answered - inTime,
+                refused,
+                failed: came.length - answered - refused,
+                probes: probes / fleet.servers.length / (windowMs / 1_000),
+                slots: sum(samples.map(({ share }) => share)) / Math.max(1, samples.length),
+            });
+        }
+        return windows;
+    }
+}
+
+/** @returns the most of some sorted times that lie within one span */
+export function findMostWithin(timesMs: readonly number[], spanMs: number): number {
+    let most = 0;
+    let first = 0;
+    for (const [last, atMs] of timesMs.entries()) {
+        while (atMs - (timesMs[first] ?? 0) >= spanMs) {
+            first++;
+        }
+        most = Math.max(most, last - first + 1);
+    }
+    return most;
+}
+
+function describeKind(name: string, callers: readonly SimulatedCaller[]): KindFigures {
+    const own = callers.filter(({ kind }) => kind.name === name);
+    const times: Histogram = build();
+    for (const { answeredAtMs, arrivedAtMs } of own) {
+        if (answeredAtMs !== undefined) {
+            times.recordValue(Math.round(answeredAtMs - arrivedAtMs));
+        }
+    }
+    return {
+        name,
+        asked: own.length,
+        inTime: shareOf(own, caller => caller.isInTime),
+        p50: times.getValueAtPercentile(50),
+        p99: times.getValueAtPercentile(99),
+    };
+}
+
+function shareOf<T>(all: readonly T[], fits: (each: T) => boolean): number {
+    return all.length === 0 ? 1 : all.filter(fits).length / all.length;
+}
+
+function sum(figures: readonly number[]): number {
+    let total = 0;
+    for (const figure of figures) {
+        total += figure;
+    }
+    return total;
+}
--- /dev/null
+++ b/packages/replay/src/report/renderPlot.ts
@@ -0,0 +1,67 @@
+import { type ReplayReport, type ReplayWindow } from "./fleetRecorder.js";
+
+interface Panel {
+    readonly title: string;
+    /** Top of the scale; `undefined` for the largest figure. */
+    readonly top: number | undefined;
+    readonly figureOf: (window: ReplayWindow) => number;
+}
+
+const width = 760;
+const panelHeight = 110;
+const margin = { left: 56, right: 16, top: 34, bottom: 18 };
+const colors = ["#1f5fa8", "#c2571a"];
+
+const panels: readonly Panel[] = [
+    { title: "share in objective", top: 1, figureOf: ({ inTime, asked }) => inTime / Math.max(1, asked) },
+    { title: "share refused", top: undefined, figureOf: ({ refused, asked }) => refused / Math.max(1, asked) },
+    { title: "questions a server and second", top: undefined, figureOf: ({ probes }) => probes },
+    { title: "share of slots taken", top: 1, figureOf: ({ slots }) => slots },
+];
+
+/**
+ * Draws what became of callers, questions and slots over time.
+ *
+ * @param reports - one, or two variants of the same scenario
+ * @returns an SVG document
+ */
+export function renderPlot(reports: readonly ReplayReport[]): string {
+    const height = panels.length * (panelHeight + margin.top + margin.bottom) + margin.top;
+    const title = reports[0] === undefined ? "" : `${reports[0].scenario}, seed ${reports[0].seed}`;
+    return [
+        `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 ${width} ${height}" font-family="sans-serif" font-size="12">`,
+        `<rect width="${width}" height="${height}" fill="white"/>`,
+        `<text x="8" y="18" font-weight="bold">${escapeText(title)}</text>`,
+        ...panels.flatMap((panel, i) =>
+            renderPanel(panel, reports, margin.top + i * (panelHeight + margin.top + margin.bottom))
+        ),
+        "</svg>",
+        "",
+    ].join("\n");
+}
+
+function renderPanel({ title, top, figureOf }: Panel, reports: readonly ReplayReport[], y: number): readonly string[] {
+    const all = reports.flatMap(({ windows }) => windows.map(figureOf));
+    const most = top ?? Math.max(Number.EPSILON, ...all);
+    const bottom = y + margin.top + panelHeight;
+    const right = width - margin.right;
+    return [
+        `<text x="${margin.left}" y="${y + margin.top - 8}">${title}</text>`,
+        `<text x="8" y="${y + margin.top + 8}">${most.toFixed(2)}</text>`,
+        `<line x1="${margin.left}" y1="${bottom}" x2="${right}" y2="${bottom}" stroke="black"/>`,
+        ...reports.map(({ windows }, i) => {
+            const last = Math.max(...windows.map(({ fromSeconds }) => fromSeconds), Number.EPSILON);
+            const points = windows.map(window => {
+                const x = margin.left + window.fromSeconds / last * (right - margin.left);
+                return `${x.toFixed(1)},${(bottom - figureOf(window) / most * panelHeight).toFixed(1)}`;
+            });
+            return `<polyline fill="none" stroke="${colors[i] ?? "black"}" stroke-width="2" points="${
+                points.join(" ")
+            }"/>`;
+        }),
+    ];
+}
+
+function escapeText(text: string): string {
+    return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;");
+}
--- /dev/null
+++ b/packages/replay/src/report/renderReport.ts
@@ -0,0 +1,70 @@
+import { type ReplayReport } from "./fleetRecorder.js";
+
+/**
+ * Renders a replay's report for a person.
+ *
+ * @param report - the report
+ * @returns lines of text
+ */
+export function renderReport(report: ReplayReport): string {
+    const { kinds, windows } = report;
+    return [
+        `${report.scenario}, seed ${report.seed}: ${report.callers} callers, ${percent(report.inTime)} in time, `
+        + `worst windows ${percent(report.worstWindows)}, refused ${percent(report.refused)}`,
+        `questions ${report.probesPerCaller.toFixed(2)} and new connections ${
+            report.connectionsPerCaller.toFixed(2)
+        } a caller; `
+        + `at most ${report.mostProbes} questions to a server in ten seconds, ${report.mostColdArrivals} requests to a cold one in one`,
+        "",
+        renderTable(
+            ["kind", "asked", "in time", "p50 ms", "p99 ms"],
+            kinds.map(({ name, asked, inTime, p50, p99 }) => [name, `${asked}`, percent(inTime), `${p50}`, `${p99}`]),
+        ),
+        "",
+        renderTable(
+            ["from second", "asked", "in time", "late", "refused", "failed", "questions", "slots"],
+            windows.map(window => [
+                `${window.fromSeconds}`,
+                `${window.asked}`,
+                percent(window.inTime / Math.max(1, window.asked)),
+                `${window.late}`,
+                `${window.refused}`,
+                `${window.failed}`,
+                window.probes.toFixed(2),
+                percent(window.slots),
+            ]),
+        ),
+        "",
+    ].join("\n");
+}
+
+/**
+ * Renders two variants of the policy side by side, seed by seed.
+ *
+ * @param pairs - reports of the same scenario and seed: the first variant's, the second one's
+ * @returns lines of text
+ */
+export function renderComparison(pairs: readonly (readonly [ReplayReport, ReplayReport])[]): string {
+    const rows = pairs.map(([a, b]) => [
+        `${a.seed}`,
+        ...[a.inTime, b.inTime, a.worstWindows, b.worstWindows, a.refused, b.refused].map(percent),
+        ...[a.probesPerCaller, b.probesPerCaller, a.connectionsPerCaller, b.connectionsPerCaller].map(each =>
+            each.toFixed(2)
+        ),
+    ]);
+    const columns = ["in time", "worst windows", "refused", "questions", "connections"];
+    return `${renderTable(["seed", ...columns.flatMap(column => [column, "variant"])], rows)}\n`;
+}
+
+function renderTable(head: readonly string[], rows: readonly (readonly string[])[]): string {
+    const widths = head.map((title, i) => Math.max(title.length, ...rows.map(row => (row[i] ?? "").length)));
+    return [head, ...rows]
+        .map(row =>
+            row.map((cell, i) => i === 0 ? cell.padEnd(widths[i] ?? 0) : cell.padStart(widths[i] ?? 0)).join("  ")
+        )
+        .join("\n");
+}
+
+function percent(share: number): string {
+    return `${(share * 100).toFixed(1)}%`;
+}
--- /dev/null
+++ b/packages/replay/src/world/attempt.ts
@@ -0,0 +1,325 @@
+import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
+import {
+    isFailureOfServer,
+    mayTryAgain,
+    type RefusalCause,
+    resolveComeBack,
+    type SearchStep,
+    type SendEnd,
+    type ServerOffer,
+} from "@galenaglade/placement";
+import { type RequestKind } from "./scenario.js";
+import { type ServerFinder } from "./serverFinder.js";
+import { type SimulatedCaller } from "./simulatedCaller.js";
+import { type SimulatedGateway } from "./simulatedGateway.js";
+import { type Arrival, type ServerJob, type SimulatedServer } from "./simulatedServer.js";
+import { askLoad } from "./loadProbe.js";
+
+type Purpose = "first" | "retry" | "hedge";
+type Place = Extract<SearchStep, { readonly type: "send"; }>;
+
+/** How a try ended for its caller. */
+export type AttemptEnd =
+    | { readonly type: "answered"; }
+    | { readonly type: "refused"; readonly retryAfterMs: number; }
+    /** Nobody can say whether it ran; `mayRepeat` where the caller may try again all the same. */
+    | { readonly type: "failed"; };
+
+interface SendUnderWay {
+    readonly server: SimulatedServer;
+    readonly place: Place;
+    readonly sentAtMs: number;
+    job: ServerJob | undefined;
+}
+
+/** Waits before a search's next round of questions grow from the first to the last. */
+const firstProbeTimeoutMs = 35;
+const longestProbeTimeoutMs = 150;
+
+/** One try of one caller at one gateway: finds servers, sends, repeats where that is allowed, and ends once. */
+export class Attempt {
+    readonly #gateway: SimulatedGateway;
+    readonly #caller: SimulatedCaller;
+    readonly #onEnd: (end: AttemptEnd) => void;
+    readonly #rules: ServiceRules;
+    readonly #arrivedAtMs: number;
+    readonly #tried = new Set<string>();
+    readonly #underWay = new Set<SendUnderWay>();
+    readonly #ends: SendEnd[] = [];
+    #arrivals = 0;
+    #isOver = false;
+
+    /**
+     * @param gateway - where it arrives
+     * @param caller - whose try it is
+     * @param onEnd - called once, unless the caller has left before
+     */
+    constructor(gateway: SimulatedGateway, caller: SimulatedCaller, onEnd: (end: AttemptEnd) => void) {
+        this.#gateway = gateway;
+        this.#caller = caller;
+        this.#onEnd = onEnd;
+        this.#rules = gateway.directory.rulesOf(caller.kind.service);
+        this.#arrivedAtMs = gateway.events.nowMs;
+    }
+
+    start(): void {
+        const { events, costs } = this.#gateway;
+        const { kind, leavesAtMs } = this.#caller;
+        this.#gateway.attempts.add(this);
+        this.#gateway.schedule(leavesAtMs - events.nowMs, () => this.#onCallerGone());
+        this.#gateway.schedule(this.#cutoffMs() - events.nowMs, () => this.#onOutOfTime());
+        this.#gateway.execute(costs.requestMs, () => {
+            this.#gateway.onRequest(kind.service, kind.priority);
+            this.#place("first");
+            this.#planHedge();
+        });
+    }
+
+    /** The gateway lost power: the caller's connection is gone, and so are those to servers. */
+    onPowerLost(): void {
+        if (this.#isOver) {
+            return;
+        }
+        this.#isOver = true;
+        this.#abandonSends();
+        this.#onEnd({ type: "failed" });
+    }
+
+    get #kind(): RequestKind {
+        return this.#caller.kind;
+    }
+
+    #nowMs(): number {
+        return this.#gateway.events.nowMs;
+    }
+
+    #cutoffMs(): number {
+        return Math.min(this.#caller.leavesAtMs, this.#arrivedAtMs + this.#kind.timeoutMs);
+    }
+
+    #place(purpose: Purpose): void {
+        const { objectiveMs, priority } = this.#kind;
+        const finder = this.#gateway.createFinder({
+            rules: this.#rules,
+            objectiveMs,
+            rank: priority,
+            arrivedAtMs: this.#arrivedAtMs,
+            cutoffMs: this.#cutoffMs(),
+            excluded: this.#tried,
+            onlyGood: purpose === "hedge",
+        });
+        this.#look(finder, purpose);
+    }
+
+    #look(finder: ServerFinder, purpose: Purpose): void {
+        if (this.#isOver || (purpose === "hedge" && this.#underWay.size === 0)) {
+            return;
+        }
+        const step = finder.step(this.#gateway.look(this.#kind.service));
+        switch (step.type) {
+            case "ask":
+                this.#ask(step.servers, step.round, () => this.#look(finder, purpose));
+                return;
+            case "pause":
+                this.#gateway.schedule(step.forMs, () => this.#look(finder, purpose));
+                return;
+            case "refuse":
+                this.#onNoPlace(purpose, step.reason === "noServer" ? "noServer" : "full");
+                return;
+            case "send":
+                if (purpose !== "hedge" || this.#takeRepeat("hedge")) {
+                    this.#send(step);
+                }
+        }
+    }
+
+    #ask(servers: readonly RegisteredServer[], round: number, onKnown: () => void): void {
+        const timeoutMs = Math.min(longestProbeTimeoutMs, firstProbeTimeoutMs * 2 ** round);
+        askLoad({ gateway: this.#gateway, service: this.#kind.service, servers, timeoutMs, onKnown });
+    }
+
+    #send(place: Place): void {
+        const gateway = this.#gateway;
+        const server = gateway.directory.get(place.server.id);
+        if (server === undefined) {
+            throw new Error(`no server ${place.server.id}`);
+        }
+        this.#tried.add(server.id);
+        const underWay: SendUnderWay = { server, place, sentAtMs: this.#nowMs(), job: undefined };
+        this.#underWay.add(underWay);
+        gateway.execute(gateway.costs.sendMs, () => {
+            const opensConnection = gateway.connections.take(server.id, this.#nowMs());
+            const delayMs = wayTo(gateway, server) * (opensConnection ? 3 : 1)
+                + (opensConnection ? gateway.costs.connectMs : 0);
+            gateway.schedule(delayMs, () => this.#arrive(underWay));
+        });
+    }
+
+    #arrive(underWay: SendUnderWay): void {
+        if (this.#isOver) {
+            return;
+        }
+        const { server } = underWay;
+        this.#gateway.repeatedArrivals += this.#arrivals++ > 0 ? 1 : 0;
+        if (server.isDown) {
+            this.#onSendEnded(underWay, { type: "notRun", reason: "connectFailed" }, undefined);
+            return;
+        }
+        const job: ServerJob = {
+            workMs: this.#caller.workMs,
+            onDone: () => {
+                const offer = server.describe();
+                this.#passBack(underWay, () => this.#onSendEnded(underWay, { type: "answered", status: 200 }, offer));
+            },
+        };
+        underWay.job = job;
+        const arrival = server.arrive(job);
+        if (arrival !== "taken") {
+            underWay.job = undefined;
+            this.#passBack(underWay, () => this.#onSendEnded(underWay, endOf(arrival), undefined));
+        }
+    }
+
+    #passBack({ server }: SendUnderWay, run: () => void): void {
+        const { costs } = this.#gateway;
+        this.#gateway.schedule(wayTo(this.#gateway, server), () => this.#gateway.execute(costs.answerMs, run));
+    }
+
+    #onSendEnded(underWay: SendUnderWay, end: SendEnd, offer: ServerOffer | undefined): void {
+        const { board, connections } = this.#gateway;
+        const { server, place, sentAtMs } = underWay;
+        const service = this.#kind.service;
+        if (!this.#underWay.delete(underWay)) {
+            return;
+        }
+        this.#ends.push(end);
+        if (end.type !== "unknown") {
+            connections.release(server.id, this.#nowMs());
+        }
+        if (isFailureOfServer(end)) {
+            board.onFailure(service, server.id, this.#nowMs());
+        }
+        else if (end.type === "answered") {
+            board.trust.onSuccess(server.id);
+            board.work.onAnswer(service, this.#nowMs() - sentAtMs, place.score.factor);
+        }
+        if (offer?.load !== undefined) {
+            board.onLoad(service, server.registered, offer.load, this.#nowMs());
+        }
+        if (this.#isOver) {
+            return;
+        }
+        if (end.type === "answered") {
+            this.#finish({ type: "answered" });
+            return;
+        }
+        this.#tryAgain(end);
+    }
+
+    #tryAgain(end: SendEnd): void {
+        const { idempotent } = this.#kind;
+        const mayGoOn = mayTryAgain({
+            idempotent,
+            repeatable: true,
+            maximumRuns: 2,
+            ends: this.#ends,
+            underWay: this.#underWay.size,
+        });
+        const reachedServer = !(end.type === "notRun" && end.reason === "connectFailed");
+        if (mayGoOn && (!reachedServer || this.#takeRepeat("retry"))) {
+            this.#place("retry");
+            return;
+        }
+        this.#onAllFailed();
+    }
+
+    #onAllFailed(): void {
+        if (this.#underWay.size > 0) {
+            return;
+        }
+        if (this.#ends.every(({ type }) => type === "notRun")) {
+            this.#refuse("turnedAway");
+            return;
+        }
+        this.#finish({ type: "failed" });
+    }
+
+    #onNoPlace(purpose: Purpose, cause: RefusalCause): void {
+        if (purpose === "first") {
+            this.#refuse(cause);
+        }
+        else if (purpose === "retry") {
+            this.#onAllFailed();
+        }
+    }
+
+    #onOutOfTime(): void {
+        if (this.#isOver) {
+            return;
+        }
+        if (this.#underWay.size === 0 && this.#ends.every(({ type }) => type === "notRun")) {
+            this.#refuse("full");
+            return;
+        }
+        this.#finish({ type: "failed" });
+    }
+
+    #onCallerGone(): void {
+        if (!this.#isOver) {
+            this.#finish({ type: "failed" });
+        }
+    }
+
+    #refuse(cause: RefusalCause): void {
+        const { board, random } = this.#gateway;
+        const typicalMs = board.work.of(this.#kind.service, this.#kind.objectiveMs);
+        this.#finish({ type: "refused", retryAfterMs: resolveComeBack(cause, typicalMs, random) * 1_000 });
+    }
+
+    #finish(end: AttemptEnd): void {
+        this.#isOver = true;
+        this.#gateway.attempts.delete(this);
+        this.#abandonSends();
+        this.#onEnd(end);
+    }
+
+    /** A request that may run once only goes on without its caller: cut off, nobody would know whether it ran. */
+    #abandonSends(): void {
+        if (!this.#kind.idempotent && this.#caller.isWaiting(this.#nowMs())) {
+            return;
+        }
+        for (const { server, job } of this.#underWay) {
+            if (job !== undefined) {
+                server.abandon(job);
+            }
+        }
+    }
+
+    #planHedge(): void {
+        if (!this.#kind.idempotent) {
+            return;
+        }
+        const delayMs = this.#kind.objectiveMs * this.#gateway.policy.hedgeAfterShare;
+        this.#gateway.schedule(delayMs - (this.#nowMs() - this.#arrivedAtMs), () => {
+            if (!this.#isOver && this.#underWay.size === 1 && this.#ends.length === 0) {
+                this.#place("hedge");
+            }
+        });
+    }
+
+    #takeRepeat(purpose: "retry" | "hedge"): boolean {
+        const { repeats } = this.#gateway;
+        return repeats.take(this.#kind.service, purpose, this.#gateway.countGateways(), this.#nowMs());
+    }
+}
+
+/** @returns time of one way between a gateway and a server */
+export function wayTo({ zone, costs }: SimulatedGateway, { registered }: SimulatedServer): number {
+    return registered.availabilityZone === zone ? costs.nearMs : costs.farMs;
+}
+
+function endOf(arrival: Exclude<Arrival, "taken">): SendEnd {
+    return arrival === "reset"
+        ? { type: "unknown", reason: "connectionLost" }
+        : { type: "notRun", reason: "turnedAway" };
+}
--- /dev/null
+++ b/packages/replay/src/world/connectionPool.ts
@@ -0,0 +1,41 @@
+/** Kept connections of one gateway to backend servers, as times of their last use. */
+export class ConnectionPool {
+    readonly #idleSinceMs = new Map<string, number[]>();
+    readonly #keptMs: number;
+    readonly #keptPerServer: number;
+    #opened = 0;
+
+    /**
+     * @param keptMs - how long an idle connection is kept
+     * @param keptPerServer - how many of them to one server
+     */
+    constructor(keptMs: number, keptPerServer: number) {
+        this.#keptMs = keptMs;
+        this.#keptPerServer = keptPerServer;
+    }
+
+    /** Connections opened so far. */
+    get opened(): number {
+        return this.#opened;
+    }
+
+    /** @returns whether a connection had to be opened */
+    take(serverId: string, nowMs: number): boolean {
+        const idle = this.#idleSinceMs.get(serverId);
+        const last = idle?.pop();
+        if (last !== undefined && nowMs - last <= this.#keptMs) {
+            return false;
+        }
+        idle?.splice(0);
+        this.#opened++;
+        return true;
+    }
+
+    release(serverId: string, nowMs: number): void {
+        const idle = this.#idleSinceMs.get(serverId) ?? [];
+        this.#idleSinceMs.set(serverId, idle);
+        if (idle.length < this.#keptPerServer) {
+            idle.push(nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/replay/src/world/crowdMood.ts
@@ -0,0 +1,87 @@
+import { type RandomSource } from "@galenaglade/routing";
+import { type RequestKind } from "./scenario.js";
+
+/** What a load may decide for itself in place of what its kinds of request say. */
+export interface CrowdOverrides {
+    /** How many times the usual rate comes at a time. */
+    readonly rateFactor?: (nowMs: number) => number;
+    readonly resolvePatienceMs?: (random: RandomSource, nowMs: number) => number;
+    readonly resolvePriority?: (random: RandomSource) => number;
+}
+
+interface Burst {
+    readonly factor: number;
+    readonly kind: string | undefined;
+}
+
+interface Leaving {
+    readonly share: number;
+    readonly afterMs: number;
+}
+
+interface Impatience {
+    readonly share: number;
+    readonly tries: number;
+}
+
+interface Move {
+    readonly share: number;
+    readonly zone: string;
+}
+
+/** How callers behave at a moment. Several troubles may overlap; each ends by itself. */
+export class CrowdMood {
+    readonly bursts = new Set<Burst>();
+    readonly leavings = new Set<Leaving>();
+    readonly impatience = new Set<Impatience>();
+    readonly moves = new Set<Move>();
+    readonly #zones: readonly string[];
+    readonly #overrides: CrowdOverrides;
+
+    constructor(zones: readonly string[], overrides: CrowdOverrides) {
+        this.#zones = zones;
+        this.#overrides = overrides;
+    }
+
+    /** @returns how many times the usual rate of a kind of request comes */
+    factorOf({ name }: RequestKind, nowMs: number): number {
+        let factor = this.#overrides.rateFactor?.(nowMs) ?? 1;
+        for (const burst of this.bursts) {
+            factor *= burst.kind === undefined || burst.kind === name ? burst.factor : 1;
+        }
+        return factor;
+    }
+
+    /** @returns how long the next caller waits */
+    drawPatienceMs(kind: RequestKind, random: RandomSource, nowMs: number): number {
+        for (const { share, afterMs } of this.leavings) {
+            if (random.next() < share) {
+                return afterMs;
+            }
+        }
+        return this.#overrides.resolvePatienceMs?.(random, nowMs) ?? kind.patienceMs;
+    }
+
+    /** @returns the tries of an impatient caller, or `undefined` for one that does as it is told */
+    drawImpatientTries(random: RandomSource): number | undefined {
+        for (const { share, tries } of this.impatience) {
+            if (random.next() < share) {
+                return tries;
+            }
+        }
+        return undefined;
+    }
+
+    drawPriority(kind: RequestKind, random: RandomSource): number {
+        return this.#overrides.resolvePriority?.(random) ?? kind.priority;
+    }
+
+    drawZone(random: RandomSource): string {
+        for (const { share, zone } of this.moves) {
+            if (random.next() < share) {
+                return zone;
+            }
+        }
+        return this.#zones[random.below(this.#zones.length)] ?? "";
+    }
+}
--- /dev/null
+++ b/packages/replay/src/world/fleetReplay.ts
@@ -0,0 +1,204 @@
+import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { Attempt, type AttemptEnd } from "./attempt.js";
+import { CallerCrowd } from "./callerCrowd.js";
+import { type CrowdOverrides } from "./crowdMood.js";
+import { EventQueue } from "./eventQueue.js";
+import { FleetDirectory } from "./fleetDirectory.js";
+import { FleetTroubles } from "./fleetTroubles.js";
+import { type Scenario, type ServiceGroup } from "./scenario.js";
+import { type SimulatedCaller } from "./simulatedCaller.js";
+import { SimulatedGateway } from "./simulatedGateway.js";
+import { SimulatedServer } from "./simulatedServer.js";
+
+/** Events for each millisecond, gateway and server, beyond which a replay is given up. */
+const mostEventsPerMs = 2_000;
+/** How long a caller waits for a gateway that takes its connection, and how often it tries meanwhile. */
+const connectPatienceMs = 1_000;
+const connectRetryMs = 100;
+/** Largest share of the time that it has left for which a refused caller waits until it comes back. */
+const mostWaitShare = 1 / 3;
+
+/** How a fleet is observed and changed while it is replayed. */
+export interface ReplayHooks {
+    /** Called at the start, and then each time `everyMs` has passed. */
+    readonly crowd?: CrowdOverrides;
+    readonly onTick?: { readonly everyMs: number; readonly run: (fleet: FleetReplay, nowMs: number) => void; };
+}
+
+/** Gateways, backend servers and callers of one scenario, on a clock of their own. */
+export class FleetReplay {
+    readonly scenario: Scenario;
+    readonly events = new EventQueue();
+    readonly directory: FleetDirectory;
+    readonly gateways: readonly SimulatedGateway[];
+    readonly callers: SimulatedCaller[] = [];
+    readonly crowd: CallerCrowd;
+    /** Tries of all callers. */
+    tries = 0;
+    /** Refusals of gateways. */
+    refusals = 0;
+    readonly #hooks: ReplayHooks;
+    readonly #random: RandomSource;
+    readonly #troubles: FleetTroubles;
+    #serverCount = 0;
+
+    constructor(scenario: Scenario, hooks: ReplayHooks = {}) {
+        this.scenario = scenario;
+        this.#hooks = hooks;
+        this.#random = createRandomSource(scenario.seed);
+        this.directory = new FleetDirectory(scenario.services.map(createRules));
+        for (const service of scenario.services) {
+            for (let i = 0; i < service.servers; i++) {
+                this.addServer(service, this.#zoneOf(i));
+            }
+        }
+        this.gateways = this.#createGateways();
+        this.crowd = new CallerCrowd(scenario, this.events, hooks.crowd ?? {}, caller => this.#onArrival(caller));
+        this.#troubles = new FleetTroubles(this);
+    }
+
+    get servers(): readonly SimulatedServer[] {
+        return this.directory.servers;
+    }
+
+    /** Plays the scenario to its end. */
+    run(): this {
+        const { durationMs } = this.scenario;
+        this.crowd.start();
+        this.#troubles.plan();
+        this.#tick();
+        this.events.runUntil(durationMs, durationMs * mostEventsPerMs);
+        return this;
+    }
+
+    /** A server joins; it is cold until a time. */
+    addServer({ name, shape }: ServiceGroup, zone: string, coldUntilMs = -Infinity): SimulatedServer {
+        const id = `server-${this.#serverCount++}`;
+        const registered: RegisteredServer = {
+            id,
+            service: name,
+            address: { host: "127.0.0.1", port: 1 },
+            availabilityZone: zone,
+            slots: shape.slots,
+            state: "ready",
+            coldRemainingMs: 0,
+            startedAtEpochMs: undefined,
+        };
+        const server = new SimulatedServer(
+            registered,
+            shape,
+            this.events,
+            createRandomSource(this.#random.below(2 ** 31)),
+        );
+        server.coldUntilMs = coldUntilMs;
+        this.directory.add(server);
+        return server;
+    }
+
+    /** Restarts a share of the gateways: what they know and have is gone. */
+    restartGateways(share: number, downMs: number): void {
+        for (const gateway of this.gateways.slice(0, Math.round(this.gateways.length * share))) {
+            gateway.restart(downMs);
+        }
+    }
+
+    #zoneOf(i: number): string {
+        const { zones } = this.scenario;
+        return zones[i % zones.length] ?? "";
+    }
+
+    #createGateways(): readonly SimulatedGateway[] {
+        const { gateways, unknownGateways, repeats } = this.scenario;
+        const sizes = gateways.flatMap(({ count, cores }) => Array.from({ length: count }, () => cores));
+        const names = sizes.map((_, i) => `gateway-${i}`);
+        return sizes.map((cores, i) => {
+            const name = names[i] ?? "";
+            const hidden = this.#random.next() * unknownGateways;
+            const known = hidden === 0
+                ? names
+                : names.filter(other => other === name || this.#random.next() >= hidden);
+            return new SimulatedGateway({
+                name,
+                zone: this.#zoneOf(i),
+                cores,
+                seed: this.#random.below(2 ** 31),
+                events: this.events,
+                directory: this.directory,
+                scenario: this.scenario,
+                knownGateways: () => known,
+                startedAtMs: -repeats.windowMs,
+            });
+        });
+    }
+
+    #onArrival(caller: SimulatedCaller): void {
+        this.callers.push(caller);
+        this.events.schedule(caller.patienceMs, () => {
+            caller.end ??= "gaveUp";
+        });
+        this.#try(caller);
+    }
+
+    #try(caller: SimulatedCaller): void {
+        if (!caller.isWaiting(this.events.nowMs)) {
+            return;
+        }
+        caller.tries++;
+        this.tries++;
+        this.#connect(caller, this.events.nowMs + connectPatienceMs);
+    }
+
+    #connect(caller: SimulatedCaller, untilMs: number): void {
+        const gateway = this.#pickGateway(caller.zone);
+        if (gateway !== undefined) {
+            new Attempt(gateway, caller, end => this.#onAttemptEnd(caller, end)).start();
+            return;
+        }
+        if (this.events.nowMs >= untilMs) {
+            this.#onAttemptEnd(caller, { type: "failed" });
+            return;
+        }
+        this.events.schedule(connectRetryMs * (0.5 + this.#random.next()), () => this.#connect(caller, untilMs));
+    }
+
+    #pickGateway(zone: string): SimulatedGateway | undefined {
+        const up = this.gateways.filter(gateway => gateway.isUp);
+        const near = up.filter(gateway => gateway.zone === zone);
+        const choice = near.length > 0 ? near : up;
+        return choice[this.#random.below(choice.length)];
+    }
+
+    #onAttemptEnd(caller: SimulatedCaller, end: AttemptEnd): void {
+        const { nowMs } = this.events;
+        if (!caller.isWaiting(nowMs)) {
+            return;
+        }
+        if (end.type === "answered") {
+            caller.answeredAtMs = nowMs;
+            caller.end = "answered";
+            return;
+        }
+        this.refusals += end.type === "refused" ? 1 : 0;
+        const mayReturn = end.type === "refused" || caller.kind.idempotent;
+        if (!mayReturn || caller.tries >= caller.mostTries) {
+            caller.end = end.type;
+            return;
+        }
+        const toldMs = end.type === "refused" ? end.retryAfterMs : 0;
+        const waitMs = caller.impatient ? 0 : Math.min(toldMs, (caller.leavesAtMs - nowMs) * mostWaitShare);
+        this.events.schedule(waitMs, () => this.#try(caller));
+    }
+
+    #tick(): void {
+        const { onTick } = this.#hooks;
+        if (onTick !== undefined) {
+            onTick.run(this, this.events.nowMs);
+            this.events.schedule(onTick.everyMs, () => this.#tick());
+        }
+    }
+}
+
+function createRules({ name, coldPerSecond }: ServiceGroup): ServiceRules {
+    return { name, healthPath: "/health", maximumConnections: 200, coldRequestsPerSecond: coldPerSecond };
+}
--- /dev/null
+++ b/packages/replay/src/world/fleetTroubles.ts
@@ -0,0 +1,130 @@
+import { type FleetReplay } from "./fleetReplay.js";
+import { type FleetEvent, type FleetEventAction } from "./scenario.js";
+import { type SimulatedServer } from "./simulatedServer.js";
+
+type ActionOf<T extends FleetEventAction["type"]> = Extract<FleetEventAction, { readonly type: T; }>;
+
+/** A replaced server is gone this long after the new one has come. */
+const drainMs = 2_000;
+
+/** Carries out what a scenario says is to happen to the fleet. */
+export class FleetTroubles {
+    readonly #fleet: FleetReplay;
+
+    constructor(fleet: FleetReplay) {
+        this.#fleet = fleet;
+    }
+
+    plan(): void {
+        for (const event of this.#fleet.scenario.events) {
+            this.#after(event.atMs, () => this.#begin(event));
+        }
+    }
+
+    #begin(event: FleetEvent): void {
+        const { mood } = this.#fleet.crowd;
+        switch (event.type) {
+            case "burst":
+                this.#during(event.forMs, mood.bursts, event);
+                return;
+            case "restartGateways":
+                this.#fleet.restartGateways(event.share, event.downMs);
+                return;
+            case "release":
+                this.#release(event);
+                return;
+            case "zoneOut":
+                this.#zoneOut(event);
+                return;
+            case "loseServers":
+                this.#forServers(event, server => {
+                    server.isDown = true;
+                    return () => server.isDown = false;
+                });
+                return;
+            case "turnAway":
+                this.#forServers(event, server => {
+                    server.rejects = event.rejects;
+                    return () => server.rejects = 0;
+                });
+                return;
+            case "slowServers":
+                this.#forServers(event, server => {
+                    server.faultFactor = event.factor;
+                    return () => server.faultFactor = 1;
+                });
+                return;
+            case "giveUp":
+                this.#during(event.forMs, mood.leavings, event);
+                return;
+            case "impatience":
+                this.#during(event.forMs, mood.impatience, event);
+                return;
+            case "moveCallers":
+                this.#during(event.forMs, mood.moves, event);
+        }
+    }
+
+    #after(delayMs: number, run: () => void): void {
+        this.#fleet.events.schedule(delayMs, run);
+    }
+
+    #during<T>(forMs: number, troubles: Set<T>, trouble: T): void {
+        troubles.add(trouble);
+        this.#after(forMs, () => troubles.delete(trouble));
+    }
+
+    #release({ share, gapMs, coldMs, service }: ActionOf<"release">): void {
+        const { directory, events, scenario } = this.#fleet;
+        for (const [i, old] of this.#pick(share, service).entries()) {
+            this.#after(i * gapMs, () => {
+                const group = scenario.services.find(({ name }) => name === old.registered.service);
+                if (group !== undefined) {
+                    this.#fleet.addServer(group, old.registered.availabilityZone, events.nowMs + coldMs);
+                }
+                old.isRegistered = false;
+                directory.onChange();
+                this.#after(drainMs, () => old.isDown = true);
+            });
+        }
+    }
+
+    #zoneOut({ zone, forMs, coldMs }: ActionOf<"zoneOut">): void {
+        const { directory, events } = this.#fleet;
+        directory.setZoneOut(zone, true);
+        this.#after(forMs, () => {
+            for (const server of directory.servers) {
+                if (server.registered.availabilityZone === zone) {
+                    server.coldUntilMs = events.nowMs + coldMs;
+                }
+            }
+            directory.setZoneOut(zone, false);
+        });
+    }
+
+    #forServers(
+        event: { readonly share: number; readonly forMs: number; readonly service: string | undefined; },
+        apply: (server: SimulatedServer) => () => void,
+    ): void {
+        for (const server of this.#pick(event.share, event.service)) {
+            this.#after(event.forMs, apply(server));
+        }
+    }
+
+    /** Every so many of a service's servers, so that all zones have their part. */
+    #pick(share: number, service: string | undefined): readonly SimulatedServer[] {
+        const picked: SimulatedServer[] = [];
+        let sum = 0;
+        for (const server of this.#fleet.servers) {
+            if (!server.isRegistered || (service !== undefined && server.registered.service !== service)) {
+                continue;
+            }
+            sum += share;
+            if (sum >= 1) {
+                sum -= 1;
+                picked.push(server);
+            }
+        }
+        return picked;
+    }
+}
--- /dev/null
+++ b/packages/replay/src/world/loadProbe.ts
@@ -0,0 +1,86 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { isGood, scoreServer, type ServerOffer } from "@galenaglade/placement";
+import { wayTo } from "./attempt.js";
+import { type SimulatedGateway } from "./simulatedGateway.js";
+import { type SimulatedServer } from "./simulatedServer.js";
+
+/** One round of questions for load. */
+export interface LoadProbe {
+    readonly gateway: SimulatedGateway;
+    readonly service: string;
+    readonly servers: readonly RegisteredServer[];
+    readonly timeoutMs: number;
+    /** Called once one of them is good, or all have answered or are late. */
+    readonly onKnown: () => void;
+}
+
+/** Asks servers for their load at once, as the edge process does. */
+export function askLoad(probe: LoadProbe): void {
+    const { gateway, service, servers, timeoutMs, onKnown } = probe;
+    const silent: string[] = [];
+    let answered = 0;
+    let isKnown = false;
+    const onEnded = (id: string, offer: ServerOffer | undefined): void => {
+        if (offer === undefined) {
+            silent.push(id);
+        }
+        else {
+            answered++;
+        }
+        const allEnded = answered + silent.length === servers.length;
+        if (allEnded && (answered > 0 || silent.length === 1)) {
+            silent.forEach(each => gateway.board.onFailure(service, each, gateway.events.nowMs));
+        }
+        if (!isKnown && (allEnded || (offer !== undefined && isGoodOffer(offer)))) {
+            isKnown = true;
+            onKnown();
+        }
+    };
+    for (const { id } of servers) {
+        const server = gateway.directory.get(id);
+        if (server !== undefined) {
+            askOne(probe, server, timeoutMs, offer => onEnded(id, offer));
+        }
+    }
+}
+
+function askOne(
+    { gateway, service }: LoadProbe,
+    server: SimulatedServer,
+    timeoutMs: number,
+    onEnded: (offer: ServerOffer | undefined) => void,
+): void {
+    const { costs, events } = gateway;
+    const askedAtMs = events.nowMs;
+    let isOver = false;
+    const end = (offer: ServerOffer | undefined): void => {
+        if (!isOver) {
+            isOver = true;
+            onEnded(offer);
+        }
+    };
+    gateway.schedule(timeoutMs, () => gateway.execute(0, () => end(undefined)));
+    gateway.execute(costs.probeMs, () => {
+        const opensConnection = gateway.connections.take(server.id, events.nowMs);
+        const way = wayTo(gateway, server);
+        const delayMs = way * (opensConnection ? 3 : 1) + (opensConnection ? costs.connectMs : 0);
+        gateway.schedule(delayMs, () => {
+            if (server.isDown) {
+                return;
+            }
+            const offer = server.probe();
+            gateway.schedule(way, () =>
+                gateway.execute(costs.probeMs, () => {
+                    if (!isOver) {
+                        gateway.connections.release(server.id, events.nowMs);
+                        gateway.board.onOffer(service, offer, askedAtMs);
+                    }
+                    end(offer);
+                }));
+        });
+    });
+}
+
+function isGoodOffer(offer: ServerOffer): boolean {
+    return isGood(scoreServer(offer, { typicalMs: 0, sentSince: 0, sameZone: true, suspect: false, reservedSlots: 0 }));
+}
--- /dev/null
+++ b/packages/replay/src/world/serverFinder.ts
@@ -0,0 +1,37 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type FleetSight, type SearchStep, scoreServer } from "@galenaglade/placement";
+import { type RandomSource } from "@galenaglade/routing";
+
+/** Finds a server for one request, step by step; `ServerSearch` is the one that is to be proved. */
+export abstract class ServerFinder {
+    /** @param sight - what the gateway believes of the fleet now */
+    abstract step(sight: FleetSight): SearchStep;
+}
+
+/** Takes any server at once: what a gain of the decisions is measured against. */
+export class RandomFinder extends ServerFinder {
+    readonly #random: RandomSource;
+
+    constructor(random: RandomSource) {
+        super();
+        this.#random = random;
+    }
+
+    override step({ usable }: FleetSight): SearchStep {
+        const server = usable[this.#random.below(usable.length)];
+        return server === undefined
+            ? { type: "refuse", reason: "noServer" }
+            : { type: "send", server, score: createPlainScore(server), reason: "any", ageMs: 0 };
+    }
+}
+
+function createPlainScore(server: RegisteredServer): ReturnType<typeof scoreServer> {
+    return scoreServer({
+        serverId: server.id,
+        availabilityZone: server.availabilityZone,
+        load: undefined,
+        slots: server.slots,
+        healthy: true,
+        coldRemainingMs: 0,
+    }, { typicalMs: 0, sentSince: 0, sameZone: true, suspect: false, reservedSlots: 0 });
+}
--- /dev/null
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -0,0 +1,179 @@
+import {
+    type FleetSight,
+    PlacementBoard,
+    type PlacementPolicy,
+    RepeatBudget,
+    resolvePlacementPolicy,
+    type SearchInput,
+    ServerSearch,
+} from "@galenaglade/placement";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { type Attempt } from "./attempt.js";
+import { ConnectionPool } from "./connectionPool.js";
+import { type EventQueue } from "./eventQueue.js";
+import { type FleetDirectory } from "./fleetDirectory.js";
+import { Processor } from "./processor.js";
+import { type Costs, type Scenario } from "./scenario.js";
+import { RandomFinder, ServerFinder } from "./serverFinder.js";
+
+/** Idle connections are kept this long, and so many to one server. */
+const keptConnectionMs = 8_000;
+const keptConnections = 4;
+
+/** What a gateway of a replay is made with. */
+export interface GatewayParts {
+    readonly name: string;
+    readonly zone: string;
+    readonly cores: number;
+    readonly seed: number;
+    readonly events: EventQueue;
+    readonly directory: FleetDirectory;
+    readonly scenario: Scenario;
+    /** Names of the gateways that it knows of. */
+    readonly knownGateways: () => readonly string[];
+    /** Before the replay began, for what grows with the time since a start. */
+    readonly startedAtMs: number;
+}
+
+/** One gateway of a replay: the real decisions, with a simulated event loop and simulated connections around them. */
+export class SimulatedGateway {
+    readonly name: string;
+    readonly zone: string;
+    readonly events: EventQueue;
+    readonly directory: FleetDirectory;
+    readonly processor: Processor;
+    readonly policy: PlacementPolicy;
+    readonly random: RandomSource;
+    readonly attempts = new Set<Attempt>();
+    board: PlacementBoard;
+    repeats: RepeatBudget;
+    connections: ConnectionPool;
+    /** Raised with each start: what an earlier life planned no longer happens. */
+    life = 0;
+    /** Arrivals at servers beyond the first of each try. */
+    repeatedArrivals = 0;
+    #upAtMs = -Infinity;
+    #openedBefore = 0;
+    #requestsOfLife: number;
+    readonly #parts: GatewayParts;
+
+    constructor(parts: GatewayParts) {
+        this.#parts = parts;
+        this.name = parts.name;
+        this.zone = parts.zone;
+        this.events = parts.events;
+        this.directory = parts.directory;
+        this.processor = new Processor(parts.events, parts.cores);
+        this.policy = resolvePlacementPolicy(parts.scenario.policy);
+        this.random = createRandomSource(parts.seed);
+        this.#requestsOfLife = parts.scenario.costs.coldCodeRequests;
+        this.board = this.#createBoard(parts.startedAtMs);
+        this.repeats = new RepeatBudget(parts.scenario.repeats, parts.startedAtMs);
+        this.connections = new ConnectionPool(keptConnectionMs, keptConnections);
+    }
+
+    get costs(): Costs {
+        return this.#parts.scenario.costs;
+    }
+
+    get isUp(): boolean {
+        return this.events.nowMs >= this.#upAtMs;
+    }
+
+    /** Connections opened to servers in all lives. */
+    get connectionsOpened(): number {
+        return this.#openedBefore + this.connections.opened;
+    }
+
+    /** @returns how many gateways it takes to share an allowance with it */
+    countGateways(): number {
+        return this.#parts.knownGateways().length;
+    }
+
+    /** Runs a task on the event loop, unless the process has ended meanwhile. */
+    execute(costMs: number, run: () => void): void {
+        const { life } = this;
+        const { coldCodeFactor, coldCodeRequests } = this.costs;
+        const factor = this.#requestsOfLife < coldCodeRequests ? coldCodeFactor : 1;
+        this.processor.execute(costMs * factor, () => {
+            if (life === this.life) {
+                run();
+            }
+        });
+    }
+
+    /** Plans something for later, unless the process has ended meanwhile. */
+    schedule(delayMs: number, run: () => void): void {
+        const { life } = this;
+        this.events.schedule(delayMs, () => {
+            if (life === this.life) {
+                run();
+            }
+        });
+    }
+
+    /** A caller's request has arrived. */
+    onRequest(service: string, priority: number): void {
+        this.#requestsOfLife++;
+        this.repeats.onRequest(service, this.events.nowMs);
+        this.board.onRequest(service, priority, this.events.nowMs);
+    }
+
+    /** Power is away for a while; then a new process starts, with nothing of what it knew. */
+    restart(downMs: number): void {
+        const cut = [...this.attempts];
+        this.attempts.clear();
+        this.life++;
+        this.#openedBefore += this.connections.opened;
+        this.processor.restart();
+        const { startMs } = this.costs;
+        const startedAtMs = this.events.nowMs + downMs;
+        this.#upAtMs = startedAtMs + startMs / Math.min(1, this.#parts.cores);
+        this.#requestsOfLife = 0;
+        this.board = this.#createBoard(startedAtMs);
+        this.repeats = new RepeatBudget(this.#parts.scenario.repeats, startedAtMs);
+        this.connections = new ConnectionPool(keptConnectionMs, keptConnections);
+        for (const attempt of cut) {
+            attempt.onPowerLost();
+        }
+    }
+
+    /** @returns what it believes of the servers of a service and of the fleet */
+    look(service: string): FleetSight {
+        return {
+            usable: this.directory.usable(service),
+            gateways: this.#parts.knownGateways(),
+            sinceContactMs: 0,
+            nowMs: this.events.nowMs,
+        };
+    }
+
+    createFinder(input: SearchInput): ServerFinder {
+        return this.#parts.scenario.blind ? new RandomFinder(this.random) : new SearchFinder(this.board, input);
+    }
+
+    #createBoard(startedAtMs: number): PlacementBoard {
+        const { name, zone, scenario } = this.#parts;
+        return new PlacementBoard({
+            name,
+            availabilityZone: zone,
+            random: this.random,
+            asksPerServerAndSecond: scenario.probesPerServerAndSecond,
+            startedAtMs,
+            policy: this.policy,
+        });
+    }
+}
+
+class SearchFinder extends ServerFinder {
+    readonly #search: ServerSearch;
+
+    constructor(board: PlacementBoard, input: SearchInput) {
+        super();
+        this.#search = new ServerSearch(board, input);
+    }
+
+    override step(sight: FleetSight): ReturnType<ServerSearch["step"]> {
+        return this.#search.step(sight);
+    }
+}
