Hold what comes before the first reading, and deal a server's probes to the gateways that use them

Two causes, found by replaying the large site's power cut and calm seconds from its logs.

First reading. Ruled out: too few probes, servers without room (both fine in the log). Change: a request that arrives during the first reading is held for it, within a second of the start and a quarter of its caller's patience, and refused as soon as the reading fails; the decision is admitAtStart, logged as heldAtStart.

The allowance was dealt evenly: on 312 hosts a probe every 6.5 s a server, used up by the ten servers that a host asks first, so that it asked others, each on a new connection; and a request that waited could never ask, since half of one probe was left to others. Now a server has a group of gateways of its own zone (rendezvous ranks, kept up by differences of the roster) with half of the allowance, and a reserve of gateways of all zones with a tenth; fleets of up to 30 gateways share evenly as before. A property test over 5 to 500 gateways with differing rosters and a restart of all holds 600 in any ten seconds, at saturation. ServerSubset is gone; its promises are proved by askOrder and probeBudget on the groups.

--- a/packages/edge/src/__tests__/support/memoryStore.ts
+++ b/packages/edge/src/__tests__/support/memoryStore.ts
@@ -20,6 +20,7 @@
     /** The next watch finds that its history is gone. */
     historyLost = false;
     calls = 0;
+    #held: Promise<void> = Promise.resolve();
     readonly #engine = new KeyValueEngine();
     readonly #waiting = new Set<() => void>();
 
@@ -104,11 +105,21 @@
         return outcome;
     }
 
-    #call<T>(run: () => T): Promise<Either<Failure, T>> {
+    /** From now on calls wait for their answers. @returns answers them */
+    holdCalls(): () => void {
+        let release: () => void = () => undefined;
+        this.#held = new Promise(resolve => {
+            release = resolve;
+        });
+        return release;
+    }
+
+    async #call<T>(run: () => T): Promise<Either<Failure, T>> {
         this.calls++;
         if (this.hangs) {
             return new Promise(() => undefined);
         }
-        return Promise.resolve(this.down ? Left(createFailure("storeUnavailable", "down")) : Right(run()));
+        await this.#held;
+        return await Promise.resolve(this.down ? Left(createFailure("storeUnavailable", "down")) : Right(run()));
     }
 }
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -10,11 +10,13 @@
 import { callerGone, cutoffReached, type ExchangeParts } from "../requests/exchangeParts.js";
 import { type HeldAnswer } from "../backends/sendRequest.js";
 import { CallerSink, writeAnswer } from "./answerWriter.js";
+import { type FirstReading } from "../state/firstReading.js";
 import { type CallerConnections } from "./callerConnections.js";
 
 /** What the handler works with. */
 export interface EdgeHandlerParts extends ExchangeParts {
     readonly callers: CallerConnections;
+    readonly firstReading: FirstReading;
     /** When this process will be killed; requests get their last answer before it. */
     readonly endsAtMs: () => number | undefined;
 }
@@ -29,11 +31,34 @@
 
     /** Handles one request; never throws. */
     handle(req: IncomingMessage, res: ServerResponse): void {
-        const { callers, clock, log } = this.#parts;
+        const { callers, clock, view } = this.#parts;
         if (!callers.onRequest(req, res)) {
             return;
         }
         const arrivedAtMs = clock.monotonicMs();
+        if (view.inForce === undefined) {
+            void this.#holdUnread(req, res, arrivedAtMs);
+            return;
+        }
+        this.#take(req, res, arrivedAtMs);
+    }
+
+    /** The fleet is not known yet: the request waits for the reading that is under way, its time running on. */
+    async #holdUnread(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): Promise<void> {
+        const { log, firstReading, vocabulary } = this.#parts;
+        const { requestId, patienceMs } = vocabulary.readRequest(req.rawHeaders);
+        const admission = firstReading.admit(patienceMs);
+        if (admission.type === "hold") {
+            log.log("info", "heldAtStart", { requestId, patienceMs, forAtMostMs: Math.round(admission.forMs) });
+            await firstReading.wait(admission.forMs);
+        }
+        if (!res.destroyed) {
+            this.#take(req, res, arrivedAtMs);
+        }
+    }
+
+    #take(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+        const { log } = this.#parts;
         const understood = this.#understand(req, arrivedAtMs);
         understood.caseOf({
             Left: failure => {
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -27,6 +27,7 @@
 } from "./constants.js";
 import { Placer } from "./requests/placer.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
+import { FirstReading } from "./state/firstReading.js";
 import { RelayServer } from "./state/relayServer.js";
 import { Registration } from "./state/registration.js";
 import { StateSync } from "./state/stateSync.js";
@@ -70,6 +71,7 @@
     const log = new EdgeLog(parts.logger, () => clock.monotonicMs());
     const metrics = new EdgeMetrics(parts.metrics);
     const view = new FleetView();
+    const firstReading = new FirstReading(clock);
     const connections = new ServerConnections();
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
@@ -78,10 +80,10 @@
         name,
         availabilityZone,
         random,
-        asksPerServerAndSecond: settings.asking.perServerAndSecond,
+        probesPerServerAndSecond: settings.asking.perServerAndSecond,
         startedAtMs: clock.monotonicMs(),
     });
-    const placer = new Placer({ view, board, connections, vocabulary, clock, metrics });
+    const placer = new Placer({ view, availabilityZone, board, connections, vocabulary, clock, metrics });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
         view,
@@ -95,6 +97,7 @@
         log,
         metrics,
         callers,
+        firstReading,
         endsAtMs: () => endsAtMs,
     });
     const callerServer = createCallerServer({
@@ -150,6 +153,7 @@
         checkStore: () => registration.checkStore(),
         onChange,
         onChanged: () => relayServer.onChange(),
+        firstReading,
     });
     const relayServer = new RelayServer(sync);
     const peerServer = relayServer.createServer();
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -14,6 +14,8 @@
 /** What the placer works with. */
 export interface PlacerParts extends LoadInquiryParts {
     readonly view: FleetView;
+    /** This gateway's own. */
+    readonly availabilityZone: string;
     readonly clock: Clock;
     readonly board: PlacementBoard;
 }
@@ -80,9 +82,11 @@
     #look(service: string): FleetSight {
         const { view, clock } = this.#parts;
         const nowMs = clock.monotonicMs();
+        const counted = view.countedGateways(nowMs);
         return {
             usable: view.usableServers(service, nowMs),
-            gateways: view.gateways(nowMs),
+            gateways: counted.names,
+            zoneGateways: counted.byZone.get(this.#parts.availabilityZone) ?? [],
             sinceContactMs: nowMs - view.lastContactMs,
             nowMs,
         };
--- /dev/null
+++ b/packages/edge/src/state/firstReading.ts
@@ -0,0 +1,54 @@
+import { type Clock, sleep } from "@galenaglade/http-parts";
+import { admitAtStart, type StartAdmission } from "@galenaglade/placement";
+
+/** Holds what arrives before the store has been read for the first time. */
+export class FirstReading {
+    readonly #clock: Clock;
+    readonly #startedAtMs: number;
+    readonly #ended: Promise<void>;
+    #end: () => void = () => undefined;
+    #state: "underWay" | "read" | "failed" = "underWay";
+    #held = 0;
+
+    constructor(clock: Clock) {
+        this.#clock = clock;
+        this.#startedAtMs = clock.monotonicMs();
+        this.#ended = new Promise(resolve => {
+            this.#end = resolve;
+        });
+    }
+
+    /** The store has been read. */
+    onRead(): void {
+        this.#state = "read";
+        this.#end();
+    }
+
+    /** The store refused the reading, or didn't answer. */
+    onFailed(): void {
+        if (this.#state === "underWay") {
+            this.#state = "failed";
+            this.#end();
+        }
+    }
+
+    /**
+     * @param patienceMs - how long the caller waits; `undefined` where it doesn't say
+     * @returns whether a request is worth holding until the store has been read
+     */
+    admit(patienceMs: number | undefined): StartAdmission {
+        return admitAtStart({
+            readFailed: this.#state !== "underWay",
+            held: this.#held,
+            sinceStartMs: this.#clock.monotonicMs() - this.#startedAtMs,
+            patienceMs,
+        });
+    }
+
+    /** @returns once the reading has ended, or the time is over */
+    async wait(forMs: number): Promise<void> {
+        this.#held++;
+        await Promise.race([this.#ended, sleep(forMs)]);
+        this.#held--;
+    }
+}
--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -59,7 +59,7 @@
     }
 
     async #run(): Promise<void> {
-        while (!this.#parts.view.isRead) {
+        while (!this.#stopped && !this.#parts.view.isRead) {
             await sleep(expiryTickMs);
         }
         while (!this.#stopped) {
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -19,6 +19,7 @@
     watchWaitMs,
 } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
+import { type FirstReading } from "./firstReading.js";
 import { RelayClient } from "./relayClient.js";
 import { RelayFeed } from "./relayServer.js";
 import { PauseDetector } from "./pauseDetector.js";
@@ -37,6 +38,7 @@
     readonly onChange: () => void;
     /** Called when other gateways may be told something new. */
     readonly onChanged: () => void;
+    readonly firstReading: FirstReading;
 }
 
 /**
@@ -143,11 +145,14 @@
     }
 
     async #readAll(): Promise<number> {
-        const { store, codec, view } = this.#parts;
+        const { store, codec, view, firstReading } = this.#parts;
         const startedAtMs = this.#now();
         const read = await store.list(codec.prefix);
         return read.caseOf({
-            Left: failure => this.#onFailure("list", failure, startedAtMs),
+            Left: failure => {
+                firstReading.onFailed();
+                return this.#onFailure("list", failure, startedAtMs);
+            },
             Right: ({ revision, entries }) => {
                 const isFirst = !view.isRead;
                 this.#onContact("list");
@@ -155,6 +160,7 @@
                 this.#mirror.onReading(revision, entries);
                 this.#report(view.onReading(entries.map(entry => codec.decode(entry)), this.#now()));
                 this.#parts.onChanged();
+                firstReading.onRead();
                 // When a whole fleet starts, each registration would be a change of its own for every gateway.
                 return isFirst && view.registeredGateways().length === 0 ? firstWatchPauseMs : 0;
             },
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -13,6 +13,7 @@
     | "relayChosen"
     | "relayLost"
     | "hostPaused"
+    | "heldAtStart"
     | "belief"
     | "registered"
     | "registrationFailed"
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -1,5 +1,5 @@
 import { storeAwayMs } from "./constants.js";
-import { GatewayRoster } from "./gatewayRoster.js";
+import { type CountedGateways, GatewayRoster } from "./gatewayRoster.js";
 import {
     type FleetConfiguration,
     type RegisteredServer,
@@ -124,6 +124,11 @@
         return this.#roster.names(nowMs);
     }
 
+    /** @returns the gateways that count, with their availability zones; the same object while they are the same */
+    countedGateways(nowMs: number): CountedGateways {
+        return this.#roster.counted(nowMs);
+    }
+
     /** @returns the gateways that tell others changes of the store */
     registeredGateways(): readonly RegisteredGateway[] {
         return this.#roster.registered();
--- a/packages/fleetState/src/gatewayRoster.ts
+++ b/packages/fleetState/src/gatewayRoster.ts
@@ -2,6 +2,19 @@
 import { type GatewayRegistration } from "./gatewayRegistration.js";
 import { type RegisteredGateway } from "./relaySources.js";
 
+/** The gateways that count at one moment. The arrays stay the same while the gateways do. */
+export interface CountedGateways {
+    /** All names, sorted. */
+    readonly names: readonly string[];
+    /** Those of each availability zone, as far as their registrations say it. */
+    readonly byZone: ReadonlyMap<string, readonly string[]>;
+}
+
+interface DepartedGateway {
+    readonly availabilityZone: string | undefined;
+    readonly atMs: number;
+}
+
 interface PresentGateway {
     readonly leaseId: string | undefined;
     readonly registration: GatewayRegistration | undefined;
@@ -14,30 +27,67 @@
  */
 export class GatewayRoster {
     readonly #present = new Map<string, PresentGateway>();
-    readonly #departedAtMs = new Map<string, number>();
+    readonly #departed = new Map<string, DepartedGateway>();
+    #counted: CountedGateways | undefined;
+    /** When the next departed gateway stops counting. */
+    #countedUntilMs = Infinity;
 
     onPresent(name: string, leaseId: string | undefined, registration?: GatewayRegistration): void {
+        const before = this.#present.get(name);
         this.#present.set(name, { leaseId, registration });
-        this.#departedAtMs.delete(name);
+        this.#departed.delete(name);
+        if (before === undefined || before.registration?.availabilityZone !== registration?.availabilityZone) {
+            this.#counted = undefined;
+        }
     }
 
     onGone(name: string, nowMs: number): void {
-        if (this.#present.delete(name)) {
-            this.#departedAtMs.set(name, nowMs);
+        const gone = this.#present.get(name);
+        if (gone !== undefined) {
+            this.#present.delete(name);
+            this.#departed.set(name, { availabilityZone: gone.registration?.availabilityZone, atMs: nowMs });
+            this.#counted = undefined;
+        }
+    }
+
+    /** @returns the gateways that count now */
+    counted(nowMs: number): CountedGateways {
+        if (this.#counted === undefined || nowMs >= this.#countedUntilMs) {
+            this.#counted = this.#count(nowMs);
         }
+        return this.#counted;
     }
 
     /** @returns all names that count now, sorted */
     names(nowMs: number): readonly string[] {
-        const counted = [...this.#present.keys()];
-        for (const [name, departedAtMs] of this.#departedAtMs) {
-            if (nowMs - departedAtMs < departedGatewayMs) {
-                counted.push(name);
+        return this.counted(nowMs).names;
+    }
+
+    #count(nowMs: number): CountedGateways {
+        const zones = new Map<string, string | undefined>();
+        for (const [name, { registration }] of this.#present) {
+            zones.set(name, registration?.availabilityZone);
+        }
+        this.#countedUntilMs = Infinity;
+        for (const [name, { availabilityZone, atMs }] of this.#departed) {
+            if (nowMs - atMs >= departedGatewayMs) {
+                this.#departed.delete(name);
                 continue;
             }
-            this.#departedAtMs.delete(name);
+            zones.set(name, availabilityZone);
+            this.#countedUntilMs = Math.min(this.#countedUntilMs, atMs + departedGatewayMs);
+        }
+        const names = [...zones.keys()].sort();
+        const byZone = new Map<string, string[]>();
+        for (const name of names) {
+            const zone = zones.get(name);
+            if (zone !== undefined) {
+                const inZone = byZone.get(zone) ?? [];
+                inZone.push(name);
+                byZone.set(zone, inZone);
+            }
         }
-        return counted.sort();
+        return { names, byZone };
     }
 
     /** @returns whether a gateway's registration is there at this moment */
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -23,6 +23,7 @@
 } from "./model.js";
 export { type WatchSource, RelaySources, type RegisteredGateway } from "./relaySources.js";
 export { findOwners } from "./rendezvous.js";
+export { RendezvousRanks } from "./rendezvousRanks.js";
 export { createRouteTable, type RouteTable } from "./routeTable.js";
 export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
 export { type MirroredChanges, type MirroredEntry, StoreMirror } from "./storeMirror.js";
--- /dev/null
+++ b/packages/placement/src/__tests__/probeBudget.test.ts
@@ -0,0 +1,154 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { findMostWithin } from "@galenaglade/replay";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { defaultPlacementPolicy, mostAskedAtOnce, ProbeBudget, ProbeGroups } from "../index.js";
+
+const perSecond = 60;
+const windowMs = 10_000;
+const stepMs = 50;
+const zones = ["north", "middle", "south", "west", "east"];
+
+interface Fleet {
+    readonly seed: number;
+    readonly gateways: number;
+    readonly servers: number;
+    /** Share of the other gateways that each gateway doesn't know of. */
+    readonly unknownShare: number;
+    readonly restartAtMs: number;
+}
+
+interface Gateway {
+    readonly groups: ProbeGroups;
+    budget: ProbeBudget;
+}
+
+function createServers(count: number): readonly RegisteredServer[] {
+    return Array.from({ length: count }, (_, i) => ({
+        id: `server-${i}`,
+        service: "tables",
+        address: { host: "127.0.0.1", port: 1 },
+        availabilityZone: zones[i % zones.length] ?? "",
+        slots: 3,
+        state: "ready",
+        coldRemainingMs: 0,
+        startedAtEpochMs: undefined,
+    }));
+}
+
+function createGateways({ gateways, unknownShare }: Fleet, random: RandomSource): readonly Gateway[] {
+    const names = Array.from({ length: gateways }, (_, i) => `gateway-${i}`);
+    return names.map((name, own) => {
+        const known = names.filter((_, i) => i === own || random.next() >= unknownShare);
+        const zone = zones[own % zones.length] ?? "";
+        const inZone = known.filter(other => names.indexOf(other) % zones.length === own % zones.length);
+        const groups = new ProbeGroups(name, zone, perSecond, defaultPlacementPolicy);
+        groups.update({ gateways: known, zoneGateways: inZone });
+        // What it had saved before the time that is looked at is as much as it may save.
+        return { groups, budget: new ProbeBudget(-windowMs) };
+    });
+}
+
+/** @returns the most probes of any server in any ten seconds, where every gateway asks whenever it may */
+function findMostProbes(fleet: Fleet): number {
+    const random = createRandomSource(fleet.seed);
+    const servers = createServers(fleet.servers);
+    const zoneServers = Math.ceil(fleet.servers / zones.length);
+    const gateways = createGateways(fleet, random);
+    const probedAtMs = new Map(servers.map(({ id }) => [id, new Array<number>()]));
+    for (let nowMs = 0; nowMs < windowMs * 1.5; nowMs += stepMs) {
+        for (const gateway of gateways) {
+            if (nowMs === fleet.restartAtMs) {
+                gateway.budget = new ProbeBudget(nowMs);
+            }
+            const probed = gateway.budget.take({
+                ordered: servers,
+                purpose: "arrival",
+                wanted: servers.length,
+                shareOf: server => gateway.groups.shareOf(server, zoneServers),
+                nowMs,
+            });
+            probed.forEach(({ id }) => probedAtMs.get(id)?.push(nowMs));
+        }
+    }
+    return Math.max(...[...probedAtMs.values()].map(times => findMostWithin(times, windowMs)));
+}
+
+// Guards against servers that are kept busy by probes alone: the parts of all gateways must add up to less than the allowance
+// whatever the fleet's size, while rosters lack a part of the gateways, and when all of them restart at once.
+test("no server is probed more than its allowance in any ten seconds, by fleets of 5 to 500 gateways", () => {
+    fc.assert(
+        fc.property(
+            fc.record({
+                seed: fc.integer({ min: 1, max: 100_000 }),
+                gateways: fc.integer({ min: 5, max: 500 }),
+                servers: fc.integer({ min: 3, max: 40 }),
+                unknownShare: fc.double({ min: 0, max: 0.15, noNaN: true }),
+                restartAtMs: fc.constantFrom(1_000, 4_000, 9_000),
+            }),
+            fleet => {
+                const most = findMostProbes(fleet);
+                assert.ok(most <= perSecond * windowMs / 1_000, `${most} probes in ten seconds`);
+            },
+        ),
+        { seed: 1, numRuns: 25 },
+    );
+});
+
+test("every gateway of a large fleet may probe some servers of its zone, and of the others", () => {
+    const servers = createServers(180);
+    const gateways = createGateways(
+        { seed: 1, gateways: 312, servers: 180, unknownShare: 0, restartAtMs: 0 },
+        createRandomSource(1),
+    );
+    for (const [i, { groups }] of gateways.entries()) {
+        const zone = zones[i % zones.length];
+        const own = servers.filter(server => groups.isInGroup(server, 36));
+        const allowed = servers.filter(server => groups.shareOf(server, 36).perMs > 0);
+        assert.ok(
+            own.length >= 2 && own.every(server => server.availabilityZone === zone),
+            `${own.length} in its groups`,
+        );
+        assert.ok(allowed.some(({ availabilityZone }) => availabilityZone !== zone), "and some of other zones");
+    }
+});
+
+test("a change of the roster moves few gateways between groups", () => {
+    const servers = createServers(100);
+    const names = Array.from({ length: 200 }, (_, i) => `gateway-${i}`);
+    const groups = new ProbeGroups("gateway-0", "north", perSecond, defaultPlacementPolicy);
+    const membership = (zoneGateways: readonly string[]): ReadonlySet<string> => {
+        groups.update({ gateways: names, zoneGateways });
+        return new Set(servers.filter(server => groups.isInGroup(server, 20)).map(({ id }) => id));
+    };
+    const before = membership(names.slice(0, 60));
+    const after = membership(names.slice(0, 59));
+    const back = membership(names.slice(0, 60));
+    assert.ok([...after].filter(id => !before.has(id)).length <= 2);
+    assert.deepEqual(back, before);
+});
+
+test("requests that wait leave half of what is saved beyond the first probe to those that arrive", () => {
+    const share = { perMs: 0.008, mostSaved: 8, savedAtStart: 8 };
+    const budget = new ProbeBudget(0);
+    const ordered = [{ id: "server-0" }];
+    const take = (purpose: "arrival" | "waiting"): number =>
+        budget.take({ ordered, purpose, wanted: mostAskedAtOnce, shareOf: () => share, nowMs: 0 }).length;
+    let waiting = 0;
+    while (take("waiting") > 0) {
+        waiting++;
+    }
+    assert.equal(waiting, 4);
+    assert.equal(take("arrival"), 1);
+});
+
+// Guards against waiting requests that never ask: of one probe that may be saved, half can't be left over.
+test("where one probe may be saved, a request that waits may use it", () => {
+    const share = { perMs: 0.0001, mostSaved: 1, savedAtStart: 1 };
+    const budget = new ProbeBudget(0);
+    const input = { ordered: [{ id: "server-0" }], wanted: 1, shareOf: () => share, nowMs: 0 };
+    assert.equal(budget.take({ ...input, purpose: "waiting" }).length, 1);
+    assert.equal(budget.take({ ...input, purpose: "arrival" }).length, 0);
+});
--- a/packages/placement/src/__tests__/support/replay.ts
+++ b/packages/placement/src/__tests__/support/replay.ts
@@ -157,6 +157,7 @@
         events: [],
         policy: {},
         blind,
+        holdsAtStart: true,
     };
 }
 
--- a/packages/placement/src/askOrder.ts
+++ b/packages/placement/src/askOrder.ts
@@ -8,8 +8,8 @@
     readonly servers: readonly RegisteredServer[];
     /** The gateway's own. */
     readonly availabilityZone: string;
-    /** Those of its own zone that this gateway asks before others. */
-    readonly subset: ReadonlySet<string>;
+    /** Whether a server of its own zone is one that this gateway probes before others. */
+    readonly isInSubset: (server: RegisteredServer) => boolean;
     readonly isSuspect: (serverId: string) => boolean;
     /** How likely a server is good now, from 0 to 1. */
     readonly chanceOf: (serverId: string) => number;
@@ -34,9 +34,9 @@
     return keyed.map(({ server }) => server);
 }
 
-function resolveDistance(server: RegisteredServer, { availabilityZone, subset }: AskOrderInput): number {
+function resolveDistance(server: RegisteredServer, { availabilityZone, isInSubset }: AskOrderInput): number {
     if (server.availabilityZone !== availabilityZone) {
         return otherZonePenalty;
     }
-    return subset.has(server.id) ? 0 : otherSubsetPenalty;
+    return isInSubset(server) ? 0 : otherSubsetPenalty;
 }
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -47,22 +47,28 @@
 export const spreadShare = 0.1;
 
 /**
- * Backend servers of its own zone that a gateway asks before others: more than twice as many as are asked at once, so that
- * nearly always one of them is neither slow nor full.
+ * Backend servers of each service that a gateway probes before others: more than twice as many as are probed at once, so
+ * that nearly always one of them is neither slow nor full.
  */
 export const subsetServers = 10;
 
+/** Share of a server's allowance of probes that the gateways of a small fleet share. */
+export const evenProbeShare = 0.8;
+
+/** In a large fleet: shares of the allowance for a server's group of gateways, and for the reserve of all zones. */
+export const groupProbeShare = 0.5;
+export const reserveProbeShare = 0.1;
+
 /**
- * Share of the fleet's allowance of questions that is dealt out: with the savings below, ten seconds' questions stay under
- * the allowance of ten seconds, also where every gateway is restarted within them.
+ * Gateways in a group and in the reserve, at most, for each probe a second of the allowance. Each may save one probe, and
+ * those of a group have one after a restart; in ten seconds these and the shares above are four fifths of the allowance,
+ * which leaves room for rosters that lack a fifth of the gateways.
  */
-export const askBudgetShare = 0.8;
-
-/** How long questions that were not asked are saved. */
-export const askSavingsMs = 1_000;
+export const mostGroupSize = 0.5;
+export const reserveSize = 1;
 
-/** Savings of a gateway that has just started. */
-export const startSavingsMs = 1_000;
+/** How long probes that were not made are saved. */
+export const probeSavingsMs = 1_000;
 
 /** Time in which what was seen of the ranks of requests fades. */
 export const mixMemoryMs = 5_000;
@@ -135,3 +141,12 @@
 /** Shortest and longest time after which a refused caller is asked back while servers merely turned its request away. */
 export const shortestComeBackMs = 20;
 export const longestComeBackMs = 120;
+
+/** Time from the start within which a process holds requests until it has read the store for the first time. */
+export const longestStartHoldMs = 1_000;
+
+/** Share of a caller's patience for which its request is held then. */
+export const startHoldPatienceShare = 0.25;
+
+/** Requests that a process holds then, at most. */
+export const mostHeldAtStart = 200;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,4 @@
 /** Where a request goes: whom to ask, whom to send to, when to wait, to repeat and to refuse. */
-export { AskBudget, type AskInput, type AskPurpose } from "./askBudget.js";
 export { countToAsk } from "./askCount.js";
 export { type AskOrderInput, orderToAsk } from "./askOrder.js";
 export { choosePlacement, type PlacementDecision, type PlacementInput } from "./choosePlacement.js";
@@ -28,11 +27,13 @@
 } from "./nextTry.js";
 export { type BoardParts, type FleetSight, PlacementBoard, type RatedServer } from "./placementBoard.js";
 export { defaultPlacementPolicy, type PlacementPolicy, resolvePlacementPolicy } from "./policy.js";
+export { ProbeBudget, type ProbeInput, type ProbePurpose } from "./probeBudget.js";
+export { ProbeGroups, type ProbeShare, type ProbingFleet } from "./probeGroups.js";
 export { RankMix } from "./rankMix.js";
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
 export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
 export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
-export { ServerSubset } from "./serverSubset.js";
 export { ServerTrust } from "./serverTrust.js";
+export { admitAtStart, type StartAdmission, type StartAdmissionInput } from "./startAdmission.js";
 export { TypicalWork } from "./typicalWork.js";
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -1,15 +1,15 @@
 import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
 import { type RandomSource } from "@galenaglade/routing";
-import { AskBudget, type AskPurpose } from "./askBudget.js";
 import { orderToAsk } from "./askOrder.js";
 import { ColdAdmission, type ColdInput } from "./coldAdmission.js";
 import { LoadMemory } from "./loadMemory.js";
 import { type LoadReport, type ServerOffer } from "./loadReport.js";
 import { defaultPlacementPolicy, type PlacementPolicy } from "./policy.js";
+import { ProbeBudget, type ProbePurpose } from "./probeBudget.js";
+import { ProbeGroups, type ProbingFleet } from "./probeGroups.js";
 import { RankMix } from "./rankMix.js";
 import { RecentSends } from "./recentSends.js";
 import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
-import { ServerSubset } from "./serverSubset.js";
 import { ServerTrust } from "./serverTrust.js";
 import { TypicalWork } from "./typicalWork.js";
 
@@ -20,18 +20,16 @@
     /** The gateway's own. */
     readonly availabilityZone: string;
     readonly random: RandomSource;
-    /** Questions for a server's load that all gateways may ask together, a server and second. */
-    readonly asksPerServerAndSecond: number;
+    /** Load probes from all gateways together, a server and second. */
+    readonly probesPerServerAndSecond: number;
     readonly startedAtMs: number;
     readonly policy?: PlacementPolicy;
 }
 
 /** What is believed of the fleet at one moment. */
-export interface FleetSight {
+export interface FleetSight extends ProbingFleet {
     /** Servers of the service that may be given work. */
     readonly usable: readonly RegisteredServer[];
-    /** Names of all gateways that count. */
-    readonly gateways: readonly string[];
     /** Since the store last answered this gateway. */
     readonly sinceContactMs: number;
     readonly nowMs: number;
@@ -63,18 +61,19 @@
     readonly policy: PlacementPolicy;
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
-    readonly #asks: AskBudget;
+    readonly #probes: ProbeBudget;
+    readonly #groups: ProbeGroups;
     readonly #sends = new RecentSends();
     readonly #ranks = new RankMix();
     readonly #memories = new Map<string, LoadMemory>();
-    readonly #subsets = new Map<string, ServerSubset>();
 
     constructor(parts: BoardParts) {
         this.#parts = parts;
         this.random = parts.random;
         this.policy = parts.policy ?? defaultPlacementPolicy;
         this.#cold = new ColdAdmission(parts.name);
-        this.#asks = new AskBudget(parts.asksPerServerAndSecond, parts.startedAtMs);
+        this.#probes = new ProbeBudget(parts.startedAtMs);
+        this.#groups = new ProbeGroups(parts.name, parts.availabilityZone, parts.probesPerServerAndSecond, this.policy);
     }
 
     /** A request for a service has arrived. @param rank - 0 is the most urgent */
@@ -126,24 +125,34 @@
         return servers.map(server => this.#rate(server, memory, rules, typicalMs, rank, sight));
     }
 
-    /** Takes whom a request may ask now out of those that it would ask. */
-    takeAsks(
+    /** Takes whom a request may probe now out of those that it would probe. */
+    takeProbes(
         rated: readonly RatedServer[],
-        purpose: AskPurpose,
+        purpose: ProbePurpose,
         wanted: number,
-        { gateways, nowMs }: FleetSight,
+        sight: FleetSight,
     ): readonly RegisteredServer[] {
-        const ordered = rated.map(({ server }) => server);
-        return this.#asks.take({ ordered, purpose, wanted, gateways: gateways.length, nowMs });
+        const zoneServers = this.#countZoneServers(sight);
+        this.#groups.update(sight);
+        return this.#probes.take({
+            ordered: rated.map(({ server }) => server),
+            purpose,
+            wanted,
+            shareOf: server => this.#groups.shareOf(server, zoneServers),
+            nowMs: sight.nowMs,
+        });
     }
 
-    /** @returns rated servers by who is to be asked first */
-    order(service: string, rated: readonly RatedServer[], { usable, nowMs }: FleetSight): readonly RatedServer[] {
+    /** @returns rated servers by who is to be probed first */
+    order(rated: readonly RatedServer[], sight: FleetSight): readonly RatedServer[] {
+        const { nowMs } = sight;
+        const zoneServers = this.#countZoneServers(sight);
+        this.#groups.update(sight);
         const byId = new Map(rated.map(each => [each.server.id, each]));
         const ordered = orderToAsk({
             servers: rated.map(({ server }) => server),
             availabilityZone: this.#parts.availabilityZone,
-            subset: this.#subsetOf(service, usable),
+            isInSubset: server => this.#groups.isInGroup(server, zoneServers),
             isSuspect: id => this.trust.isSuspect(id, nowMs),
             chanceOf: id => byId.get(id)?.chance ?? 0,
             random: this.random,
@@ -162,7 +171,8 @@
     /** Forgets servers that are no longer there. */
     retain(serverIds: ReadonlySet<string>): void {
         this.trust.retain(serverIds);
-        this.#asks.retain(serverIds);
+        this.#probes.retain(serverIds);
+        this.#groups.retain(serverIds);
         this.#cold.retain(serverIds);
         this.#sends.retain(serverIds);
         for (const memory of this.#memories.values()) {
@@ -215,11 +225,9 @@
         return memory;
     }
 
-    #subsetOf(service: string, usable: readonly RegisteredServer[]): ReadonlySet<string> {
-        const { name, availabilityZone } = this.#parts;
-        const subset = this.#subsets.get(service) ?? new ServerSubset(name, this.policy.subsetServers);
-        this.#subsets.set(service, subset);
-        return subset.of(usable.filter(server => server.availabilityZone === availabilityZone));
+    #countZoneServers({ usable }: FleetSight): number {
+        const { availabilityZone } = this.#parts;
+        return usable.filter(server => server.availabilityZone === availabilityZone).length;
     }
 }
 
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -1,10 +1,10 @@
 import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
-import { type AskPurpose } from "./askBudget.js";
 import { countToAsk } from "./askCount.js";
 import { choosePlacement, type PlacementDecision } from "./choosePlacement.js";
 import { leastAskedChance, longestPauseMs, shortestPauseMs } from "./constants.js";
 import { type FleetSight, type PlacementBoard, type RatedServer } from "./placementBoard.js";
 import { type PlacementPolicy } from "./policy.js";
+import { type ProbePurpose } from "./probeBudget.js";
 import { isGood, type ServerScore } from "./serverScore.js";
 
 /** A request in search of a server. */
@@ -71,7 +71,7 @@
             if (decision.type !== "widen") {
                 return this.#act(decision, rated, sight);
             }
-            const servers = this.#takeAsks(unasked, sight);
+            const servers = this.#takeProbes(unasked, sight);
             if (servers.length > 0) {
                 return { type: "ask", servers, round: this.#round };
             }
@@ -122,10 +122,10 @@
         return nowMs - arrivedAtMs >= objectiveMs * this.#policy.waitShare;
     }
 
-    #takeAsks(unasked: readonly RatedServer[], sight: FleetSight): readonly RegisteredServer[] {
-        const ordered = this.#board.order(this.#input.rules.name, unasked, sight);
+    #takeProbes(unasked: readonly RatedServer[], sight: FleetSight): readonly RegisteredServer[] {
+        const ordered = this.#board.order(unasked, sight);
         const wanted = countToAsk(ordered.map(({ chance }) => chance), this.#policy);
-        const servers = this.#board.takeAsks(ordered, this.#resolvePurpose(sight.nowMs), wanted, sight);
+        const servers = this.#board.takeProbes(ordered, this.#resolvePurpose(sight.nowMs), wanted, sight);
         for (const { id } of servers) {
             this.#askedAtMs.set(id, sight.nowMs);
         }
@@ -136,7 +136,7 @@
      * A request's first questions go before everybody's further ones: two for each find a better server for all of them than
      * many for a few. Its last look is as good as a new request's.
      */
-    #resolvePurpose(nowMs: number): AskPurpose {
+    #resolvePurpose(nowMs: number): ProbePurpose {
         if (this.#input.onlyGood || this.#askedAtMs.size > 0) {
             return "waiting";
         }
--- a/packages/replay/src/scenarioFile.ts
+++ b/packages/replay/src/scenarioFile.ts
@@ -68,7 +68,7 @@
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("slowServers"), share, factor }),
     z.strictObject({ ...at, ...during, type: z.literal("giveUp"), share, afterMs: milliseconds }),
     z.strictObject({ ...at, ...during, type: z.literal("impatience"), share, tries: count }),
-    z.strictObject({ ...at, ...during, type: z.literal("moveCallers"), share, zone: name }),
+    z.strictObject({ ...at, ...during, type: z.literal("moveCallers"), share, from: name, zone: name }),
 ]);
 
 const request = z.strictObject({
@@ -91,6 +91,7 @@
     sendMs: milliseconds.default(0.3),
     answerMs: milliseconds.default(0.4),
     startMs: milliseconds.default(150),
+    firstReadMs: milliseconds.default(0),
     coldCodeFactor: factor.default(4),
     coldCodeRequests: z.number().int().min(0).max(10_000).default(10),
     nearMs: milliseconds.default(0.1),
@@ -118,6 +119,9 @@
     unknownGateways: share.default(0).describe("largest share of the other gateways that a gateway doesn't know of"),
     events: z.array(event).default([]),
     policy: policySchema.default({}),
+    holdsAtStart: z.boolean().default(true).describe(
+        "whether a starting gateway holds what comes before its first reading",
+    ),
 });
 
 type ScenarioDocument = DeepReadonly<z.output<typeof scenarioSchema>>;
@@ -162,6 +166,9 @@
         if ("service" in each && each.service !== undefined && !serviceNames.has(each.service)) {
             faults.push({ path: ["events", i, "service"], message: `no service ${each.service}` });
         }
+        if ("from" in each && !zones.includes(each.from)) {
+            faults.push({ path: ["events", i, "from"], message: `no zone ${each.from}` });
+        }
         if ("zone" in each && !zones.includes(each.zone)) {
             faults.push({ path: ["events", i, "zone"], message: `no zone ${each.zone}` });
         }
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -1,5 +1,6 @@
 import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
 import {
+    admitAtStart,
     isFailureOfServer,
     mayTryAgain,
     type RefusalCause,
@@ -68,10 +69,40 @@
         this.#gateway.attempts.add(this);
         this.#gateway.schedule(leavesAtMs - events.nowMs, () => this.#onCallerGone());
         this.#gateway.schedule(this.#cutoffMs() - events.nowMs, () => this.#onOutOfTime());
-        this.#gateway.execute(costs.requestMs, () => {
-            this.#gateway.onRequest(kind.service, kind.priority);
-            this.#place("first");
-            this.#planHedge();
+        this.#gateway.execute(costs.requestMs, () =>
+            this.#whenRead(() => {
+                this.#gateway.onRequest(kind.service, kind.priority);
+                this.#place("first");
+                this.#planHedge();
+            }));
+    }
+
+    /** Waits for the gateway's first reading of the store, or refuses where that is no use. */
+    #whenRead(run: () => void): void {
+        const gateway = this.#gateway;
+        if (gateway.unreadMs === 0) {
+            run();
+            return;
+        }
+        const admission = admitAtStart({
+            readFailed: !gateway.holdsAtStart,
+            held: gateway.heldAtStart,
+            sinceStartMs: gateway.sinceStartMs,
+            patienceMs: this.#caller.leavesAtMs - this.#nowMs(),
+        });
+        if (admission.type === "refuse") {
+            this.#refuse("unread");
+            return;
+        }
+        gateway.heldAtStart++;
+        gateway.schedule(Math.min(admission.forMs, gateway.unreadMs), () => {
+            gateway.heldAtStart--;
+            if (gateway.unreadMs === 0) {
+                run();
+            }
+            else if (!this.#isOver) {
+                this.#refuse("unread");
+            }
         });
     }
 
--- a/packages/replay/src/world/fleetReplay.ts
+++ b/packages/replay/src/world/fleetReplay.ts
@@ -118,15 +118,18 @@
             const known = hidden === 0
                 ? names
                 : names.filter(other => other === name || this.#random.next() >= hidden);
+            const zone = this.#zoneOf(i);
+            const knownInZone = known.filter(other => this.#zoneOf(names.indexOf(other)) === zone);
             return new SimulatedGateway({
                 name,
-                zone: this.#zoneOf(i),
+                zone,
                 cores,
                 seed: this.#random.below(2 ** 31),
                 events: this.events,
                 directory: this.directory,
                 scenario: this.scenario,
                 knownGateways: () => known,
+                knownInZone: () => knownInZone,
                 startedAtMs: -repeats.windowMs,
             });
         });
--- a/packages/replay/src/world/scenario.ts
+++ b/packages/replay/src/world/scenario.ts
@@ -47,6 +47,8 @@
     readonly answerMs: number;
     /** Processor time of a start, until callers' requests are taken. */
     readonly startMs: number;
+    /** Time from there until the store has been read for the first time. */
+    readonly firstReadMs: number;
     /** How many times longer all that takes until the code is compiled, and for how many requests. */
     readonly coldCodeFactor: number;
     readonly coldCodeRequests: number;
@@ -101,8 +103,14 @@
     | { readonly type: "giveUp"; readonly share: number; readonly afterMs: number; readonly forMs: number; }
     /** A share of the callers comes back at once whatever it is told, and more often. */
     | { readonly type: "impatience"; readonly share: number; readonly tries: number; readonly forMs: number; }
-    /** A share of the callers uses the gateways of another zone. */
-    | { readonly type: "moveCallers"; readonly share: number; readonly zone: string; readonly forMs: number; };
+    /** A share of one zone's callers uses the gateways of another zone. */
+    | {
+        readonly type: "moveCallers";
+        readonly share: number;
+        readonly from: string;
+        readonly zone: string;
+        readonly forMs: number;
+    };
 
 /** A load that is replayed on the decisions, without input or output and on a clock of its own. */
 export interface Scenario {
@@ -126,6 +134,8 @@
     readonly policy: Partial<PlacementPolicy>;
     /** Sends to any server at once and never refuses, in place of the placement's decisions. */
     readonly blind: boolean;
+    /** Whether a starting gateway holds what comes before its first reading of the store; otherwise it refuses. */
+    readonly holdsAtStart: boolean;
 }
 
 /** Costs of nothing: decisions alone. */
@@ -135,6 +145,7 @@
     sendMs: 0,
     answerMs: 0,
     startMs: 0,
+    firstReadMs: 0,
     coldCodeFactor: 1,
     coldCodeRequests: 0,
     nearMs: 0,
--- a/packages/replay/src/world/simulatedGateway.ts
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -31,6 +31,8 @@
     readonly scenario: Scenario;
     /** Names of the gateways that it knows of. */
     readonly knownGateways: () => readonly string[];
+    /** Those of its own zone. */
+    readonly knownInZone: () => readonly string[];
     /** Before the replay began, for what grows with the time since a start. */
     readonly startedAtMs: number;
 }
@@ -53,6 +55,9 @@
     /** Arrivals at servers beyond the first of each try. */
     repeatedArrivals = 0;
     #upAtMs = -Infinity;
+    #readAtMs = -Infinity;
+    /** Requests that wait for the first reading of the store. */
+    heldAtStart = 0;
     #openedBefore = 0;
     #requestsOfLife: number;
     readonly #parts: GatewayParts;
@@ -80,6 +85,20 @@
         return this.events.nowMs >= this.#upAtMs;
     }
 
+    /** How long it is until the store has been read for the first time. */
+    get unreadMs(): number {
+        return Math.max(0, this.#readAtMs - this.events.nowMs);
+    }
+
+    /** Since this life began to take requests. */
+    get sinceStartMs(): number {
+        return this.events.nowMs - this.#upAtMs;
+    }
+
+    get holdsAtStart(): boolean {
+        return this.#parts.scenario.holdsAtStart;
+    }
+
     /** Connections opened to servers in all lives. */
     get connectionsOpened(): number {
         return this.#openedBefore + this.connections.opened;
@@ -126,9 +145,11 @@
         this.life++;
         this.#openedBefore += this.connections.opened;
         this.processor.restart();
-        const { startMs } = this.costs;
+        const { startMs, firstReadMs } = this.costs;
         const startedAtMs = this.events.nowMs + downMs;
         this.#upAtMs = startedAtMs + startMs / Math.min(1, this.#parts.cores);
+        this.#readAtMs = this.#upAtMs + firstReadMs;
+        this.heldAtStart = 0;
         this.#requestsOfLife = 0;
         this.board = this.#createBoard(startedAtMs);
         this.repeats = new RepeatBudget(this.#parts.scenario.repeats, startedAtMs);
@@ -143,6 +164,7 @@
         return {
             usable: this.directory.usable(service),
             gateways: this.#parts.knownGateways(),
+            zoneGateways: this.#parts.knownInZone(),
             sinceContactMs: 0,
             nowMs: this.events.nowMs,
         };
@@ -158,7 +180,7 @@
             name,
             availabilityZone: zone,
             random: this.random,
-            asksPerServerAndSecond: scenario.probesPerServerAndSecond,
+            probesPerServerAndSecond: scenario.probesPerServerAndSecond,
             startedAtMs,
             policy: this.policy,
         });
