Leave a store that is away to the relays

Ruled out by the log: registrations (two failed renewals a host, a tenth of a call each).

A relay that says that it doesn't reach the store is told from one that is silent. Where a gateway's own call fails after that, the store is away: for 4 to 8 s the relays alone go on calling it, and the others ask relays of all zones in turn, 0.2 to 0.4 s apart, until one of them has reached it. Silent relays alone prove nothing and change nothing; a gateway that is asked still reads the store itself.

Test first: a follower made 6 calls in three seconds of a refusing store without the safeguard (storeAwayHoldMs 0), now one renewal at most.

--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -13,6 +13,7 @@
 import {
     expiryTickMs,
     firstWatchPauseMs,
+    relayPollMs,
     storeCheckMs,
     storeCheckTimeoutMs,
     watchPauseMs,
@@ -183,6 +184,7 @@
                     this.#afterRevision = undefined;
                     return 0;
                 }
+                this.#sources.onStoreFailed(this.#parts.random.next(), this.#now());
                 return this.#onFailure("watch", failure, startedAtMs);
             },
             Right: events => {
@@ -210,9 +212,13 @@
                 }
                 metrics.onRelayRequest(failure.kind);
                 this.#contact.onSuspected(this.#now());
-                this.#sources.onFailure(peer.name, this.#now());
+                this.#sources.onFailure(
+                    peer.name,
+                    failure.kind === "storeUnavailable" ? "away" : "silent",
+                    this.#now(),
+                );
                 log.log("warn", "relayLost", { peer: peer.name, kind: failure.kind, detail: failure.detail });
-                return 0;
+                return this.#sources.isStoreAway(this.#now()) ? relayPollMs * (1 + this.#parts.random.next()) / 2 : 0;
             },
             Right: answer => {
                 if (!peer.known) {
