--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -174,10 +174,7 @@
         });
     }
 
-    /**
-     * A part of the first reading is enough to serve by once it has all that the operator says: a large fleet that comes back at
-     * once waits for the store's link, and the rest of the servers is there a moment later.
-     */
+    /** Serves by a part of the first reading that has all of the operator's keys: a large fleet waits for the store's link. */
     #onPart(lastKey: string | undefined, items: readonly StateItem[]): void {
         const { codec, view, firstReading } = this.#parts;
         if (view.isRead || lastKey === undefined || !codec.isPastOperator(lastKey)) {
--- a/packages/replay/src/report/fleetRecorder.ts
+++ b/packages/replay/src/report/fleetRecorder.ts
@@ -11,7 +11,7 @@
     readonly late: number;
     readonly refused: number;
     readonly failed: number;
-    /** Questions for load, a server and second. */
+    /** Load probes, a server and second. */
     readonly probes: number;
     /** Share of all servers' slots that were taken, on average. */
     readonly slots: number;
@@ -37,10 +37,10 @@
     /** Mean share of the two windows with the lowest one. */
     readonly worstWindows: number;
     readonly refused: number;
-    /** Questions for load and new connections, for each caller. */
+    /** Load probes and new connections, for each caller. */
     readonly probesPerCaller: number;
     readonly connectionsPerCaller: number;
-    /** Most questions to one server within ten seconds. */
+    /** Most load probes of one server within ten seconds. */
     readonly mostProbes: number;
     /** Most requests to one cold server within a second. */
     readonly mostColdArrivals: number;
--- a/packages/replay/src/report/renderPlot.ts
+++ b/packages/replay/src/report/renderPlot.ts
@@ -15,12 +15,12 @@
 const panels: readonly Panel[] = [
     { title: "share in objective", top: 1, figureOf: ({ inTime, asked }) => inTime / Math.max(1, asked) },
     { title: "share refused", top: undefined, figureOf: ({ refused, asked }) => refused / Math.max(1, asked) },
-    { title: "questions a server and second", top: undefined, figureOf: ({ probes }) => probes },
+    { title: "load probes a server and second", top: undefined, figureOf: ({ probes }) => probes },
     { title: "share of slots taken", top: 1, figureOf: ({ slots }) => slots },
 ];
 
 /**
- * Draws what became of callers, questions and slots over time.
+ * Draws what became of callers, load probes and slots over time.
  *
  * @param reports - one, or two variants of the same scenario
  * @returns an SVG document
--- a/packages/replay/src/report/renderReport.ts
+++ b/packages/replay/src/report/renderReport.ts
@@ -11,10 +11,10 @@
     return [
         `${report.scenario}, seed ${report.seed}: ${report.callers} callers, ${percent(report.inTime)} in time, `
         + `worst windows ${percent(report.worstWindows)}, refused ${percent(report.refused)}`,
-        `questions ${report.probesPerCaller.toFixed(2)} and new connections ${
+        `load probes ${report.probesPerCaller.toFixed(2)} and new connections ${
             report.connectionsPerCaller.toFixed(2)
         } a caller; `
-        + `at most ${report.mostProbes} questions to a server in ten seconds, ${report.mostColdArrivals} requests to a cold one in one`,
+        + `at most ${report.mostProbes} probes of a server in ten seconds, ${report.mostColdArrivals} requests to a cold one in one`,
         "",
         renderTable(
             ["kind", "asked", "in time", "p50 ms", "p99 ms"],
@@ -22,7 +22,7 @@
         ),
         "",
         renderTable(
-            ["from second", "asked", "in time", "late", "refused", "failed", "questions", "slots"],
+            ["from second", "asked", "in time", "late", "refused", "failed", "probes", "slots"],
             windows.map(window => [
                 `${window.fromSeconds}`,
                 `${window.asked}`,
@@ -52,7 +52,7 @@
             each.toFixed(2)
         ),
     ]);
-    const columns = ["in time", "worst windows", "refused", "questions", "connections"];
+    const columns = ["in time", "worst windows", "refused", "probes", "connections"];
     return `${renderTable(["seed", ...columns.flatMap(column => [column, "variant"])], rows)}\n`;
 }
 
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -32,7 +32,7 @@
     readonly send: ServerSend;
 }
 
-/** Waits before a search's next round of questions grow from the first to the last. */
+/** How long the first round of probes waits for answers, doubled with each further one, and the last. */
 const firstProbeTimeoutMs = 35;
 const longestProbeTimeoutMs = 150;
 
--- a/packages/replay/src/world/loadProbe.ts
+++ b/packages/replay/src/world/loadProbe.ts
@@ -4,7 +4,7 @@
 import { type SimulatedGateway } from "./simulatedGateway.js";
 import { type SimulatedServer } from "./simulatedServer.js";
 
-/** One round of questions for load. */
+/** One round of load probes. */
 export interface LoadProbe {
     readonly gateway: SimulatedGateway;
     readonly service: string;
@@ -14,7 +14,7 @@
     readonly onKnown: () => void;
 }
 
-/** Asks servers for their load at once, as the edge process does. */
+/** Probes servers at once, as the edge process does. */
 export function askLoad(probe: LoadProbe): void {
     const { gateway, service, servers, timeoutMs, onKnown } = probe;
     const silent: string[] = [];
--- a/packages/replay/src/world/scenario.ts
+++ b/packages/replay/src/world/scenario.ts
@@ -40,7 +40,7 @@
 
 /** What a gateway's event loop and the network take for each step. */
 export interface Costs {
-    /** Processor time on a whole core: to read a request, for a question for load and its answer, to send, to answer. */
+    /** Processor time on a whole core: to read a request, for a load probe and its answer, to send, to answer. */
     readonly requestMs: number;
     readonly probeMs: number;
     readonly sendMs: number;
@@ -125,7 +125,7 @@
     readonly requests: readonly RequestKind[];
     readonly costs: Costs;
     readonly repeats: RepeatAllowance;
-    /** Questions for a server's load that all gateways may ask together, a server and second. */
+    /** Load probes from all gateways together, a server and second. */
     readonly probesPerServerAndSecond: number;
     /** Largest share of the other gateways that a gateway doesn't know of. */
     readonly unknownGateways: number;
--- a/packages/replay/src/world/simulatedServer.ts
+++ b/packages/replay/src/world/simulatedServer.ts
@@ -54,7 +54,7 @@
     isRegistered = true;
     /** When requests reached it while it was cold. */
     readonly coldArrivalsMs: number[] = [];
-    /** Times it was asked for its load. */
+    /** When its load was probed. */
     readonly probesAtMs: number[] = [];
     arrivals = 0;
     readonly #events: EventQueue;
@@ -87,7 +87,7 @@
         return this.#running.size;
     }
 
-    /** Times it was asked for its load. */
+    /** Load probes so far. */
     get probes(): number {
         return this.probesAtMs.length;
     }
