--- a/packages/fleetState/src/rendezvous.ts
+++ b/packages/fleetState/src/rendezvous.ts
@@ -1,10 +1,5 @@
 import murmurHash from "imurmurhash";
 
-/** @returns a gateway's weight for a subject; whoever has the largest comes first */
-export function rendezvousWeight(name: string, subject: string): number {
-    return murmurHash(`${name}\n${subject}`).result();
-}
-
 /**
  * Chooses the owners of something among the gateways by rendezvous hashing. Every gateway finds the same ones from the
  * same roster without a message, and a change of the roster moves only what the changed gateway owned.
@@ -16,7 +11,7 @@
  */
 export function findOwners(subject: string, names: readonly string[], count: number): readonly string[] {
     return names
-        .map(name => ({ name, weight: rendezvousWeight(name, subject) }))
+        .map(name => ({ name, weight: murmurHash(`${name}\n${subject}`).result() }))
         .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
         .slice(0, count)
         .map(({ name }) => name);
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -56,16 +56,16 @@
 export const evenProbeShare = 0.8;
 
 /** In a large fleet: shares of the allowance for a server's group of gateways, and for the reserve of all zones. */
-export const groupProbeShare = 0.35;
-export const reserveProbeShare = 0.2;
+export const groupProbeShare = 0.3;
+export const reserveProbeShare = 0.25;
 
 /**
  * Gateways in a group and in the reserve, at most, for each probe a second of the allowance. Each may save one probe, and
  * those of a group have one after a restart; in ten seconds these and the shares above are four fifths of the allowance,
  * which leaves room for rosters that lack a fifth of the gateways.
  */
-export const mostGroupSize = 0.35;
-export const reserveSize = 1.8;
+export const mostGroupSize = 0.3;
+export const reserveSize = 1.9;
 
 /** How long probes that were not made are saved. */
 export const probeSavingsMs = 1_000;
