--- a/packages/edge/src/__tests__/relay.test.ts
+++ b/packages/edge/src/__tests__/relay.test.ts
@@ -113,26 +113,6 @@
     await applyVersion(store, members, 8);
 });
 
-// Guards against a fleet whose every gateway goes on calling a store that refuses all of them.
-test("while the store refuses everyone, the followers leave it to the relay, and hear of changes after it", async t => {
-    const { store, relay, followers } = await startFleet(t, 4);
-    const members = [relay, ...followers];
-    for (const { link } of members) {
-        link.refused = true;
-    }
-    await eventually(() => followers.every(member => hasLogged(member, "storeLost")), "all have noticed");
-    const before = followers.map(({ link }) => link.calls);
-    await sleep(3_000);
-    for (const [i, { link }] of followers.entries()) {
-        // A renewal of the registration may fall into the time.
-        assert.ok(link.calls - (before[i] ?? 0) <= 1, `${link.calls - (before[i] ?? 0)} calls`);
-    }
-    for (const { link } of members) {
-        link.refused = false;
-    }
-    await applyVersion(store, members, 9);
-});
-
 test("a question for changes that can't be read is refused, and the gateway serves on", async t => {
     const { relay } = await startFleet(t, 2);
     for (const path of ["/", "/changes", "/changes?after=x&wait=1", "/changes?after=1&wait=-1", "/changes?after=1"]) {
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -87,9 +87,6 @@
 /** Time beyond the wait in which an answer must come: what a busy host takes for a turn, twice. */
 export const relaySlackMs = 350;
 
-/** Longest pause between two questions to relays while the store is away, in milliseconds. */
-export const relayPollMs = 400;
-
 /** Time in which another gateway must answer a question that doesn't wait. */
 export const catchUpTimeoutMs = 300;
 
--- a/packages/edge/src/state/relayClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -21,8 +21,7 @@
 
     /**
      * @param question - what to ask, and whom
-     * @returns the changes, `storeHistoryLost` where the peer doesn't know that far back, `storeUnavailable` where it doesn't
-     * reach the store, or why none came
+     * @returns the changes, or `storeHistoryLost` where the peer doesn't know that far back, or why none came
      */
     async ask({ address, afterRevision, waits, signal }: RelayRequest): Promise<Either<Failure, RelayAnswer>> {
         const waitMs = waits ? relayWaitMs : 0;
@@ -64,9 +63,6 @@
     if (status === relayStatus.forgotten) {
         return Left(createFailure("storeHistoryLost", "the peer doesn't know that far back"));
     }
-    if (status === relayStatus.away) {
-        return Left(createFailure("storeUnavailable", "the peer doesn't reach the store"));
-    }
     if (status !== relayStatus.told) {
         return Left(createFailure("peerUnreachable", `status ${status}`));
     }
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -14,7 +14,6 @@
 import {
     expiryTickMs,
     firstWatchPauseMs,
-    relayPollMs,
     storeCheckMs,
     storeCheckTimeoutMs,
     watchPauseMs,
@@ -200,7 +199,6 @@
                     this.#afterRevision = undefined;
                     return 0;
                 }
-                this.#sources.onStoreFailed(this.#parts.random.next(), this.#now());
                 return this.#onFailure("watch", failure, startedAtMs);
             },
             Right: events => {
@@ -228,13 +226,9 @@
                 }
                 metrics.onRelayRequest(failure.kind);
                 this.#contact.onSuspected(this.#now());
-                this.#sources.onFailure(
-                    peer.name,
-                    failure.kind === "storeUnavailable" ? "away" : "silent",
-                    this.#now(),
-                );
+                this.#sources.onFailure(peer.name, this.#now());
                 log.log("warn", "relayLost", { peer: peer.name, kind: failure.kind, detail: failure.detail });
-                return this.#sources.isStoreAway(this.#now()) ? relayPollMs * (1 + this.#parts.random.next()) / 2 : 0;
+                return 0;
             },
             Right: answer => {
                 if (!peer.known) {
--- a/packages/fleetState/src/__tests__/relaySources.test.ts
+++ b/packages/fleetState/src/__tests__/relaySources.test.ts
@@ -4,7 +4,6 @@
     directMs,
     failedPeerMs,
     followersPerRelay,
-    storeAwayHoldMs,
     type WatchSource,
     RelaySources,
     type RegisteredGateway,
@@ -65,10 +64,10 @@
     const [follower, first] = findFollower(fleet);
     const sources = new RelaySources(follower.name, follower.availabilityZone);
     assert.equal(nameOf(sources.choose(fleet, 0)), first);
-    sources.onFailure(first, "silent", 950);
+    sources.onFailure(first, 950);
     const second = nameOf(sources.choose(fleet, 950));
     assert.notEqual(zoneOf(fleet, second), follower.availabilityZone);
-    sources.onFailure(second, "silent", 1_250);
+    sources.onFailure(second, 1_250);
     assert.equal(nameOf(sources.choose(fleet, 1_250)), "store");
     assert.equal(nameOf(sources.choose(fleet, 1_250 + directMs - 1)), "store");
     // Its own zone's relay is asked again once it has had the time to restart.
@@ -79,10 +78,10 @@
     const fleet = createFleet(15);
     const [follower, first] = findFollower(fleet);
     const sources = new RelaySources(follower.name, follower.availabilityZone);
-    sources.onFailure(first, "silent", 0);
+    sources.onFailure(first, 0);
     const second = nameOf(sources.choose(fleet, 0));
     sources.onAnswer(second);
-    sources.onFailure(second, "silent", 1_000);
+    sources.onFailure(second, 1_000);
     assert.notEqual(nameOf(sources.choose(fleet, 1_000)), "store");
 });
 
@@ -109,55 +108,20 @@
     throw new Error("nobody follows");
 }
 
-/** A gateway whose relays both failed, and whose own call did as well. */
-function createAway(
-    cause: "silent" | "away",
-): { readonly fleet: readonly RegisteredGateway[]; readonly sources: RelaySources; } {
+// Guards against a gateway that leaves the store to relays which are all cut off from it, because one call of its own was reset. The
+// configuration that it missed meanwhile came into force seconds too late.
+test("all relays are cut off: the gateway goes on with the store itself, whatever becomes of a call", () => {
     const fleet = createFleet(114);
     const follower = [...createSources(fleet)].find(([, each]) => nameOf(each.choose(fleet, 0)) !== "store");
     assert.ok(follower);
     const [, sources] = follower;
-    for (let i = 0; i < 2; i++) {
-        sources.onFailure(nameOf(sources.choose(fleet, 0)), cause, 0);
-    }
-    assert.equal(nameOf(sources.choose(fleet, 0)), "store");
-    sources.onStoreFailed(0.5, 0);
-    return { fleet, sources };
-}
-
-// Guards against a whole fleet that goes on calling a store which is away, and meets it with all its calls at once.
-test("a store that is away is left to the relays, and any of them that reaches it is heard", () => {
-    const { fleet, sources } = createAway("away");
-    const asked = new Set<string>();
-    for (let nowMs = 0; nowMs < storeAwayHoldMs; nowMs += 400) {
+    let relayTurns = 0;
+    for (let nowMs = 0; nowMs < 12_000; nowMs += 100) {
         const name = nameOf(sources.choose(fleet, nowMs));
-        assert.notEqual(name, "store");
-        asked.add(name);
-        sources.onFailure(name, "away", nowMs);
-    }
-    assert.equal(asked.size, 3);
-    const back = nameOf(sources.choose(fleet, storeAwayHoldMs));
-    sources.onAnswer(back);
-    assert.equal(sources.isStoreAway(storeAwayHoldMs), false);
-});
-
-test("after a while a gateway tries the store itself once more, and each at a time of its own", () => {
-    const { fleet, sources } = createAway("away");
-    let nowMs = 0;
-    while (nowMs < 3 * storeAwayHoldMs && nameOf(sources.choose(fleet, nowMs)) !== "store") {
-        sources.onFailure(nameOf(sources.choose(fleet, nowMs)), "away", nowMs);
-        nowMs += 100;
+        relayTurns = name === "store" ? 0 : relayTurns + 1;
+        assert.ok(relayTurns <= 3, `no call of the store for ${relayTurns} turns at ${nowMs} ms`);
+        if (name !== "store") {
+            sources.onFailure(name, nowMs);
+        }
     }
-    assert.ok(nowMs >= storeAwayHoldMs && nowMs <= 2 * storeAwayHoldMs + directMs, `after ${nowMs} ms`);
-});
-
-test("relays that are merely silent prove nothing: the gateway goes on with the store itself", () => {
-    const { fleet, sources } = createAway("silent");
-    assert.equal(nameOf(sources.choose(fleet, 100)), "store");
-});
-
-test("a gateway that is asked reads the store itself also while it is away", () => {
-    const { fleet, sources } = createAway("away");
-    sources.onAsked(100);
-    assert.equal(nameOf(sources.choose(fleet, 200)), "store");
 });
--- a/packages/fleetState/src/constants.ts
+++ b/packages/fleetState/src/constants.ts
@@ -29,11 +29,5 @@
 /** How long a gateway reads the store itself, after its relays failed or since it was last asked, in milliseconds. */
 export const directMs = 4_000;
 
-/**
- * How long a gateway whose relays and whose own call all failed leaves the store to the relays, in milliseconds; drawn up
- * to twice as long, so that a fleet's calls are spread.
- */
-export const storeAwayHoldMs = 4_000;
-
 /** Deletions that are remembered for gateways that ask: some minutes of a fleet with thousands of servers. */
 export const keptDeletions = 2_000;
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -5,7 +5,6 @@
     failedPeerMs,
     followersPerRelay,
     lapsedEntryGraceMs,
-    storeAwayHoldMs,
     storeAwayMs,
 } from "./constants.js";
 export { type BeliefChange, type ConfigurationInForce, FleetView } from "./fleetView.js";
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -1,4 +1,4 @@
-import { directMs, failedPeerMs, followersPerRelay, mostPeersAsked, storeAwayHoldMs } from "./constants.js";
+import { directMs, failedPeerMs, followersPerRelay, mostPeersAsked } from "./constants.js";
 import { type GatewayRegistration } from "./gatewayRegistration.js";
 import { type ServerAddress } from "./model.js";
 import { findOwners } from "./rendezvous.js";
@@ -26,10 +26,6 @@
  * Bounds hold for each gateway by itself, whoever else is cut off or stands still. So a gateway whose relay doesn't
  * answer asks the relay of another zone, and after two in vain the store itself: a gateway is never worse off than with
  * a watch of its own by more than the time of these two questions.
- *
- * Where its own call fails as well and a relay said that it doesn't reach the store, the store is away. Then the relays alone
- * go on calling it and the others ask them, any of them, until one has reached it: a fleet of 312 whose gateways each call
- * a store that is away makes thousands of calls, and meets it with all of them when it comes back.
  */
 export class RelaySources {
     readonly #self: string;
@@ -37,11 +33,7 @@
     readonly #failedUntilMs = new Map<string, number>();
     #known: string | undefined;
     #failuresInRow = 0;
-    /** Whether one of the last failures was a relay's word that it doesn't reach the store. */
-    #relaySaidAway = false;
     #directUntilMs = -Infinity;
-    #askedUntilMs = -Infinity;
-    #awayUntilMs = -Infinity;
 
     /**
      * @param self - name of this gateway, as in its registration
@@ -54,7 +46,7 @@
 
     /** @returns where to ask next */
     choose(gateways: readonly RegisteredGateway[], nowMs: number): WatchSource {
-        if (nowMs < Math.max(this.#directUntilMs, this.#askedUntilMs)) {
+        if (nowMs < this.#directUntilMs) {
             return store;
         }
         const own = gateways.filter(({ availabilityZone }) => availabilityZone === this.#availabilityZone);
@@ -64,43 +56,24 @@
         }
         const others = gateways.filter(({ availabilityZone }) => availabilityZone !== this.#availabilityZone);
         const ordered = [...this.#order(ownRelays), ...this.#order(findRelaysByZone(others))];
-        const name = this.isStoreAway(nowMs)
-            ? this.#findLeastRecent(ordered)
-            : ordered.find(relay => nowMs >= (this.#failedUntilMs.get(relay) ?? -Infinity));
+        const name = ordered.find(relay => nowMs >= (this.#failedUntilMs.get(relay) ?? -Infinity));
         const peer = gateways.find(gateway => gateway.name === name);
         return peer === undefined
             ? store
             : { type: "peer", name: peer.name, address: peer.peers, known: peer.name === this.#known };
     }
 
-    /** @returns whether this gateway leaves a store that is away to the relays */
-    isStoreAway(nowMs: number): boolean {
-        return nowMs < this.#awayUntilMs;
-    }
-
     /** A relay answered, with changes or without. */
     onAnswer(name: string): void {
         this.#known = name;
         this.#failuresInRow = 0;
-        this.#relaySaidAway = false;
-        this.#awayUntilMs = -Infinity;
         this.#failedUntilMs.delete(name);
     }
 
-    /**
-     * A relay gave no changes.
-     *
-     * @param name - its name
-     * @param cause - it didn't answer, or said that it doesn't reach the store itself
-     * @param nowMs - the present time
-     */
-    onFailure(name: string, cause: "silent" | "away", nowMs: number): void {
+    /** A peer didn't answer, or doesn't reach the store itself. */
+    onFailure(name: string, nowMs: number): void {
         this.#known = undefined;
         this.#failedUntilMs.set(name, nowMs + failedPeerMs);
-        this.#relaySaidAway ||= cause === "away";
-        if (this.isStoreAway(nowMs)) {
-            return;
-        }
         this.#failuresInRow++;
         if (this.#failuresInRow >= mostPeersAsked) {
             this.#directUntilMs = nowMs + directMs;
@@ -108,32 +81,9 @@
         }
     }
 
-    /** This gateway's own call of the store has failed. @param draw - from 0 to 1, spreads the fleet's next calls */
-    onStoreFailed(draw: number, nowMs: number): void {
-        if (!this.#relaySaidAway) {
-            return;
-        }
-        this.#directUntilMs = -Infinity;
-        this.#awayUntilMs = nowMs + storeAwayHoldMs * (1 + draw);
-    }
-
     /** A peer asks this gateway: from now on it reads the store itself for a while, or it could pass on nothing sure. */
     onAsked(nowMs: number): void {
-        this.#askedUntilMs = nowMs + directMs;
-    }
-
-    /** All of them have failed lately: the one whose failure is longest ago. */
-    #findLeastRecent(relays: readonly string[]): string | undefined {
-        let found: string | undefined;
-        let foundMs = Infinity;
-        for (const relay of relays) {
-            const failedUntilMs = this.#failedUntilMs.get(relay) ?? -Infinity;
-            if (failedUntilMs < foundMs) {
-                found = relay;
-                foundMs = failedUntilMs;
-            }
-        }
-        return found;
+        this.#directUntilMs = Math.max(this.#directUntilMs, nowMs + directMs);
     }
 
     #order(relays: readonly string[]): readonly string[] {
