Deal gateways of a zone without servers to the other zones' probe groups, and let the reserve probe at once after a restart

Traced by the log: all of them at gateways of the zone that was evacuated, "noOffer", nobody asked, with 31 and 66 usable servers of their service in the other zones. Groups of gateways that share a server's probes are of its own zone; gateways of a zone without servers were in none, and the reserve of all zones saves its first probe for 7.6 s after a start, which is when the refusals ended.

Ruled out: the first reading (done 0.3 s after the start on all hosts), the store (heard within 0.5 s), cold servers (none).

Change: a zone keeps at most twice its fair part of the gateways by how many servers of the service it has; the surplus is dealt to the other zones. While views differ a server has two groups at most. The reserve has half as many gateways, twice the rate each, and a probe at the start: 480 of 600 probes in ten seconds in the worst case, as before.

--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -89,6 +89,7 @@
             usable: among?.filter(({ id }) => view.isUsable(id, nowMs)) ?? view.usableServers(service, nowMs),
             gateways: counted.names,
             zoneGateways: counted.byZone.get(this.#parts.availabilityZone) ?? [],
+            gatewaysByZone: counted.byZone,
             sinceContactMs: nowMs - view.lastContactMs,
             nowMs,
         };
--- a/packages/placement/src/__tests__/largeFleet.test.ts
+++ b/packages/placement/src/__tests__/largeFleet.test.ts
@@ -49,3 +49,11 @@
     assert.ok(report.worstWindows > 0.9, `${report.worstWindows} in time`);
     assert.ok(report.mostProbes <= allowedProbes, `${report.mostProbes} probes in ten seconds`);
 });
+
+// Guards against gateways of a zone that was taken out: after a restart they know nothing and may probe next to nobody, and refuse
+// their callers for seconds while servers of other zones have room.
+test("129 gateways that restart while a zone is out refuse few callers", () => {
+    const report = runReplay(readScenario("fleet-power-cut-zone-out", 12_000));
+    assert.ok(report.refused < 0.1, `${report.refused} refused`);
+    assert.ok(report.mostProbes <= allowedProbes, `${report.mostProbes} probes in ten seconds`);
+});
--- /dev/null
+++ b/packages/placement/src/__tests__/probingZones.test.ts
@@ -0,0 +1,103 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { findMostWithin } from "@galenaglade/replay";
+import { createRandomSource } from "@galenaglade/routing";
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { dealProbingZones, defaultPlacementPolicy, ProbeBudget, ServiceProbes } from "../index.js";
+
+const zones = ["north", "south", "west"];
+
+function createGateways(perZone: number): ReadonlyMap<string, readonly string[]> {
+    return new Map(zones.map(zone => [zone, Array.from({ length: perZone }, (_, i) => `${zone}-${i}`)]));
+}
+
+function sizes(serversByZone: Readonly<Record<string, number>>): readonly number[] {
+    const dealt = dealProbingZones({
+        gatewaysByZone: createGateways(40),
+        serversByZone: new Map(Object.entries(serversByZone)),
+    });
+    assert.equal(new Set(dealt.flatMap(({ gateways }) => gateways)).size, 120);
+    return zones.map(zone => dealt.find(({ availabilityZone }) => availabilityZone === zone)?.gateways.length ?? 0);
+}
+
+test("gateways stay with their zone while it has its part of the servers", () => {
+    assert.deepEqual(sizes({ north: 20, south: 24, west: 16 }), [40, 40, 40]);
+});
+
+test("gateways of a zone without servers are dealt to the others by what these have room for", () => {
+    assert.deepEqual(sizes({ north: 20, south: 20 }), [60, 60, 0]);
+    assert.deepEqual(sizes({ north: 30, south: 10 }), [80, 40, 0]);
+    assert.deepEqual(sizes({ north: 28, south: 28, west: 1 }), [58, 57, 5]);
+});
+
+test("a service without servers, or a zone without gateways, changes nothing for the others", () => {
+    assert.deepEqual(sizes({}), [40, 40, 40]);
+    const dealt = dealProbingZones({
+        gatewaysByZone: new Map([["north", ["a", "b"]]]),
+        serversByZone: new Map([["north", 3], ["south", 3]]),
+    });
+    assert.deepEqual(dealt.map(({ gateways }) => gateways.length), [2, 0]);
+});
+
+function createServer(id: string, availabilityZone: string): RegisteredServer {
+    return {
+        id,
+        service: "tables",
+        address: { host: "127.0.0.1", port: 1 },
+        availabilityZone,
+        slots: 4,
+        state: "ready",
+        coldRemainingMs: 0,
+        startedAtEpochMs: undefined,
+    };
+}
+
+// Guards against servers that are kept busy by probes while some gateways have heard that a zone is out and others have not.
+test("no server is probed more than its allowance while views of a zone that goes out differ", () => {
+    const fleet = fc.record({
+        seed: fc.integer({ min: 1, max: 100_000 }),
+        perZone: fc.integer({ min: 2, max: 100 }),
+        servers: fc.integer({ min: 1, max: 20 }),
+        heardShare: fc.double({ min: 0, max: 1, noNaN: true }),
+    });
+    fc.assert(
+        fc.property(fleet, ({ seed, perZone, servers, heardShare }) => {
+            const random = createRandomSource(seed);
+            const all = zones.flatMap(zone =>
+                Array.from({ length: servers }, (_, i) => createServer(`${zone}-${i}`, zone))
+            );
+            const gatewaysByZone = createGateways(perZone);
+            const names = [...gatewaysByZone.values()].flat();
+            const probedAtMs = new Map(all.map(({ id }) => [id, new Array<number>()]));
+            const gateways = names.map(name => {
+                const availabilityZone = name.split("-")[0] ?? "";
+                const probes = new ServiceProbes({
+                    name,
+                    availabilityZone,
+                    probesPerServerAndSecond: 60,
+                    policy: defaultPlacementPolicy,
+                });
+                const usable = random.next() < heardShare ? all.filter(each => each.availabilityZone !== "west") : all;
+                const zoneGateways = gatewaysByZone.get(availabilityZone) ?? [];
+                const { shareOf } = probes.of("tables", usable, { gateways: names, zoneGateways, gatewaysByZone });
+                return { usable, shareOf, budget: new ProbeBudget(-600_000) };
+            });
+            for (let nowMs = 0; nowMs < 12_000; nowMs += 100) {
+                for (const { usable, shareOf, budget } of gateways) {
+                    const input = {
+                        ordered: usable,
+                        purpose: "arrival",
+                        wanted: usable.length,
+                        shareOf,
+                        nowMs,
+                    } as const;
+                    budget.take(input).forEach(({ id }) => probedAtMs.get(id)?.push(nowMs));
+                }
+            }
+            const most = Math.max(...[...probedAtMs.values()].map(times => findMostWithin(times, 10_000)));
+            assert.ok(most <= 600, `${most} probes in ten seconds`);
+        }),
+        { seed: 2, numRuns: 20 },
+    );
+});
--- a/packages/placement/src/askOrder.ts
+++ b/packages/placement/src/askOrder.ts
@@ -8,7 +8,7 @@
     readonly servers: readonly RegisteredServer[];
     /** The gateway's own. */
     readonly availabilityZone: string;
-    /** Whether a server of its own zone is one that this gateway probes before others. */
+    /** Whether a server is one that this gateway probes before others. */
     readonly isInSubset: (server: RegisteredServer) => boolean;
     readonly isSuspect: (serverId: string) => boolean;
     /** How likely a server is good now, from 0 to 1. */
@@ -35,8 +35,8 @@
 }
 
 function resolveDistance(server: RegisteredServer, { availabilityZone, isInSubset }: AskOrderInput): number {
-    if (server.availabilityZone !== availabilityZone) {
-        return otherZonePenalty;
+    if (isInSubset(server)) {
+        return server.availabilityZone === availabilityZone ? 0 : otherSubsetPenalty;
     }
-    return isInSubset(server) ? 0 : otherSubsetPenalty;
+    return server.availabilityZone === availabilityZone ? otherSubsetPenalty : otherZonePenalty;
 }
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -60,12 +60,15 @@
 export const reserveProbeShare = 0.25;
 
 /**
- * Gateways in a group and in the reserve, at most, for each probe a second of the allowance. Each may save one probe, and
- * those of a group have one after a restart; in ten seconds these and the shares above are four fifths of the allowance,
- * which leaves room for rosters that lack a fifth of the gateways.
+ * Gateways in a group and in the reserve, at most, for each probe a second of the allowance. Each may save one probe, and has
+ * one after a restart; in ten seconds these and the shares above are four fifths of the allowance, which leaves room for
+ * rosters that lack a fifth of the gateways.
  */
 export const mostGroupSize = 0.3;
-export const reserveSize = 1.9;
+export const reserveSize = 0.95;
+
+/** How many times its fair part of the fleet's gateways a zone keeps for its own servers, by how many it has of a service. */
+export const mostCrowding = 2;
 
 /** How long probes that were not made are saved. */
 export const probeSavingsMs = 1_000;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -29,11 +29,13 @@
 export { defaultPlacementPolicy, type PlacementPolicy, resolvePlacementPolicy } from "./policy.js";
 export { ProbeBudget, type ProbeInput, type ProbePurpose } from "./probeBudget.js";
 export { ProbeGroups, type ProbeShare, type ProbingFleet } from "./probeGroups.js";
+export { dealProbingZones, type ProbingZone, type ZonedFleet } from "./probingZones.js";
 export { RankMix } from "./rankMix.js";
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
 export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
 export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
 export { ServerTrust } from "./serverTrust.js";
+export { type ProbeParts, ServiceProbes, type ServiceProbesParts } from "./serviceProbes.js";
 export { admitAtStart, type StartAdmission, type StartAdmissionInput } from "./startAdmission.js";
 export { TypicalWork } from "./typicalWork.js";
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -6,10 +6,11 @@
 import { type LoadReport, type ServerOffer } from "./loadReport.js";
 import { defaultPlacementPolicy, type PlacementPolicy } from "./policy.js";
 import { ProbeBudget, type ProbePurpose } from "./probeBudget.js";
-import { ProbeGroups, type ProbingFleet } from "./probeGroups.js";
+import { type ProbingFleet } from "./probeGroups.js";
 import { RankMix } from "./rankMix.js";
 import { RecentSends } from "./recentSends.js";
 import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
+import { type ProbeParts, ServiceProbes } from "./serviceProbes.js";
 import { ServerTrust } from "./serverTrust.js";
 import { TypicalWork } from "./typicalWork.js";
 
@@ -62,7 +63,7 @@
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
     readonly #probes: ProbeBudget;
-    readonly #groups: ProbeGroups;
+    readonly #serviceProbes: ServiceProbes;
     readonly #sends = new RecentSends();
     readonly #ranks = new RankMix();
     readonly #memories = new Map<string, LoadMemory>();
@@ -73,7 +74,7 @@
         this.policy = parts.policy ?? defaultPlacementPolicy;
         this.#cold = new ColdAdmission(parts.name);
         this.#probes = new ProbeBudget(parts.startedAtMs);
-        this.#groups = new ProbeGroups(parts.name, parts.availabilityZone, parts.probesPerServerAndSecond, this.policy);
+        this.#serviceProbes = new ServiceProbes({ ...parts, policy: this.policy });
     }
 
     /** A request for a service has arrived. @param rank - 0 is the most urgent */
@@ -132,13 +133,12 @@
         wanted: number,
         sight: FleetSight,
     ): readonly RegisteredServer[] {
-        const zoneServers = this.#countZoneServers(sight);
-        this.#groups.update(sight);
+        const probes = this.#probesOf(rated, sight);
         return this.#probes.take({
             ordered: rated.map(({ server }) => server),
             purpose,
             wanted,
-            shareOf: server => this.#groups.shareOf(server, zoneServers),
+            shareOf: probes.shareOf,
             nowMs: sight.nowMs,
         });
     }
@@ -146,13 +146,12 @@
     /** @returns rated servers by who is to be probed first */
     order(rated: readonly RatedServer[], sight: FleetSight): readonly RatedServer[] {
         const { nowMs } = sight;
-        const zoneServers = this.#countZoneServers(sight);
-        this.#groups.update(sight);
+        const probes = this.#probesOf(rated, sight);
         const byId = new Map(rated.map(each => [each.server.id, each]));
         const ordered = orderToAsk({
             servers: rated.map(({ server }) => server),
             availabilityZone: this.#parts.availabilityZone,
-            isInSubset: server => this.#groups.isInGroup(server, zoneServers),
+            isInSubset: probes.isInGroup,
             isSuspect: id => this.trust.isSuspect(id, nowMs),
             chanceOf: id => byId.get(id)?.chance ?? 0,
             random: this.random,
@@ -172,7 +171,7 @@
     retain(serverIds: ReadonlySet<string>): void {
         this.trust.retain(serverIds);
         this.#probes.retain(serverIds);
-        this.#groups.retain(serverIds);
+        this.#serviceProbes.retain(serverIds);
         this.#cold.retain(serverIds);
         this.#sends.retain(serverIds);
         for (const memory of this.#memories.values()) {
@@ -225,9 +224,8 @@
         return memory;
     }
 
-    #countZoneServers({ usable }: FleetSight): number {
-        const { availabilityZone } = this.#parts;
-        return usable.filter(server => server.availabilityZone === availabilityZone).length;
+    #probesOf([first]: readonly RatedServer[], sight: FleetSight): ProbeParts {
+        return this.#serviceProbes.of(first?.server.service ?? "", sight.usable, sight);
     }
 }
 
--- a/packages/placement/src/probeGroups.ts
+++ b/packages/placement/src/probeGroups.ts
@@ -15,6 +15,8 @@
     readonly gateways: readonly string[];
     /** Those of this gateway's own availability zone. */
     readonly zoneGateways: readonly string[];
+    /** All of them by availability zone; left out, each zone keeps to its own servers. */
+    readonly gatewaysByZone?: ReadonlyMap<string, readonly string[]>;
 }
 
 /** What one gateway may ask of one backend server. */
@@ -91,14 +93,14 @@
     shareOf(server: RegisteredServer, zoneServers: number): ProbeShare {
         const gateways = Math.max(1, this.#fleet.gateways.length);
         if (gateways <= this.#mostInGroup()) {
-            return this.#createShare(evenProbeShare, gateways, 1);
+            return this.#createShare(evenProbeShare, gateways);
         }
         if (this.isInGroup(server, zoneServers)) {
-            return this.#createShare(groupProbeShare, this.#groupSize(zoneServers), 1);
+            return this.#createShare(groupProbeShare, this.#groupSize(zoneServers));
         }
         const reserve = Math.max(1, Math.floor(this.#perServerAndSecond * reserveSize));
         return this.#fleetRanks.rankOf(server.id) < reserve
-            ? this.#createShare(reserveProbeShare, reserve, 0)
+            ? this.#createShare(reserveProbeShare, reserve)
             : noShare;
     }
 
@@ -108,11 +110,11 @@
         this.#fleetRanks.retain(serverIds);
     }
 
-    #createShare(share: number, gateways: number, startFactor: 0 | 1): ProbeShare {
+    #createShare(share: number, gateways: number): ProbeShare {
         const perMs = this.#perServerAndSecond * share / gateways / 1_000;
         // At least one probe, or a gateway could never ask.
         const mostSaved = Math.max(1, perMs * probeSavingsMs);
-        return { perMs, mostSaved, savedAtStart: mostSaved * startFactor };
+        return { perMs, mostSaved, savedAtStart: mostSaved };
     }
 
     #groupSize(zoneServers: number): number {
--- a/packages/replay/src/world/fleetReplay.ts
+++ b/packages/replay/src/world/fleetReplay.ts
@@ -119,7 +119,8 @@
                 ? names
                 : names.filter(other => other === name || this.#random.next() >= hidden);
             const zone = this.#zoneOf(i);
-            const knownInZone = known.filter(other => this.#zoneOf(names.indexOf(other)) === zone);
+            const knownByZone = this.#groupByZone(known, names);
+            const knownInZone = knownByZone.get(zone) ?? [];
             return new SimulatedGateway({
                 name,
                 zone,
@@ -130,11 +131,21 @@
                 scenario: this.scenario,
                 knownGateways: () => known,
                 knownInZone: () => knownInZone,
+                knownByZone: () => knownByZone,
                 startedAtMs: -repeats.windowMs,
             });
         });
     }
 
+    #groupByZone(known: readonly string[], names: readonly string[]): ReadonlyMap<string, readonly string[]> {
+        const byZone = new Map<string, string[]>();
+        for (const name of known) {
+            const zone = this.#zoneOf(names.indexOf(name));
+            byZone.set(zone, [...byZone.get(zone) ?? [], name]);
+        }
+        return byZone;
+    }
+
     #onArrival(caller: SimulatedCaller): void {
         this.callers.push(caller);
         this.events.schedule(caller.patienceMs, () => {
--- a/packages/replay/src/world/simulatedGateway.ts
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -33,6 +33,8 @@
     readonly knownGateways: () => readonly string[];
     /** Those of its own zone. */
     readonly knownInZone: () => readonly string[];
+    /** All that it knows of by zone. */
+    readonly knownByZone: () => ReadonlyMap<string, readonly string[]>;
     /** Before the replay began, for what grows with the time since a start. */
     readonly startedAtMs: number;
 }
@@ -165,6 +167,7 @@
             usable: this.directory.usable(service),
             gateways: this.#parts.knownGateways(),
             zoneGateways: this.#parts.knownInZone(),
+            gatewaysByZone: this.#parts.knownByZone(),
             sinceContactMs: 0,
             nowMs: this.events.nowMs,
         };
