--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -3,7 +3,13 @@
 import { type Clock, sleep } from "@galenaglade/http-parts";
 import { type KeyValueStore } from "@galenaglade/platform";
 import { type RandomSource } from "@galenaglade/routing";
-import { expiryTickMs, longestStorePauseMs, registrationTtlMs, renewalsPerLife } from "../constants.js";
+import {
+    expiryTickMs,
+    longestRegistrationPauseMs,
+    longestStorePauseMs,
+    registrationTtlMs,
+    renewalsPerLife,
+} from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -62,12 +68,16 @@
         while (!this.#stopped && !this.#parts.view.isRead) {
             await sleep(expiryTickMs);
         }
+        let failures = 0;
         while (!this.#stopped) {
             const registered = await this.#adopt() || await this.#register();
             if (!registered) {
-                await sleep(longestStorePauseMs * (1 + this.#parts.random.next()));
+                const limitMs = Math.min(longestRegistrationPauseMs, longestStorePauseMs * 2 ** failures);
+                failures++;
+                await sleep(limitMs * (1 + this.#parts.random.next()) / 2);
                 continue;
             }
+            failures = 0;
             await this.#keep();
         }
     }
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -320,7 +320,7 @@
         }
         this.#confirmed = false;
         this.#parts.onChanged();
-        return this.#contact.onFailed(call, failure, startedAtMs);
+        return this.#contact.onFailed(call, failure, startedAtMs, this.#sources.isStandIn(this.#now()));
     }
 
     #now(): number {
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -34,6 +34,7 @@
     #known: string | undefined;
     #failuresInRow = 0;
     #directUntilMs = -Infinity;
+    #askedUntilMs = -Infinity;
 
     /**
      * @param self - name of this gateway, as in its registration
@@ -84,6 +85,12 @@
     /** A peer asks this gateway: from now on it reads the store itself for a while, or it could pass on nothing sure. */
     onAsked(nowMs: number): void {
         this.#directUntilMs = Math.max(this.#directUntilMs, nowMs + directMs);
+        this.#askedUntilMs = nowMs + directMs;
+    }
+
+    /** @returns whether this gateway reads the store only because its relays failed, and for itself alone */
+    isStandIn(nowMs: number): boolean {
+        return nowMs < this.#directUntilMs && nowMs >= this.#askedUntilMs;
     }
 
     #order(relays: readonly string[]): readonly string[] {
