Use servers that join after a roll-out was completed, whatever version they name

Cause: after a completed roll-out every other version was passed over for good. A server added later under another version's name would stand idle. Found by reading.

Change: only servers of other versions that were there at the end are passed over.

--- a/packages/fleetState/src/__tests__/versionUse.test.ts
+++ b/packages/fleetState/src/__tests__/versionUse.test.ts
@@ -53,8 +53,9 @@
         assert.equal(usable(view), "one,plain,three");
         assert.equal(onTrial(view), "two");
     }
+    const view = see(order("v2"), status("v2", "shifted"));
     for (const stage of ["shifted", "completed"] as const) {
-        const view = see(order("v2"), status("v2", stage));
+        view.onChanges({ items: [status("v2", stage)], deletedKeys: [] }, 0);
         assert.equal(usable(view), "two");
         assert.equal(view.isUsable("one", 0), false);
     }
@@ -93,7 +94,16 @@
 });
 
 test("an order that goes leaves a completed version in force", () => {
-    const view = see(order("v2"), status("v2", "completed"));
+    const view = see(order("v2"), status("v2", "shifted"));
+    view.onChanges({ items: [status("v2", "completed")], deletedKeys: [] }, 0);
     view.onChanges({ items: [], deletedKeys: ["orders/tables"] }, 0);
     assert.equal(usable(view), "two");
 });
+
+// A server that joins after the end would stand idle for good, whatever version it names.
+test("servers that join after a roll-out was completed are used", () => {
+    const view = see(order("v2"), status("v2", "shifted"));
+    view.onChanges({ items: [status("v2", "completed")], deletedKeys: [] }, 0);
+    view.onChanges({ items: [serverItem("late", { version: "v1" })], deletedKeys: [] }, 0);
+    assert.equal(usable(view), "late,two");
+});
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -220,7 +220,7 @@
                 });
                 return;
             case "rolloutStatus":
-                this.#rollouts.onStatus(item.status, item.revision);
+                this.#rollouts.onStatus(item.status, item.revision, this.#directory.ready(item.status.service, nowMs));
                 beliefs.push({
                     subject: "rollout",
                     name: item.status.service,
--- a/packages/fleetState/src/rolloutRegistry.ts
+++ b/packages/fleetState/src/rolloutRegistry.ts
@@ -4,6 +4,8 @@
 /** The roll-outs that the store knows of, by service. */
 export class RolloutRegistry {
     readonly #plans = new Map<string, RolloutPlan>();
+    /** Servers of other versions that were there when a service's roll-out was completed. */
+    readonly #leftBehind = new Map<string, ReadonlySet<string>>();
 
     /** @returns all roll-outs, those that have ended included */
     get plans(): readonly RolloutPlan[] {
@@ -15,9 +17,15 @@
     }
 
     /** @returns what a server may be given, for all that roll-outs say */
-    useOf({ service, version }: RegisteredServer): VersionUse {
+    useOf({ id, service, version }: RegisteredServer): VersionUse {
         const plan = this.#plans.get(service);
-        return plan === undefined ? "stable" : resolveVersionUse(version, plan);
+        if (plan === undefined) {
+            return "stable";
+        }
+        const use = resolveVersionUse(version, plan);
+        // Servers that join after the end are the operators' wish, whatever they say of their version.
+        const joinedLater = plan.status?.stage === "completed" && this.#leftBehind.get(service)?.has(id) !== true;
+        return use === "superseded" && joinedLater ? "stable" : use;
     }
 
     onOrder(order: RolloutOrder): void {
@@ -28,7 +36,13 @@
         this.#change(service, { order: undefined });
     }
 
-    onStatus(status: RolloutStatus, statusRevision: number): void {
+    /** @param present - servers of the service that are there */
+    onStatus(status: RolloutStatus, statusRevision: number, present: readonly RegisteredServer[]): void {
+        const before = this.#plans.get(status.service)?.status;
+        if (status.stage === "completed" && before !== undefined && before.stage !== "completed") {
+            const others = present.filter(({ version }) => version !== status.version);
+            this.#leftBehind.set(status.service, new Set(others.map(({ id }) => id)));
+        }
         this.#change(status.service, { status, statusRevision });
     }
 
