Tell a coordinator that takes over everything at once, and count how long servers have been there on every gateway

A successor got a gateway's totals only with its next trial answer, and took every server of the new version for cold from its own first look on.

Ruled out: the ranks (the next one acts within a second).

Change: a report to another coordinator than before is news by itself; every gateway notes when it first saw a server.

--- a/packages/rollout/src/__tests__/support/rolloutWorld.ts
+++ b/packages/replay/src/rollout/rolloutWorld.ts
@@ -8,10 +8,23 @@
     type StateItem,
 } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
-import { GatewayRollouts, type RolloutCommand, RolloutParticipant } from "../../index.js";
+import { GatewayRollouts, type RolloutCommand, RolloutParticipant } from "@galenaglade/rollout";
 
 /** How a version fails its requests. */
-export type Badness = "none" | "errors" | "slow" | "oneRoute" | "underLoad" | "late";
+export const badnesses = ["none", "errors", "slow", "oneRoute", "underLoad", "late"] as const;
+export type Badness = typeof badnesses[number];
+
+/** What goes wrong beside a roll-out. */
+export const rolloutTroubles = [
+    "none",
+    "deaths",
+    "coordinatorDies",
+    "lostWrites",
+    "storeAway",
+    "cuts",
+    "sharedFaults",
+] as const;
+export type RolloutTrouble = typeof rolloutTroubles[number];
 
 /** What is played. Times are milliseconds, shares from 0 to 1. */
 export interface WorldScenario {
@@ -24,8 +37,7 @@
     /** Share of the old version's requests that fail, and of everybody's during a trouble. */
     readonly usualBadShare: number;
     readonly allowedMs: number;
-    /** What goes wrong beside. */
-    readonly trouble: "none" | "deaths" | "coordinatorDies" | "lostWrites" | "storeAway" | "cuts" | "sharedFaults";
+    readonly trouble: RolloutTrouble;
 }
 
 /** What came of it. */
@@ -88,6 +100,7 @@
     #afterRollBack = 0;
     #leftBehind = 0;
     #orderedAtMs = Infinity;
+    #lastWriter: Gateway | undefined;
 
     constructor(scenario: WorldScenario) {
         this.#scenario = scenario;
@@ -161,8 +174,6 @@
         }
     }
 
-    #lastWriter: Gateway | undefined;
-
     #killLastWriter(): void {
         const gateway = this.#lastWriter ?? this.#gateways[0];
         if (gateway !== undefined) {
--- a/packages/rollout/src/__tests__/rolloutParts.test.ts
+++ b/packages/rollout/src/__tests__/rolloutParts.test.ts
@@ -1,5 +1,5 @@
 import { createRandomSource } from "@galenaglade/routing";
-import fc from "fast-check";
+import * as fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
--- a/packages/rollout/src/__tests__/rolloutWorld.test.ts
+++ b/packages/rollout/src/__tests__/rolloutWorld.test.ts
@@ -1,7 +1,14 @@
-import fc from "fast-check";
+import * as fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Badness, RolloutWorld, type WorldResult, type WorldScenario } from "./support/rolloutWorld.js";
+import {
+    type Badness,
+    badnesses,
+    rolloutTroubles,
+    RolloutWorld,
+    type WorldResult,
+    type WorldScenario,
+} from "@galenaglade/replay";
 
 const exposureShare = 0.1;
 const exposureSlack = 50;
@@ -39,7 +46,7 @@
     }
 });
 
-const kinds: readonly Badness[] = ["errors", "slow", "oneRoute", "underLoad", "late"];
+const kinds: readonly Badness[] = badnesses.filter(badness => badness !== "none");
 for (const badness of kinds) {
     // A bad version must not reach all callers, whatever brings its fault out.
     test(`a version that is bad by ${badness} is rolled back with few callers harmed`, () => {
@@ -69,19 +76,11 @@
         seed: fc.integer({ min: 1, max: 1_000_000 }),
         gateways: fc.integer({ min: 3, max: 30 }),
         requestsPerSecond: fc.integer({ min: 40, max: 300 }),
-        badness: fc.constantFrom<Badness>("none", ...kinds),
+        badness: fc.constantFrom(...badnesses),
         badShare: fc.double({ min: 0.35, max: 0.8, noNaN: true }),
         usualBadShare: fc.double({ min: 0, max: 0.05, noNaN: true }),
         allowedMs: fc.integer({ min: 8_000, max: 20_000 }),
-        trouble: fc.constantFrom<WorldScenario["trouble"]>(
-            "none",
-            "deaths",
-            "coordinatorDies",
-            "lostWrites",
-            "storeAway",
-            "cuts",
-            "sharedFaults",
-        ),
+        trouble: fc.constantFrom(...rolloutTroubles),
     });
     const order = ["trial", "widened", "shifted", "completed", "rolledBack"];
     fc.assert(
--- a/packages/rollout/src/coordination.ts
+++ b/packages/rollout/src/coordination.ts
@@ -44,6 +44,15 @@
         this.#pool.add(report);
     }
 
+    /** Looks at the service's servers, also while another gateway coordinates: how long they have been there counts later. */
+    observe(service: string, view: FleetView, nowMs: number): void {
+        for (const { id, version } of view.readyServers(service, nowMs)) {
+            if (version === this.version && !this.#serverSeenMs.has(id)) {
+                this.#serverSeenMs.set(id, nowMs);
+            }
+        }
+    }
+
     /** @returns what to do next, by all that was told */
     step(plan: RolloutPlan, view: FleetView, time: CoordinationTime): CoordinationStep {
         const { nowMs, epochMs } = time;
@@ -95,8 +104,6 @@
     }
 
     #isWarm({ id, coldRemainingMs }: RegisteredServer, nowMs: number): boolean {
-        const seenMs = this.#serverSeenMs.get(id) ?? nowMs;
-        this.#serverSeenMs.set(id, seenMs);
-        return nowMs - seenMs >= coldRemainingMs;
+        return nowMs - (this.#serverSeenMs.get(id) ?? nowMs) >= coldRemainingMs;
     }
 }
--- a/packages/rollout/src/rolloutParticipant.ts
+++ b/packages/rollout/src/rolloutParticipant.ts
@@ -43,12 +43,21 @@
 /** How a report went. */
 export type ReportOutcome = { readonly taken: true; readonly stop: boolean; } | { readonly taken: false; };
 
+/** What one report said, and to whom. */
+interface Told {
+    readonly coordinator: string | undefined;
+    readonly answers: number;
+    readonly settled: boolean;
+}
+
+const toldNobody: Told = Object.freeze({ coordinator: undefined, answers: 0, settled: false });
+
 /** What this gateway keeps of one open roll-out. */
 interface OpenRollout {
     readonly coordination: Coordination;
-    /** Trial answers and settling as of the report under way, or of the last one taken. */
-    told: { readonly answers: number; readonly settled: boolean; };
-    reportUnderWay: { readonly answers: number; readonly settled: boolean; } | undefined;
+    /** The last report that was taken. */
+    told: Told;
+    reportUnderWay: Told | undefined;
     reportedAtMs: number;
     writing: boolean;
     mayWriteAtMs: number;
@@ -146,6 +155,7 @@
         const { rollouts, name, view } = this.#parts;
         const { nowMs } = time;
         const open = this.#resolveOpen(plan, time);
+        open.coordination.observe(plan.service, view, nowMs);
         const commands: RolloutCommand[] = [];
         if (rollouts.judgeOwn(plan).type === "bad") {
             commands.push(...this.#stopTrial(plan, "ownAnswers"));
@@ -172,11 +182,13 @@
         nowMs: number,
     ): readonly RolloutCommand[] {
         const { trialAnswers, ...report } = this.#parts.rollouts.report(plan);
-        const isNews = trialAnswers > open.told.answers || report.settled !== open.told.settled;
+        // A coordinator that takes over knows nothing yet.
+        const told = open.told.coordinator === to.name ? open.told : toldNobody;
+        const isNews = trialAnswers > told.answers || report.settled !== told.settled;
         if (open.reportUnderWay !== undefined || !(isNews || this.#isStandbyDue(plan.service, open, names, nowMs))) {
             return [];
         }
-        open.reportUnderWay = { answers: trialAnswers, settled: report.settled };
+        open.reportUnderWay = { coordinator: to.name, answers: trialAnswers, settled: report.settled };
         return [{ type: "report", to, report }];
     }
 
@@ -217,7 +229,7 @@
         const isInherited = time.nowMs - (this.#readAtMs ?? time.nowMs) < inheritedOrderMs;
         const open: OpenRollout = {
             coordination: new Coordination(version, time, isInherited),
-            told: { answers: 0, settled: false },
+            told: toldNobody,
             reportUnderWay: undefined,
             reportedAtMs: time.nowMs,
             writing: false,
