Order roll-outs in the soak, and check exposure and verdicts from what servers saw

The operator's stand-in reads the status and does what follows: it kills the old servers at once after a completion, and the new ones some seconds after a roll-back. A history checker: a bad version is never completed, gets a bounded share, and a version that was rolled back gets nothing.

--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -69,6 +69,22 @@
     | { readonly type: "drainAccepted"; readonly server: string; }
     | { readonly type: "zoneOutAccepted"; readonly availabilityZone: string; }
     | { readonly type: "zoneInRequested"; readonly availabilityZone: string; }
+    /** The store took the order of a roll-out. */
+    | {
+        readonly type: "rolloutOrdered";
+        readonly service: string;
+        readonly version: string;
+        /** Servers of the new version. */
+        readonly servers: readonly string[];
+        readonly isBad: boolean;
+    }
+    /** The status of a roll-out was read, and is final. */
+    | {
+        readonly type: "rolloutEnded";
+        readonly service: string;
+        readonly version: string;
+        readonly stage: "completed" | "rolledBack";
+    }
     | { readonly type: "configurationApplied"; readonly gateway: string; readonly revision: number; }
     | {
         readonly type: "workSent";
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -12,6 +12,7 @@
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
 export { checkRepeatBudget, type RepeatBounds } from "./repeatBudgetChecker.js";
+export { checkRollouts, type RolloutBounds } from "./rolloutChecker.js";
 export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -4,6 +4,7 @@
     checkDrained,
     checkProbeBudget,
     checkRepeatBudget,
+    checkRollouts,
     checkTruthfulDidRun,
     checkWholeAnswer,
     checkZoneOut,
@@ -14,11 +15,14 @@
     applyMs,
     asksPerServerAndSecond,
     coldPerSecondLimit,
+    exposureShare,
+    exposureSlack,
     recoveredMs,
     recoveredShare,
     repeatRatio,
     repeatSlack,
     repeatWindowMs,
+    rollbackMs,
     settledMs,
     zoneOutMs,
 } from "./constants.js";
@@ -66,6 +70,7 @@
         ...checkColdRate(history, coldPerSecondLimit),
         ...checkDrained(calm, applyMs),
         ...checkZoneOut(calm, zoneOutMs),
+        ...checkRollouts(calm, { serviceOf: record.serviceOf, exposureShare, exposureSlack, rollbackMs }),
         ...checkMovingRoute(history, { serviceOf: record.serviceOf, harmed, applyMs, settledMs }),
     ];
     return [
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -78,3 +78,21 @@
 
 /** Questions for its load that one backend server may be asked a second, from all gateways together. */
 export const asksPerServerAndSecond = 60;
+
+/** Versions of the servers' software: the one that a run begins with, and the one that is rolled out. */
+export const firstServerVersion = "v1";
+export const nextServerVersion = "v2";
+
+/** Servers of the next version, and the time in which its roll-out has to end, in milliseconds. */
+export const rolloutServers = 4;
+export const rolloutAllowedMs = 13_000;
+
+/** Share of a service's requests that a version may get before it is proved: enough to prove one in the time of a run. */
+export const exposureShare = 0.4;
+export const exposureSlack = 20;
+
+/** How long after a roll-back was read in the store a gateway may go on with the version, with the tolerance of a shared machine. */
+export const rollbackMs = 3_500;
+
+/** How often the operator looks at a roll-out, in milliseconds. */
+export const rolloutPollMs = 100;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,12 +1,14 @@
+import { type HistoryLine } from "@galenaglade/history";
 import { mergeHistories } from "@galenaglade/stand-ins";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { mkdirSync, rmSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { checkSoak } from "./checks.js";
-import { calmMs, requestsPerSecond, settleMs } from "./constants.js";
+import { calmMs, requestsPerSecond, services, settleMs } from "./constants.js";
 import { type Fault } from "./faults.js";
 import { planFaults } from "./plan.js";
+import { planRollout } from "./rolloutPlan.js";
 import { type SoakRoute } from "./soakConfiguration.js";
 import { type SoakEdge } from "./soakEdge.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -19,6 +21,8 @@
     readonly faults: readonly Fault[];
     /** One line each; empty where every promise held. */
     readonly findings: readonly string[];
+    /** The roll-out that was ordered and how it ended; `undefined` for a run without one. */
+    readonly rollout: string | undefined;
     readonly requests: number;
     readonly served: number;
     /** Histories and logs of all processes; gone where nothing was found. */
@@ -59,21 +63,35 @@
             await sleep(fault.atMs);
             await world.apply(fault);
         }));
-        const [endedAtMs] = await Promise.all([load.run(faultsOver), faultsOver]);
+        const rollout = planRollout(seed, services);
+        const rolloutOver = rollout === undefined
+            ? Promise.resolve([])
+            : sleep(rollout.atMs).then(() => world.rollOut(rollout));
+        const allOver = Promise.all([faultsOver, rolloutOver]);
+        const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
+        const history = mergeHistories(
+            world.backends.map(({ historyPath }) => historyPath),
+            [world.history, ...world.edges.flatMap(({ histories }) => histories)],
+        );
         const findings = checkSoak({
-            history: mergeHistories(
-                world.backends.map(({ historyPath }) => historyPath),
-                [world.history, ...world.edges.flatMap(({ histories }) => histories)],
-            ),
+            history,
             harmed: world.harmed,
             edges: world.edges,
             serviceOf: new Map(world.backends.map(({ place }) => [place.id, place.service])),
-            findings: world.edges.flatMap(edge => edge.findings),
+            findings: [...rolloutFindings, ...world.edges.flatMap(edge => edge.findings)],
             endedAtMs,
         });
         const ends = world.edges.flatMap(edge => edge.ends);
         const served = ends.filter(({ end }) => end.status === 200).length;
-        return { seed, faults, findings, requests: ends.length, served, dir };
+        return {
+            seed,
+            faults,
+            findings,
+            rollout: rollout && `${rollout.isBad ? "bad" : "sound"} ${findEnd(history)}`,
+            requests: ends.length,
+            served,
+            dir,
+        };
     }
     finally {
         await world.close();
@@ -81,6 +99,11 @@
     }
 }
 
+function findEnd(history: readonly HistoryLine[]): string {
+    const end = history.find(line => line.type === "rolloutEnded");
+    return end?.type === "rolloutEnded" ? end.stage : "open";
+}
+
 /** Callers' load on all gateways. */
 class SoakLoad {
     readonly #world: SoakWorld;
--- a/packages/soak/src/soakBackend.ts
+++ b/packages/soak/src/soakBackend.ts
@@ -11,6 +11,8 @@
     readonly id: string;
     readonly service: string;
     readonly availabilityZone: string;
+    /** Of its software. */
+    readonly version: string;
 }
 
 /** One start of one backend server, behind the proxy through which all gateways reach it. */
@@ -31,7 +33,8 @@
 
     static async start(place: BackendPlace, system: SoakSystem, dir: string, seed: number): Promise<SoakBackend> {
         const historyPath = join(dir, `${place.id}.history`);
-        const program = system.resolveServer({ ...place, historyPath, seed });
+        const { id, service, availabilityZone } = place;
+        const program = system.resolveServer({ id, service, availabilityZone, historyPath, seed });
         const process = await startProcess({ name: place.id, ...program });
         const proxy = await FaultProxy.start(Number(new URL(process.url).port));
         return new SoakBackend(place, process, proxy, historyPath);
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -3,6 +3,7 @@
 import {
     asksPerServerAndSecond,
     coldRequestsPerSecond,
+    exposureShare,
     graceMs,
     objectiveMs,
     repeatRatio,
@@ -103,5 +104,6 @@
         stopping: { graceSeconds: graceMs / 1_000 },
         repeats: { ratio: repeatRatio, slack: repeatSlack, windowSeconds: repeatWindowMs / 1_000 },
         asking: { perServerAndSecond: asksPerServerAndSecond },
+        rollouts: { exposureShare },
     });
 }
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -1,4 +1,9 @@
-import { type FleetConfiguration, type RegisteredServer } from "@galenaglade/fleet-state";
+import {
+    type FleetConfiguration,
+    type RegisteredServer,
+    type RolloutOrder,
+    type RolloutStage,
+} from "@galenaglade/fleet-state";
 
 /** A program that the soak starts. */
 export interface SoakProgram {
@@ -44,6 +49,9 @@
     abstract resolveServer(order: ServerOrder): SoakProgram;
     abstract renderConfiguration(configuration: FleetConfiguration): StoreWrite;
     abstract renderServer(server: RegisteredServer): StoreWrite;
+    abstract renderRollout(order: RolloutOrder): StoreWrite;
+    /** @returns how far a service's roll-out is by the store, or `undefined` where it says nothing */
+    abstract readRolloutStage(storePort: number, service: string): Promise<RolloutStage | undefined>;
     abstract zoneOutKey(availabilityZone: string): string;
     /** @returns the headers of a caller's request */
     abstract renderRequest(requestId: string, patienceMs: number): Readonly<Record<string, string>>;
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -6,11 +6,19 @@
     availabilityZones,
     coldMs,
     edgeCount,
+    firstServerVersion,
     gatewayZones,
+    nextServerVersion,
+    rolloutAllowedMs,
+    rolloutPollMs,
+    rollbackMs,
+    rolloutServers,
     serversPerService,
     services,
+    settledMs,
 } from "./constants.js";
 import { type Fault } from "./faults.js";
+import { type PlannedRollout } from "./rolloutPlan.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
 import { SoakStore } from "./soakStore.js";
@@ -157,6 +165,55 @@
         }
     }
 
+    /**
+     * Orders a roll-out and does what follows from its end: servers of the old version stop at once when it is completed, those of
+     * the new one drain when it is rolled back.
+     *
+     * @returns what was found, at its end or when its time is over
+     */
+    async rollOut({ service, isBad }: PlannedRollout): Promise<readonly string[]> {
+        const fresh = await Promise.all(Array.from(
+            { length: rolloutServers },
+            (_, i) => this.#startBackend(service, zoneAt(i), true, nextServerVersion, { fails: isBad }),
+        ));
+        const servers = fresh.map(({ place }) => place.id);
+        const order = { service, version: nextServerVersion, allowedMs: rolloutAllowedMs };
+        await this.#store.order({ puts: [this.#system.renderRollout(order)] });
+        this.history.record({ type: "rolloutOrdered", service, version: nextServerVersion, servers, isBad });
+        await Promise.all(fresh.map(backend => this.#register(backend, true)));
+        const stage = await this.#awaitRollout(service);
+        if (stage === undefined) {
+            return [`rollout: the roll-out of ${service} has not ended in its time`];
+        }
+        this.history.record({ type: "rolloutEnded", service, version: nextServerVersion, stage });
+        const ended = stage === "completed" ? firstServerVersion : nextServerVersion;
+        const leaving = this.#live.filter(({ place }) => place.service === service && place.version === ended);
+        if (stage === "rolledBack") {
+            await sleep(rollbackMs);
+        }
+        await Promise.all(
+            leaving.filter(backend => this.#beginLeaving(backend)).map(async backend => {
+                await backend.kill();
+                await sleep(lostEntryMs);
+                await this.#deleteEntry(backend);
+            }),
+        );
+        return [];
+    }
+
+    /** @returns the final stage, or `undefined` where there was none in time and some calm seconds more */
+    async #awaitRollout(service: string): Promise<"completed" | "rolledBack" | undefined> {
+        const untilMs = machineNow() + rolloutAllowedMs + settledMs;
+        while (machineNow() < untilMs) {
+            const stage = await this.#system.readRolloutStage(this.#store.port, service);
+            if (stage === "completed" || stage === "rolledBack") {
+                return stage;
+            }
+            await sleep(rolloutPollMs);
+        }
+        return undefined;
+    }
+
     /** Ends every process of the run without waiting, as where the soak itself is told to end: none may be left behind. */
     abort(): void {
         for (const each of [...this.edges, ...this.backends, this.#store]) {
@@ -184,11 +241,25 @@
         });
     }
 
-    async #startBackend(service: string, availabilityZone: string, cold: boolean): Promise<void> {
+    async #startBackend(
+        service: string,
+        availabilityZone: string,
+        cold: boolean,
+        version = firstServerVersion,
+        trouble: Partial<ServerTrouble> = {},
+    ): Promise<SoakBackend> {
         const number = ++this.#started;
-        const place = { id: `server-${number}`, service, availabilityZone };
+        const place = { id: `server-${number}`, service, availabilityZone, version };
         const backend = await SoakBackend.start(place, this.#system, this.#dir, number);
         this.backends.push(backend);
+        await backend.trouble(trouble);
+        if (version === firstServerVersion) {
+            await this.#register(backend, cold);
+        }
+        return backend;
+    }
+
+    async #register(backend: SoakBackend, cold: boolean): Promise<void> {
         this.#live.push(backend);
         const coldForMs = cold ? coldMs : 0;
         await backend.turnCold(coldForMs);
@@ -209,7 +280,7 @@
         await sleep(lostEntryMs);
         await this.#deleteEntry(backend);
         await sleep(downMs);
-        await this.#startBackend(backend.place.service, backend.place.availabilityZone, true);
+        await this.#replace(backend);
     }
 
     /** Its successor starts first; then the server says that it leaves, serves on, and ends. */
@@ -217,7 +288,7 @@
         if (!this.#beginLeaving(backend)) {
             return;
         }
-        await this.#startBackend(backend.place.service, backend.place.availabilityZone, true);
+        await this.#replace(backend);
         await this.#store.order({ puts: [this.#system.renderServer(backend.register("draining", 0))] });
         this.history.record({ type: "drainAccepted", server: backend.place.id });
         await backend.trouble({ leaves: true });
@@ -227,6 +298,13 @@
         await backend.kill();
     }
 
+    async #replace({ place: { service, availabilityZone, version } }: SoakBackend): Promise<void> {
+        // Of a version that is rolled out no more servers come: which ones they are is told with the order.
+        if (version === firstServerVersion) {
+            await this.#startBackend(service, availabilityZone, true);
+        }
+    }
+
     /** @returns whether it is the first to end this server */
     #beginLeaving(backend: SoakBackend): boolean {
         if (this.#leaving.has(backend)) {
