--- a/packages/replay/src/index.ts
+++ b/packages/replay/src/index.ts
@@ -2,16 +2,16 @@
 export { findMostWithin, FleetRecorder, type ReplayReport, type ReplayWindow } from "./report/fleetRecorder.js";
 export { renderPlot } from "./report/renderPlot.js";
 export { renderComparison, renderReport } from "./report/renderReport.js";
-export { renderRolloutTable, type RolloutTableInput } from "./rollout/rolloutTable.js";
 export {
     type Badness,
     badnesses,
     type RolloutTrouble,
     rolloutTroubles,
-    RolloutWorld,
     type WorldResult,
     type WorldScenario,
-} from "./rollout/rolloutWorld.js";
+} from "./rollout/rolloutScenario.js";
+export { renderRolloutTable, type RolloutTableInput } from "./rollout/rolloutTable.js";
+export { RolloutWorld } from "./rollout/rolloutWorld.js";
 export { runReplay } from "./runReplay.js";
 export { resolvePolicyFile, resolveScenario } from "./scenarioFile.js";
 export { type CrowdOverrides } from "./world/crowdMood.js";
--- a/packages/replay/src/rollout/rolloutTable.ts
+++ b/packages/replay/src/rollout/rolloutTable.ts
@@ -1,4 +1,5 @@
-import { badnesses, rolloutTroubles, RolloutWorld, type WorldResult, type WorldScenario } from "./rolloutWorld.js";
+import { badnesses, rolloutTroubles, type WorldResult, type WorldScenario } from "./rolloutScenario.js";
+import { RolloutWorld } from "./rolloutWorld.js";
 
 /** What a table of roll-outs is made of. */
 export interface RolloutTableInput {
--- a/packages/replay/src/rollout/rolloutWorld.ts
+++ b/packages/replay/src/rollout/rolloutWorld.ts
@@ -1,70 +1,22 @@
 import {
     FleetView,
+    readGatewayRegistration,
     type RegisteredServer,
     renderGatewayRegistration,
-    readGatewayRegistration,
     type RolloutOrder,
     type RolloutStatus,
     type StateItem,
 } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { GatewayRollouts, type RolloutCommand, RolloutParticipant } from "@galenaglade/rollout";
+import { type WorldResult, type WorldScenario } from "./rolloutScenario.js";
+import { newVersion, oldVersion, service, VersionedServers, workMs } from "./versionedServers.js";
 
-/** How a version fails its requests. */
-export const badnesses = ["none", "errors", "slow", "oneRoute", "underLoad", "late"] as const;
-export type Badness = typeof badnesses[number];
-
-/** What goes wrong beside a roll-out. */
-export const rolloutTroubles = [
-    "none",
-    "deaths",
-    "coordinatorDies",
-    "lostWrites",
-    "storeAway",
-    "cuts",
-    "sharedFaults",
-] as const;
-export type RolloutTrouble = typeof rolloutTroubles[number];
-
-/** What is played. Times are milliseconds, shares from 0 to 1. */
-export interface WorldScenario {
-    readonly seed: number;
-    readonly gateways: number;
-    readonly requestsPerSecond: number;
-    readonly badness: Badness;
-    /** Share of the requests concerned that fail. */
-    readonly badShare: number;
-    /** Share of the old version's requests that fail, and of everybody's during a trouble. */
-    readonly usualBadShare: number;
-    readonly allowedMs: number;
-    readonly trouble: RolloutTrouble;
-}
-
-/** What came of it. */
-export interface WorldResult {
-    /** Every status in the order in which it was written. */
-    readonly statuses: readonly RolloutStatus[];
-    readonly sends: number;
-    readonly exposed: number;
-    /** Requests sent to the new version after it was known everywhere to be rolled back. */
-    readonly afterRollBack: number;
-    /** Sends to the old version, or under way there, when the new one was completed, by gateways in touch. */
-    readonly leftBehind: number;
-    readonly endedAtMs: number | undefined;
-}
-
-const service = "tables";
-const oldVersion = "v1";
-const newVersion = "v2";
 const stepMs = 10;
 const tickMs = 250;
-const workMs = 150;
-const servers = 12;
-const slots = 4;
 /** Within which a gateway in touch hears of a change. */
 const hearingMs = 500;
 const startMs = 10_000;
-const coldMs = 2_000;
 
 interface Gateway {
     readonly name: string;
@@ -87,8 +39,7 @@
     readonly #scenario: WorldScenario;
     readonly #random: RandomSource;
     readonly #gateways: Gateway[] = [];
-    readonly #servers: RegisteredServer[] = [];
-    readonly #load = new Map<string, number>();
+    readonly #servers: VersionedServers;
     readonly #statuses: { readonly status: RolloutStatus; readonly atMs: number; }[] = [];
     #pending: Pending[] = [];
     #revision = 1;
@@ -105,9 +56,7 @@
     constructor(scenario: WorldScenario) {
         this.#scenario = scenario;
         this.#random = createRandomSource(scenario.seed);
-        for (let i = 0; i < servers; i++) {
-            this.#servers.push(createServer(`old-${i}`, oldVersion, 0), createServer(`new-${i}`, newVersion, coldMs));
-        }
+        this.#servers = new VersionedServers(scenario, this.#random);
         for (let i = 0; i < scenario.gateways; i++) {
             this.#gateways.push(this.#createGateway(`gateway-${i}`));
         }
@@ -120,7 +69,7 @@
         this.#at(startMs, () => {
             this.#orderedAtMs = this.#nowMs;
             this.#publish({ type: "rolloutOrder", key: "order", order });
-            for (const server of this.#servers.filter(({ version }) => version === newVersion)) {
+            for (const server of this.#servers.all.filter(({ version }) => version === newVersion)) {
                 this.#publish({ type: "server", key: server.id, server });
             }
         });
@@ -215,7 +164,7 @@
     #items(): readonly StateItem[] {
         const { allowedMs, gateways } = this.#scenario;
         const isOrdered = this.#nowMs >= this.#orderedAtMs;
-        const items: StateItem[] = this.#servers
+        const items: StateItem[] = this.#servers.all
             .filter(({ version }) => isOrdered || version === oldVersion)
             .map(server => ({ type: "server", key: server.id, server }));
         for (let i = 0; i < gateways; i++) {
@@ -319,10 +268,7 @@
         this.#publish({ type: "rolloutStatus", key: "status", status, revision: this.#revision + 1 });
         this.#statusRevision = this.#revision;
         if (status.stage === "completed") {
-            this.#leftBehind += [...this.#load].reduce(
-                (sum, [id, count]) => sum + (id.startsWith("old") ? count : 0),
-                0,
-            );
+            this.#leftBehind += this.#servers.countRunning(oldVersion);
         }
     }
 
@@ -339,7 +285,9 @@
 
     #send(gateway: Gateway): void {
         const { rollouts, view } = gateway;
-        const trial = rollouts.trialGroups(service, this.#nowMs).flat().find(server => this.#mayTake(server));
+        const trial = rollouts.trialGroups(service, this.#nowMs).flat().find(server =>
+            this.#servers.mayTake(server, this.#sinceOrderMs)
+        );
         if (trial !== undefined) {
             rollouts.onTrial(service);
         }
@@ -350,13 +298,12 @@
         }
         const route = this.#random.next() < 0.3 ? "rare" : "usual";
         this.#countSend(server);
-        const running = this.#changeLoad(server.id, 1);
         rollouts.onSend(server);
-        const isBad = this.#isBad(server, route, running);
+        const isBad = this.#servers.begin(server, route, this.#sinceOrderMs);
         const slow = isBad && this.#scenario.badness === "slow";
         const tookMs = workMs * (slow ? 8 : 0.7 + this.#random.next() * 0.6);
         this.#at(this.#nowMs + tookMs, () => {
-            this.#changeLoad(server.id, -1);
+            this.#servers.end(server);
             const status = isBad && !slow ? 500 : 200;
             rollouts.onSendEnded(server, route, {
                 end: { type: "answered", status },
@@ -368,12 +315,6 @@
         });
     }
 
-    /** A cold server is left alone, and a full one too. */
-    #mayTake({ id, version }: RegisteredServer): boolean {
-        const isCold = version === newVersion && this.#nowMs < this.#orderedAtMs + coldMs;
-        return !isCold && (this.#load.get(id) ?? 0) < slots;
-    }
-
     #countSend({ version }: RegisteredServer): void {
         const last = this.#statuses.at(-1);
         if (this.#nowMs >= this.#orderedAtMs) {
@@ -387,35 +328,8 @@
         }
     }
 
-    #isBad({ version }: RegisteredServer, route: string, running: number): boolean {
-        const { badness, badShare, usualBadShare, trouble, allowedMs } = this.#scenario;
-        const sinceMs = this.#nowMs - this.#orderedAtMs;
-        const inTrouble = trouble === "sharedFaults" && sinceMs > allowedMs * 0.2 && sinceMs < allowedMs * 0.6;
-        const usual = inTrouble ? 0.3 : usualBadShare;
-        if (this.#random.next() < usual) {
-            return true;
-        }
-        if (version !== newVersion || this.#random.next() >= badShare) {
-            return false;
-        }
-        switch (badness) {
-            case "none":
-                return false;
-            case "oneRoute":
-                return route === "rare";
-            case "underLoad":
-                return running >= slots / 2;
-            case "late":
-                return sinceMs > 3_000;
-            default:
-                return true;
-        }
-    }
-
-    #changeLoad(id: string, by: number): number {
-        const load = (this.#load.get(id) ?? 0) + by;
-        this.#load.set(id, load);
-        return load;
+    get #sinceOrderMs(): number {
+        return this.#nowMs - this.#orderedAtMs;
     }
 
     #at(atMs: number, run: () => void): void {
@@ -435,20 +349,6 @@
     return stage === "completed" || stage === "rolledBack";
 }
 
-function createServer(id: string, version: string, coldRemainingMs: number): RegisteredServer {
-    return {
-        id,
-        service,
-        version,
-        address: { host: "10.0.0.1", port: 80 },
-        availabilityZone: "north",
-        slots,
-        state: "ready",
-        coldRemainingMs,
-        startedAtEpochMs: 1,
-    };
-}
-
 function gatewayItem(name: string): StateItem {
     const value = renderGatewayRegistration({ availabilityZone: "north", peers: { host: "10.0.0.2", port: 90 } });
     return { type: "gateway", key: name, name, leaseId: "1", registration: readGatewayRegistration(value) };
