Take the further owners of cold servers out again

Its cold servers bear 22 requests a second: 19 owners were counted where there are 16 gateways, each with its part of the rate, so that the fleet gave a cold server less than it bears and a busy gateway one request a second. A server that bears a hundred would get a sixth of that.

--- a/packages/placement/src/coldAdmission.ts
+++ b/packages/placement/src/coldAdmission.ts
@@ -15,8 +15,8 @@
 /**
  * Limits what cold backend servers are given. The bound is a sum over all gateways within one second, and a server that
  * turned cold looks idle, so that without owners every gateway would send to it at the same moment and it would fall
- * over. A few gateways own each server, each with its part of the rate and no savings beyond one request. While two rosters
- * differ, one more may own it, which stays below the bound too.
+ * over. Two gateways own each server, each with half of the rate and no savings beyond one request. While two rosters
+ * differ, three may own it, which stays below the bound too.
  */
 export class ColdAdmission {
     readonly #name: string;
@@ -35,13 +35,12 @@
         if (input.nowMs < (this.#nextAtMs.get(input.serverId) ?? -Infinity)) {
             return false;
         }
-        return findOwners(input.serverId, input.gateways, countOwners(input)).includes(this.#name);
+        return findOwners(input.serverId, input.gateways, coldOwners).includes(this.#name);
     }
 
     /** A request goes to the cold server. */
-    onSend(input: ColdInput): void {
-        const { serverId, requestsPerSecond, nowMs } = input;
-        this.#nextAtMs.set(serverId, nowMs + 1_000 * countOwners(input) / (requestsPerSecond * coldShare));
+    onSend({ serverId, requestsPerSecond, nowMs }: ColdInput): void {
+        this.#nextAtMs.set(serverId, nowMs + 1_000 * coldOwners / (requestsPerSecond * coldShare));
     }
 
     /** Forgets servers that are no longer there. */
@@ -53,11 +52,3 @@
         }
     }
 }
-
-/**
- * As many owners as the server bears requests a second, so that it is within its rate even where all of them send at once. With
- * more owners each gateway owns more servers, and fewer requests arrive where none may be used.
- */
-function countOwners({ requestsPerSecond }: ColdInput): number {
-    return Math.max(coldOwners, Math.floor(requestsPerSecond * coldShare));
-}
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -117,7 +117,7 @@
 /** Weight of the newest request in a service's typical time. */
 export const workWeight = 0.1;
 
-/** Gateways that may send to one cold server, at least. Two, so that one of them may be gone. */
+/** Gateways that may send to one cold server. Two, so that one of them may be gone. */
 export const coldOwners = 2;
 
 /** Share of what a cold server bears that its owners give it together, for the time between ask and arrival. */
