--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -42,7 +42,7 @@
  * The longest of these pauses while relays have found the store away too, in milliseconds. Each of hundreds of gateways calls it
  * then. With the time for which lapsed entries are believed it is below three seconds, after which a server that left must get nothing.
  */
-export const standInStorePauseMs = 1_000;
+export const fallbackStorePauseMs = 1_000;
 
 /** Longest pause after a failed registration, in milliseconds: doubled up to it with each failure. */
 export const longestRegistrationPauseMs = 3_200;
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,4 +1,3 @@
-import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { type RequestBody } from "@galenaglade/http-parts";
 import { hedgeAfterShare, isFailureOfServer, isServerFailure, mayTryAgain, type SendEnd } from "@galenaglade/placement";
 import {
@@ -16,10 +15,8 @@
 import { type EdgeRequest } from "./edgeRequest.js";
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
 import { callerGone, type ExchangeParts } from "./exchangeParts.js";
-import { type NoPlace, type Place, type SearchTrace } from "./placer.js";
-
-/** Why a server is looked for once more. */
-type Purpose = "first" | "retry" | "hedge";
+import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
+import { type Place } from "./placer.js";
 
 interface SendUnderWay {
     readonly send: Send;
@@ -44,19 +41,12 @@
     /** Sends whose end was not looked at yet: one may end while a place for another is looked for. */
     readonly #unread = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
-    readonly #triedServers = new Set<string>();
     readonly #answers: ExchangeAnswers;
+    readonly #placement: ExchangePlacement;
     #fallback: HeldAnswer | undefined;
     #streaming = false;
-    /** The version on trial to which the first send went. */
-    #trialVersion: string | undefined;
     /** Whether the caller's answer is there, so that what is still under way was beaten to it. */
     #answered = false;
-    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
-    #placedAfterMs: number | undefined;
-    /** Age of what the first server had said of its load when it was chosen. */
-    #offerAgeMs: number | undefined;
-    #firstReason: string | undefined;
 
     /**
      * @param parts - what it works with
@@ -77,19 +67,15 @@
         this.#answers = new ExchangeAnswers(request, parts.board.work, parts.random);
         this.#body = body;
         this.#signal = signal;
+        this.#placement = new ExchangePlacement(parts, request, signal);
         this.#openSink = openSink;
     }
 
     /** What happened on the way, for the log. */
     describe(): LogFields {
         return {
-            ...this.#trace,
-            placed: this.#firstReason,
+            ...this.#placement.describe(),
             sends: this.#ends.map(end => end.type === "answered" ? String(end.status) : describeEnd(end)).join(","),
-            servers: [...this.#triedServers].join(","),
-            trialVersion: this.#trialVersion,
-            placedAfterMs: this.#placedAfterMs,
-            offerAgeMs: this.#offerAgeMs,
         };
     }
 
@@ -99,7 +85,7 @@
         const { rules, route } = this.#request;
         budget.onRequest(rules.name, this.#nowMs());
         board.onRequest(rules.name, route.priority, this.#nowMs());
-        const place = await this.#place("first");
+        const place = await this.#placement.place("first");
         if (typeof place === "string") {
             return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
         }
@@ -162,7 +148,7 @@
         if (reachedServer && !this.#takeRepeat("retry")) {
             return false;
         }
-        const place = await this.#place("retry");
+        const place = await this.#placement.place("retry");
         log.log("info", "retry", {
             requestId: this.#request.requestId,
             after: describeEnd(result.end),
@@ -182,7 +168,7 @@
         if (!this.#mayTryAgain()) {
             return;
         }
-        const place = await this.#place("hedge");
+        const place = await this.#placement.place("hedge");
         if (typeof place === "string") {
             return;
         }
@@ -193,56 +179,11 @@
         this.#send(place, "hedge");
     }
 
-    async #place(purpose: Purpose): Promise<Place | NoPlace> {
-        const { metrics, clock } = this.#parts;
-        const { rules, arrivedAtMs } = this.#request;
-        const trial = purpose === "first" ? await this.#placeTrial() : undefined;
-        const found = trial ?? await this.#search(purpose === "hedge");
-        if (purpose === "first") {
-            this.#firstReason = typeof found === "string" ? found : found.reason;
-            this.#offerAgeMs = typeof found === "string" ? undefined : Math.round(found.ageMs);
-            this.#placedAfterMs = Math.round(clock.monotonicMs() - arrivedAtMs);
-            metrics.onPlaced(rules.name, this.#placedAfterMs);
-        }
-        return found;
-    }
-
-    /** @returns a server of a version on trial, where this request is to go to one and one is good right now */
-    async #placeTrial(): Promise<Place | undefined> {
-        const { rollouts } = this.#parts;
-        const service = this.#request.rules.name;
-        for (const among of rollouts.trialGroups(service, this.#nowMs())) {
-            const found = await this.#search(true, among);
-            if (typeof found !== "string") {
-                rollouts.onTrial(service);
-                this.#trialVersion = found.server.version;
-                return found;
-            }
-        }
-        return undefined;
-    }
-
-    #search(onlyGood: boolean, among?: readonly RegisteredServer[]): Promise<Place | NoPlace> {
-        const { rules, route, arrivedAtMs, cutoffMs } = this.#request;
-        return this.#parts.placer.place({
-            rules,
-            objectiveMs: route.objectiveMs,
-            rank: route.priority,
-            arrivedAtMs,
-            cutoffMs,
-            excluded: this.#triedServers,
-            signal: this.#signal,
-            onlyGood,
-            trace: this.#trace,
-            ...(among === undefined ? {} : { among }),
-        });
-    }
-
     #send(place: Place, purpose: Purpose): void {
         const { vocabulary, connections, clock, view, rollouts } = this.#parts;
         const { method, url, headers, route, requestId, cutoffMs } = this.#request;
         const { server } = place;
-        this.#triedServers.add(server.id);
+        this.#placement.onSend(server.id);
         rollouts.onSend(server);
         const connection = route.idempotent
             ? connections.take(server.id, server.address)
--- /dev/null
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -0,0 +1,95 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type LogFields } from "@galenaglade/telemetry";
+import { type EdgeRequest } from "./edgeRequest.js";
+import { type ExchangeParts } from "./exchangeParts.js";
+import { type NoPlace, type Place, type SearchTrace } from "./placer.js";
+
+/** What a server is looked for. */
+export type Purpose = "first" | "retry" | "hedge";
+
+/** Finds the servers for all sends of one request. */
+export class ExchangePlacement {
+    readonly #parts: ExchangeParts;
+    readonly #request: EdgeRequest;
+    readonly #signal: AbortSignal;
+    readonly #triedServers = new Set<string>();
+    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
+    #placedAfterMs: number | undefined;
+    /** Age of what the first server had said of its load when it was chosen. */
+    #offerAgeMs: number | undefined;
+    #firstReason: string | undefined;
+    /** The version on trial to which the first send went. */
+    #trialVersion: string | undefined;
+
+    constructor(parts: ExchangeParts, request: EdgeRequest, signal: AbortSignal) {
+        this.#parts = parts;
+        this.#request = request;
+        this.#signal = signal;
+    }
+
+    /** @returns where the next send goes, a server that was not tried before unless there is no other */
+    async place(purpose: Purpose): Promise<Place | NoPlace> {
+        const trial = purpose === "first" ? await this.#placeTrial() : undefined;
+        const found = trial ?? await this.#search(purpose === "hedge");
+        if (purpose === "first") {
+            this.#onFirst(found);
+        }
+        return found;
+    }
+
+    /** The request is sent to a server: it is not looked at again while there are others. */
+    onSend(serverId: string): void {
+        this.#triedServers.add(serverId);
+    }
+
+    /** How servers were found, for the log. */
+    describe(): LogFields {
+        return {
+            ...this.#trace,
+            placed: this.#firstReason,
+            servers: [...this.#triedServers].join(","),
+            trialVersion: this.#trialVersion,
+            placedAfterMs: this.#placedAfterMs,
+            offerAgeMs: this.#offerAgeMs,
+        };
+    }
+
+    /** @returns a server of a version on trial, where this request is to go to one and one is good right now */
+    async #placeTrial(): Promise<Place | undefined> {
+        const { rollouts } = this.#parts;
+        const service = this.#request.rules.name;
+        for (const among of rollouts.trialGroups(service, this.#parts.clock.monotonicMs())) {
+            const found = await this.#search(true, among);
+            if (typeof found !== "string") {
+                rollouts.onTrial(service);
+                this.#trialVersion = found.server.version;
+                return found;
+            }
+        }
+        return undefined;
+    }
+
+    #search(onlyGood: boolean, among?: readonly RegisteredServer[]): Promise<Place | NoPlace> {
+        const { rules, route, arrivedAtMs, cutoffMs } = this.#request;
+        return this.#parts.placer.place({
+            rules,
+            objectiveMs: route.objectiveMs,
+            rank: route.priority,
+            arrivedAtMs,
+            cutoffMs,
+            excluded: this.#triedServers,
+            signal: this.#signal,
+            onlyGood,
+            trace: this.#trace,
+            ...(among === undefined ? {} : { among }),
+        });
+    }
+
+    #onFirst(found: Place | NoPlace): void {
+        const { metrics, clock } = this.#parts;
+        this.#firstReason = typeof found === "string" ? found : found.reason;
+        this.#offerAgeMs = typeof found === "string" ? undefined : Math.round(found.ageMs);
+        this.#placedAfterMs = Math.round(clock.monotonicMs() - this.#request.arrivedAtMs);
+        metrics.onPlaced(this.#request.rules.name, this.#placedAfterMs);
+    }
+}
--- a/packages/edge/src/rollout/evidenceServer.ts
+++ b/packages/edge/src/rollout/evidenceServer.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@galenaglade/http-parts";
 import { type EvidenceReport } from "@galenaglade/rollout";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { mostReportBytes } from "../constants.js";
@@ -45,13 +46,3 @@
     res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
     res.end(body);
 }
-
-/** @returns `undefined` for what is no JSON, which the schema doesn't take */
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text) as unknown;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/edge/src/state/relayClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -1,5 +1,6 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type ServerAddress } from "@galenaglade/fleet-state";
+import { parseJson } from "@galenaglade/http-parts";
 import { type Either, Left, Right } from "purify-ts";
 import { Client } from "undici";
 import { catchUpTimeoutMs, relaySlackMs, relayWaitMs } from "../constants.js";
@@ -69,13 +70,3 @@
     const parsed = relayAnswer.safeParse(parseJson(text));
     return parsed.success ? Right(parsed.data) : Left(createFailure("peerUnreachable", "the answer is malformed"));
 }
-
-/** @returns `undefined` for what is no JSON, which the schema doesn't take */
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text) as unknown;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -320,7 +320,7 @@
         }
         this.#confirmed = false;
         this.#parts.onChanged();
-        return this.#contact.onFailed(call, failure, startedAtMs, this.#sources.isStandIn(this.#now()));
+        return this.#contact.onFailed(call, failure, startedAtMs, this.#sources.isFallbackReader(this.#now()));
     }
 
     #now(): number {
--- a/packages/fleetState/src/__tests__/versionUse.test.ts
+++ b/packages/fleetState/src/__tests__/versionUse.test.ts
@@ -70,7 +70,7 @@
 });
 
 // A version that was rolled back must get no request again, whatever is ordered afterwards.
-test("a rejected version is barred for good", () => {
+test("a rejected version is blocked for good", () => {
     for (
         const view of [
             see(order("v2"), status("v2", "rolledBack", ["v2"])),
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -144,7 +144,7 @@
         const use = this.#rollouts.useOf(server);
         return use === "superseded"
             ? this.usableServers(server.service, nowMs).some(other => other.id === id)
-            : use !== "barred";
+            : use !== "blocked";
     }
 
     /** @returns backend servers of a service that may be given new work for all that roll-outs don't say */
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -89,7 +89,7 @@
     }
 
     /** @returns whether this gateway reads the store only because its relays failed, and for itself alone */
-    isStandIn(nowMs: number): boolean {
+    isFallbackReader(nowMs: number): boolean {
         return nowMs < this.#directUntilMs && nowMs >= this.#askedUntilMs;
     }
 
--- a/packages/fleetState/src/rolloutRegistry.ts
+++ b/packages/fleetState/src/rolloutRegistry.ts
@@ -5,7 +5,7 @@
 export class RolloutRegistry {
     readonly #plans = new Map<string, RolloutPlan>();
     /** Servers of other versions that were there when a service's roll-out was completed. */
-    readonly #leftBehind = new Map<string, ReadonlySet<string>>();
+    readonly #retiring = new Map<string, ReadonlySet<string>>();
 
     /** @returns all roll-outs, those that have ended included */
     get plans(): readonly RolloutPlan[] {
@@ -23,8 +23,8 @@
             return "stable";
         }
         const use = resolveVersionUse(version, plan);
-        // Servers that join after the end are the operators' wish, whatever they say of their version.
-        const joinedLater = plan.status?.stage === "completed" && this.#leftBehind.get(service)?.has(id) !== true;
+        // Servers that join afterwards would stand idle for good if their version's name decided.
+        const joinedLater = plan.status?.stage === "completed" && this.#retiring.get(service)?.has(id) !== true;
         return use === "superseded" && joinedLater ? "stable" : use;
     }
 
@@ -41,7 +41,7 @@
         const before = this.#plans.get(status.service)?.status;
         if (status.stage === "completed" && before !== undefined && before.stage !== "completed") {
             const others = present.filter(({ version }) => version !== status.version);
-            this.#leftBehind.set(status.service, new Set(others.map(({ id }) => id)));
+            this.#retiring.set(status.service, new Set(others.map(({ id }) => id)));
         }
         this.#change(status.service, { status, statusRevision });
     }
--- a/packages/fleetState/src/versionUse.ts
+++ b/packages/fleetState/src/versionUse.ts
@@ -13,7 +13,7 @@
  * What a version's servers may be given: any request, a bounded share of them, none unless nothing else is left, or none
  * at all.
  */
-export type VersionUse = "stable" | "trial" | "superseded" | "barred";
+export type VersionUse = "stable" | "trial" | "superseded" | "blocked";
 
 /** @returns whether nothing more is decided on a roll-out in this stage */
 export function isFinalStage(stage: RolloutStage): boolean {
@@ -33,7 +33,7 @@
  */
 export function resolveVersionUse(version: string | undefined, { order, status }: RolloutPlan): VersionUse {
     if (version !== undefined && status?.rejectedVersions.includes(version) === true) {
-        return "barred";
+        return "blocked";
     }
     const orderIsNewer = order !== undefined && order.version !== status?.version;
     if (status === undefined || version !== status.version) {
@@ -48,11 +48,11 @@
         case "completed":
             return "stable";
         case "rolledBack":
-            return "barred";
+            return "blocked";
         default:
             // Without its order, or with a newer one, an unproved version gets nothing more.
             if (order === undefined || orderIsNewer) {
-                return "barred";
+                return "blocked";
             }
             return status.stage === "shifted" ? "stable" : "trial";
     }
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -4,6 +4,7 @@
 export { cutCaller } from "./cutCaller.js";
 export { writeFailure } from "./failureAnswer.js";
 export { findHeader, keepEndToEnd, type RawHeaders } from "./headers.js";
+export { parseJson } from "./parseJson.js";
 export { listen, type ListenAddress } from "./ports.js";
 export { type BodyLimits, readRequestBody, RequestBody } from "./requestBody.js";
 export { settleWithin, sleep } from "./waiting.js";
--- a/packages/placement/src/serviceProbes.ts
+++ b/packages/placement/src/serviceProbes.ts
@@ -24,6 +24,7 @@
 /** What one gateway may ask of the servers of each service: by the group of gateways of the zone that it probes first. */
 export class ServiceProbes {
     readonly #parts: ServiceProbesParts;
+    /** By service and zone: gateways are dealt anew for each service, and ranks are kept up by differences. */
     readonly #groups = new Map<string, ProbeGroups>();
     readonly #zones = new Map<string, KnownZone>();
 
@@ -39,7 +40,7 @@
      */
     of(service: string, usable: readonly RegisteredServer[], fleet: ProbingFleet): ProbeParts {
         const zone = this.#zoneOf(service, usable, fleet);
-        const groups = this.#groupsOf(zone.availabilityZone);
+        const groups = this.#groupsOf(service, zone.availabilityZone);
         groups.update({ gateways: fleet.gateways, zoneGateways: zone.gateways });
         return {
             isInGroup: server => groups.isInGroup(server, zone.servers),
@@ -77,11 +78,12 @@
         return zone;
     }
 
-    #groupsOf(availabilityZone: string): ProbeGroups {
+    #groupsOf(service: string, availabilityZone: string): ProbeGroups {
         const { name, probesPerServerAndSecond, policy } = this.#parts;
-        const groups = this.#groups.get(availabilityZone)
+        const key = JSON.stringify([service, availabilityZone]);
+        const groups = this.#groups.get(key)
             ?? new ProbeGroups(name, availabilityZone, probesPerServerAndSecond, policy);
-        this.#groups.set(availabilityZone, groups);
+        this.#groups.set(key, groups);
         return groups;
     }
 }
--- a/packages/replay/src/rollout/rolloutWorld.ts
+++ b/packages/replay/src/rollout/rolloutWorld.ts
@@ -1,14 +1,13 @@
 import {
     FleetView,
-    readGatewayRegistration,
     type RegisteredServer,
-    renderGatewayRegistration,
     type RolloutOrder,
     type RolloutStatus,
     type StateItem,
 } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { GatewayRollouts, type RolloutCommand, RolloutParticipant } from "@galenaglade/rollout";
+import { gatewayItem } from "./gatewayItem.js";
 import { type WorldResult, type WorldScenario } from "./rolloutScenario.js";
 import { newVersion, oldVersion, service, VersionedServers, workMs } from "./versionedServers.js";
 
@@ -348,8 +347,3 @@
 function isFinal({ stage }: RolloutStatus): boolean {
     return stage === "completed" || stage === "rolledBack";
 }
-
-function gatewayItem(name: string): StateItem {
-    const value = renderGatewayRegistration({ availabilityZone: "north", peers: { host: "10.0.0.2", port: 90 } });
-    return { type: "gateway", key: name, name, leaseId: "1", registration: readGatewayRegistration(value) };
-}
--- a/packages/rollout/src/rolloutParticipant.ts
+++ b/packages/rollout/src/rolloutParticipant.ts
@@ -43,21 +43,21 @@
 /** How a report went. */
 export type ReportOutcome = { readonly taken: true; readonly stop: boolean; } | { readonly taken: false; };
 
-/** What one report said, and to whom. */
-interface Told {
+/** What one report said, and to which coordinator. */
+interface ReportSummary {
     readonly coordinator: string | undefined;
     readonly answers: number;
     readonly settled: boolean;
 }
 
-const toldNobody: Told = Object.freeze({ coordinator: undefined, answers: 0, settled: false });
+const noReport: ReportSummary = Object.freeze({ coordinator: undefined, answers: 0, settled: false });
 
 /** What this gateway keeps of one open roll-out. */
 interface OpenRollout {
     readonly coordination: Coordination;
     /** The last report that was taken. */
-    told: Told;
-    reportUnderWay: Told | undefined;
+    lastReport: ReportSummary;
+    reportUnderWay: ReportSummary | undefined;
     reportedAtMs: number;
     writing: boolean;
     mayWriteAtMs: number;
@@ -122,18 +122,18 @@
         nowMs: number,
     ): readonly RolloutCommand[] {
         const open = this.#open.get(report.service);
-        const told = open?.reportUnderWay;
+        const summary = open?.reportUnderWay;
         if (!outcome.taken) {
             this.#coordinators.onFailure(to.name, nowMs);
         }
-        if (open === undefined || told === undefined) {
+        if (open === undefined || summary === undefined) {
             return [];
         }
         open.reportUnderWay = undefined;
         if (!outcome.taken) {
             return [];
         }
-        open.told = told;
+        open.lastReport = summary;
         open.reportedAtMs = nowMs;
         const plan = this.#parts.view.rolloutOf(report.service);
         return outcome.stop && plan !== undefined && versionOf(plan) === report.version
@@ -183,8 +183,8 @@
     ): readonly RolloutCommand[] {
         const { trialAnswers, ...report } = this.#parts.rollouts.report(plan);
         // A coordinator that takes over knows nothing yet.
-        const told = open.told.coordinator === to.name ? open.told : toldNobody;
-        const isNews = trialAnswers > told.answers || report.settled !== told.settled;
+        const last = open.lastReport.coordinator === to.name ? open.lastReport : noReport;
+        const isNews = trialAnswers > last.answers || report.settled !== last.settled;
         if (open.reportUnderWay !== undefined || !(isNews || this.#isStandbyDue(plan.service, open, names, nowMs))) {
             return [];
         }
@@ -229,7 +229,7 @@
         const isInherited = time.nowMs - (this.#readAtMs ?? time.nowMs) < inheritedOrderMs;
         const open: OpenRollout = {
             coordination: new Coordination(version, time, isInherited),
-            told: toldNobody,
+            lastReport: noReport,
             reportUnderWay: undefined,
             reportedAtMs: time.nowMs,
             writing: false,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -11,6 +11,7 @@
 import { planRollout } from "./rolloutPlan.js";
 import { type SoakRoute } from "./soakConfiguration.js";
 import { type SoakEdge } from "./soakEdge.js";
+import { rollOut } from "./soakRollout.js";
 import { type SoakSystem } from "./soakSystem.js";
 import { SoakWorld } from "./soakWorld.js";
 import { machineNow } from "./spans.js";
@@ -66,7 +67,7 @@
         const rollout = planRollout(seed, services);
         const rolloutOver = rollout === undefined
             ? Promise.resolve([])
-            : sleep(rollout.atMs).then(() => world.rollOut(rollout));
+            : sleep(rollout.atMs).then(() => rollOut(world, system, rollout));
         const allOver = Promise.all([faultsOver, rolloutOver]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
         const history = mergeHistories(
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -1,28 +1,22 @@
+import { type RolloutStage } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { MemoryHistory } from "@galenaglade/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
     applyMs,
-    availabilityZones,
     coldMs,
     edgeCount,
     firstServerVersion,
     gatewayZones,
-    nextServerVersion,
-    rolloutAllowedMs,
-    rolloutPollMs,
-    rollbackMs,
-    rolloutServers,
     serversPerService,
     services,
-    settledMs,
 } from "./constants.js";
 import { type Fault } from "./faults.js";
-import { type PlannedRollout } from "./rolloutPlan.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
 import { SoakStore } from "./soakStore.js";
-import { type ServerTrouble, type SoakSystem, type StoreTrouble } from "./soakSystem.js";
+import { zoneAt } from "./soakZones.js";
+import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
 import { SoakBackend } from "./soakBackend.js";
 import { machineNow, Spans } from "./spans.js";
 
@@ -74,7 +68,7 @@
         const places = services.flatMap(service =>
             Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
         );
-        await Promise.all(places.map(({ service, i }) => world.#startBackend(service, zoneAt(i), false)));
+        await Promise.all(places.map(({ service, i }) => world.startBackend(service, zoneAt(i), false)));
         for (let i = 0; i < edgeCount; i++) {
             const name = `edge-${i + 1}`;
             world.edges.push(
@@ -165,53 +159,30 @@
         }
     }
 
-    /**
-     * Orders a roll-out and does what follows from its end: servers of the old version stop at once when it is completed, those of
-     * the new one drain when it is rolled back.
-     *
-     * @returns what was found, at its end or when its time is over
-     */
-    async rollOut({ service, isBad }: PlannedRollout): Promise<readonly string[]> {
-        const fresh = await Promise.all(Array.from(
-            { length: rolloutServers },
-            (_, i) => this.#startBackend(service, zoneAt(i), true, nextServerVersion, { fails: isBad }),
-        ));
-        const servers = fresh.map(({ place }) => place.id);
-        const order = { service, version: nextServerVersion, allowedMs: rolloutAllowedMs };
-        await this.#store.order({ puts: [this.#system.renderRollout(order)] });
-        this.history.record({ type: "rolloutOrdered", service, version: nextServerVersion, servers, isBad });
-        await Promise.all(fresh.map(backend => this.#register(backend, true)));
-        const stage = await this.#awaitRollout(service);
-        if (stage === undefined) {
-            return [`rollout: the roll-out of ${service} has not ended in its time`];
-        }
-        this.history.record({ type: "rolloutEnded", service, version: nextServerVersion, stage });
-        const ended = stage === "completed" ? firstServerVersion : nextServerVersion;
-        const leaving = this.#live.filter(({ place }) => place.service === service && place.version === ended);
-        if (stage === "rolledBack") {
-            await sleep(rollbackMs);
-        }
+    /** @returns the servers of a service and version that have not begun to leave */
+    findLive(service: string, version: string): readonly SoakBackend[] {
+        return this.#live.filter(({ place }) => place.service === service && place.version === version);
+    }
+
+    /** Writes to the store as the operator does, past all faults. */
+    operate(write: StoreWrite): Promise<void> {
+        return this.#store.order({ puts: [write] });
+    }
+
+    /** @returns how far a service's roll-out is by the store */
+    readRolloutStage(service: string): Promise<RolloutStage | undefined> {
+        return this.#system.readRolloutStage(this.#store.port, service);
+    }
+
+    /** Servers end at once, and their entries lapse. */
+    async endServers(backends: readonly SoakBackend[]): Promise<void> {
         await Promise.all(
-            leaving.filter(backend => this.#beginLeaving(backend)).map(async backend => {
+            backends.filter(backend => this.#beginLeaving(backend)).map(async backend => {
                 await backend.kill();
                 await sleep(lostEntryMs);
                 await this.#deleteEntry(backend);
             }),
         );
-        return [];
-    }
-
-    /** @returns the final stage, or `undefined` where there was none in time and some calm seconds more */
-    async #awaitRollout(service: string): Promise<"completed" | "rolledBack" | undefined> {
-        const untilMs = machineNow() + rolloutAllowedMs + settledMs;
-        while (machineNow() < untilMs) {
-            const stage = await this.#system.readRolloutStage(this.#store.port, service);
-            if (stage === "completed" || stage === "rolledBack") {
-                return stage;
-            }
-            await sleep(rolloutPollMs);
-        }
-        return undefined;
     }
 
     /** Ends every process of the run without waiting, as where the soak itself is told to end: none may be left behind. */
@@ -241,7 +212,8 @@
         });
     }
 
-    async #startBackend(
+    /** Starts a server; one of a version that is to be rolled out is registered by `register`, after its order. */
+    async startBackend(
         service: string,
         availabilityZone: string,
         cold: boolean,
@@ -254,12 +226,13 @@
         this.backends.push(backend);
         await backend.trouble(trouble);
         if (version === firstServerVersion) {
-            await this.#register(backend, cold);
+            await this.register(backend, cold);
         }
         return backend;
     }
 
-    async #register(backend: SoakBackend, cold: boolean): Promise<void> {
+    /** Writes a server's entry, cold or warm. */
+    async register(backend: SoakBackend, cold: boolean): Promise<void> {
         this.#live.push(backend);
         const coldForMs = cold ? coldMs : 0;
         await backend.turnCold(coldForMs);
@@ -301,7 +274,7 @@
     async #replace({ place: { service, availabilityZone, version } }: SoakBackend): Promise<void> {
         // Of a version that is rolled out no more servers come: which ones they are is told with the order.
         if (version === firstServerVersion) {
-            await this.#startBackend(service, availabilityZone, true);
+            await this.startBackend(service, availabilityZone, true);
         }
     }
 
@@ -365,7 +338,3 @@
     }
     return thing;
 }
-
-function zoneAt(number: number): string {
-    return availabilityZones[number % availabilityZones.length] ?? availabilityZones[0];
-}
