Name the content of requests whose send was lost, and tell servers that ended from lost connections

Each lost send now has a line sendLost with a content id (method, authority, path, caller's credentials, body), the caller's address and what a bare connection to the server finds; the metric lost_sends counts them, and galenaglade explain tells a request's story together with that of other requests with its content. No decision changes. A streamed body's first 16 KiB are read before anything is sent, so that it can be told from others of its length.

--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -37,6 +37,16 @@
     ]);
 });
 
+test("a request's story has what became of other requests with the same content, on any host", () => {
+    const lost = (requestId: string, process: string, contentId: string): string =>
+        render(3_100, process, "sendLost", { requestId, contentId, from: "i-7", server: "ended" });
+    const { lines } = readLog(
+        [log, lost("r1", "host-1", "c1"), lost("r8", "host-9", "c1"), lost("r9", "host-9", "c2")].join("\n"),
+    );
+    const story = explainRequest("r1", lines).filter(({ message }) => message === "sendLost");
+    assert.deepEqual(story.map(({ fields }) => fields["requestId"]), ["r1", "r8"]);
+});
+
 test("a request that no line names has no story", () => {
     assert.deepEqual(explainRequest("r7", readLog(log).lines), []);
 });
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -7,8 +7,8 @@
 const contextEvents: ReadonlySet<string> = new Set(["belief", "storeLost", "storeRegained", "stopping", "started"]);
 
 /**
- * Tells the story of one request: every line that names it on any host, and what the hosts concerned learnt of its
- * servers, their store and themselves shortly before.
+ * Tells the story of one request: every line that names it on any host, or another request with the same content, and what the
+ * hosts concerned learnt of its servers, their store and themselves shortly before.
  *
  * @param requestId - the request's id
  * @param lines - lines of all hosts, in any order
@@ -21,13 +21,15 @@
         return [];
     }
     const processes = new Set(own.map(({ process }) => process));
+    const contents = new Set(own.flatMap(({ fields }) => textOf(fields["contentId"]) || []));
     const servers = new Set(own.flatMap(({ fields }) => namesOf(fields)));
     const untilMs = Date.parse(last.time);
     const context = lines.filter(line => {
         const ageMs = untilMs - Date.parse(line.time);
         return processes.has(line.process) && ageMs >= 0 && ageMs <= contextMs && concerns(line, servers);
     });
-    return [...own, ...context].sort(byTime);
+    const sameContent = lines.filter(line => !own.includes(line) && contents.has(textOf(line.fields["contentId"])));
+    return [...own, ...sameContent, ...context].sort(byTime);
 }
 
 /** One cause of failed requests. */
--- /dev/null
+++ b/packages/edge/src/__tests__/sendLost.test.ts
@@ -0,0 +1,68 @@
+import { type RawRequest } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    call,
+    createConfiguration,
+    eventually,
+    register,
+    startBackend,
+    startEdge,
+    type TestBackend,
+    type TestEdge,
+    whenReady,
+} from "./support/testEdge.js";
+
+type Line = Readonly<Record<string, unknown>>;
+
+async function startPath(t: TestContext, backend: TestBackend): Promise<TestEdge<MemoryStore>> {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    register(store, backend);
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    return edge;
+}
+
+async function findLost(edge: TestEdge, count: number): Promise<readonly Line[]> {
+    const find = (): readonly Line[] => edge.logs.filter(line => line["message"] === "sendLost");
+    await eventually(() => find().length >= count, `${count} lost sends are logged`);
+    return find();
+}
+
+// A server that ends with a request and one that only loses a connection look the same in the answer that callers get.
+test("the log tells a server that ended with a request from one that lost its connection", async t => {
+    const reset = (req: RawRequest): void => {
+        req.socket.resetAndDestroy();
+    };
+    const backend = await startBackend(t, "a", reset);
+    const edge = await startPath(t, backend);
+    await call(edge, "/returns/x", { method: "POST", body: "filed" });
+    assert.deepEqual((await findLost(edge, 1)).map(line => [line["from"], line["server"]]), [["a", "listening"]]);
+    await backend.raw.stop();
+    const ending = await startBackend(t, "b", req => void ending.raw.stop().then(() => reset(req)));
+    register(edge.store, ending);
+    await eventually(() => edge.logs.some(line => line["name"] === "b"), "the server is known");
+    for (let i = 0; ending.served().length === 0 && i < 50; i++) {
+        await call(edge, "/returns/x", { method: "POST", body: "filed" });
+    }
+    const [, lost] = await findLost(edge, 2);
+    assert.deepEqual([lost?.["from"], lost?.["server"]], ["b", "ended"]);
+});
+
+// Without a name for what was asked nobody can see that one caller's request takes server after server down.
+test("requests with the same method, path, caller and body share a content id, and others don't", async t => {
+    const backend = await startBackend(t, "a", req => req.socket.resetAndDestroy());
+    const edge = await startPath(t, backend);
+    const large = "x".repeat(50_000);
+    const bodies = ["filed", "filed", "other", large, large, `${large}y`];
+    for (const body of bodies) {
+        await call(edge, "/returns/x", { method: "POST", body });
+    }
+    await call(edge, "/returns/y", { method: "POST", body: "filed" });
+    const ids = (await findLost(edge, bodies.length + 1)).map(line => String(line["contentId"]));
+    assert.equal(ids[0], ids[1]);
+    assert.equal(ids[3], ids[4]);
+    assert.equal(new Set(ids).size, 5);
+});
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -86,6 +86,7 @@
             url: req.url ?? "/",
             authority: req.headers.host ?? "",
             headers: req.rawHeaders,
+            callerAddress: req.socket.remoteAddress ?? "",
             bodyBytes: resolveBodyBytes(req),
         };
         return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -12,6 +12,7 @@
 import { GatewayRollouts } from "@galenaglade/rollout";
 import { createRandomSource } from "@galenaglade/routing";
 import { type Logger, type Metrics } from "@galenaglade/telemetry";
+import { ServerChecks } from "./backends/serverChecks.js";
 import { ServerConnections } from "./backends/serverConnections.js";
 import { CallerConnections } from "./callers/callerConnections.js";
 import { EdgeHandler } from "./callers/edgeHandler.js";
@@ -102,6 +103,7 @@
         placer,
         board,
         connections,
+        checks: new ServerChecks(),
         budget,
         rollouts,
         vocabulary,
--- a/packages/edge/src/requests/edgeRequest.ts
+++ b/packages/edge/src/requests/edgeRequest.ts
@@ -13,6 +13,8 @@
     readonly url: string;
     readonly authority: string;
     readonly headers: RawHeaders;
+    /** Address of the connection that it came on. */
+    readonly callerAddress: string;
     /** Declared length of the body; `undefined` where it is sent in chunks. */
     readonly bodyBytes: number | undefined;
 }
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,5 +1,13 @@
 import { type RequestBody } from "@galenaglade/http-parts";
-import { hedgeAfterShare, isFailureOfServer, isServerFailure, mayTryAgain, type SendEnd } from "@galenaglade/placement";
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import {
+    hedgeAfterShare,
+    isFailureOfServer,
+    isServerFailure,
+    isServerLost,
+    mayTryAgain,
+    type SendEnd,
+} from "@galenaglade/placement";
 import {
     type AnswerHead,
     type AnswerSink,
@@ -15,6 +23,7 @@
 import { type EdgeRequest } from "./edgeRequest.js";
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
 import { callerGone, type ExchangeParts } from "./exchangeParts.js";
+import { ExchangeContent } from "./exchangeContent.js";
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
 
@@ -43,6 +52,7 @@
     readonly #ends: SendEnd[] = [];
     readonly #answers: ExchangeAnswers;
     readonly #placement: ExchangePlacement;
+    readonly #content: ExchangeContent;
     #fallback: HeldAnswer | undefined;
     #streaming = false;
     /** Whether the caller's answer is there, so that what is still under way was beaten to it. */
@@ -68,6 +78,7 @@
         this.#body = body;
         this.#signal = signal;
         this.#placement = new ExchangePlacement(parts, request, signal);
+        this.#content = new ExchangeContent(request, body);
         this.#openSink = openSink;
     }
 
@@ -75,6 +86,7 @@
     describe(): LogFields {
         return {
             ...this.#placement.describe(),
+            contentId: this.#content.knownId,
             sends: this.#ends.map(end => end.type === "answered" ? String(end.status) : describeEnd(end)).join(","),
         };
     }
@@ -236,6 +248,9 @@
             connections.release(server.id, connection, { after: "request", nowMs });
         }
         metrics.onSendEnded(service, underWay.purpose, describeEnd(end));
+        if (isServerLost(end)) {
+            void this.#reportLost(server, tookMs);
+        }
         if (isFailureOfServer(end)) {
             board.onFailure(service, server.id, nowMs);
         }
@@ -251,6 +266,25 @@
         }
     }
 
+    /** Tells servers that ended with a request from those that lost only its connection. */
+    async #reportLost(server: RegisteredServer, tookMs: number): Promise<void> {
+        const { checks, clock, log, metrics } = this.#parts;
+        const { requestId, rules, route, callerAddress } = this.#request;
+        const lostAtMs = clock.monotonicMs();
+        const state = await checks.check(server);
+        metrics.onSendLost(rules.name, state);
+        log.log("warn", "sendLost", {
+            requestId,
+            contentId: this.#content.contentId,
+            route: route.name,
+            callerAddress,
+            from: server.id,
+            server: state,
+            tookMs: Math.round(tookMs),
+            checkedMs: Math.round(clock.monotonicMs() - lostAtMs),
+        });
+    }
+
     #beginStream(head: AnswerHead): AnswerSink | undefined {
         if (this.#streaming || this.#signal.aborted) {
             return undefined;
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -3,6 +3,7 @@
 import { type PlacementBoard, type RepeatBudget } from "@galenaglade/placement";
 import { type GatewayRollouts } from "@galenaglade/rollout";
 import { type RandomSource } from "@galenaglade/routing";
+import { type ServerChecks } from "../backends/serverChecks.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -23,6 +24,7 @@
     readonly placer: Placer;
     readonly board: PlacementBoard;
     readonly connections: ServerConnections;
+    readonly checks: ServerChecks;
     readonly budget: RepeatBudget;
     readonly rollouts: GatewayRollouts;
     readonly vocabulary: EdgeVocabulary;
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -21,6 +21,7 @@
     | "requestFailed"
     | "retry"
     | "hedge"
+    | "sendLost"
     | "rolloutStage"
     | "rolloutVerdict"
     | "rolloutWriteFailed"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -6,6 +6,7 @@
     readonly #durations;
     readonly #waits;
     readonly #sends;
+    readonly #lostSends;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
@@ -18,6 +19,9 @@
             description: "time until a backend server was chosen",
         });
         this.#sends = meter.createCounter("galenaglade.sends", { description: "sends by service, purpose and end" });
+        this.#lostSends = meter.createCounter("galenaglade.lost_sends", {
+            description: "sends whose connection was lost, by service and by what became of the server",
+        });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked",
         });
@@ -40,6 +44,10 @@
         this.#sends.add(1, { service, purpose, end });
     }
 
+    onSendLost(service: string, state: string): void {
+        this.#lostSends.add(1, { service, state });
+    }
+
     onAsked(end: "answered" | "failed"): void {
         this.#asks.add(1, { end });
     }
--- a/packages/gateway/src/__tests__/attempt.test.ts
+++ b/packages/gateway/src/__tests__/attempt.test.ts
@@ -42,6 +42,8 @@
 class NoBody extends RequestBody {
     override readonly repeatable = true;
     override readonly held = Buffer.alloc(0);
+    override readonly start = Buffer.alloc(0);
+    override readonly bytes = 0;
 
     override open(): undefined {
         return undefined;
--- a/packages/httpParts/src/requestBody.ts
+++ b/packages/httpParts/src/requestBody.ts
@@ -3,6 +3,9 @@
 import { PassThrough, type Readable } from "node:stream";
 import { type Either, Left, Right } from "purify-ts";
 
+/** How much of a streamed body is read before anything is sent. */
+export const bodyStartBytes = 16_384;
+
 /** How much of a body is taken, and how much of it is held. */
 export interface BodyLimits {
     /** Declared length in bytes; `undefined` where the body is sent in chunks. */
@@ -19,17 +22,28 @@
     abstract readonly repeatable: boolean;
     /** The bytes, where all of them are held. */
     abstract readonly held: Buffer | undefined;
+    /** The first bytes, known before anything is sent: all of a held body, {@link bodyStartBytes} of a streamed one. */
+    abstract readonly start: Buffer;
+    /** Length of the whole body. */
+    abstract readonly bytes: number;
     /** @returns what to give to one attempt */
     abstract open(): Buffer | Readable | undefined;
 }
 
+const cutShortDetail = "the request's body was cut short";
+const lateBodyDetail = "the body did not come in time";
+
 class HeldBody extends RequestBody {
     override readonly repeatable = true;
     override readonly held: Buffer;
+    override readonly start: Buffer;
+    override readonly bytes: number;
 
     constructor(held: Buffer) {
         super();
         this.held = held;
+        this.start = held;
+        this.bytes = held.length;
     }
 
     override open(): Buffer | undefined {
@@ -40,11 +54,16 @@
 class StreamedBody extends RequestBody {
     override readonly repeatable = false;
     override readonly held = undefined;
+    override readonly start: Buffer;
+    override readonly bytes: number;
     readonly #req: IncomingMessage;
 
-    constructor(req: IncomingMessage) {
+    /** @param start - taken from `req` already, and put back */
+    constructor(req: IncomingMessage, start: Buffer, bytes: number) {
         super();
         this.#req = req;
+        this.start = start;
+        this.bytes = bytes;
     }
 
     /** A failed attempt destroys its body. What it gets is not the caller's own stream, whose connection would go too. */
@@ -75,12 +94,37 @@
         return Right(new HeldBody(Buffer.alloc(0)));
     }
     if (bodyBytes !== undefined && bodyBytes > heldBytes) {
-        return Right(new StreamedBody(req));
+        const start = await peekBody(req, Math.min(bodyStartBytes, bodyBytes), signal);
+        return start.map(bytes => new StreamedBody(req, bytes, bodyBytes));
     }
     const limit = Math.min(heldBytes, maximumBytes);
     return (await holdBody(req, limit, signal)).map(held => new HeldBody(held));
 }
 
+/** Reads the first bytes of a body and puts them back. */
+function peekBody(req: IncomingMessage, bytes: number, signal: AbortSignal): Promise<Either<Failure, Buffer>> {
+    return new Promise(resolve => {
+        const settle = (result: Either<Failure, Buffer>): void => {
+            req.off("readable", onReadable);
+            req.off("close", onClose);
+            signal.removeEventListener("abort", onAbort);
+            resolve(result);
+        };
+        const onReadable = (): void => {
+            const start: unknown = req.read(bytes);
+            if (Buffer.isBuffer(start)) {
+                req.unshift(start);
+                settle(Right(start));
+            }
+        };
+        const onClose = (): void => settle(Left(createFailure("badRequest", cutShortDetail)));
+        const onAbort = (): void => settle(Left(createFailure("patienceSpent", lateBodyDetail)));
+        req.on("readable", onReadable);
+        req.once("close", onClose);
+        signal.addEventListener("abort", onAbort, { once: true });
+    });
+}
+
 function holdBody(req: IncomingMessage, limit: number, signal: AbortSignal): Promise<Either<Failure, Buffer>> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
@@ -100,8 +144,8 @@
             }
         };
         const onEnd = (): void => settle(Right(Buffer.concat(chunks, bytes)));
-        const onClose = (): void => settle(Left(createFailure("badRequest", "the request's body was cut short")));
-        const onAbort = (): void => settle(Left(createFailure("patienceSpent", "the body did not come in time")));
+        const onClose = (): void => settle(Left(createFailure("badRequest", cutShortDetail)));
+        const onAbort = (): void => settle(Left(createFailure("patienceSpent", lateBodyDetail)));
         req.on("data", onData);
         req.once("end", onEnd);
         req.once("close", onClose);
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -19,6 +19,7 @@
 export {
     isFailureOfServer,
     isServerFailure,
+    isServerLost,
     mayTryAgain,
     type NextTryInput,
     type NotRunReason,
--- a/packages/placement/src/nextTry.ts
+++ b/packages/placement/src/nextTry.ts
@@ -59,6 +59,11 @@
     return end.type === "answered" && end.status >= firstServerErrorStatus;
 }
 
+/** @returns whether the server may have ended with the request: its connection did, before the answer was whole */
+export function isServerLost(end: SendEnd): boolean {
+    return end.type === "unknown" && (end.reason === "connectionLost" || end.reason === "cutShort");
+}
+
 /** @returns whether the end says something against its server */
 export function isFailureOfServer(end: SendEnd): boolean {
     return end.type === "unknown" || isServerFailure(end)
--- a/packages/standIns/src/raw/rawBackend.ts
+++ b/packages/standIns/src/raw/rawBackend.ts
@@ -19,6 +19,8 @@
 export interface RawBackend {
     readonly port: number;
     readonly requests: readonly RawRequest[];
+    /** Ends it as a crash does: its port refuses, and all connections are reset. */
+    stop(): Promise<void>;
 }
 
 /** Starts one on a free port; it ends with the test. */
@@ -44,13 +46,20 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const stop = (): Promise<void> =>
+        new Promise(resolve => {
+            server.close(() => resolve());
+            for (const socket of sockets) {
+                socket.resetAndDestroy();
+            }
+        });
     t.after(() => {
         server.close();
         for (const socket of sockets) {
             socket.destroy();
         }
     });
-    return { port: (server.address() as AddressInfo).port, requests };
+    return { port: (server.address() as AddressInfo).port, requests, stop };
 }
 
 function parseRequest(
