--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -208,11 +208,16 @@
 export async function call(
     { url }: TestEdge,
     path: string,
-    more: { readonly method?: "GET" | "POST"; readonly body?: string; readonly signal?: AbortSignal; } = {},
+    more: {
+        readonly method?: "GET" | "POST";
+        readonly body?: string;
+        readonly signal?: AbortSignal;
+        readonly requestId?: string;
+    } = {},
 ): Promise<Got> {
     const res = await request(url + path, {
         method: more.method ?? "GET",
-        headers: { "host": "survey.example", "x-id": `r${++requests}`, "x-patience-ms": "8000" },
+        headers: { "host": "survey.example", "x-id": more.requestId ?? `r${++requests}`, "x-patience-ms": "8000" },
         body: more.body ?? null,
         ...(more.signal === undefined ? {} : { signal: more.signal }),
     });
--- a/packages/history/src/__tests__/fleetCheckers.test.ts
+++ b/packages/history/src/__tests__/fleetCheckers.test.ts
@@ -1,6 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { checkColdRate, checkDrained, checkRepeatBudget, type HistoryEvent, type HistoryLine } from "../index.js";
+import {
+    checkColdRate,
+    checkDrained,
+    checkQueryOfDeath,
+    checkRepeatBudget,
+    type HistoryEvent,
+    type HistoryLine,
+} from "../index.js";
 
 /** @returns a history of events at given times */
 function record(...events: readonly (readonly [atMs: number, event: HistoryEvent])[]): readonly HistoryLine[] {
@@ -57,3 +64,18 @@
     // A window later the earlier repeats count no more.
     assert.deepEqual(checkRepeatBudget(record(...events, [1_100, started("a")]), bounds), []);
 });
+
+test("a request that ended three servers may reach them three times after all gateways must know, and not once more", () => {
+    const bounds = { crashes: 3, settleMs: 1_000, retries: 3 };
+    const ask = (atMs: number, requestId: string, crashes: boolean): (readonly [number, HistoryEvent])[] => [
+        [atMs, { ...sent(requestId), contentId: "deadly" } as HistoryEvent],
+        [atMs, started(requestId)],
+        ...(crashes ? [[atMs + 10, { type: "serverCrashed", requestId, server: "s1" }] as const] : []),
+    ];
+    const known = [...ask(0, "a", true), ...ask(20, "b", true), ...ask(40, "c", true), ...ask(1_050, "d", true)];
+    const allowed = [...known, ...ask(2_000, "e", true), ...ask(3_000, "f", true), ...ask(4_000, "g", false)];
+    assert.deepEqual(checkQueryOfDeath(record(...allowed), bounds), []);
+    assert.equal(checkQueryOfDeath(record(...allowed, ...ask(9_000, "h", false)), bounds).length, 1);
+    const others: (readonly [number, HistoryEvent])[] = [[9_000, sent("i")], [9_000, started("i")]];
+    assert.deepEqual(checkQueryOfDeath(record(...allowed, ...others), bounds), []);
+});
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -16,6 +16,8 @@
         readonly service: string;
         readonly idempotent: boolean;
         readonly idempotencyKey?: string | undefined;
+        /** The same for requests that ask the same of a server; `undefined` where no other request does. */
+        readonly contentId?: string | undefined;
         readonly patienceMs: number;
     }
     | {
@@ -45,6 +47,8 @@
         readonly server: string;
         readonly incarnation: string;
     }
+    /** A server ended under a request that it had begun to run. */
+    | { readonly type: "serverCrashed"; readonly requestId: string; readonly server: string; }
     /** A server rejected a request that reached it. */
     | {
         readonly type: "serverTurnedAway";
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -11,6 +11,7 @@
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
+export { checkQueryOfDeath, type QueryOfDeathBounds } from "./queryOfDeathChecker.js";
 export { checkRepeatBudget, type RepeatBounds } from "./repeatBudgetChecker.js";
 export { checkRollouts, type RolloutBounds } from "./rolloutChecker.js";
 export { checkServerLeaving } from "./serverLeavingChecker.js";
