Keep a request that ends its servers from further ones, at every gateway

Cause: sends were bounded by request id alone; what a request asks had no name, a crash was a lost connection like any other, and no gateway heard of what another had seen. It is the class of a bound that each gateway keeps for itself where the rule is the fleet's.

Gateways now name contents, check what became of a server that lost a request, keep such strikes in the store and judge by everybody's: three servers ended, in two generations, and no answer since. The new package quarantine decides. A quarantined request is answered 503 queryOfDeath at once.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,7 @@
     "fleetState",
     "placement",
     "rollout",
+    "quarantine",
 ];
 
 /** Keys, headers and fields of the users' platform that mean nothing elsewhere. */
--- a/packages/admin/src/callFailure.ts
+++ b/packages/admin/src/callFailure.ts
@@ -31,6 +31,7 @@
     backendTimeout: Code.DeadlineExceeded,
     truncatedAnswer: Code.DataLoss,
     backendShed: Code.Unavailable,
+    queryOfDeath: Code.FailedPrecondition,
     idempotencyKeyInUse: Code.Aborted,
     idempotencyKeyEnded: Code.AlreadyExists,
     idempotencyKeyMismatch: Code.InvalidArgument,
--- a/packages/edge/src/__tests__/queryOfDeath.test.ts
+++ b/packages/edge/src/__tests__/queryOfDeath.test.ts
@@ -1,8 +1,8 @@
-import { checkQueryOfDeath } from "@galenaglade/history";
+import { checkAtMostOnce, checkQueryOfDeath, checkTruthfulDidRun } from "@galenaglade/history";
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { deadlyPath, DyingServers } from "./support/dyingServers.js";
+import { deadlyPath, deadlyReturnPath, DyingServers } from "./support/dyingServers.js";
 import { LinkedStore } from "./support/linkedStore.js";
 import { MemoryStore } from "./support/memoryStore.js";
 import { createConfiguration, eventually, startEdge, type TestEdge, whenReady } from "./support/testEdge.js";
@@ -62,3 +62,96 @@
     assert.ok(edge);
     await eventually(async () => (await fleet.servers.send(edge, "/tables/x")).status === 200, "others are served");
 });
+
+async function whenQuarantined(fleet: DyingFleet, edges: readonly TestEdge[] = fleet.edges): Promise<void> {
+    await sendDeadly(fleet, 1_000, 150);
+    await eventually(
+        () => edges.every(({ logs }) => logs.some(line => line["state"] === "quarantined")),
+        "the gateways know the request",
+    );
+}
+
+function at<T>(things: readonly T[], index: number): T {
+    const thing = things[index];
+    assert.ok(thing !== undefined);
+    return thing;
+}
+
+// Left with a plain refusal its caller would come back at once, and on-call would look for a full service.
+test("a quarantined request gets a final answer of its own kind at once, and its log names the crashes behind it", async t => {
+    const fleet = await startDyingFleet(t, 2);
+    await whenQuarantined(fleet);
+    const endedBefore = fleet.servers.ended;
+    const edge = at(fleet.edges, 1);
+    const got = await fleet.servers.send(edge, deadlyPath);
+    assert.equal(got.status, 503);
+    assert.ok(Number(got.headers["retry-after"]) > 60);
+    assert.equal(fleet.servers.ended, endedBefore);
+    const failed = edge.logs.findLast(line => line["message"] === "requestFailed");
+    const judged = edge.logs.findLast(line => line["message"] === "contentJudged");
+    assert.equal(failed?.["kind"], "queryOfDeath");
+    assert.equal(failed["contentId"], judged?.["contentId"]);
+    assert.equal((await fleet.servers.send(edge, "/tables/other")).status, 200);
+});
+
+// Its memory gone, a restarted gateway would let the request take down servers again.
+test("a gateway that has just started keeps a known deadly request from its servers", async t => {
+    const fleet = await startDyingFleet(t, 2);
+    await whenQuarantined(fleet);
+    const endedBefore = fleet.servers.ended;
+    await at(fleet.edges, 0).stop();
+    const restarted = await startEdge(t, new LinkedStore(fleet.store), { name: "edge-0" });
+    const added = await startEdge(t, new LinkedStore(fleet.store), { name: "edge-new" });
+    for (const edge of [restarted, added]) {
+        await whenReady(edge);
+        assert.equal((await fleet.servers.send(edge, deadlyPath)).status, 503);
+    }
+    assert.equal(fleet.servers.ended, endedBefore);
+});
+
+test("a gateway that was cut off from the store knows a deadly request soon after it is back", async t => {
+    const fleet = await startDyingFleet(t, 3);
+    const [away, ...others] = fleet.edges;
+    assert.ok(away);
+    at(fleet.links, 0).cut = true;
+    await whenQuarantined({ ...fleet, edges: others }, others);
+    at(fleet.links, 0).cut = false;
+    await sleep(bounds.settleMs);
+    const endedBefore = fleet.servers.ended;
+    assert.equal((await fleet.servers.send(away, deadlyPath)).status, 503);
+    assert.equal(fleet.servers.ended, endedBefore);
+});
+
+// Without the store a gateway hears of no other's crashes; its own must be enough, and reach the others once the store is back.
+test("while the store is away each gateway goes by the crashes that it saw, and reports them when the store is back", async t => {
+    const fleet = await startDyingFleet(t, 2);
+    fleet.store.down = true;
+    const [first, second] = fleet.edges;
+    assert.ok(first && second);
+    for (let i = 0; i < 4; i++) {
+        await fleet.servers.send(first, deadlyPath);
+        await sleep(200);
+    }
+    assert.equal((await fleet.servers.send(first, deadlyPath)).status, 503);
+    fleet.store.down = false;
+    await eventually(() => second.logs.some(line => line["state"] === "quarantined"), "the other gateway knows it");
+});
+
+test("a non-idempotent request that ends its servers is kept from them as well, and runs once at most", async t => {
+    const fleet = await startDyingFleet(t, 2);
+    for (let i = 0; i < 5; i++) {
+        await fleet.servers.send(at(fleet.edges, i % 2), deadlyReturnPath, "filed");
+        await sleep(300);
+    }
+    await eventually(
+        () => fleet.edges.every(({ logs }) => logs.some(line => line["state"] === "quarantined")),
+        "the gateways know the request",
+    );
+    const endedBefore = fleet.servers.ended;
+    const refused = await fleet.servers.send(at(fleet.edges, 0), deadlyReturnPath, "filed");
+    assert.equal(refused.status, 503);
+    assert.equal(fleet.servers.ended, endedBefore);
+    assert.equal((await fleet.servers.send(at(fleet.edges, 0), "/returns/x", "filed")).status, 200);
+    assert.deepEqual(checkAtMostOnce(fleet.servers.history), []);
+    assert.deepEqual(checkTruthfulDidRun(fleet.servers.history), []);
+});
--- a/packages/edge/src/__tests__/support/dyingServers.ts
+++ b/packages/edge/src/__tests__/support/dyingServers.ts
@@ -8,8 +8,9 @@
 const runMs = 30;
 const backAfterMs = 400;
 
-/** Path under which a request ends the server that runs it. */
+/** Paths under which a request ends the server that runs it. */
 export const deadlyPath = "/tables/deadly";
+export const deadlyReturnPath = "/returns/deadly";
 
 /** Backend servers that end under the deadly path and are replaced, and the history of what callers sent and servers ran. */
 export class DyingServers {
@@ -47,7 +48,7 @@
                 inFlight: 1,
                 bears: 3,
             });
-            if (req.path.startsWith(deadlyPath)) {
+            if (req.path === deadlyPath || req.path === deadlyReturnPath) {
                 void this.#end(id, req, () => backend.raw.stop());
                 return;
             }
@@ -62,7 +63,16 @@
         const contentId = `${path} ${body ?? ""}`;
         const idempotent = body === undefined;
         this.#record({ type: "callerSent", requestId, service: "tables", idempotent, contentId, patienceMs: 8_000 });
-        return await call(edge, path, { requestId, ...(body === undefined ? {} : { method: "POST", body }) });
+        const got = await call(edge, path, { requestId, ...(body === undefined ? {} : { method: "POST", body }) });
+        this.#record({
+            type: "callerAnswered",
+            requestId,
+            status: got.status,
+            didRun: got.status === 503 ? "no" : undefined,
+            whole: got.status === 200,
+            bodyRequestId: undefined,
+        });
+        return got;
     }
 
     async #end(id: string, req: RawRequest, stop: () => Promise<void>): Promise<void> {
--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -1,5 +1,6 @@
 import {
     type FleetConfiguration,
+    readCrashReport,
     readGatewayRegistration,
     type RegisteredServer,
     type RolloutOrder,
@@ -53,6 +54,10 @@
         return `gateways/${gateway}`;
     }
 
+    override crashReportKey(gateway: string): string {
+        return `crashes/${gateway}`;
+    }
+
     override rolloutStatusKey(service: string): string {
         return `statuses/${service}`;
     }
@@ -73,6 +78,18 @@
             const name = key.slice("gateways/".length);
             return { type: "gateway", key, name, leaseId, registration: readGatewayRegistration(value) };
         }
+        if (key.startsWith("crashes/")) {
+            const report = readCrashReport(value);
+            return report === undefined
+                ? { type: "ignored", key, reason: "malformed" }
+                : {
+                    type: "crashReport",
+                    key,
+                    gateway: key.slice("crashes/".length),
+                    report,
+                    revision: modifiedRevision,
+                };
+        }
         if (key.startsWith("out/")) {
             return { type: "zoneOut", key, availabilityZone: key.slice("out/".length) };
         }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -28,6 +28,7 @@
     stopTickMs,
 } from "./constants.js";
 import { createPeerServer } from "./peerServer.js";
+import { CrashReports } from "./quarantine/crashReports.js";
 import { Placer } from "./requests/placer.js";
 import { RolloutSync } from "./rollout/rolloutSync.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
@@ -95,6 +96,7 @@
         random,
         exposureShare: settings.rollouts.exposureShare,
     });
+    const crashes = new CrashReports({ name, view, store, codec, clock, random, log, metrics });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
         view,
@@ -104,6 +106,7 @@
         board,
         connections,
         checks: new ServerChecks(),
+        crashes,
         budget,
         rollouts,
         vocabulary,
@@ -135,6 +138,7 @@
         const ids = new Set(view.knownServerIds());
         connections.retain(ids);
         board.retain(ids);
+        crashes.onChange();
         const limits = view.inForce?.configuration.limits;
         if (limits !== undefined) {
             callerServer.headersTimeout = limits.headerTimeoutMs;
@@ -189,6 +193,7 @@
         }
         sync.stop();
         rolloutSync.stop();
+        crashes.stop();
         connections.close();
         callerServer.closeAllConnections();
         peerServer.close();
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,5 +1,5 @@
 import { type RequestBody } from "@galenaglade/http-parts";
-import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { RequestGuard } from "../quarantine/requestGuard.js";
 import {
     hedgeAfterShare,
     isFailureOfServer,
@@ -31,6 +31,8 @@
     readonly send: Send;
     readonly place: Place;
     readonly purpose: Purpose;
+    /** What was known of crashes when it began. */
+    readonly mark: number;
     readonly ended: Promise<EndedSend>;
 }
 
@@ -53,6 +55,9 @@
     readonly #answers: ExchangeAnswers;
     readonly #placement: ExchangePlacement;
     readonly #content: ExchangeContent;
+    readonly #guard: RequestGuard;
+    /** Checks of servers that lost the request. */
+    readonly #checks: Promise<void>[] = [];
     #fallback: HeldAnswer | undefined;
     #streaming = false;
     /** Whether the caller's answer is there, so that what is still under way was beaten to it. */
@@ -79,6 +84,7 @@
         this.#signal = signal;
         this.#placement = new ExchangePlacement(parts, request, signal);
         this.#content = new ExchangeContent(request, body);
+        this.#guard = new RequestGuard(parts.crashes, this.#content);
         this.#openSink = openSink;
     }
 
@@ -97,12 +103,20 @@
         const { rules, route } = this.#request;
         budget.onRequest(rules.name, this.#nowMs());
         board.onRequest(rules.name, route.priority, this.#nowMs());
-        const place = await this.#placement.place("first");
-        if (typeof place === "string") {
-            return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
+        if (!this.#guard.admit()) {
+            return this.#finish(this.#answers.quarantined(this.#guard.retryAfterMs ?? 0));
+        }
+        try {
+            const place = await this.#placement.place("first");
+            if (typeof place === "string") {
+                return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
+            }
+            this.#send(place, "first");
+            return this.#finish(await this.#follow());
+        }
+        finally {
+            this.#guard.close();
         }
-        this.#send(place, "first");
-        return this.#finish(await this.#follow());
     }
 
     /** Follows the sends under way until one of them, or none, has the caller's answer. */
@@ -146,7 +160,15 @@
         if (mayGoOn && await this.#tryAgain(underWay, result)) {
             return undefined;
         }
-        return this.#unread.size > 0 ? undefined : this.#answers.allFailed(this.#ends, this.#fallback);
+        return this.#unread.size > 0 ? undefined : this.#resolveFailed();
+    }
+
+    #resolveFailed(): ExchangeEnd {
+        const { retryAfterMs } = this.#guard;
+        const hasNotRun = this.#fallback === undefined && this.#ends.every(({ type }) => type === "notRun");
+        return hasNotRun && retryAfterMs !== undefined
+            ? this.#answers.quarantined(retryAfterMs)
+            : this.#answers.allFailed(this.#ends, this.#fallback);
     }
 
     async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
@@ -154,6 +176,9 @@
             return false;
         }
         const { budget, log } = this.#parts;
+        if (!await this.#isAllowedAgain(result.end)) {
+            return false;
+        }
         const reachedServer = !(result.end.type === "notRun"
             && (result.end.reason === "connectFailed" || result.end.reason === "notSent"));
         // A send that never reached a server is no repeat when it is made again.
@@ -175,16 +200,30 @@
         return true;
     }
 
+    /** @returns whether what is known of servers that ended lets the request be sent once more */
+    async #isAllowedAgain(end: SendEnd): Promise<boolean> {
+        if (!isServerLost(end)) {
+            return this.#guard.maySend();
+        }
+        if (this.#guard.mustAwaitCheck) {
+            await Promise.all(this.#checks);
+        }
+        return this.#guard.mayRetry();
+    }
+
     /** Sends to a second server where one is good right now; the first answer goes to the caller. */
     async #tryHedge(): Promise<void> {
-        if (!this.#mayTryAgain()) {
+        if (!this.#mayTryAgain() || !this.#guard.mayHedge()) {
             return;
         }
         const place = await this.#placement.place("hedge");
         if (typeof place === "string") {
             return;
         }
-        if (this.#signal.aborted || this.#underWay.size < this.#unread.size || !this.#takeRepeat("hedge")) {
+        if (this.#signal.aborted || this.#underWay.size < this.#unread.size || !this.#guard.mayHedge()) {
+            return;
+        }
+        if (!this.#takeRepeat("hedge")) {
             return;
         }
         this.#parts.log.log("info", "hedge", { requestId: this.#request.requestId, to: place.server.id });
@@ -214,13 +253,15 @@
             requestId,
             vocabulary,
             heldBytes: heldAnswerBytes,
-            mayWrite: () => !this.#signal.aborted && view.isUsable(server.id, clock.monotonicMs()),
+            mayWrite: () =>
+                !this.#signal.aborted && view.isUsable(server.id, clock.monotonicMs()) && this.#guard.maySend(),
             openSink: head => this.#beginStream(head),
         });
         const underWay: SendUnderWay = {
             send,
             place,
             purpose,
+            mark: this.#guard.mark(),
             ended: send.result.then(result => {
                 this.#onSendEnded(underWay, connection, result);
                 return { underWay, result };
@@ -248,8 +289,9 @@
             connections.release(server.id, connection, { after: "request", nowMs });
         }
         metrics.onSendEnded(service, underWay.purpose, describeEnd(end));
+        this.#guard.onSendEnded(end, underWay.mark);
         if (isServerLost(end)) {
-            void this.#reportLost(server, tookMs);
+            this.#checks.push(this.#reportLost(underWay, tookMs));
         }
         if (isFailureOfServer(end)) {
             board.onFailure(service, server.id, nowMs);
@@ -267,12 +309,13 @@
     }
 
     /** Tells servers that ended with a request from those that lost only its connection. */
-    async #reportLost(server: RegisteredServer, tookMs: number): Promise<void> {
+    async #reportLost({ place: { server }, mark }: SendUnderWay, tookMs: number): Promise<void> {
         const { checks, clock, log, metrics } = this.#parts;
         const { requestId, rules, route, callerAddress } = this.#request;
         const lostAtMs = clock.monotonicMs();
         const state = await checks.check(server);
         metrics.onSendLost(rules.name, state);
+        this.#guard.onServerLost(server, state, mark);
         log.log("warn", "sendLost", {
             requestId,
             contentId: this.#content.contentId,
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -5,6 +5,8 @@
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type NoPlace } from "./placer.js";
 
+const oneSecondMs = 1_000;
+
 /** What the caller gets. */
 export type ExchangeEnd =
     | { readonly type: "answered"; readonly answer: HeldAnswer; }
@@ -31,6 +33,15 @@
             : this.#refuse("overloaded", reason, "full");
     }
 
+    /** Servers have ended under requests with this content. @param retryAfterMs - when one more may be sent, from now */
+    quarantined(retryAfterMs: number): ExchangeEnd {
+        const retryAfterSeconds = Math.ceil(retryAfterMs / oneSecondMs);
+        const failure = createFailure("queryOfDeath", "requests with this content ended their servers", {
+            retryAfterSeconds,
+        });
+        return { type: "failed", failure };
+    }
+
     /** All tries have failed. */
     allFailed(ends: readonly SendEnd[], fallback: HeldAnswer | undefined): ExchangeEnd {
         if (fallback !== undefined) {
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -5,6 +5,7 @@
 import { type RandomSource } from "@galenaglade/routing";
 import { type ServerChecks } from "../backends/serverChecks.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
+import { type CrashReports } from "../quarantine/crashReports.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
@@ -25,6 +26,7 @@
     readonly board: PlacementBoard;
     readonly connections: ServerConnections;
     readonly checks: ServerChecks;
+    readonly crashes: CrashReports;
     readonly budget: RepeatBudget;
     readonly rollouts: GatewayRollouts;
     readonly vocabulary: EdgeVocabulary;
--- a/packages/edge/src/stateCodec.ts
+++ b/packages/edge/src/stateCodec.ts
@@ -13,6 +13,8 @@
     abstract rolloutStatusKey(service: string): string;
     /** @returns the value of a roll-out's status */
     abstract renderRolloutStatus(status: RolloutStatus): string;
+    /** Where a gateway reports on requests under which servers ended. */
+    abstract crashReportKey(gateway: string): string;
     /** @returns whether all of the operator's keys come before a key, in the store's order */
     abstract isPastOperator(key: string): boolean;
 }
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -7,6 +7,7 @@
     readonly #waits;
     readonly #sends;
     readonly #lostSends;
+    readonly #contents;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
@@ -22,6 +23,9 @@
         this.#lostSends = meter.createCounter("galenaglade.lost_sends", {
             description: "sends whose connection was lost, by service and by what became of the server",
         });
+        this.#contents = meter.createCounter("galenaglade.contents_judged", {
+            description: "changes of what is believed of requests under which servers ended, by the new belief",
+        });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked",
         });
@@ -48,6 +52,10 @@
         this.#lostSends.add(1, { service, state });
     }
 
+    onContentJudged(state: string): void {
+        this.#contents.add(1, { state });
+    }
+
     onAsked(end: "answered" | "failed"): void {
         this.#asks.add(1, { end });
     }
--- a/packages/fleetState/src/constants.ts
+++ b/packages/fleetState/src/constants.ts
@@ -31,3 +31,6 @@
 
 /** Deletions that are remembered for gateways that ask: some minutes of a fleet with thousands of servers. */
 export const keptDeletions = 2_000;
+
+/** Strikes, and cleared contents, in one gateway's report on requests under which servers ended. */
+export const mostReportedContents = 32;
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -1,4 +1,5 @@
 import { storeAwayMs } from "./constants.js";
+import { type StoredCrashReport } from "./crashReport.js";
 import { type CountedGateways, GatewayRoster } from "./gatewayRoster.js";
 import {
     type FleetConfiguration,
@@ -22,7 +23,7 @@
 
 /** Something that this process believes from now on, for its log. */
 export interface BeliefChange {
-    readonly subject: "configuration" | "availabilityZone" | "server" | "gateway" | "rollout" | "item";
+    readonly subject: "configuration" | "availabilityZone" | "server" | "gateway" | "rollout" | "crashReport" | "item";
     readonly name: string;
     readonly change: string;
 }
@@ -37,6 +38,7 @@
     readonly #rollouts = new RolloutRegistry();
     readonly #itemsByKey = new Map<string, StateItem>();
     readonly #zonesOut = new Set<string>();
+    readonly #crashReports = new Map<string, StoredCrashReport>();
     #inForce: ConfigurationInForce | undefined;
     #lastContactMs = -Infinity;
     #awaySinceMs: number | undefined;
@@ -132,6 +134,11 @@
         return this.#rollouts.planOf(service);
     }
 
+    /** Reports on requests under which servers ended, by gateway. */
+    get crashReports(): ReadonlyMap<string, StoredCrashReport> {
+        return this.#crashReports;
+    }
+
     /** @returns whether a server may be given new work; asked again right before a request is written */
     isUsable(id: string, nowMs: number): boolean {
         const server = this.#directory.get(id);
@@ -227,6 +234,13 @@
                     change: `${item.status.version} ${item.status.stage}`,
                 });
                 return;
+            case "crashReport": {
+                const { gateway, report, revision } = item;
+                this.#crashReports.set(gateway, { report, revision });
+                const change = `${report.strikes.length} strikes, ${report.cleared.length} cleared`;
+                beliefs.push({ subject: "crashReport", name: gateway, change });
+                return;
+            }
             case "ignored":
                 if (item.reason !== undefined) {
                     beliefs.push({ subject: "item", name: item.key, change: `ignored: ${item.reason}` });
@@ -270,6 +284,10 @@
                 this.#rollouts.onOrderGone(item.order);
                 beliefs.push({ subject: "rollout", name: item.order.service, change: "order withdrawn" });
                 return;
+            case "crashReport":
+                this.#crashReports.delete(item.gateway);
+                beliefs.push({ subject: "crashReport", name: item.gateway, change: "gone" });
+                return;
             case "rolloutStatus":
                 this.#rollouts.onStatusGone(item.status);
         }
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -5,8 +5,17 @@
     failedPeerMs,
     followersPerRelay,
     lapsedEntryGraceMs,
+    mostReportedContents,
     storeAwayMs,
 } from "./constants.js";
+export {
+    type ClearedStrikes,
+    type CrashReport,
+    type CrashStrike,
+    readCrashReport,
+    renderCrashReport,
+    type StoredCrashReport,
+} from "./crashReport.js";
 export { type BeliefChange, type ConfigurationInForce, FleetView } from "./fleetView.js";
 export { type GatewayRegistration, readGatewayRegistration, renderGatewayRegistration } from "./gatewayRegistration.js";
 export { GatewayRoster } from "./gatewayRoster.js";
--- a/packages/fleetState/src/model.ts
+++ b/packages/fleetState/src/model.ts
@@ -1,4 +1,5 @@
 /** What a fleet's store says, in the product's own terms. All times are milliseconds. */
+import { type CrashReport } from "./crashReport.js";
 import { type GatewayRegistration } from "./gatewayRegistration.js";
 
 /** Where a backend server or a gateway listens. */
@@ -126,6 +127,14 @@
         /** `undefined` where it says nothing of itself that can be read. */
         readonly registration: GatewayRegistration | undefined;
     }
+    | {
+        readonly type: "crashReport";
+        readonly key: string;
+        readonly gateway: string;
+        readonly report: CrashReport;
+        /** The store's revision at which it was written. */
+        readonly revision: number;
+    }
     /** Nobody here needs it, or it can't be read; `reason` says why where it should have been readable. */
     | { readonly type: "ignored"; readonly key: string; readonly reason: string | undefined; };
 
--- /dev/null
+++ b/packages/quarantine/src/constants.ts
@@ -0,0 +1,17 @@
+/** Servers that must have ended under a request before it is kept from others. */
+export const quarantineStrikes = 3;
+
+/** Generations that these must span: in one, a failure of many servers at once would condemn every request that they ran. */
+export const quarantineGenerations = 2;
+
+/** Servers that may end under a request before it is sent to one server only, whatever its route allows. */
+export const singleSendStrikes = 2;
+
+/** Time after the latest strike until a quarantined request is tried once, in milliseconds; doubled with each further try. */
+export const trialAfterMs = 600_000;
+
+/** Such tries, at most. A fleet whose gateways don't agree on who tries may make one more. */
+export const mostTrials = 2;
+
+/** Time after its latest strike until a request's strikes are forgotten, in milliseconds. */
+export const strikeRetentionMs = 86_400_000;
--- /dev/null
+++ b/packages/quarantine/src/contentRecord.ts
@@ -0,0 +1,72 @@
+import { type CrashStrike } from "@galenaglade/fleet-state";
+import { mostTrials, quarantineGenerations, quarantineStrikes, strikeRetentionMs, trialAfterMs } from "./constants.js";
+
+/** A strike, and since when this gateway has known it. */
+export interface LearntStrike {
+    readonly strike: CrashStrike;
+    readonly learnedAt: number;
+}
+
+/** Everything that counts against one content: the server starts that ended under it, each once. */
+export class ContentRecord {
+    readonly #strikes = new Map<string, LearntStrike>();
+
+    /** Several gateways may have had the content on one server when it ended; the lowest generation condemns least. */
+    add(learnt: LearntStrike): void {
+        const known = this.#strikes.get(learnt.strike.incarnation);
+        if (known === undefined || known.strike.generation > learnt.strike.generation) {
+            this.#strikes.set(learnt.strike.incarnation, learnt);
+        }
+    }
+
+    /** Servers that ended. */
+    get strikes(): number {
+        return this.#strikes.size;
+    }
+
+    get generations(): number {
+        return Math.max(0, ...this.#each(({ strike }) => strike.generation));
+    }
+
+    /** When it is forgotten unless another server ends. */
+    get forgottenAtEpochMs(): number {
+        return this.#lastAtEpochMs + strikeRetentionMs;
+    }
+
+    /** When it may be tried again; `Infinity` where it was tried too often. */
+    get trialAtEpochMs(): number {
+        const trials = this.#each(({ strike }) => strike.trial).filter(Boolean).length;
+        return trials < mostTrials ? this.#lastAtEpochMs + trialAfterMs * 2 ** trials : Infinity;
+    }
+
+    get isQuarantined(): boolean {
+        return this.strikes >= quarantineStrikes && this.generations >= quarantineGenerations;
+    }
+
+    /** @returns since when a server's end is known, as a mark; `undefined` where it is not */
+    learnedAt(incarnation: string): number | undefined {
+        return this.#strikes.get(incarnation)?.learnedAt;
+    }
+
+    /** @returns the generation that a send begun at a mark belongs to */
+    generationAt(mark: number): number {
+        return 1 + Math.max(0, ...this.#knownAt(mark).map(({ strike }) => strike.generation));
+    }
+
+    /** @returns the server starts whose end was known at a mark */
+    incarnationsAt(mark: number): readonly string[] {
+        return this.#knownAt(mark).map(({ strike }) => strike.incarnation);
+    }
+
+    get #lastAtEpochMs(): number {
+        return Math.max(0, ...this.#each(({ strike }) => strike.atEpochMs));
+    }
+
+    #knownAt(mark: number): readonly LearntStrike[] {
+        return [...this.#strikes.values()].filter(({ learnedAt }) => learnedAt <= mark);
+    }
+
+    #each<T>(read: (learnt: LearntStrike) => T): readonly T[] {
+        return [...this.#strikes.values()].map(read);
+    }
+}
--- /dev/null
+++ b/packages/quarantine/src/crashLedger.ts
@@ -0,0 +1,284 @@
+import {
+    type CrashReport,
+    type CrashStrike,
+    findOwners,
+    mostReportedContents,
+    type StoredCrashReport,
+} from "@galenaglade/fleet-state";
+import { ContentRecord } from "./contentRecord.js";
+import { strikeRetentionMs } from "./constants.js";
+
+/** What may be done with a request. */
+export type ContentState =
+    /** Nothing is known against it. */
+    | "clear"
+    /** Servers have ended under it, too few to tell that it ends them. */
+    | "suspected"
+    /** It is kept from all servers. */
+    | "quarantined"
+    /** It is quarantined, and this very request is sent to one server to see whether that must go on. */
+    | "trial";
+
+/** What is known of a request's content. */
+export interface Verdict {
+    readonly state: ContentState;
+    /** Servers that ended under it. */
+    readonly strikes: number;
+    /** When a further request with it may be sent, from now, in milliseconds. */
+    readonly retryAfterMs: number;
+}
+
+/** What a verdict depends on besides the strikes. */
+export interface LedgerSight {
+    /** Gateways that count. */
+    readonly gateways: readonly string[];
+    readonly epochMs: number;
+}
+
+/** A server that ended under a request. */
+export interface Crash {
+    readonly contentId: string;
+    readonly incarnation: string;
+    /** What was known when the request was sent. */
+    readonly mark: number;
+    readonly epochMs: number;
+    readonly trial: boolean;
+}
+
+/** A change of what is believed of a content, for the log. */
+export interface LedgerChange {
+    readonly contentId: string;
+    readonly state: "clear" | "suspected" | "quarantined";
+    readonly strikes: number;
+    readonly generations: number;
+}
+
+const clearVerdict: Verdict = Object.freeze({ state: "clear", strikes: 0, retryAfterMs: 0 });
+
+/**
+ * What one gateway knows of requests under which backend servers ended: its own strikes and those that the others report. Every
+ * gateway judges by the same reports, so that a request which ends server after server is kept from all of them soon after the third,
+ * whoever saw the servers end. A request that is served after its strikes were known clears them.
+ */
+export class CrashLedger {
+    readonly #name: string;
+    readonly #ownStrikes = new Map<string, CrashStrike>();
+    readonly #ownCleared = new Map<string, Set<string>>();
+    readonly #trials = new Set<string>();
+    readonly #changes: LedgerChange[] = [];
+    #others: readonly CrashReport[] = [];
+    #records = new Map<string, ContentRecord>();
+    #headIds: ReadonlySet<string> = new Set();
+    /** Rises with everything that is learnt. */
+    #mark = 0;
+
+    /** @param name - of this gateway, as in its registration */
+    constructor(name: string) {
+        this.#name = name;
+    }
+
+    /** @returns what is known now, to be given back with the end of a send that begins now */
+    mark(): number {
+        return this.#mark;
+    }
+
+    /** @returns whether something is known of a content whose id begins so; most requests need no further look */
+    knowsHead(headId: string): boolean {
+        return this.#headIds.has(headId);
+    }
+
+    /** Contents that are quarantined now. */
+    get quarantined(): number {
+        return [...this.#records.values()].filter(record => record.isQuarantined).length;
+    }
+
+    /** @returns what may be done with a request now */
+    judge(contentId: string, { gateways, epochMs }: LedgerSight): Verdict {
+        const record = this.#records.get(contentId);
+        if (record === undefined || epochMs >= record.forgottenAtEpochMs) {
+            return clearVerdict;
+        }
+        const { strikes, trialAtEpochMs } = record;
+        if (!record.isQuarantined) {
+            return { state: "suspected", strikes, retryAfterMs: 0 };
+        }
+        const mayTry = epochMs >= trialAtEpochMs && !this.#trials.has(contentId)
+            && findOwners(contentId, gateways, 1)[0] === this.#name;
+        const openAtEpochMs = Math.min(trialAtEpochMs, record.forgottenAtEpochMs);
+        return { state: mayTry ? "trial" : "quarantined", strikes, retryAfterMs: Math.max(0, openAtEpochMs - epochMs) };
+    }
+
+    /** A quarantined request is sent to one server. @returns called when it has ended */
+    beginTrial(contentId: string): () => void {
+        this.#trials.add(contentId);
+        return () => this.#trials.delete(contentId);
+    }
+
+    /** A server ended under a request of this gateway. @returns whether the report has changed */
+    onCrash({ contentId, incarnation, mark, epochMs, trial }: Crash): boolean {
+        const key = createKey(contentId, incarnation);
+        if (this.#ownStrikes.has(key)) {
+            return false;
+        }
+        const generation = this.#records.get(contentId)?.generationAt(mark) ?? 1;
+        this.#ownStrikes.set(key, { contentId, incarnation, generation, atEpochMs: epochMs, trial });
+        this.#rebuild(epochMs);
+        return true;
+    }
+
+    /** A request was served, which clears the strikes that were known when it was sent. @returns whether the others must hear of it */
+    onServed(contentId: string, mark: number, epochMs: number): boolean {
+        const record = this.#records.get(contentId);
+        const cleared = record?.incarnationsAt(mark) ?? [];
+        if (record === undefined || cleared.length === 0) {
+            return false;
+        }
+        // A single strike harms nobody: most are of requests that were with the guilty one.
+        const mustTell = record.strikes > 1;
+        const known = this.#ownCleared.get(contentId) ?? new Set();
+        this.#ownCleared.set(contentId, known);
+        for (const incarnation of cleared) {
+            this.#ownStrikes.delete(createKey(contentId, incarnation));
+            known.add(incarnation);
+        }
+        this.#rebuild(epochMs);
+        return mustTell;
+    }
+
+    /** What the gateways report now. */
+    onReports(reports: ReadonlyMap<string, StoredCrashReport>, epochMs: number): void {
+        this.#others = [...reports].filter(([gateway]) => gateway !== this.#name).map(([, { report }]) => report);
+        this.#rebuild(epochMs);
+    }
+
+    /** Goes on with what this gateway reported before it was restarted. */
+    adopt({ strikes, cleared }: CrashReport, epochMs: number): void {
+        for (const strike of strikes) {
+            this.#ownStrikes.set(createKey(strike.contentId, strike.incarnation), strike);
+        }
+        for (const { contentId, incarnations } of cleared) {
+            this.#ownCleared.set(contentId, new Set([...this.#ownCleared.get(contentId) ?? [], ...incarnations]));
+        }
+        this.#rebuild(epochMs);
+    }
+
+    /** @returns what this gateway tells the others */
+    report(): CrashReport {
+        return {
+            strikes: [...this.#ownStrikes.values()],
+            cleared: [...this.#ownCleared].map(([contentId, incarnations]) => ({
+                contentId,
+                incarnations: [...incarnations],
+            })),
+        };
+    }
+
+    /** @returns what is believed otherwise since the last call */
+    takeChanges(): readonly LedgerChange[] {
+        return this.#changes.splice(0);
+    }
+
+    #rebuild(epochMs: number): void {
+        this.#mark++;
+        const clearedKeys = this.#findCleared();
+        this.#dropOwn(clearedKeys, epochMs);
+        const before = this.#records;
+        this.#records = new Map();
+        for (const strike of [...this.#ownStrikes.values(), ...this.#others.flatMap(({ strikes }) => strikes)]) {
+            const { contentId, incarnation, atEpochMs } = strike;
+            if (epochMs - atEpochMs >= strikeRetentionMs || clearedKeys.has(createKey(contentId, incarnation))) {
+                continue;
+            }
+            const record = this.#records.get(contentId) ?? new ContentRecord();
+            this.#records.set(contentId, record);
+            record.add({ strike, learnedAt: before.get(contentId)?.learnedAt(incarnation) ?? this.#mark });
+        }
+        this.#headIds = new Set([...this.#records.keys()].map(headIdOf));
+        this.#noteChanges(before);
+    }
+
+    #findCleared(): ReadonlySet<string> {
+        const keys = new Set<string>();
+        for (
+            const { contentId, incarnations } of [
+                ...this.#others.flatMap(({ cleared }) => cleared),
+                ...this.report().cleared,
+            ]
+        ) {
+            incarnations.forEach(incarnation => keys.add(createKey(contentId, incarnation)));
+        }
+        return keys;
+    }
+
+    /** Keeps this gateway's report small: what was cleared, is too old or nobody reports any more goes first. */
+    #dropOwn(clearedKeys: ReadonlySet<string>, epochMs: number): void {
+        for (const [key, { atEpochMs }] of this.#ownStrikes) {
+            if (clearedKeys.has(key) || epochMs - atEpochMs >= strikeRetentionMs) {
+                this.#ownStrikes.delete(key);
+            }
+        }
+        const reported = new Set(
+            this.#others.flatMap(({ strikes }) => strikes.map(each => createKey(each.contentId, each.incarnation))),
+        );
+        for (const [contentId, incarnations] of this.#ownCleared) {
+            for (const incarnation of incarnations) {
+                if (!reported.has(createKey(contentId, incarnation))) {
+                    incarnations.delete(incarnation);
+                }
+            }
+            if (incarnations.size === 0) {
+                this.#ownCleared.delete(contentId);
+            }
+        }
+        dropFirst(this.#ownCleared, this.#ownCleared.size - mostReportedContents);
+        this.#evictStrikes();
+    }
+
+    /** A caller that sends ever new requests of this kind must not push out what keeps the known ones away. */
+    #evictStrikes(): void {
+        const excess = this.#ownStrikes.size - mostReportedContents;
+        if (excess <= 0) {
+            return;
+        }
+        const isKept = ({ contentId }: CrashStrike): boolean => this.#records.get(contentId)?.isQuarantined === true;
+        const ranked = [...this.#ownStrikes].sort(([, a], [, b]) =>
+            Number(isKept(a)) - Number(isKept(b)) || a.atEpochMs - b.atEpochMs
+        );
+        for (const [key] of ranked.slice(0, excess)) {
+            this.#ownStrikes.delete(key);
+        }
+    }
+
+    #noteChanges(before: ReadonlyMap<string, ContentRecord>): void {
+        for (const contentId of new Set([...before.keys(), ...this.#records.keys()])) {
+            const [was, is] = [before.get(contentId), this.#records.get(contentId)];
+            if (was?.strikes !== is?.strikes || stateOf(was) !== stateOf(is)) {
+                const { strikes, generations } = is ?? { strikes: 0, generations: 0 };
+                this.#changes.push({ contentId, state: stateOf(is), strikes, generations });
+            }
+        }
+    }
+}
+
+/** @returns the part of a content id that names the request without its body */
+function headIdOf(contentId: string): string {
+    const end = contentId.indexOf(".");
+    return end < 0 ? contentId : contentId.slice(0, end);
+}
+
+function stateOf(record: ContentRecord | undefined): LedgerChange["state"] {
+    if (record === undefined) {
+        return "clear";
+    }
+    return record.isQuarantined ? "quarantined" : "suspected";
+}
+
+function createKey(contentId: string, incarnation: string): string {
+    return `${contentId} ${incarnation}`;
+}
+
+function dropFirst(map: Map<string, unknown>, count: number): void {
+    for (const key of [...map.keys()].slice(0, Math.max(0, count))) {
+        map.delete(key);
+    }
+}
