--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -7,6 +7,7 @@
     type RolloutStatus,
     type StateItem,
 } from "@galenaglade/fleet-state";
+import { type NamedLimit } from "@galenaglade/placement";
 import { findHeader, keepEndToEnd, type RawHeaders } from "@galenaglade/http-parts";
 import { type KeyValue } from "@galenaglade/platform";
 import { type AnswerSigns, EdgeVocabulary, type ForwardSigns, type RequestSigns, StateCodec } from "../../index.js";
@@ -38,10 +39,15 @@
             serverId: findHeader(headers, "x-server"),
             load: load === undefined ? undefined : { running, waiting, slots, slowdown },
             coldRemainingMs: Number(findHeader(headers, "x-cold-ms") ?? 0),
+            limit: readLimit(findHeader(headers, "x-limit")),
         };
     }
 }
 
+function readLimit(text: string | undefined): NamedLimit {
+    return text === undefined ? { type: "none" } : { type: "named", perSecond: Number(text) };
+}
+
 /** The tests' keys: each value is the item itself. */
 export class TestCodec extends StateCodec {
     override isPastOperator(key: string): boolean {
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -55,6 +55,8 @@
     readonly answer: HeldAnswer | undefined;
     /** Whether a sink was opened, so that the caller has had a part of the answer. */
     readonly streamed: boolean;
+    /** What the answer's head says, where it had one. */
+    readonly signs: AnswerSigns | undefined;
     readonly detail: string;
     readonly tookMs: number;
 }
@@ -235,6 +237,7 @@
                 }
                 : undefined,
             streamed: this.#sink !== undefined,
+            signs: this.#head?.signs,
             detail,
             tookMs: performance.now() - this.#startedAtMs,
         });
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,4 +1,5 @@
 import { type RequestBody } from "@galenaglade/http-parts";
+import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { RequestGuard } from "../quarantine/requestGuard.js";
 import {
     hedgeAfterShare,
@@ -271,7 +272,8 @@
         this.#unread.add(underWay);
     }
 
-    #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, { end, answer, tookMs }: SendResult): void {
+    #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, result: SendResult): void {
+        const { end, answer, tookMs } = result;
         const { connections, board, clock, metrics, rollouts } = this.#parts;
         const { server, score } = underWay.place;
         const { rules: { name: service }, route } = this.#request;
@@ -302,12 +304,35 @@
                 board.work.onAnswer(service, tookMs, score.factor);
             }
         }
+        this.#noteLimit(server, result, nowMs);
         const load = answer?.signs.load;
         if (load !== undefined) {
             board.onLoad(service, server, load, nowMs);
         }
     }
 
+    /** An answer of another server that has the address now says nothing of this one. */
+    #noteLimit(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
+        const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
+        if (signs === undefined || !isOwn) {
+            return;
+        }
+        const { board, log, metrics } = this.#parts;
+        const { requestId, rules } = this.#request;
+        const fields = { requestId, service: rules.name, server: server.id };
+        if (signs.limit.type === "malformed") {
+            metrics.onServerLimit(rules.name, "malformed");
+            log.log("warn", "serverLimit", { ...fields, change: "malformed", text: signs.limit.text });
+            return;
+        }
+        const change = board.onLimit(server, signs.limit, nowMs - tookMs, nowMs);
+        if (change !== undefined) {
+            const { type, ...more } = change;
+            metrics.onServerLimit(rules.name, type);
+            log.log("info", "serverLimit", { ...fields, change: type, ...more });
+        }
+    }
+
     /** Tells servers that ended with a request from those that lost only its connection. */
     async #reportLost({ place: { server }, mark }: SendUnderWay, tookMs: number): Promise<void> {
         const { checks, clock, log, metrics } = this.#parts;
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -22,6 +22,7 @@
     | "retry"
     | "hedge"
     | "sendLost"
+    | "serverLimit"
     | "contentJudged"
     | "crashReportFailed"
     | "quarantineTrial"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -8,6 +8,7 @@
     readonly #sends;
     readonly #lostSends;
     readonly #contents;
+    readonly #limits;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
@@ -26,6 +27,9 @@
         this.#contents = meter.createCounter("galenaglade.contents_judged", {
             description: "changes of what is believed of requests under which servers ended, by the new belief",
         });
+        this.#limits = meter.createCounter("galenaglade.server_limits", {
+            description: "limits that servers named, changed or ended, by service and change",
+        });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked",
         });
@@ -56,6 +60,10 @@
         this.#contents.add(1, { state });
     }
 
+    onServerLimit(service: string, change: string): void {
+        this.#limits.add(1, { service, change });
+    }
+
     onAsked(end: "answered" | "failed"): void {
         this.#asks.add(1, { end });
     }
--- a/packages/edge/src/vocabulary.ts
+++ b/packages/edge/src/vocabulary.ts
@@ -1,5 +1,5 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
-import { type LoadReport } from "@galenaglade/placement";
+import { type LoadReport, type NamedLimit } from "@galenaglade/placement";
 
 /** What a caller's request says of itself, besides what HTTP says. */
 export interface RequestSigns {
@@ -27,6 +27,8 @@
     readonly serverId: string | undefined;
     readonly load: LoadReport | undefined;
     readonly coldRemainingMs: number;
+    /** Requests a second that it takes from all gateways together. */
+    readonly limit: NamedLimit;
 }
 
 /** The names that callers and backend servers use for what the product needs to know of them. */
--- a/packages/httpParts/src/headers.ts
+++ b/packages/httpParts/src/headers.ts
@@ -47,6 +47,15 @@
     return kept;
 }
 
+/**
+ * @param raw - names and values in turn
+ * @param name - in lower case
+ * @returns all values under that name
+ */
+export function findHeaders(raw: RawHeaders, name: string): readonly string[] {
+    return raw.filter((_, i) => i % 2 === 1 && raw[i - 1]?.toLowerCase() === name);
+}
+
 /**
  * @param raw - names and values in turn
  * @param name - in lower case
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -3,7 +3,7 @@
 export { type Clock, systemClock } from "./clock.js";
 export { cutCaller } from "./cutCaller.js";
 export { writeFailure } from "./failureAnswer.js";
-export { findHeader, keepEndToEnd, type RawHeaders } from "./headers.js";
+export { findHeader, findHeaders, keepEndToEnd, type RawHeaders } from "./headers.js";
 export { parseJson } from "./parseJson.js";
 export { listen, type ListenAddress } from "./ports.js";
 export { type BodyLimits, readRequestBody, RequestBody } from "./requestBody.js";
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -34,6 +34,7 @@
 export { RankMix } from "./rankMix.js";
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
+export { type LimitChange, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
 export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
 export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
 export { ServerTrust } from "./serverTrust.js";
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -11,6 +11,7 @@
 import { RecentSends } from "./recentSends.js";
 import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
 import { type ProbeParts, ServiceProbes } from "./serviceProbes.js";
+import { type LimitChange, type NamedLimit, ServerLimits } from "./serverLimits.js";
 import { ServerTrust } from "./serverTrust.js";
 import { TypicalWork } from "./typicalWork.js";
 
@@ -62,6 +63,7 @@
     readonly policy: PlacementPolicy;
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
+    readonly #limits = new ServerLimits();
     readonly #probes: ProbeBudget;
     readonly #serviceProbes: ServiceProbes;
     readonly #sends = new RecentSends();
@@ -108,6 +110,16 @@
         );
     }
 
+    /**
+     * A server answered a request, and named a limit or none.
+     *
+     * @param sentAtMs - when the request was sent
+     * @returns what is believed otherwise now
+     */
+    onLimit(server: RegisteredServer, limit: NamedLimit, sentAtMs: number, nowMs: number): LimitChange | undefined {
+        return this.#limits.onAnswer(server, limit, sentAtMs, nowMs);
+    }
+
     /** A server did not answer for itself, or failed a request. */
     onFailure(service: string, serverId: string, nowMs: number): void {
         this.trust.onFailure(serverId, nowMs);
@@ -173,6 +185,7 @@
         this.#probes.retain(serverIds);
         this.#serviceProbes.retain(serverIds);
         this.#cold.retain(serverIds);
+        this.#limits.retain(serverIds);
         this.#sends.retain(serverIds);
         for (const memory of this.#memories.values()) {
             memory.retain(serverIds);
