--- /dev/null
+++ b/packages/edge/src/__tests__/serverLimit.test.ts
@@ -0,0 +1,61 @@
+import { checkServerLimit } from "@galenaglade/history";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { LimitedServers } from "./support/limitedServers.js";
+import { MemoryStore } from "./support/memoryStore.js";
+import { createConfiguration, eventually, startEdge, type TestEdge, whenReady } from "./support/testEdge.js";
+
+const bounds = { factor: 1.5, slack: 5, windowMs: 4_000, settleMs: 3_000, toldMs: 500 };
+
+interface LimitedFleet {
+    readonly servers: LimitedServers;
+    readonly edges: readonly TestEdge[];
+}
+
+async function startLimitedFleet(t: TestContext, gateways: number, ids: readonly string[]): Promise<LimitedFleet> {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    const servers = new LimitedServers(t, store);
+    for (const id of ids) {
+        await servers.start(id);
+    }
+    const edges: TestEdge[] = [];
+    for (let i = 0; i < gateways; i++) {
+        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
+    }
+    await Promise.all(edges.map(whenReady));
+    await eventually(
+        () => edges.every(({ logs }) => logs.filter(line => line["subject"] === "gateway").length >= gateways),
+        "the gateways know each other",
+    );
+    return { servers, edges };
+}
+
+/** Sends requests to one gateway after the other. @returns how many were answered, and how many were not */
+async function sendFor(
+    { servers, edges }: LimitedFleet,
+    forMs: number,
+    everyMs: number,
+): Promise<readonly [number, number]> {
+    const untilMs = performance.now() + forMs;
+    const statuses: Promise<number>[] = [];
+    for (let i = 0; performance.now() < untilMs; i++) {
+        const edge = edges[i % edges.length];
+        assert.ok(edge);
+        statuses.push(servers.send(edge).then(({ status }) => status));
+        await sleep(everyMs);
+    }
+    const all = await Promise.all(statuses);
+    const answered = all.filter(status => status === 200).length;
+    return [answered, all.length - answered];
+}
+
+// A server in need that goes on getting its usual load from every gateway that it has told falls over.
+test("a server that names a limit gets no more than that from all gateways together", async t => {
+    const fleet = await startLimitedFleet(t, 5, ["a", "b", "c"]);
+    fleet.servers.limit("a", 1.1);
+    const [, refused] = await sendFor(fleet, 9_000, 15);
+    assert.deepEqual(checkServerLimit(fleet.servers.history, bounds), []);
+    assert.equal(refused, 0);
+});
--- /dev/null
+++ b/packages/edge/src/__tests__/support/limitedServers.ts
@@ -0,0 +1,79 @@
+import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
+import { type TestContext } from "node:test";
+import { type MemoryStore } from "./memoryStore.js";
+import { call, type Got, register, renderSigned, startBackend, type TestEdge } from "./testEdge.js";
+
+const workMs = 20;
+
+/** Backend servers that name limits as the test says, and the history of what they got and of who was told. */
+export class LimitedServers {
+    readonly history: HistoryLine[] = [];
+    readonly #t: TestContext;
+    readonly #store: MemoryStore;
+    readonly #limits = new Map<string, string>();
+    #sent = 0;
+
+    constructor(t: TestContext, store: MemoryStore) {
+        this.#t = t;
+        this.#store = store;
+    }
+
+    async start(id: string): Promise<void> {
+        const backend = await startBackend(this.#t, id, req => {
+            this.#record({
+                type: "serverStarted",
+                requestId: req.headers.get("x-id") ?? "",
+                server: id,
+                availabilityZone: "north",
+                incarnation: id,
+                cold: false,
+                inFlight: 1,
+                bears: 3,
+            });
+            const limit = this.#limits.get(id);
+            const more = [`x-server: ${id}`, ...(limit === undefined ? [] : [`x-limit: ${limit}`])];
+            setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", more)), workMs);
+        });
+        register(this.#store, backend);
+    }
+
+    /** A server names a limit from now on, or none any more. */
+    limit(id: string, perSecond: number | undefined): void {
+        this.#record({ type: "serverLimited", server: id, perSecond });
+        if (perSecond === undefined) {
+            this.#limits.delete(id);
+            return;
+        }
+        this.#limits.set(id, String(perSecond));
+    }
+
+    /** Sends a request through a gateway. */
+    async send(edge: TestEdge): Promise<Got> {
+        const requestId = `l${++this.#sent}`;
+        const gateway = edge.name;
+        this.#record({
+            type: "callerSent",
+            requestId,
+            service: "tables",
+            idempotent: true,
+            patienceMs: 8_000,
+            gateway,
+        });
+        const got = await call(edge, `/tables/${requestId}`, { requestId });
+        if (got.headers["x-limit"] !== undefined) {
+            this.#record({ type: "limitPassedOn", gateway, server: String(got.headers["x-server"]) });
+        }
+        return got;
+    }
+
+    /** Requests that a server got in a span of time. */
+    count(id: string, fromMs: number, toMs = Infinity): number {
+        return this.history.filter(line =>
+            line.type === "serverStarted" && line.server === id && line.atMs >= fromMs && line.atMs < toMs
+        ).length;
+    }
+
+    #record(event: HistoryEvent): void {
+        this.history.push({ ...event, sequence: this.history.length, atMs: performance.now(), process: "" });
+    }
+}
--- a/packages/history/src/__tests__/serverCheckers.test.ts
+++ b/packages/history/src/__tests__/serverCheckers.test.ts
@@ -4,6 +4,7 @@
     checkColdStart,
     checkProbeBudget,
     checkServerLeaving,
+    checkServerLimit,
     type ColdStartBounds,
     type HistoryEvent,
     type HistoryLine,
@@ -77,3 +78,28 @@
     const bad = createHistory([0, probed], [500, probed], [999, probed]);
     assert.deepEqual(checkProbeBudget(bad, budget).map(violation => violation.lines), [[0, 1, 2]]);
 });
+
+test("server limit: what told gateways send together stays within the limit, and others' requests don't count", () => {
+    const limitBounds = { factor: 1.5, slack: 1, windowMs: 1_000, settleMs: 100, toldMs: 50 };
+    const ask = (atMs: number, requestId: string, gateway: string): (readonly [number, HistoryEvent])[] => [
+        [atMs, { type: "callerSent", requestId, service: "catalog", idempotent: true, patienceMs: 1, gateway }],
+        [atMs, { ...createStarted(1, false), requestId } as HistoryEvent],
+    ];
+    const named: (readonly [number, HistoryEvent])[] = [
+        [0, { type: "serverLimited", server, perSecond: 1 }],
+        [10, { type: "limitPassedOn", gateway: "g1", server }],
+        [20, { type: "limitPassedOn", gateway: "g2", server }],
+    ];
+    const allowed = [
+        ...named,
+        ...ask(110, "a", "g1"),
+        ...ask(120, "b", "g2"),
+        ...ask(130, "c", "g3"),
+        ...ask(140, "d", "g3"),
+    ];
+    assert.deepEqual(checkServerLimit(createHistory(...allowed), limitBounds), []);
+    assert.equal(checkServerLimit(createHistory(...allowed, ...ask(150, "e", "g1")), limitBounds).length, 1);
+    assert.deepEqual(checkServerLimit(createHistory(...allowed, ...ask(1_121, "e", "g1")), limitBounds), []);
+    const ended: readonly [number, HistoryEvent] = [145, { type: "serverLimited", server, perSecond: undefined }];
+    assert.deepEqual(checkServerLimit(createHistory(...allowed, ended, ...ask(150, "e", "g1")), limitBounds), []);
+});
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -18,6 +18,8 @@
         readonly idempotencyKey?: string | undefined;
         /** The same for requests that ask the same of a server; `undefined` where no other request does. */
         readonly contentId?: string | undefined;
+        /** The gateway that it was sent to, where that is known. */
+        readonly gateway?: string | undefined;
         readonly patienceMs: number;
     }
     | {
@@ -58,6 +60,10 @@
         readonly cold: boolean;
     }
     | { readonly type: "serverProbed"; readonly server: string; readonly gateway: string; }
+    /** From now on a server names a limit of requests a second in its answers; `undefined` for none any more. */
+    | { readonly type: "serverLimited"; readonly server: string; readonly perSecond: number | undefined; }
+    /** A caller got an answer through a gateway in which a server names a limit. */
+    | { readonly type: "limitPassedOn"; readonly gateway: string; readonly server: string; }
     | { readonly type: "serverLeaving"; readonly server: string; }
     | { readonly type: "serverTurnedCold"; readonly server: string; }
     | { readonly type: "serverTurnedWarm"; readonly server: string; }
