Keep the limits that servers name, for all gateways together

A limit now has a few owners by rendezvous hashing in the server's zone, each with an equal part and no savings; all others look in turn, rarely, whether it still holds. Every send goes through the same admission, retries, hedged requests and trials included, and a request that only limits keep from servers is refused at once.

--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -2,14 +2,16 @@
 import { systemClock } from "@galenaglade/http-parts";
 import { PlacementBoard } from "@galenaglade/placement";
 import { createRandomSource } from "@galenaglade/routing";
-import { createMetrics } from "@galenaglade/telemetry";
+import { createJsonLogger, createMetrics } from "@galenaglade/telemetry";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { test, type TestContext } from "node:test";
 import { Worker } from "node:worker_threads";
 import { askServer } from "../backends/askServer.js";
 import { ServerConnections } from "../backends/serverConnections.js";
+import { LimitNotes } from "../requests/limitNotes.js";
 import { LoadInquiry } from "../requests/loadInquiry.js";
+import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { startBackend } from "./support/testEdge.js";
 import { TestVocabulary } from "./support/testNames.js";
@@ -41,7 +43,9 @@
         startedAtMs: 0,
     });
     const metrics = new EdgeMetrics(createMetrics("test"));
-    return { inquiry: new LoadInquiry({ board, connections, vocabulary, clock: systemClock, metrics }), board };
+    const log = new EdgeLog(createJsonLogger({ process: "test", level: "error", write: () => undefined }), () => 0);
+    const limits = new LimitNotes({ board, log, metrics });
+    return { inquiry: new LoadInquiry({ board, limits, connections, vocabulary, clock: systemClock, metrics }), board };
 }
 
 // Of the servers that are asked one is slow to answer, or dead. Every request that asks it would be as late.
--- a/packages/edge/src/__tests__/serverLimit.test.ts
+++ b/packages/edge/src/__tests__/serverLimit.test.ts
@@ -59,3 +59,30 @@
     assert.deepEqual(checkServerLimit(fleet.servers.history, bounds), []);
     assert.equal(refused, 0);
 });
+
+// Kept away for good, gateways would never hear that a server is well again; all at once, they would make it fall over once more.
+test("a server whose limit has ended is used again", async t => {
+    const fleet = await startLimitedFleet(t, 3, ["a", "b"]);
+    fleet.servers.limit("a", 2);
+    await sendFor(fleet, 4_000, 20);
+    fleet.servers.limit("a", undefined);
+    const endedAtMs = performance.now();
+    await sendFor(fleet, 6_000, 20);
+    const used = fleet.servers.count("a", endedAtMs + 4_000);
+    assert.ok(used > 20, `${used} requests in the last two seconds`);
+    assert.deepEqual(checkServerLimit(fleet.servers.history, bounds), []);
+});
+
+test("where the limits of all servers are used up, a request is refused at once", async t => {
+    const fleet = await startLimitedFleet(t, 1, ["a"]);
+    const [edge] = fleet.edges;
+    assert.ok(edge);
+    fleet.servers.limit("a", 0.1);
+    assert.equal((await fleet.servers.send(edge)).status, 200);
+    const askedAtMs = performance.now();
+    const got = await fleet.servers.send(edge);
+    assert.equal(got.status, 503);
+    assert.ok(Number(got.headers["retry-after"]) > 0);
+    assert.equal(edge.logs.findLast(line => line["message"] === "requestFailed")?.["detail"], "limited");
+    assert.ok(performance.now() - askedAtMs < 500);
+});
--- a/packages/edge/src/backends/askServer.ts
+++ b/packages/edge/src/backends/askServer.ts
@@ -91,6 +91,7 @@
             slots: server.slots,
             healthy: status === okStatus,
             coldRemainingMs: signs.coldRemainingMs,
+            limit: signs.limit,
         };
     }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -29,6 +29,7 @@
 } from "./constants.js";
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
+import { LimitNotes } from "./requests/limitNotes.js";
 import { Placer } from "./requests/placer.js";
 import { RolloutSync } from "./rollout/rolloutSync.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
@@ -88,7 +89,8 @@
         probesPerServerAndSecond: settings.asking.perServerAndSecond,
         startedAtMs: clock.monotonicMs(),
     });
-    const placer = new Placer({ view, availabilityZone, board, connections, vocabulary, clock, metrics });
+    const limits = new LimitNotes({ board, log, metrics });
+    const placer = new Placer({ view, availabilityZone, board, limits, connections, vocabulary, clock, metrics });
     const rollouts = new GatewayRollouts({
         name,
         life: `${clock.epochMs()}-${parts.seed}`,
@@ -106,6 +108,7 @@
         random,
         placer,
         board,
+        limits,
         connections,
         checks: new ServerChecks(),
         crashes,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -314,23 +314,17 @@
     /** An answer of another server that has the address now says nothing of this one. */
     #noteLimit(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
         const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
-        if (signs === undefined || !isOwn) {
+        // Only an answer with the server's proof says by its silence that there is no limit any more.
+        if (signs === undefined || !isOwn || (signs.limit.type === "none" && !signs.signed)) {
             return;
         }
-        const { board, log, metrics } = this.#parts;
-        const { requestId, rules } = this.#request;
-        const fields = { requestId, service: rules.name, server: server.id };
-        if (signs.limit.type === "malformed") {
-            metrics.onServerLimit(rules.name, "malformed");
-            log.log("warn", "serverLimit", { ...fields, change: "malformed", text: signs.limit.text });
-            return;
-        }
-        const change = board.onLimit(server, signs.limit, nowMs - tookMs, nowMs);
-        if (change !== undefined) {
-            const { type, ...more } = change;
-            metrics.onServerLimit(rules.name, type);
-            log.log("info", "serverLimit", { ...fields, change: type, ...more });
-        }
+        this.#parts.limits.note({
+            server,
+            limit: signs.limit,
+            source: { answered: "request", sentAtMs: nowMs - tookMs },
+            requestId: this.#request.requestId,
+            nowMs,
+        });
     }
 
     /** Tells servers that ended with a request from those that lost only its connection. */
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -5,10 +5,12 @@
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
+import { type LimitNotes } from "./limitNotes.js";
 
 /** What questions are asked with. */
 export interface LoadInquiryParts {
     readonly board: PlacementBoard;
+    readonly limits: LimitNotes;
     readonly connections: ServerConnections;
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
@@ -58,7 +60,7 @@
         server: RegisteredServer,
         timeoutMs: number,
     ): Promise<ServerOffer | undefined> {
-        const { board, connections, vocabulary, clock, metrics } = this.#parts;
+        const { board, limits, connections, vocabulary, clock, metrics } = this.#parts;
         const askedAtMs = clock.monotonicMs();
         const connection = connections.take(server.id, server.address);
         const offer = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs });
@@ -70,6 +72,10 @@
         }
         connections.release(server.id, connection, { after: "question", nowMs: clock.monotonicMs() });
         board.onOffer(rules.name, offer, askedAtMs);
+        if (offer.limit !== undefined) {
+            const source = { answered: "question", sentAtMs: askedAtMs } as const;
+            limits.note({ server, limit: offer.limit, source, nowMs: clock.monotonicMs() });
+        }
         return offer;
     }
 
--- /dev/null
+++ b/packages/placement/src/__tests__/limitAdmission.test.ts
@@ -0,0 +1,152 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LimitAdmission, type LimitInput, type ServerLimit } from "../index.js";
+
+const serverId = "server";
+const zones = ["north", "middle", "south"];
+const stepMs = 20;
+const windowMs = 4_000;
+
+interface FleetInput {
+    readonly gateways: number;
+    readonly perSecond: number;
+    readonly runMs: number;
+    /** Gateways that each gateway's roster lacks, by its number. */
+    readonly unknownTo?: (gateway: number) => ReadonlySet<number>;
+    /** When all gateways are started again. */
+    readonly restartAtMs?: number;
+    /** What the server names from then on. */
+    readonly then?: { readonly atMs: number; readonly perSecond: number; };
+}
+
+function zoneOf(gateway: number): string {
+    return zones[gateway % zones.length] ?? "";
+}
+
+interface Rosters {
+    readonly gateways: readonly string[];
+    readonly byZone: ReadonlyMap<string, readonly string[]>;
+}
+
+function createRosters(gateways: number, unknown: ReadonlySet<number>): Rosters {
+    const known = Array.from({ length: gateways }, (_, i) => i).filter(i => !unknown.has(i));
+    return {
+        gateways: known.map(i => `gateway-${i}`),
+        byZone: new Map(zones.map(zone => [zone, known.filter(i => zoneOf(i) === zone).map(i => `gateway-${i}`)])),
+    };
+}
+
+/** Gateways that send to one server whenever they may. @returns when requests were sent */
+function playEager(input: FleetInput): readonly number[] {
+    const { gateways, runMs, restartAtMs, unknownTo, then } = input;
+    const create = (): readonly LimitAdmission[] =>
+        Array.from({ length: gateways }, (_, i) => new LimitAdmission(`gateway-${i}`, zoneOf(i)));
+    const rosters = Array.from({ length: gateways }, (_, i) => createRosters(gateways, unknownTo?.(i) ?? new Set()));
+    let admissions = create();
+    let sinceMs = 0;
+    const sentAtMs: number[] = [];
+    for (let nowMs = 0; nowMs < runMs; nowMs += stepMs) {
+        if (nowMs === restartAtMs) {
+            admissions = create();
+            sinceMs = nowMs;
+        }
+        const perSecond = then !== undefined && nowMs >= then.atMs ? then.perSecond : input.perSecond;
+        const limit: ServerLimit = { perSecond, sinceMs, heardAtMs: nowMs };
+        for (const [i, admission] of admissions.entries()) {
+            const roster = rosters[i];
+            if (roster !== undefined && admission.waitMs(createInput(roster, zoneOf(i), limit, nowMs)) === 0) {
+                admission.onSend(serverId, nowMs);
+                sentAtMs.push(nowMs);
+            }
+        }
+    }
+    return sentAtMs;
+}
+
+function createInput({ gateways, byZone }: Rosters, zone: string, limit: ServerLimit, nowMs: number): LimitInput {
+    return {
+        serverId,
+        availabilityZone: "north",
+        limit,
+        gateways,
+        zoneGateways: byZone.get(zone) ?? [],
+        serverZoneGateways: byZone.get("north") ?? [],
+        nowMs,
+    };
+}
+
+function findMost(sentAtMs: readonly number[]): number {
+    let most = 0;
+    let first = 0;
+    for (const [last, atMs] of sentAtMs.entries()) {
+        while ((sentAtMs[first] ?? 0) <= atMs - windowMs) {
+            first++;
+        }
+        most = Math.max(most, last - first + 1);
+    }
+    return most;
+}
+
+function allowedOf(perSecond: number): number {
+    return perSecond * windowMs / 1_000 * 1.5 + 5;
+}
+
+const fleets = [1, 5, 13, 15, 131, 312];
+const limits = [0, 0.1, 0.5, 1.1, 3, 20, 60];
+
+// All gateways want the server at once, as where it is the one that looks least loaded.
+test("gateways that send whenever they may keep a server's limit together, and use most of it", () => {
+    for (const gateways of fleets) {
+        for (const perSecond of limits) {
+            const sentAtMs = playEager({ gateways, perSecond, runMs: 40_000 });
+            assert.ok(
+                findMost(sentAtMs) <= allowedOf(perSecond),
+                `${gateways} gateways, ${perSecond}: ${findMost(sentAtMs)}`,
+            );
+            if (perSecond >= 0.5) {
+                const used = sentAtMs.length / 40 / perSecond;
+                assert.ok(used > 0.5, `${gateways} gateways, ${perSecond}: ${used}`);
+            }
+        }
+    }
+});
+
+// Rosters differ while a gateway comes or goes: more gateways than there should be take themselves for owners.
+test("a limit is kept while rosters lack some of the gateways", () => {
+    for (const gateways of fleets) {
+        for (const perSecond of limits) {
+            for (const lacking of [1, 2]) {
+                const unknownTo = (gateway: number): ReadonlySet<number> =>
+                    new Set(
+                        Array.from({ length: lacking }, (_, i) => (gateway * 7 + i * 3) % gateways).filter(i =>
+                            i !== gateway
+                        ),
+                    );
+                const most = findMost(playEager({ gateways, perSecond, runMs: 20_000, unknownTo }));
+                assert.ok(
+                    most <= allowedOf(perSecond),
+                    `${gateways} gateways lacking ${lacking}, ${perSecond}: ${most}`,
+                );
+            }
+        }
+    }
+});
+
+test("a limit is kept while all gateways are started again, and begin without savings", () => {
+    for (const gateways of fleets) {
+        for (const perSecond of limits) {
+            const most = findMost(playEager({ gateways, perSecond, runMs: 20_000, restartAtMs: 10_000 }));
+            assert.ok(most <= allowedOf(perSecond), `${gateways} gateways, ${perSecond}: ${most}`);
+        }
+    }
+});
+
+test("a limit that falls is kept from the first answer with it on, and one that rises is used", () => {
+    for (const gateways of fleets) {
+        const falls = playEager({ gateways, perSecond: 20, runMs: 30_000, then: { atMs: 10_000, perSecond: 1.1 } });
+        assert.ok(findMost(falls.filter(atMs => atMs >= 10_000)) <= allowedOf(1.1));
+        const rises = playEager({ gateways, perSecond: 1.1, runMs: 30_000, then: { atMs: 10_000, perSecond: 20 } });
+        assert.ok(findMost(rises) <= allowedOf(20));
+        assert.ok(rises.filter(atMs => atMs >= 20_000).length >= 100, `${gateways} gateways`);
+    }
+});
--- a/packages/placement/src/__tests__/serverLimits.test.ts
+++ b/packages/placement/src/__tests__/serverLimits.test.ts
@@ -1,7 +1,7 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type NamedLimit, ServerLimits } from "../index.js";
+import { type LimitSource, type NamedLimit, ServerLimits } from "../index.js";
 
 const server: RegisteredServer = {
     id: "a",
@@ -13,6 +13,10 @@
     coldRemainingMs: 0,
     startedAtEpochMs: 1,
 };
+function request(sentAtMs: number): LimitSource {
+    return { answered: "request", sentAtMs };
+}
+
 const none: NamedLimit = { type: "none" };
 
 function named(perSecond: number): NamedLimit {
@@ -21,31 +25,44 @@
 
 test("a limit holds from the first answer that names it until one that doesn't", () => {
     const limits = new ServerLimits();
-    assert.deepEqual(limits.onAnswer(server, named(2), 0, 10), { type: "named", perSecond: 2, before: undefined });
-    assert.equal(limits.onAnswer(server, named(2), 10, 20), undefined);
-    assert.deepEqual(limits.onAnswer(server, named(1), 20, 30), { type: "changed", perSecond: 1, before: 2 });
+    assert.deepEqual(limits.onAnswer(server, named(2), request(0), 10), {
+        type: "named",
+        perSecond: 2,
+        before: undefined,
+    });
+    assert.equal(limits.onAnswer(server, named(2), request(10), 20), undefined);
+    assert.deepEqual(limits.onAnswer(server, named(1), request(20), 30), { type: "changed", perSecond: 1, before: 2 });
     assert.equal(limits.of(server)?.perSecond, 1);
-    assert.deepEqual(limits.onAnswer(server, none, 40, 50), { type: "ended", before: 1, heldMs: 40 });
+    assert.deepEqual(limits.onAnswer(server, none, request(40), 50), { type: "ended", before: 1, heldMs: 40 });
     assert.equal(limits.of(server), undefined);
 });
 
 // An answer that was made before the limit and comes after the first one with it must not end it.
 test("an answer to a request that was sent before the limit was heard doesn't end it", () => {
     const limits = new ServerLimits();
-    limits.onAnswer(server, named(2), 0, 10);
-    assert.equal(limits.onAnswer(server, none, 5, 20), undefined);
+    limits.onAnswer(server, named(2), request(0), 10);
+    assert.equal(limits.onAnswer(server, none, request(5), 20), undefined);
     assert.equal(limits.of(server)?.perSecond, 2);
 });
 
 test("a malformed limit changes nothing", () => {
     const limits = new ServerLimits();
-    limits.onAnswer(server, named(2), 0, 10);
-    assert.equal(limits.onAnswer(server, { type: "malformed", text: "many" }, 20, 30), undefined);
+    limits.onAnswer(server, named(2), request(0), 10);
+    assert.equal(limits.onAnswer(server, { type: "malformed", text: "many" }, request(20), 30), undefined);
     assert.equal(limits.of(server)?.perSecond, 2);
 });
 
 test("a server that was started again under its id has named no limit", () => {
     const limits = new ServerLimits();
-    limits.onAnswer(server, named(2), 0, 10);
+    limits.onAnswer(server, named(2), request(0), 10);
     assert.equal(limits.of({ ...server, startedAtEpochMs: 2 }), undefined);
 });
+
+// A service may name limits in answers to requests only; its answers to questions for load say nothing of their end.
+test("an answer ends a limit only where answers of its kind have named it", () => {
+    const limits = new ServerLimits();
+    limits.onAnswer(server, named(2), request(0), 10);
+    assert.equal(limits.onAnswer(server, none, { answered: "question", sentAtMs: 20 }, 30), undefined);
+    limits.onAnswer(server, named(2), { answered: "question", sentAtMs: 40 }, 50);
+    assert.equal(limits.onAnswer(server, none, { answered: "question", sentAtMs: 60 }, 70)?.type, "ended");
+});
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -153,3 +153,17 @@
 
 /** Requests that a process holds then, at most. */
 export const mostHeldAtStart = 200;
+
+/** Share of a server's named limit that its owners give it together; the rest is for views of the roster that differ. */
+export const limitShare = 0.9;
+
+/** Share of it that all other gateways use together to hear whether the limit still holds. */
+export const limitLookShare = 0.2;
+
+/** Gateways that send to a server which named a limit: as many as leave each a request a second, within bounds. */
+export const limitOwnerPerSecond = 1;
+export const leastLimitOwners = 3;
+export const mostLimitOwners = 15;
+
+/** A lower limit counts as this one, in requests a second: a server that gets nothing can't say that its need is over. */
+export const leastLimitPerSecond = 0.05;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -14,6 +14,7 @@
 } from "./constants.js";
 export { drawDestination } from "./destination.js";
 export { type EarlierLook, GoodChances } from "./goodChances.js";
+export { LimitAdmission, type LimitInput } from "./limitAdmission.js";
 export { LoadMemory, type RememberedOffer } from "./loadMemory.js";
 export { type LoadReport, type ServerOffer } from "./loadReport.js";
 export {
@@ -34,7 +35,7 @@
 export { RankMix } from "./rankMix.js";
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
-export { type LimitChange, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
+export { type LimitChange, type LimitSource, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
 export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
 export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
 export { ServerTrust } from "./serverTrust.js";
--- a/packages/placement/src/loadReport.ts
+++ b/packages/placement/src/loadReport.ts
@@ -1,3 +1,5 @@
+import { type NamedLimit } from "./serverLimits.js";
+
 /** What a backend server says of its load at one moment. */
 export interface LoadReport {
     readonly running: number;
@@ -18,4 +20,6 @@
     readonly healthy: boolean;
     /** How much longer it is cold; 0 where it is warm. */
     readonly coldRemainingMs: number;
+    /** What the answer says of a limit. */
+    readonly limit?: NamedLimit;
 }
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -11,7 +11,8 @@
 import { RecentSends } from "./recentSends.js";
 import { isGood, scoreServer, type ServerScore } from "./serverScore.js";
 import { type ProbeParts, ServiceProbes } from "./serviceProbes.js";
-import { type LimitChange, type NamedLimit, ServerLimits } from "./serverLimits.js";
+import { LimitAdmission, type LimitInput } from "./limitAdmission.js";
+import { type LimitChange, type LimitSource, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
 import { ServerTrust } from "./serverTrust.js";
 import { TypicalWork } from "./typicalWork.js";
 
@@ -48,8 +49,10 @@
     readonly askedAgoMs: number;
     /** Chance that it is good now, from 0 to 1. */
     readonly chance: number;
-    /** Whether work may be sent there: a cold server has owners, and takes little from each. */
+    /** Whether work may be sent there: a cold server, or one that named a limit, has owners and takes little from each. */
     readonly admitted: boolean;
+    /** How long the server's limit keeps this gateway from it; 0 where it doesn't. */
+    readonly limitedForMs: number;
 }
 
 /**
@@ -64,6 +67,7 @@
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
     readonly #limits = new ServerLimits();
+    readonly #limited: LimitAdmission;
     readonly #probes: ProbeBudget;
     readonly #serviceProbes: ServiceProbes;
     readonly #sends = new RecentSends();
@@ -75,6 +79,7 @@
         this.random = parts.random;
         this.policy = parts.policy ?? defaultPlacementPolicy;
         this.#cold = new ColdAdmission(parts.name);
+        this.#limited = new LimitAdmission(parts.name, parts.availabilityZone);
         this.#probes = new ProbeBudget(parts.startedAtMs);
         this.#serviceProbes = new ServiceProbes({ ...parts, policy: this.policy });
     }
@@ -111,13 +116,13 @@
     }
 
     /**
-     * A server answered a request, and named a limit or none.
+     * A server answered, and named a limit or none.
      *
-     * @param sentAtMs - when the request was sent
+     * @param source - what it answered, and when that was sent
      * @returns what is believed otherwise now
      */
-    onLimit(server: RegisteredServer, limit: NamedLimit, sentAtMs: number, nowMs: number): LimitChange | undefined {
-        return this.#limits.onAnswer(server, limit, sentAtMs, nowMs);
+    onLimit(server: RegisteredServer, limit: NamedLimit, source: LimitSource, nowMs: number): LimitChange | undefined {
+        return this.#limits.onAnswer(server, limit, source, nowMs);
     }
 
     /** A server did not answer for itself, or failed a request. */
@@ -174,6 +179,7 @@
     /** A request goes to a server. */
     onSend(rules: ServiceRules, { offer }: ServerScore, sight: FleetSight): void {
         this.#sends.onSend(offer.serverId, sight.nowMs);
+        this.#limited.onSend(offer.serverId, sight.nowMs);
         if (offer.coldRemainingMs > 0) {
             this.#cold.onSend(createColdInput(offer.serverId, rules, sight));
         }
@@ -186,6 +192,7 @@
         this.#serviceProbes.retain(serverIds);
         this.#cold.retain(serverIds);
         this.#limits.retain(serverIds);
+        this.#limited.retain(serverIds);
         this.#sends.retain(serverIds);
         for (const memory of this.#memories.values()) {
             memory.retain(serverIds);
@@ -213,9 +220,12 @@
     ): RatedServer {
         const { nowMs } = sight;
         const last = memory.recall(server.id);
+        const limit = this.#limits.of(server);
+        const limitedForMs = limit === undefined ? 0 : this.#limited.waitMs(createLimitInput(server, limit, sight));
         if (last === undefined) {
-            const chance = memory.chanceOf(server.id, true, nowMs);
-            return { server, score: undefined, ageMs: Infinity, askedAgoMs: Infinity, chance, admitted: true };
+            const admitted = limitedForMs === 0;
+            const chance = admitted ? memory.chanceOf(server.id, true, nowMs) : 0;
+            return { server, score: undefined, ageMs: Infinity, askedAgoMs: Infinity, chance, admitted, limitedForMs };
         }
         const ageMs = nowMs - last.atMs;
         const offer = { ...last.offer, coldRemainingMs: Math.max(0, last.offer.coldRemainingMs - ageMs) };
@@ -226,9 +236,10 @@
             suspect: this.trust.isSuspect(server.id, nowMs),
             reservedSlots: this.#ranks.reservedSlots(rules.name, rank, offer.load?.slots ?? offer.slots, nowMs),
         }, this.policy);
-        const admitted = offer.coldRemainingMs <= 0 || this.#cold.mayTake(createColdInput(server.id, rules, sight));
+        const mayTakeCold = offer.coldRemainingMs <= 0 || this.#cold.mayTake(createColdInput(server.id, rules, sight));
+        const admitted = limitedForMs === 0 && mayTakeCold;
         const chance = admitted ? memory.chanceOf(server.id, last.wasGood && isGood(score, this.policy), nowMs) : 0;
-        return { server, score, ageMs, askedAgoMs: nowMs - last.askedAtMs, chance, admitted };
+        return { server, score, ageMs, askedAgoMs: nowMs - last.askedAtMs, chance, admitted, limitedForMs };
     }
 
     #memoryOf(service: string): LoadMemory {
@@ -251,3 +262,19 @@
         nowMs: sight.nowMs,
     };
 }
+
+function createLimitInput(
+    { id, availabilityZone }: RegisteredServer,
+    limit: ServerLimit,
+    sight: FleetSight,
+): LimitInput {
+    return {
+        serverId: id,
+        availabilityZone,
+        limit,
+        gateways: sight.gateways,
+        zoneGateways: sight.zoneGateways,
+        serverZoneGateways: sight.gatewaysByZone?.get(availabilityZone) ?? [],
+        nowMs: sight.nowMs,
+    };
+}
--- a/packages/placement/src/serverLimits.ts
+++ b/packages/placement/src/serverLimits.ts
@@ -16,6 +16,13 @@
     readonly heardAtMs: number;
 }
 
+/** What a server answered as it named a limit, or none. */
+export interface LimitSource {
+    readonly answered: "request" | "question";
+    /** When that was sent: answers may overtake each other, and only one to what was sent later ends a limit. */
+    readonly sentAtMs: number;
+}
+
 /** A change of what is believed of a server's limit, for the log. */
 export type LimitChange =
     | { readonly type: "named" | "changed"; readonly perSecond: number; readonly before: number | undefined; }
@@ -23,6 +30,8 @@
 
 interface KnownLimit extends ServerLimit {
     readonly startedAtEpochMs: number | undefined;
+    /** Answers to what have named it: a service may do so in one kind only. */
+    readonly namedIn: ReadonlySet<LimitSource["answered"]>;
 }
 
 /** The limits that backend servers have named, as this gateway heard them. */
@@ -30,21 +39,21 @@
     readonly #limits = new Map<string, KnownLimit>();
 
     /**
-     * A server answered a request.
+     * A server answered.
      *
-     * @param server - as it was when the request was sent
+     * @param server - as it was when it was sent to
      * @param limit - what the answer says
-     * @param sentAtMs - when the request was sent: answers may overtake each other, and only one to a later request ends a limit
+     * @param source - what it answered
      * @param nowMs - the present time
      * @returns what is believed otherwise now
      */
-    onAnswer(server: RegisteredServer, limit: NamedLimit, sentAtMs: number, nowMs: number): LimitChange | undefined {
-        const known = this.of(server);
+    onAnswer(server: RegisteredServer, limit: NamedLimit, source: LimitSource, nowMs: number): LimitChange | undefined {
+        const known = this.#find(server);
         if (limit.type === "malformed") {
             return undefined;
         }
         if (limit.type === "none") {
-            if (known === undefined || sentAtMs < known.heardAtMs) {
+            if (known === undefined || source.sentAtMs < known.heardAtMs || !known.namedIn.has(source.answered)) {
                 return undefined;
             }
             this.#limits.delete(server.id);
@@ -56,6 +65,7 @@
             sinceMs: known?.sinceMs ?? nowMs,
             heardAtMs: nowMs,
             startedAtEpochMs: server.startedAtEpochMs,
+            namedIn: new Set([...known?.namedIn ?? [], source.answered]),
         });
         if (known?.perSecond === perSecond) {
             return undefined;
@@ -64,9 +74,8 @@
     }
 
     /** @returns a server's limit; one that was started again under its id has named none yet */
-    of({ id, startedAtEpochMs }: RegisteredServer): ServerLimit | undefined {
-        const known = this.#limits.get(id);
-        return known?.startedAtEpochMs === startedAtEpochMs ? known : undefined;
+    of(server: RegisteredServer): ServerLimit | undefined {
+        return this.#find(server);
     }
 
     /** Forgets servers that are no longer there. */
@@ -77,4 +86,9 @@
             }
         }
     }
+
+    #find({ id, startedAtEpochMs }: RegisteredServer): KnownLimit | undefined {
+        const known = this.#limits.get(id);
+        return known?.startedAtEpochMs === startedAtEpochMs ? known : undefined;
+    }
 }
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -23,7 +23,7 @@
 }
 
 /** Why no server was found. */
-export type NoServer = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood";
+export type NoServer = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood" | "limited";
 
 /** What to do next in a search. */
 export type SearchStep =
@@ -65,6 +65,9 @@
             return { type: "refuse", reason: "noServer" };
         }
         const rated = this.#board.rate(this.#input.rules, candidates, this.#input, sight);
+        if (this.#areAllLimited(rated, sight)) {
+            return { type: "refuse", reason: "limited" };
+        }
         const unasked = this.#findUnasked(rated);
         if (unasked.length > 0) {
             const decision = this.#decide(rated.filter(each => this.#isSure(each, sight)), { hasUnasked: true }, sight);
@@ -87,6 +90,13 @@
         return others.length > 0 ? others : usable;
     }
 
+    /** Whether the limits that servers named keep this gateway from all of them for longer than a request is held. */
+    #areAllLimited(rated: readonly RatedServer[], { nowMs }: FleetSight): boolean {
+        const { arrivedAtMs, objectiveMs } = this.#input;
+        const heldUntilMs = arrivedAtMs + objectiveMs * this.#policy.waitShare;
+        return rated.every(({ limitedForMs }) => limitedForMs > 0 && nowMs + limitedForMs > heldUntilMs);
+    }
+
     /** Those that are worth a question; any, where nothing is known of the others. */
     #findUnasked(rated: readonly RatedServer[]): readonly RatedServer[] {
         const unasked = rated.filter(({ server }) => !this.#askedAtMs.has(server.id));
