Hash a request only while something is known against some content

Each request's head was hashed for its look at the ledger, which is empty nearly always, and each change of the fleet rebuilt the ledger. Both happen only where there is something to find now.

--- a/packages/edge/src/quarantine/crashReports.ts
+++ b/packages/edge/src/quarantine/crashReports.ts
@@ -4,6 +4,7 @@
 import { type Crash, CrashLedger, type Verdict } from "@galenaglade/quarantine";
 import { type RandomSource } from "@galenaglade/routing";
 import { firstStorePauseMs, longestStorePauseMs } from "../constants.js";
+import { type ExchangeContent } from "../requests/exchangeContent.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -28,6 +29,7 @@
     readonly #parts: CrashReportsParts;
     readonly #ledger: CrashLedger;
     #adopted = false;
+    #changesSeen = 0;
     #writing = false;
     #mustWrite = false;
     #stopped = false;
@@ -43,9 +45,10 @@
     onChange(): void {
         const { view, name, clock } = this.#parts;
         const reports = view.crashReports;
-        if (reports.size === 0 && !this.#adopted) {
+        if (view.crashReportChanges === this.#changesSeen) {
             return;
         }
+        this.#changesSeen = view.crashReportChanges;
         const own = reports.get(name);
         if (own !== undefined && !this.#adopted) {
             this.#ledger.adopt(own.report, clock.epochMs());
@@ -68,9 +71,9 @@
         return this.#ledger.mark();
     }
 
-    /** @returns whether something is known of a content whose id begins so */
-    knowsHead(headId: string): boolean {
-        return this.#ledger.knowsHead(headId);
+    /** @returns whether something is known of a request's content */
+    knows(content: ExchangeContent): boolean {
+        return !this.#ledger.isEmpty && this.#ledger.knowsHead(content.headId);
     }
 
     /** @returns what may be done with a request now */
--- a/packages/edge/src/quarantine/requestGuard.ts
+++ b/packages/edge/src/quarantine/requestGuard.ts
@@ -82,7 +82,7 @@
     }
 
     #isKnown(): boolean {
-        return this.#reports.knowsHead(this.#content.headId);
+        return this.#reports.knows(this.#content);
     }
 
     #judge(): Verdict | undefined {
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -39,6 +39,7 @@
     readonly #itemsByKey = new Map<string, StateItem>();
     readonly #zonesOut = new Set<string>();
     readonly #crashReports = new Map<string, StoredCrashReport>();
+    #crashReportChanges = 0;
     #inForce: ConfigurationInForce | undefined;
     #lastContactMs = -Infinity;
     #awaySinceMs: number | undefined;
@@ -139,6 +140,11 @@
         return this.#crashReports;
     }
 
+    /** Rises with each change of {@link crashReports}. */
+    get crashReportChanges(): number {
+        return this.#crashReportChanges;
+    }
+
     /** @returns whether a server may be given new work; asked again right before a request is written */
     isUsable(id: string, nowMs: number): boolean {
         const server = this.#directory.get(id);
@@ -237,6 +243,7 @@
             case "crashReport": {
                 const { gateway, report, revision } = item;
                 this.#crashReports.set(gateway, { report, revision });
+                this.#crashReportChanges++;
                 const change = `${report.strikes.length} strikes, ${report.cleared.length} cleared`;
                 beliefs.push({ subject: "crashReport", name: gateway, change });
                 return;
@@ -286,6 +293,7 @@
                 return;
             case "crashReport":
                 this.#crashReports.delete(item.gateway);
+                this.#crashReportChanges++;
                 beliefs.push({ subject: "crashReport", name: item.gateway, change: "gone" });
                 return;
             case "rolloutStatus":
--- a/packages/quarantine/src/crashLedger.ts
+++ b/packages/quarantine/src/crashLedger.ts
@@ -89,6 +89,11 @@
         return this.#mark;
     }
 
+    /** Whether nothing is known against any content. */
+    get isEmpty(): boolean {
+        return this.#records.size === 0;
+    }
+
     /** @returns whether something is known of a content whose id begins so; most requests need no further look */
     knowsHead(headId: string): boolean {
         return this.#headIds.has(headId);
