--- a/packages/quarantine/src/__tests__/crashLedger.test.ts
+++ b/packages/quarantine/src/__tests__/crashLedger.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type ContentState, CrashLedger, strikeRetentionMs, defaultTrialAfterMs } from "../index.js";
+import { type ContentState, CrashLedger, quarantineRetentionMs, defaultTrialAfterMs } from "../index.js";
 
 const startEpochMs = 1_000_000;
 
@@ -142,7 +142,7 @@
     });
     let trials = 0;
     const stepMs = 5_000;
-    for (let waitedMs = 0; waitedMs < strikeRetentionMs / 20; waitedMs += stepMs) {
+    for (let waitedMs = 0; waitedMs < quarantineRetentionMs / 20; waitedMs += stepMs) {
         fleet.epochMs += stepMs;
         const trying = fleet.names.map((_, i) => i).filter(i => fleet.state(i, "deadly") === "trial");
         assert.ok(trying.length <= 1);
@@ -153,7 +153,7 @@
         fleet.spread();
     }
     assert.equal(trials, defaultTrialAfterMs.length);
-    fleet.epochMs += strikeRetentionMs;
+    fleet.epochMs += quarantineRetentionMs;
     assert.deepEqual(fleet.states("deadly"), ["clear"]);
 });
 
@@ -214,3 +214,16 @@
         assert.ok(late <= 3, `${late} more after three of ${ended}`);
     }));
 });
+
+// Kept as long as a quarantine, strikes of requests that were on servers which ended by themselves would fill every report.
+test("a single strike is forgotten, and reported no more, long before a quarantine is", () => {
+    const fleet = new Fleet(2);
+    fleet.crash(0, "popular");
+    fleet.spread();
+    fleet.epochMs += suspicionRetentionMs;
+    assert.deepEqual(fleet.states("popular"), ["clear"]);
+    fleet.crash(0, "other");
+    assert.deepEqual(fleet.of(0).report().strikes.map(({ contentId }) => contentId), ["other"]);
+    fleet.spread();
+    assert.deepEqual(fleet.states("popular"), ["clear"]);
+});
--- a/packages/quarantine/src/constants.ts
+++ b/packages/quarantine/src/constants.ts
@@ -14,5 +14,8 @@
  */
 export const defaultTrialAfterMs: readonly number[] = [4_000, 600_000];
 
-/** Time after its latest strike until a request's strikes are forgotten, in milliseconds. */
-export const strikeRetentionMs = 86_400_000;
+/** Time after its latest strike until a quarantined request is forgotten, in milliseconds. */
+export const quarantineRetentionMs = 86_400_000;
+
+/** The same for one that is not quarantined: nearly all of these were on a server that ended by itself. */
+export const suspicionRetentionMs = 3_600_000;
--- a/packages/quarantine/src/contentRecord.ts
+++ b/packages/quarantine/src/contentRecord.ts
@@ -1,5 +1,5 @@
 import { type CrashStrike } from "@galenaglade/fleet-state";
-import { quarantineGenerations, quarantineStrikes, strikeRetentionMs } from "./constants.js";
+import { quarantineGenerations, quarantineRetentionMs, quarantineStrikes, suspicionRetentionMs } from "./constants.js";
 
 /** A strike, and since when this gateway has known it. */
 export interface LearntStrike {
@@ -30,7 +30,7 @@
 
     /** When it is forgotten unless another server ends. */
     get forgottenAtEpochMs(): number {
-        return this.#lastAtEpochMs + strikeRetentionMs;
+        return this.#lastAtEpochMs + (this.isQuarantined ? quarantineRetentionMs : suspicionRetentionMs);
     }
 
     /**
--- a/packages/quarantine/src/crashLedger.ts
+++ b/packages/quarantine/src/crashLedger.ts
@@ -6,7 +6,7 @@
     type StoredCrashReport,
 } from "@galenaglade/fleet-state";
 import { ContentRecord } from "./contentRecord.js";
-import { defaultTrialAfterMs, strikeRetentionMs } from "./constants.js";
+import { defaultTrialAfterMs, quarantineRetentionMs } from "./constants.js";
 
 /** What may be done with a request. */
 export type ContentState =
@@ -206,17 +206,31 @@
         this.#records = new Map();
         for (const strike of [...this.#ownStrikes.values(), ...this.#others.flatMap(({ strikes }) => strikes)]) {
             const { contentId, incarnation, atEpochMs } = strike;
-            if (epochMs - atEpochMs >= strikeRetentionMs || clearedKeys.has(createKey(contentId, incarnation))) {
+            if (epochMs - atEpochMs >= quarantineRetentionMs || clearedKeys.has(createKey(contentId, incarnation))) {
                 continue;
             }
             const record = this.#records.get(contentId) ?? new ContentRecord();
             this.#records.set(contentId, record);
             record.add({ strike, learnedAt: before.get(contentId)?.learnedAt(incarnation) ?? this.#mark });
         }
+        this.#forgetOld(epochMs);
         this.#headIds = new Set([...this.#records.keys()].map(headIdOf));
         this.#noteChanges(before);
     }
 
+    #forgetOld(epochMs: number): void {
+        for (const [contentId, record] of this.#records) {
+            if (epochMs >= record.forgottenAtEpochMs) {
+                this.#records.delete(contentId);
+            }
+        }
+        for (const [key, { contentId }] of this.#ownStrikes) {
+            if (!this.#records.has(contentId)) {
+                this.#ownStrikes.delete(key);
+            }
+        }
+    }
+
     #findCleared(): ReadonlySet<string> {
         const keys = new Set<string>();
         for (
@@ -233,7 +247,7 @@
     /** Keeps this gateway's report small: what was cleared, is too old or nobody reports any more goes first. */
     #dropOwn(clearedKeys: ReadonlySet<string>, epochMs: number): void {
         for (const [key, { atEpochMs }] of this.#ownStrikes) {
-            if (clearedKeys.has(key) || epochMs - atEpochMs >= strikeRetentionMs) {
+            if (clearedKeys.has(key) || epochMs - atEpochMs >= quarantineRetentionMs) {
                 this.#ownStrikes.delete(key);
             }
         }
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -1,5 +1,11 @@
 /** Which requests end the backend servers that run them, and what keeps these from further servers. */
-export { defaultTrialAfterMs, quarantineStrikes, singleSendStrikes, strikeRetentionMs } from "./constants.js";
+export {
+    defaultTrialAfterMs,
+    quarantineRetentionMs,
+    quarantineStrikes,
+    singleSendStrikes,
+    suspicionRetentionMs,
+} from "./constants.js";
 export {
     type ContentState,
     type Crash,
