--- a/packages/quarantine/src/__tests__/crashLedger.test.ts
+++ b/packages/quarantine/src/__tests__/crashLedger.test.ts
@@ -2,7 +2,13 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type ContentState, CrashLedger, quarantineRetentionMs, defaultTrialAfterMs } from "../index.js";
+import {
+    type ContentState,
+    CrashLedger,
+    defaultTrialAfterMs,
+    quarantineRetentionMs,
+    suspicionRetentionMs,
+} from "../index.js";
 
 const startEpochMs = 1_000_000;
 
