--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -6,6 +6,7 @@
     checkQueryOfDeath,
     checkRepeatBudget,
     checkRollouts,
+    checkServerLimit,
     checkTruthfulDidRun,
     checkWholeAnswer,
     checkZoneOut,
@@ -26,6 +27,7 @@
     repeatSlack,
     repeatWindowMs,
     rollbackMs,
+    serverLimitBounds,
     settledMs,
     zoneOutMs,
 } from "./constants.js";
@@ -72,6 +74,7 @@
         ...checkProbeBudget(history, { probesPerSecond: asksPerServerAndSecond, seats: asksPerServerAndSecond * 10 }),
         ...checkColdRate(history, coldPerSecondLimit),
         ...checkDrained(calm, applyMs),
+        ...checkServerLimit(calm, serverLimitBounds),
         ...checkQueryOfDeath(calm, { crashes: deadlyCrashes, settleMs: settledMs, retries: deadlyRetries }),
         ...checkZoneOut(calm, zoneOutMs),
         ...checkRollouts(calm, { serviceOf: record.serviceOf, exposureShare, exposureSlack, rollbackMs }),
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -100,3 +100,12 @@
 /** Servers that a request ends before it counts as deadly, and how often servers may get it after all gateways must know. */
 export const deadlyCrashes = 3;
 export const deadlyRetries = 3;
+
+/** What a server that names a limit may get from the gateways that it has told, with the users' tolerance. */
+export const serverLimitBounds = Object.freeze({
+    factor: 1.5,
+    slack: 5,
+    windowMs: 4_000,
+    settleMs: settledMs,
+    toldMs: 500,
+});
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -8,6 +8,7 @@
 import { calmMs, requestsPerSecond, services, settleMs } from "./constants.js";
 import { planDeadlyRequests, type PlannedDeadlyRequests } from "./deadlyPlan.js";
 import { type Fault } from "./faults.js";
+import { planLimit } from "./limitPlan.js";
 import { planFaults } from "./plan.js";
 import { planRollout } from "./rolloutPlan.js";
 import { pathOf, type SoakRoute } from "./soakConfiguration.js";
@@ -70,7 +71,9 @@
             ? Promise.resolve([])
             : sleep(rollout.atMs).then(() => rollOut(world, system, rollout));
         const deadlyOver = load.sendDeadly(planDeadlyRequests(seed, pathOf.read));
-        const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver]);
+        const limit = planLimit(seed);
+        const limitOver = limit === undefined ? Promise.resolve() : world.limit(limit);
+        const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
         const history = mergeHistories(
             world.backends.map(({ historyPath }) => historyPath),
--- a/packages/soak/src/serverNames.ts
+++ b/packages/soak/src/serverNames.ts
@@ -26,6 +26,8 @@
     abstract renderState(state: ServerState): Readonly<Record<string, string>>;
     /** @returns headers of an answer to a request that ran */
     abstract renderRan(requestId: string, signed: boolean): Readonly<Record<string, string>>;
+    /** @returns headers that name a limit, in requests a second */
+    abstract renderLimit(perSecond: number): Readonly<Record<string, string>>;
     /** @returns headers of an answer to a request that has not run and never will */
     abstract renderNotRun(requestId: string): Readonly<Record<string, string>>;
 }
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -40,6 +40,7 @@
 
 /** Sends requests to one life of one gateway over kept and over new connections, and records what came of each. */
 export class SoakCaller {
+    readonly #gateway: string;
     readonly #url: string;
     readonly #system: SoakSystem;
     readonly #history: HistoryRecorder;
@@ -47,7 +48,14 @@
     readonly #kept = new Agent({ connections: 8, connect: { timeout: connectTimeoutMs } });
     readonly #ends: CallerEnd[] = [];
 
-    constructor(url: string, system: SoakSystem, history: HistoryRecorder, random: RandomSource) {
+    constructor(
+        gateway: string,
+        url: string,
+        system: SoakSystem,
+        history: HistoryRecorder,
+        random: RandomSource,
+    ) {
+        this.#gateway = gateway;
         this.#url = url;
         this.#system = system;
         this.#history = history;
@@ -106,6 +114,7 @@
             service: route,
             idempotent,
             contentId: path,
+            gateway: this.#gateway,
             patienceMs,
         });
         try {
@@ -138,6 +147,10 @@
     ): void {
         const marks = this.#system.readAnswer(headers);
         const own = status === okStatus ? findRequestId(body) : undefined;
+        const server = status === okStatus ? findServer(body) : undefined;
+        if (marks.limited && server !== undefined) {
+            this.#history.record({ type: "limitPassedOn", gateway: this.#gateway, server });
+        }
         this.#history.record({
             type: "callerAnswered",
             requestId,
@@ -151,8 +164,17 @@
 
 /** @returns whose answer a body is; `undefined` for a body that is not whole */
 function findRequestId(body: string): string | undefined {
+    return readBody(body)?.requestId;
+}
+
+/** @returns the server that made a body; `undefined` for a body that is not whole */
+function findServer(body: string): string | undefined {
+    return readBody(body)?.server;
+}
+
+function readBody(body: string): { readonly requestId: string; readonly server: string; } | undefined {
     try {
-        return (JSON.parse(body) as { readonly requestId: string; }).requestId;
+        return JSON.parse(body) as { readonly requestId: string; readonly server: string; };
     }
     catch {
         return undefined;
--- a/packages/soak/src/soakEdge.ts
+++ b/packages/soak/src/soakEdge.ts
@@ -193,7 +193,7 @@
         const life: Life = {
             process,
             history,
-            caller: new SoakCaller(process.url, this.#system, history, this.#random),
+            caller: new SoakCaller(this.name, process.url, this.#system, history, this.#random),
             ending: "no",
         };
         this.#lives.push(life);
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -47,7 +47,7 @@
     async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const body = await text(req);
         if (req.url === "/control") {
-            this.#trouble = JSON.parse(body) as ServerTrouble;
+            this.#setTrouble({ ...soundServer, ...JSON.parse(body) as ServerTrouble });
             this.#coldUntilMs = Math.max(this.#coldUntilMs, performance.now() + this.#trouble.coldMs);
             res.end();
             return;
@@ -139,7 +139,7 @@
     #answer(requestId: string, res: ServerResponse): void {
         const body = JSON.stringify({ requestId, server: this.#order.id, padding: "x".repeat(200) });
         if (this.#trouble.fails && this.#random.next() < troubleShare) {
-            res.writeHead(500, { ...this.#names.renderRan(requestId, true) }).end("failed");
+            res.writeHead(500, { ...this.#names.renderRan(requestId, true), ...this.#renderLimit() }).end("failed");
             return;
         }
         const spoiling = this.#drawSpoiling();
@@ -147,7 +147,11 @@
             res.socket?.destroy();
             return;
         }
-        const headers = { ...this.#names.renderRan(requestId, spoiling !== "unsigned"), "content-length": body.length };
+        const headers = {
+            ...this.#names.renderRan(requestId, spoiling !== "unsigned"),
+            ...this.#renderLimit(),
+            "content-length": body.length,
+        };
         res.writeHead(200, headers);
         if (spoiling === "cut") {
             const { socket } = res;
@@ -179,7 +183,7 @@
             cold: this.#isCold(),
         });
         if (!res.destroyed) {
-            res.writeHead(503, this.#names.renderNotRun(requestId)).end();
+            res.writeHead(503, { ...this.#names.renderNotRun(requestId), ...this.#renderLimit() }).end();
         }
     }
 
@@ -196,6 +200,19 @@
         });
     }
 
+    #setTrouble(trouble: ServerTrouble): void {
+        const { limitPerSecond } = trouble;
+        if (limitPerSecond !== this.#trouble.limitPerSecond) {
+            this.#history.record({ type: "serverLimited", server: this.#order.id, perSecond: limitPerSecond });
+        }
+        this.#trouble = trouble;
+    }
+
+    #renderLimit(): Readonly<Record<string, string>> {
+        const { limitPerSecond } = this.#trouble;
+        return limitPerSecond === undefined ? {} : this.#names.renderLimit(limitPerSecond);
+    }
+
     #isCold(): boolean {
         return performance.now() < this.#coldUntilMs;
     }
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -35,6 +35,8 @@
     readonly requestId: string | undefined;
     /** Whether it bears a backend server's proof that the body is its own. */
     readonly signed: boolean;
+    /** Whether its server names a limit in it. */
+    readonly limited: boolean;
 }
 
 /** The names that a system uses on the wire, and the stand-ins that speak them. */
@@ -88,6 +90,8 @@
     readonly spoils: boolean;
     /** Says that it is leaving. */
     readonly leaves: boolean;
+    /** Requests a second that it says it takes from all gateways together; `undefined` where it names no limit. */
+    readonly limitPerSecond: number | undefined;
     /** Turns cold now, for that long. */
     readonly coldMs: number;
 }
@@ -98,6 +102,7 @@
     sheds: false,
     spoils: false,
     leaves: false,
+    limitPerSecond: undefined,
     coldMs: 0,
 });
 
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -14,6 +14,7 @@
 import { type Fault } from "./faults.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
+import { type PlannedLimit } from "./limitPlan.js";
 import { SoakStore } from "./soakStore.js";
 import { zoneAt } from "./soakZones.js";
 import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
@@ -162,6 +163,12 @@
         }
     }
 
+    /** A server names a limit for a while. */
+    async limit({ atMs, forMs, target, perSecond }: PlannedLimit): Promise<void> {
+        await sleep(atMs);
+        await harmServer(pick(this.#live, target), { limitPerSecond: perSecond }, forMs);
+    }
+
     /** @returns the servers of a service and version that have not begun to leave */
     findLive(service: string, version: string): readonly SoakBackend[] {
         return this.#live.filter(({ place }) => place.service === service && place.version === version);
