Leave deadly requests out of the soak's runs with a roll-out

Seen: a run without any server left, at which the soak itself ended. Servers of a version that is rolled out aren't replaced, so that a request which ends them took them all. The share of runs that draw deadly requests is doubled, so that a third has them as before.

--- a/packages/soak/src/deadlyPlan.ts
+++ b/packages/soak/src/deadlyPlan.ts
@@ -11,7 +11,7 @@
 /** A request whose path has this in it ends its server. */
 export const deadlyMark = "deadly-";
 
-const deadlyShare = 0.3;
+const deadlyShare = 0.6;
 const fewest = 6;
 const most = 25;
 const latestStartMs = 2_000;
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -70,7 +70,9 @@
         const rolloutOver = rollout === undefined
             ? Promise.resolve([])
             : sleep(rollout.atMs).then(() => rollOut(world, system, rollout));
-        const deadlyOver = load.sendDeadly(planDeadlyRequests(seed, pathOf.read));
+        // Servers of a version that is rolled out are not replaced: callers that end them would leave none.
+        const deadly = rollout === undefined ? planDeadlyRequests(seed, pathOf.read) : undefined;
+        const deadlyOver = load.sendDeadly(deadly);
         const limit = planLimit(seed);
         const limitOver = limit === undefined ? Promise.resolve() : world.limit(limit);
         const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver]);
