--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -27,6 +27,8 @@
 const drainedStaysMs = 600;
 /** How long a server that crashed is away before its successor starts, in milliseconds. */
 const crashedDownMs = 500;
+/** How often a fault looks for a server that it can befall, in milliseconds. */
+const liveCheckMs = 50;
 const slowdown = 5;
 const storeSlowMs = 400;
 const firstVersion = 2;
@@ -96,6 +98,7 @@
     /** Carries out one fault, from its beginning to its end. */
     async apply(fault: Fault): Promise<void> {
         const { kind, forMs } = fault;
+        await this.#whenServersLive();
         const edge = pick(this.edges, fault.target);
         const backend = pick(this.#live, fault.target);
         switch (kind) {
@@ -166,6 +169,7 @@
     /** A server names a limit for a while. */
     async limit({ atMs, forMs, target, perSecond }: PlannedLimit): Promise<void> {
         await sleep(atMs);
+        await this.#whenServersLive();
         await harmServer(pick(this.#live, target), { limitPerSecond: perSecond }, forMs);
     }
 
@@ -174,6 +178,13 @@
         return this.#live.filter(({ place }) => place.service === service && place.version === version);
     }
 
+    /** Faults and deadly requests may have ended all servers at once; their successors come within seconds. */
+    async #whenServersLive(): Promise<void> {
+        while (this.#live.length === 0 && !this.#closed) {
+            await sleep(liveCheckMs);
+        }
+    }
+
     /** Writes to the store as the operator does, past all faults. */
     operate(write: StoreWrite): Promise<void> {
         return this.#store.order({ puts: [write] });
