--- /dev/null
+++ b/packages/placement/src/__tests__/replayedLimits.test.ts
@@ -0,0 +1,31 @@
+import { type ReplayReport, resolveScenario, runReplay } from "@galenaglade/replay";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+
+const perSecond = 1.1;
+const allowedInFourSeconds = perSecond * 4 * 1.5 + 5;
+
+function play(name: string, more: { readonly seed: number; readonly durationMs?: number; }): ReplayReport {
+    const path = new URL(`../../../replay/scenarios/${name}.yaml`, import.meta.url);
+    return runReplay({ ...resolveScenario(readFileSync(path, "utf8")).unsafeCoerce(), ...more });
+}
+
+// Guards against gateways that each keep a limit for themselves, and against a limit that is kept by using next to nothing of it.
+test("15 gateways before servers that name a limit: it is kept, half of it is used, and few requests are late", () => {
+    const limitedServers = 12;
+    const limitedSeconds = 21;
+    for (const seed of [1, 2, 3]) {
+        const report = play("small-limit", { seed });
+        assert.ok(report.mostLimitedArrivals <= allowedInFourSeconds, `${report.mostLimitedArrivals} in four seconds`);
+        const used = report.limitedArrivals / (perSecond * limitedServers * limitedSeconds);
+        assert.ok(used > 0.5, `${used} of the limit`);
+        assert.ok(report.inTime > 0.9, `${report.inTime} in time`);
+    }
+});
+
+test("312 gateways before servers that name a limit keep it", () => {
+    const report = play("fleet-limit", { seed: 1, durationMs: 14_000 });
+    assert.ok(report.mostLimitedArrivals <= allowedInFourSeconds, `${report.mostLimitedArrivals} in four seconds`);
+    assert.ok(report.inTime > 0.9, `${report.inTime} in time`);
+});
--- a/packages/replay/src/report/fleetRecorder.ts
+++ b/packages/replay/src/report/fleetRecorder.ts
@@ -44,6 +44,11 @@
     readonly mostProbes: number;
     /** Most requests to one cold server within a second. */
     readonly mostColdArrivals: number;
+    /** Most requests within four seconds to one server that named a limit, from gateways that it had told. */
+    readonly mostLimitedArrivals: number;
+    /** All of these requests, and those of other gateways. */
+    readonly limitedArrivals: number;
+    readonly untoldArrivals: number;
     readonly kinds: readonly KindFigures[];
     readonly windows: readonly ReplayWindow[];
 }
@@ -51,6 +56,7 @@
 const sampleMs = 100;
 const probeWindowMs = 10_000;
 const worstWindows = 2;
+const limitWindowMs = 4_000;
 
 /** Notes what servers do while a replay goes on, and sums up at its end. */
 export class FleetRecorder {
@@ -92,6 +98,12 @@
             connectionsPerCaller: sum(gateways.map(each => each.connectionsOpened)) / Math.max(1, settled.length),
             mostProbes: Math.max(0, ...servers.map(({ probesAtMs }) => findMostWithin(probesAtMs, probeWindowMs))),
             mostColdArrivals: Math.max(0, ...servers.map(server => server.findBusiestColdSecond())),
+            mostLimitedArrivals: Math.max(
+                0,
+                ...servers.map(({ limitedArrivalsMs }) => findMostWithin(limitedArrivalsMs, limitWindowMs)),
+            ),
+            limitedArrivals: sum(servers.map(({ limitedArrivalsMs }) => limitedArrivalsMs.length)),
+            untoldArrivals: sum(servers.map(server => server.untoldArrivals)),
             kinds: scenario.requests.map(({ name }) => describeKind(name, settled)),
             windows,
         };
--- a/packages/replay/src/report/renderReport.ts
+++ b/packages/replay/src/report/renderReport.ts
@@ -14,7 +14,9 @@
         `load probes ${report.probesPerCaller.toFixed(2)} and new connections ${
             report.connectionsPerCaller.toFixed(2)
         } a caller; `
-        + `at most ${report.mostProbes} probes of a server in ten seconds, ${report.mostColdArrivals} requests to a cold one in one`,
+        + `at most ${report.mostProbes} probes of a server in ten seconds, ${report.mostColdArrivals} requests to a cold one in one, `
+        + `${report.mostLimitedArrivals} to one that named a limit in four`
+        + ` (${report.limitedArrivals} in all, ${report.untoldArrivals} from gateways not told)`,
         "",
         renderTable(
             ["kind", "asked", "in time", "p50 ms", "p99 ms"],
--- a/packages/replay/src/scenarioFile.ts
+++ b/packages/replay/src/scenarioFile.ts
@@ -66,6 +66,7 @@
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("loseServers"), share }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("turnAway"), share, rejects: share }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("slowServers"), share, factor }),
+    z.strictObject({ ...at, ...during, ...ofService, type: z.literal("limitServers"), share, perSecond }),
     z.strictObject({ ...at, ...during, type: z.literal("giveUp"), share, afterMs: milliseconds }),
     z.strictObject({ ...at, ...during, type: z.literal("impatience"), share, tries: count }),
     z.strictObject({ ...at, ...during, type: z.literal("moveCallers"), share, from: name, zone: name }),
@@ -221,6 +222,7 @@
             return { type: document.type, atMs, forMs, share: document.share, service: document.service };
         case "turnAway":
         case "slowServers":
+        case "limitServers":
             return { ...document, atMs, forMs, service: document.service };
         default:
             return { ...document, atMs, forMs };
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -210,6 +210,9 @@
         if (offer?.load !== undefined) {
             board.onLoad(service, server, offer.load, this.#nowMs());
         }
+        if (offer?.limit !== undefined) {
+            board.onLimit(server, offer.limit, { answered: "request", sentAtMs }, this.#nowMs());
+        }
         if (this.#isOver) {
             return;
         }
--- a/packages/replay/src/world/fleetTroubles.ts
+++ b/packages/replay/src/world/fleetTroubles.ts
@@ -6,6 +6,8 @@
 
 /** A replaced server is gone this long after the new one has come. */
 const drainMs = 2_000;
+/** Time from a limit's first naming until gateways must keep it. */
+const limitSettleMs = 3_000;
 
 /** Carries out what a scenario says is to happen to the fleet. */
 export class FleetTroubles {
@@ -54,6 +56,13 @@
                     return () => server.faultFactor = 1;
                 });
                 return;
+            case "limitServers":
+                this.#forServers(event, server => {
+                    server.limitPerSecond = event.perSecond;
+                    server.limitSettlesAtMs = this.#fleet.events.nowMs + limitSettleMs;
+                    return () => server.limitPerSecond = undefined;
+                });
+                return;
             case "giveUp":
                 this.#during(event.forMs, mood.leavings, event);
                 return;
--- a/packages/replay/src/world/scenario.ts
+++ b/packages/replay/src/world/scenario.ts
@@ -99,6 +99,14 @@
         readonly forMs: number;
         readonly service: string | undefined;
     }
+    /** Servers name a limit of requests a second from all gateways together. */
+    | {
+        readonly type: "limitServers";
+        readonly share: number;
+        readonly perSecond: number;
+        readonly forMs: number;
+        readonly service: string | undefined;
+    }
     /** A share of the callers leaves after a time. */
     | { readonly type: "giveUp"; readonly share: number; readonly afterMs: number; readonly forMs: number; }
     /** A share of the callers comes back at once whatever it is told, and more often. */
--- a/packages/replay/src/world/serverSend.ts
+++ b/packages/replay/src/world/serverSend.ts
@@ -51,9 +51,9 @@
         }
         const job: ServerJob = {
             workMs: this.#workMs,
-            onDone: () => this.#passBack({ type: "answered", status: 200 }, this.#server.describe()),
+            onDone: () => this.#passBack({ type: "answered", status: 200 }, this.#server.describe(true)),
         };
-        const arrival = this.#server.arrive(job);
+        const arrival = this.#server.arrive(job, this.#gateway.name);
         if (arrival === "taken") {
             this.#job = job;
             return;
@@ -65,7 +65,12 @@
         const gateway = this.#gateway;
         gateway.schedule(
             wayTo(gateway, this.#server),
-            () => gateway.execute(gateway.costs.answerMs, () => this.#events.onEnded(end, offer)),
+            () => {
+                if (offer?.limit?.type === "named") {
+                    this.#server.tell(gateway.name);
+                }
+                gateway.execute(gateway.costs.answerMs, () => this.#events.onEnded(end, offer));
+            },
         );
     }
 }
--- a/packages/replay/src/world/simulatedServer.ts
+++ b/packages/replay/src/world/simulatedServer.ts
@@ -37,6 +37,8 @@
 }
 
 const arrivalWindowMs = 1_000;
+/** Time after an answer with its limit from which on a gateway must keep it. */
+const toldMs = 500;
 
 /** A backend server of a replay: slots, a queue, a knee, and times at which the machine that it shares is busy. */
 export class SimulatedServer {
@@ -48,6 +50,16 @@
     faultFactor = 1;
     /** Cold until this time. */
     coldUntilMs = -Infinity;
+    /** Requests a second that it names as its limit in answers to requests; `undefined` for none. */
+    limitPerSecond: number | undefined;
+    /** When requests of gateways that it had told reached it, from the time on from which they must keep its limit. */
+    readonly limitedArrivalsMs: number[] = [];
+    /** Requests of other gateways in that time. */
+    untoldArrivals = 0;
+    /** Until when its limit need not be kept yet. */
+    limitSettlesAtMs = Infinity;
+    /** When each gateway first got an answer with the limit. */
+    readonly #toldAtMs = new Map<string, number>();
     /** Whether it answers nothing at all. */
     isDown = false;
     /** Whether new work may be sent there. */
@@ -95,11 +107,14 @@
     /** @returns what it says when it is asked for its load */
     probe(): ServerOffer {
         this.probesAtMs.push(this.#events.nowMs);
-        return this.describe();
+        return this.describe(false);
     }
 
-    /** @returns its load, as it also stands in its answers */
-    describe(): ServerOffer {
+    /**
+     * @param namesLimit - whether the answer names its limit, if it has one
+     * @returns its load, as it also stands in its answers
+     */
+    describe(namesLimit: boolean): ServerOffer {
         const { slots } = this.#shape;
         return {
             serverId: this.id,
@@ -113,15 +128,24 @@
             slots,
             healthy: true,
             coldRemainingMs: Math.max(0, this.coldUntilMs - this.#events.nowMs),
+            limit: namesLimit && this.limitPerSecond !== undefined
+                ? { type: "named", perSecond: this.limitPerSecond }
+                : { type: "none" },
         };
     }
 
-    /** A request reaches the server. */
-    arrive(job: ServerJob): Arrival {
+    /** A gateway gets an answer with its limit. */
+    tell(gateway: string): void {
+        this.#toldAtMs.set(gateway, this.#toldAtMs.get(gateway) ?? this.#events.nowMs);
+    }
+
+    /** A request reaches the server. @param gateway - from which */
+    arrive(job: ServerJob, gateway = ""): Arrival {
         this.arrivals++;
         if (this.#events.nowMs < this.coldUntilMs) {
             this.coldArrivalsMs.push(this.#events.nowMs);
         }
+        this.#countLimited(gateway);
         if (this.#random.next() < this.rejects) {
             return "refused";
         }
@@ -164,6 +188,18 @@
         return most;
     }
 
+    #countLimited(gateway: string): void {
+        const { nowMs } = this.#events;
+        if (this.limitPerSecond === undefined || nowMs < this.limitSettlesAtMs) {
+            return;
+        }
+        if ((this.#toldAtMs.get(gateway) ?? Infinity) <= nowMs - toldMs) {
+            this.limitedArrivalsMs.push(nowMs);
+            return;
+        }
+        this.untoldArrivals++;
+    }
+
     #slowdown(): number {
         const cold = this.#events.nowMs < this.coldUntilMs ? this.#shape.coldFactor : 1;
         return (this.#isSlow ? this.#shape.slowFactor : 1) * this.faultFactor * cold;
