--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -64,6 +64,8 @@
 
     #accept(near: Socket): void {
         if (this.#faults.includes("reset")) {
+            // Its peer may reset it at the same moment.
+            near.on("error", () => near.destroy());
             near.resetAndDestroy();
             return;
         }
