Split what an exchange learns from its sends into a module of its own

No behaviour changes: the ends of sends are noted for beliefs, log and metrics in SendOutcomes, and Exchange keeps to finding the caller's answer. The soak's links and servers are harmed from a module of their own as well.

--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,14 +1,6 @@
 import { type RequestBody } from "@galenaglade/http-parts";
-import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { RequestGuard } from "../quarantine/requestGuard.js";
-import {
-    hedgeAfterShare,
-    isFailureOfServer,
-    isServerFailure,
-    isServerLost,
-    mayTryAgain,
-    type SendEnd,
-} from "@galenaglade/placement";
+import { hedgeAfterShare, isServerFailure, isServerLost, mayTryAgain, type SendEnd } from "@galenaglade/placement";
 import {
     type AnswerHead,
     type AnswerSink,
@@ -27,6 +19,7 @@
 import { ExchangeContent } from "./exchangeContent.js";
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
+import { SendOutcomes } from "./sendOutcomes.js";
 
 interface SendUnderWay {
     readonly send: Send;
@@ -57,8 +50,7 @@
     readonly #placement: ExchangePlacement;
     readonly #content: ExchangeContent;
     readonly #guard: RequestGuard;
-    /** Checks of servers that lost the request. */
-    readonly #checks: Promise<void>[] = [];
+    readonly #outcomes: SendOutcomes;
     #fallback: HeldAnswer | undefined;
     #streaming = false;
     /** Whether the caller's answer is there, so that what is still under way was beaten to it. */
@@ -86,6 +78,7 @@
         this.#placement = new ExchangePlacement(parts, request, signal);
         this.#content = new ExchangeContent(request, body);
         this.#guard = new RequestGuard(parts.crashes, this.#content);
+        this.#outcomes = new SendOutcomes(parts, request, this.#content, this.#guard);
         this.#openSink = openSink;
     }
 
@@ -207,7 +200,7 @@
             return this.#guard.maySend();
         }
         if (this.#guard.mustAwaitCheck) {
-            await Promise.all(this.#checks);
+            await this.#outcomes.whenChecked();
         }
         return this.#guard.mayRetry();
     }
@@ -273,78 +266,18 @@
     }
 
     #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, result: SendResult): void {
-        const { end, answer, tookMs } = result;
-        const { connections, board, clock, metrics, rollouts } = this.#parts;
-        const { server, score } = underWay.place;
-        const { rules: { name: service }, route } = this.#request;
-        const nowMs = clock.monotonicMs();
-        const typicalMs = board.work.of(service, route.objectiveMs);
-        const outcome = { end, tookMs, typicalMs, factor: score.factor, beaten: this.#answered };
-        rollouts.onSendEnded(server, route.name, underWay.purpose === "first" ? outcome : undefined);
+        const { connections, clock } = this.#parts;
+        const { place, purpose, mark } = underWay;
         this.#underWay.delete(underWay);
-        this.#ends.push(end);
-        if (end.type === "unknown") {
+        this.#ends.push(result.end);
+        if (result.end.type === "unknown") {
             // What comes on it later would be taken for the answer to whatever is sent next.
             connection.destroy();
         }
         else {
-            connections.release(server.id, connection, { after: "request", nowMs });
-        }
-        metrics.onSendEnded(service, underWay.purpose, describeEnd(end));
-        this.#guard.onSendEnded(end, underWay.mark);
-        if (isServerLost(end)) {
-            this.#checks.push(this.#reportLost(underWay, tookMs));
-        }
-        if (isFailureOfServer(end)) {
-            board.onFailure(service, server.id, nowMs);
-        }
-        else if (end.type === "answered") {
-            board.trust.onSuccess(server.id);
-            if (!rollouts.isUnproved(server)) {
-                board.work.onAnswer(service, tookMs, score.factor);
-            }
-        }
-        this.#noteLimit(server, result, nowMs);
-        const load = answer?.signs.load;
-        if (load !== undefined) {
-            board.onLoad(service, server, load, nowMs);
-        }
-    }
-
-    /** An answer of another server that has the address now says nothing of this one. */
-    #noteLimit(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
-        const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
-        // Only an answer with the server's proof says by its silence that there is no limit any more.
-        if (signs === undefined || !isOwn || (signs.limit.type === "none" && !signs.signed)) {
-            return;
+            connections.release(place.server.id, connection, { after: "request", nowMs: clock.monotonicMs() });
         }
-        this.#parts.limits.note({
-            server,
-            limit: signs.limit,
-            source: { answered: "request", sentAtMs: nowMs - tookMs },
-            requestId: this.#request.requestId,
-            nowMs,
-        });
-    }
-
-    /** Tells servers that ended with a request from those that lost only its connection. */
-    async #reportLost({ place: { server }, mark }: SendUnderWay, tookMs: number): Promise<void> {
-        const { checks, clock, log, metrics } = this.#parts;
-        const { requestId, rules, route, callerAddress } = this.#request;
-        const lostAtMs = clock.monotonicMs();
-        const state = await checks.check(server);
-        metrics.onSendLost(rules.name, state);
-        this.#guard.onServerLost(server, state, mark);
-        log.log("warn", "sendLost", {
-            requestId,
-            contentId: this.#content.contentId,
-            route: route.name,
-            callerAddress,
-            from: server.id,
-            server: state,
-            tookMs: Math.round(tookMs),
-            checkedMs: Math.round(clock.monotonicMs() - lostAtMs),
-        });
+        this.#outcomes.note({ place, purpose, mark, result, beaten: this.#answered });
     }
 
     #beginStream(head: AnswerHead): AnswerSink | undefined {
--- /dev/null
+++ b/packages/edge/src/requests/sendOutcomes.ts
@@ -0,0 +1,109 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { isFailureOfServer, isServerLost } from "@galenaglade/placement";
+import { type SendResult } from "../backends/sendRequest.js";
+import { type RequestGuard } from "../quarantine/requestGuard.js";
+import { type EdgeRequest } from "./edgeRequest.js";
+import { describeEnd } from "./exchangeAnswers.js";
+import { type ExchangeContent } from "./exchangeContent.js";
+import { type ExchangeParts } from "./exchangeParts.js";
+import { type Purpose } from "./exchangePlacement.js";
+import { type Place } from "./placer.js";
+
+/** One send that has ended. */
+export interface SendOutcome {
+    readonly place: Place;
+    readonly purpose: Purpose;
+    /** What was known of crashes when it began. */
+    readonly mark: number;
+    readonly result: SendResult;
+    /** Whether the caller's answer had come from another send. */
+    readonly beaten: boolean;
+}
+
+/** Learns from the ends of one request's sends: for the gateway's belief of servers and contents, its log and its metrics. */
+export class SendOutcomes {
+    readonly #parts: ExchangeParts;
+    readonly #request: EdgeRequest;
+    readonly #content: ExchangeContent;
+    readonly #guard: RequestGuard;
+    /** Checks of servers that lost the request. */
+    readonly #checks: Promise<void>[] = [];
+
+    constructor(parts: ExchangeParts, request: EdgeRequest, content: ExchangeContent, guard: RequestGuard) {
+        this.#parts = parts;
+        this.#request = request;
+        this.#content = content;
+        this.#guard = guard;
+    }
+
+    /** Settles once it is known what became of all servers that lost the request. */
+    async whenChecked(): Promise<void> {
+        await Promise.all(this.#checks);
+    }
+
+    note(outcome: SendOutcome): void {
+        const { board, clock, metrics, rollouts } = this.#parts;
+        const { place: { server, score }, purpose, mark, result, beaten } = outcome;
+        const { end, answer, tookMs } = result;
+        const { rules: { name: service }, route } = this.#request;
+        const nowMs = clock.monotonicMs();
+        const typicalMs = board.work.of(service, route.objectiveMs);
+        const trial = { end, tookMs, typicalMs, factor: score.factor, beaten };
+        rollouts.onSendEnded(server, route.name, purpose === "first" ? trial : undefined);
+        metrics.onSendEnded(service, purpose, describeEnd(end));
+        this.#guard.onSendEnded(end, mark);
+        if (isServerLost(end)) {
+            this.#checks.push(this.#checkLost(outcome));
+        }
+        if (isFailureOfServer(end)) {
+            board.onFailure(service, server.id, nowMs);
+        }
+        else if (end.type === "answered") {
+            board.trust.onSuccess(server.id);
+            if (!rollouts.isUnproved(server)) {
+                board.work.onAnswer(service, tookMs, score.factor);
+            }
+        }
+        this.#noteLimit(server, result, nowMs);
+        const load = answer?.signs.load;
+        if (load !== undefined) {
+            board.onLoad(service, server, load, nowMs);
+        }
+    }
+
+    /** An answer of another server that has the address now says nothing of this one. */
+    #noteLimit(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
+        const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
+        // Only an answer with the server's proof says by its silence that there is no limit any more.
+        if (signs === undefined || !isOwn || (signs.limit.type === "none" && !signs.signed)) {
+            return;
+        }
+        this.#parts.limits.note({
+            server,
+            limit: signs.limit,
+            source: { answered: "request", sentAtMs: nowMs - tookMs },
+            requestId: this.#request.requestId,
+            nowMs,
+        });
+    }
+
+    /** Tells servers that ended with a request from those that lost only its connection. */
+    async #checkLost({ place: { server }, mark, result: { tookMs } }: SendOutcome): Promise<void> {
+        const { checks, clock, log, metrics } = this.#parts;
+        const { requestId, rules, route, callerAddress } = this.#request;
+        const lostAtMs = clock.monotonicMs();
+        const state = await checks.check(server);
+        metrics.onSendLost(rules.name, state);
+        this.#guard.onServerLost(server, state, mark);
+        log.log("warn", "sendLost", {
+            requestId,
+            contentId: this.#content.contentId,
+            route: route.name,
+            callerAddress,
+            from: server.id,
+            server: state,
+            tookMs: Math.round(tookMs),
+            checkedMs: Math.round(clock.monotonicMs() - lostAtMs),
+        });
+    }
+}
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -19,6 +19,7 @@
 import { zoneAt } from "./soakZones.js";
 import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
 import { SoakBackend } from "./soakBackend.js";
+import { harmLink, harmServer } from "./harm.js";
 import { machineNow, Spans } from "./spans.js";
 
 /** A process that is gone without a word keeps its entry for about this long, in milliseconds. */
@@ -358,18 +359,6 @@
     }
 }
 
-async function harmLink(proxy: SoakEdge["storeProxy"], { link, forMs }: Fault): Promise<void> {
-    proxy.begin(link);
-    await sleep(forMs);
-    proxy.end(link);
-}
-
-async function harmServer(backend: SoakBackend, trouble: Partial<ServerTrouble>, forMs: number): Promise<void> {
-    const end = await backend.trouble(trouble);
-    await sleep(forMs);
-    await end();
-}
-
 function pick<T>(things: readonly T[], number: number): T {
     const thing = things[number % things.length];
     if (thing === undefined) {
