--- a/packages/edge/src/__tests__/support/dyingServers.ts
+++ b/packages/edge/src/__tests__/support/dyingServers.ts
@@ -1,8 +1,8 @@
-import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
 import { type RawRequest } from "@galenaglade/stand-ins";
 import { type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type MemoryStore } from "./memoryStore.js";
+import { RecordedServers } from "./recordedServers.js";
 import { call, type Got, register, renderSigned, startBackend, type TestEdge } from "./testEdge.js";
 
 const runMs = 30;
@@ -13,19 +13,14 @@
 export const deadlyReturnPath = "/returns/deadly";
 
 /** Backend servers that end under the deadly path and are replaced, and the history of what callers sent and servers ran. */
-export class DyingServers {
-    readonly history: HistoryLine[] = [];
+export class DyingServers extends RecordedServers {
     /** Whether the deadly paths end servers. */
     isDeadly = true;
-    readonly #t: TestContext;
-    readonly #store: MemoryStore;
     #started = 0;
-    #sent = 0;
     #stopped = false;
 
     constructor(t: TestContext, store: MemoryStore) {
-        this.#t = t;
-        this.#store = store;
+        super(t, store);
         t.after(() => {
             this.#stopped = true;
         });
@@ -39,34 +34,25 @@
     /** Starts one more server and registers it. */
     async start(): Promise<void> {
         const id = `server-${++this.#started}`;
-        const backend = await startBackend(this.#t, id, req => {
-            this.#record({
-                type: "serverStarted",
-                requestId: req.headers.get("x-id") ?? "",
-                server: id,
-                availabilityZone: "north",
-                incarnation: id,
-                cold: false,
-                inFlight: 1,
-                bears: 3,
-            });
+        const backend = await startBackend(this.t, id, req => {
+            this.recordStarted(id, req);
             if (this.isDeadly && (req.path === deadlyPath || req.path === deadlyReturnPath)) {
                 void this.#end(id, req, () => backend.raw.stop());
                 return;
             }
             req.socket.write(renderSigned(req, "a table"));
         });
-        register(this.#store, backend);
+        register(this.store, backend);
     }
 
     /** Sends a request, and records it. */
     async send(edge: TestEdge, path: string, body?: string): Promise<Got> {
-        const requestId = `q${++this.#sent}`;
+        const requestId = this.createRequestId();
         const contentId = `${path} ${body ?? ""}`;
         const idempotent = body === undefined;
-        this.#record({ type: "callerSent", requestId, service: "tables", idempotent, contentId, patienceMs: 8_000 });
+        this.record({ type: "callerSent", requestId, service: "tables", idempotent, contentId, patienceMs: 8_000 });
         const got = await call(edge, path, { requestId, ...(body === undefined ? {} : { method: "POST", body }) });
-        this.#record({
+        this.record({
             type: "callerAnswered",
             requestId,
             status: got.status,
@@ -79,16 +65,12 @@
 
     async #end(id: string, req: RawRequest, stop: () => Promise<void>): Promise<void> {
         await sleep(runMs);
-        this.#record({ type: "serverCrashed", requestId: req.headers.get("x-id") ?? "", server: id });
+        this.record({ type: "serverCrashed", requestId: req.headers.get("x-id") ?? "", server: id });
         await stop();
         await sleep(backAfterMs);
         if (!this.#stopped) {
-            this.#store.remove(`servers/${id}`);
+            this.store.remove(`servers/${id}`);
             await this.start();
         }
     }
-
-    #record(event: HistoryEvent): void {
-        this.history.push({ ...event, sequence: this.history.length, atMs: performance.now(), process: "" });
-    }
 }
--- a/packages/edge/src/__tests__/support/limitedServers.ts
+++ b/packages/edge/src/__tests__/support/limitedServers.ts
@@ -1,45 +1,25 @@
-import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
-import { type TestContext } from "node:test";
-import { type MemoryStore } from "./memoryStore.js";
+import { RecordedServers } from "./recordedServers.js";
 import { call, type Got, register, renderSigned, startBackend, type TestEdge } from "./testEdge.js";
 
 const workMs = 20;
 
 /** Backend servers that name limits as the test says, and the history of what they got and of who was told. */
-export class LimitedServers {
-    readonly history: HistoryLine[] = [];
-    readonly #t: TestContext;
-    readonly #store: MemoryStore;
+export class LimitedServers extends RecordedServers {
     readonly #limits = new Map<string, string>();
-    #sent = 0;
-
-    constructor(t: TestContext, store: MemoryStore) {
-        this.#t = t;
-        this.#store = store;
-    }
 
     async start(id: string): Promise<void> {
-        const backend = await startBackend(this.#t, id, req => {
-            this.#record({
-                type: "serverStarted",
-                requestId: req.headers.get("x-id") ?? "",
-                server: id,
-                availabilityZone: "north",
-                incarnation: id,
-                cold: false,
-                inFlight: 1,
-                bears: 3,
-            });
+        const backend = await startBackend(this.t, id, req => {
+            this.recordStarted(id, req);
             const limit = this.#limits.get(id);
             const more = [`x-server: ${id}`, ...(limit === undefined ? [] : [`x-limit: ${limit}`])];
             setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", more)), workMs);
         });
-        register(this.#store, backend);
+        register(this.store, backend);
     }
 
     /** A server names a limit from now on, or none any more. */
     limit(id: string, perSecond: number | undefined): void {
-        this.#record({ type: "serverLimited", server: id, perSecond });
+        this.record({ type: "serverLimited", server: id, perSecond });
         if (perSecond === undefined) {
             this.#limits.delete(id);
             return;
@@ -49,9 +29,9 @@
 
     /** Sends a request through a gateway. */
     async send(edge: TestEdge): Promise<Got> {
-        const requestId = `l${++this.#sent}`;
+        const requestId = this.createRequestId();
         const gateway = edge.name;
-        this.#record({
+        this.record({
             type: "callerSent",
             requestId,
             service: "tables",
@@ -61,7 +41,7 @@
         });
         const got = await call(edge, `/tables/${requestId}`, { requestId });
         if (got.headers["x-limit"] !== undefined) {
-            this.#record({ type: "limitPassedOn", gateway, server: String(got.headers["x-server"]) });
+            this.record({ type: "limitPassedOn", gateway, server: String(got.headers["x-server"]) });
         }
         return got;
     }
@@ -72,8 +52,4 @@
             line.type === "serverStarted" && line.server === id && line.atMs >= fromMs && line.atMs < toMs
         ).length;
     }
-
-    #record(event: HistoryEvent): void {
-        this.history.push({ ...event, sequence: this.history.length, atMs: performance.now(), process: "" });
-    }
 }
--- /dev/null
+++ b/packages/edge/src/__tests__/support/recordedServers.ts
@@ -0,0 +1,39 @@
+import { type HistoryEvent, type HistoryLine } from "@galenaglade/history";
+import { type RawRequest } from "@galenaglade/stand-ins";
+import { type TestContext } from "node:test";
+import { type MemoryStore } from "./memoryStore.js";
+
+/** Backend servers of a test, and the history of what callers sent and servers ran. */
+export abstract class RecordedServers {
+    readonly history: HistoryLine[] = [];
+    protected readonly t: TestContext;
+    protected readonly store: MemoryStore;
+    #sent = 0;
+
+    constructor(t: TestContext, store: MemoryStore) {
+        this.t = t;
+        this.store = store;
+    }
+
+    protected createRequestId(): string {
+        return `q${++this.#sent}`;
+    }
+
+    protected record(event: HistoryEvent): void {
+        this.history.push({ ...event, sequence: this.history.length, atMs: performance.now(), process: "" });
+    }
+
+    /** A request begins to run. */
+    protected recordStarted(server: string, req: RawRequest): void {
+        this.record({
+            type: "serverStarted",
+            requestId: req.headers.get("x-id") ?? "",
+            server,
+            availabilityZone: "north",
+            incarnation: server,
+            cold: false,
+            inFlight: 1,
+            bears: 3,
+        });
+    }
+}
--- a/packages/edge/src/quarantine/requestGuard.ts
+++ b/packages/edge/src/quarantine/requestGuard.ts
@@ -1,6 +1,6 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { type SendEnd } from "@galenaglade/placement";
-import { quarantineStrikes, singleSendStrikes, type Verdict } from "@galenaglade/quarantine";
+import { singleSendStrikes, type Verdict } from "@galenaglade/quarantine";
 import { type ServerState } from "../backends/serverChecks.js";
 import { type ExchangeContent } from "../requests/exchangeContent.js";
 import { type CrashReports } from "./crashReports.js";
@@ -50,7 +50,7 @@
 
     /** @returns whether what became of a lost server decides over the next send */
     get mustAwaitCheck(): boolean {
-        return (this.#judge()?.strikes ?? 0) + 1 >= Math.min(singleSendStrikes, quarantineStrikes);
+        return (this.#judge()?.strikes ?? 0) + 1 >= singleSendStrikes;
     }
 
     /** What is known as a send begins. */
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -158,7 +158,7 @@
 export const limitShare = 0.9;
 
 /** Share of it that all other gateways use together to hear whether the limit still holds. */
-export const limitLookShare = 0.2;
+export const limitRecheckShare = 0.2;
 
 /** Gateways that send to a server which named a limit: as many as leave each a request a second, within bounds. */
 export const limitOwnerPerSecond = 1;
--- a/packages/placement/src/limitAdmission.ts
+++ b/packages/placement/src/limitAdmission.ts
@@ -2,7 +2,7 @@
 import {
     leastLimitOwners,
     leastLimitPerSecond,
-    limitLookShare,
+    limitRecheckShare,
     limitOwnerPerSecond,
     limitShare,
     mostLimitOwners,
@@ -90,7 +90,7 @@
             const intervalMs = oneSecondMs * owners / (perSecond * limitShare);
             return { intervalMs, firstAfterMs: intervalMs };
         }
-        const intervalMs = oneSecondMs * gateways / (perSecond * limitLookShare);
+        const intervalMs = oneSecondMs * gateways / (perSecond * limitRecheckShare);
         // All of them may have heard of the limit at once: by their ranks they look one after the other.
         this.#fleetRanks.update(input.gateways);
         return { intervalMs, firstAfterMs: intervalMs * (0.5 + this.#fleetRanks.rankOf(input.serverId) / gateways) };
