--- a/packages/edge/src/quarantine/crashReports.ts
+++ b/packages/edge/src/quarantine/crashReports.ts
@@ -149,6 +149,8 @@
                 return false;
             },
             Right: outcome => {
+                // What comes back from the store from now on was written in this life.
+                this.#adopted = true;
                 metrics.onStoreCall("crashReport", outcome.swapped ? "answered" : "conflict");
                 this.#revision = outcome.swapped ? outcome.revision : outcome.current?.modifiedRevision ?? 0;
                 return outcome.swapped;
