List the soak's seed 119: a roll-out that ends late

The fault is older than this change and belongs to roll-outs; the check and the bound stay as they are.

--- a/packages/soak/src/regressionSeeds.ts
+++ b/packages/soak/src/regressionSeeds.ts
@@ -12,5 +12,11 @@
             "9 of 39 requests served after the faults had ended, at a load of 30 on 8 cores: 312 of 313 failures are noOffer, "
             + "questions for load that got no answer within 35, 70 and 140 ms",
     },
+    {
+        seed: 119,
+        cause:
+            "the roll-out has not ended in its time, on some runs: a gateway that was cut off from the store when the order came "
+            + "counts its time from when it heard of it, and widens and ends it as late",
+    },
     { seed: 1_001, cause: "3 of 27 requests served after the faults had ended; as seed 1000" },
 ];
