Log each failed call of the store, with how long it took and the pause after it

What is believed and what a relay didn't tell now come with the time since the store was heard: a watch that was waited for too long, pauses that add up and relays asked in vain look alike in the log without it.

--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -214,6 +214,7 @@
     async #watchPeer(peer: Extract<WatchSource, { readonly type: "peer"; }>, afterRevision: number): Promise<number> {
         const { log, metrics } = this.#parts;
         const { signal } = this.#turn;
+        const askedAtMs = this.#now();
         const told = await this.#relay.ask({ address: peer.address, afterRevision, waits: peer.known, signal });
         if (signal.aborted) {
             return 0;
@@ -227,7 +228,13 @@
                 metrics.onRelayRequest(failure.kind);
                 this.#contact.onSuspected(this.#now());
                 this.#sources.onFailure(peer.name, this.#now());
-                log.log("warn", "relayLost", { peer: peer.name, kind: failure.kind, detail: failure.detail });
+                log.log("warn", "relayLost", {
+                    peer: peer.name,
+                    kind: failure.kind,
+                    detail: failure.detail,
+                    tookMs: Math.round(this.#now() - askedAtMs),
+                    sinceStoreMs: Math.round(this.#now() - this.#parts.view.lastContactMs),
+                });
                 return 0;
             },
             Right: answer => {
@@ -328,9 +335,10 @@
     }
 
     #report(beliefs: readonly BeliefChange[]): void {
-        const { log, onChange } = this.#parts;
+        const { log, view, onChange } = this.#parts;
+        const sinceStoreMs = Math.round(this.#now() - view.lastContactMs);
         for (const { subject, name, change } of beliefs) {
-            log.log("info", "belief", { subject, name, change, revision: this.#afterRevision });
+            log.log("info", "belief", { subject, name, change, revision: this.#afterRevision, sinceStoreMs });
         }
         if (beliefs.length > 0) {
             onChange();
--- a/packages/edge/src/state/storeContact.ts
+++ b/packages/edge/src/state/storeContact.ts
@@ -62,7 +62,16 @@
         const longestMs = isFallbackReader ? fallbackStorePauseMs : longestStorePauseMs;
         const limitMs = Math.min(longestMs, firstStorePauseMs * 2 ** this.#failures);
         this.#failures++;
-        return limitMs * (1 + random.next()) / 2;
+        const pauseMs = limitMs * (1 + random.next()) / 2;
+        const nowMs = clock.monotonicMs();
+        log.log("info", "storeCallFailed", {
+            call,
+            kind: failure.kind,
+            tookMs: Math.round(nowMs - startedAtMs),
+            pauseMs: Math.round(pauseMs),
+            sinceStoreMs: Math.round(nowMs - view.lastContactMs),
+        });
+        return pauseMs;
     }
 
     #onHeard(awayMs: number | undefined): void {
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -8,6 +8,7 @@
     | "stopped"
     | "reloaded"
     | "storeLost"
+    | "storeCallFailed"
     | "storeRegained"
     | "storeSuspected"
     | "relayChosen"
