Let a test of the store's return fail: changes come into force up to 3 s after they were acknowledged

The real state sync, relays and registration of 13, 131 and 312 gateways run on virtual time over a store that is away again and again: silent, reset, busy, refusing, slow, with watches gone silent alone, leases lapsed or history gone, for any time, with one gateway that others ask dying, cut off or returning beside it. What is measured is the time from the store's answer to the operator until the version is in force with the last gateway that is well.

--- /dev/null
+++ b/packages/edge/src/__tests__/storeReturn.test.ts
@@ -0,0 +1,204 @@
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SimulatedFleet, type SimulatedGateway } from "./support/simulatedGateways.js";
+import { createConfiguration } from "./support/testEdge.js";
+import { type Absence, TroubledStore } from "./support/troubledStore.js";
+import { VirtualTime } from "./support/virtualTime.js";
+
+/** What the users' platform allows from the store's answer to the operator. */
+const inForceWithinMs = 2_000;
+const settleMs = 8_000;
+const longestAwayMs = 15_000;
+/** Time after a return in which calls are counted. */
+const herdMs = 2_000;
+/** Time in which a version that is late comes into force all the same. */
+const afterMs = 6_000;
+/** The store's rates. */
+const readsPerSecond = 2_000;
+const writesPerSecond = 400;
+
+const manners: readonly Absence[] = ["silent", "reset", "busy", "refusing", "slow"];
+const relayTroubles = ["none", "none", "dies", "cutOff", "returns"] as const;
+
+interface Outage {
+    /** Until it begins. */
+    readonly calmMs: number;
+    readonly how: Absence | "watchesSilent";
+    readonly awayMs: number;
+    readonly lapses: boolean;
+    readonly losesHistory: boolean;
+    /** What happens to one gateway that reads the store, as the store returns. */
+    readonly relay: typeof relayTroubles[number];
+    readonly versions: number;
+    readonly ackedAfterMs: number;
+}
+
+function draw<T>(random: RandomSource, values: readonly T[]): T {
+    return values[Math.floor(random.next() * values.length)] as T;
+}
+
+function drawOutage(random: RandomSource): Outage {
+    const how = draw(random, [...manners, "silent", "watchesSilent"] as const);
+    return {
+        how,
+        calmMs: 2_000 + random.next() * 6_000,
+        awayMs: random.next() < 0.3 ? random.next() * 1_000 : random.next() * longestAwayMs,
+        lapses: random.next() < 0.2,
+        losesHistory: random.next() < 0.1,
+        relay: draw(random, relayTroubles),
+        versions: 1 + Math.floor(random.next() * 5),
+        ackedAfterMs: random.next() < 0.5 ? 0 : random.next() * 3_000,
+    };
+}
+
+interface Measured {
+    readonly latestMs: number;
+    readonly who: SimulatedGateway | undefined;
+    /** Calls in the first two seconds after the return. */
+    readonly reads: number;
+    readonly writes: number;
+    /** As the store charges them, while it was away. */
+    readonly awayPrice: number;
+}
+
+/** Gateways over a store that is away again and again. */
+class OutageWorld {
+    readonly #time: VirtualTime;
+    readonly #store: TroubledStore;
+    readonly #fleet: SimulatedFleet;
+    #version = 1;
+
+    constructor(time: VirtualTime, random: RandomSource, size: { readonly gateways: number; readonly zones: number; }) {
+        this.#time = time;
+        this.#store = new TroubledStore(time, random);
+        this.#putVersion(1);
+        this.#fleet = new SimulatedFleet(time, this.#store, random, size);
+        for (const gateway of this.#fleet.gateways) {
+            setTimeout(() => gateway.start(), random.next() * 300);
+        }
+    }
+
+    /** @returns how long after its acknowledgement a version was in force with the last gateway that is well */
+    async play(outage: Outage): Promise<Measured> {
+        const store = this.#store;
+        await this.#time.pass(outage.calmMs);
+        const relay = this.#findRelay();
+        const awayPrice = await this.#stayAway(outage, relay);
+        if (outage.losesHistory) {
+            store.historyFrom = store.engine.revision + 1;
+        }
+        store.return(outage.lapses);
+        if (outage.relay === "dies") {
+            relay?.die();
+        }
+        if (relay !== undefined) {
+            relay.link.cut = outage.relay === "cutOff";
+        }
+        const returnedAtMs = this.#time.monotonicMs();
+        const { reads, writes } = store.calls;
+        await this.#time.pass(outage.ackedAfterMs);
+        const ackedAtMs = this.#time.monotonicMs();
+        for (let i = 0; i < outage.versions; i++) {
+            this.#putVersion(this.#version + 1);
+        }
+        await this.#time.pass(Math.max(0, returnedAtMs + herdMs - ackedAtMs));
+        const herd = { reads: store.calls.reads - reads, writes: store.calls.writes - writes, awayPrice };
+        await this.#time.pass(afterMs);
+        const measured = { ...this.#findLatest(ackedAtMs), ...herd };
+        if (relay !== undefined) {
+            relay.link.cut = false;
+        }
+        return measured;
+    }
+
+    stop(): void {
+        this.#fleet.stop();
+        this.#time.clear();
+    }
+
+    /** @returns what calls cost meanwhile */
+    async #stayAway({ how, relay: trouble, awayMs }: Outage, relay: SimulatedGateway | undefined): Promise<number> {
+        if (how === "watchesSilent") {
+            this.#store.silenceWatches();
+        }
+        else {
+            this.#store.leave(how);
+        }
+        if (trouble === "returns" && relay !== undefined) {
+            relay.link.cut = true;
+        }
+        const { price } = this.#store.calls;
+        await this.#time.pass(awayMs);
+        return this.#store.calls.price - price;
+    }
+
+    /** A gateway that others ask, or the only one. */
+    #findRelay(): SimulatedGateway | undefined {
+        const asked = this.#fleet.gateways.flatMap(({ logs }) => {
+            const chosen = logs.findLast(({ message }) => message === "relayChosen");
+            return chosen === undefined ? [] : [chosen["peer"]];
+        });
+        return this.#fleet.gateways.find(({ name, isDead }) => !isDead && asked.includes(name));
+    }
+
+    #findLatest(ackedAtMs: number): Pick<Measured, "latestMs" | "who"> {
+        let latest: Pick<Measured, "latestMs" | "who"> = { latestMs: 0, who: undefined };
+        for (const gateway of this.#fleet.gateways) {
+            const latestMs = (gateway.inForceAtMs.get(this.#version) ?? Infinity) - ackedAtMs;
+            if (!gateway.isDead && !gateway.link.cut && latestMs > latest.latestMs) {
+                latest = { latestMs, who: gateway };
+            }
+        }
+        return latest;
+    }
+
+    #putVersion(version: number): void {
+        this.#version = version;
+        this.#store.put("configuration", createConfiguration(version));
+    }
+}
+
+const sizes = [
+    { gateways: 13, zones: 3, lives: 40 },
+    { gateways: 131, zones: 4, lives: 3 },
+    { gateways: 312, zones: 6, lives: 1 },
+];
+const outagesPerLife = 5;
+const more = Number(process.env["OUTAGES"] ?? 1);
+
+function describe({ how, ...rest }: Outage, who: SimulatedGateway | undefined): string {
+    const lines = who?.logs.filter(({ message }) => message !== "belief").slice(-10) ?? [];
+    return [how, JSON.stringify(rest), ...lines.map(line => JSON.stringify(line))].join("\n");
+}
+
+// Guards against a gateway that hears of changes too late after the store was away, because a call that was lost is still waited for.
+for (const { lives, ...size } of sizes) {
+    test(`after any outage of the store, changes are in force with ${size.gateways} gateways in time`, async t => {
+        const time = VirtualTime.install(t);
+        let worstMs = 0;
+        let mostReads = 0;
+        let awayPrice = 0;
+        for (let life = 0; life < lives * more; life++) {
+            const random = createRandomSource(size.gateways * 10_000 + life);
+            const world = new OutageWorld(time, random, size);
+            await time.pass(settleMs);
+            for (let i = 0; i < outagesPerLife; i++) {
+                const outage = drawOutage(random);
+                const { latestMs, who, reads, writes, ...rest } = await world.play(outage);
+                const where = `${who?.name} of life ${life}, outage ${i}`;
+                assert.ok(latestMs <= inForceWithinMs, `${where}: ${latestMs} ms after ${describe(outage, who)}`);
+                assert.ok(reads <= herdMs / 1_000 * readsPerSecond, `${where}: ${reads} reads`);
+                assert.ok(writes <= herdMs / 1_000 * writesPerSecond, `${where}: ${writes} writes`);
+                worstMs = Math.max(worstMs, latestMs);
+                mostReads = Math.max(mostReads, reads);
+                awayPrice += rest.awayPrice;
+            }
+            world.stop();
+        }
+        t.diagnostic(
+            `latest after ${Math.round(worstMs)} ms; at most ${mostReads} reads in the ${herdMs} ms after a return`,
+        );
+        t.diagnostic(`calls while away cost ${Math.round(awayPrice)}`);
+    });
+}
--- /dev/null
+++ b/packages/edge/src/__tests__/support/simulatedGateways.ts
@@ -0,0 +1,161 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import { FleetView } from "@galenaglade/fleet-state";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { createMetrics, type LogFields } from "@galenaglade/telemetry";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Either, Left } from "purify-ts";
+import { FirstReading } from "../../state/firstReading.js";
+import { Registration } from "../../state/registration.js";
+import { PeerChanges, readRelayAnswer, type RelayRequest, resolveRelayTimeoutMs } from "../../state/relayClient.js";
+import { type RelayAnswer, relayPath } from "../../state/relayMessages.js";
+import { RelayServer } from "../../state/relayServer.js";
+import { StateSync } from "../../state/stateSync.js";
+import { EdgeLog } from "../../telemetry/edgeLog.js";
+import { EdgeMetrics } from "../../telemetry/edgeMetrics.js";
+import { TestCodec } from "./testNames.js";
+import { TroubledLink, type TroubledStore } from "./troubledStore.js";
+import { type VirtualTime } from "./virtualTime.js";
+
+/** Ways between gateways, in milliseconds. */
+const hopMs = 1;
+const metrics = new EdgeMetrics(createMetrics("test"));
+
+/** Everything of one gateway that has to do with the store, over simulated ways. */
+export class SimulatedGateway {
+    readonly name: string;
+    readonly link: TroubledLink;
+    readonly view = new FleetView();
+    readonly logs: Readonly<Record<string, unknown>>[] = [];
+    readonly relayServer: RelayServer;
+    /** When each version came into force. */
+    readonly inForceAtMs = new Map<number, number>();
+    /** Neither asks nor answers. */
+    isDead = false;
+    readonly #sync: StateSync;
+    readonly #registration: Registration;
+
+    constructor(fleet: SimulatedFleet, index: number, availabilityZone: string) {
+        const { time, store } = fleet;
+        this.name = `gateway-${index}`;
+        this.link = new TroubledLink(store);
+        const random = createRandomSource(Math.floor(fleet.random.next() * 2 ** 31));
+        const write = (message: string, fields: LogFields = {}): void => {
+            this.logs.push({ atMs: time.monotonicMs(), message, ...fields });
+        };
+        const log = new EdgeLog({ debug: write, info: write, warn: write, error: write }, () => time.monotonicMs());
+        const shared = { store: this.link, codec: new TestCodec(), view: this.view, clock: time, random, log, metrics };
+        this.#registration = new Registration({
+            ...shared,
+            name: this.name,
+            registration: { availabilityZone, peers: { host: "gateway", port: index } },
+        });
+        this.#sync = new StateSync({
+            ...shared,
+            name: this.name,
+            availabilityZone,
+            checkStore: () => this.#registration.checkStore(),
+            onChange: () => this.#onChange(time.monotonicMs()),
+            onChanged: () => this.relayServer.onChange(),
+            firstReading: new FirstReading(time),
+            peers: new SimulatedPeers(fleet, this),
+        });
+        this.relayServer = new RelayServer(this.#sync);
+    }
+
+    start(): void {
+        this.#sync.start();
+        this.#registration.start();
+    }
+
+    /** Loses power. */
+    die(): void {
+        this.isDead = true;
+        this.#sync.stop();
+        this.#registration.stop();
+    }
+
+    #onChange(nowMs: number): void {
+        const version = this.view.inForce?.configuration.version;
+        if (version !== undefined && !this.inForceAtMs.has(version)) {
+            this.inForceAtMs.set(version, nowMs);
+        }
+    }
+}
+
+/** Gateways over one store. */
+export class SimulatedFleet {
+    readonly time: VirtualTime;
+    readonly store: TroubledStore;
+    readonly random: RandomSource;
+    readonly gateways: readonly SimulatedGateway[];
+
+    constructor(
+        time: VirtualTime,
+        store: TroubledStore,
+        random: RandomSource,
+        size: { readonly gateways: number; readonly zones: number; },
+    ) {
+        this.time = time;
+        this.store = store;
+        this.random = random;
+        this.gateways = Array.from(
+            { length: size.gateways },
+            (_, i) => new SimulatedGateway(this, i, `zone-${i % size.zones}`),
+        );
+    }
+
+    stop(): void {
+        for (const gateway of this.gateways) {
+            gateway.die();
+        }
+    }
+}
+
+/** One gateway's questions to the others. */
+class SimulatedPeers extends PeerChanges {
+    readonly #fleet: SimulatedFleet;
+    readonly #self: SimulatedGateway;
+
+    constructor(fleet: SimulatedFleet, self: SimulatedGateway) {
+        super();
+        this.#fleet = fleet;
+        this.#self = self;
+    }
+
+    override ask({ address, afterRevision, waits, signal }: RelayRequest): Promise<Either<Failure, RelayAnswer>> {
+        const peer = this.#fleet.gateways[address.port];
+        return new Promise(resolve => {
+            let close: () => void = () => undefined;
+            const settle = (answer: Either<Failure, RelayAnswer>): void => {
+                clearTimeout(timer);
+                close();
+                resolve(answer);
+            };
+            const giveUp = (): void => settle(Left(createFailure("peerUnreachable", "no answer")));
+            const timer = setTimeout(giveUp, resolveRelayTimeoutMs(waits));
+            signal.addEventListener("abort", giveUp, { once: true });
+            let status = 0;
+            const res = {
+                once: (_event: "close", onClose: () => void) => {
+                    close = onClose;
+                },
+                writeHead: (code: number) => {
+                    status = code;
+                },
+                end: (body: string) => {
+                    setTimeout(() => settle(readRelayAnswer(status, body)), hopMs);
+                },
+            };
+            const req = { url: `${relayPath}?after=${afterRevision}&wait=${waits ? 600 : 0}` };
+            setTimeout(() => {
+                if (peer !== undefined && !peer.isDead && !this.#self.isDead) {
+                    peer.relayServer.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
+                }
+            }, hopMs);
+        });
+    }
+
+    override close(): void {
+        // There is no connection.
+    }
+}
--- /dev/null
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -0,0 +1,241 @@
+import { createFailure, type Failure } from "@galenaglade/errors";
+import {
+    type CompareAndSwap,
+    type KeyValue,
+    KeyValueStore,
+    type Lease,
+    type SwapOutcome,
+    type WatchEvents,
+    type WatchRequest,
+} from "@galenaglade/platform";
+import { type RandomSource } from "@galenaglade/routing";
+import { KeyValueEngine } from "@galenaglade/stand-ins";
+import { type Either, Left, Right } from "purify-ts";
+import { type VirtualTime } from "./virtualTime.js";
+
+/** How the store is away. */
+export type Absence = "silent" | "reset" | "busy" | "refusing" | "slow";
+
+/** Whole time of a call besides a watch's wait, as the platform's client has it, in milliseconds. */
+const callTimeoutMs = 800;
+const usualAnswerMs = 4;
+const slowAnswerMs = 240;
+
+/** What all gateways' calls together were. */
+export interface CallCount {
+    /** As the store charges them: a renewal and a reading that may be stale cost a tenth. */
+    price: number;
+    writes: number;
+    reads: number;
+}
+
+/** A store that several gateways share, on virtual time, with the ways in which it may be away. */
+export class TroubledStore {
+    readonly engine = new KeyValueEngine();
+    readonly time: VirtualTime;
+    readonly random: RandomSource;
+    absence: Absence | undefined;
+    /** Watches of before find that their history is gone. */
+    historyFrom = 0;
+    /** How old readings that may be stale are, in milliseconds; with it their revision. */
+    staleRevision: number | undefined;
+    readonly calls: CallCount = { price: 0, writes: 0, reads: 0 };
+    readonly #waiting = new Set<() => void>();
+    #absences = 0;
+
+    constructor(time: VirtualTime, random: RandomSource) {
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Counts the spans in which the store was away: what waited in one of them is answered no more. */
+    get absences(): number {
+        return this.#absences;
+    }
+
+    /** The store is away from now on. Watches that wait are cut, or go silent. */
+    leave(how: Absence): void {
+        this.absence = how;
+        this.#absences++;
+        this.wake();
+    }
+
+    /** Open connections go silent for good, and new ones work. */
+    silenceWatches(): void {
+        this.#absences++;
+    }
+
+    /** The store is back; with `lapses`, all that was under lease is gone. */
+    return(lapses: boolean): void {
+        this.absence = undefined;
+        if (lapses) {
+            this.engine.expire(Infinity);
+        }
+        this.wake();
+    }
+
+    /** Writes as an operator or a server does. */
+    put(key: string, value: unknown): void {
+        const current = this.engine.get(key, this.time.monotonicMs());
+        this.engine.compareAndSwap(
+            { key, expectedRevision: current?.modifiedRevision ?? 0, value: JSON.stringify(value) },
+            this.time.monotonicMs(),
+        );
+        this.wake();
+    }
+
+    wake(): void {
+        for (const look of [...this.#waiting]) {
+            look();
+        }
+    }
+
+    /** Calls `look` on each change until it is forgotten. @returns forgets it */
+    onChange(look: () => void): () => void {
+        this.#waiting.add(look);
+        return () => void this.#waiting.delete(look);
+    }
+}
+
+/** One gateway's way to a troubled store. */
+export class TroubledLink extends KeyValueStore {
+    /** Nothing passes on this way. */
+    cut = false;
+    readonly #store: TroubledStore;
+
+    constructor(store: TroubledStore) {
+        super();
+        this.#store = store;
+    }
+
+    override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
+        return this.#call("reads", 1, nowMs => Right(this.#store.engine.get(key, nowMs)));
+    }
+
+    override list(
+        prefix: string,
+    ): Promise<Either<Failure, { readonly revision: number; readonly entries: readonly KeyValue[]; }>> {
+        return this.#call("reads", 1, nowMs => {
+            const entries = this.#store.engine.list(prefix, nowMs);
+            return Right({ entries, revision: this.#store.engine.revision });
+        });
+    }
+
+    override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        return this.#call("writes", 1, nowMs => {
+            const outcome = this.#store.engine.compareAndSwap(req, nowMs);
+            this.#store.wake();
+            return Right(outcome);
+        });
+    }
+
+    override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
+        return this.#call("writes", 1, nowMs => Right(this.#store.engine.grantLease(ttlMs, nowMs)));
+    }
+
+    override renewLease(id: string): Promise<Either<Failure, Lease>> {
+        return this.#call("reads", 0.1, nowMs => {
+            const lease = this.#store.engine.renewLease(id, nowMs);
+            return lease === undefined ? Left(createFailure("notFound", id)) : Right(lease);
+        });
+    }
+
+    override revokeLease(id: string): Promise<Either<Failure, void>> {
+        return this.#call("writes", 1, nowMs => {
+            this.#store.engine.revokeLease(id, nowMs);
+            return Right(undefined);
+        });
+    }
+
+    override async watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>> {
+        const { prefix, afterRevision, waitMs, signal } = req;
+        if (afterRevision < this.#store.historyFrom) {
+            return await this.#call("reads", 1, () => Left(createFailure("storeHistoryLost", "compacted")));
+        }
+        const find = (nowMs: number): WatchEvents => this.#store.engine.changesSince(prefix, afterRevision, nowMs);
+        const sentAtMs = this.#store.time.monotonicMs();
+        const first = await this.#call("reads", 1, nowMs => Right(find(nowMs)), { signal, waitMs });
+        const isQuiet = first.map(seen => seen.changed.length + seen.deleted.length === 0).orDefault(false);
+        const untilMs = sentAtMs + waitMs;
+        return isQuiet && waitMs > 0 && signal?.aborted !== true
+            ? await this.#wait(find, untilMs, signal)
+            : first;
+    }
+
+    #wait(
+        find: (nowMs: number) => WatchEvents,
+        untilMs: number,
+        signal: AbortSignal | undefined,
+    ): Promise<Either<Failure, WatchEvents>> {
+        const store = this.#store;
+        const { absences } = store;
+        return new Promise(resolve => {
+            const end = (result: Either<Failure, WatchEvents>): void => {
+                forget();
+                clearTimeout(answer);
+                clearTimeout(lost);
+                resolve(result);
+            };
+            const isSilent = (): boolean => this.cut || store.absences !== absences;
+            const look = (): void => {
+                if (store.absence === "reset" || store.absence === "refusing") {
+                    end(this.#fail(store.absence));
+                    return;
+                }
+                const seen = find(store.time.monotonicMs());
+                if (!isSilent() && seen.changed.length + seen.deleted.length > 0) {
+                    end(Right(seen));
+                }
+            };
+            const forget = store.onChange(look);
+            const nowMs = store.time.monotonicMs();
+            const answer = setTimeout(() => {
+                if (!isSilent()) {
+                    end(Right(find(store.time.monotonicMs())));
+                }
+            }, untilMs - nowMs);
+            const lost = setTimeout(() => end(this.#fail("silent")), untilMs - nowMs + callTimeoutMs);
+            signal?.addEventListener("abort", () => end(this.#fail("silent")), { once: true });
+        });
+    }
+
+    /** A call goes on its way, is answered or isn't, and the answer comes back. */
+    #call<T>(
+        kind: "reads" | "writes",
+        price: number,
+        run: (nowMs: number) => Either<Failure, T>,
+        { signal, waitMs = 0 }: { readonly signal?: AbortSignal | undefined; readonly waitMs?: number; } = {},
+    ): Promise<Either<Failure, T>> {
+        const store = this.#store;
+        store.calls[kind]++;
+        store.calls.price += price;
+        const { absence } = store;
+        return new Promise(resolve => {
+            const settle = (result: Either<Failure, T>): void => {
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const isSilent = this.cut || absence === "silent";
+            const answerMs = absence === "slow" ? slowAnswerMs : usualAnswerMs;
+            const timer = isSilent
+                ? setTimeout(() => settle(this.#fail("silent")), callTimeoutMs + waitMs)
+                : setTimeout(() => {
+                    settle(
+                        absence === undefined || absence === "slow"
+                            ? run(store.time.monotonicMs())
+                            : this.#fail(absence),
+                    );
+                }, answerMs * (0.5 + store.random.next()));
+            signal?.addEventListener("abort", () => settle(this.#fail("silent")), { once: true });
+        });
+    }
+
+    #fail(how: Absence): Either<Failure, never> {
+        const kind = how === "silent"
+            ? "storeOutcomeUnknown"
+            : how === "refusing"
+            ? "storeRateLimited"
+            : "storeUnavailable";
+        return Left(createFailure(kind, how));
+    }
+}
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -34,6 +34,7 @@
 import { RolloutSync } from "./rollout/rolloutSync.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
 import { FirstReading } from "./state/firstReading.js";
+import { RelayClient } from "./state/relayClient.js";
 import { RelayServer } from "./state/relayServer.js";
 import { Registration } from "./state/registration.js";
 import { StateSync } from "./state/stateSync.js";
@@ -176,6 +177,7 @@
         onChange,
         onChanged: () => relayServer.onChange(),
         firstReading,
+        peers: new RelayClient(),
     });
     const relayServer = new RelayServer(sync);
     const rolloutSync = new RolloutSync({ name, view, rollouts, store, codec, clock, log, metrics });
--- a/packages/edge/src/state/relayClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -15,18 +15,24 @@
     readonly signal: AbortSignal;
 }
 
-/** Asks other gateways for changes of the store, over one kept connection. */
-export class RelayClient {
-    #client: Client | undefined;
-    #origin = "";
-
+/** Asks other gateways for changes of the store. */
+export abstract class PeerChanges {
     /**
-     * @param question - what to ask, and whom
+     * @param req - what to ask, and whom
      * @returns the changes, or `storeHistoryLost` where the peer doesn't know that far back, or why none came
      */
-    async ask({ address, afterRevision, waits, signal }: RelayRequest): Promise<Either<Failure, RelayAnswer>> {
+    abstract ask(req: RelayRequest): Promise<Either<Failure, RelayAnswer>>;
+    abstract close(): void;
+}
+
+/** Asks over one kept connection. */
+export class RelayClient extends PeerChanges {
+    #client: Client | undefined;
+    #origin = "";
+
+    override async ask({ address, afterRevision, waits, signal }: RelayRequest): Promise<Either<Failure, RelayAnswer>> {
         const waitMs = waits ? relayWaitMs : 0;
-        const timeout = AbortSignal.timeout(waits ? relayWaitMs + relaySlackMs : catchUpTimeoutMs);
+        const timeout = AbortSignal.timeout(resolveRelayTimeoutMs(waits));
         try {
             const res = await this.#connect(address).request({
                 method: "GET",
@@ -35,7 +41,7 @@
                 signal: AbortSignal.any([timeout, signal]),
             });
             const text = await res.body.text();
-            return readAnswer(res.statusCode, text);
+            return readRelayAnswer(res.statusCode, text);
         }
         catch (err) {
             // A connection that may have gone silent for good must not be asked again.
@@ -44,7 +50,7 @@
         }
     }
 
-    close(): void {
+    override close(): void {
         this.#client?.destroy().catch(() => undefined);
         this.#client = undefined;
     }
@@ -60,7 +66,13 @@
     }
 }
 
-function readAnswer(status: number, text: string): Either<Failure, RelayAnswer> {
+/** @returns how long an answer is waited for, in milliseconds */
+export function resolveRelayTimeoutMs(waits: boolean): number {
+    return waits ? relayWaitMs + relaySlackMs : catchUpTimeoutMs;
+}
+
+/** @returns what a peer's answer says, or why it says nothing */
+export function readRelayAnswer(status: number, text: string): Either<Failure, RelayAnswer> {
     if (status === relayStatus.forgotten) {
         return Left(createFailure("storeHistoryLost", "the peer doesn't know that far back"));
     }
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -21,7 +21,7 @@
 } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type FirstReading } from "./firstReading.js";
-import { RelayClient } from "./relayClient.js";
+import { type PeerChanges } from "./relayClient.js";
 import { RelayFeed } from "./relayServer.js";
 import { PauseDetector } from "./pauseDetector.js";
 import { StoreContact, type StoreContactParts } from "./storeContact.js";
@@ -40,6 +40,7 @@
     /** Called when other gateways may be told something new. */
     readonly onChanged: () => void;
     readonly firstReading: FirstReading;
+    readonly peers: PeerChanges;
 }
 
 /**
@@ -50,7 +51,6 @@
     readonly #parts: StateSyncParts;
     readonly #stop = new AbortController();
     readonly #sources: RelaySources;
-    readonly #relay = new RelayClient();
     readonly #mirror = new StoreMirror();
     readonly #contact: StoreContact;
     readonly #pauseDetector: PauseDetector;
@@ -85,7 +85,7 @@
         }
         this.#stop.abort();
         this.#turn.abort();
-        this.#relay.close();
+        this.#parts.peers.close();
     }
 
     override get reachesStore(): boolean {
@@ -215,7 +215,7 @@
         const { log, metrics } = this.#parts;
         const { signal } = this.#turn;
         const askedAtMs = this.#now();
-        const told = await this.#relay.ask({ address: peer.address, afterRevision, waits: peer.known, signal });
+        const told = await this.#parts.peers.ask({ address: peer.address, afterRevision, waits: peer.known, signal });
         if (signal.aborted) {
             return 0;
         }
