Probe a store that was lost, and check that a watch brings what has changed

What callers saw: one host refused requests for a route with 404, 2.45 s after the version with that route had been acknowledged, 0.45 s later than is allowed.

Cause: a watch waits for 2.5 s and is given up after 3.3 s, and gateways that can't reach the store went on sending watches. One sent right before the store's return is lost, and its gateway hears of nothing until it is given up.

Change: only a gateway whose call was answered last makes a call that waits. In doubt it asks for the store's revision once a second, by a reading that may be stale, costs a tenth and counts against no rate. The same reading is the check of a watch, twice a second, for every gateway that has one: a revision that the watch doesn't bring within 60 ms shows that its connection is dead. A gateway that finds the store again asks its relay first; a relay that has lost the store says so to whoever waits after 200 ms.

--- a/packages/edge/src/__tests__/support/simulatedGateways.ts
+++ b/packages/edge/src/__tests__/support/simulatedGateways.ts
@@ -53,7 +53,6 @@
             ...shared,
             name: this.name,
             availabilityZone,
-            checkStore: () => this.#registration.checkStore(),
             onChange: () => this.#onChange(time.monotonicMs()),
             onChanged: () => this.relayServer.onChange(),
             firstReading: new FirstReading(time),
--- a/packages/edge/src/__tests__/support/troubledStore.ts
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -121,6 +121,10 @@
         });
     }
 
+    override peekRevision(): Promise<Either<Failure, number>> {
+        return this.#call("reads", 0.1, () => Right(this.#store.staleRevision ?? this.#store.engine.revision));
+    }
+
     override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
         return this.#call("writes", 1, nowMs => {
             const outcome = this.#store.engine.compareAndSwap(req, nowMs);
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -34,15 +34,21 @@
 /** Longest time that the store holds a watch open: a connection gone silent is found out this long after. */
 export const watchWaitMs = 2_500;
 
-/** Pauses after a failed call of the store: doubled from the first to the last, each drawn from half to the whole. */
+/** Pauses after a failed write to the store: doubled from the first to the last, each drawn from half to the whole. */
 export const firstStorePauseMs = 150;
 export const longestStorePauseMs = 800;
 
+/** How long the answer to a probe of a store that was lost is waited for, in milliseconds. */
+export const storeProbeTimeoutMs = 600;
+
 /**
- * The longest of these pauses while relays have found the store away too, in milliseconds. Each of hundreds of gateways calls it
- * then. With the time for which lapsed entries are believed it is below three seconds, after which a server that left must get nothing.
+ * From one probe to the next, in milliseconds. A change that is acknowledged at the store's return must be in force after 2 s, and with
+ * the time for which lapsed entries are believed, it is below three seconds, after which a server that left must get nothing.
  */
-export const fallbackStorePauseMs = 1_000;
+export const storeProbePeriodMs = 1_000;
+
+/** Shortest time between two probes where other gateways ask meanwhile, in milliseconds: they may have found the store again. */
+export const shortestProbePeriodMs = 250;
 
 /** Longest pause after a failed registration, in milliseconds: doubled up to it with each failure. */
 export const longestRegistrationPauseMs = 3_200;
@@ -100,12 +106,15 @@
 export const catchUpTimeoutMs = 300;
 
 /**
- * How often a gateway that others ask checks that it reaches the store, and how long the check may take. Its watch alone
- * would find a cut out after three seconds, and all that ask it would be as late.
+ * How often a gateway that watches the store checks that its watch is alive, and how long the check may take. The watch alone would
+ * find a cut out after three seconds, and this gateway and all that ask it would be as late.
  */
 export const storeCheckMs = 500;
 export const storeCheckTimeoutMs = 400;
 
+/** Time in which a watch that is alive brings a change that a check has seen, in milliseconds. */
+export const watchLagMs = 60;
+
 /** Difference between the two clocks' steps from which this host is taken to have stood still, in milliseconds. */
 export const hostPauseMs = 700;
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -173,7 +173,6 @@
         random,
         log,
         metrics,
-        checkStore: () => registration.checkStore(),
         onChange,
         onChanged: () => relayServer.onChange(),
         firstReading,
--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -13,7 +13,6 @@
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
-import { type Either } from "purify-ts";
 
 /** What a registration works with. */
 export interface RegistrationParts {
@@ -58,12 +57,6 @@
         this.#stopped = true;
     }
 
-    /** Shows whether the store is reached, by the cheapest call: the renewal of the lease, where there is one. */
-    checkStore(): Promise<Either<Failure, unknown>> {
-        const { store, codec, name } = this.#parts;
-        return this.#leaseId === undefined ? store.get(codec.registrationKey(name)) : store.renewLease(this.#leaseId);
-    }
-
     async #run(): Promise<void> {
         while (!this.#stopped && !this.#parts.view.isRead) {
             await sleep(expiryTickMs);
--- a/packages/edge/src/state/relayServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -18,11 +18,13 @@
 interface Waiting {
     readonly res: ServerResponse;
     readonly afterRevision: number;
-    readonly timer: NodeJS.Timeout;
+    timer: NodeJS.Timeout;
+    /** Whether its time was cut short since the store was lost. */
+    isShortened: boolean;
 }
 
 const noBody = "";
-/** Time for a gateway that is asked for the first time to hear of the store itself, in milliseconds. */
+/** Time for a gateway that has to hear of the store first, in milliseconds. */
 const firstAnswerMs = 200;
 
 /** Answers other gateways' questions for changes, at once where there are some and otherwise when they come. */
@@ -63,6 +65,7 @@
             res,
             afterRevision,
             timer: setTimeout(() => this.#answerIfDue(waiting, true), untilMs),
+            isShortened: !this.#teller.reachesStore,
         };
         this.#waiting.add(waiting);
         res.once("close", () => this.#forget(waiting));
@@ -76,6 +79,7 @@
             return;
         }
         if (!reachesStore) {
+            this.#shorten(waiting);
             return;
         }
         const changes = this.#teller.changesSince(waiting.afterRevision);
@@ -88,6 +92,15 @@
         }
     }
 
+    /** Whoever waits as the store is lost hears so after the time in which it would be found again, if it were. */
+    #shorten(waiting: Waiting): void {
+        if (!waiting.isShortened) {
+            waiting.isShortened = true;
+            clearTimeout(waiting.timer);
+            waiting.timer = setTimeout(() => this.#answerIfDue(waiting, true), firstAnswerMs);
+        }
+    }
+
     #answer(waiting: Waiting, status: number, body: string): void {
         this.#forget(waiting);
         send(waiting.res, status, body);
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -1,4 +1,4 @@
-import { type Failure } from "@galenaglade/errors";
+import { createFailure, type Failure } from "@galenaglade/errors";
 import {
     type BeliefChange,
     directMs,
@@ -10,12 +10,16 @@
 } from "@galenaglade/fleet-state";
 import { sleep } from "@galenaglade/http-parts";
 import { type KeyValue, type KeyValueStore, type WatchEvents } from "@galenaglade/platform";
-import { type Either } from "purify-ts";
+import { type LogFields } from "@galenaglade/telemetry";
+import { type Either, Left } from "purify-ts";
 import {
     expiryTickMs,
     firstWatchPauseMs,
     storeCheckMs,
     storeCheckTimeoutMs,
+    shortestProbePeriodMs,
+    storeProbeTimeoutMs,
+    watchLagMs,
     watchPauseMs,
     watchWaitMs,
 } from "../constants.js";
@@ -33,8 +37,6 @@
     readonly availabilityZone: string;
     readonly store: KeyValueStore;
     readonly codec: StateCodec;
-    /** Makes the cheapest call that shows whether the store is reached. */
-    readonly checkStore: () => Promise<Either<Failure, unknown>>;
     /** Called after each change of what is believed. */
     readonly onChange: () => void;
     /** Called when other gateways may be told something new. */
@@ -60,7 +62,14 @@
     #source: WatchSource["type"] = "store";
     /** Whether the store itself has answered since it was last chosen, and no check has failed since. */
     #confirmed = false;
+    /** Whether the store may be away: a relay said so, or a call of this gateway's own has failed. */
+    #doubt: "none" | "suspected" | "lost" = "none";
+    /** Ends the pause between two turns. */
+    #wake: () => void = () => undefined;
+    #failedAtMs = -Infinity;
     #askedAtMs = -Infinity;
+    /** When the watch that waits now was sent; `undefined` while none does. */
+    #watchingSinceMs: number | undefined;
     #timers: readonly NodeJS.Timeout[] = [];
 
     constructor(parts: StateSyncParts) {
@@ -74,7 +83,7 @@
     start(): void {
         this.#timers = [
             setInterval(() => this.#tick(), expiryTickMs),
-            setInterval(() => void this.#checkStore(), storeCheckMs),
+            setInterval(() => void this.#checkWatch(), storeCheckMs),
         ];
         void this.#run();
     }
@@ -105,6 +114,10 @@
         if (!this.reachesStore && (isFirst || this.#source === "peer")) {
             this.#turnNow();
         }
+        if (this.#doubt === "lost" && nowMs - this.#failedAtMs >= shortestProbePeriodMs) {
+            // Whoever asks may have just found the store again.
+            this.#wake();
+        }
     }
 
     override changesSince(afterRevision: number): MirroredChanges | undefined {
@@ -115,27 +128,69 @@
         while (!this.#stop.signal.aborted) {
             const pauseMs = await this.#takeTurn();
             if (pauseMs > 0) {
-                await sleep(pauseMs);
+                await this.#pause(pauseMs);
             }
         }
     }
 
+    #pause(ms: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, ms);
+            this.#wake = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+    }
+
     /** @returns how long to pause until the next turn, in milliseconds */
     async #takeTurn(): Promise<number> {
         const afterRevision = this.#afterRevision;
-        if (afterRevision === undefined) {
-            this.#chooseStore();
-            return this.#readAll();
-        }
-        const source = this.#sources.choose(this.#parts.view.registeredGateways(), this.#now());
+        const source: WatchSource = afterRevision === undefined
+            ? { type: "store" }
+            : this.#sources.choose(this.#parts.view.registeredGateways(), this.#now());
         this.#turn = new AbortController();
-        if (source.type === "peer") {
+        if (source.type === "peer" && afterRevision !== undefined) {
             this.#source = "peer";
             this.#confirmed = false;
             return this.#watchPeer(source, afterRevision);
         }
         this.#chooseStore();
-        return this.#watch(afterRevision);
+        const pauseMs = this.#doubt === "none" ? undefined : await this.#probe();
+        return pauseMs ?? (afterRevision === undefined ? this.#readAll() : this.#watch(afterRevision));
+    }
+
+    /**
+     * Finds out whether a store that may be away answers. A call that waits, sent right before its return and lost, would be waited for
+     * long after it, and a probe costs a tenth of any other call.
+     *
+     * @returns how long to pause until the next turn, in milliseconds; `undefined` where the store may be called in this one
+     */
+    async #probe(): Promise<number | undefined> {
+        const startedAtMs = this.#now();
+        const { signal } = this.#turn;
+        const peeked = await this.#peek(storeProbeTimeoutMs);
+        if (signal.aborted) {
+            return 0;
+        }
+        if (peeked.isLeft()) {
+            return this.#onFailure("probe", peeked.extract(), startedAtMs);
+        }
+        const wasLost = this.#doubt === "lost";
+        this.#doubt = "none";
+        if (!wasLost) {
+            return undefined;
+        }
+        // Hundreds of gateways find the store again at about the same time; most of them need not call it themselves.
+        this.#sources.onStoreRegained();
+        return 0;
+    }
+
+    /** @returns the store's revision, or why it wasn't told in time */
+    #peek(timeoutMs: number): Promise<Either<Failure, number>> {
+        const { store, codec, name } = this.#parts;
+        const late = sleep(timeoutMs).then(() => Left(createFailure("storeOutcomeUnknown", "no answer in time")));
+        return Promise.race([store.peekRevision(codec.registrationKey(name)), late]);
     }
 
     #chooseStore(): void {
@@ -186,10 +241,12 @@
     async #watch(afterRevision: number): Promise<number> {
         const { store, codec } = this.#parts;
         const startedAtMs = this.#now();
-        // Somebody waits to hear whether the store is reached: a watch without changes would say so seconds later.
-        const waitMs = this.#isAsked() && !this.#confirmed ? 0 : watchWaitMs;
+        // While nobody knows whether the store is reached, a watch that waits would say so seconds later.
+        const waitMs = this.#confirmed ? watchWaitMs : 0;
         const { signal } = this.#turn;
+        this.#watchingSinceMs = startedAtMs;
         const seen = await store.watch({ prefix: codec.prefix, afterRevision, waitMs, signal });
+        this.#watchingSinceMs = undefined;
         if (signal.aborted) {
             return 0;
         }
@@ -227,6 +284,7 @@
                 }
                 metrics.onRelayRequest(failure.kind);
                 this.#contact.onSuspected(this.#now());
+                this.#doubt = this.#doubt === "lost" ? "lost" : "suspected";
                 this.#sources.onFailure(peer.name, this.#now());
                 log.log("warn", "relayLost", {
                     peer: peer.name,
@@ -243,6 +301,7 @@
                 }
                 metrics.onRelayRequest("answered");
                 this.#sources.onAnswer(peer.name);
+                this.#doubt = "none";
                 this.#contact.onPassedOn(answer.ageMs);
                 this.#learn(answer);
                 return 0;
@@ -262,31 +321,45 @@
     }
 
     /**
-     * Checks that the store is still reached, while other gateways ask this one. Where it isn't, they are sent elsewhere at
-     * once, and the watch, whose connection may be as dead, is opened anew.
+     * Checks that the store is still reached, and that the watch brings what has changed. Where it isn't or doesn't, the watch,
+     * whose connection may be dead, is opened anew.
      */
-    async #checkStore(): Promise<void> {
-        if (!this.#isAsked() || !this.reachesStore) {
+    async #checkWatch(): Promise<void> {
+        if (!this.reachesStore) {
             return;
         }
-        const { metrics, view, log } = this.#parts;
+        const { metrics, view } = this.#parts;
         const startedAtMs = this.#now();
-        const outcome = await Promise.race([this.#parts.checkStore(), sleep(storeCheckTimeoutMs)]);
-        const failure = outcome?.swap().toMaybe().extract();
-        if (outcome !== undefined && (failure === undefined || failure.kind === "notFound")) {
+        const peeked = await this.#peek(storeCheckTimeoutMs);
+        if (peeked.isRight()) {
             metrics.onStoreCall("check", "answered");
             view.onContact(this.#now());
+            await this.#awaitChange(peeked.extract(), startedAtMs);
             return;
         }
-        metrics.onStoreCall("check", failure?.kind ?? "late");
-        if (view.lastContactMs > startedAtMs) {
+        const { kind } = peeked.extract() as Failure;
+        metrics.onStoreCall("check", kind);
+        if (view.lastContactMs <= startedAtMs) {
+            this.#contact.onSuspected(startedAtMs);
+            this.#suspectWatch({ kind, tookMs: Math.round(this.#now() - startedAtMs) });
+        }
+    }
+
+    /** A check has seen a revision of the store; a watch that was sent before and doesn't bring it is dead. */
+    async #awaitChange(revision: number, checkedAtMs: number): Promise<void> {
+        const sentAtMs = this.#watchingSinceMs;
+        if (sentAtMs === undefined || sentAtMs > checkedAtMs || revision <= (this.#afterRevision ?? revision)) {
             return;
         }
-        log.log("warn", "storeSuspected", {
-            kind: failure?.kind ?? "late",
-            tookMs: Math.round(this.#now() - startedAtMs),
-        });
-        this.#contact.onSuspected(startedAtMs);
+        await sleep(watchLagMs);
+        if (this.#watchingSinceMs === sentAtMs) {
+            const waitedMs = Math.round(this.#now() - sentAtMs);
+            this.#suspectWatch({ kind: "behind", revision, afterRevision: this.#afterRevision, waitedMs });
+        }
+    }
+
+    #suspectWatch(fields: LogFields): void {
+        this.#parts.log.log("warn", "storeSuspected", fields);
         this.#confirmed = false;
         this.#parts.onChanged();
         this.#turnNow();
@@ -314,6 +387,7 @@
     }
 
     #onContact(call: string): void {
+        this.#doubt = "none";
         this.#contact.onAnswered(call);
         if (!this.#confirmed) {
             this.#confirmed = true;
@@ -326,8 +400,10 @@
             return 0;
         }
         this.#confirmed = false;
+        this.#doubt = "lost";
+        this.#failedAtMs = this.#now();
         this.#parts.onChanged();
-        return this.#contact.onFailed(call, failure, startedAtMs, this.#sources.isFallbackReader(this.#now()));
+        return this.#contact.onFailed(call, failure, startedAtMs);
     }
 
     #now(): number {
--- a/packages/edge/src/state/storeContact.ts
+++ b/packages/edge/src/state/storeContact.ts
@@ -2,7 +2,7 @@
 import { type FleetView } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
 import { type RandomSource } from "@galenaglade/routing";
-import { firstStorePauseMs, longestStorePauseMs, fallbackStorePauseMs } from "../constants.js";
+import { firstStorePauseMs, storeProbePeriodMs } from "../constants.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 
@@ -47,10 +47,9 @@
     /**
      * A call of the store has failed.
      *
-     * @param isFallbackReader - whether relays have found it away too, so that it is hardly this gateway's way alone
      * @returns how long to pause before the next one, in milliseconds
      */
-    onFailed(call: string, failure: Failure, startedAtMs: number, isFallbackReader: boolean): number {
+    onFailed(call: string, failure: Failure, startedAtMs: number): number {
         const { view, clock, random, log, metrics } = this.#parts;
         metrics.onStoreCall(call, failure.kind);
         // A call that got no answer may have been lost since it began; one that was refused was refused just now.
@@ -59,11 +58,10 @@
         if (this.#failures === 0) {
             log.log("warn", "storeLost", { call, kind: failure.kind, detail: failure.detail });
         }
-        const longestMs = isFallbackReader ? fallbackStorePauseMs : longestStorePauseMs;
-        const limitMs = Math.min(longestMs, firstStorePauseMs * 2 ** this.#failures);
-        this.#failures++;
-        const pauseMs = limitMs * (1 + random.next()) / 2;
         const nowMs = clock.monotonicMs();
+        const growingMs = firstStorePauseMs * 2 ** this.#failures * (1 + random.next()) / 2;
+        this.#failures++;
+        const pauseMs = Math.min(growingMs, Math.max(0, startedAtMs + storeProbePeriodMs - nowMs));
         log.log("info", "storeCallFailed", {
             call,
             kind: failure.kind,
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -47,7 +47,7 @@
 
     /** @returns where to ask next */
     choose(gateways: readonly RegisteredGateway[], nowMs: number): WatchSource {
-        if (nowMs < this.#directUntilMs) {
+        if (nowMs < Math.max(this.#directUntilMs, this.#askedUntilMs)) {
             return store;
         }
         const own = gateways.filter(({ availabilityZone }) => availabilityZone === this.#availabilityZone);
@@ -82,17 +82,18 @@
         }
     }
 
+    /** The store, which had failed this gateway too, answers it again: so it will the relays, whose failures were no fault of theirs. */
+    onStoreRegained(): void {
+        this.#failedUntilMs.clear();
+        this.#failuresInRow = 0;
+        this.#directUntilMs = -Infinity;
+    }
+
     /** A peer asks this gateway: from now on it reads the store itself for a while, or it could pass on nothing sure. */
     onAsked(nowMs: number): void {
-        this.#directUntilMs = Math.max(this.#directUntilMs, nowMs + directMs);
         this.#askedUntilMs = nowMs + directMs;
     }
 
-    /** @returns whether this gateway reads the store only because its relays failed, and for itself alone */
-    isFallbackReader(nowMs: number): boolean {
-        return nowMs < this.#directUntilMs && nowMs >= this.#askedUntilMs;
-    }
-
     #order(relays: readonly string[]): readonly string[] {
         return findOwners(this.#self, relays, relays.length);
     }
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -80,4 +80,15 @@
     /** Ends a lease at once; its keys fall. */
     abstract revokeLease(id: string): Promise<Either<Failure, void>>;
     abstract watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>>;
+
+    /**
+     * Finds out by the cheapest call whether the store answers, and how far its changes go.
+     *
+     * @param prefix - of few keys
+     * @returns the store's revision, which may be seconds old
+     */
+    async peekRevision(prefix: string): Promise<Either<Failure, number>> {
+        const read = await this.list(prefix);
+        return read.map(({ revision }) => revision);
+    }
 }
