Read and log what servers say of rest and of leaving, and headers that nobody understands

A 503 with a time to rest and one without look alike in the log, so that an unread header and one that only its own request heeds can't be told apart. Load, limit, rest and leaving are read in one place now, for answers to requests and to questions. A header that the adapter doesn't know is logged once and counted. Nothing acts on rest and leaving yet.

--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -9,7 +9,7 @@
 import { Worker } from "node:worker_threads";
 import { askServer } from "../backends/askServer.js";
 import { ServerConnections } from "../backends/serverConnections.js";
-import { LimitNotes } from "../requests/limitNotes.js";
+import { ServerNotes } from "../requests/serverNotes.js";
 import { LoadInquiry } from "../requests/loadInquiry.js";
 import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -44,8 +44,8 @@
     });
     const metrics = new EdgeMetrics(createMetrics("test"));
     const log = new EdgeLog(createJsonLogger({ process: "test", level: "error", write: () => undefined }), () => 0);
-    const limits = new LimitNotes({ board, log, metrics });
-    return { inquiry: new LoadInquiry({ board, limits, connections, vocabulary, clock: systemClock, metrics }), board };
+    const notes = new ServerNotes({ board, log, metrics });
+    return { inquiry: new LoadInquiry({ board, notes, connections, vocabulary, clock: systemClock, metrics }), board };
 }
 
 // Of the servers that are asked one is slow to answer, or dead. Every request that asks it would be as late.
--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -7,7 +7,7 @@
     type RolloutStatus,
     type StateItem,
 } from "@galenaglade/fleet-state";
-import { type NamedLimit } from "@galenaglade/placement";
+import { type AskedRest, type NamedLimit } from "@galenaglade/placement";
 import { findHeader, keepEndToEnd, type RawHeaders } from "@galenaglade/http-parts";
 import { type KeyValue } from "@galenaglade/platform";
 import { type AnswerSigns, EdgeVocabulary, type ForwardSigns, type RequestSigns, StateCodec } from "../../index.js";
@@ -40,10 +40,21 @@
             load: load === undefined ? undefined : { running, waiting, slots, slowdown },
             coldRemainingMs: Number(findHeader(headers, "x-cold-ms") ?? 0),
             limit: readLimit(findHeader(headers, "x-limit")),
+            rest: readRest(findHeader(headers, "x-rest")),
+            leaving: findHeader(headers, "x-leaving") !== undefined,
+            unknown: findHeader(headers, "x-riddle") === undefined ? [] : ["x-riddle"],
         };
     }
 }
 
+function readRest(text: string | undefined): AskedRest {
+    if (text === undefined) {
+        return { type: "none" };
+    }
+    const seconds = Number(text);
+    return seconds >= 0 ? { type: "asked", forMs: seconds * 1_000 } : { type: "malformed", text };
+}
+
 function readLimit(text: string | undefined): NamedLimit {
     return text === undefined ? { type: "none" } : { type: "named", perSecond: Number(text) };
 }
--- a/packages/edge/src/backends/askServer.ts
+++ b/packages/edge/src/backends/askServer.ts
@@ -2,7 +2,7 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
 import { type ServerOffer } from "@galenaglade/placement";
 import { type Dispatcher } from "undici";
-import { type EdgeVocabulary } from "../vocabulary.js";
+import { type AnswerSigns, type EdgeVocabulary } from "../vocabulary.js";
 import { readRawHeaders } from "./rawHeaders.js";
 import { type ServerConnection } from "./serverConnection.js";
 
@@ -17,6 +17,12 @@
     readonly timeoutMs: number;
 }
 
+/** What a server said when it was asked. */
+export interface LoadAnswer {
+    readonly offer: ServerOffer;
+    readonly signs: AnswerSigns;
+}
+
 /**
  * Asks a backend server how loaded it is, right before something is sent to it. Any older figure is worth little: load
  * moves within milliseconds.
@@ -24,7 +30,7 @@
  * @param input - whom to ask
  * @returns what it said, or `undefined` where it didn't answer in time or another server did
  */
-export function askServer(input: AskInput): Promise<ServerOffer | undefined> {
+export function askServer(input: AskInput): Promise<LoadAnswer | undefined> {
     return new Promise(resolve => {
         const handler = new AskHandler(input, resolve);
         input.connection.dispatch({ method: "GET", path: input.healthPath }, handler);
@@ -33,13 +39,13 @@
 
 class AskHandler implements Dispatcher.DispatchHandler {
     readonly #input: AskInput;
-    readonly #resolve: (offer: ServerOffer | undefined) => void;
+    readonly #resolve: (answer: LoadAnswer | undefined) => void;
     readonly #timer: NodeJS.Timeout;
     #controller: Dispatcher.DispatchController | undefined;
-    #offer: ServerOffer | undefined;
+    #answer: LoadAnswer | undefined;
     #settled = false;
 
-    constructor(input: AskInput, resolve: (offer: ServerOffer | undefined) => void) {
+    constructor(input: AskInput, resolve: (answer: LoadAnswer | undefined) => void) {
         this.#input = input;
         this.#resolve = resolve;
         // After a long turn of the event loop its timers come before what has been received meanwhile. Taken for silent then,
@@ -55,7 +61,7 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-        this.#offer = this.#read(status, readRawHeaders(controller.rawHeaders));
+        this.#answer = this.#read(status, readRawHeaders(controller.rawHeaders));
     }
 
     onResponseData(): void {
@@ -63,7 +69,7 @@
     }
 
     onResponseEnd(): void {
-        this.#settle(this.#offer);
+        this.#settle(this.#answer);
     }
 
     onResponseError(): void {
@@ -78,29 +84,29 @@
         this.#controller?.abort(new Error("no answer in time"));
     }
 
-    #read(status: number, headers: RawHeaders): ServerOffer | undefined {
+    #read(status: number, headers: RawHeaders): LoadAnswer | undefined {
         const { server, vocabulary } = this.#input;
         const signs = vocabulary.readAnswer(status, headers);
         if (signs.serverId !== server.id) {
             return undefined;
         }
-        return {
+        const offer: ServerOffer = {
             serverId: server.id,
             availabilityZone: server.availabilityZone,
             load: signs.load,
             slots: server.slots,
             healthy: status === okStatus,
             coldRemainingMs: signs.coldRemainingMs,
-            limit: signs.limit,
         };
+        return { offer, signs };
     }
 
-    #settle(offer: ServerOffer | undefined): void {
+    #settle(answer: LoadAnswer | undefined): void {
         if (this.#settled) {
             return;
         }
         this.#settled = true;
         clearTimeout(this.#timer);
-        this.#resolve(offer);
+        this.#resolve(answer);
     }
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -29,8 +29,8 @@
 } from "./constants.js";
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
-import { LimitNotes } from "./requests/limitNotes.js";
 import { Placer } from "./requests/placer.js";
+import { ServerNotes } from "./requests/serverNotes.js";
 import { RolloutSync } from "./rollout/rolloutSync.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
 import { FirstReading } from "./state/firstReading.js";
@@ -90,8 +90,8 @@
         probesPerServerAndSecond: settings.asking.perServerAndSecond,
         startedAtMs: clock.monotonicMs(),
     });
-    const limits = new LimitNotes({ board, log, metrics });
-    const placer = new Placer({ view, availabilityZone, board, limits, connections, vocabulary, clock, metrics });
+    const notes = new ServerNotes({ board, log, metrics });
+    const placer = new Placer({ view, availabilityZone, board, notes, connections, vocabulary, clock, metrics });
     const rollouts = new GatewayRollouts({
         name,
         life: `${clock.epochMs()}-${parts.seed}`,
@@ -109,7 +109,7 @@
         random,
         placer,
         board,
-        limits,
+        notes,
         connections,
         checks: new ServerChecks(),
         crashes,
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -5,12 +5,12 @@
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
-import { type LimitNotes } from "./limitNotes.js";
+import { type ServerNotes } from "./serverNotes.js";
 
 /** What questions are asked with. */
 export interface LoadInquiryParts {
     readonly board: PlacementBoard;
-    readonly limits: LimitNotes;
+    readonly notes: ServerNotes;
     readonly connections: ServerConnections;
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
@@ -60,23 +60,21 @@
         server: RegisteredServer,
         timeoutMs: number,
     ): Promise<ServerOffer | undefined> {
-        const { board, limits, connections, vocabulary, clock, metrics } = this.#parts;
+        const { board, notes, connections, vocabulary, clock, metrics } = this.#parts;
         const askedAtMs = clock.monotonicMs();
         const connection = connections.take(server.id, server.address);
-        const offer = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs });
-        metrics.onAsked(offer === undefined ? "failed" : "answered");
-        if (offer === undefined) {
+        const told = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs });
+        metrics.onAsked(told === undefined ? "failed" : "answered");
+        if (told === undefined) {
             // What comes on it later would be taken for the answer to whatever is sent next.
             connection.destroy();
             return undefined;
         }
         connections.release(server.id, connection, { after: "question", nowMs: clock.monotonicMs() });
-        board.onOffer(rules.name, offer, askedAtMs);
-        if (offer.limit !== undefined) {
-            const source = { answered: "question", sentAtMs: askedAtMs } as const;
-            limits.note({ server, limit: offer.limit, source, nowMs: clock.monotonicMs() });
-        }
-        return offer;
+        board.onOffer(rules.name, told.offer, askedAtMs);
+        const source = { answered: "question", sentAtMs: askedAtMs } as const;
+        notes.note({ server, signs: told.signs, source, nowMs: clock.monotonicMs() });
+        return told.offer;
     }
 
     /**
--- a/packages/edge/src/requests/sendOutcomes.ts
+++ b/packages/edge/src/requests/sendOutcomes.ts
@@ -64,7 +64,7 @@
                 board.work.onAnswer(service, tookMs, score.factor);
             }
         }
-        this.#noteLimit(server, result, nowMs);
+        this.#noteServer(server, result, nowMs);
         const load = answer?.signs.load;
         if (load !== undefined) {
             board.onLoad(service, server, load, nowMs);
@@ -72,15 +72,14 @@
     }
 
     /** An answer of another server that has the address now says nothing of this one. */
-    #noteLimit(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
+    #noteServer(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
         const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
-        // Only an answer with the server's proof says by its silence that there is no limit any more.
-        if (signs === undefined || !isOwn || (signs.limit.type === "none" && !signs.signed)) {
+        if (signs === undefined || !isOwn || (signs.serverId ?? server.id) !== server.id) {
             return;
         }
-        this.#parts.limits.note({
+        this.#parts.notes.note({
             server,
-            limit: signs.limit,
+            signs,
             source: { answered: "request", sentAtMs: nowMs - tookMs },
             requestId: this.#request.requestId,
             nowMs,
--- /dev/null
+++ b/packages/edge/src/requests/serverNotes.ts
@@ -0,0 +1,97 @@
+import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { type LimitSource, type PlacementBoard } from "@galenaglade/placement";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type AnswerSigns } from "../vocabulary.js";
+
+/** What notes are taken with. */
+export interface ServerNotesParts {
+    readonly board: PlacementBoard;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+}
+
+/** An answer of a server, as far as it speaks of the server itself. */
+export interface ServerAnswer {
+    readonly server: RegisteredServer;
+    readonly signs: AnswerSigns;
+    readonly source: LimitSource;
+    /** The request that was answered. */
+    readonly requestId?: string | undefined;
+    readonly nowMs: number;
+}
+
+/** Names of headers that nobody understands, of which each is logged once. */
+const mostUnknownNames = 50;
+
+/**
+ * Reads what servers say of themselves in their answers, in one place for answers to requests and to questions: lets the board know, and
+ * logs what changes.
+ */
+export class ServerNotes {
+    readonly #parts: ServerNotesParts;
+    readonly #unknownNames = new Set<string>();
+
+    constructor(parts: ServerNotesParts) {
+        this.#parts = parts;
+    }
+
+    note(answer: ServerAnswer): void {
+        this.#noteLimit(answer);
+        this.#noteRest(answer);
+        this.#noteLeaving(answer);
+        this.#noteUnknown(answer);
+    }
+
+    #noteLimit(answer: ServerAnswer): void {
+        const { server, signs: { limit, signed }, source, nowMs } = answer;
+        const { board, log, metrics } = this.#parts;
+        if (limit.type === "malformed") {
+            metrics.onServerLimit(server.service, "malformed");
+            log.log("warn", "serverLimit", { ...describe(answer), change: "malformed", text: limit.text });
+            return;
+        }
+        // Of answers to requests, only one with the server's proof says by its silence that there is no limit any more.
+        if (limit.type === "none" && source.answered === "request" && !signed) {
+            return;
+        }
+        const change = board.onLimit(server, limit, source, nowMs);
+        if (change !== undefined) {
+            const { type, ...more } = change;
+            metrics.onServerLimit(server.service, type);
+            log.log("info", "serverLimit", { ...describe(answer), change: type, ...more });
+        }
+    }
+
+    #noteRest(answer: ServerAnswer): void {
+        const { server, signs: { rest } } = answer;
+        const { log, metrics } = this.#parts;
+        if (rest.type === "none") {
+            return;
+        }
+        metrics.onServerNotice(server.service, rest.type === "asked" ? "rest" : "malformedRest");
+        const said = rest.type === "asked" ? { forMs: rest.forMs } : { text: rest.text };
+        log.log("info", "serverRest", { ...describe(answer), change: rest.type, ...said });
+    }
+
+    #noteLeaving(answer: ServerAnswer): void {
+        if (answer.signs.leaving) {
+            this.#parts.metrics.onServerNotice(answer.server.service, "leaving");
+            this.#parts.log.log("info", "serverLeaving", describe(answer));
+        }
+    }
+
+    #noteUnknown(answer: ServerAnswer): void {
+        for (const header of answer.signs.unknown) {
+            this.#parts.metrics.onServerNotice(answer.server.service, "unknownHeader");
+            if (!this.#unknownNames.has(header) && this.#unknownNames.size < mostUnknownNames) {
+                this.#unknownNames.add(header);
+                this.#parts.log.log("warn", "unknownHeader", { ...describe(answer), header });
+            }
+        }
+    }
+}
+
+function describe({ requestId, source, server }: ServerAnswer): Readonly<Record<string, string | undefined>> {
+    return { requestId, answered: source.answered, service: server.service, server: server.id };
+}
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -9,6 +9,7 @@
     readonly #lostSends;
     readonly #contents;
     readonly #limits;
+    readonly #notices;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
@@ -30,6 +31,9 @@
         this.#limits = meter.createCounter("galenaglade.server_limits", {
             description: "limits that servers named, changed or ended, by service and change",
         });
+        this.#notices = meter.createCounter("galenaglade.server_notices", {
+            description: "answers in which servers ask for rest, say that they leave, or say something unknown",
+        });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked",
         });
@@ -64,6 +68,10 @@
         this.#limits.add(1, { service, change });
     }
 
+    onServerNotice(service: string, notice: string): void {
+        this.#notices.add(1, { service, notice });
+    }
+
     onAsked(end: "answered" | "failed"): void {
         this.#asks.add(1, { end });
     }
--- a/packages/edge/src/vocabulary.ts
+++ b/packages/edge/src/vocabulary.ts
@@ -1,5 +1,5 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
-import { type LoadReport, type NamedLimit } from "@galenaglade/placement";
+import { type AskedRest, type LoadReport, type NamedLimit } from "@galenaglade/placement";
 
 /** What a caller's request says of itself, besides what HTTP says. */
 export interface RequestSigns {
@@ -29,6 +29,12 @@
     readonly coldRemainingMs: number;
     /** Requests a second that it takes from all gateways together. */
     readonly limit: NamedLimit;
+    /** How long the server wants nothing from this gateway. */
+    readonly rest: AskedRest;
+    /** Whether the server says that it leaves. */
+    readonly leaving: boolean;
+    /** Headers that say something which nobody here understands. */
+    readonly unknown: readonly string[];
 }
 
 /** The names that callers and backend servers use for what the product needs to know of them. */
