Let tests of a server's rest fail: gateways that were asked for rest go on as before

A server that turns everything away and asks for 2 s of rest gets up to 21 requests of one gateway in such a time; 2 are allowed, half a second after it asked. Where all servers rest, a request is still sent to them, one after the other.

--- /dev/null
+++ b/packages/edge/src/__tests__/support/noticeServers.ts
@@ -0,0 +1,139 @@
+import assert from "node:assert/strict";
+import { type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MemoryStore } from "./memoryStore.js";
+import { RecordedServers } from "./recordedServers.js";
+import {
+    call,
+    createConfiguration,
+    type Got,
+    register,
+    renderSigned,
+    startBackend,
+    startEdge,
+    type TestBackend,
+    type TestEdge,
+    whenReady,
+} from "./testEdge.js";
+
+const workMs = 20;
+
+/** Backend servers that ask for rest and that leave as the test says, and the history of what they got and from whom. */
+export class NoticeServers extends RecordedServers {
+    readonly #restSeconds = new Map<string, number>();
+    readonly #leaving = new Set<string>();
+    readonly #backends = new Map<string, TestBackend>();
+
+    async start(id: string): Promise<void> {
+        const backend = await startBackend(this.t, id, req => {
+            const rest = this.#restSeconds.get(id);
+            const more = [`x-server: ${id}`, ...(this.#leaving.has(id) ? ["x-leaving: 1"] : [])];
+            if (rest !== undefined) {
+                const requestId = req.headers.get("x-id") ?? "";
+                const where = { server: id, availabilityZone: "north", cold: false };
+                this.record({ type: "serverTurnedAway", requestId, ...where, restMs: rest * 1_000 });
+                req.socket.write(renderSigned(req, "", "503 Busy", [...more, "x-not-run: 1", `x-rest: ${rest}`]));
+                return;
+            }
+            this.recordStarted(id, req);
+            setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", more)), workMs);
+        });
+        this.#backends.set(id, backend);
+        register(this.store, backend);
+    }
+
+    /** A server turns everything away from now on and asks for so many seconds of rest, or serves again. */
+    rest(id: string, seconds: number | undefined): void {
+        if (seconds === undefined) {
+            this.#restSeconds.delete(id);
+            return;
+        }
+        this.#restSeconds.set(id, seconds);
+    }
+
+    /** A server says in its answers from now on that it leaves; its entry in the store says nothing of it. */
+    leave(id: string): void {
+        this.#leaving.add(id);
+    }
+
+    /** A server starts again under its id and address. */
+    restart(id: string, startedAtEpochMs: number): void {
+        this.#leaving.delete(id);
+        this.#restSeconds.delete(id);
+        const backend = this.#backends.get(id);
+        if (backend !== undefined) {
+            register(this.store, backend, { startedAtEpochMs });
+        }
+    }
+
+    /** A server's entry lapses, or is written again by the same server. */
+    lapse(id: string): void {
+        this.store.remove(`servers/${id}`);
+    }
+
+    rewrite(id: string): void {
+        const backend = this.#backends.get(id);
+        if (backend !== undefined) {
+            register(this.store, backend);
+        }
+    }
+
+    /** Sends a request through a gateway. */
+    async send(edge: TestEdge, method: "GET" | "POST" = "GET"): Promise<Got> {
+        const requestId = this.createRequestId();
+        const gateway = edge.name;
+        const idempotent = method === "GET";
+        this.record({ type: "callerSent", requestId, service: "tables", idempotent, patienceMs: 8_000, gateway });
+        const got = await call(edge, `/${idempotent ? "tables" : "returns"}/${requestId}`, { requestId, method });
+        if (got.headers["x-leaving"] !== undefined) {
+            this.record({ type: "leavingPassedOn", gateway, server: String(got.headers["x-server"]) });
+        }
+        return got;
+    }
+
+    /** Requests that reached a server in a span of time. */
+    count(id: string, fromMs: number, toMs = Infinity): number {
+        return this.history.filter(line =>
+            (line.type === "serverStarted" || line.type === "serverTurnedAway") && line.server === id
+            && line.atMs >= fromMs && line.atMs < toMs
+        ).length;
+    }
+}
+
+/** Gateways in front of servers that say something of themselves. */
+export interface NoticeFleet {
+    readonly servers: NoticeServers;
+    readonly edges: readonly TestEdge[];
+}
+
+export async function startNoticeFleet(t: TestContext, gateways: number, ids: readonly string[]): Promise<NoticeFleet> {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    const servers = new NoticeServers(t, store);
+    for (const id of ids) {
+        await servers.start(id);
+    }
+    const edges: TestEdge[] = [];
+    for (let i = 0; i < gateways; i++) {
+        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
+    }
+    await Promise.all(edges.map(whenReady));
+    return { servers, edges };
+}
+
+/** Sends requests to one gateway after the other. @returns their statuses */
+export async function sendFor(
+    { servers, edges }: NoticeFleet,
+    forMs: number,
+    everyMs: number,
+): Promise<readonly number[]> {
+    const untilMs = performance.now() + forMs;
+    const sent: Promise<number>[] = [];
+    for (let i = 0; performance.now() < untilMs; i++) {
+        const edge = edges[i % edges.length];
+        assert.ok(edge);
+        sent.push(servers.send(edge, i % 3 === 0 ? "POST" : "GET").then(({ status }) => status));
+        await sleep(everyMs);
+    }
+    return await Promise.all(sent);
+}
--- /dev/null
+++ b/packages/history/src/__tests__/serverNoticeCheckers.test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkLeavingHeeded, checkServerRest, type HistoryEvent, type HistoryLine } from "../index.js";
+
+const server = "a";
+const bounds = { onTheWayMs: 500, allowed: 2 };
+
+function createHistory(...events: readonly (readonly [number, HistoryEvent])[]): readonly HistoryLine[] {
+    return events.map(([atMs, event], sequence) => ({ sequence, atMs, process: "run", ...event }));
+}
+
+function createSent(requestId: string, gateway: string): HistoryEvent {
+    return { type: "callerSent", requestId, service: "tables", idempotent: true, gateway, patienceMs: 1_000 };
+}
+
+function createTurnedAway(requestId: string, restMs?: number): HistoryEvent {
+    return { type: "serverTurnedAway", requestId, server, availabilityZone: "north", cold: false, restMs };
+}
+
+test("rest: more than two requests of the same gateway within it are found", () => {
+    const asked: (readonly [number, HistoryEvent])[] = [[0, createSent("q", "g")], [1, createTurnedAway("q", 3_000)]];
+    const two = createHistory(...asked, [600, createTurnedAway("q")], [700, createTurnedAway("q")]);
+    assert.deepEqual(checkServerRest(two, bounds), []);
+    const three = createHistory(
+        ...asked,
+        [400, createTurnedAway("q")],
+        [600, createTurnedAway("q")],
+        [700, createTurnedAway("q")],
+        [2_900, createTurnedAway("q")],
+        [3_100, createTurnedAway("q")],
+    );
+    assert.equal(checkServerRest(three, bounds).length, 1);
+});
+
+test("rest: another gateway wasn't asked for any", () => {
+    const history = createHistory(
+        [0, createSent("q", "g")],
+        [0, createSent("p", "h")],
+        [1, createTurnedAway("q", 3_000)],
+        ...[600, 700, 800].map(atMs => [atMs, createTurnedAway("p")] as const),
+    );
+    assert.deepEqual(checkServerRest(history, bounds), []);
+});
+
+test("leaving: a request that was sent after the grace is found, and one that was sent before it isn't", () => {
+    const history = createHistory(
+        [0, { type: "leavingPassedOn", gateway: "g", server }],
+        [1_900, createSent("early", "g")],
+        [2_100, createSent("late", "g")],
+        [2_200, createTurnedAway("early")],
+        [2_300, createTurnedAway("late")],
+    );
+    const [violation, ...more] = checkLeavingHeeded(history, 2_000);
+    assert.equal(more.length, 0);
+    assert.deepEqual(violation?.lines, [0, 4]);
+});
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -58,6 +58,8 @@
         readonly server: string;
         readonly availabilityZone: string;
         readonly cold: boolean;
+        /** How long it wants nothing from the gateway that sent it; `undefined` where it doesn't say. */
+        readonly restMs?: number | undefined;
     }
     | { readonly type: "serverProbed"; readonly server: string; readonly gateway: string; }
     /** From now on a server names a limit of requests a second in its answers; `undefined` for none any more. */
@@ -65,6 +67,8 @@
     /** A caller got an answer through a gateway in which a server names a limit. */
     | { readonly type: "limitPassedOn"; readonly gateway: string; readonly server: string; }
     | { readonly type: "serverLeaving"; readonly server: string; }
+    /** A caller got an answer through a gateway in which a server says that it leaves. */
+    | { readonly type: "leavingPassedOn"; readonly gateway: string; readonly server: string; }
     | { readonly type: "serverTurnedCold"; readonly server: string; }
     | { readonly type: "serverTurnedWarm"; readonly server: string; }
     /** A gateway got an answer in which the server says that it is cold. */
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -16,6 +16,7 @@
 export { checkRollouts, type RolloutBounds } from "./rolloutChecker.js";
 export { checkServerLeaving } from "./serverLeavingChecker.js";
 export { checkServerLimit, type ServerLimitBounds } from "./serverLimitChecker.js";
+export { checkLeavingHeeded, checkServerRest, type ServerRestBounds } from "./serverNoticeCheckers.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
 export { checkZoneOut } from "./zoneOutChecker.js";
