Leave a server alone for as long as it asks a gateway to

What callers saw: reads that were turned away by two servers in a row, and refused, while other servers had room; the servers got up to six requests of one host in 3 s of rest that they had asked of it.

Cause: a 503 with a time to rest was read as any 503: the request's next try leaves that server out, and every other request goes on choosing it, before others, since a server that runs nothing tells a low load.

Change: the board keeps what each server has told this gateway (rest and, next, leaving), and a server that wants nothing is left out where servers are looked for: for first tries, retries, hedged requests, trials of versions and questions for load alike. What was chosen before asks again in the turn in which its first byte is written, and counts as not sent. A gateway that owns a part of the server's limit or cold rate doesn't use it meanwhile; nobody else gets it. Of two rests the later end holds. A new life of the server, or another server on its address, is not held to it, and nobody else is told: it is one server's word to one gateway. Where all servers of a service rest, a request is refused at once with the soonest end and a drawn part of the typical work time.

--- a/packages/edge/src/__tests__/support/noticeServers.ts
+++ b/packages/edge/src/__tests__/support/noticeServers.ts
@@ -6,6 +6,7 @@
 import {
     call,
     createConfiguration,
+    eventually,
     type Got,
     register,
     renderSigned,
@@ -118,6 +119,10 @@
         edges.push(await startEdge(t, store, { name: `edge-${i}` }));
     }
     await Promise.all(edges.map(whenReady));
+    await eventually(
+        () => edges.every(({ logs }) => logs.some(line => line["subject"] === "gateway")),
+        "the gateways hear of changes",
+    );
     return { servers, edges };
 }
 
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -103,7 +103,11 @@
         try {
             const place = await this.#placement.place("first");
             if (typeof place === "string") {
-                return this.#finish(place === "abandoned" ? this.#resolveAborted() : this.#answers.noPlace(place));
+                return this.#finish(
+                    place === "abandoned"
+                        ? this.#resolveAborted()
+                        : this.#answers.noPlace(place, this.#restingForMs()),
+                );
             }
             this.#send(place, "first");
             return this.#finish(await this.#follow());
@@ -159,9 +163,13 @@
 
     #resolveFailed(): ExchangeEnd {
         const { retryAfterMs } = this.#guard;
+        const restingForMs = this.#restingForMs();
         const hasNotRun = this.#fallback === undefined && this.#ends.every(({ type }) => type === "notRun");
-        return hasNotRun && retryAfterMs !== undefined
-            ? this.#answers.quarantined(retryAfterMs)
+        if (hasNotRun && retryAfterMs !== undefined) {
+            return this.#answers.quarantined(retryAfterMs);
+        }
+        return hasNotRun && restingForMs !== undefined
+            ? this.#answers.noPlace("resting", restingForMs)
             : this.#answers.allFailed(this.#ends, this.#fallback);
     }
 
@@ -225,7 +233,7 @@
     }
 
     #send(place: Place, purpose: Purpose): void {
-        const { vocabulary, connections, clock, view, rollouts } = this.#parts;
+        const { vocabulary, connections, clock, view, board, rollouts } = this.#parts;
         const { method, url, headers, route, requestId, cutoffMs } = this.#request;
         const { server } = place;
         this.#placement.onSend(server.id);
@@ -248,7 +256,8 @@
             vocabulary,
             heldBytes: heldAnswerBytes,
             mayWrite: () =>
-                !this.#signal.aborted && view.isUsable(server.id, clock.monotonicMs()) && this.#guard.maySend(),
+                !this.#signal.aborted && view.isUsable(server.id, clock.monotonicMs())
+                && board.barOf(server, clock.monotonicMs()) === undefined && this.#guard.maySend(),
             openSink: head => this.#beginStream(head),
         });
         const underWay: SendUnderWay = {
@@ -312,6 +321,11 @@
         return this.#parts.budget.take(this.#request.rules.name, purpose, this.#gateways(), this.#nowMs());
     }
 
+    /** Until the first server of the service ends its rest, where all of them rest. */
+    #restingForMs(): number | undefined {
+        return this.#parts.placer.restingForMs(this.#request.rules.name);
+    }
+
     #gateways(): number {
         return this.#parts.view.gateways(this.#nowMs()).length;
     }
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -26,8 +26,11 @@
         this.#random = random;
     }
 
-    /** No server was found. */
-    noPlace(reason: Exclude<NoPlace, "abandoned">): ExchangeEnd {
+    /** No server was found. @param restingForMs - until the first one ends its rest, where all of them rest */
+    noPlace(reason: Exclude<NoPlace, "abandoned">, restingForMs = 0): ExchangeEnd {
+        if (reason === "resting") {
+            return this.#refuse("overloaded", reason, "resting", restingForMs);
+        }
         return reason === "noServer" || reason === "noOffer"
             ? this.#refuse("noBackendServer", reason, "noServer")
             : this.#refuse("overloaded", reason, "full");
@@ -68,10 +71,12 @@
         kind: "noBackendServer" | "overloaded" | "backendShed",
         detail: string,
         cause: Parameters<typeof resolveComeBack>[0],
+        notBeforeMs = 0,
     ): ExchangeEnd {
         const { rules, route } = this.#request;
         const typicalMs = this.#work.of(rules.name, route.objectiveMs);
-        const retryAfterSeconds = resolveComeBack(cause, typicalMs, this.#random);
+        const comeBackSeconds = resolveComeBack(cause, typicalMs, this.#random);
+        const retryAfterSeconds = Math.ceil(notBeforeMs + comeBackSeconds * oneSecondMs) / oneSecondMs;
         return { type: "failed", failure: createFailure(kind, detail, { retryAfterSeconds }) };
     }
 }
--- a/packages/edge/src/requests/exchangePlacement.ts
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -13,7 +13,7 @@
     readonly #request: EdgeRequest;
     readonly #signal: AbortSignal;
     readonly #triedServers = new Set<string>();
-    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0 };
+    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0, restingForMs: undefined };
     #placedAfterMs: number | undefined;
     /** Age of what the first server had said of its load when it was chosen. */
     #offerAgeMs: number | undefined;
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -6,6 +6,7 @@
     type PlacementBoard,
     type SearchInput,
     type SearchStep,
+    type ServerBar,
     ServerSearch,
 } from "@galenaglade/placement";
 import { askTimeoutMs, longestAskTimeoutMs } from "../constants.js";
@@ -40,6 +41,8 @@
     asked: number;
     /** Answers to them, up to the one that decided. */
     offers: number;
+    /** Until the first server ends its rest, where nothing else keeps the request from being sent. */
+    restingForMs: number | undefined;
 }
 
 /** Where a request goes. */
@@ -61,6 +64,7 @@
         while (!input.signal.aborted) {
             const sight = this.#look(input.rules.name, input.among);
             input.trace.usable = sight.usable.length;
+            input.trace.restingForMs = sight.restingForMs;
             const step = search.step(sight);
             switch (step.type) {
                 case "ask": {
@@ -81,12 +85,18 @@
         return "abandoned";
     }
 
+    /** @returns until the first server of a service ends its rest, where all that might be used rest */
+    restingForMs(service: string): number | undefined {
+        return this.#look(service, undefined).restingForMs;
+    }
+
     #look(service: string, among: readonly RegisteredServer[] | undefined): FleetSight {
-        const { view, clock } = this.#parts;
+        const { view, clock, board } = this.#parts;
         const nowMs = clock.monotonicMs();
         const counted = view.countedGateways(nowMs);
+        const servers = among?.filter(({ id }) => view.isUsable(id, nowMs)) ?? view.usableServers(service, nowMs);
         return {
-            usable: among?.filter(({ id }) => view.isUsable(id, nowMs)) ?? view.usableServers(service, nowMs),
+            ...splitBarred(servers, server => board.barOf(server, nowMs)),
             gateways: counted.names,
             zoneGateways: counted.byZone.get(this.#parts.availabilityZone) ?? [],
             gatewaysByZone: counted.byZone,
@@ -95,3 +105,22 @@
         };
     }
 }
+
+/** Leaves out servers that want nothing of this gateway. */
+function splitBarred(
+    servers: readonly RegisteredServer[],
+    barOf: (server: RegisteredServer) => ServerBar | undefined,
+): Pick<FleetSight, "usable" | "restingForMs"> {
+    const usable: RegisteredServer[] = [];
+    let restingForMs = Infinity;
+    for (const server of servers) {
+        const bar = barOf(server);
+        if (bar === undefined) {
+            usable.push(server);
+        }
+        else if (bar.type === "resting") {
+            restingForMs = Math.min(restingForMs, bar.forMs);
+        }
+    }
+    return { usable, restingForMs: usable.length > 0 || restingForMs === Infinity ? undefined : restingForMs };
+}
--- a/packages/edge/src/requests/serverNotes.ts
+++ b/packages/edge/src/requests/serverNotes.ts
@@ -64,14 +64,22 @@
     }
 
     #noteRest(answer: ServerAnswer): void {
-        const { server, signs: { rest } } = answer;
-        const { log, metrics } = this.#parts;
+        const { server, signs: { rest }, nowMs } = answer;
+        const { board, log, metrics } = this.#parts;
         if (rest.type === "none") {
             return;
         }
         metrics.onServerNotice(server.service, rest.type === "asked" ? "rest" : "malformedRest");
-        const said = rest.type === "asked" ? { forMs: rest.forMs } : { text: rest.text };
-        log.log("info", "serverRest", { ...describe(answer), change: rest.type, ...said });
+        if (rest.type === "malformed") {
+            log.log("warn", "serverRest", { ...describe(answer), change: "malformed", text: rest.text });
+            return;
+        }
+        const untilMs = board.onRest(server, rest.forMs, nowMs);
+        log.log("info", "serverRest", {
+            ...describe(answer),
+            change: untilMs === undefined ? "none" : "resting",
+            forMs: rest.forMs,
+        });
     }
 
     #noteLeaving(answer: ServerAnswer): void {
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -167,3 +167,6 @@
 
 /** A lower limit counts as this one, in requests a second: a server that gets nothing can't say that its need is over. */
 export const leastLimitPerSecond = 0.05;
+
+/** Servers whose notices are remembered, those without an entry included. */
+export const mostGoneRemembered = 4_096;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -36,7 +36,7 @@
 export { RecentSends } from "./recentSends.js";
 export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
 export { type LimitChange, type LimitSource, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
-export { type AskedRest } from "./serverNotices.js";
+export { type AskedRest, type ServerBar, ServerNotices } from "./serverNotices.js";
 export { isGood, type ScoreContext, scoreServer, type ServerScore } from "./serverScore.js";
 export { type NoServer, type SearchInput, type SearchStep, ServerSearch } from "./serverSearch.js";
 export { ServerTrust } from "./serverTrust.js";
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -13,6 +13,7 @@
 import { type ProbeParts, ServiceProbes } from "./serviceProbes.js";
 import { LimitAdmission, type LimitInput } from "./limitAdmission.js";
 import { type LimitChange, type LimitSource, type NamedLimit, type ServerLimit, ServerLimits } from "./serverLimits.js";
+import { type ServerBar, ServerNotices } from "./serverNotices.js";
 import { ServerTrust } from "./serverTrust.js";
 import { TypicalWork } from "./typicalWork.js";
 
@@ -35,6 +36,8 @@
     readonly usable: readonly RegisteredServer[];
     /** Since the store last answered this gateway. */
     readonly sinceContactMs: number;
+    /** Until the first of the servers ends its rest, where all others of the service get nothing; `undefined` where none rests. */
+    readonly restingForMs?: number | undefined;
     readonly nowMs: number;
 }
 
@@ -67,6 +70,7 @@
     readonly #parts: BoardParts;
     readonly #cold: ColdAdmission;
     readonly #limits = new ServerLimits();
+    readonly #notices = new ServerNotices();
     readonly #limited: LimitAdmission;
     readonly #probes: ProbeBudget;
     readonly #serviceProbes: ServiceProbes;
@@ -125,6 +129,21 @@
         return this.#limits.onAnswer(server, limit, source, nowMs);
     }
 
+    /** A server turned this gateway away and wants nothing for a while. @returns when that ends, where it is news */
+    onRest(server: RegisteredServer, forMs: number, nowMs: number): number | undefined {
+        return this.#notices.onRest(server, forMs, nowMs);
+    }
+
+    /** A server said that it leaves. @returns whether that is news */
+    onLeaving(server: RegisteredServer): boolean {
+        return this.#notices.onLeaving(server);
+    }
+
+    /** @returns why a server gets nothing at all of this gateway by its own word; `undefined` where it may */
+    barOf(server: RegisteredServer, nowMs: number): ServerBar | undefined {
+        return this.#notices.barOf(server, nowMs);
+    }
+
     /** A server did not answer for itself, or failed a request. */
     onFailure(service: string, serverId: string, nowMs: number): void {
         this.trust.onFailure(serverId, nowMs);
@@ -192,6 +211,7 @@
         this.#serviceProbes.retain(serverIds);
         this.#cold.retain(serverIds);
         this.#limits.retain(serverIds);
+        this.#notices.retain(serverIds);
         this.#limited.retain(serverIds);
         this.#sends.retain(serverIds);
         for (const memory of this.#memories.values()) {
--- a/packages/placement/src/serverSearch.ts
+++ b/packages/placement/src/serverSearch.ts
@@ -23,7 +23,7 @@
 }
 
 /** Why no server was found. */
-export type NoServer = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood" | "limited";
+export type NoServer = "noServer" | "allFull" | "tooLate" | "noOffer" | "noneGood" | "limited" | "resting";
 
 /** What to do next in a search. */
 export type SearchStep =
@@ -62,7 +62,7 @@
     step(sight: FleetSight): SearchStep {
         const candidates = this.#findCandidates(sight.usable);
         if (candidates.length === 0) {
-            return { type: "refuse", reason: "noServer" };
+            return { type: "refuse", reason: sight.restingForMs === undefined ? "noServer" : "resting" };
         }
         const rated = this.#board.rate(this.#input.rules, candidates, this.#input, sight);
         if (this.#areAllLimited(rated, sight)) {
