Give nothing new to a server that says in its answers that it leaves

What callers would see: requests cut off by a server that ends, although it had said in every answer before that it leaves. A server whose entry in the store still says ready went on getting work until the store said otherwise, and one that never writes there, to its end.

Cause: the header was passed over, as the rest was.

Change: a server's first such answer, to a request or a question, bars it for this gateway as long as that life of it lasts: entries lapse and are written again around an outage of the store, and the same life is still known then. Requests under way end in peace, and the connections kept to it are closed. The fleet isn't told: each gateway hears it with its own next answer, and one server that says so falsely would be taken out everywhere.

--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -44,7 +44,7 @@
     });
     const metrics = new EdgeMetrics(createMetrics("test"));
     const log = new EdgeLog(createJsonLogger({ process: "test", level: "error", write: () => undefined }), () => 0);
-    const notes = new ServerNotes({ board, log, metrics });
+    const notes = new ServerNotes({ board, connections, log, metrics });
     return { inquiry: new LoadInquiry({ board, notes, connections, vocabulary, clock: systemClock, metrics }), board };
 }
 
--- a/packages/edge/src/backends/serverConnections.ts
+++ b/packages/edge/src/backends/serverConnections.ts
@@ -82,14 +82,22 @@
 
     /** Closes the connections to servers that are no longer there. */
     retain(serverIds: ReadonlySet<string>): void {
-        for (const [serverId, idle] of this.#idle) {
+        for (const serverId of this.#idle.keys()) {
             if (!serverIds.has(serverId)) {
-                this.#idle.delete(serverId);
-                idle.forEach(({ connection }) => connection.destroy());
+                this.closeIdle(serverId);
             }
         }
     }
 
+    /** Closes the kept connections to one server; what is under way goes on. */
+    closeIdle(serverId: string): void {
+        const idle = this.#idle.get(serverId) ?? [];
+        this.#idle.delete(serverId);
+        for (const { connection } of idle) {
+            connection.destroy();
+        }
+    }
+
     close(): void {
         this.retain(new Set());
     }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -90,7 +90,7 @@
         probesPerServerAndSecond: settings.asking.perServerAndSecond,
         startedAtMs: clock.monotonicMs(),
     });
-    const notes = new ServerNotes({ board, log, metrics });
+    const notes = new ServerNotes({ board, connections, log, metrics });
     const placer = new Placer({ view, availabilityZone, board, notes, connections, vocabulary, clock, metrics });
     const rollouts = new GatewayRollouts({
         name,
--- a/packages/edge/src/requests/serverNotes.ts
+++ b/packages/edge/src/requests/serverNotes.ts
@@ -1,5 +1,6 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { type LimitSource, type PlacementBoard } from "@galenaglade/placement";
+import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type AnswerSigns } from "../vocabulary.js";
@@ -7,6 +8,7 @@
 /** What notes are taken with. */
 export interface ServerNotesParts {
     readonly board: PlacementBoard;
+    readonly connections: ServerConnections;
     readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
 }
@@ -83,9 +85,15 @@
     }
 
     #noteLeaving(answer: ServerAnswer): void {
-        if (answer.signs.leaving) {
-            this.#parts.metrics.onServerNotice(answer.server.service, "leaving");
-            this.#parts.log.log("info", "serverLeaving", describe(answer));
+        const { server, signs } = answer;
+        const { board, connections, log, metrics } = this.#parts;
+        if (!signs.leaving) {
+            return;
+        }
+        metrics.onServerNotice(server.service, "leaving");
+        connections.closeIdle(server.id);
+        if (board.onLeaving(server)) {
+            log.log("info", "serverLeaving", describe(answer));
         }
     }
 
