Ask callers back, and don't deny a route, while the store hasn't been heard for two seconds

A 404 is final: callers never repeat after it.

It costs a caller of a route that never existed its repeats, for as long as the store is away.

--- a/packages/edge/src/__tests__/fleetState.test.ts
+++ b/packages/edge/src/__tests__/fleetState.test.ts
@@ -120,3 +120,17 @@
     assert.match(text, /galenaglade_requests_total\{[^}]*route="tables"[^}]*outcome="200"[^}]*\} 1/);
     assert.match(text, /http_server_request_duration/);
 });
+
+// Guards against callers that are told for good that a route doesn't exist, by a gateway that can't know of those added meanwhile.
+test("while the store isn't heard, a route that may have been added meanwhile is asked back for, and not denied", async t => {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    assert.equal((await call(edge, "/new/x")).status, 404);
+    store.down = true;
+    await eventually(async () => (await call(edge, "/new/x")).status === 503, "the absence is in doubt");
+    assert.ok(Number((await call(edge, "/new/x")).headers["retry-after"]) > 0);
+    store.down = false;
+    await eventually(async () => (await call(edge, "/new/x")).status === 404, "the absence is sure again");
+});
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -3,7 +3,7 @@
 import { resolveComeBack } from "@galenaglade/placement";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left } from "purify-ts";
-import { heldBodyBytes } from "../constants.js";
+import { heldBodyBytes, surelyCurrentMs } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { Exchange } from "../requests/exchange.js";
 import { type ExchangeEnd } from "../requests/exchangeAnswers.js";
@@ -89,7 +89,19 @@
             callerAddress: req.socket.remoteAddress ?? "",
             bodyBytes: resolveBodyBytes(req),
         };
-        return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs);
+        return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs).mapLeft(failure =>
+            failure.kind === "noSuchService" ? this.#doubtAbsence(failure, nowMs) : failure
+        );
+    }
+
+    /** Whoever hasn't heard the store for long can't know that there is no such route: it may have been added meanwhile. */
+    #doubtAbsence(failure: Failure, nowMs: number): Failure {
+        const { view, random } = this.#parts;
+        if (nowMs - view.lastContactMs <= surelyCurrentMs) {
+            return failure;
+        }
+        const retryAfterSeconds = resolveComeBack("noServer", 0, random);
+        return createFailure("notFresh", "no such route as far as is known", { retryAfterSeconds });
     }
 
     async #serve(request: EdgeRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -132,3 +132,6 @@
 
 /** Largest head of another gateway's request, in bytes. */
 export const mostPeerHeadBytes = 4_096;
+
+/** Age of the store's word up to which a route that it doesn't have doesn't exist, in milliseconds: so long a new one takes to be in force. */
+export const surelyCurrentMs = 2_000;
