--- a/packages/history/src/serverNoticeCheckers.ts
+++ b/packages/history/src/serverNoticeCheckers.ts
@@ -27,7 +27,7 @@
     const violations: Violation[] = [];
     for (const line of history) {
         if (line.type === "callerSent") {
-            gatewayOf.set(line.requestId, line.gateway ?? "");
+            gatewayOf.set(line.requestId, gatewayLifeOf(line));
         }
         if (line.type !== "serverStarted" && line.type !== "serverTurnedAway") {
             continue;
@@ -64,10 +64,10 @@
     const violations: Violation[] = [];
     for (const line of history) {
         if (line.type === "callerSent") {
-            sent.set(line.requestId, { gateway: line.gateway ?? "", atMs: line.atMs });
+            sent.set(line.requestId, { gateway: gatewayLifeOf(line), atMs: line.atMs });
         }
         if (line.type === "leavingPassedOn") {
-            const key = `${line.server} ${line.gateway}`;
+            const key = `${line.server} ${gatewayLifeOf(line)}`;
             heard.set(key, heard.get(key) ?? line);
         }
         if (line.type !== "serverStarted" && line.type !== "serverTurnedAway") {
@@ -87,3 +87,8 @@
     }
     return violations;
 }
+
+/** A gateway that was started again has heard nothing: callers' lines are recorded under its life. */
+function gatewayLifeOf({ process, gateway = "" }: HistoryLine & { readonly gateway?: string | undefined; }): string {
+    return `${gateway} ${process}`;
+}
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -109,3 +109,6 @@
     settleMs: settledMs,
     toldMs: 500,
 });
+
+/** What a server that wants rest may get from a gateway that it has told, and from when on. */
+export const serverRestBounds = Object.freeze({ onTheWayMs: 500, allowed: 2 });
--- /dev/null
+++ b/packages/soak/src/noticePlan.ts
@@ -0,0 +1,55 @@
+import { createRandomSource } from "@galenaglade/routing";
+import { faultyMs } from "./constants.js";
+
+/** A server of a run that turns gateways away for a while, and asks each for rest. */
+export interface PlannedRest {
+    /** Since callers were let in, in milliseconds. */
+    readonly atMs: number;
+    readonly forMs: number;
+    /** Which server: taken modulo their number. */
+    readonly target: number;
+    readonly restSeconds: number;
+}
+
+/** A server of a run that says in its answers that it leaves, to its end, and never to the store. */
+export interface PlannedLeaving {
+    readonly atMs: number;
+    readonly target: number;
+}
+
+/** What servers of a run say of themselves. */
+export interface PlannedNotices {
+    readonly rest: PlannedRest | undefined;
+    readonly leaving: PlannedLeaving | undefined;
+}
+
+const restShare = 0.4;
+const leavingShare = 0.3;
+const latestMs = 4_000;
+const shortestMs = 3_000;
+const shortestRestSeconds = 0.8;
+const longestRestSeconds = 3.2;
+/** Spreads neighbouring seeds, and keeps apart from those of everything else in a run. */
+const seedFactor = 0x27d4_eb2f;
+
+/**
+ * Draws what servers of a run say of themselves.
+ *
+ * @param seed - of the run
+ * @returns the same for the same seed
+ */
+export function planNotices(seed: number): PlannedNotices {
+    const random = createRandomSource(Math.imul(seed, seedFactor));
+    const rests = random.next() < restShare;
+    const leaves = random.next() < leavingShare;
+    const atMs = random.next() * latestMs;
+    const seconds = shortestRestSeconds + (longestRestSeconds - shortestRestSeconds) * random.next();
+    const rest: PlannedRest = {
+        atMs,
+        forMs: shortestMs + random.next() * (faultyMs - shortestMs - atMs),
+        target: random.below(1_000),
+        restSeconds: Math.round(10 * seconds) / 10,
+    };
+    const leaving: PlannedLeaving = { atMs: random.next() * latestMs, target: random.below(1_000) };
+    return { rest: rests ? rest : undefined, leaving: leaves ? leaving : undefined };
+}
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -9,6 +9,7 @@
 import { planDeadlyRequests, type PlannedDeadlyRequests } from "./deadlyPlan.js";
 import { type Fault } from "./faults.js";
 import { planLimit } from "./limitPlan.js";
+import { planNotices } from "./noticePlan.js";
 import { planFaults } from "./plan.js";
 import { planRollout } from "./rolloutPlan.js";
 import { pathOf, type SoakRoute } from "./soakConfiguration.js";
@@ -75,7 +76,12 @@
         const deadlyOver = load.sendDeadly(deadly);
         const limit = planLimit(seed);
         const limitOver = limit === undefined ? Promise.resolve() : world.limit(limit);
-        const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver]);
+        const { rest, leaving } = planNotices(seed);
+        const noticesOver = Promise.all([
+            rest === undefined ? undefined : world.rest(rest),
+            leaving === undefined || rollout !== undefined ? undefined : world.sayLeaving(leaving),
+        ]);
+        const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver, noticesOver]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
         const history = mergeHistories(
             world.backends.map(({ historyPath }) => historyPath),
--- a/packages/soak/src/serverNames.ts
+++ b/packages/soak/src/serverNames.ts
@@ -28,6 +28,10 @@
     abstract renderRan(requestId: string, signed: boolean): Readonly<Record<string, string>>;
     /** @returns headers that name a limit, in requests a second */
     abstract renderLimit(perSecond: number): Readonly<Record<string, string>>;
+    /** @returns headers that ask for rest, with an answer that turns a request away */
+    abstract renderRest(seconds: number): Readonly<Record<string, string>>;
+    /** @returns headers that say that the server leaves */
+    abstract renderLeaving(): Readonly<Record<string, string>>;
     /** @returns headers of an answer to a request that has not run and never will */
     abstract renderNotRun(requestId: string): Readonly<Record<string, string>>;
 }
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -151,6 +151,9 @@
         if (marks.limited && server !== undefined) {
             this.#history.record({ type: "limitPassedOn", gateway: this.#gateway, server });
         }
+        if (marks.leaving && server !== undefined) {
+            this.#history.record({ type: "leavingPassedOn", gateway: this.#gateway, server });
+        }
         this.#history.record({
             type: "callerAnswered",
             requestId,
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -54,7 +54,8 @@
         }
         if (req.url === this.#names.healthPath) {
             this.#history.record({ type: "serverProbed", server: this.#order.id, gateway: "" });
-            res.writeHead(this.#trouble.leaves ? 503 : 200, this.#names.renderState(this.#state())).end();
+            const headers = { ...this.#names.renderState(this.#state()), ...this.#renderLeaving() };
+            res.writeHead(this.#trouble.leaves ? 503 : 200, headers).end();
             return;
         }
         await this.#serve(this.#names.readRequest(req.headers), res, req.url?.includes(deadlyMark) === true);
@@ -66,7 +67,8 @@
             res.writeHead(421, this.#names.renderState(this.#state())).end();
             return;
         }
-        const sheds = this.#trouble.sheds && this.#random.next() < troubleShare;
+        const sheds = this.#trouble.restSeconds !== undefined
+            || (this.#trouble.sheds && this.#random.next() < troubleShare);
         if (sheds || this.#queue.length >= serverQueue || !await this.#getSlot(res, request.remainingMs)) {
             this.#turnAway(requestId, res);
             return;
@@ -139,7 +141,7 @@
     #answer(requestId: string, res: ServerResponse): void {
         const body = JSON.stringify({ requestId, server: this.#order.id, padding: "x".repeat(200) });
         if (this.#trouble.fails && this.#random.next() < troubleShare) {
-            res.writeHead(500, { ...this.#names.renderRan(requestId, true), ...this.#renderLimit() }).end("failed");
+            res.writeHead(500, { ...this.#names.renderRan(requestId, true), ...this.#renderNotices() }).end("failed");
             return;
         }
         const spoiling = this.#drawSpoiling();
@@ -149,7 +151,7 @@
         }
         const headers = {
             ...this.#names.renderRan(requestId, spoiling !== "unsigned"),
-            ...this.#renderLimit(),
+            ...this.#renderNotices(),
             "content-length": body.length,
         };
         res.writeHead(200, headers);
@@ -175,15 +177,18 @@
     }
 
     #turnAway(requestId: string, res: ServerResponse): void {
+        const { restSeconds } = this.#trouble;
         this.#history.record({
             type: "serverTurnedAway",
             requestId,
             server: this.#order.id,
             availabilityZone: this.#order.availabilityZone,
             cold: this.#isCold(),
+            restMs: restSeconds === undefined ? undefined : restSeconds * 1_000,
         });
         if (!res.destroyed) {
-            res.writeHead(503, { ...this.#names.renderNotRun(requestId), ...this.#renderLimit() }).end();
+            const rest = restSeconds === undefined ? {} : this.#names.renderRest(restSeconds);
+            res.writeHead(503, { ...this.#names.renderNotRun(requestId), ...rest, ...this.#renderNotices() }).end();
         }
     }
 
@@ -208,9 +213,14 @@
         this.#trouble = trouble;
     }
 
-    #renderLimit(): Readonly<Record<string, string>> {
+    #renderNotices(): Readonly<Record<string, string>> {
         const { limitPerSecond } = this.#trouble;
-        return limitPerSecond === undefined ? {} : this.#names.renderLimit(limitPerSecond);
+        const limit = limitPerSecond === undefined ? {} : this.#names.renderLimit(limitPerSecond);
+        return { ...limit, ...this.#renderLeaving() };
+    }
+
+    #renderLeaving(): Readonly<Record<string, string>> {
+        return this.#trouble.saysLeaving ? this.#names.renderLeaving() : {};
     }
 
     #isCold(): boolean {
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -37,6 +37,8 @@
     readonly signed: boolean;
     /** Whether its server names a limit in it. */
     readonly limited: boolean;
+    /** Whether its server says in it that it leaves. */
+    readonly leaving: boolean;
 }
 
 /** The names that a system uses on the wire, and the stand-ins that speak them. */
@@ -92,6 +94,10 @@
     readonly leaves: boolean;
     /** Requests a second that it says it takes from all gateways together; `undefined` where it names no limit. */
     readonly limitPerSecond: number | undefined;
+    /** Turns all requests away, and asks for so long a rest; `undefined` where it doesn't. */
+    readonly restSeconds: number | undefined;
+    /** Says in its answers that it leaves, and nowhere else. */
+    readonly saysLeaving: boolean;
     /** Turns cold now, for that long. */
     readonly coldMs: number;
 }
@@ -103,6 +109,8 @@
     spoils: false,
     leaves: false,
     limitPerSecond: undefined,
+    restSeconds: undefined,
+    saysLeaving: false,
     coldMs: 0,
 });
 
