--- a/packages/replay/src/scenarioFile.ts
+++ b/packages/replay/src/scenarioFile.ts
@@ -65,6 +65,15 @@
     z.strictObject({ ...at, ...during, type: z.literal("zoneOut"), zone: name, coldSeconds: seconds.default(0) }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("loseServers"), share }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("turnAway"), share, rejects: share }),
+    z.strictObject({
+        ...at,
+        ...during,
+        ...ofService,
+        type: z.literal("restServers"),
+        share,
+        restSeconds: seconds,
+        heeded: z.boolean().default(true).describe("whether gateways leave such a server alone"),
+    }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("slowServers"), share, factor }),
     z.strictObject({ ...at, ...during, ...ofService, type: z.literal("limitServers"), share, perSecond }),
     z.strictObject({ ...at, ...during, type: z.literal("giveUp"), share, afterMs: milliseconds }),
@@ -220,6 +229,10 @@
             return { type: document.type, atMs, forMs, factor: document.factor, kind: document.kind };
         case "loseServers":
             return { type: document.type, atMs, forMs, share: document.share, service: document.service };
+        case "restServers": {
+            const { type, share, restSeconds, heeded, service } = document;
+            return { type, atMs, forMs, share, restMs: restSeconds * 1_000, heeded, service };
+        }
         case "turnAway":
         case "slowServers":
         case "limitServers":
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -182,6 +182,7 @@
                 isWanted: () => !this.#isOver,
                 onArrival: () => gateway.repeatedArrivals += this.#arrivals++ > 0 ? 1 : 0,
                 onEnded: (end, offer) => this.#onSendEnded(underWay, end, offer),
+                onRest: restMs => gateway.board.onRest(place.server, restMs, this.#nowMs()),
             }),
         };
         this.#underWay.add(underWay);
--- a/packages/replay/src/world/fleetTroubles.ts
+++ b/packages/replay/src/world/fleetTroubles.ts
@@ -50,6 +50,16 @@
                     return () => server.rejects = 0;
                 });
                 return;
+            case "restServers":
+                this.#forServers(event, server => {
+                    server.rejects = 1;
+                    server.restMs = event.heeded ? event.restMs : undefined;
+                    return () => {
+                        server.rejects = 0;
+                        server.restMs = undefined;
+                    };
+                });
+                return;
             case "slowServers":
                 this.#forServers(event, server => {
                     server.faultFactor = event.factor;
--- a/packages/replay/src/world/scenario.ts
+++ b/packages/replay/src/world/scenario.ts
@@ -92,6 +92,15 @@
         readonly forMs: number;
         readonly service: string | undefined;
     }
+    /** Servers turn away all that reaches them, and ask each gateway for rest; gateways heed it or go on as before. */
+    | {
+        readonly type: "restServers";
+        readonly share: number;
+        readonly restMs: number;
+        readonly heeded: boolean;
+        readonly forMs: number;
+        readonly service: string | undefined;
+    }
     | {
         readonly type: "slowServers";
         readonly share: number;
--- a/packages/replay/src/world/serverSend.ts
+++ b/packages/replay/src/world/serverSend.ts
@@ -9,6 +9,8 @@
     readonly onArrival: () => void;
     /** @param offer - the server's load, where its answer told it */
     readonly onEnded: (end: SendEnd, offer: ServerOffer | undefined) => void;
+    /** The server turned the request away and wants rest. */
+    readonly onRest: (restMs: number) => void;
 }
 
 /** One request on its way from a gateway to a server and back. */
@@ -58,10 +60,10 @@
             this.#job = job;
             return;
         }
-        this.#passBack(resolveEnd(arrival), undefined);
+        this.#passBack(resolveEnd(arrival), undefined, this.#server.restMs);
     }
 
-    #passBack(end: SendEnd, offer: ServerOffer | undefined): void {
+    #passBack(end: SendEnd, offer: ServerOffer | undefined, restMs?: number): void {
         const gateway = this.#gateway;
         gateway.schedule(
             wayTo(gateway, this.#server),
@@ -69,7 +71,12 @@
                 if (offer?.limit?.type === "named") {
                     this.#server.tell(gateway.name);
                 }
-                gateway.execute(gateway.costs.answerMs, () => this.#events.onEnded(end, offer));
+                gateway.execute(gateway.costs.answerMs, () => {
+                    if (restMs !== undefined) {
+                        this.#events.onRest(restMs);
+                    }
+                    this.#events.onEnded(end, offer);
+                });
             },
         );
     }
--- a/packages/replay/src/world/simulatedGateway.ts
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -164,7 +164,9 @@
     /** @returns what it believes of the servers of a service and of the fleet */
     look(service: string): FleetSight {
         return {
-            usable: this.directory.usable(service),
+            usable: this.directory.usable(service).filter(server =>
+                this.board.barOf(server, this.events.nowMs) === undefined
+            ),
             gateways: this.#parts.knownGateways(),
             zoneGateways: this.#parts.knownInZone(),
             gatewaysByZone: this.#parts.knownByZone(),
--- a/packages/replay/src/world/simulatedServer.ts
+++ b/packages/replay/src/world/simulatedServer.ts
@@ -50,6 +50,8 @@
     faultFactor = 1;
     /** Cold until this time. */
     coldUntilMs = -Infinity;
+    /** How long a gateway that it turns away is to leave it alone; `undefined` where it doesn't say. */
+    restMs: number | undefined;
     /** Requests a second that it names as its limit in answers to requests; `undefined` for none. */
     limitPerSecond: number | undefined;
     /** When requests of gateways that it had told reached it, from the time on from which they must keep its limit. */
