--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -9,7 +9,7 @@
 import { Worker } from "node:worker_threads";
 import { askServer } from "../backends/askServer.js";
 import { ServerConnections } from "../backends/serverConnections.js";
-import { ServerNotes } from "../requests/serverNotes.js";
+import { AnswerNotes } from "../requests/answerNotes.js";
 import { LoadInquiry } from "../requests/loadInquiry.js";
 import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -44,7 +44,7 @@
     });
     const metrics = new EdgeMetrics(createMetrics("test"));
     const log = new EdgeLog(createJsonLogger({ process: "test", level: "error", write: () => undefined }), () => 0);
-    const notes = new ServerNotes({ board, connections, log, metrics });
+    const notes = new AnswerNotes({ board, connections, log, metrics });
     return { inquiry: new LoadInquiry({ board, notes, connections, vocabulary, clock: systemClock, metrics }), board };
 }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -30,7 +30,7 @@
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
 import { Placer } from "./requests/placer.js";
-import { ServerNotes } from "./requests/serverNotes.js";
+import { AnswerNotes } from "./requests/answerNotes.js";
 import { RolloutSync } from "./rollout/rolloutSync.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
 import { FirstReading } from "./state/firstReading.js";
@@ -90,7 +90,7 @@
         probesPerServerAndSecond: settings.asking.perServerAndSecond,
         startedAtMs: clock.monotonicMs(),
     });
-    const notes = new ServerNotes({ board, connections, log, metrics });
+    const notes = new AnswerNotes({ board, connections, log, metrics });
     const placer = new Placer({ view, availabilityZone, board, notes, connections, vocabulary, clock, metrics });
     const rollouts = new GatewayRollouts({
         name,
--- a/packages/edge/src/requests/serverNotes.ts
+++ b/packages/edge/src/requests/answerNotes.ts
@@ -6,7 +6,7 @@
 import { type AnswerSigns } from "../vocabulary.js";
 
 /** What notes are taken with. */
-export interface ServerNotesParts {
+export interface AnswerNotesParts {
     readonly board: PlacementBoard;
     readonly connections: ServerConnections;
     readonly log: EdgeLog;
@@ -30,11 +30,11 @@
  * Reads what servers say of themselves in their answers, in one place for answers to requests and to questions: lets the board know, and
  * logs what changes.
  */
-export class ServerNotes {
-    readonly #parts: ServerNotesParts;
+export class AnswerNotes {
+    readonly #parts: AnswerNotesParts;
     readonly #unknownNames = new Set<string>();
 
-    constructor(parts: ServerNotesParts) {
+    constructor(parts: AnswerNotesParts) {
         this.#parts = parts;
     }
 
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -9,7 +9,7 @@
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
-import { type ServerNotes } from "./serverNotes.js";
+import { type AnswerNotes } from "./answerNotes.js";
 import { type Placer } from "./placer.js";
 
 /** Why an exchange's signal is aborted: the caller has closed its connection. */
@@ -25,7 +25,7 @@
     readonly random: RandomSource;
     readonly placer: Placer;
     readonly board: PlacementBoard;
-    readonly notes: ServerNotes;
+    readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
     readonly checks: ServerChecks;
     readonly crashes: CrashReports;
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -5,12 +5,12 @@
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
-import { type ServerNotes } from "./serverNotes.js";
+import { type AnswerNotes } from "./answerNotes.js";
 
 /** What questions are asked with. */
 export interface LoadInquiryParts {
     readonly board: PlacementBoard;
-    readonly notes: ServerNotes;
+    readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
