--- a/packages/edge/src/__tests__/serverLimit.test.ts
+++ b/packages/edge/src/__tests__/serverLimit.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LimitedServers } from "./support/limitedServers.js";
 import { MemoryStore } from "./support/memoryStore.js";
-import { createConfiguration, eventually, startEdge, type TestEdge, whenReady } from "./support/testEdge.js";
+import { createConfiguration, startEdges, type TestEdge } from "./support/testEdge.js";
 
 const bounds = { factor: 1.5, slack: 5, windowMs: 4_000, settleMs: 3_000, toldMs: 500 };
 
@@ -20,15 +20,7 @@
     for (const id of ids) {
         await servers.start(id);
     }
-    const edges: TestEdge[] = [];
-    for (let i = 0; i < gateways; i++) {
-        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
-    }
-    await Promise.all(edges.map(whenReady));
-    await eventually(
-        () => edges.every(({ logs }) => logs.filter(line => line["subject"] === "gateway").length >= gateways),
-        "the gateways know each other",
-    );
+    const edges = await startEdges(t, store, gateways);
     return { servers, edges };
 }
 
--- a/packages/edge/src/__tests__/support/noticeServers.ts
+++ b/packages/edge/src/__tests__/support/noticeServers.ts
@@ -6,23 +6,24 @@
 import {
     call,
     createConfiguration,
-    eventually,
     type Got,
     register,
     renderSigned,
     startBackend,
-    startEdge,
+    startEdges,
     type TestBackend,
     type TestEdge,
-    whenReady,
 } from "./testEdge.js";
 
 const workMs = 20;
+/** More than a gateway holds of an answer. */
+const largeBytes = 400_000;
 
 /** Backend servers that ask for rest and that leave as the test says, and the history of what they got and from whom. */
 export class NoticeServers extends RecordedServers {
     readonly #restSeconds = new Map<string, number>();
     readonly #leaving = new Set<string>();
+    readonly #breakingOff = new Set<string>();
     readonly #backends = new Map<string, TestBackend>();
 
     async start(id: string): Promise<void> {
@@ -37,6 +38,14 @@
                 return;
             }
             this.recordStarted(id, req);
+            if (this.#breakingOff.has(id)) {
+                const head = renderSigned(req, "", "200 OK", more).replace(
+                    "content-length: 0",
+                    `content-length: ${largeBytes}`,
+                );
+                req.socket.write(head + "x".repeat(largeBytes - 1), () => req.socket.destroy());
+                return;
+            }
             setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", more)), workMs);
         });
         this.#backends.set(id, backend);
@@ -57,6 +66,12 @@
         this.#leaving.add(id);
     }
 
+    /** A server says so, in an answer too large to be held that breaks off. */
+    leaveMidway(id: string): void {
+        this.#leaving.add(id);
+        this.#breakingOff.add(id);
+    }
+
     /** A server starts again under its id and address. */
     restart(id: string, startedAtEpochMs: number): void {
         this.#leaving.delete(id);
@@ -114,15 +129,7 @@
     for (const id of ids) {
         await servers.start(id);
     }
-    const edges: TestEdge[] = [];
-    for (let i = 0; i < gateways; i++) {
-        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
-    }
-    await Promise.all(edges.map(whenReady));
-    await eventually(
-        () => edges.every(({ logs }) => logs.some(line => line["subject"] === "gateway")),
-        "the gateways hear of changes",
-    );
+    const edges = await startEdges(t, store, gateways);
     return { servers, edges };
 }
 
--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -197,6 +197,20 @@
     }, "the process is ready");
 }
 
+/** Starts gateways over one store, and waits until each is ready and knows all of them. */
+export async function startEdges(t: TestContext, store: MemoryStore, count: number): Promise<readonly TestEdge[]> {
+    const edges: TestEdge[] = [];
+    for (let i = 0; i < count; i++) {
+        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
+    }
+    await Promise.all(edges.map(whenReady));
+    await eventually(
+        () => edges.every(({ logs }) => logs.filter(line => line["subject"] === "gateway").length >= count),
+        "the gateways know each other",
+    );
+    return edges;
+}
+
 /** What a caller got. */
 export interface Got {
     readonly status: number;
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -5,7 +5,6 @@
     type AnswerHead,
     type AnswerSink,
     type HeldAnswer,
-    type Send,
     sendRequest,
     type SendResult,
 } from "../backends/sendRequest.js";
@@ -20,20 +19,7 @@
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
 import { SendOutcomes } from "./sendOutcomes.js";
-
-interface SendUnderWay {
-    readonly send: Send;
-    readonly place: Place;
-    readonly purpose: Purpose;
-    /** What was known of crashes when it began. */
-    readonly mark: number;
-    readonly ended: Promise<EndedSend>;
-}
-
-interface EndedSend {
-    readonly underWay: SendUnderWay;
-    readonly result: SendResult;
-}
+import { type EndedSend, type SendUnderWay } from "./sendUnderWay.js";
 
 /** Takes one request to its one end: finds servers, sends, repeats where that is allowed, and gives up in time. */
 export class Exchange {
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -1,4 +1,4 @@
-import { createFailure, type Failure } from "@galenaglade/errors";
+import { type Failure } from "@galenaglade/errors";
 import {
     type BeliefChange,
     directMs,
@@ -8,42 +8,24 @@
     RelaySources,
     StoreMirror,
 } from "@galenaglade/fleet-state";
-import { sleep } from "@galenaglade/http-parts";
-import { type KeyValue, type KeyValueStore, type WatchEvents } from "@galenaglade/platform";
-import { type LogFields } from "@galenaglade/telemetry";
-import { type Either, Left } from "purify-ts";
+import { type WatchEvents } from "@galenaglade/platform";
 import {
     expiryTickMs,
     firstWatchPauseMs,
     storeCheckMs,
-    storeCheckTimeoutMs,
     shortestProbePeriodMs,
     storeProbeTimeoutMs,
-    watchLagMs,
     watchPauseMs,
     watchWaitMs,
 } from "../constants.js";
-import { type StateCodec } from "../stateCodec.js";
-import { type FirstReading } from "./firstReading.js";
-import { type PeerChanges } from "./relayClient.js";
 import { RelayFeed } from "./relayServer.js";
 import { PauseDetector } from "./pauseDetector.js";
-import { StoreContact, type StoreContactParts } from "./storeContact.js";
-
-/** What the synchronisation works with. */
-export interface StateSyncParts extends StoreContactParts {
-    /** Of this gateway, as in its registration. */
-    readonly name: string;
-    readonly availabilityZone: string;
-    readonly store: KeyValueStore;
-    readonly codec: StateCodec;
-    /** Called after each change of what is believed. */
-    readonly onChange: () => void;
-    /** Called when other gateways may be told something new. */
-    readonly onChanged: () => void;
-    readonly firstReading: FirstReading;
-    readonly peers: PeerChanges;
-}
+import { readState } from "./stateReading.js";
+import { type StateSyncParts } from "./stateSyncParts.js";
+import { StoreContact } from "./storeContact.js";
+import { StorePeek } from "./storePeek.js";
+import { TurnPause } from "./turnPause.js";
+import { WatchCheck } from "./watchCheck.js";
 
 /**
  * Keeps the view of the fleet in step with the store: one whole reading, then one question for changes after the other, to
@@ -55,18 +37,16 @@
     readonly #sources: RelaySources;
     readonly #mirror = new StoreMirror();
     readonly #contact: StoreContact;
+    readonly #peek: StorePeek;
+    readonly #check: WatchCheck;
     readonly #pauseDetector: PauseDetector;
+    readonly #pause = new TurnPause();
     /** Aborted where another source must be asked at once. */
     #turn = new AbortController();
     #afterRevision: number | undefined;
     #source: WatchSource["type"] = "store";
     /** Whether the store itself has answered since it was last chosen, and no check has failed since. */
     #confirmed = false;
-    /** Whether the store may be away: a relay said so, or a call of this gateway's own has failed. */
-    #doubt: "none" | "suspected" | "lost" = "none";
-    /** Ends the pause between two turns. */
-    #wake: () => void = () => undefined;
-    #failedAtMs = -Infinity;
     #askedAtMs = -Infinity;
     /** When the watch that waits now was sent; `undefined` while none does. */
     #watchingSinceMs: number | undefined;
@@ -77,6 +57,13 @@
         this.#parts = parts;
         this.#sources = new RelaySources(parts.name, parts.availabilityZone);
         this.#contact = new StoreContact(parts);
+        this.#peek = new StorePeek(parts.store, parts.codec.registrationKey(parts.name));
+        this.#check = new WatchCheck({
+            ...parts,
+            peek: this.#peek,
+            contact: this.#contact,
+            state: () => ({ afterRevision: this.#afterRevision, sentAtMs: this.#watchingSinceMs }),
+        });
         this.#pauseDetector = new PauseDetector(parts.clock);
     }
 
@@ -114,9 +101,9 @@
         if (!this.reachesStore && (isFirst || this.#source === "peer")) {
             this.#turnNow();
         }
-        if (this.#doubt === "lost" && nowMs - this.#failedAtMs >= shortestProbePeriodMs) {
+        if (this.#contact.doubt === "lost" && nowMs - this.#contact.failedAtMs >= shortestProbePeriodMs) {
             // Whoever asks may have just found the store again.
-            this.#wake();
+            this.#pause.end();
         }
     }
 
@@ -128,21 +115,11 @@
         while (!this.#stop.signal.aborted) {
             const pauseMs = await this.#takeTurn();
             if (pauseMs > 0) {
-                await this.#pause(pauseMs);
+                await this.#pause.take(pauseMs);
             }
         }
     }
 
-    #pause(ms: number): Promise<void> {
-        return new Promise(resolve => {
-            const timer = setTimeout(resolve, ms);
-            this.#wake = () => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
-    }
-
     /** @returns how long to pause until the next turn, in milliseconds */
     async #takeTurn(): Promise<number> {
         const afterRevision = this.#afterRevision;
@@ -156,7 +133,7 @@
             return this.#watchPeer(source, afterRevision);
         }
         this.#chooseStore();
-        const pauseMs = this.#doubt === "none" ? undefined : await this.#probe();
+        const pauseMs = this.#contact.doubt === "none" ? undefined : await this.#probe();
         return pauseMs ?? (afterRevision === undefined ? this.#readAll() : this.#watch(afterRevision));
     }
 
@@ -169,16 +146,14 @@
     async #probe(): Promise<number | undefined> {
         const startedAtMs = this.#now();
         const { signal } = this.#turn;
-        const peeked = await this.#peek(storeProbeTimeoutMs);
+        const peeked = await this.#peek.revision(storeProbeTimeoutMs);
         if (signal.aborted) {
             return 0;
         }
         if (peeked.isLeft()) {
             return this.#onFailure("probe", peeked.extract(), startedAtMs);
         }
-        const wasLost = this.#doubt === "lost";
-        this.#doubt = "none";
-        if (!wasLost) {
+        if (!this.#contact.onProbed()) {
             return undefined;
         }
         // Hundreds of gateways find the store again at about the same time; most of them need not call it themselves.
@@ -186,13 +161,6 @@
         return 0;
     }
 
-    /** @returns the store's revision, or why it wasn't told in time */
-    #peek(timeoutMs: number): Promise<Either<Failure, number>> {
-        const { store, codec, name } = this.#parts;
-        const late = sleep(timeoutMs).then(() => Left(createFailure("storeOutcomeUnknown", "no answer in time")));
-        return Promise.race([store.peekRevision(codec.registrationKey(name)), late]);
-    }
-
     #chooseStore(): void {
         if (this.#source !== "store") {
             this.#source = "store";
@@ -203,23 +171,18 @@
     async #readAll(): Promise<number> {
         const { store, codec, view, firstReading } = this.#parts;
         const startedAtMs = this.#now();
-        const items: StateItem[] = [];
-        const decode = (entries: readonly KeyValue[]): readonly StateItem[] => {
-            items.push(...entries.slice(items.length).map(entry => codec.decode(entry)));
-            return items;
-        };
-        const read = await store.list(codec.prefix, entries => this.#onPart(entries.at(-1)?.key, decode(entries)));
+        const read = await readState(store, codec, items => this.#onOperatorRead(items));
         return read.caseOf({
             Left: failure => {
                 firstReading.onFailed();
                 return this.#onFailure("list", failure, startedAtMs);
             },
-            Right: ({ revision, entries }) => {
+            Right: ({ revision, entries, items }) => {
                 const isFirst = !view.isRead;
                 this.#onContact("list");
                 this.#afterRevision = revision;
                 this.#mirror.onReading(revision, entries);
-                this.#report(view.onReading(decode(entries), this.#now()));
+                this.#report(view.onReading(items, this.#now()));
                 this.#parts.onChanged();
                 firstReading.onRead();
                 // When a whole fleet starts, each registration would be a change of its own for every gateway.
@@ -228,14 +191,13 @@
         });
     }
 
-    /** Serves by a part of the first reading that has all of the operator's keys: a large fleet waits for the store's link. */
-    #onPart(lastKey: string | undefined, items: readonly StateItem[]): void {
-        const { codec, view, firstReading } = this.#parts;
-        if (view.isRead || lastKey === undefined || !codec.isPastOperator(lastKey)) {
-            return;
+    /** Serves by a part of the first reading: a large fleet waits for the store's link. */
+    #onOperatorRead(items: readonly StateItem[]): void {
+        const { view, firstReading } = this.#parts;
+        if (!view.isRead) {
+            this.#report(view.onChanges({ items, deletedKeys: [] }, this.#now()));
+            firstReading.onRead();
         }
-        this.#report(view.onChanges({ items, deletedKeys: [] }, this.#now()));
-        firstReading.onRead();
     }
 
     async #watch(afterRevision: number): Promise<number> {
@@ -283,8 +245,7 @@
                     return 0;
                 }
                 metrics.onRelayRequest(failure.kind);
-                this.#contact.onSuspected(this.#now());
-                this.#doubt = this.#doubt === "lost" ? "lost" : "suspected";
+                this.#contact.onRelayLost(this.#now());
                 this.#sources.onFailure(peer.name, this.#now());
                 log.log("warn", "relayLost", {
                     peer: peer.name,
@@ -301,7 +262,6 @@
                 }
                 metrics.onRelayRequest("answered");
                 this.#sources.onAnswer(peer.name);
-                this.#doubt = "none";
                 this.#contact.onPassedOn(answer.ageMs);
                 this.#learn(answer);
                 return 0;
@@ -320,51 +280,17 @@
         }
     }
 
-    /**
-     * Checks that the store is still reached, and that the watch brings what has changed. Where it isn't or doesn't, the watch,
-     * whose connection may be dead, is opened anew.
-     */
+    /** A watch of which a check finds that it may be dead is opened anew. */
     async #checkWatch(): Promise<void> {
-        if (!this.reachesStore) {
-            return;
-        }
-        const { metrics, view } = this.#parts;
-        const startedAtMs = this.#now();
-        const peeked = await this.#peek(storeCheckTimeoutMs);
-        if (peeked.isRight()) {
-            metrics.onStoreCall("check", "answered");
-            view.onContact(this.#now());
-            await this.#awaitChange(peeked.extract(), startedAtMs);
-            return;
-        }
-        const { kind } = peeked.extract() as Failure;
-        metrics.onStoreCall("check", kind);
-        if (view.lastContactMs <= startedAtMs) {
-            this.#contact.onSuspected(startedAtMs);
-            this.#suspectWatch({ kind, tookMs: Math.round(this.#now() - startedAtMs) });
-        }
-    }
-
-    /** A check has seen a revision of the store; a watch that was sent before and doesn't bring it is dead. */
-    async #awaitChange(revision: number, checkedAtMs: number): Promise<void> {
-        const sentAtMs = this.#watchingSinceMs;
-        if (sentAtMs === undefined || sentAtMs > checkedAtMs || revision <= (this.#afterRevision ?? revision)) {
-            return;
-        }
-        await sleep(watchLagMs);
-        if (this.#watchingSinceMs === sentAtMs) {
-            const waitedMs = Math.round(this.#now() - sentAtMs);
-            this.#suspectWatch({ kind: "behind", revision, afterRevision: this.#afterRevision, waitedMs });
+        const suspicion = this.reachesStore ? await this.#check.run() : undefined;
+        if (suspicion !== undefined) {
+            this.#parts.log.log("warn", "storeSuspected", suspicion);
+            this.#confirmed = false;
+            this.#parts.onChanged();
+            this.#turnNow();
         }
     }
 
-    #suspectWatch(fields: LogFields): void {
-        this.#parts.log.log("warn", "storeSuspected", fields);
-        this.#confirmed = false;
-        this.#parts.onChanged();
-        this.#turnNow();
-    }
-
     /** Ends the present turn, so that the next one asks whom it should. */
     #turnNow(): void {
         this.#turn.abort();
@@ -387,7 +313,6 @@
     }
 
     #onContact(call: string): void {
-        this.#doubt = "none";
         this.#contact.onAnswered(call);
         if (!this.#confirmed) {
             this.#confirmed = true;
@@ -400,8 +325,6 @@
             return 0;
         }
         this.#confirmed = false;
-        this.#doubt = "lost";
-        this.#failedAtMs = this.#now();
         this.#parts.onChanged();
         return this.#contact.onFailed(call, failure, startedAtMs);
     }
--- a/packages/edge/src/state/storeContact.ts
+++ b/packages/edge/src/state/storeContact.ts
@@ -15,10 +15,15 @@
     readonly metrics: EdgeMetrics;
 }
 
+/** Whether the store may be away: a relay has said so, or a call of this gateway's own has failed. */
+export type StoreDoubt = "none" | "suspected" | "lost";
+
 /** Keeps account of whether the store is heard, by itself or through another gateway, and says when it is lost and found. */
 export class StoreContact {
     readonly #parts: StoreContactParts;
     #failures = 0;
+    #failedAtMs = -Infinity;
+    #doubt: StoreDoubt = "none";
     /** When a relay or a check first said that the store may be away; only a failed call of one's own makes it so. */
     #suspectedSinceMs: number | undefined;
 
@@ -26,6 +31,15 @@
         this.#parts = parts;
     }
 
+    get doubt(): StoreDoubt {
+        return this.#doubt;
+    }
+
+    /** When a call last failed. */
+    get failedAtMs(): number {
+        return this.#failedAtMs;
+    }
+
     /** A call of the store was answered. */
     onAnswered(call: string): void {
         const { view, metrics, clock } = this.#parts;
@@ -44,6 +58,19 @@
         this.#suspectedSinceMs ??= sinceMs;
     }
 
+    /** A relay didn't answer, or said that it doesn't reach the store. */
+    onRelayLost(nowMs: number): void {
+        this.onSuspected(nowMs);
+        this.#doubt = this.#doubt === "lost" ? "lost" : "suspected";
+    }
+
+    /** A probe was answered: the store may be called. @returns whether it had been lost */
+    onProbed(): boolean {
+        const wasLost = this.#doubt === "lost";
+        this.#doubt = "none";
+        return wasLost;
+    }
+
     /**
      * A call of the store has failed.
      *
@@ -61,6 +88,8 @@
         const nowMs = clock.monotonicMs();
         const growingMs = firstStorePauseMs * 2 ** this.#failures * (1 + random.next()) / 2;
         this.#failures++;
+        this.#failedAtMs = nowMs;
+        this.#doubt = "lost";
         const pauseMs = Math.min(growingMs, Math.max(0, startedAtMs + storeProbePeriodMs - nowMs));
         log.log("info", "storeCallFailed", {
             call,
@@ -77,6 +106,7 @@
             this.#parts.log.log("info", "storeRegained", { failedCalls: this.#failures, awayMs });
         }
         this.#failures = 0;
+        this.#doubt = "none";
         this.#suspectedSinceMs = undefined;
     }
 }
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -16,6 +16,7 @@
 import { type SoakEdge } from "./soakEdge.js";
 import { rollOut } from "./soakRollout.js";
 import { type SoakSystem } from "./soakSystem.js";
+import { giveNotices, nameLimit } from "./soakNotices.js";
 import { SoakWorld } from "./soakWorld.js";
 import { machineNow } from "./spans.js";
 
@@ -75,12 +76,10 @@
         const deadly = rollout === undefined ? planDeadlyRequests(seed, pathOf.read) : undefined;
         const deadlyOver = load.sendDeadly(deadly);
         const limit = planLimit(seed);
-        const limitOver = limit === undefined ? Promise.resolve() : world.limit(limit);
+        const limitOver = limit === undefined ? Promise.resolve() : nameLimit(world, limit);
+        // Servers of a version that is rolled out must not leave by themselves either.
         const { rest, leaving } = planNotices(seed);
-        const noticesOver = Promise.all([
-            rest === undefined ? undefined : world.rest(rest),
-            leaving === undefined || rollout !== undefined ? undefined : world.sayLeaving(leaving),
-        ]);
+        const noticesOver = giveNotices(world, { rest, leaving: rollout === undefined ? leaving : undefined });
         const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver, noticesOver]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
         const history = mergeHistories(
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -14,8 +14,6 @@
 import { type Fault } from "./faults.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
-import { type PlannedLimit } from "./limitPlan.js";
-import { type PlannedLeaving, type PlannedRest } from "./noticePlan.js";
 import { SoakStore } from "./soakStore.js";
 import { zoneAt } from "./soakZones.js";
 import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
@@ -168,25 +166,10 @@
         }
     }
 
-    /** A server names a limit for a while. */
-    async limit({ atMs, forMs, target, perSecond }: PlannedLimit): Promise<void> {
-        await sleep(atMs);
+    /** @returns a server that has not begun to leave, once there is one */
+    async pickLive(target: number): Promise<SoakBackend> {
         await this.#whenServersLive();
-        await harmServer(pick(this.#live, target), { limitPerSecond: perSecond }, forMs);
-    }
-
-    /** A server turns gateways away for a while, and asks each for rest. */
-    async rest({ atMs, forMs, target, restSeconds }: PlannedRest): Promise<void> {
-        await sleep(atMs);
-        await this.#whenServersLive();
-        await harmServer(pick(this.#live, target), { restSeconds }, forMs);
-    }
-
-    /** A server says in its answers that it leaves, to its end. */
-    async sayLeaving({ atMs, target }: PlannedLeaving): Promise<void> {
-        await sleep(atMs);
-        await this.#whenServersLive();
-        await pick(this.#live, target).trouble({ saysLeaving: true });
+        return pick(this.#live, target);
     }
 
     /** @returns the servers of a service and version that have not begun to leave */
