Heed a server's word that it leaves also in an answer that breaks off on its way to the caller

What callers would see: a large answer of a leaving server breaks off, and the next request through the same gateway goes to that server again. Cause: what an answer says of its server was read only where the send ended well. Its head was checked before the caller got any of it. The test failed before: the second request was sent to the server and broke off too (other side closed), where now it is refused at once.

--- a/packages/edge/src/__tests__/serverLeaving.test.ts
+++ b/packages/edge/src/__tests__/serverLeaving.test.ts
@@ -32,3 +32,15 @@
     await sendFor(fleet, 600, 15);
     assert.ok(fleet.servers.count("a", startedAtMs) > 0);
 });
+
+// Guards against a word that is lost with an answer which its caller got the beginning of.
+test("a server that leaves says so in an answer that breaks off midway, and gets nothing more", async t => {
+    const fleet = await startNoticeFleet(t, 1, ["a"]);
+    const [edge] = fleet.edges;
+    assert.ok(edge);
+    fleet.servers.leaveMidway("a");
+    await assert.rejects(fleet.servers.send(edge));
+    const beforeMs = performance.now();
+    assert.equal((await fleet.servers.send(edge)).status, 503);
+    assert.equal(fleet.servers.count("a", beforeMs), 0);
+});
--- a/packages/edge/src/requests/sendOutcomes.ts
+++ b/packages/edge/src/requests/sendOutcomes.ts
@@ -72,8 +72,9 @@
     }
 
     /** An answer of another server that has the address now says nothing of this one. */
-    #noteServer(server: RegisteredServer, { end, signs, tookMs }: SendResult, nowMs: number): void {
-        const isOwn = end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
+    #noteServer(server: RegisteredServer, { end, signs, streamed, tookMs }: SendResult, nowMs: number): void {
+        // The head of an answer that broke off later was sound, and its caller has it.
+        const isOwn = streamed || end.type === "answered" || (end.type === "notRun" && end.reason === "turnedAway");
         if (signs === undefined || !isOwn || (signs.serverId ?? server.id) !== server.id) {
             return;
         }
