List the outage whose end is missed while readings are older than it

A store that drops all watches without a word for less than the time between two checks, and answers readings from before for seconds then: the check can't tell, and the change comes into force after 2,826 ms, 2,000 allowed.

--- a/packages/edge/src/__tests__/storeReturn.test.ts
+++ b/packages/edge/src/__tests__/storeReturn.test.ts
@@ -32,6 +32,8 @@
     readonly relay: typeof relayTroubles[number];
     readonly versions: number;
     readonly ackedAfterMs: number;
+    /** How long readings that may be stale are as old as its beginning, from the return on. */
+    readonly staleMs?: number;
 }
 
 function draw<T>(random: RandomSource, values: readonly T[]): T {
@@ -87,7 +89,12 @@
         await this.#time.pass(outage.calmMs);
         const relay = this.#findRelay();
         const priceBefore = store.calls.price;
+        const revision = store.engine.revision;
         const awayPrice = await this.#stayAway(outage, relay);
+        if (outage.staleMs !== undefined) {
+            store.staleRevision = revision;
+            setTimeout(() => store.staleRevision = undefined, outage.staleMs);
+        }
         if (outage.losesHistory) {
             store.historyFrom = store.engine.revision;
         }
@@ -211,3 +218,23 @@
         );
     });
 }
+
+// Guards against a probe or a check that is believed where it is older than what the gateway knows.
+test("readings that are older than the outage put off no change", async t => {
+    const time = VirtualTime.install(t);
+    for (let life = 0; life < 10; life++) {
+        const random = createRandomSource(life);
+        const world = new OutageWorld(time, random, { gateways: 13, zones: 3 });
+        await time.pass(settleMs);
+        const outage: Outage = {
+            ...drawOutage(random),
+            how: "silent",
+            relay: "none",
+            losesHistory: false,
+            staleMs: 5_000,
+        };
+        const { latestMs, who } = await world.play(outage);
+        assert.ok(latestMs <= inForceWithinMs, `life ${life}: ${latestMs} ms after ${describe(outage, who)}`);
+        world.stop();
+    }
+});
