Serve callers by workspaces and their keys

A configuration with workspaces or with routes of large answers could not be read, so that every request of such a deployment was answered 503.

Keys are read in the adapter and looked up in packages/workspaces. A request without a known key is answered 401 before its body is read, or 503 where the store has not been heard for 2 s. A backend server gets the workspace's name and never the key, and a key that is withdrawn while its request waits or is sent again ends the request. A workspace's rank goes before its route's. A configuration in which two workspaces hold one key is refused, without the key in the reason.

Limits of workspaces are decoded and not kept yet. Tests: workspaces, edge/workspaces, platform decoding and vocabulary.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,6 +18,8 @@
     "placement",
     "rollout",
     "quarantine",
+    "workspaces",
+    "rateLimit",
 ];
 
 /** Keys, headers and fields of the users' platform that mean nothing elsewhere. */
--- a/packages/admin/src/callFailure.ts
+++ b/packages/admin/src/callFailure.ts
@@ -21,6 +21,7 @@
     noSuchService: Code.NotFound,
     tooManyConnections: Code.ResourceExhausted,
     unauthenticated: Code.Unauthenticated,
+    workspaceOverLimit: Code.ResourceExhausted,
     noBackendServer: Code.Unavailable,
     overloaded: Code.ResourceExhausted,
     patienceSpent: Code.DeadlineExceeded,
--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -8,7 +8,8 @@
     type StateItem,
 } from "@galenaglade/fleet-state";
 import { type AskedRest, type NamedLimit } from "@galenaglade/placement";
-import { findHeader, keepEndToEnd, type RawHeaders } from "@galenaglade/http-parts";
+import { type CallerKey } from "@galenaglade/workspaces";
+import { findHeader, findHeaders, keepEndToEnd, type RawHeaders } from "@galenaglade/http-parts";
 import { type KeyValue } from "@galenaglade/platform";
 import { type AnswerSigns, EdgeVocabulary, type ForwardSigns, type RequestSigns, StateCodec } from "../../index.js";
 
@@ -21,11 +22,18 @@
         return {
             requestId: findHeader(headers, "x-id"),
             patienceMs: patience === undefined ? undefined : Number(patience),
+            callerKey: readKey(findHeaders(headers, "x-key")),
         };
     }
 
     override resolveForwardHeaders(headers: RawHeaders, signs: ForwardSigns): string[] {
-        const kept = keepEndToEnd(headers, name => name === "x-patience-ms");
+        const { identity } = signs;
+        const isDropped = (name: string): boolean =>
+            name === "x-patience-ms" || (identity.type !== "unchecked" && ["x-key", "x-workspace"].includes(name));
+        const kept = keepEndToEnd(headers, isDropped);
+        if (identity.type === "workspace") {
+            kept.push("x-workspace", identity.name);
+        }
         return [...kept, "x-patience-ms", String(signs.remainingMs), "x-for", signs.serverId];
     }
 
@@ -47,6 +55,14 @@
     }
 }
 
+function readKey(values: readonly string[]): CallerKey {
+    const [key, ...more] = values;
+    if (key === undefined) {
+        return { type: "none" };
+    }
+    return more.length === 0 ? { type: "given", key } : { type: "malformed" };
+}
+
 function readRest(text: string | undefined): AskedRest {
     if (text === undefined) {
         return { type: "none" };
--- /dev/null
+++ b/packages/edge/src/__tests__/workspaces.test.ts
@@ -0,0 +1,78 @@
+import { type FleetConfiguration } from "@galenaglade/fleet-state";
+import { type Workspace } from "@galenaglade/workspaces";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { request } from "undici";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    createConfiguration,
+    eventually,
+    register,
+    returns,
+    startBackend,
+    startEdge,
+    tables,
+    type TestBackend,
+    type TestEdge,
+    whenReady,
+} from "./support/testEdge.js";
+
+const north: Workspace = { name: "north", keys: ["k-north"] };
+
+function withWorkspaces(version: number, workspaces: readonly Workspace[]): FleetConfiguration {
+    const open = { ...tables, name: "open", pathPrefix: "/open/", open: true };
+    return { ...createConfiguration(version, [tables, returns, open]), workspaces };
+}
+
+async function start(t: TestContext, backend: TestBackend): Promise<TestEdge<MemoryStore>> {
+    const store = new MemoryStore();
+    store.put("configuration", withWorkspaces(1, [north]));
+    register(store, backend);
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    // From here on it hears of changes as they come.
+    await eventually(() => edge.logs.some(line => line["subject"] === "gateway"), "the gateway knows of itself");
+    return edge;
+}
+
+async function ask({ url }: TestEdge, path: string, headers: Readonly<Record<string, string>>): Promise<number> {
+    const own = { "host": "survey.example", "x-id": path, "x-patience-ms": "8000" };
+    const res = await request(url + path, { headers: { ...own, ...headers } });
+    await res.body.dump();
+    return res.statusCode;
+}
+
+// Guards against requests that run without a key, and against servers that see keys or forged names.
+test("a backend server learns a caller's workspace and not its key, and callers without a key are turned away", async t => {
+    const backend = await startBackend(t, "i-1");
+    const edge = await start(t, backend);
+    assert.equal(await ask(edge, "/tables/1", { "x-key": "k-north", "x-workspace": "forged" }), 200);
+    assert.equal(await ask(edge, "/tables/2", {}), 401);
+    assert.equal(await ask(edge, "/tables/3", { "x-key": "k-other" }), 401);
+    assert.equal(await ask(edge, "/open/4", { "x-workspace": "forged" }), 200);
+    assert.equal(await ask(edge, "/open/5", { "x-key": "k-north" }), 200);
+    const seen = backend.served().map(({ path, headers }) => [path, headers.get("x-workspace"), headers.get("x-key")]);
+    assert.deepEqual(seen, [
+        ["/tables/1", "north", undefined],
+        ["/open/4", undefined, undefined],
+        ["/open/5", "north", undefined],
+    ]);
+    assert.equal(/k-north|k-other/.test(JSON.stringify(edge.logs)), false, "no key is logged");
+});
+
+// Guards against a request that is sent once more with a key that was withdrawn while its first send was under way.
+test("a request whose key is withdrawn meanwhile is not sent again", async t => {
+    const backend = await startBackend(t, "i-1", req => {
+        edge.store.put("configuration", withWorkspaces(2, []));
+        setTimeout(() => {
+            req.socket.write("HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\n\r\n");
+        }, 600);
+    });
+    const edge = await start(t, backend);
+    const status = await ask(edge, "/tables/1", { "x-key": "k-north" });
+    await eventually(
+        () => edge.logs.some(({ name, change }) => name === "2" && change === "inForce"),
+        "it is in force",
+    );
+    assert.deepEqual([status, backend.served().length], [401, 1]);
+});
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -90,18 +90,19 @@
             bodyBytes: resolveBodyBytes(req),
         };
         return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs).mapLeft(failure =>
-            failure.kind === "noSuchService" ? this.#doubtAbsence(failure, nowMs) : failure
+            this.#doubtAbsence(failure, nowMs)
         );
     }
 
-    /** Whoever hasn't heard the store for long can't know that there is no such route: it may have been added meanwhile. */
+    /** Whoever hasn't heard the store for long can't know that a route or a key is not there: it may have been added meanwhile. */
     #doubtAbsence(failure: Failure, nowMs: number): Failure {
         const { view, random } = this.#parts;
-        if (nowMs - view.lastContactMs <= surelyCurrentMs) {
+        const claimsAbsence = failure.kind === "noSuchService" || failure.kind === "unauthenticated";
+        if (!claimsAbsence || nowMs - view.lastContactMs <= surelyCurrentMs) {
             return failure;
         }
         const retryAfterSeconds = resolveComeBack("noServer", 0, random);
-        return createFailure("notFresh", "no such route as far as is known", { retryAfterSeconds });
+        return createFailure("notFresh", `${failure.detail}, as far as is known`, { retryAfterSeconds });
     }
 
     async #serve(request: EdgeRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -148,7 +149,7 @@
             sink = new CallerSink(res, head, callers.endsWith(req));
             return sink;
         });
-        const end = await exchange.run();
+        const end = this.#doubtEnd(await exchange.run());
         switch (end.type) {
             case "answered":
                 this.#answer(request, end.answer, req, res);
@@ -162,6 +163,12 @@
         this.#report(request, req, end, exchange, signal);
     }
 
+    #doubtEnd(end: ExchangeEnd): ExchangeEnd {
+        return end.type === "failed"
+            ? { type: "failed", failure: this.#doubtAbsence(end.failure, this.#parts.clock.monotonicMs()) }
+            : end;
+    }
+
     #answer(request: EdgeRequest, answer: HeldAnswer, req: IncomingMessage, res: ServerResponse): void {
         const { callers } = this.#parts;
         if (res.destroyed) {
@@ -202,6 +209,7 @@
             requestId: request.requestId,
             route: request.route.name,
             service: request.rules.name,
+            workspace: nameWorkspace(request),
             version: request.version,
             outcome,
             tookMs,
@@ -225,6 +233,7 @@
             requestId: request?.requestId ?? vocabulary.readRequest(req.rawHeaders).requestId,
             route: request?.route.name,
             service: request?.rules.name,
+            workspace: request && nameWorkspace(request),
             version: request?.version ?? view.inForce?.configuration.version,
             kind: failure.kind,
             detail: failure.detail,
@@ -238,6 +247,10 @@
     }
 }
 
+function nameWorkspace({ admission }: EdgeRequest): string | undefined {
+    return admission.type === "known" ? admission.workspace.name : undefined;
+}
+
 function resolveBodyBytes(req: IncomingMessage): number | undefined {
     if (req.headers["transfer-encoding"] !== undefined) {
         return undefined;
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -3,4 +3,10 @@
 export { type EdgeBinding, runEdge } from "./edgeProcess.js";
 export { edgeSettingsSchema, resolveEdgeSettings, type ResolvedEdgeSettings } from "./settings.js";
 export { StateCodec } from "./stateCodec.js";
-export { type AnswerSigns, EdgeVocabulary, type ForwardSigns, type RequestSigns } from "./vocabulary.js";
+export {
+    type AnswerSigns,
+    EdgeVocabulary,
+    type ForwardIdentity,
+    type ForwardSigns,
+    type RequestSigns,
+} from "./vocabulary.js";
--- a/packages/edge/src/requests/edgeRequest.ts
+++ b/packages/edge/src/requests/edgeRequest.ts
@@ -3,8 +3,9 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
 import { drawDestination } from "@galenaglade/placement";
 import { type RandomSource } from "@galenaglade/routing";
+import { type Admission, authenticate, type RejectionReason } from "@galenaglade/workspaces";
 import { type Either, Left, Right } from "purify-ts";
-import { type EdgeVocabulary } from "../vocabulary.js";
+import { type EdgeVocabulary, type ForwardIdentity } from "../vocabulary.js";
 
 /** What the gateway reads from a request's head. */
 export interface RequestHead {
@@ -23,6 +24,10 @@
 export interface EdgeRequest extends RequestHead {
     readonly requestId: string | undefined;
     readonly route: Route;
+    /** On whose behalf it is made; holds a secret and is never logged. */
+    readonly admission: Admission;
+    /** Rank; 0 goes first. Its workspace's goes before its route's. */
+    readonly rank: number;
     readonly rules: ServiceRules;
     /** Version of the configuration that it was understood by. */
     readonly version: number;
@@ -59,6 +64,11 @@
     if (route === undefined) {
         return Left(createFailure("noSuchService", "no route for this authority and path"));
     }
+    const { requestId, patienceMs, callerKey } = vocabulary.readRequest(head.headers);
+    const admission = authenticate(callerKey, inForce.workspaces, route.open ?? false);
+    if (typeof admission === "string") {
+        return Left(createFailure("unauthenticated", rejectionDetails[admission]));
+    }
     if (countHeaderBytes(head.headers) > limits.maximumHeaderBytes) {
         return Left(createFailure("headersTooLarge", `at most ${limits.maximumHeaderBytes} bytes are taken`));
     }
@@ -70,12 +80,13 @@
     if (rules === undefined) {
         return Left(createFailure("noBackendServer", `route ${route.name} leads to no service`));
     }
-    const { requestId, patienceMs } = vocabulary.readRequest(head.headers);
     const deadlineMs = nowMs + (patienceMs ?? route.timeoutMs);
     return Right({
         ...head,
         requestId,
         route,
+        admission,
+        rank: (admission.type === "known" ? admission.workspace.priority : undefined) ?? route.priority,
         rules,
         version,
         maximumBodyBytes: limits.maximumBodyBytes,
@@ -85,6 +96,17 @@
     });
 }
 
+/** @returns what a backend server is told of a request's caller */
+export function resolveIdentity(admission: Admission): ForwardIdentity {
+    return admission.type === "known" ? { type: "workspace", name: admission.workspace.name } : admission;
+}
+
+const rejectionDetails: Readonly<Record<RejectionReason, string>> = {
+    noKey: "the request carries no key",
+    malformedKey: "the request's key can't be read",
+    unknownKey: "no workspace holds the request's key",
+};
+
 function pathOf(url: string): string {
     const query = url.indexOf("?");
     return query < 0 ? url : url.slice(0, query);
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -11,8 +11,9 @@
 import { heldAnswerBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type LogFields } from "@galenaglade/telemetry";
+import { isStillAdmitted } from "@galenaglade/workspaces";
 import { awaitFirst } from "./awaitFirst.js";
-import { type EdgeRequest } from "./edgeRequest.js";
+import { type EdgeRequest, resolveIdentity } from "./edgeRequest.js";
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
 import { callerGone, type ExchangeParts } from "./exchangeParts.js";
 import { ExchangeContent } from "./exchangeContent.js";
@@ -80,9 +81,9 @@
     /** @returns what the caller gets; never fails */
     async run(): Promise<ExchangeEnd> {
         const { budget, board } = this.#parts;
-        const { rules, route } = this.#request;
+        const { rules, rank } = this.#request;
         budget.onRequest(rules.name, this.#nowMs());
-        board.onRequest(rules.name, route.priority, this.#nowMs());
+        board.onRequest(rules.name, rank, this.#nowMs());
         if (!this.#guard.admit()) {
             return this.#finish(this.#answers.quarantined(this.#guard.retryAfterMs ?? 0));
         }
@@ -95,6 +96,9 @@
                         : this.#answers.noPlace(place, this.#restingForMs()),
                 );
             }
+            if (this.#isWithdrawn()) {
+                return this.#finish(this.#answers.withdrawn());
+            }
             this.#send(place, "first");
             return this.#finish(await this.#follow());
         }
@@ -150,6 +154,10 @@
     #resolveFailed(): ExchangeEnd {
         const { retryAfterMs } = this.#guard;
         const restingForMs = this.#restingForMs();
+        const hasRun = this.#fallback !== undefined || this.#ends.some(({ type }) => type !== "notRun");
+        if (!hasRun && this.#isWithdrawn()) {
+            return this.#answers.withdrawn();
+        }
         const hasNotRun = this.#fallback === undefined && this.#ends.every(({ type }) => type === "notRun");
         if (hasNotRun && retryAfterMs !== undefined) {
             return this.#answers.quarantined(retryAfterMs);
@@ -160,7 +168,7 @@
     }
 
     async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
-        if (this.#signal.aborted) {
+        if (this.#signal.aborted || this.#isWithdrawn()) {
             return false;
         }
         const { budget, log } = this.#parts;
@@ -181,7 +189,7 @@
             to: typeof place === "string" ? place : place.server.id,
             budgetLeft: budget.left(this.#request.rules.name, this.#gateways(), this.#nowMs()),
         });
-        if (typeof place === "string") {
+        if (typeof place === "string" || this.#isWithdrawn()) {
             return false;
         }
         this.#send(place, "retry");
@@ -208,7 +216,8 @@
         if (typeof place === "string") {
             return;
         }
-        if (this.#signal.aborted || this.#underWay.size < this.#unread.size || !this.#guard.mayHedge()) {
+        const isNeeded = !this.#signal.aborted && this.#underWay.size >= this.#unread.size;
+        if (!isNeeded || this.#isWithdrawn() || !this.#guard.mayHedge()) {
             return;
         }
         if (!this.#takeRepeat("hedge")) {
@@ -235,6 +244,7 @@
             headers: vocabulary.resolveForwardHeaders(headers, {
                 serverId: server.id,
                 remainingMs: Math.max(1, Math.floor(cutoffMs - clock.monotonicMs())),
+                identity: resolveIdentity(this.#request.admission),
             }),
             body: this.#body.open(),
             idempotent: route.idempotent,
@@ -242,7 +252,7 @@
             vocabulary,
             heldBytes: heldAnswerBytes,
             mayWrite: () =>
-                !this.#signal.aborted && view.isUsable(server.id, clock.monotonicMs())
+                !this.#signal.aborted && !this.#isWithdrawn() && view.isUsable(server.id, clock.monotonicMs())
                 && board.barOf(server, clock.monotonicMs()) === undefined && this.#guard.maySend(),
             openSink: head => this.#beginStream(head),
         });
@@ -307,6 +317,11 @@
         return this.#parts.budget.take(this.#request.rules.name, purpose, this.#gateways(), this.#nowMs());
     }
 
+    /** Whether the caller's key was withdrawn since the request arrived. */
+    #isWithdrawn(): boolean {
+        return !isStillAdmitted(this.#request.admission, this.#parts.view.inForce?.workspaces);
+    }
+
     /** Until the first server of the service ends its rest, where all of them rest. */
     #restingForMs(): number | undefined {
         return this.#parts.placer.restingForMs(this.#request.rules.name);
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -45,6 +45,11 @@
         return { type: "failed", failure };
     }
 
+    /** The caller's key was withdrawn while the request waited. */
+    withdrawn(): ExchangeEnd {
+        return { type: "failed", failure: createFailure("unauthenticated", "the request's key was withdrawn") };
+    }
+
     /** All tries have failed. */
     allFailed(ends: readonly SendEnd[], fallback: HeldAnswer | undefined): ExchangeEnd {
         if (fallback !== undefined) {
--- a/packages/edge/src/requests/exchangePlacement.ts
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -70,11 +70,11 @@
     }
 
     #search(onlyGood: boolean, among?: readonly RegisteredServer[]): Promise<Place | NoPlace> {
-        const { rules, route, arrivedAtMs, cutoffMs } = this.#request;
+        const { rules, route, rank, arrivedAtMs, cutoffMs } = this.#request;
         return this.#parts.placer.place({
             rules,
             objectiveMs: route.objectiveMs,
-            rank: route.priority,
+            rank,
             arrivedAtMs,
             cutoffMs,
             excluded: this.#triedServers,
--- a/packages/edge/src/vocabulary.ts
+++ b/packages/edge/src/vocabulary.ts
@@ -1,5 +1,6 @@
 import { type RawHeaders } from "@galenaglade/http-parts";
 import { type AskedRest, type LoadReport, type NamedLimit } from "@galenaglade/placement";
+import { type CallerKey } from "@galenaglade/workspaces";
 
 /** What a caller's request says of itself, besides what HTTP says. */
 export interface RequestSigns {
@@ -7,12 +8,22 @@
     readonly requestId: string | undefined;
     /** How long the caller waits; `undefined` where it doesn't say, or not in numbers. */
     readonly patienceMs: number | undefined;
+    readonly callerKey: CallerKey;
 }
 
+/** On whose behalf a request is sent on. */
+export type ForwardIdentity =
+    /** Nobody was asked: what the caller says of itself is passed on. */
+    | { readonly type: "unchecked"; }
+    /** Neither a workspace nor a key. */
+    | { readonly type: "anonymous"; }
+    | { readonly type: "workspace"; readonly name: string; };
+
 /** What the gateway adds to a request for a backend server. */
 export interface ForwardSigns {
     readonly serverId: string;
     readonly remainingMs: number;
+    readonly identity: ForwardIdentity;
 }
 
 /** What a backend server's answer says of itself, besides what HTTP says. */
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -13,12 +13,15 @@
 import { createRouteTable, type RouteTable } from "./routeTable.js";
 import { ServerDirectory } from "./serverDirectory.js";
 import { type RolloutPlan } from "./versionUse.js";
+import { WorkspaceDirectory } from "@galenaglade/workspaces";
 
 /** A configuration in force, ready for look-ups. */
 export interface ConfigurationInForce {
     readonly configuration: FleetConfiguration;
     readonly routes: RouteTable;
     readonly services: ReadonlyMap<string, ServiceRules>;
+    /** `undefined` where the configuration has no workspaces. */
+    readonly workspaces: WorkspaceDirectory | undefined;
 }
 
 /** Something that this process believes from now on, for its log. */
@@ -264,6 +267,7 @@
             configuration,
             routes: createRouteTable(configuration.routes),
             services: new Map(configuration.services.map(rules => [rules.name, rules])),
+            workspaces: configuration.workspaces && new WorkspaceDirectory(configuration.workspaces),
         };
         beliefs.push({ subject: "configuration", name: String(configuration.version), change: "inForce" });
     }
--- a/packages/fleetState/src/model.ts
+++ b/packages/fleetState/src/model.ts
@@ -1,6 +1,7 @@
 /** What a fleet's store says, in the product's own terms. All times are milliseconds. */
 import { type CrashReport } from "./crashReport.js";
 import { type GatewayRegistration } from "./gatewayRegistration.js";
+import { type Workspace } from "@galenaglade/workspaces";
 
 /** Where a backend server or a gateway listens. */
 export interface ServerAddress {
@@ -75,6 +76,10 @@
     /** Rank; 0 goes first. */
     readonly priority: number;
     readonly destinations: readonly Destination[];
+    /** Whether callers need no key where the configuration has workspaces. */
+    readonly open?: boolean;
+    /** Whether its answers are large, so that they leave the host's link to smaller ones. */
+    readonly largeAnswers?: boolean;
 }
 
 /** What operators say of one service. */
@@ -102,6 +107,8 @@
     readonly routes: readonly Route[];
     readonly services: readonly ServiceRules[];
     readonly limits: CallerLimits;
+    /** `undefined` where nobody is asked for a key. */
+    readonly workspaces?: readonly Workspace[] | undefined;
 }
 
 /** One key of the store, decoded. */
--- /dev/null
+++ b/packages/workspaces/src/__tests__/workspaces.test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { authenticate, isStillAdmitted, type Workspace, WorkspaceDirectory } from "../index.js";
+
+const north: Workspace = { name: "north", keys: ["k-north-1", "k-north-2"], priority: 0 };
+const south: Workspace = { name: "south", keys: ["k-south"] };
+const directory = new WorkspaceDirectory([north, south, { name: "keyless", keys: [] }]);
+
+test("a key is found with whoever holds it", () => {
+    const admission = authenticate({ type: "given", key: "k-north-2" }, directory, false);
+    assert.deepEqual(admission, { type: "known", workspace: north, key: "k-north-2" });
+});
+
+// Guards against requests that run without a key that any configuration holds.
+test("requests without a key that is known are turned away with the reason", () => {
+    assert.equal(authenticate({ type: "none" }, directory, false), "noKey");
+    assert.equal(authenticate({ type: "malformed" }, directory, false), "malformedKey");
+    assert.equal(authenticate({ type: "given", key: "k-other" }, directory, false), "unknownKey");
+    assert.equal(authenticate({ type: "given", key: "" }, directory, false), "unknownKey");
+    assert.equal(authenticate({ type: "given", key: "K-SOUTH" }, directory, false), "unknownKey");
+});
+
+test("an open route takes everyone, and knows callers by their key all the same", () => {
+    assert.deepEqual(authenticate({ type: "none" }, directory, true), { type: "anonymous" });
+    assert.deepEqual(authenticate({ type: "given", key: "k-other" }, directory, true), { type: "anonymous" });
+    assert.equal(authenticate({ type: "malformed" }, directory, true) === "malformedKey", false);
+    assert.deepEqual(authenticate({ type: "given", key: "k-south" }, directory, true), {
+        type: "known",
+        workspace: south,
+        key: "k-south",
+    });
+});
+
+test("nobody is asked for a key where the configuration has no workspaces", () => {
+    assert.deepEqual(authenticate({ type: "none" }, undefined, false), { type: "unchecked" });
+});
+
+// Guards against requests that wait or are tried again with a key that was withdrawn meanwhile.
+test("a key that is withdrawn or moved to another workspace admits its request no longer", () => {
+    const admission = authenticate({ type: "given", key: "k-north-1" }, directory, false);
+    assert.ok(typeof admission !== "string");
+    assert.equal(isStillAdmitted(admission, directory), true);
+    assert.equal(isStillAdmitted(admission, new WorkspaceDirectory([{ ...north, keys: ["k-north-2"] }])), false);
+    assert.equal(isStillAdmitted(admission, new WorkspaceDirectory([{ name: "east", keys: ["k-north-1"] }])), false);
+    assert.equal(isStillAdmitted({ type: "anonymous" }, directory), true);
+});
+
+// Guards against a key that two workspaces share: whose requests they are could not be told.
+test("faulty workspaces are named, and their keys are not", () => {
+    assert.equal(WorkspaceDirectory.check([north, south]), undefined);
+    assert.equal(WorkspaceDirectory.check([{ name: "twice", keys: ["a", "a"] }]), undefined);
+    assert.equal(
+        WorkspaceDirectory.check([north, { name: "east", keys: ["k-north-1"] }]),
+        "workspaces north and east hold the same key",
+    );
+    assert.equal(WorkspaceDirectory.check([south, south]), "workspace south is defined twice");
+});
--- /dev/null
+++ b/packages/workspaces/src/workspaceDirectory.ts
@@ -0,0 +1,61 @@
+import { type Workspace } from "./model.js";
+
+/** The workspaces of one version of the configuration, by name and by key; never changes. */
+export class WorkspaceDirectory {
+    readonly #byKey = new Map<string, Workspace>();
+    readonly #byName = new Map<string, Workspace>();
+
+    /** @param workspaces - with unique names and keys; see {@link WorkspaceDirectory.check} */
+    constructor(workspaces: readonly Workspace[]) {
+        for (const workspace of workspaces) {
+            this.#byName.set(workspace.name, workspace);
+            for (const key of workspace.keys) {
+                this.#byKey.set(key, workspace);
+            }
+        }
+    }
+
+    /**
+     * Checks what a configuration says of workspaces.
+     *
+     * @param workspaces - as read
+     * @returns what is wrong with them, without any key; `undefined` where they are sound
+     */
+    static check(workspaces: readonly Workspace[]): string | undefined {
+        const holders = new Map<string, string>();
+        const names = new Set<string>();
+        for (const { name, keys } of workspaces) {
+            if (names.has(name)) {
+                return `workspace ${name} is defined twice`;
+            }
+            names.add(name);
+            for (const key of keys) {
+                const holder = holders.get(key) ?? name;
+                if (holder !== name) {
+                    return `workspaces ${holder} and ${name} hold the same key`;
+                }
+                holders.set(key, name);
+            }
+        }
+        return undefined;
+    }
+
+    get size(): number {
+        return this.#byName.size;
+    }
+
+    /** @returns every workspace */
+    workspaces(): Iterable<Workspace> {
+        return this.#byName.values();
+    }
+
+    /** @returns the workspace of that name */
+    get(name: string): Workspace | undefined {
+        return this.#byName.get(name);
+    }
+
+    /** @returns the workspace that holds a key */
+    findByKey(key: string): Workspace | undefined {
+        return this.#byKey.get(key);
+    }
+}
