--- /dev/null
+++ b/packages/rateLimit/src/index.ts
@@ -0,0 +1,15 @@
+/** Rate limits of workspaces over all hosts together: who may admit a request, decided without a store. */
+export { defaultHoldMs, giveUpMs, groupCount, heartbeatMs, leaseMs, mostDescribedWorkspaces } from "./constants.js";
+export { type LimitMessage, protocolVersion, readLimitMessage } from "./messages.js";
+export {
+    type Command,
+    type Decision,
+    type GroupDescription,
+    type LimitChange,
+    type LimiterDescription,
+    type LimitRule,
+    type Token,
+    type TokenRequest,
+    type WorkspaceDescription,
+} from "./model.js";
+export { RateLimiter, type RateLimiterOptions } from "./rateLimiter.js";
