Decide tokens by delegated shares, time slots and retry times

The rate limiter's methods did nothing. Each host now delegates its share to the allocator of each group, asks it for tokens, and admits by time slots where it reaches none.

--- /dev/null
+++ b/packages/rateLimit/src/allocator.ts
@@ -0,0 +1,256 @@
+import { creditEveryMs, forgetMs, leaseMs, mostDescribedWorkspaces, shareCreditMs } from "./constants.js";
+import { capacityOf, LimitBucket } from "./limitBucket.js";
+import { type AnswerMessage, type AskMessage, type GrantEntry, protocolVersion } from "./messages.js";
+import { type WorkspaceDescription } from "./model.js";
+import { ShareHistory } from "./shareHistory.js";
+
+/** A host that asks this allocator. */
+interface Delegator {
+    readonly life: string;
+    /** Its process before: messages of it that come late are ignored. */
+    readonly formerLife: string | undefined;
+    seq: number;
+    /** The answer to the latest message, for its retransmissions. */
+    entries: GrantEntry[];
+    share: number;
+    leaseEndMs: number;
+    heardAtMs: number;
+    creditedAtMs: number;
+}
+
+/** What an allocator is. */
+export interface AllocatorOptions {
+    readonly name: string;
+    readonly life: string;
+    readonly group: number;
+}
+
+/** Grants the tokens of one group of workspaces at the rate of the shares that hosts have delegated to it. */
+export class Allocator {
+    readonly #name: string;
+    readonly #group: number;
+    #life: string;
+    #isLeaving = false;
+    readonly #delegators = new Map<string, Delegator>();
+    readonly #buckets = new Map<string, LimitBucket>();
+    readonly #history: ShareHistory;
+    /** No lease ends before. */
+    #nextLeaseEndMs = Infinity;
+    #nextForgetMs: number;
+
+    constructor({ name, life, group }: AllocatorOptions, nowMs: number) {
+        this.#name = name;
+        this.#life = life;
+        this.#group = group;
+        this.#history = new ShareHistory(nowMs);
+        this.#nextForgetMs = nowMs + forgetMs;
+    }
+
+    /** Sum of the shares held. */
+    get sharesHeld(): number {
+        return this.#history.sum;
+    }
+
+    /** Hosts whose shares are held. */
+    get delegators(): number {
+        return [...this.#delegators.values()].filter(({ share }) => share > 0).length;
+    }
+
+    /** @returns the answer to a message; `undefined` where a later one has been answered */
+    onAsk(ask: AskMessage, nowMs: number): AnswerMessage | undefined {
+        this.advance(nowMs);
+        const delegator = this.#find(ask);
+        if (delegator === undefined || ask.seq < delegator.seq) {
+            return undefined;
+        }
+        delegator.heardAtMs = nowMs;
+        if (this.#isLeaving) {
+            return { ...this.#createAnswer(ask, [], nowMs), leaving: true };
+        }
+        // A retransmission must not take tokens a second time.
+        if (ask.seq > delegator.seq) {
+            delegator.seq = ask.seq;
+            this.#hold(delegator, ask, nowMs);
+            delegator.entries = this.#grant(ask, nowMs);
+        }
+        return this.#createAnswer(ask, delegator.entries, nowMs);
+    }
+
+    /** Lets shares lapse whose leases have ended. */
+    advance(nowMs: number): void {
+        while (nowMs >= this.#nextLeaseEndMs) {
+            const endMs = this.#nextLeaseEndMs;
+            this.#history.advance(endMs);
+            this.#nextLeaseEndMs = Infinity;
+            let lapsed = false;
+            for (const delegator of this.#delegators.values()) {
+                if (delegator.share > 0 && delegator.leaseEndMs <= endMs) {
+                    delegator.share = 0;
+                    lapsed = true;
+                }
+                else if (delegator.share > 0) {
+                    this.#nextLeaseEndMs = Math.min(this.#nextLeaseEndMs, delegator.leaseEndMs);
+                }
+            }
+            if (lapsed) {
+                this.#onShares();
+            }
+        }
+        this.#history.advance(nowMs);
+        this.#forget(nowMs);
+    }
+
+    /**
+     * This host was suspended, for a time that its clock doesn't show: leases have ended that still seem to run, and messages from before wait
+     * in the socket. Under another life, none of them brings a share.
+     */
+    onPaused(life: string, nowMs: number): void {
+        this.#life = life;
+        this.#dropShares(nowMs);
+    }
+
+    /** Gives up all shares for good. @returns what tells their hosts */
+    leave(nowMs: number): readonly { readonly to: string; readonly message: AnswerMessage; }[] {
+        this.advance(nowMs);
+        const told = [...this.#delegators].filter(([, { share }]) => share > 0);
+        this.#isLeaving = true;
+        this.#dropShares(nowMs);
+        return told.map(([to, { life, seq }]) => ({
+            to,
+            message: { ...this.#createAnswer({ life, seq }, [], nowMs), leaving: true },
+        }));
+    }
+
+    /** @returns the workspaces that were asked for last; bounded */
+    describe(): readonly WorkspaceDescription[] {
+        return [...this.#buckets]
+            .sort(([, a], [, b]) => b.usedAtMs - a.usedAtMs)
+            .slice(0, mostDescribedWorkspaces)
+            .map(([workspace, { rule, level, granted, refused }]) => ({
+                workspace,
+                perSecond: rule.perSecond,
+                level,
+                capacity: capacityOf(rule, this.#history.sum),
+                granted,
+                refused,
+            }));
+    }
+
+    #find({ sender, life }: AskMessage): Delegator | undefined {
+        const known = this.#delegators.get(sender);
+        if (known?.life === life) {
+            return known;
+        }
+        if (known?.formerLife === life) {
+            return undefined;
+        }
+        // The share of the process before is dropped: the new one may delegate to somebody else.
+        const delegator = {
+            life,
+            formerLife: known?.life,
+            seq: -1,
+            entries: [],
+            share: 0,
+            leaseEndMs: -Infinity,
+            heardAtMs: -Infinity,
+            creditedAtMs: known?.creditedAtMs ?? -Infinity,
+        };
+        this.#delegators.set(sender, delegator);
+        if (known !== undefined && known.share > 0) {
+            this.#onShares();
+        }
+        return delegator;
+    }
+
+    /**
+     * The lease ends by this allocator's clock and a time that it gave out itself, so that neither a slow network nor a suspended process
+     * makes it longer. A message without such a time brings no share: it may have been under way for long.
+     */
+    #hold(delegator: Delegator, { echo, share }: AskMessage, nowMs: number): void {
+        const leaseEndMs = echo?.life === this.#life ? Math.min(echo.atMs, nowMs) + leaseMs : -Infinity;
+        const before = delegator.share;
+        delegator.share = leaseEndMs > nowMs ? share : 0;
+        delegator.leaseEndMs = leaseEndMs;
+        this.#nextLeaseEndMs = Math.min(this.#nextLeaseEndMs, delegator.share > 0 ? leaseEndMs : Infinity);
+        if (delegator.share === before) {
+            return;
+        }
+        this.#onShares();
+        if (before === 0 && nowMs - delegator.creditedAtMs >= creditEveryMs) {
+            delegator.creditedAtMs = nowMs;
+            this.#history.credit(delegator.share * shareCreditMs);
+        }
+    }
+
+    #grant({ entries }: AskMessage, nowMs: number): GrantEntry[] {
+        return entries.map(({ wanted, givenBack, ...rule }) => {
+            const bucket = this.#buckets.get(rule.workspace) ?? new LimitBucket(rule, this.#history, nowMs);
+            this.#buckets.set(rule.workspace, bucket);
+            bucket.onRule(rule, this.#history);
+            return bucket.take(wanted, givenBack, this.#history, nowMs);
+        });
+    }
+
+    /** Levels fall with the shares: what they allowed is admitted by another allocator soon. */
+    #onShares(): void {
+        let sum = 0;
+        for (const { share } of this.#delegators.values()) {
+            sum += share;
+        }
+        this.#updateBuckets();
+        this.#history.change(sum);
+        this.#updateBuckets();
+    }
+
+    #updateBuckets(): void {
+        for (const bucket of this.#buckets.values()) {
+            bucket.update(this.#history);
+        }
+    }
+
+    #dropShares(nowMs: number): void {
+        this.#history.advance(nowMs);
+        for (const delegator of this.#delegators.values()) {
+            delegator.share = 0;
+        }
+        this.#nextLeaseEndMs = Infinity;
+        this.#onShares();
+    }
+
+    #forget(nowMs: number): void {
+        if (nowMs < this.#nextForgetMs) {
+            return;
+        }
+        this.#nextForgetMs = nowMs + forgetMs;
+        for (const [name, { heardAtMs }] of this.#delegators) {
+            if (nowMs - heardAtMs >= forgetMs) {
+                this.#delegators.delete(name);
+            }
+        }
+        for (const [workspace, bucket] of this.#buckets) {
+            bucket.update(this.#history);
+            const isFull = bucket.level >= capacityOf(bucket.rule, this.#history.sum);
+            if (nowMs - bucket.usedAtMs >= forgetMs && isFull) {
+                this.#buckets.delete(workspace);
+            }
+        }
+    }
+
+    #createAnswer(
+        { life, seq }: Pick<AskMessage, "life" | "seq">,
+        entries: GrantEntry[],
+        nowMs: number,
+    ): AnswerMessage {
+        return {
+            v: protocolVersion,
+            type: "answer",
+            sender: this.#name,
+            life: this.#life,
+            askerLife: life,
+            seq,
+            group: this.#group,
+            atMs: nowMs,
+            entries,
+        };
+    }
+}
--- a/packages/rateLimit/src/constants.ts
+++ b/packages/rateLimit/src/constants.ts
@@ -1,20 +1,94 @@
-/** Groups of workspaces, each with its own allocator: so that no single host answers for all. */
+/** Groups of workspaces, each with its own allocator, so that no single host answers for all. */
 export const groupCount = 4;
 
-/** A share counts this long after the allocator's time that its owner has echoed, in milliseconds. */
+/** Hosts that a group's allocator is chosen from, best first. */
+export const rankCount = 3;
+
+/** A share counts this long after the allocator's time that its host has echoed, in milliseconds. */
 export const leaseMs = 1_000;
 
-/** Time between two heartbeats to an allocator, in milliseconds: two may be lost within a lease. */
+/** Added by hosts that wait for the end of a lease, in milliseconds: two clocks may differ by 2 % in speed. */
+export const leaseMarginMs = 20;
+
+/** Time between two heartbeats to an allocator, in milliseconds: with the age of the echo, one may come 200 ms late. */
 export const heartbeatMs = 400;
 
-/** Time after which an unanswered message is sent again, in milliseconds: 2.5 % of packets are lost on bad links. */
+/** Time after which an unanswered message is sent again, in milliseconds: bad links lose 2.5 % of packets. */
 export const retransmitMs = 40;
 
 /** Time without an answer after which an allocator is given up, in milliseconds: three retransmissions. */
 export const giveUpMs = 150;
 
-/** How long a request waits for its decision where nothing else is asked, in milliseconds: until an allocator would be given up. */
+/**
+ * A give-up that is noticed this late, in milliseconds, is put off once: the host's own event loop stood still, and the answer may wait in
+ * its socket.
+ */
+export const lateTickMs = 25;
+
+/** Time until a better rank that was left is used again, in milliseconds, so that a failing allocator moves no shares to and fro. */
+export const returnAfterMs = 5_000;
+
+/** Time between two probes of a better rank, in milliseconds. */
+export const betterProbeMs = 1_000;
+
+/** Time between two probes of each rank while no allocator answers, in milliseconds. */
+export const isolatedProbeMs = 300;
+
+/** Time between two greetings to allocators that may hold a share of this host's previous process, in milliseconds. */
+export const startProbeMs = 100;
+
+/** How long a request waits for its decision unless it says otherwise, in milliseconds: until an allocator would be given up. */
 export const defaultHoldMs = giveUpMs;
 
+/** Refill and capacity lie above the limit, so that a caller who keeps the limit exactly isn't refused for rounding and delays. */
+export const refillShare = 1.02;
+export const burstShare = 1.05;
+export const extraTokens = 3;
+
+/** Tokens that a workspace of which nothing was heard has at once. */
+export const startTokens = 1;
+
+/** A share that comes to an allocator counts as held for this long before, in milliseconds: until then it was nobody's. */
+export const shareCreditMs = 100;
+
+/** A host's share brings that credit once in this time, in milliseconds, or a host that flaps would raise the rate. */
+export const creditEveryMs = 5_000;
+
+/** Share of the capacity above which hedges are allowed. */
+export const plentifulShare = 0.5;
+
+/** Longest time that a caller over its limit is told to wait, in milliseconds. */
+export const mostRetryMs = 3_000;
+
+/** Retry time where the allocator holds no shares, in milliseconds: they are on their way to it, or to another. */
+export const noSharesRetryMs = 200;
+
+/** Retry time of a refusal by an isolated host, in milliseconds: the caller's retry reaches another host. */
+export const isolatedRetryMs = 50;
+
+/** Part of a retry time that is added at random. */
+export const retryJitter = 0.2;
+
+/** Unused time slots that an isolated fleet may keep of one workspace: its burst, or this many if that is less. */
+export const leastSlotsKept = 10;
+
+/** Changes of the shares that an allocator remembers: a workspace that it first hears of gets what these would have left it. */
+export const rememberedChanges = 64;
+
+/** Time until an idle bucket or a silent host is forgotten, in milliseconds: longer than a burst takes to refill. */
+export const forgetMs = 60_000;
+
+/** Datagrams stay below a packet of any network, so that none is sent in two parts, of which each may be lost. */
+export const mostMessageBytes = 1_150;
+
+/** Entries of a message: the answer to more of them could exceed a packet. */
+export const mostEntries = 14;
+
 /** Workspaces in a description. */
 export const mostDescribedWorkspaces = 200;
+
+/** Changes kept for the log. */
+export const mostChanges = 100;
+
+/** Jump of the time of day ahead of the monotonic clock that is taken for a suspension of the host, in milliseconds. */
+export const clockJumpMs = 100;
--- /dev/null
+++ b/packages/rateLimit/src/delegation.ts
@@ -0,0 +1,455 @@
+import { findOwners } from "@galenaglade/fleet-state";
+import { AllocatorLink, type AnsweredEntry } from "./allocatorLink.js";
+import {
+    betterProbeMs,
+    heartbeatMs,
+    isolatedProbeMs,
+    isolatedRetryMs,
+    leaseMarginMs,
+    leaseMs,
+    noSharesRetryMs,
+    rankCount,
+    retransmitMs,
+    returnAfterMs,
+    startProbeMs,
+} from "./constants.js";
+import { type IsolatedSlots } from "./isolatedSlots.js";
+import { type AnswerMessage, type AskMessage } from "./messages.js";
+import { type Decision, type GroupDescription, type LimitChange, type Token } from "./model.js";
+import { type PendingRequest } from "./pendingRequest.js";
+
+/** What a delegation decides and sends. */
+export interface DelegationOutput {
+    send(to: string, message: AskMessage): void;
+    decide(request: PendingRequest, decision: Decision): void;
+    note(change: LimitChange): void;
+}
+
+/** What a delegation works with. */
+export interface DelegationOptions {
+    readonly name: string;
+    readonly life: string;
+    readonly group: number;
+    readonly nextSeq: () => number;
+    readonly slots: IsolatedSlots;
+    readonly startedAtMs: number;
+    /** Lengthens a retry time at random. */
+    readonly jitter: (retryAfterMs: number) => number;
+    readonly output: DelegationOutput;
+}
+
+const oneSecondMs = 1_000;
+
+/**
+ * Whom one host asks for the tokens of one group, and who holds its share. The host may ask a new allocator at once, but gives it its share
+ * only when no other can hold it any more: by a confirmation, or by the end of the lease.
+ */
+export class Delegation {
+    readonly #options: DelegationOptions;
+    readonly #links = new Map<string, AllocatorLink>();
+    /** Hosts that may be the allocator, best first. */
+    #ranked: readonly string[] = [];
+    /** This host's part of each limit. */
+    #part = 0;
+    #current: AllocatorLink | undefined;
+    /** A better rank that has answered, to be used when no tokens are being asked for. */
+    #better: AllocatorLink | undefined;
+    readonly #leftAtMs = new Map<string, number>();
+    /** Until when an allocator may hold the share of this host's process before. */
+    #formerUntilMs: number;
+    /** Allocators that have heard of this process, and dropped the share of the one before. */
+    readonly #greeted = new Set<string>();
+    #waiting: PendingRequest[] = [];
+    readonly #open = new Set<PendingRequest>();
+    /** Since when the share has been this host's own. */
+    #ownSinceMs: number;
+
+    constructor(options: DelegationOptions) {
+        this.#options = options;
+        this.#formerUntilMs = options.startedAtMs + leaseMs + leaseMarginMs;
+        this.#ownSinceMs = this.#formerUntilMs;
+    }
+
+    /** Names of all hosts that count. */
+    onRoster(names: readonly string[], nowMs: number): void {
+        this.#ranked = findOwners(`rate limits ${this.#options.group}`, names, rankCount);
+        this.#part = names.includes(this.#options.name) ? 1 / names.length : 0;
+        for (const name of this.#leftAtMs.keys()) {
+            if (!names.includes(name)) {
+                this.#leftAtMs.delete(name);
+            }
+        }
+        if (this.#current === undefined && this.#ranked.some(name => !this.#leftAtMs.has(name))) {
+            this.#choose(nowMs);
+        }
+    }
+
+    request(request: PendingRequest): void {
+        this.#waiting.push(request);
+        this.#open.add(request);
+    }
+
+    /** @returns whether the token goes back to its allocator */
+    giveBack({ grantedBy, rule }: Token): boolean {
+        const link = grantedBy === undefined ? undefined : this.#links.get(grantedBy);
+        link?.giveBack(rule, 1);
+        return link !== undefined;
+    }
+
+    /** Nothing is asked any more: the configuration has no limits. */
+    refuseAll(nowMs: number): void {
+        for (const request of this.#open) {
+            this.#refuse(request, isolatedRetryMs);
+        }
+        this.expire(nowMs);
+    }
+
+    /** @returns whether the answer was one that is waited for */
+    onAnswer(answer: AnswerMessage, nowMs: number): boolean {
+        const link = this.#links.get(answer.sender);
+        const unanswered = link?.unanswered() ?? [];
+        const entries = link?.onAnswer(answer, nowMs);
+        if (link === undefined || entries === undefined) {
+            return false;
+        }
+        this.#greeted.add(link.allocator);
+        if (answer.leaving === true) {
+            this.#leave(link, unanswered, "leaving", nowMs);
+            return true;
+        }
+        this.#follow(link, nowMs);
+        for (const entry of entries) {
+            this.#settle(link, entry, nowMs);
+        }
+        return true;
+    }
+
+    /** Does what is due. */
+    advance(nowMs: number, wallMs: number): void {
+        this.#endStart(nowMs);
+        this.expire(nowMs);
+        if (this.#current?.isLost(nowMs) === true) {
+            this.#leave(this.#current, this.#current.unanswered(), "unanswered", nowMs);
+        }
+        this.#moveToBetter(nowMs);
+        this.#probe(nowMs);
+        this.#ask(nowMs);
+        this.#useSlots(nowMs, wallMs);
+    }
+
+    /** @returns when something is due next */
+    dueAtMs(nowMs: number): number {
+        let due = Infinity;
+        for (const { deadlineMs } of this.#open) {
+            due = Math.min(due, deadlineMs);
+        }
+        for (const { isOpen, notBeforeMs } of this.#waiting) {
+            if (isOpen && notBeforeMs > nowMs) {
+                due = Math.min(due, notBeforeMs);
+            }
+        }
+        for (const name of this.#probed()) {
+            due = Math.min(due, this.#probeAtMs(name, nowMs));
+        }
+        const current = this.#current;
+        if (current !== undefined) {
+            const nextMs = current.sentMs + (current.isUnderWay ? retransmitMs : heartbeatMs);
+            due = Math.min(due, nextMs, current.giveUpAtMs);
+            if (this.#share(nowMs) === 0 && this.#part > 0) {
+                due = Math.min(due, Math.max(nowMs, this.#freeAtMs(nowMs)));
+            }
+        }
+        return due;
+    }
+
+    /** State for metrics. */
+    describe(): Omit<GroupDescription, "sharesHeld" | "delegators"> {
+        const current = this.#current;
+        const state = current === undefined ? "isolated" : current.sentShare > 0 ? "delegating" : "waiting";
+        return { group: this.#options.group, allocator: current?.allocator, state };
+    }
+
+    /** The allocator, other than the current one, that may still hold the share. */
+    #holder(nowMs: number): AllocatorLink | undefined {
+        for (const link of this.#links.values()) {
+            if (link !== this.#current && link.heldUntilMs > nowMs) {
+                return link;
+            }
+        }
+        return undefined;
+    }
+
+    /** @returns when the share can be given to the current allocator, or used for slots */
+    #freeAtMs(nowMs: number): number {
+        const heldUntilMs = this.#holder(nowMs)?.heldUntilMs ?? -Infinity;
+        return Math.max(this.#formerUntilMs, heldUntilMs);
+    }
+
+    #share(nowMs: number): number {
+        return this.#freeAtMs(nowMs) > nowMs ? 0 : this.#part;
+    }
+
+    /** A new process has its share when all ranks have dropped that of the process before, or its leases have ended. */
+    #endStart(nowMs: number): void {
+        const isGreeted = this.#ranked.length > 0 && this.#ranked.every(name => this.#greeted.has(name));
+        if (this.#formerUntilMs > nowMs && isGreeted) {
+            this.#formerUntilMs = nowMs;
+            this.#ownSinceMs = nowMs;
+        }
+    }
+
+    expire(nowMs: number): void {
+        for (const request of this.#open) {
+            if (!request.isOpen) {
+                this.#open.delete(request);
+            }
+            else if (nowMs >= request.deadlineMs) {
+                this.#refuse(request, Math.max(noSharesRetryMs / 2, this.#freeAtMs(nowMs) - nowMs));
+            }
+        }
+        this.#waiting = this.#waiting.filter(({ isOpen }) => isOpen);
+    }
+
+    /** An allocator does not answer, or ends. */
+    #leave(link: AllocatorLink, unanswered: readonly PendingRequest[], reason: string, nowMs: number): void {
+        const { group, output } = this.#options;
+        this.#leftAtMs.set(link.allocator, nowMs);
+        if (reason === "leaving") {
+            this.#links.delete(link.allocator);
+        }
+        if (this.#better === link) {
+            this.#better = undefined;
+        }
+        if (link !== this.#current) {
+            return;
+        }
+        output.note({ type: "allocatorLost", group, allocator: link.allocator, reason });
+        this.#askAgain(unanswered);
+        this.#current = undefined;
+        this.#choose(nowMs);
+    }
+
+    #askAgain(requests: readonly PendingRequest[]): void {
+        this.#waiting.unshift(...requests.filter(({ isOpen }) => isOpen));
+    }
+
+    #choose(nowMs: number): void {
+        const name = this.#ranked.find(each => this.#isUsable(each, nowMs));
+        if (name === undefined) {
+            this.#ownSinceMs = Math.max(nowMs, this.#freeAtMs(nowMs));
+            this.#options.output.note({ type: "isolated", group: this.#options.group });
+            return;
+        }
+        this.#use(this.#linkTo(name), nowMs);
+    }
+
+    #use(link: AllocatorLink, nowMs: number): void {
+        this.#askAgain(this.#current?.unanswered() ?? []);
+        this.#current = link;
+        link.begin(nowMs);
+        const { group, output } = this.#options;
+        const rank = this.#ranked.indexOf(link.allocator);
+        output.note({ type: "allocatorChosen", group, allocator: link.allocator, rank });
+    }
+
+    #isUsable(name: string, nowMs: number): boolean {
+        return nowMs - (this.#leftAtMs.get(name) ?? -Infinity) >= returnAfterMs;
+    }
+
+    /** An allocator has answered that isn't the current one. */
+    #follow(link: AllocatorLink, nowMs: number): void {
+        if (link === this.#current) {
+            return;
+        }
+        const isHolder = link.heldUntilMs > nowMs && !link.isReleasing;
+        if (isHolder || (this.#current === undefined && !link.isReleasing)) {
+            // Late, but it still has this host's share.
+            this.#use(link, nowMs);
+        }
+        else if (this.#isBetter(link.allocator) && this.#isUsable(link.allocator, nowMs)) {
+            this.#better = link;
+        }
+    }
+
+    #isBetter(name: string): boolean {
+        const rank = this.#ranked.indexOf(name);
+        const currentRank = this.#current === undefined ? -1 : this.#ranked.indexOf(this.#current.allocator);
+        return rank >= 0 && (currentRank < 0 || rank < currentRank);
+    }
+
+    #moveToBetter(nowMs: number): void {
+        const [former, better] = [this.#current, this.#better];
+        if (better === undefined || former === undefined || former.isAsking) {
+            return;
+        }
+        this.#better = undefined;
+        if (!this.#isBetter(better.allocator) || !this.#isUsable(better.allocator, nowMs)) {
+            return;
+        }
+        this.#use(better, nowMs);
+        if (former.heldUntilMs > nowMs) {
+            former.isReleasing = true;
+            this.#send(former, former.ask(0, [], nowMs));
+        }
+    }
+
+    /** Names of allocators, beside the current one, that may have to be sent something. */
+    #probed(): ReadonlySet<string> {
+        const names = new Set([...this.#ranked, ...this.#links.keys()]);
+        if (this.#current !== undefined) {
+            names.delete(this.#current.allocator);
+        }
+        return names;
+    }
+
+    #probeAtMs(name: string, nowMs: number): number {
+        const link = this.#links.get(name);
+        const sentMs = link?.sentMs ?? -Infinity;
+        if (link !== undefined && link.heldUntilMs > nowMs) {
+            return sentMs + retransmitMs;
+        }
+        if (!this.#ranked.includes(name)) {
+            return Infinity;
+        }
+        if (this.#formerUntilMs > nowMs && !this.#greeted.has(name)) {
+            return sentMs + startProbeMs;
+        }
+        if (this.#current === undefined) {
+            return sentMs + isolatedProbeMs;
+        }
+        const leftAtMs = this.#leftAtMs.get(name) ?? -Infinity;
+        return this.#isBetter(name) ? Math.max(sentMs + betterProbeMs, leftAtMs + returnAfterMs) : Infinity;
+    }
+
+    #probe(nowMs: number): void {
+        for (const name of this.#probed()) {
+            const atMs = this.#probeAtMs(name, nowMs);
+            if (atMs <= nowMs) {
+                const link = this.#linkTo(name);
+                // One that may still hold the share is reminded of the same message, which makes its lease no longer.
+                const repeated = link.heldUntilMs > nowMs ? link.repeat(nowMs) : undefined;
+                this.#send(link, repeated ?? link.ask(0, [], nowMs));
+            }
+            else if (atMs === Infinity && name !== this.#better?.allocator) {
+                this.#links.delete(name);
+            }
+        }
+    }
+
+    #ask(nowMs: number): void {
+        const current = this.#current;
+        if (current === undefined || current.isAsking) {
+            if (current !== undefined && nowMs - current.sentMs >= retransmitMs) {
+                this.#send(current, current.repeat(nowMs));
+            }
+            return;
+        }
+        const share = this.#share(nowMs);
+        const ready = current.isKnown ? this.#takeReady(nowMs) : [];
+        if (ready.length > 0) {
+            this.#send(current, current.ask(share, ready, nowMs));
+            this.#waiting.unshift(...ready);
+        }
+        else if (current.isUnderWay) {
+            if (nowMs - current.sentMs >= retransmitMs) {
+                this.#send(current, current.repeat(nowMs));
+            }
+        }
+        else if (nowMs - current.sentMs >= heartbeatMs || (share > 0 && current.sentShare === 0 && current.isKnown)) {
+            this.#send(current, current.ask(share, [], nowMs));
+        }
+    }
+
+    #takeReady(nowMs: number): PendingRequest[] {
+        const ready = this.#waiting.filter(({ isOpen, notBeforeMs }) => isOpen && notBeforeMs <= nowMs);
+        if (ready.length > 0) {
+            this.#waiting = this.#waiting.filter(({ notBeforeMs }) => notBeforeMs > nowMs);
+        }
+        return ready;
+    }
+
+    /** Requests of a host that reaches no allocator. */
+    #useSlots(nowMs: number, wallMs: number): void {
+        if (this.#current !== undefined || this.#waiting.length === 0) {
+            return;
+        }
+        const freeAtMs = this.#freeAtMs(nowMs);
+        for (const request of this.#takeReady(nowMs)) {
+            if (freeAtMs > nowMs) {
+                this.#holdOrRefuse(request, freeAtMs - nowMs, nowMs);
+            }
+            else if (this.#options.slots.take(request.rule, this.#ownSinceMs, nowMs, wallMs)) {
+                const token = { rule: request.rule, grantedBy: undefined };
+                this.#decide(request, { type: "admitted", token, plentiful: false });
+            }
+            else {
+                this.#refuse(request, isolatedRetryMs);
+            }
+        }
+    }
+
+    #settle(
+        link: AllocatorLink,
+        { granted, retryAfterMs, plentiful, over, requests }: AnsweredEntry,
+        nowMs: number,
+    ): void {
+        let left = granted;
+        let refused = 0;
+        for (const request of requests) {
+            if (!request.isOpen) {
+                continue;
+            }
+            const { rule } = request;
+            const waitMs = retryAfterMs + refused * oneSecondMs / rule.perSecond;
+            if (left > 0) {
+                left--;
+                this.#decide(request, { type: "admitted", token: { rule, grantedBy: link.allocator }, plentiful });
+            }
+            else if (over) {
+                refused++;
+                this.#decide(request, { type: "overLimit", retryAfterMs: this.#options.jitter(waitMs) });
+            }
+            else {
+                refused++;
+                this.#holdOrRefuse(request, Math.max(waitMs, this.#freeAtMs(nowMs) - nowMs), nowMs);
+            }
+        }
+        const rule = requests[0]?.rule;
+        if (left > 0 && rule !== undefined) {
+            link.giveBack(rule, left);
+        }
+    }
+
+    #holdOrRefuse(request: PendingRequest, waitMs: number, nowMs: number): void {
+        if (nowMs + waitMs < request.deadlineMs) {
+            request.notBeforeMs = nowMs + waitMs;
+            this.#waiting.push(request);
+        }
+        else {
+            this.#refuse(request, waitMs);
+        }
+    }
+
+    #refuse(request: PendingRequest, retryAfterMs: number): void {
+        this.#decide(request, { type: "unsure", retryAfterMs: this.#options.jitter(retryAfterMs) });
+    }
+
+    #decide(request: PendingRequest, decision: Decision): void {
+        request.isOpen = false;
+        this.#open.delete(request);
+        this.#options.output.decide(request, decision);
+    }
+
+    #linkTo(name: string): AllocatorLink {
+        const { name: self, life, group, nextSeq } = this.#options;
+        const link = this.#links.get(name) ?? new AllocatorLink({ allocator: name, name: self, life, group, nextSeq });
+        this.#links.set(name, link);
+        return link;
+    }
+
+    #send(link: AllocatorLink, message: AskMessage | undefined): void {
+        if (message !== undefined) {
+            this.#options.output.send(link.allocator, message);
+        }
+    }
+}
--- a/packages/rateLimit/src/rateLimiter.ts
+++ b/packages/rateLimit/src/rateLimiter.ts
@@ -1,4 +1,25 @@
-import { type Command, type LimitChange, type LimiterDescription, type Token, type TokenRequest } from "./model.js";
+import murmurHash from "imurmurhash";
+import { Allocator } from "./allocator.js";
+import {
+    clockJumpMs,
+    groupCount,
+    isolatedRetryMs,
+    mostChanges,
+    mostDescribedWorkspaces,
+    retryJitter,
+} from "./constants.js";
+import { Delegation } from "./delegation.js";
+import { IsolatedSlots } from "./isolatedSlots.js";
+import { type LimitMessage, readLimitMessage } from "./messages.js";
+import {
+    type Command,
+    type Decision,
+    type LimitChange,
+    type LimiterDescription,
+    type Token,
+    type TokenRequest,
+} from "./model.js";
+import { PendingRequest } from "./pendingRequest.js";
 
 /** Who the host is. */
 export interface RateLimiterOptions {
@@ -8,17 +29,66 @@
     readonly life: string;
     /** Seeded source of numbers from 0 to below 1. */
     readonly random: () => number;
-    /** When the process was started, on the monotonic clock of all `nowMs`; earlier than the construction. */
+    /** When the process was started, on the monotonic clock of all `nowMs`; not after the construction. */
     readonly startedAtMs: number;
 }
 
+/** A group of workspaces: whom this host asks, and what it allocates itself. */
+interface Group {
+    readonly delegation: Delegation;
+    readonly allocator: Allocator;
+    sharesNoted: number;
+}
+
 /**
  * Keeps the rate limits of workspaces over all hosts together, for one host: asks the allocators for tokens, and is an allocator itself
- * where it was chosen. `nowMs` is monotonic, `wallMs` the time of day. Each method's commands have to be carried out in their order.
+ * where it was chosen. `nowMs` is monotonic, `wallMs` the time of day. Each method's commands have to be carried out in their order, and
+ * the next tick may be due earlier after each call.
  */
 export class RateLimiter {
+    readonly #name: string;
+    readonly #life: string;
+    readonly #random: () => number;
+    readonly #slots: IsolatedSlots;
+    readonly #groups: readonly Group[];
+    readonly #open = new Map<number, PendingRequest>();
+    #isActive = false;
+    #commands: Command[] = [];
+    /** Messages of this host to itself. */
+    #local: LimitMessage[] = [];
+    #changes: LimitChange[] = [];
+    #requests = 0;
+    #messages = 0;
+    #pauses = 0;
+    #wallOffsetMs: number | undefined;
+    #sent = 0;
+    #ignored = 0;
+
     /** @param options - who the host is */
-    constructor(private readonly options: RateLimiterOptions) {}
+    constructor({ name, life, random, startedAtMs }: RateLimiterOptions) {
+        this.#name = name;
+        this.#life = life;
+        this.#random = random;
+        this.#slots = new IsolatedSlots(name);
+        this.#groups = Array.from({ length: groupCount }, (_, group) => ({
+            delegation: new Delegation({
+                name,
+                life,
+                group,
+                startedAtMs,
+                nextSeq: () => this.#messages++,
+                slots: this.#slots,
+                jitter: retryAfterMs => this.#jitter(retryAfterMs),
+                output: {
+                    send: (to, message) => this.#send(to, message),
+                    decide: (request, decision) => this.#decide(request, decision),
+                    note: change => this.#note(change),
+                },
+            }),
+            allocator: new Allocator({ name, life, group }, startedAtMs),
+            sharesNoted: 0,
+        }));
+    }
 
     /** @returns the request's id and the commands; the decision is among them or comes with a later call */
     request(
@@ -26,59 +96,212 @@
         nowMs: number,
         wallMs: number,
     ): { readonly requestId: number; readonly commands: readonly Command[]; } {
-        return { requestId: 0, commands: [] };
+        this.#checkClocks(nowMs, wallMs);
+        const pending = new PendingRequest(this.#requests++, request, nowMs);
+        const group = this.#groups[groupOf(request.workspace)];
+        if (!this.#isActive || group === undefined) {
+            this.#decide(pending, { type: "unsure", retryAfterMs: this.#jitter(isolatedRetryMs) });
+            return { requestId: pending.id, commands: this.#takeCommands() };
+        }
+        this.#open.set(pending.id, pending);
+        group.delegation.request(pending);
+        return { requestId: pending.id, commands: this.#run([group], nowMs) };
     }
 
     /** The request's caller has left before the decision; none will come, and a token granted for it goes back. */
     cancel(requestId: number): void {
+        const pending = this.#open.get(requestId);
+        if (pending !== undefined) {
+            pending.isOpen = false;
+            this.#open.delete(requestId);
+        }
     }
 
-    /** A granted token was not used: its request never ran, and never will. */
-    giveBack(token: Token, nowMs: number): void {
+    /** A granted token was not used: its request never ran, and never will. It goes back with the next message. */
+    giveBack(token: Token): void {
+        this.#groups[groupOf(token.rule.workspace)]?.delegation.giveBack(token);
     }
 
     /** A datagram has come, as parsed JSON. `from` is the host that the datagram's address belongs to. */
     onMessage(from: string, json: unknown, nowMs: number, wallMs: number): readonly Command[] {
-        return [];
+        this.#checkClocks(nowMs, wallMs);
+        const message = readLimitMessage(json);
+        const group = message === undefined ? undefined : this.#groups[message.group];
+        if (message === undefined || group === undefined || message.sender !== from) {
+            this.#ignored++;
+            return [];
+        }
+        if (this.#isActive) {
+            // What is overdue goes first: an answer that waited while this process stood still grants nothing.
+            group.delegation.expire(nowMs);
+        }
+        this.#receive(group, message, nowMs);
+        return message.type === "ask" ? this.#takeCommands() : this.#run([group], nowMs);
     }
 
-    /** Names of all hosts that count by the registrations, this one among them if it does. */
+    /** Names of all hosts that count by the registrations, this one among them if it does; the same array while they are the same. */
     onRoster(names: readonly string[], nowMs: number): readonly Command[] {
-        return [];
+        this.#slots.onRoster(names, nowMs);
+        for (const { delegation } of this.#groups) {
+            delegation.onRoster(names, nowMs);
+        }
+        return this.#run(this.#groups, nowMs);
     }
 
-    /** Whether the configuration in force has limits; while it has none, nothing is sent. Inactive at first. */
+    /**
+     * Whether the configuration in force has limits; inactive at first. While inactive this host asks nothing, but answers hosts that have
+     * another version.
+     */
     setActive(active: boolean, nowMs: number): readonly Command[] {
-        return [];
+        if (this.#isActive && !active) {
+            this.#groups.forEach(({ delegation }) => delegation.refuseAll(nowMs));
+        }
+        this.#isActive = active;
+        return this.#run(this.#groups, nowMs);
     }
 
     /** To be called at {@link RateLimiter.nextTickMs} or soon after. */
     tick(nowMs: number, wallMs: number): readonly Command[] {
-        return [];
+        this.#checkClocks(nowMs, wallMs);
+        for (const [i, group] of this.#groups.entries()) {
+            group.allocator.advance(nowMs);
+            const shares = group.allocator.sharesHeld;
+            if (Math.abs(shares - group.sharesNoted) >= notedChange || (shares === 0) !== (group.sharesNoted === 0)) {
+                group.sharesNoted = shares;
+                this.#note({ type: "sharesHeld", group: i, shares, hosts: group.allocator.delegators });
+            }
+        }
+        return this.#run(this.#groups, nowMs);
     }
 
     /** @returns how long until the next tick is due, in milliseconds; `undefined` where none is */
     nextTickMs(nowMs: number): number | undefined {
-        return undefined;
+        if (!this.#isActive) {
+            return undefined;
+        }
+        const dueAtMs = Math.min(...this.#groups.map(({ delegation }) => delegation.dueAtMs(nowMs)));
+        return dueAtMs === Infinity ? undefined : Math.max(0, dueAtMs - nowMs);
     }
 
-    /** The process or its host was suspended: its monotonic clock and the time of day disagree. */
+    /**
+     * The process's host was suspended, with its monotonic clock. Also found by the clocks that other methods are given; to be called
+     * before any message that waited meanwhile.
+     */
     onPaused(nowMs: number): readonly Command[] {
+        this.#pauses++;
+        this.#slots.onPaused(nowMs);
+        for (const { allocator } of this.#groups) {
+            allocator.onPaused(`${this.#life}.${this.#pauses}`, nowMs);
+        }
         return [];
     }
 
-    /** The process is about to end as planned: its shares go elsewhere. It may go on asking for tokens. */
+    /** The process is about to end as planned: the shares that it holds go elsewhere. It may go on asking for tokens. */
     stop(nowMs: number): readonly Command[] {
-        return [];
+        for (const { allocator } of this.#groups) {
+            for (const { to, message } of allocator.leave(nowMs)) {
+                this.#send(to, message);
+            }
+        }
+        return this.#run(this.#groups, nowMs);
     }
 
     /** @returns changes since the last call, for the log; bounded */
     takeChanges(): readonly LimitChange[] {
-        return [];
+        return this.#changes.splice(0);
     }
 
     /** @returns the present state, for metrics */
-    describe(nowMs: number): LimiterDescription {
-        return { groups: [], workspaces: [], messagesSent: 0, messagesIgnored: 0 };
+    describe(): LimiterDescription {
+        return {
+            groups: this.#groups.map(({ delegation, allocator }) => ({
+                ...delegation.describe(),
+                sharesHeld: allocator.sharesHeld,
+                delegators: allocator.delegators,
+            })),
+            workspaces: this.#groups.flatMap(({ allocator }) => allocator.describe()).slice(0, mostDescribedWorkspaces),
+            messagesSent: this.#sent,
+            messagesIgnored: this.#ignored,
+        };
+    }
+
+    /** The time of day runs ahead where the host was suspended. A step of that clock looks the same, and is rare. */
+    #checkClocks(nowMs: number, wallMs: number): void {
+        const offsetMs = wallMs - nowMs;
+        if (this.#wallOffsetMs !== undefined && offsetMs - this.#wallOffsetMs > clockJumpMs) {
+            this.onPaused(nowMs);
+        }
+        this.#wallOffsetMs = offsetMs;
     }
+
+    #receive(group: Group, message: LimitMessage, nowMs: number): void {
+        if (message.type === "ask") {
+            const answer = group.allocator.onAsk(message, nowMs);
+            if (answer === undefined) {
+                this.#ignored++;
+            }
+            else {
+                this.#send(message.sender, answer);
+            }
+        }
+        else if (message.askerLife !== this.#life || !group.delegation.onAnswer(message, nowMs)) {
+            this.#ignored++;
+        }
+    }
+
+    /** Does what is due, and what this host has to say to itself. */
+    #run(groups: readonly Group[], nowMs: number): readonly Command[] {
+        const wallMs = nowMs + (this.#wallOffsetMs ?? 0);
+        if (this.#isActive) {
+            groups.forEach(({ delegation }) => delegation.advance(nowMs, wallMs));
+        }
+        for (let message = this.#local.shift(); message !== undefined; message = this.#local.shift()) {
+            const group = this.#groups[message.group];
+            if (group !== undefined) {
+                this.#receive(group, message, nowMs);
+                if (this.#isActive && message.type === "answer") {
+                    group.delegation.advance(nowMs, wallMs);
+                }
+            }
+        }
+        return this.#takeCommands();
+    }
+
+    #send(to: string, message: LimitMessage): void {
+        if (to === this.#name) {
+            this.#local.push(message);
+            return;
+        }
+        this.#sent++;
+        this.#commands.push({ type: "send", to, message });
+    }
+
+    #decide(request: PendingRequest, decision: Decision): void {
+        this.#open.delete(request.id);
+        this.#commands.push({ type: "decide", requestId: request.id, decision });
+    }
+
+    #note(change: LimitChange): void {
+        if (this.#changes.length < mostChanges) {
+            this.#changes.push(change);
+        }
+    }
+
+    #jitter(retryAfterMs: number): number {
+        return Math.ceil(retryAfterMs * (1 + retryJitter * this.#random()));
+    }
+
+    #takeCommands(): readonly Command[] {
+        const commands = this.#commands;
+        this.#commands = [];
+        return commands;
+    }
+}
+
+/** Shares that come or go before the log hears of it. */
+const notedChange = 0.1;
+
+/** @returns the group that a workspace belongs to; the same on all hosts */
+export function groupOf(workspace: string): number {
+    return murmurHash(workspace).result() % groupCount;
 }
