Keep the limits of workspaces with the other gateways by datagrams

Limits of workspaces were decoded and not kept. Each request of a limited workspace now asks for a token before it is placed: the decisions are those of packages/rateLimit, the edge adds a UDP socket on the peers' port, timers, the roster and the addresses by the registrations. A request over the limit is answered 429 with the time by which it fits, one that nobody can decide on 503. A token whose request never ran is given back. Hedges, and retries of what may have run, are made only while the workspace has room.

Nothing is opened or sent where the configuration has no limits. Not measured yet.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -27,6 +27,8 @@
     stopMarginMs,
     stopTickMs,
 } from "./constants.js";
+import { UdpPort } from "./limits/limitSocket.js";
+import { WorkspaceLimits } from "./limits/workspaceLimits.js";
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
 import { Placer } from "./requests/placer.js";
@@ -102,6 +104,17 @@
     const { firstTrialSeconds, secondTrialSeconds } = settings.quarantine;
     const trialAfterMs = [firstTrialSeconds, secondTrialSeconds].map(seconds => seconds * 1_000);
     const crashes = new CrashReports({ name, trialAfterMs, view, store, codec, clock, random, log, metrics });
+    const peers = settings.listen.peers === undefined ? undefined : parseAddress(settings.listen.peers);
+    const limits = new WorkspaceLimits({
+        name,
+        life: `${clock.epochMs()}-${parts.seed}`,
+        view,
+        clock,
+        random,
+        log,
+        metrics,
+        port: new UdpPort(peers ?? anyLoopbackPort, error => log.log("error", "unexpected", { error })),
+    });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
         view,
@@ -113,6 +126,7 @@
         connections,
         checks: new ServerChecks(),
         crashes,
+        limits,
         budget,
         rollouts,
         vocabulary,
@@ -145,13 +159,13 @@
         connections.retain(ids);
         board.retain(ids);
         crashes.onChange();
-        const limits = view.inForce?.configuration.limits;
-        if (limits !== undefined) {
-            callerServer.headersTimeout = limits.headerTimeoutMs;
-            callerServer.keepAliveTimeout = limits.idleTimeoutMs;
+        limits.onChange();
+        const callerLimits = view.inForce?.configuration.limits;
+        if (callerLimits !== undefined) {
+            callerServer.headersTimeout = callerLimits.headerTimeoutMs;
+            callerServer.keepAliveTimeout = callerLimits.idleTimeoutMs;
         }
     };
-    const peers = settings.listen.peers === undefined ? undefined : parseAddress(settings.listen.peers);
     const registration = new Registration({
         name,
         registration: peers && { availabilityZone, peers: { host: peers.address, port: peers.port } },
@@ -190,6 +204,7 @@
         log.log("info", "stopping", { unanswered: callers.unanswered, graceMs });
         callers.beginStop();
         relayServer.stop();
+        limits.beginStop();
         registration.stop();
         // Callers that the balancer still sends are served, not refused, until it has noticed.
         await sleep(Math.max(Math.min(balancerNoticesMs, graceMs * stopListeningShare), 0));
@@ -200,6 +215,7 @@
         sync.stop();
         rolloutSync.stop();
         crashes.stop();
+        limits.stop();
         connections.close();
         callerServer.closeAllConnections();
         peerServer.close();
@@ -226,6 +242,9 @@
     };
 }
 
+/** Of a gateway that no other one asks: its limits are its own. */
+const anyLoopbackPort: ListenAddress = { address: "127.0.0.1", port: 0 };
+
 function parseAddress(text: string): ListenAddress {
     const colon = text.lastIndexOf(":");
     return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
--- /dev/null
+++ b/packages/edge/src/limits/workspaceLimits.ts
@@ -0,0 +1,223 @@
+import { type FleetView } from "@galenaglade/fleet-state";
+import { type Clock, type ListenAddress, parseJson } from "@galenaglade/http-parts";
+import {
+    type Command,
+    type Decision,
+    type LimiterDescription,
+    type LimitMessage,
+    RateLimiter,
+    type Token,
+    type TokenRequest,
+} from "@galenaglade/rate-limit";
+import { type RandomSource } from "@galenaglade/routing";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { PauseDetector } from "../state/pauseDetector.js";
+import { type DatagramPort } from "./limitSocket.js";
+
+/** What the limits of workspaces are kept with. */
+export interface WorkspaceLimitsParts {
+    /** Of this gateway, as in its registration. */
+    readonly name: string;
+    /** Unique to this life of the process. */
+    readonly life: string;
+    readonly view: FleetView;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+    readonly port: DatagramPort;
+}
+
+/** Addresses of gateways that were heard before their registrations were, at most. */
+const mostUnregistered = 1_024;
+
+/** Keeps the limits of workspaces with the other gateways: the decisions of `RateLimiter` with its sockets and timers. */
+export class WorkspaceLimits {
+    readonly #parts: WorkspaceLimitsParts;
+    readonly #limiter: RateLimiter;
+    readonly #pauses: PauseDetector;
+    readonly #waiting = new Map<number, (decision: Decision) => void>();
+    readonly #addresses = new Map<string, ListenAddress>();
+    readonly #unregistered = new Map<string, ListenAddress>();
+    #names: readonly string[] = [];
+    #isOpen = false;
+    #isActive = false;
+    #timer: NodeJS.Timeout | undefined;
+    #dueAtMs = Infinity;
+
+    constructor(parts: WorkspaceLimitsParts) {
+        const { name, life, random, clock } = parts;
+        this.#parts = parts;
+        this.#pauses = new PauseDetector(clock);
+        this.#limiter = new RateLimiter({
+            name,
+            life,
+            random: () => random.next(),
+            startedAtMs: clock.monotonicMs(),
+        });
+    }
+
+    /** What the fleet's state says has changed: the gateways, or whether there are limits. */
+    onChange(): void {
+        const { view, clock } = this.#parts;
+        const workspaces = view.inForce?.configuration.workspaces ?? [];
+        const active = workspaces.some(({ limit }) => limit !== undefined);
+        if (active && !this.#isOpen) {
+            this.#isOpen = true;
+            void this.#open();
+        }
+        if (!this.#isOpen) {
+            return;
+        }
+        const nowMs = clock.monotonicMs();
+        this.#updateRoster(nowMs);
+        if (active !== this.#isActive) {
+            this.#isActive = active;
+            this.#carryOut(this.#limiter.setActive(active, nowMs));
+        }
+    }
+
+    /**
+     * Asks for one request of a workspace.
+     *
+     * @param req - the workspace and its limit
+     * @param signal - aborted when nobody waits for the decision any more
+     * @returns the decision; `undefined` where nobody waits any more
+     */
+    admit(req: TokenRequest, signal: AbortSignal): Promise<Decision | undefined> {
+        const { clock } = this.#parts;
+        this.#updateRoster(clock.monotonicMs());
+        const { requestId, commands } = this.#limiter.request(req, clock.monotonicMs(), clock.epochMs());
+        const decided = new Promise<Decision | undefined>(resolve => {
+            const onAbort = (): void => {
+                this.#waiting.delete(requestId);
+                this.#limiter.cancel(requestId);
+                resolve(undefined);
+            };
+            this.#waiting.set(requestId, decision => {
+                signal.removeEventListener("abort", onAbort);
+                resolve(decision);
+            });
+            signal.addEventListener("abort", onAbort, { once: true });
+        });
+        this.#carryOut(commands);
+        return decided;
+    }
+
+    /** The request that a token was granted for never ran. */
+    giveBack(token: Token): void {
+        this.#limiter.giveBack(token, this.#parts.clock.monotonicMs());
+    }
+
+    /** @returns who admits, and how much is left of the limits that this gateway keeps for others */
+    describe(): LimiterDescription {
+        return this.#limiter.describe(this.#parts.clock.monotonicMs());
+    }
+
+    /** This process is about to end: whoever asks it goes to another gateway. */
+    beginStop(): void {
+        if (this.#isOpen) {
+            this.#carryOut(this.#limiter.stop(this.#parts.clock.monotonicMs()));
+        }
+    }
+
+    stop(): void {
+        clearTimeout(this.#timer);
+        this.#parts.port.close();
+    }
+
+    async #open(): Promise<void> {
+        const { port, log } = this.#parts;
+        try {
+            await port.open((text, from) => this.#onDatagram(text, from));
+        }
+        catch (err) {
+            log.log("error", "unexpected", { error: `no datagrams of other hosts can be received: ${String(err)}` });
+        }
+    }
+
+    #updateRoster(nowMs: number): void {
+        const { view } = this.#parts;
+        const { names } = view.countedGateways(nowMs);
+        if (names === this.#names) {
+            return;
+        }
+        this.#names = names;
+        this.#addresses.clear();
+        for (const { name, peers } of view.registeredGateways()) {
+            this.#addresses.set(name, { address: peers.host, port: peers.port });
+            this.#unregistered.delete(name);
+        }
+        this.#carryOut(this.#limiter.onRoster(names, nowMs));
+    }
+
+    #onDatagram(text: string, from: ListenAddress): void {
+        const { clock } = this.#parts;
+        const json = parseJson(text);
+        const sender = senderOf(json);
+        if (sender === undefined) {
+            return;
+        }
+        if (!this.#addresses.has(sender) && this.#unregistered.size < mostUnregistered) {
+            this.#unregistered.set(sender, from);
+        }
+        this.#checkPause();
+        this.#carryOut(this.#limiter.onMessage(sender, json, clock.monotonicMs(), clock.epochMs()));
+    }
+
+    #tick(): void {
+        const { clock } = this.#parts;
+        this.#dueAtMs = Infinity;
+        this.#checkPause();
+        this.#updateRoster(clock.monotonicMs());
+        this.#carryOut(this.#limiter.tick(clock.monotonicMs(), clock.epochMs()));
+    }
+
+    /** What a host that stood still believes of others' shares is as old as the time that it missed. */
+    #checkPause(): void {
+        if (this.#pauses.check() !== undefined) {
+            this.#carryOut(this.#limiter.onPaused(this.#parts.clock.monotonicMs()));
+        }
+    }
+
+    #carryOut(commands: readonly Command[]): void {
+        for (const command of commands) {
+            if (command.type === "send") {
+                this.#send(command.to, command.message);
+                continue;
+            }
+            const decide = this.#waiting.get(command.requestId);
+            this.#waiting.delete(command.requestId);
+            decide?.(command.decision);
+        }
+        for (const { type, ...change } of this.#limiter.takeChanges()) {
+            this.#parts.log.log("info", type, change);
+        }
+        this.#schedule();
+    }
+
+    #send(to: string, message: LimitMessage): void {
+        const address = this.#addresses.get(to) ?? this.#unregistered.get(to);
+        if (address !== undefined) {
+            this.#parts.port.send(JSON.stringify(message), address);
+        }
+    }
+
+    /** A timer that is due early enough already is left as it is. */
+    #schedule(): void {
+        const nowMs = this.#parts.clock.monotonicMs();
+        const inMs = this.#limiter.nextTickMs(nowMs);
+        if (inMs === undefined || nowMs + inMs >= this.#dueAtMs) {
+            return;
+        }
+        clearTimeout(this.#timer);
+        this.#dueAtMs = nowMs + inMs;
+        this.#timer = setTimeout(() => this.#tick(), inMs);
+    }
+}
+
+function senderOf(json: unknown): string | undefined {
+    const sender = typeof json === "object" && json !== null && "sender" in json ? json.sender : undefined;
+    return typeof sender === "string" ? sender : undefined;
+}
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -17,6 +17,7 @@
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
 import { callerGone, type ExchangeParts } from "./exchangeParts.js";
 import { ExchangeContent } from "./exchangeContent.js";
+import { ExchangeLimit } from "./exchangeLimit.js";
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
 import { SendOutcomes } from "./sendOutcomes.js";
@@ -34,6 +35,7 @@
     readonly #unread = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
     readonly #answers: ExchangeAnswers;
+    readonly #limit: ExchangeLimit;
     readonly #placement: ExchangePlacement;
     readonly #content: ExchangeContent;
     readonly #guard: RequestGuard;
@@ -62,6 +64,7 @@
         this.#answers = new ExchangeAnswers(request, parts.board.work, parts.random);
         this.#body = body;
         this.#signal = signal;
+        this.#limit = new ExchangeLimit(parts, request, signal);
         this.#placement = new ExchangePlacement(parts, request, signal);
         this.#content = new ExchangeContent(request, body);
         this.#guard = new RequestGuard(parts.crashes, this.#content);
@@ -88,6 +91,10 @@
             return this.#finish(this.#answers.quarantined(this.#guard.retryAfterMs ?? 0));
         }
         try {
+            const refused = await this.#limit.admit();
+            if (refused !== undefined) {
+                return this.#finish(refused === "abandoned" ? this.#resolveAborted() : this.#answers.limited(refused));
+            }
             const place = await this.#placement.place("first");
             if (typeof place === "string") {
                 return this.#finish(
@@ -103,6 +110,7 @@
             return this.#finish(await this.#follow());
         }
         finally {
+            this.#limit.onEnded(this.#ends, this.#underWay.size);
             this.#guard.close();
         }
     }
@@ -172,6 +180,9 @@
             return false;
         }
         const { budget, log } = this.#parts;
+        if (result.end.type !== "notRun" && !this.#limit.isPlentiful) {
+            return false;
+        }
         if (!await this.#isAllowedAgain(result.end)) {
             return false;
         }
@@ -216,7 +227,7 @@
         if (typeof place === "string") {
             return;
         }
-        const isNeeded = !this.#signal.aborted && this.#underWay.size >= this.#unread.size;
+        const isNeeded = this.#limit.isPlentiful && !this.#signal.aborted && this.#underWay.size >= this.#unread.size;
         if (!isNeeded || this.#isWithdrawn() || !this.#guard.mayHedge()) {
             return;
         }
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -1,5 +1,6 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { resolveComeBack, type SendEnd, type TypicalWork } from "@galenaglade/placement";
+import { type Decision } from "@galenaglade/rate-limit";
 import { type RandomSource } from "@galenaglade/routing";
 import { type HeldAnswer } from "../backends/sendRequest.js";
 import { type EdgeRequest } from "./edgeRequest.js";
@@ -50,6 +51,15 @@
         return { type: "failed", failure: createFailure("unauthenticated", "the request's key was withdrawn") };
     }
 
+    /** The limit of the caller's workspace keeps the request back. */
+    limited({ type, retryAfterMs }: Exclude<Decision, { readonly type: "admitted"; }>): ExchangeEnd {
+        const retryAfterSeconds = Math.ceil(retryAfterMs) / oneSecondMs;
+        const failure = type === "overLimit"
+            ? createFailure("workspaceOverLimit", "the workspace is over its limit", { retryAfterSeconds })
+            : createFailure("notFresh", "no host that keeps the workspace's limit is reached", { retryAfterSeconds });
+        return { type: "failed", failure };
+    }
+
     /** All tries have failed. */
     allFailed(ends: readonly SendEnd[], fallback: HeldAnswer | undefined): ExchangeEnd {
         if (fallback !== undefined) {
--- /dev/null
+++ b/packages/edge/src/requests/exchangeLimit.ts
@@ -0,0 +1,56 @@
+import { type Decision, type Token } from "@galenaglade/rate-limit";
+import { type SendEnd } from "@galenaglade/placement";
+import { type EdgeRequest } from "./edgeRequest.js";
+import { type ExchangeParts } from "./exchangeParts.js";
+
+/** Keeps one request within its workspace's limit, which holds for all gateways together. */
+export class ExchangeLimit {
+    readonly #parts: ExchangeParts;
+    readonly #request: EdgeRequest;
+    readonly #signal: AbortSignal;
+    #token: Token | undefined;
+    #plentiful = true;
+
+    constructor(parts: ExchangeParts, request: EdgeRequest, signal: AbortSignal) {
+        this.#parts = parts;
+        this.#request = request;
+        this.#signal = signal;
+    }
+
+    /** Whether the workspace has room for runs beyond the first: a hedge, or a retry of what may have run. */
+    get isPlentiful(): boolean {
+        return this.#plentiful;
+    }
+
+    /** @returns why the request can't be admitted, `undefined` where it is, "abandoned" where nobody waits any more */
+    async admit(): Promise<Exclude<Decision, { readonly type: "admitted"; }> | "abandoned" | undefined> {
+        const { admission, version, requestId } = this.#request;
+        const limit = admission.type === "known" ? admission.workspace.limit : undefined;
+        if (admission.type !== "known" || limit === undefined) {
+            return undefined;
+        }
+        const { limits, log, metrics } = this.#parts;
+        const workspace = admission.workspace.name;
+        const decision = await limits.admit({ workspace, ...limit, configVersion: version }, this.#signal);
+        if (decision === undefined) {
+            return "abandoned";
+        }
+        metrics.onLimitDecided(workspace, decision.type);
+        if (decision.type !== "admitted") {
+            const { type, retryAfterMs } = decision;
+            log.log("info", "limitRefused", { requestId, workspace, reason: type, ...limit, retryAfterMs });
+            return decision;
+        }
+        this.#token = decision.token;
+        this.#plentiful = decision.plentiful;
+        return undefined;
+    }
+
+    /** The request has ended: what never ran isn't counted against the workspace. */
+    onEnded(ends: readonly SendEnd[], underWay: number): void {
+        if (this.#token !== undefined && underWay === 0 && ends.every(({ type }) => type === "notRun")) {
+            this.#parts.limits.giveBack(this.#token);
+        }
+        this.#token = undefined;
+    }
+}
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -6,6 +6,7 @@
 import { type ServerChecks } from "../backends/serverChecks.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type CrashReports } from "../quarantine/crashReports.js";
+import { type WorkspaceLimits } from "../limits/workspaceLimits.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
@@ -29,6 +30,7 @@
     readonly connections: ServerConnections;
     readonly checks: ServerChecks;
     readonly crashes: CrashReports;
+    readonly limits: WorkspaceLimits;
     readonly budget: RepeatBudget;
     readonly rollouts: GatewayRollouts;
     readonly vocabulary: EdgeVocabulary;
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -10,6 +10,7 @@
     readonly #contents;
     readonly #limits;
     readonly #notices;
+    readonly #limitDecisions;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
@@ -34,6 +35,9 @@
         this.#notices = meter.createCounter("galenaglade.server_notices", {
             description: "answers in which servers ask for rest, say that they leave, or say something unknown",
         });
+        this.#limitDecisions = meter.createCounter("galenaglade.workspace_limit_decisions", {
+            description: "requests of limited workspaces, by workspace and decision",
+        });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked",
         });
@@ -72,6 +76,10 @@
         this.#notices.add(1, { service, notice });
     }
 
+    onLimitDecided(workspace: string, decision: string): void {
+        this.#limitDecisions.add(1, { workspace, decision });
+    }
+
     onAsked(end: "answered" | "failed"): void {
         this.#asks.add(1, { end });
     }
