Play drawn failures against the bound of the rate limits

Nothing showed that the sum of all hosts keeps to the bound. The first run found a loop without end: an allocator that answers that it is leaving was asked again at once, as its link was made anew each time.

--- /dev/null
+++ b/packages/rateLimit/src/__tests__/support/drawnRun.ts
@@ -0,0 +1,210 @@
+import { findOwners } from "@galenaglade/fleet-state";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import { groupOf, type TokenRequest } from "../../index.js";
+import { allowedInWindow, findWorstWindow, type Limiter, LimitWorld, type SimulatedHost } from "./limitWorld.js";
+
+const endMs = 15_000;
+const groupOfHosts = [1, 2, 3, 3, 4, 5, 7, 10, 13, 20, 30];
+
+/** One workspace that asks for more than its limit, on a fleet to which things happen; all of it drawn from a seed. */
+export class DrawnRun {
+    readonly world: LimitWorld;
+    readonly log: string[] = [];
+    readonly #random: RandomSource;
+    readonly #rules: readonly { readonly rule: TokenRequest; fromMs: number; untilMs: number; }[];
+    readonly #cuts: ((from: string, to: string) => boolean)[] = [];
+    readonly #delays: ((from: string, to: string) => number)[] = [];
+
+    /** @param create - another limiter than the package's, for comparison */
+    constructor(seed: number, create?: (name: string) => Limiter) {
+        // Neighbouring seeds would draw alike.
+        const random = this.#random = createRandomSource(Math.imul(seed, 0x9e37_79b1));
+        const isLarge = random.next() < 0.01;
+        const hosts = this.#pick(isLarge ? [131, 312] : groupOfHosts);
+        this.world = new LimitWorld(hosts, random, create);
+        this.world.connects = (from, to) => !this.#cuts.some(cut => cut(from, to));
+        this.world.delayMs = (from, to) => Math.max(2, ...this.#delays.map(delay => delay(from, to)));
+        this.world.loss = this.#pick([0, 0, 0.025, 0.025, 0.2]);
+        this.world.doubled = 0.01;
+        this.world.givenBackShare = this.#pick([0, 0, 0.1]);
+        const first = this.#drawRule(1);
+        this.#rules = [
+            { rule: first, fromMs: 0, untilMs: endMs },
+            { rule: this.#drawRule(2, first), fromMs: Infinity, untilMs: endMs },
+        ];
+        this.log.push(`${hosts} hosts, ${JSON.stringify(first)}, loss ${this.world.loss}`);
+        this.#startAll(first);
+        for (let i = 0; i < 1 + random.below(6); i++) {
+            this.#at(2_000 + random.next() * 9_000, () => this.#disturb());
+        }
+        this.#drawLoad(first);
+    }
+
+    /** @returns the most that any window admitted, as a part of what it may */
+    play(): number {
+        this.world.run(endMs);
+        const admitted = this.world.outcomes.filter(({ type }) => type === "admitted").map(({ atMs }) => atMs);
+        return findWorstWindow(admitted, fromMs => {
+            const inForce = this.#rules.filter(each => each.fromMs <= fromMs + 5_000 && each.untilMs > fromMs);
+            return Math.max(...inForce.map(({ rule }) => allowedInWindow(rule)));
+        });
+    }
+
+    #pick<T>(from: readonly T[]): T {
+        return from[this.#random.below(from.length)] as T;
+    }
+
+    #at(atMs: number, run: () => void): void {
+        this.world.queue.schedule(atMs - this.world.queue.nowMs, run);
+    }
+
+    #drawRule(configVersion: number, before?: TokenRequest): TokenRequest {
+        const perSecond = Math.min(400, 0.5 * 800 ** this.#random.next());
+        const burst = perSecond * this.#pick([1, 1, 1, 0, 0.2, 3]);
+        return {
+            workspace: before?.workspace ?? `workspace ${this.#random.below(1_000)}`,
+            perSecond,
+            burst,
+            configVersion,
+        };
+    }
+
+    #startAll(rule: TokenRequest): void {
+        const withinMs = this.#pick([0, 500, 3_000]);
+        for (const host of this.world.hosts) {
+            host.rule = rule;
+            this.#at(this.#random.next() * withinMs, () => this.world.start(host, this.#random.next() * 500));
+        }
+    }
+
+    /** Floods after pauses, at all hosts or at some. */
+    #drawLoad({ perSecond, burst }: TokenRequest): void {
+        const { hosts } = this.world;
+        let atMs = this.#random.next() * 4_000;
+        while (atMs < endMs) {
+            const some = this.#random.next() < 0.7 ? hosts : hosts.slice(this.#random.below(hosts.length));
+            const floodMs = Math.min(endMs - atMs, 200 + this.#random.next() * 6_000);
+            const times = this.#pick([1.5, 4.5]);
+            const count = Math.min(
+                6_000,
+                Math.ceil(burst * this.#random.next() * 2 + perSecond * times * floodMs / 1_000 + 5),
+            );
+            for (let i = 0; i < count; i++) {
+                // Half of them come at once where there is a burst.
+                const afterMs = i < burst ? 0 : this.#random.next() * floodMs;
+                this.#at(atMs + afterMs, () => this.world.request(this.#pick(some)));
+            }
+            atMs += floodMs + this.#random.next() * 2_000;
+        }
+    }
+
+    #disturb(): void {
+        const random = this.#random;
+        const disturbances = [
+            () => this.#restart(this.#victims(), random.next() * 3_000),
+            () => this.#suspend(this.#victims(), 50 + random.next() * 4_000, random.next() < 0.5),
+            () => this.#cut(100 + random.next() * 6_000),
+            () => this.#delay(500 + random.next() * 5_000),
+            () => this.#changeRule(random.next() * 2_000),
+            () => this.#changeRosters(random.next() * 3_000),
+            () => this.#stepClocks(),
+            () => this.#restart(this.#victims(), random.next() * 3_000, 50 + random.next() * 800),
+        ];
+        this.#pick(disturbances)();
+    }
+
+    /** Allocators fail as often as all other hosts, or most runs would show nothing. */
+    #victims(): readonly SimulatedHost[] {
+        const { hosts } = this.world;
+        const workspace = this.#rules[0]?.rule.workspace ?? "";
+        const names = hosts.map(({ name }) => name);
+        const ranked = findOwners(`rate limits ${groupOf(workspace)}`, names, 3);
+        const part = this.#pick([0.1, 0.33, 0.55, 1]);
+        return this.#random.next() < 0.5
+            ? hosts.filter(({ name }) => ranked.slice(0, 1 + this.#random.below(2)).includes(name))
+            : hosts.filter(() => this.#random.next() < part);
+    }
+
+    #note(text: string, hosts?: readonly SimulatedHost[]): void {
+        const names = hosts === undefined
+            ? ""
+            : ` (${hosts.length}: ${hosts.slice(0, 4).map(({ name }) => name).join(" ")})`;
+        this.log.push(`${this.world.queue.nowMs.toFixed(0)} ms: ${text}${names}`);
+    }
+
+    #restart(victims: readonly SimulatedHost[], afterMs: number, noticeMs = 0): void {
+        this.#note(`restart after ${afterMs.toFixed(0)} ms, with notice ${noticeMs.toFixed(0)} ms`, victims);
+        for (const host of victims) {
+            if (noticeMs > 0) {
+                this.world.stop(host);
+            }
+            this.#at(this.world.queue.nowMs + noticeMs, () => this.world.crash(host));
+            const startMs = this.world.queue.nowMs + noticeMs + afterMs + this.#random.next() * 200;
+            this.#at(startMs, () => this.world.start(host, Math.min(afterMs, this.#random.next() * 500)));
+        }
+    }
+
+    #suspend(victims: readonly SimulatedHost[], forMs: number, stopsClock: boolean): void {
+        this.#note(`suspended for ${forMs.toFixed(0)} ms, clock ${stopsClock ? "stops" : "runs"}`, victims);
+        victims.forEach(host => this.world.suspend(host, forMs, stopsClock));
+    }
+
+    #cut(forMs: number): void {
+        const kind = this.#pick(["both", "oneWay", "bridge", "each"]);
+        const sideOf = new Map(this.world.hosts.map(({ name }) => [name, this.#random.below(3)]));
+        this.#note(`cut ${kind} for ${forMs.toFixed(0)} ms`);
+        const cuts: Record<string, (from: number, to: number) => boolean> = {
+            both: (from, to) => (from === 0) !== (to === 0),
+            oneWay: (from, to) => from === 0 && to !== 0,
+            bridge: (from, to) => from !== to && from !== 2 && to !== 2,
+            each: (from, to) => from === 0 || to === 0,
+        };
+        const cut = (from: string, to: string): boolean =>
+            from !== to && cuts[kind]?.(sideOf.get(from) ?? 0, sideOf.get(to) ?? 0) === true;
+        this.#cuts.push(cut);
+        this.#at(this.world.queue.nowMs + forMs, () => this.#cuts.splice(this.#cuts.indexOf(cut), 1));
+    }
+
+    #delay(forMs: number): void {
+        const [mostMs, part] = [this.#pick([100, 600, 2_500]), this.#pick([0.2, 1])];
+        const slow = new Set(this.world.hosts.filter(() => this.#random.next() < part).map(({ name }) => name));
+        this.#note(`up to ${mostMs} ms of delay for ${forMs.toFixed(0)} ms from ${slow.size}`);
+        const delay = (from: string): number => slow.has(from) ? mostMs : 0;
+        this.#delays.push(delay);
+        this.#at(this.world.queue.nowMs + forMs, () => this.#delays.splice(this.#delays.indexOf(delay), 1));
+    }
+
+    #changeRule(withinMs: number): void {
+        const [first, second] = this.#rules;
+        if (first === undefined || second === undefined || second.fromMs < Infinity) {
+            return;
+        }
+        this.#note(`limit changes within ${withinMs.toFixed(0)} ms to ${JSON.stringify(second.rule)}`);
+        second.fromMs = this.world.queue.nowMs;
+        first.untilMs = second.fromMs + withinMs;
+        for (const host of this.world.hosts) {
+            this.#at(second.fromMs + this.#random.next() * withinMs, () => host.rule = second.rule);
+        }
+    }
+
+    /** A few hosts more or less, of which some hosts hear later: as many as the tolerance covers. */
+    #changeRosters(withinMs: number): void {
+        const { hosts } = this.world;
+        const count = Math.floor(hosts.length * 0.05);
+        const names = hosts.map(({ name }) => name);
+        const roster = this.#random.next() < 0.5
+            ? names.slice(count)
+            : [...names, ...names.slice(0, count).map(name => `new-${name}`)];
+        this.#note(`roster of ${roster.length} within ${withinMs.toFixed(0)} ms`);
+        for (const host of hosts) {
+            this.#at(this.world.queue.nowMs + this.#random.next() * withinMs, () => this.world.setRoster(host, roster));
+        }
+    }
+
+    #stepClocks(): void {
+        const victims = this.#victims();
+        const byMs = this.#pick([-3_600_000, -700, 80, 700, 3_600_000]);
+        this.#note(`clock steps by ${byMs} ms`, victims);
+        victims.forEach(host => host.wallMs += byMs);
+    }
+}
--- /dev/null
+++ b/packages/rateLimit/src/__tests__/support/limitWorld.ts
@@ -0,0 +1,219 @@
+import { EventQueue } from "@galenaglade/replay";
+import { type RandomSource } from "@galenaglade/routing";
+import { type Command, type Decision, type LimitMessage, RateLimiter, type TokenRequest } from "../../index.js";
+
+/** What a limiter has to offer, so that the ways that were weighed run on the same loads. */
+export type Limiter = Pick<
+    RateLimiter,
+    "request" | "onMessage" | "onRoster" | "tick" | "nextTickMs" | "giveBack" | "stop"
+>;
+
+/** One host with clocks of its own; times without a name are the world's. */
+export class SimulatedHost {
+    readonly name: string;
+    limiter: Limiter | undefined;
+    rule: TokenRequest | undefined;
+    roster: readonly string[] = [];
+    /** What came while the host was suspended; `undefined` while it runs. */
+    inbox: (() => void)[] | undefined;
+    monotonicMs = 0;
+    wallMs = 0;
+    tickAtMs = Infinity;
+    lives = 0;
+
+    constructor(name: string) {
+        this.name = name;
+    }
+}
+
+/** A request that was decided. */
+export interface Outcome {
+    readonly atMs: number;
+    readonly type: Decision["type"];
+}
+
+/** Hosts with rate limiters on a network that loses, delays, doubles and cuts off, in virtual time. */
+export class LimitWorld {
+    readonly queue = new EventQueue();
+    readonly hosts: readonly SimulatedHost[];
+    readonly outcomes: Outcome[] = [];
+    readonly random: RandomSource;
+    /** Whether a datagram gets through now. */
+    connects: (from: string, to: string) => boolean = () => true;
+    loss = 0;
+    /** Most time that a datagram is under way. */
+    delayMs: (from: string, to: string) => number = () => 3;
+    givenBackShare = 0;
+    sent = 0;
+    sentBytes = 0;
+    countsBytes = false;
+    /** Part of the datagrams that come twice. */
+    doubled = 0;
+    readonly #create: (name: string, life: string, startedAtMs: number) => Limiter;
+    readonly #byName: ReadonlyMap<string, SimulatedHost>;
+
+    constructor(hosts: number, random: RandomSource, create?: (name: string) => Limiter) {
+        this.random = random;
+        this.#create = create ?? ((name, life, startedAtMs) => {
+            const limiter = new RateLimiter({ name, life, random: () => random.next(), startedAtMs });
+            limiter.setActive(true, startedAtMs);
+            return limiter;
+        });
+        this.hosts = Array.from({ length: hosts }, (_, i) => new SimulatedHost(`host-${i}`));
+        this.#byName = new Map(this.hosts.map(host => [host.name, host]));
+        const roster = this.hosts.map(({ name }) => name);
+        for (const host of this.hosts) {
+            host.roster = roster;
+            host.monotonicMs = random.next() * 1e6;
+            host.wallMs = 1e9 + random.next() * 50;
+        }
+    }
+
+    /** A process starts; its program was loaded for some time before. */
+    start(host: SimulatedHost, loadedMs = 0): void {
+        const nowMs = this.#nowOf(host);
+        host.limiter = this.#create(host.name, `${host.name}:${++host.lives}`, nowMs - loadedMs);
+        host.tickAtMs = Infinity;
+        host.inbox = undefined;
+        this.setRoster(host, host.roster);
+    }
+
+    crash(host: SimulatedHost): void {
+        host.limiter = undefined;
+        host.inbox = undefined;
+    }
+
+    setRoster(host: SimulatedHost, names: readonly string[]): void {
+        host.roster = names;
+        this.#act(host, limiter => limiter.onRoster(names, this.#nowOf(host)));
+    }
+
+    stop(host: SimulatedHost): void {
+        this.#act(host, limiter => limiter.stop(this.#nowOf(host)));
+    }
+
+    /** @param stopsClock - whether the monotonic clock stands still, as with a suspended virtual machine */
+    suspend(host: SimulatedHost, forMs: number, stopsClock: boolean): void {
+        if (host.limiter === undefined || host.inbox !== undefined) {
+            return;
+        }
+        const inbox: (() => void)[] = host.inbox = [];
+        this.queue.schedule(forMs, () => {
+            if (host.inbox === inbox) {
+                host.monotonicMs -= stopsClock ? forMs : 0;
+                host.inbox = undefined;
+                inbox.forEach(receive => receive());
+                this.#act(host, () => []);
+            }
+        });
+    }
+
+    request(host: SimulatedHost): void {
+        const { rule } = host;
+        if (host.inbox === undefined && rule !== undefined) {
+            this.#act(host, limiter => limiter.request(rule, this.#nowOf(host), this.#wallOf(host)).commands);
+        }
+    }
+
+    run(untilMs: number): void {
+        this.queue.runUntil(untilMs, 3_000_000);
+    }
+
+    /** Outcomes of one kind from a time on. */
+    count(type: Decision["type"], fromMs = 0): number {
+        return this.outcomes.filter(outcome => outcome.type === type && outcome.atMs >= fromMs).length;
+    }
+
+    #nowOf(host: SimulatedHost): number {
+        return host.monotonicMs + this.queue.nowMs;
+    }
+
+    #wallOf(host: SimulatedHost): number {
+        return host.wallMs + this.queue.nowMs;
+    }
+
+    #act(host: SimulatedHost, act: (limiter: Limiter) => readonly Command[]): void {
+        const { limiter } = host;
+        if (limiter === undefined) {
+            return;
+        }
+        for (const command of act(limiter)) {
+            if (command.type === "send") {
+                this.#send(host.name, command.to, command.message);
+            }
+            else {
+                this.#onDecision(limiter, command.decision);
+            }
+        }
+        this.#armTick(host, limiter);
+    }
+
+    #armTick(host: SimulatedHost, limiter: Limiter): void {
+        const atMs = this.queue.nowMs + (limiter.nextTickMs(this.#nowOf(host)) ?? Infinity);
+        if (atMs === Infinity || (host.tickAtMs <= atMs && host.tickAtMs >= this.queue.nowMs)) {
+            return;
+        }
+        host.tickAtMs = atMs;
+        // Rounded up as timers are, or a tick could come a rounding error early and be due again at once.
+        this.queue.schedule(atMs - this.queue.nowMs + 0.01, () => {
+            if (host.limiter === limiter && host.tickAtMs === atMs && host.inbox === undefined) {
+                host.tickAtMs = Infinity;
+                this.#act(host, () => limiter.tick(this.#nowOf(host), this.#wallOf(host)));
+            }
+        });
+    }
+
+    #send(from: string, to: string, message: LimitMessage): void {
+        this.sent++;
+        this.sentBytes += this.countsBytes ? Buffer.byteLength(JSON.stringify(message)) : 0;
+        const copies = this.random.next() < this.doubled ? 2 : 1;
+        for (let i = 0; i < copies; i++) {
+            if (this.connects(from, to) && this.random.next() >= this.loss) {
+                this.queue.schedule(
+                    this.random.next() * this.delayMs(from, to),
+                    () => this.#receive(from, to, message),
+                );
+            }
+        }
+    }
+
+    #receive(from: string, to: string, message: LimitMessage): void {
+        const host = this.#byName.get(to);
+        if (host?.inbox !== undefined) {
+            host.inbox.push(() => this.#receive(from, to, message));
+        }
+        else if (host !== undefined) {
+            this.#act(host, limiter => limiter.onMessage(from, message, this.#nowOf(host), this.#wallOf(host)));
+        }
+    }
+
+    #onDecision(limiter: Limiter, decision: Decision): void {
+        if (decision.type === "admitted" && this.random.next() < this.givenBackShare) {
+            limiter.giveBack(decision.token);
+            return;
+        }
+        this.outcomes.push({ atMs: this.queue.nowMs, type: decision.type });
+    }
+}
+
+/** What the limits in force allow a workspace in a window of five seconds. */
+export function allowedInWindow({ perSecond, burst }: TokenRequest): number {
+    return 1.1 * (5 * perSecond + burst) + 20;
+}
+
+/**
+ * @param admittedMs - rising
+ * @param allowed - in the window that begins at a time
+ * @returns the most that any window of five seconds admits, as a part of what it may
+ */
+export function findWorstWindow(admittedMs: readonly number[], allowed: (fromMs: number) => number): number {
+    let worst = 0;
+    let end = 0;
+    for (const [i, fromMs] of admittedMs.entries()) {
+        while ((admittedMs[end] ?? Infinity) < fromMs + 5_000) {
+            end++;
+        }
+        worst = Math.max(worst, (end - i) / allowed(fromMs));
+    }
+    return worst;
+}
--- a/packages/rateLimit/src/allocatorLink.ts
+++ b/packages/rateLimit/src/allocatorLink.ts
@@ -181,6 +181,8 @@
         }
         this.heldUntilMs = -Infinity;
         this.#sentShare = 0;
+        this.#sent = undefined;
+        this.#echo = undefined;
         return [];
     }
 
--- a/packages/rateLimit/src/delegation.ts
+++ b/packages/rateLimit/src/delegation.ts
@@ -214,9 +214,6 @@
     #leave(link: AllocatorLink, unanswered: readonly PendingRequest[], reason: string, nowMs: number): void {
         const { group, output } = this.#options;
         this.#leftAtMs.set(link.allocator, nowMs);
-        if (reason === "leaving") {
-            this.#links.delete(link.allocator);
-        }
         if (this.#better === link) {
             this.#better = undefined;
         }
--- a/packages/rateLimit/src/index.ts
+++ b/packages/rateLimit/src/index.ts
@@ -12,4 +12,4 @@
     type TokenRequest,
     type WorkspaceDescription,
 } from "./model.js";
-export { RateLimiter, type RateLimiterOptions } from "./rateLimiter.js";
+export { groupOf, RateLimiter, type RateLimiterOptions } from "./rateLimiter.js";
--- a/packages/rateLimit/src/rateLimiter.ts
+++ b/packages/rateLimit/src/rateLimiter.ts
@@ -212,7 +212,8 @@
     }
 
     /** @returns the present state, for metrics */
-    describe(): LimiterDescription {
+    describe(nowMs: number): LimiterDescription {
+        this.#groups.forEach(({ allocator }) => allocator.advance(nowMs));
         return {
             groups: this.#groups.map(({ delegation, allocator }) => ({
                 ...delegation.describe(),
