Check recorded histories for the keys and limits of workspaces

No checker told whether a request ran for the workspace that holds its caller's key, nor what a workspace's requests add up to.

Histories name keys by an id and contain none. A bound with a time holds where all hosts knew what the store said.

--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -8,6 +8,15 @@
     readonly process: string;
 }
 
+/** A workspace of a configuration, without its keys. */
+export interface WrittenWorkspace {
+    readonly name: string;
+    /** Stand for the keys that it holds. */
+    readonly keyIds: readonly string[];
+    /** `undefined` for no limit. */
+    readonly limit?: { readonly perSecond: number; readonly burst: number; } | undefined;
+}
+
 /** Everything that a run may record; a checker reads the kinds that its invariant is about. */
 export type HistoryEvent =
     | {
@@ -21,6 +30,10 @@
         /** The gateway that it was sent to, where that is known. */
         readonly gateway?: string | undefined;
         readonly patienceMs: number;
+        /** Stands for the caller's key, which no history contains; `undefined` where it sent none. */
+        readonly keyId?: string | undefined;
+        /** Whether its route takes callers without a key. */
+        readonly open?: boolean | undefined;
     }
     | {
         readonly type: "callerAnswered";
@@ -42,6 +55,10 @@
         readonly cold: boolean;
         readonly inFlight: number;
         readonly bears: number;
+        /** Name of the caller's workspace as the server was told it. */
+        readonly workspace?: string | undefined;
+        /** Whether the caller's key reached the server. */
+        readonly keyPassedOn?: boolean | undefined;
     }
     | {
         readonly type: "serverEnded";
@@ -60,7 +77,12 @@
         readonly cold: boolean;
         /** How long it wants nothing from the gateway that sent it; `undefined` where it doesn't say. */
         readonly restMs?: number | undefined;
+        readonly keyPassedOn?: boolean | undefined;
     }
+    /** A server cut, lost or otherwise spoilt its answer. */
+    | { readonly type: "serverSpoilt"; readonly requestId: string; readonly server: string; }
+    /** A server's process ended, for whatever reason. */
+    | { readonly type: "serverExited"; readonly server: string; }
     | { readonly type: "serverProbed"; readonly server: string; readonly gateway: string; }
     /** From now on a server names a limit of requests a second in its answers; `undefined` for none any more. */
     | { readonly type: "serverLimited"; readonly server: string; readonly perSecond: number | undefined; }
@@ -77,7 +99,13 @@
     | { readonly type: "leavingHeard"; readonly gateway: string; readonly server: string; }
     /** A gateway has had answers to heartbeats from a majority. */
     | { readonly type: "majorityRound"; readonly gateway: string; readonly startedAtMs: number; }
-    | { readonly type: "configurationWritten"; readonly revision: number; readonly changeId: string; }
+    | {
+        readonly type: "configurationWritten";
+        readonly revision: number;
+        readonly changeId: string;
+        /** `undefined` where callers need no keys. */
+        readonly workspaces?: readonly WrittenWorkspace[] | undefined;
+    }
     | { readonly type: "configurationAccepted"; readonly revision: number; readonly changeId: string; }
     /** The store took the word that a server is leaving, or gone. */
     | { readonly type: "drainAccepted"; readonly server: string; }
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -8,7 +8,7 @@
     checkConfigurationOrder,
 } from "./configurationChecker.js";
 export { checkDrained } from "./drainChecker.js";
-export { type HistoryEvent, type HistoryLine, type Recorded, type Violation } from "./events.js";
+export { type HistoryEvent, type HistoryLine, type Recorded, type Violation, type WrittenWorkspace } from "./events.js";
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkProbeBudget, type ProbeBudget } from "./probeBudgetChecker.js";
 export { checkQueryOfDeath, type QueryOfDeathBounds } from "./queryOfDeathChecker.js";
@@ -19,4 +19,7 @@
 export { checkLeavingHeeded, checkServerRest, type ServerRestBounds } from "./serverNoticeCheckers.js";
 export { checkTruthfulDidRun } from "./truthfulDidRunChecker.js";
 export { checkWholeAnswer } from "./wholeAnswerChecker.js";
+export { checkWorkspaceKeys } from "./workspaceKeyChecker.js";
+export { checkWorkspaceLimits, type WorkspaceLimitBounds } from "./workspaceLimitChecker.js";
+export { type VersionBounds } from "./writtenVersions.js";
 export { checkZoneOut } from "./zoneOutChecker.js";
--- /dev/null
+++ b/packages/history/src/workspaceLimitChecker.ts
@@ -0,0 +1,114 @@
+import { type HistoryLine, type Violation, type WrittenWorkspace } from "./events.js";
+import { type VersionBounds, WrittenVersions } from "./writtenVersions.js";
+
+/** How far a workspace's requests may exceed its limit. */
+export interface WorkspaceLimitBounds extends VersionBounds {
+    readonly windowMs: number;
+    /** Share of the limit that may be exceeded in a window. */
+    readonly overshoot: number;
+    /** Requests besides, in any one window. */
+    readonly slack: number;
+}
+
+/** A request that has run: when its caller sent it and when the first server started it. */
+interface Run {
+    readonly sentAtMs: number;
+    readonly startedAtMs: number;
+    readonly sequence: number;
+}
+
+const msPerSecond = 1_000;
+
+/**
+ * Checks that all hosts together keep the limit of each workspace: in any one window, the requests that were both sent
+ * and run in it are at most what the limit allows with its tolerance. A request counts once, however often it ran. Where
+ * the limit changes, the largest one that may be in force at any time of the window holds, so that a lowered limit binds
+ * windows that begin once it is in force everywhere.
+ *
+ * @param history - every line of a run, in the order of its times
+ * @param bounds - how far a limit may be exceeded
+ * @returns the fullest window of each workspace that exceeds its limit; empty where the invariant held
+ */
+export function checkWorkspaceLimits(
+    history: readonly HistoryLine[],
+    bounds: WorkspaceLimitBounds,
+): readonly Violation[] {
+    const versions = new WrittenVersions(history, bounds);
+    const violations: Violation[] = [];
+    for (const [workspace, runs] of findRuns(history)) {
+        let worst: { readonly excess: number; readonly violation: Violation; } | undefined;
+        for (const [i, first] of runs.entries()) {
+            const untilMs = first.sentAtMs + bounds.windowMs;
+            const allowed = findAllowed(workspace, versions, first.sentAtMs, bounds);
+            const within = findWithin(runs, i, untilMs);
+            const excess = within.length - allowed;
+            if (excess > (worst?.excess ?? 0)) {
+                const detail = `${workspace}: ${within.length} requests were sent and run in ${bounds.windowMs} ms, ${
+                    Math.floor(allowed)
+                } are allowed`;
+                const lines = within.map(({ sequence }) => sequence);
+                worst = { excess, violation: { invariant: "workspaceLimit", detail, lines } };
+            }
+        }
+        if (worst !== undefined) {
+            violations.push(worst.violation);
+        }
+    }
+    return violations;
+}
+
+/** @returns runs by the workspace that servers were told, in the order in which their callers sent them */
+function findRuns(history: readonly HistoryLine[]): ReadonlyMap<string, readonly Run[]> {
+    const sentAtMs = new Map<string, number>();
+    const counted = new Set<string>();
+    const runs = new Map<string, Run[]>();
+    for (const line of history) {
+        if (line.type === "callerSent") {
+            sentAtMs.set(line.requestId, line.atMs);
+        }
+        if (line.type !== "serverStarted" || line.workspace === undefined || counted.has(line.requestId)) {
+            continue;
+        }
+        counted.add(line.requestId);
+        const own = runs.get(line.workspace) ?? [];
+        runs.set(line.workspace, own);
+        const { sequence, atMs: startedAtMs } = line;
+        own.push({ sentAtMs: sentAtMs.get(line.requestId) ?? startedAtMs, startedAtMs, sequence });
+    }
+    for (const own of runs.values()) {
+        own.sort((a, b) => a.sentAtMs - b.sentAtMs);
+    }
+    return runs;
+}
+
+function findWithin(runs: readonly Run[], from: number, untilMs: number): readonly Run[] {
+    const within: Run[] = [];
+    for (let i = from; i < runs.length; i++) {
+        const run = runs[i];
+        if (run === undefined || run.sentAtMs > untilMs) {
+            break;
+        }
+        if (run.startedAtMs <= untilMs) {
+            within.push(run);
+        }
+    }
+    return within;
+}
+
+function findAllowed(
+    name: string,
+    versions: WrittenVersions,
+    fromMs: number,
+    { windowMs, overshoot, slack }: WorkspaceLimitBounds,
+): number {
+    // What is in force at a host stays in force there, whatever befalls it within the window.
+    const possible = versions.inForce(fromMs, fromMs + windowMs, fromMs);
+    const workspaces = possible.map(version => version.workspaces?.find(workspace => workspace.name === name));
+    const allow = ({ limit }: WrittenWorkspace): number =>
+        limit === undefined
+            ? Infinity
+            : (limit.perSecond * windowMs / msPerSecond + limit.burst) * (1 + overshoot) + slack;
+    // A version without the workspace allows it nothing; where no version has it, its name is at fault and not its rate.
+    const allowed = workspaces.flatMap(workspace => workspace === undefined ? [] : [allow(workspace)]);
+    return allowed.length === 0 ? Infinity : Math.max(...allowed);
+}
