Soak workspaces, keys that change, open routes and large answers

The soak had neither keys nor answers above 256 KiB, so that nothing of what callers and servers see of workspaces was tried under faults.

Callers have keys that are held, revoked, not there yet, unknown or missing, and some make up a workspace's name. Servers record the name they were told and whether a key reached them, and send answers of up to 540 KB. Logs, histories and metrics are searched for keys.

A large answer that is broken off is fair only where its server spoilt it or ended, its time was over or something was harmed; a short one never is.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -37,6 +37,7 @@
     sentAtMs: 17_500,
     endedAtMs: 17_600,
     connected: true,
+    brokenOff: false,
     hungUp: false,
     gaveUp: false,
     retryAfter: undefined,
@@ -112,3 +113,31 @@
 test("a fleet that doesn't recover is found", () => {
     assert.equal(check([], { ends: [{ ...served, status: 503, retryAfter: "1" }] }).length, 1);
 });
+
+test("a 401 is fair where callers need keys and theirs is not there", () => {
+    const end = { ...served, requestId: "r", status: 401, sentAtMs: 1_000, endedAtMs: 1_010 };
+    assert.deepEqual(check([], { ends: [end] }), ["denied: r got 401 though it is proper"]);
+    const workspaces = [{ name: "atlas", keyIds: ["k"] }];
+    const answer = { ...answered("r"), status: 401 } as HistoryEvent;
+    const history = (keyId: string): readonly HistoryLine[] =>
+        record(
+            [0, "op", { type: "configurationWritten", revision: 2, changeId: "", workspaces }],
+            [1_000, "edge-1/1", { ...sent("r"), keyId } as HistoryEvent],
+            [1_010, "edge-1/1", answer],
+        );
+    assert.deepEqual(check(history("other"), { ends: [end] }), []);
+    assert.equal(check(history("k"), { ends: [end] }).filter(line => line.startsWith("keyDenied")).length, 1);
+});
+
+test("a large answer that is broken off is found, unless its server spoilt it or ended", () => {
+    const short = { ...served, requestId: "r", status: undefined, sentAtMs: 1_000, endedAtMs: 1_100, brokenOff: true };
+    const large = { ...short, route: "large" as const };
+    const ran = [1_010, "s1", started("r", "s1")] as const;
+    const spoilt = [1_050, "s1", { type: "serverSpoilt", requestId: "r", server: "s1" }] as const;
+    const exited = [1_050, "op", { type: "serverExited", server: "s1" }] as const;
+    assert.equal(check(record(ran), { ends: [large] }).length, 1);
+    assert.deepEqual(check(record(ran, spoilt), { ends: [large] }), []);
+    assert.deepEqual(check(record(ran, exited), { ends: [large] }), []);
+    // A short answer is held until it is whole, so that no caller sees a part of it.
+    assert.equal(check(record(ran, spoilt), { ends: [short] }).length, 1);
+});
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -48,12 +48,12 @@
     return failed > 0 ? 1 : 0;
 }
 
-function report({ seed, faults, findings, rollout, requests, served, dir }: SoakResult): void {
+function report({ seed, faults, findings, workspaces, rollout, requests, served, dir }: SoakResult): void {
     const kinds = faults.map(({ kind, link }) => kind.endsWith("Link") ? `${kind}.${link}` : kind).join(" ");
     process.stdout.write(
         `seed ${seed}: ${findings.length === 0 ? "held" : "FOUND"}, ${served} of ${requests} served; ${kinds}${
             rollout === undefined ? "" : ` rollout.${rollout}`
-        }\n`,
+        }${workspaces ? " workspaces" : ""}\n`,
     );
     if (findings.length === 0) {
         rmSync(dir, { recursive: true, force: true });
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -110,5 +110,11 @@
     toldMs: 500,
 });
 
+/** Whether hosts keep the limits of workspaces; where not, a run has neither limits nor callers that exceed one. */
+export const limitsAreKept = false;
+
+/** What the requests of a workspace with a limit may add up to, with the users' tolerance. */
+export const workspaceLimitBounds = Object.freeze({ windowMs: 5_000, overshoot: 0.1, slack: 20 });
+
 /** What a server that wants rest may get from a gateway that it has told, and from when on. */
 export const serverRestBounds = Object.freeze({ onTheWayMs: 500, allowed: 2 });
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 /** A randomized soak: real processes on one machine, faults from outside them, and checks of what the product promises. */
+export { type CallerSign } from "./callerDraw.js";
 export { runSoakCommand } from "./command.js";
 export { type Fault, type FaultKind, type LinkFault } from "./faults.js";
 export { planFaults } from "./plan.js";
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,12 +4,15 @@
 import { mkdirSync, rmSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { CallerDraw } from "./callerDraw.js";
 import { checkSoak } from "./checks.js";
-import { calmMs, requestsPerSecond, services, settleMs } from "./constants.js";
+import { calmMs, limitsAreKept, requestsPerSecond, services, settleMs } from "./constants.js";
 import { planDeadlyRequests, type PlannedDeadlyRequests } from "./deadlyPlan.js";
 import { type Fault } from "./faults.js";
+import { renderLargePath } from "./largeAnswers.js";
 import { planLimit } from "./limitPlan.js";
 import { planNotices } from "./noticePlan.js";
+import { findKeys, findKeysInFiles, findKeysInMetrics } from "./keySearch.js";
 import { planFaults } from "./plan.js";
 import { planRollout } from "./rolloutPlan.js";
 import { pathOf, type SoakRoute } from "./soakConfiguration.js";
@@ -19,6 +22,7 @@
 import { giveNotices, nameLimit } from "./soakNotices.js";
 import { SoakWorld } from "./soakWorld.js";
 import { machineNow } from "./spans.js";
+import { type PlannedOverload, planWorkspaces } from "./workspacePlan.js";
 
 /** What one run found. */
 export interface SoakResult {
@@ -26,6 +30,8 @@
     readonly faults: readonly Fault[];
     /** One line each; empty where every promise held. */
     readonly findings: readonly string[];
+    /** Whether callers needed keys. */
+    readonly workspaces: boolean;
     /** The roll-out that was ordered and how it ended; `undefined` for a run without one. */
     readonly rollout: string | undefined;
     readonly requests: number;
@@ -52,18 +58,26 @@
  * @param options - what the run is told
  * @returns what it found
  */
-export async function runSoak(
-    { system, seed, dir: parent, faults = planFaults(seed) }: SoakOptions,
-): Promise<SoakResult> {
-    const dir = join(parent, `seed-${seed}`);
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const dir = join(options.dir, `seed-${options.seed}`);
     rmSync(dir, { recursive: true, force: true });
     mkdirSync(dir, { recursive: true });
-    const world = await SoakWorld.start(system, dir, seed);
+    const result = await play({ ...options, dir });
+    return { ...result, findings: [...result.findings, ...findKeysInFiles(dir)] };
+}
+
+async function play({ system, seed, dir, faults = planFaults(seed) }: SoakOptions): Promise<SoakResult> {
+    const workspaces = planWorkspaces(seed, limitsAreKept);
+    const world = await SoakWorld.start(system, dir, seed, workspaces?.first);
     const abort = (): void => world.abort();
     process.once("exit", abort);
     try {
         await sleep(settleMs);
-        const load = new SoakLoad(world, createRandomSource(seed + 2));
+        const load = new SoakLoad(
+            world,
+            createRandomSource(seed + 2),
+            workspaces && new CallerDraw(workspaces, seed),
+        );
         const faultsOver = Promise.all(faults.map(async fault => {
             await sleep(fault.atMs);
             await world.apply(fault);
@@ -80,7 +94,21 @@
         // Servers of a version that is rolled out must not leave by themselves either.
         const { rest, leaving } = planNotices(seed);
         const noticesOver = giveNotices(world, { rest, leaving: rollout === undefined ? leaving : undefined });
-        const allOver = Promise.all([faultsOver, rolloutOver, deadlyOver, limitOver, noticesOver]);
+        const workspacesOver = Promise.all([
+            load.sendOverload(workspaces?.overload),
+            ...(workspaces?.changes ?? []).map(async change => {
+                await sleep(change.atMs);
+                await world.changeWorkspaces(change.workspaces);
+            }),
+        ]);
+        const allOver = Promise.all([
+            faultsOver,
+            rolloutOver,
+            deadlyOver,
+            limitOver,
+            noticesOver,
+            workspacesOver,
+        ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
         const history = mergeHistories(
             world.backends.map(({ historyPath }) => historyPath),
@@ -91,7 +119,12 @@
             harmed: world.harmed,
             edges: world.edges,
             serviceOf: new Map(world.backends.map(({ place }) => [place.id, place.service])),
-            findings: [...rolloutFindings, ...world.edges.flatMap(edge => edge.findings)],
+            findings: [
+                ...rolloutFindings,
+                ...world.edges.flatMap(edge => edge.findings),
+                ...findKeys("the history", JSON.stringify(history)),
+                ...await findKeysInMetrics(world),
+            ],
             endedAtMs,
         });
         const ends = world.edges.flatMap(edge => edge.ends);
@@ -100,6 +133,7 @@
             seed,
             faults,
             findings,
+            workspaces: workspaces !== undefined,
             rollout: rollout && `${rollout.isBad ? "bad" : "sound"} ${findEnd(history)}`,
             requests: ends.length,
             served,
@@ -121,12 +155,15 @@
 class SoakLoad {
     readonly #world: SoakWorld;
     readonly #random: RandomSource;
+    /** `undefined` in a run without workspaces. */
+    readonly #callers: CallerDraw | undefined;
     readonly #open = new Set<Promise<void>>();
     #sent = 0;
 
-    constructor(world: SoakWorld, random: RandomSource) {
+    constructor(world: SoakWorld, random: RandomSource, callers: CallerDraw | undefined) {
         this.#world = world;
         this.#random = random;
+        this.#callers = callers;
     }
 
     /**
@@ -155,24 +192,65 @@
     async sendDeadly(plan: PlannedDeadlyRequests | undefined): Promise<void> {
         await Promise.all((plan?.atMs ?? []).map(async (atMs, i) => {
             await sleep(atMs);
-            await this.#pickEdge().caller?.send(`deadly${i}`, "read", false, plan?.path);
+            const path = plan?.path;
+            const key = this.#world.workspaces.flatMap(({ keys }) => keys)[0];
+            const sign = key && { key, claimedWorkspace: undefined };
+            const asked = {
+                requestId: `deadly${i}`,
+                route: "read",
+                hangsUp: false,
+                sign,
+                path,
+                contentId: path,
+            } as const;
+            await this.#pickEdge().caller?.send(asked);
         }));
     }
 
+    /** Sends what exceeds a workspace's limit, over gateways in turn so that nothing else in the run is drawn otherwise. */
+    async sendOverload(plan: PlannedOverload | undefined): Promise<void> {
+        if (plan === undefined) {
+            return;
+        }
+        const { atMs, forMs, perSecond, key } = plan;
+        await sleep(atMs);
+        const untilMs = machineNow() + forMs;
+        for (let i = 1; machineNow() < untilMs; i++) {
+            const sign = { key, claimedWorkspace: undefined };
+            const edges = this.#findEdges();
+            const caller = edges[i % edges.length]?.caller;
+            if (caller !== undefined) {
+                this.#track(caller.send({ requestId: `over${i}`, route: "read", hangsUp: false, sign }));
+            }
+            await sleep(1_000 / perSecond);
+        }
+    }
+
     #send(hangsUp: boolean): void {
         const caller = this.#pickEdge().caller;
-        const route = routes[this.#random.below(routes.length)] ?? "read";
+        const usual = routes[this.#random.below(routes.length)] ?? "read";
+        const { sign, route = usual, answerBytes = 0 } = this.#callers?.draw(this.#world.workspaces) ?? {};
         if (caller === undefined) {
             return;
         }
-        const done = caller.send(`r${++this.#sent}`, route, hangsUp).finally(() => this.#open.delete(done));
+        const requestId = `r${++this.#sent}`;
+        const path = route === "large" ? renderLargePath(requestId, answerBytes) : undefined;
+        this.#track(caller.send({ requestId, route, hangsUp, sign, path }));
+    }
+
+    #track(sending: Promise<void>): void {
+        const done = sending.finally(() => this.#open.delete(done));
         this.#open.add(done);
     }
 
     /** The balancer sends to gateways that are ready, and to all where none is. */
-    #pickEdge(): SoakEdge {
+    #findEdges(): readonly SoakEdge[] {
         const ready = this.#world.edges.filter(({ inRotation }) => inRotation);
-        const choice = ready.length > 0 ? ready : this.#world.edges;
+        return ready.length > 0 ? ready : this.#world.edges;
+    }
+
+    #pickEdge(): SoakEdge {
+        const choice = this.#findEdges();
         const edge = choice[this.#random.below(choice.length)];
         if (edge === undefined) {
             throw new Error("a run needs a gateway");
--- a/packages/soak/src/serverNames.ts
+++ b/packages/soak/src/serverNames.ts
@@ -7,6 +7,10 @@
     readonly expectedServer: string | undefined;
     /** How long it may work. */
     readonly remainingMs: number;
+    /** Name of the caller's workspace; `undefined` where it says none. */
+    readonly workspace: string | undefined;
+    /** Whether it has the header in which callers send their keys. */
+    readonly hasKey: boolean;
 }
 
 /** What a backend server says of itself. */
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -1,6 +1,7 @@
 import { type HistoryRecorder } from "@galenaglade/stand-ins";
 import { type RandomSource } from "@galenaglade/routing";
 import { Agent } from "undici";
+import { type CallerSign } from "./callerDraw.js";
 import { heldSlackMs, patienceMs, routeTimeoutMs } from "./constants.js";
 import { authority, pathOf, type SoakRoute } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -24,6 +25,8 @@
     readonly retryAfter: string | undefined;
     /** Whether the caller could connect at all. */
     readonly connected: boolean;
+    /** Whether an answer began and didn't come to its end. */
+    readonly brokenOff: boolean;
 }
 
 /** How one request ended for its caller. */
@@ -38,6 +41,20 @@
     readonly gaveUp: boolean;
 }
 
+/** What a caller asks. */
+export interface CallerRequest {
+    readonly requestId: string;
+    readonly route: SoakRoute;
+    /** Whether it leaves early. */
+    readonly hangsUp: boolean;
+    /** `undefined` in runs without workspaces. */
+    readonly sign?: CallerSign | undefined;
+    /** By itself one that no other request has. */
+    readonly path?: string | undefined;
+    /** The same for requests that ask the same of a server; `undefined` where no other request does. */
+    readonly contentId?: string | undefined;
+}
+
 /** Sends requests to one life of one gateway over kept and over new connections, and records what came of each. */
 export class SoakCaller {
     readonly #gateway: string;
@@ -66,13 +83,9 @@
         return this.#ends;
     }
 
-    /**
-     * Sends one request and waits for its end, which it never fails.
-     *
-     * @param hangsUp - whether it leaves early
-     * @param path - what it asks; by itself something that no other request asks
-     */
-    async send(requestId: string, route: SoakRoute, hangsUp: boolean, path?: string): Promise<void> {
+    /** Sends one request and waits for its end, which it never fails. */
+    async send(asked: CallerRequest): Promise<void> {
+        const { requestId, route, hangsUp } = asked;
         const fresh = this.#random.next() < freshShare;
         const agent = fresh ? new Agent({ connect: { timeout: connectTimeoutMs } }) : this.#kept;
         const givesUp = new AbortController();
@@ -80,7 +93,7 @@
         const waitMs = hangsUp ? this.#random.next() * hangUpMs : routeTimeoutMs + heldSlackMs;
         const timer = setTimeout(() => givesUp.abort(), waitMs);
         const sentAtMs = machineNow();
-        const got = await this.#request(agent, requestId, route, givesUp.signal, path);
+        const got = await this.#request(agent, asked, givesUp.signal);
         clearTimeout(timer);
         this.#ends.push({
             ...got,
@@ -102,10 +115,8 @@
 
     async #request(
         agent: Agent,
-        requestId: string,
-        route: SoakRoute,
+        { requestId, route, sign, path, contentId }: CallerRequest,
         signal: AbortSignal,
-        path?: string,
     ): Promise<Received> {
         const idempotent = route !== "file";
         this.#history.record({
@@ -113,29 +124,34 @@
             requestId,
             service: route,
             idempotent,
-            contentId: path,
+            contentId,
             gateway: this.#gateway,
             patienceMs,
+            keyId: sign?.key?.id,
+            open: route === "open",
         });
+        let hasBegun = false;
         try {
             const res = await agent.request({
                 origin: this.#url,
                 method: idempotent ? "GET" : "POST",
                 path: path ?? `${pathOf[route]}${requestId}`,
-                headers: { host: authority, ...this.#system.renderRequest(requestId, patienceMs) },
+                headers: { host: authority, ...this.#system.renderRequest(requestId, patienceMs, sign) },
                 body: idempotent ? null : `return ${requestId}`,
                 signal,
                 headersTimeout: 0,
                 bodyTimeout: 0,
             });
+            hasBegun = true;
             const body = await res.body.text();
             this.#recordAnswer(requestId, res.statusCode, res.headers, body);
             const retryAfter = readText(res.headers["retry-after"]);
-            return { status: res.statusCode, retryAfter, connected: true };
+            return { status: res.statusCode, retryAfter, connected: true, brokenOff: false };
         }
         catch (err) {
             this.#history.record({ type: signal.aborted ? "callerGaveUp" : "callerCutOff", requestId });
-            return { status: undefined, retryAfter: undefined, connected: !isConnectFailure(err) };
+            const connected = !isConnectFailure(err);
+            return { status: undefined, retryAfter: undefined, connected, brokenOff: hasBegun };
         }
     }
 
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -13,23 +13,28 @@
     services,
     shortestLeaseSeconds,
 } from "./constants.js";
+import { type SoakWorkspace } from "./workspacePlan.js";
 
 /** Host name under which all routes of a run lie. */
 export const authority = "soak.example";
 
 /** The kinds of request that callers send. */
-export type SoakRoute = "read" | "file" | "moving";
+export type SoakRoute = "read" | "file" | "moving" | "open" | "large";
 
 export const pathOf: Readonly<Record<SoakRoute, string>> = Object.freeze({
     read: "/tables/read/",
     file: "/returns/file/",
     moving: "/moving/",
+    open: "/tables/open/",
+    large: "/tables/large/",
 });
 
 /** @returns the service that serves a route under one version; the moving one goes to another with each version */
 export function serviceOf(route: SoakRoute, version: number): string {
     switch (route) {
         case "read":
+        case "open":
+        case "large":
             return services[0];
         case "file":
             return services[1];
@@ -38,15 +43,32 @@
     }
 }
 
-/** @returns one version of the operator's configuration */
-export function createSoakConfiguration(version: number): FleetConfiguration {
+/**
+ * @param workspaces - `undefined` where callers need no keys; the open route and the one with large answers are left out then
+ * @returns one version of the operator's configuration
+ */
+export function createSoakConfiguration(
+    version: number,
+    workspaces?: readonly SoakWorkspace[],
+): FleetConfiguration {
+    const keyedRoutes: readonly Route[] = [
+        { ...createRoute("open", version, true), open: true },
+        { ...createRoute("large", version, true), largeAnswers: true },
+    ];
     return {
         version,
         routes: [
             createRoute("read", version, true),
             createRoute("file", version, false),
             createRoute("moving", version, true),
+            ...workspaces === undefined ? [] : keyedRoutes,
         ],
+        workspaces: workspaces?.map(({ name, keys, priority, limit }) => ({
+            name,
+            keys: keys.map(({ secret }) => secret),
+            priority,
+            limit,
+        })),
         services: services.map(name => ({
             name,
             healthPath: "/health",
--- a/packages/soak/src/soakEdge.ts
+++ b/packages/soak/src/soakEdge.ts
@@ -97,6 +97,20 @@
         return this.#lives.map(({ history }) => history);
     }
 
+    /** @returns the text of its metrics; empty where it is down */
+    async readMetrics(): Promise<string> {
+        try {
+            const res = await request(`http://127.0.0.1:${this.#ports.metrics}/metrics`, {
+                signal: AbortSignal.timeout(askTimeoutMs),
+            });
+            return await res.body.text();
+        }
+        catch {
+            // Down or standing still.
+            return "";
+        }
+    }
+
     /** Planned stop, and the next life after a while. */
     async restart(downMs: number): Promise<void> {
         const life = this.#lives.at(-1);
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -4,8 +4,10 @@
 import { text } from "node:stream/consumers";
 import { serverQueue, serverSlots, workMs } from "./constants.js";
 import { deadlyMark } from "./deadlyPlan.js";
+import { readAnswerBytes } from "./largeAnswers.js";
 import { type ArrivedRequest, type ServerNames, type ServerState } from "./serverNames.js";
 import { type ServerOrder, type ServerTrouble, soundServer } from "./soakSystem.js";
+import { keyMark } from "./workspacePlan.js";
 
 /** Share of the requests that a failing or shedding server fails or turns away, and that a spoiling one spoils. */
 const troubleShare = 0.5;
@@ -58,11 +60,15 @@
             res.writeHead(this.#trouble.leaves ? 503 : 200, headers).end();
             return;
         }
-        await this.#serve(this.#names.readRequest(req.headers), res, req.url?.includes(deadlyMark) === true);
+        await this.#serve(req, res);
     }
 
-    async #serve(request: ArrivedRequest, res: ServerResponse, isDeadly: boolean): Promise<void> {
+    async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const request = this.#names.readRequest(req.headers);
         const { requestId, expectedServer } = request;
+        const url = req.url ?? "";
+        // Under whatever name: a key is known by how it begins.
+        const keyPassedOn = request.hasKey || JSON.stringify([url, req.rawHeaders]).includes(keyMark);
         if (expectedServer !== undefined && expectedServer !== this.#order.id) {
             res.writeHead(421, this.#names.renderState(this.#state())).end();
             return;
@@ -70,11 +76,11 @@
         const sheds = this.#trouble.restSeconds !== undefined
             || (this.#trouble.sheds && this.#random.next() < troubleShare);
         if (sheds || this.#queue.length >= serverQueue || !await this.#getSlot(res, request.remainingMs)) {
-            this.#turnAway(requestId, res);
+            this.#turnAway(requestId, keyPassedOn, res);
             return;
         }
-        this.#record("serverStarted", requestId);
-        if (isDeadly) {
+        this.#recordStart(request, keyPassedOn);
+        if (url.includes(deadlyMark)) {
             setTimeout(() => this.#crash(requestId), crashMs);
         }
         const done = await this.#work(res, request.remainingMs);
@@ -87,7 +93,7 @@
             incarnation: this.#order.id,
         });
         if (done) {
-            this.#answer(requestId, res);
+            this.#answer(requestId, readAnswerBytes(url), res);
         }
     }
 
@@ -138,13 +144,16 @@
         });
     }
 
-    #answer(requestId: string, res: ServerResponse): void {
-        const body = JSON.stringify({ requestId, server: this.#order.id, padding: "x".repeat(200) });
+    #answer(requestId: string, paddingBytes: number, res: ServerResponse): void {
+        const body = JSON.stringify({ requestId, server: this.#order.id, padding: "x".repeat(paddingBytes) });
         if (this.#trouble.fails && this.#random.next() < troubleShare) {
             res.writeHead(500, { ...this.#names.renderRan(requestId, true), ...this.#renderNotices() }).end("failed");
             return;
         }
         const spoiling = this.#drawSpoiling();
+        if (spoiling !== undefined) {
+            this.#history.record({ type: "serverSpoilt", requestId, server: this.#order.id });
+        }
         if (spoiling === "lost") {
             res.socket?.destroy();
             return;
@@ -176,7 +185,7 @@
         return spoilings[this.#random.below(spoilings.length)];
     }
 
-    #turnAway(requestId: string, res: ServerResponse): void {
+    #turnAway(requestId: string, keyPassedOn: boolean, res: ServerResponse): void {
         const { restSeconds } = this.#trouble;
         this.#history.record({
             type: "serverTurnedAway",
@@ -185,6 +194,7 @@
             availabilityZone: this.#order.availabilityZone,
             cold: this.#isCold(),
             restMs: restSeconds === undefined ? undefined : restSeconds * 1_000,
+            keyPassedOn,
         });
         if (!res.destroyed) {
             const rest = restSeconds === undefined ? {} : this.#names.renderRest(restSeconds);
@@ -192,9 +202,9 @@
         }
     }
 
-    #record(type: "serverStarted", requestId: string): void {
+    #recordStart({ requestId, workspace }: ArrivedRequest, keyPassedOn: boolean): void {
         this.#history.record({
-            type,
+            type: "serverStarted",
             requestId,
             server: this.#order.id,
             availabilityZone: this.#order.availabilityZone,
@@ -202,6 +212,8 @@
             cold: this.#isCold(),
             inFlight: this.#running,
             bears: serverSlots,
+            workspace,
+            keyPassedOn,
         });
     }
 
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -4,6 +4,7 @@
     type RolloutOrder,
     type RolloutStage,
 } from "@galenaglade/fleet-state";
+import { type CallerSign } from "./callerDraw.js";
 
 /** A program that the soak starts. */
 export interface SoakProgram {
@@ -58,7 +59,11 @@
     abstract readRolloutStage(storePort: number, service: string): Promise<RolloutStage | undefined>;
     abstract zoneOutKey(availabilityZone: string): string;
     /** @returns the headers of a caller's request */
-    abstract renderRequest(requestId: string, patienceMs: number): Readonly<Record<string, string>>;
+    abstract renderRequest(
+        requestId: string,
+        patienceMs: number,
+        sign?: CallerSign,
+    ): Readonly<Record<string, string>>;
     abstract readAnswer(headers: Readonly<Record<string, string | readonly string[] | undefined>>): AnswerMarks;
 }
 
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -20,6 +20,7 @@
 import { SoakBackend } from "./soakBackend.js";
 import { harmLink, harmServer } from "./harm.js";
 import { machineNow, Spans } from "./spans.js";
+import { type SoakWorkspace } from "./workspacePlan.js";
 
 /** A process that is gone without a word keeps its entry for about this long, in milliseconds. */
 const lostEntryMs = 1_500;
@@ -56,6 +57,9 @@
     readonly #leaving = new Set<SoakBackend>();
     readonly #zonesOut = new Set<string>();
     #version = firstVersion;
+    #workspaces: readonly SoakWorkspace[] | undefined;
+    #acceptedWorkspaces: readonly SoakWorkspace[] = [];
+    #written: Promise<void> = Promise.resolve();
     #started = 0;
     #closed = false;
     #mood: CallerMood = { load: 1, hangUpShare: 0 };
@@ -67,9 +71,19 @@
         this.#store = store;
     }
 
-    /** Starts all processes. */
-    static async start(system: SoakSystem, dir: string, seed: number): Promise<SoakWorld> {
+    /**
+     * Starts all processes.
+     *
+     * @param workspaces - of the first version; `undefined` where callers need no keys
+     */
+    static async start(
+        system: SoakSystem,
+        dir: string,
+        seed: number,
+        workspaces: readonly SoakWorkspace[] | undefined,
+    ): Promise<SoakWorld> {
         const world = new SoakWorld(system, dir, createRandomSource(seed + 1), await SoakStore.start(system));
+        world.#workspaces = workspaces;
         await world.#configure();
         const places = services.flatMap(service =>
             Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
@@ -91,6 +105,11 @@
         return world;
     }
 
+    /** Workspaces of the version that the store acknowledged last. */
+    get workspaces(): readonly SoakWorkspace[] {
+        return this.#acceptedWorkspaces;
+    }
+
     get mood(): CallerMood {
         return this.#mood;
     }
@@ -256,6 +275,7 @@
 
     /** A server that ended by itself is replaced like one that was killed. */
     async #onExited(backend: SoakBackend): Promise<void> {
+        this.history.record({ type: "serverExited", server: backend.place.id });
         try {
             if (!this.#closed) {
                 await this.#replaceKilled(backend, crashedDownMs);
@@ -326,13 +346,36 @@
         return true;
     }
 
-    async #configure(): Promise<void> {
+    /** Writes a version with other workspaces. The moving route stays where it is, as it would be without this version. */
+    changeWorkspaces(workspaces: readonly SoakWorkspace[]): Promise<void> {
+        this.#workspaces = workspaces;
+        this.#version += services.length;
+        return this.#writeVersion();
+    }
+
+    #configure(): Promise<void> {
         this.#version += 1 + this.#random.below(3);
-        const revision = this.#version;
-        const write = this.#system.renderConfiguration(createSoakConfiguration(revision));
-        this.history.record({ type: "configurationWritten", revision, changeId: "" });
-        await this.#store.order({ puts: [write] });
-        this.history.record({ type: "configurationAccepted", revision, changeId: "" });
+        return this.#writeVersion();
+    }
+
+    /** One version after the other: of two at once the store might keep the earlier one. */
+    #writeVersion(): Promise<void> {
+        const [revision, workspaces, before] = [this.#version, this.#workspaces, this.#written];
+        const write = async (): Promise<void> => {
+            await before;
+            const entry = this.#system.renderConfiguration(createSoakConfiguration(revision, workspaces));
+            const written = workspaces?.map(({ name, keys, limit }) => ({
+                name,
+                keyIds: keys.map(({ id }) => id),
+                limit,
+            }));
+            this.history.record({ type: "configurationWritten", revision, changeId: "", workspaces: written });
+            await this.#store.order({ puts: [entry] });
+            this.history.record({ type: "configurationAccepted", revision, changeId: "" });
+            this.#acceptedWorkspaces = workspaces ?? [];
+        };
+        this.#written = write();
+        return this.#written;
     }
 
     async #takeZoneOut(availabilityZone: string, forMs: number): Promise<void> {
