--- a/packages/history/src/__tests__/workspaceCheckers.test.ts
+++ b/packages/history/src/__tests__/workspaceCheckers.test.ts
@@ -111,6 +111,12 @@
     ]);
 });
 
+test("keys: a 429 is found where no version that may be in force limits the workspace", () => {
+    const refused = [sent(100, "r", "n"), answered(110, "r", 429)];
+    assert.deepEqual(findKeyFaults(settled, ...first, ...refused), ["limitRefused"]);
+    assert.deepEqual(findKeyFaults(settled, ...version(0, 1, limited(10)), ...refused), []);
+});
+
 /** Requests at even distances, each run 10 ms after it was sent. */
 function load(fromMs: number, count: number, everyMs: number): readonly Timed[] {
     return Array.from({ length: count }, (_, i) => fromMs + i * everyMs).flatMap((atMs, i) => [
--- a/packages/history/src/workspaceKeyChecker.ts
+++ b/packages/history/src/workspaceKeyChecker.ts
@@ -1,4 +1,4 @@
-import { type HistoryLine, type Violation } from "./events.js";
+import { type HistoryLine, type Violation, type WrittenWorkspace } from "./events.js";
 import { type VersionBounds, type WrittenVersion, WrittenVersions } from "./writtenVersions.js";
 
 type LineOf<Type extends HistoryLine["type"]> = Extract<HistoryLine, { readonly type: Type; }>;
@@ -13,6 +13,7 @@
     | { readonly type: "rejected"; };
 
 const unauthenticatedStatus = 401;
+const overLimitStatus = 429;
 
 /**
  * Checks that requests run for the holder of their key and for nobody else:
@@ -21,7 +22,8 @@
  * - `unknownKey`: no request runs whose key no version ever held;
  * - `workspaceName`: a server is told the name of the workspace that holds the key by a version that may be in force;
  * - `revokedKey`: a key that a version revokes runs nothing that was sent after that version must be in force;
- * - `keyDenied`: no request is refused with 401 whose key is there by every version that may be in force.
+ * - `keyDenied`: no request is refused with 401 whose key is there by every version that may be in force;
+ * - `limitRefused`: no request is refused with 429 whose workspace has no limit by any version that may be in force.
  *
  * @param history - every line of a run, in the order of its times
  * @param bounds - from when on a version replaces the ones before it
@@ -63,20 +65,29 @@
             return findPassedOn(line, request, versions) ?? findWrongRun(line, request, versions);
         case "serverTurnedAway":
             return findPassedOn(line, request, versions);
-        case "callerAnswered": {
-            const isDenied = line.status === unauthenticatedStatus
-                && versions.inForce(request.atMs, line.atMs).every(version =>
-                    rule(version, request).type !== "rejected"
-                );
-            return isDenied
-                ? ["keyDenied", "got 401, and is admitted by every version that may be in force"]
-                : undefined;
-        }
+        case "callerAnswered":
+            return findWrongRefusal(line, request, versions);
         default:
             return undefined;
     }
 }
 
+function findWrongRefusal(
+    { status, atMs }: LineOf<"callerAnswered">,
+    request: Sent,
+    versions: WrittenVersions,
+): readonly [invariant: string, detail: string] | undefined {
+    const inForce = versions.inForce(request.atMs, atMs);
+    if (status === unauthenticatedStatus && inForce.every(version => rule(version, request).type !== "rejected")) {
+        return ["keyDenied", "got 401, and is admitted by every version that may be in force"];
+    }
+    const hasNoLimit = ({ workspaces }: WrittenVersion): boolean =>
+        workspaces !== undefined && findHolder(workspaces, request)?.limit === undefined;
+    return status === overLimitStatus && inForce.every(hasNoLimit)
+        ? ["limitRefused", "got 429, and its workspace has no limit by any version that may be in force"]
+        : undefined;
+}
+
 function findPassedOn(
     { keyPassedOn, server, atMs }: LineOf<"serverStarted" | "serverTurnedAway">,
     request: Sent,
@@ -110,13 +121,17 @@
         : ["revokedKey", `ran on ${server} for ${told}, and version ${inForce[0]?.revision ?? 0} has revoked its key`];
 }
 
-function rule({ workspaces }: WrittenVersion, { keyId, open }: Sent): Ruling {
+function findHolder(workspaces: readonly WrittenWorkspace[], { keyId }: Sent): WrittenWorkspace | undefined {
+    return workspaces.find(({ keyIds }) => keyId !== undefined && keyIds.includes(keyId));
+}
+
+function rule({ workspaces }: WrittenVersion, request: Sent): Ruling {
     if (workspaces === undefined) {
         return { type: "unchecked" };
     }
-    const holder = workspaces.find(({ keyIds }) => keyId !== undefined && keyIds.includes(keyId));
+    const holder = findHolder(workspaces, request);
     if (holder !== undefined) {
         return { type: "admitted", name: holder.name };
     }
-    return open === true ? { type: "admitted", name: undefined } : { type: "rejected" };
+    return request.open === true ? { type: "admitted", name: undefined } : { type: "rejected" };
 }
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -84,25 +84,36 @@
     ): Promise<SoakWorld> {
         const world = new SoakWorld(system, dir, createRandomSource(seed + 1), await SoakStore.start(system));
         world.#workspaces = workspaces;
-        await world.#configure();
+        try {
+            await world.#startAll(seed);
+        }
+        catch (err) {
+            // A process that can't start, for instance because its port was taken meanwhile, must leave none of the others behind.
+            world.abort();
+            throw err;
+        }
+        return world;
+    }
+
+    async #startAll(seed: number): Promise<void> {
+        await this.#configure();
         const places = services.flatMap(service =>
             Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
         );
-        await Promise.all(places.map(({ service, i }) => world.startBackend(service, zoneAt(i), false)));
+        await Promise.all(places.map(({ service, i }) => this.startBackend(service, zoneAt(i), false)));
         for (let i = 0; i < edgeCount; i++) {
             const name = `edge-${i + 1}`;
-            world.edges.push(
+            this.edges.push(
                 await SoakEdge.start(
                     name,
                     zoneAt(i % gatewayZones),
-                    system,
+                    this.#system,
                     createRandomSource(seed + 10 + i),
-                    dir,
-                    world.#store.port,
+                    this.#dir,
+                    this.#store.port,
                 ),
             );
         }
-        return world;
     }
 
     /** Workspaces of the version that the store acknowledged last. */
