List what the soak found of keys that change under a waiting request

A request that waits, or is to be sent again, while a version moves its key to another workspace gets 401 although the key is there. One that arrived before any workspaces were configured is sent again with its key, and with the workspace's name that its caller made up.

--- /dev/null
+++ b/packages/edge/src/__tests__/keyChanges.test.ts
@@ -0,0 +1,90 @@
+import { type FleetConfiguration } from "@galenaglade/fleet-state";
+import { type RawRequest } from "@galenaglade/stand-ins";
+import { type Workspace } from "@galenaglade/workspaces";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { request } from "undici";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    createConfiguration,
+    eventually,
+    register,
+    renderSigned,
+    returns,
+    startBackend,
+    startEdge,
+    tables,
+    whenReady,
+} from "./support/testEdge.js";
+
+/** Longer than a change of the store takes to be in force. */
+const turnAwayAfterMs = 600;
+
+interface Ended {
+    readonly status: number;
+    /** What the servers were told of the caller, in the order of the sends. */
+    readonly told: readonly { readonly workspace: string | undefined; readonly key: string | undefined; }[];
+}
+
+/** One request with key `k`, turned away by its first server after another version has come into force. */
+async function sendAcross(
+    t: TestContext,
+    before: readonly Workspace[] | undefined,
+    after: readonly Workspace[],
+): Promise<Ended> {
+    const store = new MemoryStore();
+    const write = (version: number, workspaces: readonly Workspace[] | undefined): void => {
+        const configuration: FleetConfiguration = createConfiguration(version, [tables, returns]);
+        store.put("configuration", { ...configuration, workspaces });
+    };
+    const arrived: RawRequest[] = [];
+    const serve = (req: RawRequest): void => {
+        arrived.push(req);
+        if (arrived.length > 1) {
+            req.socket.write(renderSigned(req, "served"));
+            return;
+        }
+        write(2, after);
+        setTimeout(() => {
+            req.socket.write("HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\n\r\n");
+        }, turnAwayAfterMs);
+    };
+    write(1, before);
+    register(store, await startBackend(t, "i-1", serve));
+    register(store, await startBackend(t, "i-2", serve));
+    const edge = await startEdge(t, store);
+    await whenReady(edge);
+    await eventually(() => edge.logs.some(line => line["subject"] === "gateway"), "the gateway knows of itself");
+    const res = await request(`${edge.url}/tables/1`, {
+        headers: {
+            "host": "survey.example",
+            "x-id": "1",
+            "x-patience-ms": "8000",
+            "x-key": "k",
+            "x-workspace": "forged",
+        },
+    });
+    await res.body.dump();
+    const inForce = (): boolean => edge.logs.some(({ name, change }) => name === "2" && change === "inForce");
+    await eventually(inForce, "the second version is in force");
+    const told = arrived.map(({ headers }) => ({ workspace: headers.get("x-workspace"), key: headers.get("x-key") }));
+    return { status: res.statusCode, told };
+}
+
+// A caller whose key is there gets 401, after which it doesn't try again: its request waits or is to be sent again while
+// a version moves the key to another workspace. 401 is for keys that no workspace holds.
+test("a request whose key is moved to another workspace meanwhile gets no 401", async t => {
+    const moved = await sendAcross(t, [{ name: "north", keys: ["k"] }], [
+        { name: "north", keys: [] },
+        { name: "south", keys: ["k"] },
+    ]);
+    assert.notEqual(moved.status, 401);
+    assert.ok(moved.told.slice(1).every(({ workspace }) => workspace === "south"));
+});
+
+// A backend server gets a caller's key and a name that the caller made up: the request arrives while the configuration
+// has no workspaces, and is sent again after the first version that has some is in force.
+test("a request that arrived before workspaces came into force isn't sent again with its key", async t => {
+    const { told } = await sendAcross(t, undefined, [{ name: "south", keys: ["other"] }]);
+    assert.deepEqual(told.slice(1), []);
+});
--- a/packages/soak/src/regressionSeeds.ts
+++ b/packages/soak/src/regressionSeeds.ts
@@ -18,5 +18,12 @@
             "the roll-out has not ended in its time, on some runs: a gateway that was cut off from the store when the order came "
             + "counts its time from when it heard of it, and widens and ends it as late",
     },
+    {
+        seed: 502,
+        cause:
+            "401 for two requests whose key is there, on some runs: they waited while a version moved it to another workspace; as "
+            + "packages/edge/src/__tests__/keyChanges.test.ts",
+    },
+    { seed: 504, cause: "as seed 502" },
     { seed: 1_001, cause: "3 of 27 requests served after the faults had ended; as seed 1000" },
 ];
