Log a process's start by phase, once, with its first answer

Cause: after a stop of all hosts most requests of the first seconds are late, and no log says whether their time goes into loading the program, the first reading of the store, or the placement.

Change: one line `startTimeline` a process, with elapsed and processor time of each phase: program loaded, ports open, first caller, state read, first probe sent and answered, first send, first answer.

--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -13,6 +13,7 @@
 import { LoadInquiry } from "../requests/loadInquiry.js";
 import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { StartTimeline } from "../telemetry/startTimeline.js";
 import { startBackend } from "./support/testEdge.js";
 import { TestVocabulary } from "./support/testNames.js";
 
@@ -45,7 +46,18 @@
     const metrics = new EdgeMetrics(createMetrics("test"));
     const log = new EdgeLog(createJsonLogger({ process: "test", level: "error", write: () => undefined }), () => 0);
     const notes = new AnswerNotes({ board, connections, log, metrics });
-    return { inquiry: new LoadInquiry({ board, notes, connections, vocabulary, clock: systemClock, metrics }), board };
+    return {
+        inquiry: new LoadInquiry({
+            board,
+            notes,
+            connections,
+            vocabulary,
+            clock: systemClock,
+            metrics,
+            timeline: new StartTimeline(log),
+        }),
+        board,
+    };
 }
 
 // Of the servers that are asked one is slow to answer, or dead. Every request that asks it would be as late.
--- /dev/null
+++ b/packages/edge/src/__tests__/startTimeline.test.ts
@@ -0,0 +1,34 @@
+import { type LogFields } from "@galenaglade/telemetry";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EdgeLog } from "../telemetry/edgeLog.js";
+import { StartTimeline } from "../telemetry/startTimeline.js";
+
+// After a stop of all hosts the line says where the first callers' time went. Written again with each request, or with the times of
+// later probes and sends, it would tell of the load and not of the start.
+test("a start is logged once, with the first time of each phase that was reached", () => {
+    const lines: (readonly [string, LogFields | undefined])[] = [];
+    const write = (message: string, fields?: LogFields): void => {
+        lines.push([message, fields]);
+    };
+    const log = new EdgeLog({ error: write, warn: write, info: write, debug: write }, () => 0);
+    let sinceStartMs = 200;
+    const timeline = new StartTimeline(log, () => ({ sinceStartMs, processorMs: sinceStartMs / 2 }));
+    timeline.reach("programLoaded");
+    sinceStartMs = 300;
+    timeline.reach("firstProbe");
+    sinceStartMs = 400;
+    timeline.reach("firstProbe");
+    assert.deepEqual(lines, []);
+    timeline.reach("firstAnswer");
+    timeline.reach("firstSend");
+    timeline.reach("firstAnswer");
+    assert.deepEqual(lines, [["startTimeline", {
+        programLoadedMs: 200,
+        programLoadedProcessorMs: 100,
+        firstProbeMs: 300,
+        firstProbeProcessorMs: 150,
+        firstAnswerMs: 400,
+        firstAnswerProcessorMs: 200,
+    }]]);
+});
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -31,10 +31,11 @@
 
     /** Handles one request; never throws. */
     handle(req: IncomingMessage, res: ServerResponse): void {
-        const { callers, clock, view } = this.#parts;
+        const { callers, clock, view, timeline } = this.#parts;
         if (!callers.onRequest(req, res)) {
             return;
         }
+        timeline.reach("firstCaller");
         const arrivedAtMs = clock.monotonicMs();
         if (view.inForce === undefined) {
             void this.#holdUnread(req, res, arrivedAtMs);
@@ -143,7 +144,7 @@
         req: IncomingMessage,
         res: ServerResponse,
     ): Promise<void> {
-        const { callers } = this.#parts;
+        const { callers, timeline } = this.#parts;
         let sink: CallerSink | undefined;
         const exchange = new Exchange(this.#parts, request, body, signal, head => {
             sink = new CallerSink(res, head, callers.endsWith(req));
@@ -160,6 +161,9 @@
             case "failed":
                 this.#fail(req, res, end.failure);
         }
+        if (end.type !== "failed") {
+            timeline.reach("firstAnswer");
+        }
         this.#report(request, req, end, exchange, signal);
     }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -41,6 +41,7 @@
 import { type StateCodec } from "./stateCodec.js";
 import { EdgeLog } from "./telemetry/edgeLog.js";
 import { EdgeMetrics } from "./telemetry/edgeMetrics.js";
+import { StartTimeline } from "./telemetry/startTimeline.js";
 import { type EdgeVocabulary } from "./vocabulary.js";
 
 /** What an edge process is told and given. */
@@ -78,7 +79,9 @@
     const log = new EdgeLog(parts.logger, () => clock.monotonicMs());
     const metrics = new EdgeMetrics(parts.metrics);
     const view = new FleetView();
-    const firstReading = new FirstReading(clock);
+    const timeline = new StartTimeline(log);
+    timeline.reach("programLoaded");
+    const firstReading = new FirstReading(clock, () => timeline.reach("stateRead"));
     const connections = new ServerConnections();
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
@@ -91,7 +94,17 @@
         startedAtMs: clock.monotonicMs(),
     });
     const notes = new AnswerNotes({ board, connections, log, metrics });
-    const placer = new Placer({ view, availabilityZone, board, notes, connections, vocabulary, clock, metrics });
+    const placer = new Placer({
+        view,
+        availabilityZone,
+        board,
+        notes,
+        connections,
+        vocabulary,
+        clock,
+        metrics,
+        timeline,
+    });
     const rollouts = new GatewayRollouts({
         name,
         life: `${clock.epochMs()}-${parts.seed}`,
@@ -118,6 +131,7 @@
         vocabulary,
         log,
         metrics,
+        timeline,
         callers,
         firstReading,
         endsAtMs: () => endsAtMs,
@@ -220,6 +234,7 @@
             await listen(readinessServer, parseAddress(settings.listen.readiness));
             await listen(metricsServer, parseAddress(settings.listen.metrics));
             await listen(callerServer, parseAddress(settings.listen.callers));
+            timeline.reach("portsOpen");
             log.log("info", "started", { name, availabilityZone, callers: settings.listen.callers });
         },
         stop,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -228,9 +228,10 @@
     }
 
     #send(place: Place, purpose: Purpose): void {
-        const { vocabulary, connections, clock, view, board, rollouts } = this.#parts;
+        const { vocabulary, connections, clock, view, board, rollouts, timeline } = this.#parts;
         const { method, url, headers, route, requestId, cutoffMs } = this.#request;
         const { server } = place;
+        timeline.reach("firstSend");
         this.#placement.onSend(server.id);
         rollouts.onSend(server);
         const connection = route.idempotent
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -8,6 +8,7 @@
 import { type CrashReports } from "../quarantine/crashReports.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type StartTimeline } from "../telemetry/startTimeline.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
 import { type AnswerNotes } from "./answerNotes.js";
 import { type Placer } from "./placer.js";
@@ -34,4 +35,5 @@
     readonly vocabulary: EdgeVocabulary;
     readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
+    readonly timeline: StartTimeline;
 }
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -4,6 +4,7 @@
 import { askServer } from "../backends/askServer.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type StartTimeline } from "../telemetry/startTimeline.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
 import { type AnswerNotes } from "./answerNotes.js";
 
@@ -15,6 +16,7 @@
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
     readonly metrics: EdgeMetrics;
+    readonly timeline: StartTimeline;
 }
 
 /** Asks backend servers for their load, and lets the board know what they said. */
@@ -60,7 +62,8 @@
         server: RegisteredServer,
         timeoutMs: number,
     ): Promise<ServerOffer | undefined> {
-        const { board, notes, connections, vocabulary, clock, metrics } = this.#parts;
+        const { board, notes, connections, vocabulary, clock, metrics, timeline } = this.#parts;
+        timeline.reach("firstProbe");
         const askedAtMs = clock.monotonicMs();
         const connection = connections.take(server.id, server.address);
         const told = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs });
@@ -70,6 +73,7 @@
             connection.destroy();
             return undefined;
         }
+        timeline.reach("firstProbeAnswered");
         connections.release(server.id, connection, { after: "question", nowMs: clock.monotonicMs() });
         board.onOffer(rules.name, told.offer, askedAtMs);
         const source = { answered: "question", sentAtMs: askedAtMs } as const;
--- a/packages/edge/src/state/firstReading.ts
+++ b/packages/edge/src/state/firstReading.ts
@@ -4,14 +4,20 @@
 /** Holds what arrives before the store has been read for the first time. */
 export class FirstReading {
     readonly #clock: Clock;
+    readonly #onFirstRead: () => void;
     readonly #startedAtMs: number;
     readonly #ended: Promise<void>;
     #end: () => void = () => undefined;
     #state: "underWay" | "read" | "failed" = "underWay";
     #held = 0;
 
-    constructor(clock: Clock) {
+    /**
+     * @param clock - the process's clock
+     * @param onFirstRead - called once, when the fleet is known
+     */
+    constructor(clock: Clock, onFirstRead: () => void = () => undefined) {
         this.#clock = clock;
+        this.#onFirstRead = onFirstRead;
         this.#startedAtMs = clock.monotonicMs();
         this.#ended = new Promise(resolve => {
             this.#end = resolve;
@@ -20,6 +26,9 @@
 
     /** The store has been read. */
     onRead(): void {
+        if (this.#state !== "read") {
+            this.#onFirstRead();
+        }
         this.#state = "read";
         this.#end();
     }
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -4,6 +4,7 @@
 /** Every event that an edge process logs. */
 export type EdgeEvent =
     | "started"
+    | "startTimeline"
     | "stopping"
     | "stopped"
     | "reloaded"
