Compile ahead what serves the first callers, and load digests and assertions on demand

Cause: the compiled code beside the bundle was recorded from a start that reaches nothing. All code that reads the state, probes and answers was compiled by each process while its first callers waited. node:crypto and node:assert were loaded at the start; a digest is needed only after a server ended under a request, an assertion's module only to fail.

Change: the build starts the program before stand-ins of a store and twelve servers, lets it answer 24 callers and keeps the code then.

--- a/scripts/edgeBundle/build.ts
+++ b/scripts/edgeBundle/build.ts
@@ -1,10 +1,7 @@
 /** Bundles the program that runs on entry hosts, libraries included, and compiles it, so that it starts quickly. */
 import { build, type BuildOptions, type Plugin } from "esbuild";
-import { spawnSync } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { compiledFlags, recordedSettings, recordMs } from "./constants.js";
+import { rmSync } from "node:fs";
+import { recordStart } from "./recordStart.js";
 
 /**
  * The parts of undici that the edge process uses. The whole package also loads its fetch, cache, WebSocket and cookie
@@ -35,6 +32,43 @@
     },
 };
 
+/**
+ * Node's own modules that are loaded when they are first used: the first request under which a server ends needs a digest, and
+ * libraries' assertions need their module only to fail. Loading both takes a tenth of what a start takes beyond node's own.
+ */
+const lazyModules: Readonly<Record<string, string>> = {
+    "node:crypto": `
+module.exports = { createHash: (...args) => require("node:crypto").createHash(...args) };
+`,
+    "node:assert": `
+const load = () => require("node:assert");
+const assert = (value, message) => {
+    if (!value) {
+        load()(value, message);
+    }
+};
+for (const name of ["ok", "equal", "notEqual", "strictEqual", "notStrictEqual", "deepStrictEqual"]) {
+    assert[name] = (...args) => load()[name](...args);
+}
+module.exports = assert;
+`,
+};
+
+const loadLazily: Plugin = {
+    name: "lazy-modules",
+    setup: context => {
+        context.onResolve(
+            { filter: /^node:(crypto|assert)$/ },
+            ({ path, namespace }) =>
+                namespace === "lazy-modules" ? { path, external: true } : { path, namespace: "lazy-modules" },
+        );
+        context.onLoad(
+            { filter: /.*/, namespace: "lazy-modules" },
+            ({ path }) => ({ contents: lazyModules[path] ?? "" }),
+        );
+    },
+};
+
 const common: BuildOptions = {
     bundle: true,
     platform: "node",
@@ -52,23 +86,8 @@
     ...common,
     entryPoints: ["platform/src/cli.ts"],
     outfile: "target/galenaglade-edge.bundle.cjs",
-    plugins: [takeUndiciParts],
+    plugins: [takeUndiciParts, loadLazily],
 });
 await build({ ...common, entryPoints: ["scripts/edgeBundle/start.ts"], outfile: "target/galenaglade-edge.cjs" });
-recordCompiledCode();
-
-/** Starts the program once, without anything to talk to, and keeps what was compiled for that. */
-function recordCompiledCode(): void {
-    const dir = mkdtempSync(join(tmpdir(), "galenaglade-build-"));
-    const settingsPath = join(dir, "settings.yaml");
-    writeFileSync(settingsPath, recordedSettings);
-    rmSync("target/galenaglade-edge.cache", { force: true });
-    const run = spawnSync(process.execPath, [...compiledFlags, "target/galenaglade-edge.cjs"], {
-        env: { ...process.env, GALENAGLADE_SETTINGS: settingsPath, GALENAGLADE_RECORD_MS: String(recordMs) },
-        stdio: ["ignore", "ignore", "inherit"],
-    });
-    rmSync(dir, { recursive: true });
-    if (run.status !== 0) {
-        throw new Error(`the bundled program can't start: exit code ${run.status}`);
-    }
-}
+rmSync("target/galenaglade-edge.cache", { force: true });
+await recordStart("target/galenaglade-edge.cjs");
--- /dev/null
+++ b/scripts/edgeBundle/recordStart.ts
@@ -0,0 +1,40 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { settingsVariable } from "../../platform/src/settingsVariable.js";
+import { compiledFlags, recordedCallers, recordedMs, recordSignal, recordVariable } from "./constants.js";
+import { StandInFleet } from "./standInFleet.js";
+
+/**
+ * Starts the bundled program once before stand-ins, lets it answer some callers, and has it keep what was compiled for that.
+ * Code of a start without callers lacks all that serves them: after a stop of all hosts each process would compile it while
+ * its callers wait.
+ *
+ * @param script - the program
+ * @throws Error where it ends without having written its code
+ */
+export async function recordStart(script: string): Promise<void> {
+    const dir = mkdtempSync(join(tmpdir(), "galenaglade-build-"));
+    const fleet = await StandInFleet.start({ running: 1, registered: 4, servers: 12 });
+    const child = spawn(process.execPath, [...compiledFlags, script], {
+        env: { ...process.env, [settingsVariable]: fleet.writeSettings(0, dir), [recordVariable]: "1" },
+        stdio: ["ignore", "ignore", "inherit"],
+    });
+    const exited = once(child, "exit");
+    // Without answers less is compiled ahead, which is no reason not to build.
+    await Promise.race([callAll(fleet), exited, sleep(recordedMs)]);
+    child.kill(recordSignal);
+    await exited;
+    fleet.close();
+    rmSync(dir, { recursive: true });
+    if (child.exitCode !== 0) {
+        throw new Error(`the bundled program can't start: exit code ${child.exitCode}, ${child.signalCode}`);
+    }
+}
+
+async function callAll(fleet: StandInFleet): Promise<void> {
+    await Promise.all(Array.from({ length: recordedCallers }, (_, i) => fleet.call(0, `${i}`, i % 2 === 1)));
+}
--- a/scripts/edgeBundle/start.ts
+++ b/scripts/edgeBundle/start.ts
@@ -7,12 +7,10 @@
 import { createRequire, Module } from "node:module";
 import { dirname, join } from "node:path";
 import { Script } from "node:vm";
+import { recordSignal, recordVariable } from "./constants.js";
 
 type ModuleBody = (exports: object, require: NodeJS.Require, module: object, file: string, dir: string) => void;
 
-/** Set at build time alone: how long to run before the compiled code is written, in milliseconds. */
-const recordVariable = "GALENAGLADE_RECORD_MS";
-
 const dir = dirname(process.argv[1] ?? "");
 const bundlePath = join(dir, "galenaglade-edge.bundle.cjs");
 const cachePath = join(dir, "galenaglade-edge.cache");
@@ -30,10 +28,9 @@
 const module = { exports: {} };
 body(module.exports, createRequire(bundlePath), module, bundlePath, dir);
 
-const recordMs = process.env[recordVariable];
-if (recordMs !== undefined) {
-    setTimeout(() => {
+if (process.env[recordVariable] !== undefined) {
+    process.on(recordSignal, () => {
         writeFileSync(cachePath, script.createCachedData());
         process.exit(0);
-    }, Number(recordMs));
+    });
 }
--- /dev/null
+++ b/scripts/measureStart/throttle.ts
@@ -0,0 +1,61 @@
+/**
+ * Gives each process of a list a share of a core, as a scheduler's quota does: a process that has used up its part of a
+ * period stands still until the next one. Runs in a thread of its own, so that the measurement's own work doesn't delay it.
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import { parentPort, workerData } from "node:worker_threads";
+
+const { cores, periodMs } = workerData as { readonly cores: number; readonly periodMs: number; };
+const lookMs = 3;
+const nsPerMs = 1_000_000;
+
+interface Throttled {
+    readonly pid: number;
+    usedBeforeMs: number;
+    stopped: boolean;
+}
+
+const processes: Throttled[] = [];
+let periodEndsAtMs = performance.now() + periodMs;
+
+parentPort?.on("message", (pid: number) => {
+    processes.push({ pid, usedBeforeMs: 0, stopped: false });
+});
+setInterval(() => {
+    const isNewPeriod = performance.now() >= periodEndsAtMs;
+    periodEndsAtMs += isNewPeriod ? periodMs : 0;
+    for (const each of processes) {
+        look(each, isNewPeriod);
+    }
+}, lookMs);
+
+function look(each: Throttled, isNewPeriod: boolean): void {
+    try {
+        if (isNewPeriod) {
+            // What was used beyond the quota between two looks counts in the next period.
+            const usedMs = readUsedMs(each.pid);
+            each.usedBeforeMs = Math.max(
+                usedMs - periodMs * cores,
+                Math.min(usedMs, each.usedBeforeMs + periodMs * cores),
+            );
+        }
+        const mayRun = readUsedMs(each.pid) - each.usedBeforeMs < periodMs * cores;
+        if (mayRun === each.stopped) {
+            process.kill(each.pid, mayRun ? "SIGCONT" : "SIGSTOP");
+            each.stopped = !mayRun;
+        }
+    }
+    catch {
+        // It has ended.
+        processes.splice(processes.indexOf(each), 1);
+    }
+}
+
+function readUsedMs(pid: number): number {
+    const dir = `/proc/${pid}/task`;
+    let usedNs = 0;
+    for (const task of readdirSync(dir)) {
+        usedNs += Number(readFileSync(`${dir}/${task}/schedstat`, "utf8").split(" ")[0]);
+    }
+    return usedNs / nsPerMs;
+}
