Count a roll-out's time from its order, also in gateways that hear of it late

A run on two cores, with the code before: the order came while edge-1, the coordinator by rank, was cut off from the store; edge-1 heard of it 1.2 s later, answered the others' reports from then on, and rolled back 13.26 s after the order, 13 s allowed (its log says 12,017 ms). Cut off for longer it is later by as much.

Cause: a gateway counted from its own first sight of the order, unless the order was there at its first reading. The others, who had seen it in time, deferred to the coordinator, also at the end of the time. A coordinator that had started anew used the status's time of day instead, and ended the roll-out early or late by the error of its clock.

Change: each gateway knows two bounds of the order's age by its monotonic clock, the time since it saw the order and the time since the store last answered without it. The end of the time goes by both (0.92 and 0.97 of it), widening by the lower one. The status's time of day counts only where nobody knows an upper bound, only for the end, and 1.5 s after this gateway's start. Every gateway that reaches the store ends a roll-out whose time is over, staggered by rank.

--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -47,6 +47,19 @@
 export const leastTrialTime = 0.4;
 export const latestEnd = 0.92;
 
+/**
+ * Share of the time allowed at which a roll-out ends by what its order's age may be at most. That bound is up to a second above
+ * the age in calm times, the interval at which gateways hear from the store; at `latestEnd` it would cost calm roll-outs that time.
+ */
+export const latestEndAtMost = 0.97;
+
+/**
+ * Share of the time allowed by which each next gateway in rank waits longer before it ends a roll-out that its coordinator left
+ * open, and the most such waits: all have written before the time is over, and mostly one does.
+ */
+export const overdueStep = 0.015;
+export const overdueSteps = 3;
+
 /** Share of the time allowed after which some gateways may be missing from those that have settled. */
 export const patientSettling = 0.8;
 export const settledShare = 0.9;
@@ -77,5 +90,11 @@
 /** Pause after a write of a roll-out's status, in milliseconds. */
 export const writePauseMs = 400;
 
+/**
+ * How long a gateway leaves a status's time of day out of account, in milliseconds: within it, the gateways next in rank have told
+ * what they know of the order's age. A coordinator that started anew with a wrong clock would end a roll-out at once.
+ */
+export const timeOfDayWaitMs = 1_500;
+
 /** Orders seen within this time of the first reading were given before, in milliseconds. */
 export const inheritedOrderMs = 700;
