Ask callers back whose key was moved while their request waited

Cause: the check before each send knew only keys that are still held by the same workspace and those that aren't. Now a key that was moved, or whose holder was never asked for, ends the request with 503 and a short time to come back; one that nobody holds with 401 as before. Requests beyond a workspace's limit count no longer as demand of their rank.

--- a/packages/edge/src/limits/workspaceLimits.ts
+++ b/packages/edge/src/limits/workspaceLimits.ts
@@ -116,7 +116,7 @@
 
     /** @returns who admits, and how much is left of the limits that this gateway keeps for others */
     describe(): LimiterDescription {
-        return this.#limiter.describe();
+        return this.#limiter.describe(this.#parts.clock.monotonicMs());
     }
 
     /** This process is about to end: whoever asks it goes to another gateway. */
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -11,13 +11,12 @@
 import { heldAnswerBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type LogFields } from "@galenaglade/telemetry";
-import { isStillAdmitted } from "@galenaglade/workspaces";
 import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest, resolveIdentity } from "./edgeRequest.js";
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
 import { callerGone, type ExchangeParts } from "./exchangeParts.js";
 import { ExchangeContent } from "./exchangeContent.js";
-import { ExchangeLimit } from "./exchangeLimit.js";
+import { ExchangeWorkspace } from "./exchangeWorkspace.js";
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
 import { SendOutcomes } from "./sendOutcomes.js";
@@ -35,7 +34,7 @@
     readonly #unread = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
     readonly #answers: ExchangeAnswers;
-    readonly #limit: ExchangeLimit;
+    readonly #workspace: ExchangeWorkspace;
     readonly #placement: ExchangePlacement;
     readonly #content: ExchangeContent;
     readonly #guard: RequestGuard;
@@ -64,7 +63,7 @@
         this.#answers = new ExchangeAnswers(request, parts.board.work, parts.random);
         this.#body = body;
         this.#signal = signal;
-        this.#limit = new ExchangeLimit(parts, request, signal);
+        this.#workspace = new ExchangeWorkspace(parts, request, signal);
         this.#placement = new ExchangePlacement(parts, request, signal);
         this.#content = new ExchangeContent(request, body);
         this.#guard = new RequestGuard(parts.crashes, this.#content);
@@ -86,15 +85,16 @@
         const { budget, board } = this.#parts;
         const { rules, rank } = this.#request;
         budget.onRequest(rules.name, this.#nowMs());
-        board.onRequest(rules.name, rank, this.#nowMs());
         if (!this.#guard.admit()) {
             return this.#finish(this.#answers.quarantined(this.#guard.retryAfterMs ?? 0));
         }
         try {
-            const refused = await this.#limit.admit();
+            const refused = await this.#workspace.admit();
             if (refused !== undefined) {
                 return this.#finish(refused === "abandoned" ? this.#resolveAborted() : this.#answers.limited(refused));
             }
+            // Requests beyond a limit need no room, and don't count as more urgent ones.
+            board.onRequest(rules.name, rank, this.#nowMs());
             const place = await this.#placement.place("first");
             if (typeof place === "string") {
                 return this.#finish(
@@ -103,14 +103,14 @@
                         : this.#answers.noPlace(place, this.#restingForMs()),
                 );
             }
-            if (this.#isWithdrawn()) {
-                return this.#finish(this.#answers.withdrawn());
+            if (this.#workspace.keyChange !== undefined) {
+                return this.#finish(this.#answers.keyChanged(this.#workspace.keyChange));
             }
             this.#send(place, "first");
             return this.#finish(await this.#follow());
         }
         finally {
-            this.#limit.onEnded(this.#ends, this.#underWay.size);
+            this.#workspace.onEnded(this.#ends, this.#underWay.size);
             this.#guard.close();
         }
     }
@@ -162,11 +162,11 @@
     #resolveFailed(): ExchangeEnd {
         const { retryAfterMs } = this.#guard;
         const restingForMs = this.#restingForMs();
-        const hasRun = this.#fallback !== undefined || this.#ends.some(({ type }) => type !== "notRun");
-        if (!hasRun && this.#isWithdrawn()) {
-            return this.#answers.withdrawn();
-        }
         const hasNotRun = this.#fallback === undefined && this.#ends.every(({ type }) => type === "notRun");
+        const { keyChange } = this.#workspace;
+        if (hasNotRun && keyChange !== undefined) {
+            return this.#answers.keyChanged(keyChange);
+        }
         if (hasNotRun && retryAfterMs !== undefined) {
             return this.#answers.quarantined(retryAfterMs);
         }
@@ -176,11 +176,11 @@
     }
 
     async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
-        if (this.#signal.aborted || this.#isWithdrawn()) {
+        if (this.#signal.aborted || this.#workspace.keyChange !== undefined) {
             return false;
         }
         const { budget, log } = this.#parts;
-        if (result.end.type !== "notRun" && !this.#limit.isPlentiful) {
+        if (result.end.type !== "notRun" && !this.#workspace.isPlentiful) {
             return false;
         }
         if (!await this.#isAllowedAgain(result.end)) {
@@ -200,7 +200,7 @@
             to: typeof place === "string" ? place : place.server.id,
             budgetLeft: budget.left(this.#request.rules.name, this.#gateways(), this.#nowMs()),
         });
-        if (typeof place === "string" || this.#isWithdrawn()) {
+        if (typeof place === "string" || this.#workspace.keyChange !== undefined) {
             return false;
         }
         this.#send(place, "retry");
@@ -227,8 +227,9 @@
         if (typeof place === "string") {
             return;
         }
-        const isNeeded = this.#limit.isPlentiful && !this.#signal.aborted && this.#underWay.size >= this.#unread.size;
-        if (!isNeeded || this.#isWithdrawn() || !this.#guard.mayHedge()) {
+        const isNeeded = this.#workspace.isPlentiful && !this.#signal.aborted
+            && this.#underWay.size >= this.#unread.size;
+        if (!isNeeded || this.#workspace.keyChange !== undefined || !this.#guard.mayHedge()) {
             return;
         }
         if (!this.#takeRepeat("hedge")) {
@@ -264,7 +265,8 @@
             vocabulary,
             heldBytes: heldAnswerBytes,
             mayWrite: () =>
-                !this.#signal.aborted && !this.#isWithdrawn() && view.isUsable(server.id, clock.monotonicMs())
+                !this.#signal.aborted && this.#workspace.keyChange === undefined
+                && view.isUsable(server.id, clock.monotonicMs())
                 && board.barOf(server, clock.monotonicMs()) === undefined && this.#guard.maySend(),
             openSink: head => this.#beginStream(head),
         });
@@ -329,11 +331,6 @@
         return this.#parts.budget.take(this.#request.rules.name, purpose, this.#gateways(), this.#nowMs());
     }
 
-    /** Whether the caller's key was withdrawn since the request arrived. */
-    #isWithdrawn(): boolean {
-        return !isStillAdmitted(this.#request.admission, this.#parts.view.inForce?.workspaces);
-    }
-
     /** Until the first server of the service ends its rest, where all of them rest. */
     #restingForMs(): number | undefined {
         return this.#parts.placer.restingForMs(this.#request.rules.name);
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -1,5 +1,6 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { resolveComeBack, type SendEnd, type TypicalWork } from "@galenaglade/placement";
+import { type KeyChange } from "@galenaglade/workspaces";
 import { type Decision } from "@galenaglade/rate-limit";
 import { type RandomSource } from "@galenaglade/routing";
 import { type HeldAnswer } from "../backends/sendRequest.js";
@@ -46,9 +47,13 @@
         return { type: "failed", failure };
     }
 
-    /** The caller's key was withdrawn while the request waited. */
-    withdrawn(): ExchangeEnd {
-        return { type: "failed", failure: createFailure("unauthenticated", "the request's key was withdrawn") };
+    /** The caller's key was revoked or moved while the request waited. One that was moved is good for another try. */
+    keyChanged(change: KeyChange): ExchangeEnd {
+        const retryAfterSeconds = resolveComeBack("turnedAway", 0, this.#random);
+        const failure = change === "revoked"
+            ? createFailure("unauthenticated", "the request's key was revoked")
+            : createFailure("notFresh", "the request's key belongs to another workspace now", { retryAfterSeconds });
+        return { type: "failed", failure };
     }
 
     /** The limit of the caller's workspace keeps the request back. */
--- a/packages/edge/src/requests/exchangeLimit.ts
+++ b/packages/edge/src/requests/exchangeWorkspace.ts
@@ -1,10 +1,11 @@
 import { type Decision, type Token } from "@galenaglade/rate-limit";
 import { type SendEnd } from "@galenaglade/placement";
+import { findKeyChange, type KeyChange } from "@galenaglade/workspaces";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type ExchangeParts } from "./exchangeParts.js";
 
-/** Keeps one request within its workspace's limit, which holds for all gateways together. */
-export class ExchangeLimit {
+/** Keeps one request to what its workspace may do: a key that is still held, and a limit that holds for all gateways together. */
+export class ExchangeWorkspace {
     readonly #parts: ExchangeParts;
     readonly #request: EdgeRequest;
     readonly #signal: AbortSignal;
@@ -17,6 +18,11 @@
         this.#signal = signal;
     }
 
+    /** What became of the caller's key since the request arrived, where that keeps it from being sent. */
+    get keyChange(): KeyChange | undefined {
+        return findKeyChange(this.#request.admission, this.#parts.view.inForce?.workspaces);
+    }
+
     /** Whether the workspace has room for runs beyond the first: a hedge, or a retry of what may have run. */
     get isPlentiful(): boolean {
         return this.#plentiful;
--- a/packages/workspaces/src/__tests__/workspaces.test.ts
+++ b/packages/workspaces/src/__tests__/workspaces.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { authenticate, isStillAdmitted, type Workspace, WorkspaceDirectory } from "../index.js";
+import { authenticate, findKeyChange, type Workspace, WorkspaceDirectory } from "../index.js";
 
 const north: Workspace = { name: "north", keys: ["k-north-1", "k-north-2"], priority: 0 };
 const south: Workspace = { name: "south", keys: ["k-south"] };
@@ -35,14 +35,17 @@
     assert.deepEqual(authenticate({ type: "none" }, undefined, false), { type: "unchecked" });
 });
 
-// Guards against requests that wait or are tried again with a key that was withdrawn meanwhile.
-test("a key that is withdrawn or moved to another workspace admits its request no longer", () => {
+// Guards against requests that wait or are tried again with a key that was revoked or moved meanwhile.
+test("a key that is revoked or moved to another workspace admits its request no longer", () => {
     const admission = authenticate({ type: "given", key: "k-north-1" }, directory, false);
     assert.ok(typeof admission !== "string");
-    assert.equal(isStillAdmitted(admission, directory), true);
-    assert.equal(isStillAdmitted(admission, new WorkspaceDirectory([{ ...north, keys: ["k-north-2"] }])), false);
-    assert.equal(isStillAdmitted(admission, new WorkspaceDirectory([{ name: "east", keys: ["k-north-1"] }])), false);
-    assert.equal(isStillAdmitted({ type: "anonymous" }, directory), true);
+    assert.equal(findKeyChange(admission, directory), undefined);
+    assert.equal(findKeyChange(admission, undefined), undefined);
+    assert.equal(findKeyChange(admission, new WorkspaceDirectory([{ ...north, keys: ["k-north-2"] }])), "revoked");
+    assert.equal(findKeyChange(admission, new WorkspaceDirectory([{ name: "east", keys: ["k-north-1"] }])), "moved");
+    assert.equal(findKeyChange({ type: "anonymous" }, directory), undefined);
+    assert.equal(findKeyChange({ type: "unchecked" }, undefined), undefined);
+    assert.equal(findKeyChange({ type: "unchecked" }, directory), "moved");
 });
 
 // Guards against a key that two workspaces share: whose requests they are could not be told.
--- a/packages/workspaces/src/authenticate.ts
+++ b/packages/workspaces/src/authenticate.ts
@@ -41,16 +41,27 @@
     given: "unknownKey",
 };
 
+/** What became of a request's key since the request arrived. */
+export type KeyChange = "revoked" | "moved";
+
 /**
- * Asked again before each send: a key may be withdrawn while its request waits or is tried again.
+ * Asked again before each send: a key may be revoked or moved while its request waits or is tried again.
  *
  * @param admission - as decided at the request's arrival
  * @param directory - workspaces in force now
- * @returns whether the same workspace still holds the key
+ * @returns what keeps the request from being sent on the same caller's behalf; `undefined` where nothing does
  */
-export function isStillAdmitted(admission: Admission, directory: WorkspaceDirectory | undefined): boolean {
-    if (admission.type !== "known" || directory === undefined) {
-        return true;
+export function findKeyChange(admission: Admission, directory: WorkspaceDirectory | undefined): KeyChange | undefined {
+    if (directory === undefined || admission.type === "anonymous") {
+        return undefined;
+    }
+    if (admission.type === "unchecked") {
+        // It arrived before any workspaces were configured, so that nobody knows whose it is.
+        return "moved";
+    }
+    const holder = directory.findByKey(admission.key);
+    if (holder === undefined) {
+        return "revoked";
     }
-    return directory.findByKey(admission.key)?.name === admission.workspace.name;
+    return holder.name === admission.workspace.name ? undefined : "moved";
 }
--- a/packages/workspaces/src/index.ts
+++ b/packages/workspaces/src/index.ts
@@ -1,4 +1,4 @@
 /** Which workspace a caller's request belongs to, by the caller's key. */
-export { type Admission, authenticate, isStillAdmitted, type RejectionReason } from "./authenticate.js";
+export { type Admission, authenticate, findKeyChange, type KeyChange, type RejectionReason } from "./authenticate.js";
 export { type CallerKey, type RequestLimit, type Workspace } from "./model.js";
 export { WorkspaceDirectory } from "./workspaceDirectory.js";
