--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -176,7 +176,7 @@
     }
 
     async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
-        if (this.#signal.aborted || this.#workspace.keyChange !== undefined) {
+        if (this.#signal.aborted || this.#workspace.isKeyChanged()) {
             return false;
         }
         const { budget, log } = this.#parts;
@@ -200,7 +200,7 @@
             to: typeof place === "string" ? place : place.server.id,
             budgetLeft: budget.left(this.#request.rules.name, this.#gateways(), this.#nowMs()),
         });
-        if (typeof place === "string" || this.#workspace.keyChange !== undefined) {
+        if (typeof place === "string" || this.#workspace.isKeyChanged()) {
             return false;
         }
         this.#send(place, "retry");
@@ -229,7 +229,7 @@
         }
         const isNeeded = this.#workspace.isPlentiful && !this.#signal.aborted
             && this.#underWay.size >= this.#unread.size;
-        if (!isNeeded || this.#workspace.keyChange !== undefined || !this.#guard.mayHedge()) {
+        if (!isNeeded || this.#workspace.isKeyChanged() || !this.#guard.mayHedge()) {
             return;
         }
         if (!this.#takeRepeat("hedge")) {
--- a/packages/edge/src/requests/exchangeWorkspace.ts
+++ b/packages/edge/src/requests/exchangeWorkspace.ts
@@ -23,6 +23,10 @@
         return findKeyChange(this.#request.admission, this.#parts.view.inForce?.workspaces);
     }
 
+    isKeyChanged(): boolean {
+        return this.keyChange !== undefined;
+    }
+
     /** Whether the workspace has room for runs beyond the first: a hedge, or a retry of what may have run. */
     get isPlentiful(): boolean {
         return this.#plentiful;
