--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -209,6 +209,7 @@
         const tookMs = Math.round(clock.monotonicMs() - request.arrivedAtMs);
         const outcome = end.type === "answered" ? String(end.answer.status) : "streamed";
         metrics.onRequestEnded(request.route.name, outcome, tookMs);
+        this.#countWorkspace(request, tookMs <= request.route.objectiveMs ? "inTime" : "late");
         log.log("info", "requestEnded", {
             requestId: request.requestId,
             route: request.route.name,
@@ -221,6 +222,13 @@
         });
     }
 
+    #countWorkspace(request: EdgeRequest, outcome: string): void {
+        const workspace = nameWorkspace(request);
+        if (workspace !== undefined) {
+            this.#parts.metrics.onWorkspaceRequest(workspace, outcome);
+        }
+    }
+
     #reportFailure(
         req: IncomingMessage,
         request: EdgeRequest | undefined,
@@ -233,6 +241,9 @@
         const { status, retryAfterSeconds } = resolveFailure(failure);
         const tookMs = Math.round(nowMs - arrivedAtMs);
         metrics.onRequestEnded(request?.route.name ?? "", failure.kind, tookMs);
+        if (request !== undefined) {
+            this.#countWorkspace(request, failure.kind);
+        }
         log.log("warn", "requestFailed", {
             requestId: request?.requestId ?? vocabulary.readRequest(req.rawHeaders).requestId,
             route: request?.route.name,
--- a/packages/edge/src/limits/workspaceLimits.ts
+++ b/packages/edge/src/limits/workspaceLimits.ts
@@ -3,7 +3,6 @@
 import {
     type Command,
     type Decision,
-    type LimiterDescription,
     type LimitMessage,
     RateLimiter,
     type Token,
@@ -69,6 +68,7 @@
         const active = workspaces.some(({ limit }) => limit !== undefined);
         if (active && !this.#isOpen) {
             this.#isOpen = true;
+            this.#parts.metrics.observeLimits(() => this.#limiter.describe(this.#parts.clock.monotonicMs()));
             void this.#open();
         }
         if (!this.#isOpen) {
@@ -114,11 +114,6 @@
         this.#limiter.giveBack(token);
     }
 
-    /** @returns who admits, and how much is left of the limits that this gateway keeps for others */
-    describe(): LimiterDescription {
-        return this.#limiter.describe(this.#parts.clock.monotonicMs());
-    }
-
     /** This process is about to end: whoever asks it goes to another gateway. */
     beginStop(): void {
         if (this.#isOpen) {
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -1,5 +1,10 @@
+import { type LimiterDescription } from "@galenaglade/rate-limit";
 import { type Metrics } from "@galenaglade/telemetry";
 
+/** Workspaces that are counted by name; further ones are counted together, so that names can't fill the memory. */
+const mostNamedWorkspaces = 200;
+const otherWorkspaces = "other";
+
 /** Counters and histograms of an edge process. */
 export class EdgeMetrics {
     readonly #requests;
@@ -10,12 +15,16 @@
     readonly #contents;
     readonly #limits;
     readonly #notices;
+    readonly #meter;
+    readonly #namedWorkspaces = new Set<string>();
+    readonly #workspaceRequests;
     readonly #limitDecisions;
     readonly #asks;
     readonly #storeCalls;
     readonly #relayRequests;
 
     constructor({ meter }: Metrics) {
+        this.#meter = meter;
         this.#requests = meter.createCounter("galenaglade.requests", { description: "requests by route and outcome" });
         this.#durations = meter.createHistogram("http.server.request.duration", { unit: "s" });
         this.#waits = meter.createHistogram("http.placement.request.duration", {
@@ -35,6 +44,9 @@
         this.#notices = meter.createCounter("galenaglade.server_notices", {
             description: "answers in which servers ask for rest, say that they leave, or say something unknown",
         });
+        this.#workspaceRequests = meter.createCounter("galenaglade.workspace_requests", {
+            description: "requests by workspace and outcome: in time, late, or why they were refused or failed",
+        });
         this.#limitDecisions = meter.createCounter("galenaglade.workspace_limit_decisions", {
             description: "requests of limited workspaces, by workspace and decision",
         });
@@ -76,8 +88,38 @@
         this.#notices.add(1, { service, notice });
     }
 
+    onWorkspaceRequest(workspace: string, outcome: string): void {
+        this.#workspaceRequests.add(1, { workspace: this.#label(workspace), outcome });
+    }
+
     onLimitDecided(workspace: string, decision: string): void {
-        this.#limitDecisions.add(1, { workspace, decision });
+        this.#limitDecisions.add(1, { workspace: this.#label(workspace), decision });
+    }
+
+    /** @param describe - says what this gateway keeps of the workspaces' limits */
+    observeLimits(describe: () => LimiterDescription): void {
+        const shares = this.#meter.createObservableGauge("galenaglade.limit_shares_held", {
+            description: "part of each limit that other gateways have delegated to this one, by group of workspaces",
+        });
+        const levels = this.#meter.createObservableGauge("galenaglade.limit_tokens", {
+            description: "requests that a workspace may still make at once, at the gateway that allocates them",
+        });
+        this.#meter.addBatchObservableCallback(result => {
+            const { groups, workspaces } = describe();
+            for (const { group, sharesHeld } of groups) {
+                result.observe(shares, sharesHeld, { group });
+            }
+            for (const { workspace, level } of workspaces) {
+                result.observe(levels, level, { workspace: this.#label(workspace) });
+            }
+        }, [shares, levels]);
+    }
+
+    #label(workspace: string): string {
+        if (this.#namedWorkspaces.size < mostNamedWorkspaces) {
+            this.#namedWorkspaces.add(workspace);
+        }
+        return this.#namedWorkspaces.has(workspace) ? workspace : otherWorkspaces;
     }
 
     onAsked(end: "answered" | "failed"): void {
