Place a process's first requests by turns, those first that can still be in time

Cause: after a stop of all hosts the callers of the whole stop come to each process at once, most of them too late for an answer of full use. Placed together they make 3.9 probes each on new connections, which all wait for one another on a slow processor, and those that are late already fill the servers for those that come meanwhile.

Change: in the first 4 s of a process two requests that can still be in time look for a server at a time, the newest first, until they are sent; of the others one, until it ends. By how much a caller's patience falls short of the longest of its route it has waited for the process, where it came within 0.3 s of the first one. A request whose time is over waits no longer.

--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -1,6 +1,6 @@
 import { createFailure, type Failure, resolveFailure } from "@galenaglade/errors";
 import { readRequestBody, type RequestBody, writeFailure } from "@galenaglade/http-parts";
-import { resolveComeBack } from "@galenaglade/placement";
+import { resolveComeBack, type StartRequest } from "@galenaglade/placement";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left } from "purify-ts";
 import { heldBodyBytes, surelyCurrentMs } from "../constants.js";
@@ -12,11 +12,13 @@
 import { CallerSink, writeAnswer } from "./answerWriter.js";
 import { type FirstReading } from "../state/firstReading.js";
 import { type CallerConnections } from "./callerConnections.js";
+import { type StartGate } from "./startGate.js";
 
 /** What the handler works with. */
 export interface EdgeHandlerParts extends ExchangeParts {
     readonly callers: CallerConnections;
     readonly firstReading: FirstReading;
+    readonly startGate: StartGate;
     /** When this process will be killed; requests get their last answer before it. */
     readonly endsAtMs: () => number | undefined;
 }
@@ -144,13 +146,14 @@
         req: IncomingMessage,
         res: ServerResponse,
     ): Promise<void> {
-        const { callers, timeline } = this.#parts;
+        const { callers, timeline, startGate } = this.#parts;
+        const pass = startGate.isOn ? await startGate.enter(this.#describeStart(request, req), signal) : undefined;
         let sink: CallerSink | undefined;
         const exchange = new Exchange(this.#parts, request, body, signal, head => {
             sink = new CallerSink(res, head, callers.endsWith(req));
             return sink;
-        });
-        const end = this.#doubtEnd(await exchange.run());
+        }, () => pass?.onSent());
+        const end = this.#doubtEnd(await exchange.run().finally(() => pass?.onEnded()));
         switch (end.type) {
             case "answered":
                 this.#answer(request, end.answer, req, res);
@@ -167,6 +170,16 @@
         this.#report(request, req, end, exchange, signal);
     }
 
+    #describeStart({ arrivedAtMs, route, rules }: EdgeRequest, req: IncomingMessage): StartRequest {
+        return {
+            arrivedAtMs,
+            objectiveMs: route.objectiveMs,
+            patienceMs: this.#parts.vocabulary.readRequest(req.rawHeaders).patienceMs,
+            kind: route.name,
+            typicalMs: this.#parts.board.work.of(rules.name, route.objectiveMs),
+        };
+    }
+
     #doubtEnd(end: ExchangeEnd): ExchangeEnd {
         return end.type === "failed"
             ? { type: "failed", failure: this.#doubtAbsence(end.failure, this.#parts.clock.monotonicMs()) }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -16,6 +16,7 @@
 import { ServerConnections } from "./backends/serverConnections.js";
 import { CallerConnections } from "./callers/callerConnections.js";
 import { EdgeHandler } from "./callers/edgeHandler.js";
+import { StartGate } from "./callers/startGate.js";
 import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
 import {
     balancerNoticesMs,
@@ -134,6 +135,7 @@
         timeline,
         callers,
         firstReading,
+        startGate: new StartGate(clock),
         endsAtMs: () => endsAtMs,
     });
     const callerServer = createCallerServer({
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -29,6 +29,7 @@
     readonly #body: RequestBody;
     readonly #signal: AbortSignal;
     readonly #openSink: (head: AnswerHead) => AnswerSink;
+    readonly #onSent: () => void;
     readonly #underWay = new Set<SendUnderWay>();
     /** Sends whose end was not looked at yet: one may end while a place for another is looked for. */
     readonly #unread = new Set<SendUnderWay>();
@@ -49,6 +50,7 @@
      * @param body - its body
      * @param signal - aborted when the final answer is due, or when nobody waits for it any more
      * @param openSink - begins the caller's answer with a head, for an answer that is too large to be held
+     * @param onSent - called with each send
      */
     constructor(
         parts: ExchangeParts,
@@ -56,6 +58,7 @@
         body: RequestBody,
         signal: AbortSignal,
         openSink: (head: AnswerHead) => AnswerSink,
+        onSent: () => void = () => undefined,
     ) {
         this.#parts = parts;
         this.#request = request;
@@ -67,6 +70,7 @@
         this.#guard = new RequestGuard(parts.crashes, this.#content);
         this.#outcomes = new SendOutcomes(parts, request, this.#content, this.#guard);
         this.#openSink = openSink;
+        this.#onSent = onSent;
     }
 
     /** What happened on the way, for the log. */
@@ -269,6 +273,7 @@
         };
         this.#underWay.add(underWay);
         this.#unread.add(underWay);
+        this.#onSent();
     }
 
     #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, result: SendResult): void {
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -154,6 +154,17 @@
 /** Requests that a process holds then, at most. */
 export const mostHeldAtStart = 200;
 
+/**
+ * Time from the start in which requests are placed by turns, and how many at once: of those that can still be in time until they are
+ * sent, of the others until they end.
+ */
+export const startTurnsMs = 4_000;
+export const mostInTurnAtStart = 2;
+export const mostLateAtStart = 1;
+
+/** Time from a process's first request within which callers come who had waited for it, and tried again every tenth of a second or so. */
+export const startCrowdMs = 300;
+
 /** Share of a server's named limit that its owners give it together; the rest is for views of the roster that differ. */
 export const limitShare = 0.9;
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -11,6 +11,7 @@
     mostAskedAtOnce,
     subsetServers,
     waitShare,
+    startTurnsMs,
 } from "./constants.js";
 export { drawDestination } from "./destination.js";
 export { type EarlierLook, GoodChances } from "./goodChances.js";
@@ -42,4 +43,5 @@
 export { ServerTrust } from "./serverTrust.js";
 export { type ProbeParts, ServiceProbes, type ServiceProbesParts } from "./serviceProbes.js";
 export { admitAtStart, type StartAdmission, type StartAdmissionInput } from "./startAdmission.js";
+export { type StartRequest, type StartTurn, StartTurns } from "./startTurns.js";
 export { TypicalWork } from "./typicalWork.js";
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -46,6 +46,7 @@
     readonly #tried = new Set<string>();
     readonly #underWay = new Set<SendUnderWay>();
     readonly #ends: SendEnd[] = [];
+    readonly #patienceMs: number;
     #arrivals = 0;
     #isOver = false;
 
@@ -60,6 +61,7 @@
         this.#onEnd = onEnd;
         this.#rules = gateway.directory.rulesOf(caller.kind.service);
         this.#arrivedAtMs = gateway.events.nowMs;
+        this.#patienceMs = caller.leavesAtMs - gateway.events.nowMs;
     }
 
     start(): void {
@@ -71,11 +73,41 @@
         this.#gateway.execute(costs.requestMs, () =>
             this.#whenRead(() => {
                 this.#gateway.onRequest(kind.service, kind.priority);
-                this.#place("first");
-                this.#planHedge();
+                this.#whenTurn();
             }));
     }
 
+    #whenTurn(): void {
+        const { startTurns, board, events } = this.#gateway;
+        if (startTurns?.areOn(events.nowMs) !== true) {
+            this.#begin();
+            return;
+        }
+        const { service, objectiveMs, name } = this.#kind;
+        startTurns.add({
+            arrivedAtMs: this.#arrivedAtMs,
+            objectiveMs,
+            patienceMs: this.#patienceMs,
+            kind: name,
+            typicalMs: board.work.of(service, objectiveMs),
+        }, this);
+        this.#gateway.takeTurns();
+    }
+
+    /** Its turn has come. */
+    onTurn(): void {
+        if (this.#isOver) {
+            this.#gateway.onTurnEnded(this);
+            return;
+        }
+        this.#begin();
+    }
+
+    #begin(): void {
+        this.#place("first");
+        this.#planHedge();
+    }
+
     /** Waits for the gateway's first reading of the store, or refuses where that is no use. */
     #whenRead(run: () => void): void {
         const gateway = this.#gateway;
@@ -187,6 +219,7 @@
         };
         this.#underWay.add(underWay);
         underWay.send.start();
+        gateway.onTurnSent(this);
     }
 
     #onSendEnded(underWay: SendUnderWay, end: SendEnd, offer: ServerOffer | undefined): void {
@@ -287,6 +320,7 @@
     #finish(end: AttemptEnd): void {
         this.#isOver = true;
         this.#gateway.attempts.delete(this);
+        this.#gateway.onTurnEnded(this);
         this.#abandonSends();
         this.#onEnd(end);
     }
--- a/packages/replay/src/world/simulatedGateway.ts
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -6,6 +6,8 @@
     resolvePlacementPolicy,
     type SearchInput,
     ServerSearch,
+    StartTurns,
+    startTurnsMs,
 } from "@galenaglade/placement";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { type Attempt } from "./attempt.js";
@@ -60,6 +62,8 @@
     #readAtMs = -Infinity;
     /** Requests that wait for the first reading of the store. */
     heldAtStart = 0;
+    /** Requests of the first seconds of a life, by turns. */
+    startTurns: StartTurns<Attempt> | undefined;
     #openedBefore = 0;
     #requestsOfLife: number;
     readonly #parts: GatewayParts;
@@ -152,15 +156,35 @@
         this.#upAtMs = startedAtMs + startMs / Math.min(1, this.#parts.cores);
         this.#readAtMs = this.#upAtMs + firstReadMs;
         this.heldAtStart = 0;
+        this.startTurns = new StartTurns(startedAtMs);
         this.#requestsOfLife = 0;
         this.board = this.#createBoard(startedAtMs);
         this.repeats = new RepeatBudget(this.#parts.scenario.repeats, startedAtMs);
         this.connections = new ConnectionPool(keptConnectionMs, keptConnections);
+        this.schedule(downMs + startTurnsMs, () => this.takeTurns());
         for (const attempt of cut) {
             attempt.onPowerLost();
         }
     }
 
+    /** Begins with the requests whose turn it is. */
+    takeTurns(): void {
+        const { startTurns } = this;
+        for (const { item } of startTurns?.take(this.events.nowMs) ?? []) {
+            item.onTurn();
+        }
+    }
+
+    onTurnSent(attempt: Attempt): void {
+        this.startTurns?.onSent(attempt);
+        this.takeTurns();
+    }
+
+    onTurnEnded(attempt: Attempt): void {
+        this.startTurns?.onEnded(attempt);
+        this.takeTurns();
+    }
+
     /** @returns what it believes of the servers of a service and of the fleet */
     look(service: string): FleetSight {
         return {
--- a/scripts/edgeBundle/standInFleet.ts
+++ b/scripts/edgeBundle/standInFleet.ts
@@ -32,7 +32,8 @@
 const authority = "fleet.example";
 const slots = 2;
 const workMs = 120;
-const objectiveMs = 450;
+/** Of the gateways' routes. */
+export const objectiveMs = 450;
 const patienceMs = 3_000;
 const retryMs = 25;
 const portsEach = 4;
--- a/scripts/measureStart.ts
+++ b/scripts/measureStart.ts
@@ -1,19 +1,21 @@
 /**
  * Starts some processes of the built program at once, before stand-ins of the store and of backend servers and with callers that
  * all wait for them, and prints when each phase of a start was reached and what processor time it had taken. `--cores` gives each
- * process a share of a core; `--profile DIR` writes a processor profile of each.
+ * process a share of a core; `--profile DIR` writes a processor profile of each. With `--rate` callers come at that many a second to
+ * each process, from `--down` milliseconds before its start on, and the shares answered in time are printed by the time they came.
  */
-import { type ChildProcess, spawn } from "node:child_process";
+import { createRandomSource } from "@galenaglade/routing";
+import { type ChildProcess, fork, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, openSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
-import { Worker } from "node:worker_threads";
 import { settingsVariable } from "../platform/src/settingsVariable.js";
 import { compiledFlags } from "./edgeBundle/constants.js";
-import { type CallEnd, StandInFleet } from "./edgeBundle/standInFleet.js";
+import { type CallEnd, objectiveMs, StandInFleet } from "./edgeBundle/standInFleet.js";
 
 const { values } = parseArgs({
     options: {
@@ -21,14 +23,20 @@
         gateways: { type: "string", default: "120" },
         servers: { type: "string", default: "240" },
         callers: { type: "string", default: "8" },
+        rate: { type: "string", default: "0" },
+        down: { type: "string", default: "0" },
         cores: { type: "string" },
         profile: { type: "string" },
     },
 });
 const processCount = Number(values.processes);
-const quotaPeriodMs = 100;
 const throttleStartMs = 1_000;
 const okStatus = 200;
+const ratePerSecond = Number(values.rate);
+const downMs = Number(values.down);
+const loadMs = 6_000;
+const random = createRandomSource(1);
+const arrived: (CallEnd & { readonly cameAtMs: number; })[] = [];
 
 const dir = mkdtempSync(join(tmpdir(), "galenaglade-start-"));
 const fleet = await StandInFleet.start({
@@ -38,14 +46,14 @@
 });
 const throttle = values.cores === undefined
     ? undefined
-    : new Worker(new URL("measureStart/throttle.ts", import.meta.url), {
-        workerData: { cores: Number(values.cores), periodMs: quotaPeriodMs },
+    : fork(fileURLToPath(new URL("measureStart/throttle.ts", import.meta.url)), [values.cores], {
         execArgv: ["--import", "tsx"],
     });
 await sleep(throttle === undefined ? 0 : throttleStartMs);
+const beganAtMs = performance.now();
 const children: ChildProcess[] = [];
 const ends = (await Promise.all(Array.from({ length: processCount }, (_, i) => measure(i)))).flat();
-await throttle?.terminate();
+throttle?.kill();
 // A profile is written at a planned stop only.
 await Promise.all(children.map(child => {
     child.kill("SIGCONT");
@@ -53,6 +61,9 @@
     return once(child, "exit");
 }));
 report();
+if (ratePerSecond > 0) {
+    reportLoad();
+}
 rmSync(dir, { recursive: true });
 process.exit(0);
 
@@ -60,15 +71,40 @@
     const profile = values.profile === undefined
         ? []
         : ["--cpu-prof", "--cpu-prof-interval=200", `--cpu-prof-dir=${resolve(values.profile)}`];
+    const arrivals = Array.from(
+        { length: Math.round(ratePerSecond * (downMs + loadMs) / 1_000) },
+        (_, n) => arrive(i, n),
+    );
+    await sleep(downMs);
     const child = spawn(process.execPath, [...compiledFlags, ...profile, "target/galenaglade-edge.cjs"], {
         env: { ...process.env, [settingsVariable]: fleet.writeSettings(i, dir) },
         stdio: ["ignore", openSync(join(dir, `${i}.log`), "a"), "inherit"],
     });
     children.push(child);
-    throttle?.postMessage(child.pid);
-    return Promise.all(
-        Array.from({ length: Number(values.callers) }, (_, n) => fleet.call(i, `${i}-${n}`, n % 2 === 1)),
-    );
+    throttle?.send(child.pid ?? 0);
+    const first = Array.from({ length: Number(values.callers) }, (_, n) => fleet.call(i, `${i}-${n}`, n % 2 === 1));
+    return Promise.all([...first, ...arrivals]);
+}
+
+/** An open load: callers come at their rate whatever became of those before them. */
+async function arrive(i: number, n: number): Promise<CallEnd> {
+    await sleep((n + random.next()) * 1_000 / ratePerSecond);
+    const cameAtMs = performance.now();
+    const end = await fleet.call(i, `${i}-load-${n}`, n % 2 === 1);
+    arrived.push({ ...end, cameAtMs: cameAtMs - beganAtMs - downMs });
+    return end;
+}
+
+function reportLoad(): void {
+    for (const [fromMs, toMs] of [[-downMs, 0], [0, 2_000], [2_000, 4_000], [4_000, loadMs]] as const) {
+        const came = arrived.filter(({ cameAtMs }) => cameAtMs >= fromMs && cameAtMs < toMs);
+        const inTime = came.filter(({ status, tookMs }) => status === okStatus && tookMs <= objectiveMs).length;
+        const answered = came.filter(({ status }) => status === okStatus).length;
+        const share = (count: number): string => `${(100 * count / Math.max(1, came.length)).toFixed(1)}%`;
+        console.log(
+            `came from ${fromMs} to ${toMs} ms: ${came.length}, in time ${share(inTime)}, answered ${share(answered)}`,
+        );
+    }
 }
 
 function report(): void {
--- a/scripts/measureStart/throttle.ts
+++ b/scripts/measureStart/throttle.ts
@@ -1,11 +1,11 @@
 /**
  * Gives each process of a list a share of a core, as a scheduler's quota does: a process that has used up its part of a
- * period stands still until the next one. Runs in a thread of its own, so that the measurement's own work doesn't delay it.
+ * period stands still until the next one. Runs as a process of its own, so that the measurement's own work doesn't delay it.
  */
 import { readdirSync, readFileSync } from "node:fs";
-import { parentPort, workerData } from "node:worker_threads";
 
-const { cores, periodMs } = workerData as { readonly cores: number; readonly periodMs: number; };
+const cores = Number(process.argv[2]);
+const periodMs = 100;
 const lookMs = 3;
 const nsPerMs = 1_000_000;
 
@@ -18,7 +18,7 @@
 const processes: Throttled[] = [];
 let periodEndsAtMs = performance.now() + periodMs;
 
-parentPort?.on("message", (pid: number) => {
+process.on("message", (pid: number) => {
     processes.push({ pid, usedBeforeMs: 0, stopped: false });
 });
 setInterval(() => {
