Count a roll-out's time from its order, also in gateways that hear of it late

A run on two cores, with the code before: the order came while edge-1, the coordinator by rank, was cut off from the store; edge-1 heard of it 1.2 s later, answered the others' reports from then on, and rolled back 13.26 s after the order, 13 s allowed (its log says 12,017 ms). Cut off for longer it is later by as much.

Cause: a gateway counted from its own first sight of the order, unless the order was there at its first reading. The others, who had seen it in time, deferred to the coordinator, also at the end of the time. A coordinator that had started anew used the status's time of day instead, and ended the roll-out early or late by the error of its clock.

Change: each gateway knows two bounds of the order's age by its monotonic clock, the time since it saw the order and the time since the store last answered without it. Reports carry both; the coordinator takes the closest. The end of the time goes by both (0.92 and 0.97 of it), widening by the lower one. The status's time of day counts only where nobody knows an upper bound, and as late. Every gateway that reaches the store ends a roll-out whose time is over by the lower bound, staggered by rank.

--- a/packages/edge/src/rollout/rolloutMessages.ts
+++ b/packages/edge/src/rollout/rolloutMessages.ts
@@ -12,6 +12,7 @@
     away: 503,
 });
 
+const ms = z.number().min(0);
 const counts = { sends: z.number().int().min(0), bad: z.number().int().min(0) };
 
 /** What one gateway has seen of a roll-out. */
@@ -26,6 +27,7 @@
         stable: z.object(counts),
         trial: z.array(z.object({ server: z.string().min(1), ...counts })),
     })),
+    orderAge: z.object({ atLeastMs: ms, atMostMs: ms.optional() }).optional(),
 });
 
 /** What the coordinator answers. */
--- a/packages/edge/src/rollout/rolloutSync.ts
+++ b/packages/edge/src/rollout/rolloutSync.ts
@@ -126,7 +126,7 @@
         more: Readonly<Record<string, string | number>> = {},
     ): void {
         const { log, view, clock } = this.#parts;
-        const { verdict, sinceOrderMs, capacity, registered, settled } = step;
+        const { verdict, sinceOrderMs, sinceOrderAtMostMs, capacity, registered, settled } = step;
         log.log("info", event, {
             service,
             version: order?.version ?? status?.version,
@@ -138,6 +138,7 @@
             trialBad: verdict.trialBad,
             stableShare: Math.round(verdict.stableShare * 1_000) / 1_000,
             sinceOrderMs: Math.round(sinceOrderMs),
+            sinceOrderAtMostMs: sinceOrderAtMostMs === undefined ? undefined : Math.round(sinceOrderAtMostMs),
             sinceStoreMs: Math.round(clock.monotonicMs() - view.lastContactMs),
             capacity: Math.round(capacity * 100) / 100,
             registered,
--- /dev/null
+++ b/packages/rollout/src/__tests__/orderAge.test.ts
@@ -0,0 +1,197 @@
+import {
+    FleetView,
+    readGatewayRegistration,
+    renderGatewayRegistration,
+    type RolloutStage,
+    type StateItem,
+} from "@galenaglade/fleet-state";
+import { createRandomSource } from "@galenaglade/routing";
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Coordinators, GatewayRollouts, OrderAges, type RolloutCommand, RolloutParticipant } from "../index.js";
+
+const service = "tables";
+const version = "v2";
+const allowedMs = 10_000;
+const tickMs = 250;
+const names = ["a", "b", "c"];
+const [first = "", second = ""] = new Coordinators("").rank(service, names);
+
+const order: StateItem = { type: "rolloutOrder", key: "order", order: { service, version, allowedMs } };
+
+function trialSince(startedAtEpochMs: number, stage: RolloutStage = "trial"): StateItem {
+    return {
+        type: "rolloutStatus",
+        key: "status",
+        status: { service, version, stage, startedAtEpochMs, rejectedVersions: [] },
+        revision: 3,
+    };
+}
+
+function gatewayItem(name: string): StateItem {
+    const value = renderGatewayRegistration({ availabilityZone: "north", peers: { host: "10.0.0.2", port: 90 } });
+    return { type: "gateway", key: name, name, leaseId: "1", registration: readGatewayRegistration(value) };
+}
+
+/** One gateway's participant, whose store says what the test puts there. */
+class TestParticipant {
+    readonly view = new FleetView();
+    readonly participant: RolloutParticipant;
+    readonly #clockErrorMs: number;
+
+    constructor(name: string, clockErrorMs = 0) {
+        this.#clockErrorMs = clockErrorMs;
+        const { view } = this;
+        const rollouts = new GatewayRollouts({
+            name,
+            life: "1",
+            view,
+            random: createRandomSource(1),
+            exposureShare: 0.1,
+        });
+        this.participant = new RolloutParticipant({ name, view, rollouts });
+    }
+
+    read(items: readonly StateItem[], nowMs: number): void {
+        this.view.onReading([...names.map(gatewayItem), ...items], nowMs);
+    }
+
+    /** Ticks while the store answers without changes and takes no write. @returns what it asked for, with the time */
+    run(fromMs: number, toMs: number): readonly { readonly atMs: number; readonly command: RolloutCommand; }[] {
+        const found = [];
+        for (let atMs = fromMs; atMs < toMs; atMs += tickMs) {
+            this.view.onContact(atMs);
+            for (const command of this.participant.tick({ nowMs: atMs, epochMs: atMs + this.#clockErrorMs })) {
+                found.push({ atMs, command });
+                if (command.type === "write") {
+                    this.participant.onWritten(service, undefined, atMs);
+                }
+            }
+        }
+        return found;
+    }
+}
+
+/** @returns when the roll-out was first to be rolled back */
+function findRollBack(found: ReturnType<TestParticipant["run"]>): number | undefined {
+    return found.find(({ command }) => command.type === "write" && command.status.stage === "rolledBack")?.atMs;
+}
+
+test("whoever saw an order, its age lies between the bounds that all of them give, whatever is heard late", () => {
+    const gateway = fc.record({
+        lastWithoutMs: fc.integer({ min: 0, max: 5_000 }),
+        firstSeenMs: fc.integer({ min: 5_000, max: 9_000 }),
+        isInherited: fc.boolean(),
+        heardAtMs: fc.integer({ min: 9_000, max: 20_000 }),
+    });
+    fc.assert(
+        fc.property(
+            fc.array(gateway, { minLength: 1, maxLength: 5 }),
+            fc.integer({ min: 0, max: 9_000 }),
+            (all, slowMs) => {
+                const givenAtMs = 5_000;
+                const ages = new OrderAges();
+                for (const [i, { lastWithoutMs, firstSeenMs, isInherited, heardAtMs }] of all.entries()) {
+                    const age = {
+                        atLeastMs: heardAtMs - firstSeenMs,
+                        ...(isInherited ? {} : { atMostMs: heardAtMs - lastWithoutMs }),
+                    };
+                    ages.add(String(i), age, heardAtMs + slowMs);
+                }
+                const { atLeastMs, atMostMs } = ages.at(30_000);
+                assert.ok(atLeastMs <= 30_000 - givenAtMs);
+                // On its way a report becomes older than it says, so the upper bound may fall short by that.
+                assert.ok((atMostMs ?? Infinity) >= 30_000 - givenAtMs - slowMs);
+                assert.equal(atMostMs === undefined, all.every(({ isInherited }) => isInherited));
+            },
+        ),
+    );
+});
+
+// A coordinator that was cut off when the order came ended the roll-out late by as long as it had been cut off.
+test("a coordinator that was cut off when the order came ends the roll-out in time, alone and with a wrong clock", () => {
+    for (const clockErrorMs of [0, -60_000, 60_000]) {
+        const gateway = new TestParticipant(first, clockErrorMs);
+        gateway.read([], 0);
+        gateway.run(0, 5_000);
+        // The order is given at 5 s at the earliest; this gateway hears of it at 9 s.
+        gateway.view.onChanges({ items: [order, trialSince(5_000)], deletedKeys: [] }, 9_000);
+        const rolledBackAtMs = findRollBack(gateway.run(9_000, 20_000)) ?? Infinity;
+        assert.ok(rolledBackAtMs <= 5_000 + allowedMs, `clock ${clockErrorMs}: ${rolledBackAtMs}`);
+        assert.ok(rolledBackAtMs >= 9_000 + allowedMs * 0.5, `clock ${clockErrorMs}: ${rolledBackAtMs}`);
+    }
+});
+
+// What others know of the order's age counts, not only what the coordinator has seen itself.
+test("a coordinator that starts anew takes the order's age from other gateways, whatever its clock says", () => {
+    for (const clockErrorMs of [0, -60_000, 60_000]) {
+        const gateway = new TestParticipant(first, clockErrorMs);
+        gateway.read([order, trialSince(0)], 6_000);
+        gateway.run(6_000, 6_250);
+        const orderAge = { atLeastMs: 6_000, atMostMs: 6_200 };
+        const report = { gateway: second, life: "1", service, version, settled: false, routes: [], orderAge };
+        assert.deepEqual(gateway.participant.onReport(report, { nowMs: 6_250, epochMs: 0 }), { stop: false });
+        const rolledBackAtMs = findRollBack(gateway.run(6_250, 20_000)) ?? Infinity;
+        assert.ok(
+            rolledBackAtMs <= allowedMs && rolledBackAtMs >= allowedMs * 0.9,
+            `clock ${clockErrorMs}: ${rolledBackAtMs}`,
+        );
+    }
+});
+
+// With nobody left who saw the order come, only the status's time of day says when that was.
+test("a coordinator whose whole fleet started anew ends the roll-out by the status's time of day", () => {
+    const gateway = new TestParticipant(first);
+    gateway.read([order, trialSince(1_000)], 6_000);
+    const rolledBackAtMs = findRollBack(gateway.run(6_000, 30_000)) ?? Infinity;
+    assert.ok(rolledBackAtMs <= 1_000 + allowedMs && rolledBackAtMs >= allowedMs, String(rolledBackAtMs));
+});
+
+// A coordinator that answers others but can't write, or stands still at the end, must not keep a roll-out open.
+test("every gateway that reaches the store ends a roll-out whose time is over, also while another one coordinates", () => {
+    for (const name of names) {
+        const gateway = new TestParticipant(name);
+        gateway.read([], 0);
+        gateway.run(0, 1_000);
+        gateway.view.onChanges({ items: [order], deletedKeys: [] }, 1_000);
+        gateway.run(1_000, 1_250);
+        gateway.view.onChanges({ items: [trialSince(1_000)], deletedKeys: [] }, 1_250);
+        const found = gateway.run(1_250, 20_000);
+        const rolledBackAtMs = findRollBack(found) ?? Infinity;
+        assert.ok(rolledBackAtMs <= 1_000 + allowedMs, `${name}: ${rolledBackAtMs}`);
+        assert.ok(rolledBackAtMs >= 1_000 + allowedMs * 0.9, `${name}: ${rolledBackAtMs}`);
+    }
+});
+
+// Cut off before the order came, a gateway's upper bound is as much too high; taken for the age, it ended sound roll-outs early.
+test("a gateway that was cut off for long ends no roll-out that has just begun, whether it coordinates or not", () => {
+    for (const name of names) {
+        const gateway = new TestParticipant(name);
+        gateway.read([], 0);
+        gateway.run(0, 1_000);
+        gateway.view.onChanges({ items: [order, trialSince(20_000)], deletedKeys: [] }, 20_500);
+        const before = gateway.run(20_500, 21_000);
+        const orderAge = { atLeastMs: 1_000, atMostMs: 1_400 };
+        const report = { gateway: "d", life: "1", service, version, settled: false, routes: [], orderAge };
+        if (name === first) {
+            gateway.participant.onReport(report, { nowMs: 21_000, epochMs: 21_000 });
+        }
+        const rolledBackAtMs = findRollBack([...before, ...gateway.run(21_000, 35_000)]) ?? Infinity;
+        assert.ok(rolledBackAtMs >= 20_000 + allowedMs * 0.9, `${name}: ${rolledBackAtMs}`);
+    }
+});
+
+// Cut off for long, a gateway may still hold an order of the same version that has long ended.
+test("a gateway that doesn't reach the store says nothing of the order's age", () => {
+    const gateway = new TestParticipant(second);
+    gateway.read([], 0);
+    gateway.run(0, 1_000);
+    gateway.view.onChanges({ items: [order], deletedKeys: [] }, 1_000);
+    const [inTouch] = gateway.run(1_000, 3_000).flatMap(({ command }) => command.type === "report" ? [command] : []);
+    assert.ok(inTouch?.report.orderAge !== undefined);
+    gateway.participant.onReported(inTouch, { taken: true, stop: false }, 2_750);
+    const [away] = gateway.participant.tick({ nowMs: 8_000, epochMs: 8_000 })
+        .flatMap(command => command.type === "report" ? [command] : []);
+    assert.ok(away !== undefined && away.report.orderAge === undefined);
+});
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -47,6 +47,19 @@
 export const leastTrialTime = 0.4;
 export const latestEnd = 0.92;
 
+/**
+ * Share of the time allowed at which a roll-out ends by what its order's age may be at most. That bound is up to a second above
+ * the age in calm times, the interval at which gateways hear from the store; at `latestEnd` it would cost calm roll-outs that time.
+ */
+export const latestEndAtMost = 0.97;
+
+/**
+ * Share of the time allowed by which each next gateway in rank waits longer before it ends a roll-out that its coordinator left
+ * open, and the most such waits: all have written before the time is over, and mostly one does.
+ */
+export const overdueStep = 0.015;
+export const overdueSteps = 3;
+
 /** Share of the time allowed after which some gateways may be missing from those that have settled. */
 export const patientSettling = 0.8;
 export const settledShare = 0.9;
@@ -77,5 +90,12 @@
 /** Pause after a write of a roll-out's status, in milliseconds. */
 export const writePauseMs = 400;
 
+/**
+ * How long a gateway that newly knows an order waits for reports before it ends the roll-out by what the order's age may be at most,
+ * in milliseconds: those that found it away report to it again after `failedCoordinatorMs` and a tick. One that was cut off for long
+ * would end a roll-out that has just begun.
+ */
+export const ageReportsMs = 4_500;
+
 /** Orders seen within this time of the first reading were given before, in milliseconds. */
 export const inheritedOrderMs = 700;
--- a/packages/rollout/src/coordination.ts
+++ b/packages/rollout/src/coordination.ts
@@ -1,6 +1,8 @@
 import { type FleetView, type RegisteredServer, type RolloutPlan, type RolloutStage } from "@galenaglade/fleet-state";
+import { ageReportsMs } from "./constants.js";
 import { EvidencePool, type EvidenceReport, sumTrial } from "./evidence.js";
-import { nextRolloutStep, type RolloutWrite } from "./rolloutMachine.js";
+import { type OrderAge, OrderAges } from "./orderAge.js";
+import { isTimeOver, nextRolloutStep, type RolloutWrite } from "./rolloutMachine.js";
 import { SequentialRatioTest, type VersionVerdict } from "./versionTest.js";
 
 /** The moment of a look at a roll-out. */
@@ -14,6 +16,7 @@
     readonly verdict: VersionVerdict;
     readonly write: RolloutWrite | undefined;
     readonly sinceOrderMs: number;
+    readonly sinceOrderAtMostMs: number | undefined;
     readonly capacity: number;
     readonly registered: number;
     readonly settled: number;
@@ -24,24 +27,49 @@
     readonly version: string;
     readonly #pool = new EvidencePool();
     readonly #test = new SequentialRatioTest();
-    readonly #firstSeenMs: number;
-    /** Whether the order was there before this gateway began to listen. */
-    readonly #isInherited: boolean;
+    /** This gateway's own knowledge of the order's age, and everyone's. */
+    readonly #ownAge = new OrderAges();
+    readonly #ages = new OrderAges();
+    readonly #createdAtMs: number;
     readonly #serverSeenMs = new Map<string, number>();
     #stage: RolloutStage | undefined;
     #stageSeenMs: number;
     #sendsBeforeStage = 0;
 
-    constructor(version: string, { nowMs }: CoordinationTime, isInherited: boolean) {
+    /** @param orderAge - what this gateway knows now of the order's age */
+    constructor(version: string, { nowMs }: CoordinationTime, orderAge: OrderAge) {
         this.version = version;
-        this.#firstSeenMs = nowMs;
+        this.#ownAge.add("own", orderAge, nowMs);
+        this.#ages.add("own", orderAge, nowMs);
+        this.#createdAtMs = nowMs;
         this.#stageSeenMs = nowMs;
-        this.#isInherited = isInherited;
     }
 
     /** A gateway told what it has seen. */
-    onReport(report: EvidenceReport): void {
+    onReport(report: EvidenceReport, nowMs: number): void {
         this.#pool.add(report);
+        if (report.orderAge !== undefined) {
+            this.#ages.add(`${report.gateway}\n${report.life}`, report.orderAge, nowMs);
+        }
+    }
+
+    /** @returns what this gateway knows by itself of the order's age */
+    ownOrderAge(nowMs: number): OrderAge {
+        return this.#ownAge.at(nowMs);
+    }
+
+    /**
+     * @param waitsMs - how much longer this gateway leaves it to others
+     * @returns whether the roll-out should have been ended by now, whoever coordinates it
+     */
+    isOverdue(plan: RolloutPlan, nowMs: number, waitsMs: number): boolean {
+        const { order, status } = plan;
+        if (order === undefined || status?.version !== order.version) {
+            return false;
+        }
+        // By the lower bound alone: the upper one of a gateway that was cut off for long says nothing, where others know better.
+        const { atLeastMs } = this.#ages.at(nowMs);
+        return isTimeOver({ sinceOrderMs: atLeastMs - waitsMs }, order.allowedMs);
     }
 
     /** Looks at the service's servers, also while another gateway coordinates: how long they have been there counts later. */
@@ -69,7 +97,7 @@
         const input = {
             plan,
             verdict,
-            sinceOrderMs: this.#sinceOrderMs(plan, time),
+            ...this.#sinceOrder(plan, time),
             sinceStageMs: nowMs - this.#stageSeenMs,
             sendsSinceStage: trialSends - this.#sendsBeforeStage,
             capacity: this.#capacity(plan.service, view, nowMs),
@@ -80,12 +108,18 @@
         return { ...input, write: nextRolloutStep(input) };
     }
 
-    /** A clock may be set meanwhile, so it counts only where this gateway didn't see the order come. */
-    #sinceOrderMs({ status }: RolloutPlan, { nowMs, epochMs }: CoordinationTime): number {
-        const seenMs = nowMs - this.#firstSeenMs;
-        return this.#isInherited && status?.version === this.version
-            ? Math.max(seenMs, epochMs - status.startedAtEpochMs)
-            : seenMs;
+    /**
+     * Times of day differ from host to host and may be set meanwhile, so the status's counts only where no gateway that has told
+     * saw the order come, and only to end the roll-out: a version must not be widened early because a clock is ahead.
+     */
+    #sinceOrder(
+        { status }: RolloutPlan,
+        { nowMs, epochMs }: CoordinationTime,
+    ): { readonly sinceOrderMs: number; readonly sinceOrderAtMostMs: number | undefined; } {
+        const { atLeastMs, atMostMs } = this.#ages.at(nowMs);
+        const mayBeTold = nowMs - this.#createdAtMs < ageReportsMs;
+        const byTimeOfDayMs = status?.version === this.version ? epochMs - status.startedAtEpochMs : undefined;
+        return { sinceOrderMs: atLeastMs, sinceOrderAtMostMs: mayBeTold ? undefined : atMostMs ?? byTimeOfDayMs };
     }
 
     /** Slots of the new version's warm servers over those of the others. */
--- a/packages/rollout/src/evidence.ts
+++ b/packages/rollout/src/evidence.ts
@@ -1,3 +1,5 @@
+import { type OrderAge } from "./orderAge.js";
+
 /** Answers seen, and how many of them speak against their version. */
 export interface AnswerCounts {
     readonly sends: number;
@@ -28,6 +30,8 @@
     /** Whether it sends to the new version only, and nothing runs for it on the old one any more. */
     readonly settled: boolean;
     readonly routes: readonly RouteEvidence[];
+    /** What it knows of the order's age; `undefined` while it doesn't reach the store, whose order may be another one by now. */
+    readonly orderAge?: OrderAge | undefined;
 }
 
 /** @returns the sum of what servers of the new version answered */
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -11,6 +11,7 @@
     sumTrial,
 } from "./evidence.js";
 export { GatewayRollouts, type GatewayRolloutsParts } from "./gatewayRollouts.js";
+export { type OrderAge, OrderAges, unknownOrderAge } from "./orderAge.js";
 export { judgeOutcome, type SendOutcome } from "./outcome.js";
 export { nextRolloutStep, type RolloutInput, type RolloutWrite } from "./rolloutMachine.js";
 export {
--- a/packages/rollout/src/rolloutMachine.ts
+++ b/packages/rollout/src/rolloutMachine.ts
@@ -1,6 +1,7 @@
 import { isFinalStage, type RolloutPlan, type RolloutStage, type RolloutStatus } from "@galenaglade/fleet-state";
 import {
     latestEnd,
+    latestEndAtMost,
     leastCapacity,
     leastTrialTime,
     mostRejectedVersions,
@@ -15,8 +16,10 @@
 export interface RolloutInput {
     readonly plan: RolloutPlan;
     readonly verdict: VersionVerdict;
-    /** Since the order was given, as far as is known. */
+    /** Since the order was given, at least. */
     readonly sinceOrderMs: number;
+    /** Since the order was given, at most; `undefined` where nothing says so. */
+    readonly sinceOrderAtMostMs?: number | undefined;
     /** Since this gateway first saw the present stage, and answers of the new version since then. */
     readonly sinceStageMs: number;
     readonly sendsSinceStage: number;
@@ -56,15 +59,27 @@
     if (input.verdict.type === "bad") {
         return rollBack(input, status, "badAnswers");
     }
-    if (input.sinceOrderMs >= order.allowedMs * latestEnd) {
+    if (isTimeOver(input, order.allowedMs)) {
         return rollBack(input, status, "timeIsOver");
     }
     const next = advance(input, status.stage, order.allowedMs);
     return next === undefined ? undefined : { status: { ...status, stage: next.stage }, reason: next.reason };
 }
 
+/**
+ * Where it isn't known how old the order is, the time may be over and counts as over: the old version's servers still run.
+ *
+ * @returns whether a roll-out that has not ended is to be rolled back
+ */
+export function isTimeOver(
+    { sinceOrderMs, sinceOrderAtMostMs = 0 }: Pick<RolloutInput, "sinceOrderMs" | "sinceOrderAtMostMs">,
+    allowedMs: number,
+): boolean {
+    return sinceOrderMs >= allowedMs * latestEnd || sinceOrderAtMostMs >= allowedMs * latestEndAtMost;
+}
+
 function begin(
-    { plan: { status }, epochMs }: RolloutInput,
+    { plan: { status }, sinceOrderMs, epochMs }: RolloutInput,
     { service, version }: NonNullable<RolloutPlan["order"]>,
 ): RolloutWrite {
     const unproved = status === undefined || isFinalStage(status.stage) ? [] : [status.version];
@@ -75,7 +90,7 @@
             service,
             version,
             stage: isRejected ? "rolledBack" : "trial",
-            startedAtEpochMs: epochMs,
+            startedAtEpochMs: epochMs - sinceOrderMs,
             rejectedVersions,
         },
         reason: isRejected ? "rejectedBefore" : "ordered",
--- a/packages/rollout/src/rolloutParticipant.ts
+++ b/packages/rollout/src/rolloutParticipant.ts
@@ -5,11 +5,20 @@
     type RolloutPlan,
     type RolloutStatus,
 } from "@galenaglade/fleet-state";
-import { inheritedOrderMs, standbyCoordinators, standbyReportMs, staleContactMs, writePauseMs } from "./constants.js";
+import {
+    inheritedOrderMs,
+    overdueStep,
+    overdueSteps,
+    standbyCoordinators,
+    standbyReportMs,
+    staleContactMs,
+    writePauseMs,
+} from "./constants.js";
 import { Coordination, type CoordinationStep, type CoordinationTime } from "./coordination.js";
 import { Coordinators } from "./coordinators.js";
 import { type EvidenceReport } from "./evidence.js";
 import { type GatewayRollouts } from "./gatewayRollouts.js";
+import { type OrderAge, unknownOrderAge } from "./orderAge.js";
 
 /** What a gateway takes part in roll-outs with. */
 export interface ParticipantParts {
@@ -75,6 +84,8 @@
     readonly #coordinators: Coordinators;
     readonly #open = new Map<string, OpenRollout>();
     #readAtMs: number | undefined;
+    /** When the store had last answered at the latest look: orders that are new since then were given after that. */
+    #contactMs = -Infinity;
 
     constructor(parts: ParticipantParts) {
         this.#parts = parts;
@@ -100,7 +111,9 @@
                 this.#open.delete(service);
             }
         }
-        return plans.flatMap(plan => this.#take(plan, time));
+        const commands = plans.flatMap(plan => this.#take(plan, time));
+        this.#contactMs = view.lastContactMs;
+        return commands;
     }
 
     /** Another gateway tells what it has seen. @returns whether to stop, or `undefined` where this one can't coordinate */
@@ -111,7 +124,7 @@
         }
         this.#coordinators.onAsked(report.service, time.nowMs);
         const open = this.#resolveOpen(plan, time);
-        open.coordination.onReport(report);
+        open.coordination.onReport(report, time.nowMs);
         return { stop: open.isBad };
     }
 
@@ -162,8 +175,10 @@
         }
         const gateways = view.registeredGateways();
         const names = gateways.map(gateway => gateway.name);
-        if (this.#coordinators.isActing(plan.service, names, nowMs) && this.#reachesStore(nowMs)) {
-            open.coordination.onReport(rollouts.report(plan));
+        const isActing = this.#coordinators.isActing(plan.service, names, nowMs)
+            || open.coordination.isOverdue(plan, nowMs, this.#overdueWaitMs(plan, names));
+        if (isActing && this.#reachesStore(nowMs)) {
+            open.coordination.onReport(rollouts.report(plan), nowMs);
             commands.push(...this.#coordinate(plan, open, time));
         }
         const coordinator = this.#coordinators.choose(plan.service, names, nowMs);
@@ -181,7 +196,10 @@
         names: readonly string[],
         nowMs: number,
     ): readonly RolloutCommand[] {
-        const { trialAnswers, ...report } = this.#parts.rollouts.report(plan);
+        const { trialAnswers, ...seen } = this.#parts.rollouts.report(plan);
+        const report = this.#reachesStore(nowMs)
+            ? { ...seen, orderAge: open.coordination.ownOrderAge(nowMs) }
+            : seen;
         // A coordinator that takes over knows nothing yet.
         const last = open.lastReport.coordinator === to.name ? open.lastReport : noReport;
         const isNews = trialAnswers > last.answers || report.settled !== last.settled;
@@ -192,6 +210,16 @@
         return [{ type: "report", to, report }];
     }
 
+    /**
+     * A coordinator may be unable to write, or know the order for a shorter time than others, while it still answers them. So
+     * every gateway ends a roll-out itself whose time is over, those next in rank first.
+     */
+    #overdueWaitMs({ service, order }: RolloutPlan, names: readonly string[]): number {
+        const rank = this.#coordinators.rank(service, names).indexOf(this.#parts.name);
+        const steps = rank < 0 ? overdueSteps : Math.min(rank, overdueSteps);
+        return (order?.allowedMs ?? 0) * overdueStep * steps;
+    }
+
     /** The gateways next in rank find out a coordinator that is gone, also where there is nothing to report. */
     #isStandbyDue(service: string, open: OpenRollout, names: readonly string[], nowMs: number): boolean {
         if (nowMs - open.reportedAtMs < standbyReportMs) {
@@ -226,9 +254,8 @@
         if (known?.coordination.version === version) {
             return known;
         }
-        const isInherited = time.nowMs - (this.#readAtMs ?? time.nowMs) < inheritedOrderMs;
         const open: OpenRollout = {
-            coordination: new Coordination(version, time, isInherited),
+            coordination: new Coordination(version, time, this.#newOrderAge(time.nowMs)),
             lastReport: noReport,
             reportUnderWay: undefined,
             reportedAtMs: time.nowMs,
@@ -241,6 +268,12 @@
         return open;
     }
 
+    /** @returns the age of an order that was not there at the latest look */
+    #newOrderAge(nowMs: number): OrderAge {
+        const isInherited = nowMs - (this.#readAtMs ?? nowMs) < inheritedOrderMs;
+        return isInherited ? unknownOrderAge : { atLeastMs: 0, atMostMs: nowMs - this.#contactMs };
+    }
+
     #reachesStore(nowMs: number): boolean {
         return nowMs - this.#parts.view.lastContactMs <= staleContactMs;
     }
