Trust a server again that tells its load after it was silent

Seen: "a sound version is completed, and only its servers get requests then" fails beside load, rolled back with timeIsOver.

Cause: a trial asks one server at a time, so each question that comes late (35 ms) counts against that server, and each doubles the time for which it is suspected, to 8 s. A suspected server gets no trial request, and only an answered request ended the suspicion. A gateway that was slow itself for a moment so kept a sound version from its trial for longer than the time allowed.

Change: a suspicion that rests on silence alone ends when the server tells its load. One that rests on a failed request stays, as such servers tell their load all the time.

--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -87,7 +87,7 @@
             return;
         }
         for (const { id } of silent) {
-            this.#parts.board.onFailure(service, id, this.#parts.clock.monotonicMs());
+            this.#parts.board.onSilent(service, id, this.#parts.clock.monotonicMs());
         }
     }
 }
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -95,6 +95,7 @@
 
     /** A server answered for itself. @param atMs - when it was asked */
     onOffer(service: string, offer: ServerOffer, atMs: number): void {
+        this.trust.onTold(offer.serverId);
         this.#remember(service, offer, atMs, true);
     }
 
@@ -144,12 +145,18 @@
         return this.#notices.barOf(server, nowMs);
     }
 
-    /** A server did not answer for itself, or failed a request. */
+    /** A server failed a request. */
     onFailure(service: string, serverId: string, nowMs: number): void {
         this.trust.onFailure(serverId, nowMs);
         this.#memoryOf(service).forget(serverId);
     }
 
+    /** A server did not tell its load when it was asked. */
+    onSilent(service: string, serverId: string, nowMs: number): void {
+        this.trust.onSilent(serverId, nowMs);
+        this.#memoryOf(service).forget(serverId);
+    }
+
     /** @returns what is known of servers of a service */
     rate(
         rules: ServiceRules,
--- a/packages/placement/src/serverTrust.ts
+++ b/packages/placement/src/serverTrust.ts
@@ -3,6 +3,8 @@
 interface Suspicion {
     readonly failures: number;
     readonly untilMs: number;
+    /** Whether nothing but unanswered questions for its load speaks against it. */
+    readonly onlySilent: boolean;
 }
 
 /**
@@ -14,9 +16,22 @@
     readonly #suspicions = new Map<string, Suspicion>();
 
     onFailure(serverId: string, nowMs: number): void {
-        const failures = (this.#suspicions.get(serverId)?.failures ?? 0) + 1;
-        const lastsMs = Math.min(longestSuspicionMs, firstSuspicionMs * 2 ** (failures - 1));
-        this.#suspicions.set(serverId, { failures, untilMs: nowMs + lastsMs });
+        this.#suspect(serverId, nowMs, false);
+    }
+
+    /** A server didn't tell its load. */
+    onSilent(serverId: string, nowMs: number): void {
+        this.#suspect(serverId, nowMs, this.#suspicions.get(serverId)?.onlySilent ?? true);
+    }
+
+    /**
+     * A server told its load: that it was silent before says nothing more. A suspected server gets no trial request, so without
+     * this a version on trial gets none for up to `longestSuspicionMs` after a moment in which this process was slow.
+     */
+    onTold(serverId: string): void {
+        if (this.#suspicions.get(serverId)?.onlySilent === true) {
+            this.#suspicions.delete(serverId);
+        }
     }
 
     onSuccess(serverId: string): void {
@@ -36,4 +51,10 @@
             }
         }
     }
+
+    #suspect(serverId: string, nowMs: number, onlySilent: boolean): void {
+        const failures = (this.#suspicions.get(serverId)?.failures ?? 0) + 1;
+        const lastsMs = Math.min(longestSuspicionMs, firstSuspicionMs * 2 ** (failures - 1));
+        this.#suspicions.set(serverId, { failures, untilMs: nowMs + lastsMs, onlySilent });
+    }
 }
