Give the soak's orders to the store one after the other

Cause: orders that were under way at once went over different connections, and the store could take the later one first. That they overtook each other is concluded from the revisions in the gateways' logs; the store keeps no log of its own.

Change: each order is sent when the one before it has been answered.

--- a/packages/soak/src/soakStore.ts
+++ b/packages/soak/src/soakStore.ts
@@ -1,11 +1,14 @@
 import { type StartedProcess, startProcess } from "@galenaglade/stand-ins";
 import { request } from "undici";
+import { InOrder } from "./inOrder.js";
 import { soundStore, type SoakSystem, type StoreOrder, type StoreTrouble } from "./soakSystem.js";
 
 /** The stand-in store as a process. The operator and the servers reach it past all faults, as they do in production. */
 export class SoakStore {
     readonly #process: StartedProcess;
     readonly #troubles: Partial<StoreTrouble>[] = [];
+    /** Orders under way at once may overtake each other on their connections. */
+    readonly #inOrder = new InOrder();
 
     private constructor(process: StartedProcess) {
         this.#process = process;
@@ -20,9 +23,11 @@
     }
 
     /** Writes past all faults; the store's answer is the acknowledgement. */
-    async order(order: StoreOrder): Promise<void> {
-        const res = await request(`${this.#process.url}/control`, { method: "POST", body: JSON.stringify(order) });
-        await res.body.dump();
+    order(order: StoreOrder): Promise<void> {
+        return this.#inOrder.run(async () => {
+            const res = await request(`${this.#process.url}/control`, { method: "POST", body: JSON.stringify(order) });
+            await res.body.dump();
+        });
     }
 
     /** Begins a trouble. @returns ends it */
