--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -91,7 +91,7 @@
             return;
         }
         for (const { id } of silent) {
-            this.#parts.board.onFailure(service, id, this.#parts.clock.monotonicMs());
+            this.#parts.board.onSilent(service, id, this.#parts.clock.monotonicMs());
         }
     }
 }
--- a/packages/rollout/src/__tests__/orderAge.test.ts
+++ b/packages/rollout/src/__tests__/orderAge.test.ts
@@ -164,6 +164,24 @@
     }
 });
 
+// Cut off before the order came, a gateway's upper bound is as much too high; taken for the age, it ended sound roll-outs early.
+test("a gateway that was cut off for long ends no roll-out that has just begun, whether it coordinates or not", () => {
+    for (const name of names) {
+        const gateway = new TestParticipant(name);
+        gateway.read([], 0);
+        gateway.run(0, 1_000);
+        gateway.view.onChanges({ items: [order, trialSince(20_000)], deletedKeys: [] }, 20_500);
+        const before = gateway.run(20_500, 21_000);
+        const orderAge = { atLeastMs: 1_000, atMostMs: 1_400 };
+        const report = { gateway: "d", life: "1", service, version, settled: false, routes: [], orderAge };
+        if (name === first) {
+            gateway.participant.onReport(report, { nowMs: 21_000, epochMs: 21_000 });
+        }
+        const rolledBackAtMs = findRollBack([...before, ...gateway.run(21_000, 35_000)]) ?? Infinity;
+        assert.ok(rolledBackAtMs >= 20_000 + allowedMs * 0.9, `${name}: ${rolledBackAtMs}`);
+    }
+});
+
 // Cut off for long, a gateway may still hold an order of the same version that has long ended.
 test("a gateway that doesn't reach the store says nothing of the order's age", () => {
     const gateway = new TestParticipant(second);
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -91,10 +91,11 @@
 export const writePauseMs = 400;
 
 /**
- * How long a gateway leaves a status's time of day out of account, in milliseconds: within it, the gateways next in rank have told
- * what they know of the order's age. A coordinator that started anew with a wrong clock would end a roll-out at once.
+ * How long a gateway that newly knows an order waits for reports before it ends the roll-out by what the order's age may be at most,
+ * in milliseconds: those that found it away report to it again after `failedCoordinatorMs` and a tick. One that was cut off for long
+ * would end a roll-out that has just begun.
  */
-export const timeOfDayWaitMs = 1_500;
+export const ageReportsMs = 4_500;
 
 /** Orders seen within this time of the first reading were given before, in milliseconds. */
 export const inheritedOrderMs = 700;
--- a/packages/rollout/src/coordination.ts
+++ b/packages/rollout/src/coordination.ts
@@ -1,5 +1,5 @@
 import { type FleetView, type RegisteredServer, type RolloutPlan, type RolloutStage } from "@galenaglade/fleet-state";
-import { timeOfDayWaitMs } from "./constants.js";
+import { ageReportsMs } from "./constants.js";
 import { EvidencePool, type EvidenceReport, sumTrial } from "./evidence.js";
 import { type OrderAge, OrderAges } from "./orderAge.js";
 import { isTimeOver, nextRolloutStep, type RolloutWrite } from "./rolloutMachine.js";
@@ -62,14 +62,14 @@
      * @param waitsMs - how much longer this gateway leaves it to others
      * @returns whether the roll-out should have been ended by now, whoever coordinates it
      */
-    isOverdue(plan: RolloutPlan, time: CoordinationTime, waitsMs: number): boolean {
+    isOverdue(plan: RolloutPlan, nowMs: number, waitsMs: number): boolean {
         const { order, status } = plan;
         if (order === undefined || status?.version !== order.version) {
             return false;
         }
-        const { sinceOrderMs, sinceOrderAtMostMs = 0 } = this.#sinceOrder(plan, time);
-        const age = { sinceOrderMs: sinceOrderMs - waitsMs, sinceOrderAtMostMs: sinceOrderAtMostMs - waitsMs };
-        return isTimeOver(age, order.allowedMs);
+        // By the lower bound alone: the upper one of a gateway that was cut off for long says nothing, where others know better.
+        const { atLeastMs } = this.#ages.at(nowMs);
+        return isTimeOver({ sinceOrderMs: atLeastMs - waitsMs }, order.allowedMs);
     }
 
     /** Looks at the service's servers, also while another gateway coordinates: how long they have been there counts later. */
@@ -117,9 +117,9 @@
         { nowMs, epochMs }: CoordinationTime,
     ): { readonly sinceOrderMs: number; readonly sinceOrderAtMostMs: number | undefined; } {
         const { atLeastMs, atMostMs } = this.#ages.at(nowMs);
-        const isTimeOfDayKnown = status?.version === this.version && nowMs - this.#createdAtMs >= timeOfDayWaitMs;
-        const byTimeOfDayMs = isTimeOfDayKnown ? epochMs - status.startedAtEpochMs : undefined;
-        return { sinceOrderMs: atLeastMs, sinceOrderAtMostMs: atMostMs ?? byTimeOfDayMs };
+        const mayBeTold = nowMs - this.#createdAtMs < ageReportsMs;
+        const byTimeOfDayMs = status?.version === this.version ? epochMs - status.startedAtEpochMs : undefined;
+        return { sinceOrderMs: atLeastMs, sinceOrderAtMostMs: mayBeTold ? undefined : atMostMs ?? byTimeOfDayMs };
     }
 
     /** Slots of the new version's warm servers over those of the others. */
--- a/packages/rollout/src/rolloutParticipant.ts
+++ b/packages/rollout/src/rolloutParticipant.ts
@@ -176,7 +176,7 @@
         const gateways = view.registeredGateways();
         const names = gateways.map(gateway => gateway.name);
         const isActing = this.#coordinators.isActing(plan.service, names, nowMs)
-            || open.coordination.isOverdue(plan, time, this.#overdueWaitMs(plan, names));
+            || open.coordination.isOverdue(plan, nowMs, this.#overdueWaitMs(plan, names));
         if (isActing && this.#reachesStore(nowMs)) {
             open.coordination.onReport(rollouts.report(plan), nowMs);
             commands.push(...this.#coordinate(plan, open, time));
