--- a/packages/rateLimit/src/__tests__/limitCalm.test.ts
+++ b/packages/rateLimit/src/__tests__/limitCalm.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { allowedInWindow, findWorstWindow } from "./support/limitWorld.js";
 import { createFleet, offerExactly, offerSteadily } from "./support/loads.js";
+import { EqualShares } from "./support/weighedWays.js";
 
 // A caller who keeps its limit is refused for rounding, for delays, or because a token bucket begins empty.
 test("a workspace that uses its limit exactly is not refused in normal operation", () => {
@@ -21,6 +22,13 @@
     }
 });
 
+test("static equal shares refuse much of the same load, as most parts of it are too small to be used", () => {
+    const world = createFleet({ hosts: 131, perSecond: 100, seed: 5, create: name => new EqualShares(name) });
+    const offered = offerExactly(world, { perSecond: 100, burst: 100, fromMs: 5_000, untilMs: 15_000 });
+    world.run(16_000);
+    assert.ok(world.lost > offered * 0.2, `${world.lost} of ${offered} refused`);
+});
+
 // Without a bound on it, a workspace that jumps far over its limit takes the servers from all others; cut too far, it lost what it paid for.
 test("a workspace at 4.5 times its limit gets its limit, and is told when to come back", () => {
     const world = createFleet({ hosts: 13, perSecond: 60, seed: 1 });
--- a/packages/rateLimit/src/__tests__/support/drawnRun.ts
+++ b/packages/rateLimit/src/__tests__/support/drawnRun.ts
@@ -4,7 +4,7 @@
 import { allowedInWindow, findWorstWindow, type Limiter, LimitWorld, type SimulatedHost } from "./limitWorld.js";
 
 const endMs = 15_000;
-const groupOfHosts = [1, 2, 3, 3, 4, 5, 7, 10, 13, 20, 30];
+const usualSizes = [1, 2, 3, 3, 4, 5, 6, 7, 9, 13];
 
 /** One workspace that asks for more than its limit, on a fleet to which things happen; all of it drawn from a seed. */
 export class DrawnRun {
@@ -20,7 +20,7 @@
         // Neighbouring seeds would draw alike.
         const random = this.#random = createRandomSource(Math.imul(seed, 0x9e37_79b1));
         const isLarge = random.next() < 0.01;
-        const hosts = this.#pick(isLarge ? [131, 312] : groupOfHosts);
+        const hosts = this.#pick(isLarge ? [131, 312] : usualSizes);
         this.world = new LimitWorld(hosts, random, create);
         this.world.connects = (from, to) => !this.#cuts.some(cut => cut(from, to));
         this.world.delayMs = (from, to) => Math.max(2, ...this.#delays.map(delay => delay(from, to)));
@@ -46,7 +46,9 @@
         const admitted = this.world.outcomes.filter(({ type }) => type === "admitted").map(({ atMs }) => atMs);
         return findWorstWindow(admitted, fromMs => {
             const inForce = this.#rules.filter(each => each.fromMs <= fromMs + 5_000 && each.untilMs > fromMs);
-            return Math.max(...inForce.map(({ rule }) => allowedInWindow(rule)));
+            // Around a change, what one limit allows at once may be followed by what the other allows per second.
+            const perSecond = Math.max(...inForce.map(({ rule }) => rule.perSecond));
+            return allowedInWindow({ perSecond, burst: Math.max(...inForce.map(({ rule }) => rule.burst)) });
         });
     }
 
@@ -59,9 +61,11 @@
     }
 
     #drawRule(configVersion: number, before?: TokenRequest): TokenRequest {
-        // Small limits are drawn less often: the 20 requests of tolerance hide much there.
-        const perSecond = 0.5 * 800 ** Math.sqrt(this.#random.next());
-        const burst = perSecond * this.#pick([1, 1, 1, 0, 0.2, 3]);
+        // The 20 requests of tolerance hide much below small limits, and large ones cost time.
+        const perSecond = this.#random.next() < 0.75
+            ? 60 + this.#random.next() * 140
+            : 0.5 * 800 ** this.#random.next();
+        const burst = perSecond * this.#pick([1, 1, 0, 0, 3]);
         return {
             workspace: before?.workspace ?? `workspace ${this.#random.below(1_000)}`,
             perSecond,
@@ -78,24 +82,20 @@
         }
     }
 
-    /** Floods after pauses, at all hosts or at some. */
+    /** Floods at all hosts or at some: all the time, or after a pause in which buckets fill. */
     #drawLoad({ perSecond, burst }: TokenRequest): void {
         const { hosts } = this.world;
-        let atMs = this.#random.next() * 4_000;
-        while (atMs < endMs) {
+        const pauseMs = this.#pick([0, 2_000, 6_000]);
+        for (let atMs = this.#pick([1_000, 5_000, 9_000]); atMs < endMs;) {
             const some = this.#random.next() < 0.7 ? hosts : hosts.slice(this.#random.below(hosts.length));
-            const floodMs = Math.min(endMs - atMs, 200 + this.#random.next() * 6_000);
-            const times = this.#pick([1.5, 4.5]);
-            const count = Math.min(
-                6_000,
-                Math.ceil(burst * this.#random.next() * 2 + perSecond * times * floodMs / 1_000 + 5),
-            );
+            const floodMs = Math.min(endMs - atMs, 500 + this.#random.next() * 6_000);
+            const count = Math.ceil(burst + perSecond * this.#pick([1.5, 4.5]) * floodMs / 1_000 + 5);
             for (let i = 0; i < count; i++) {
-                // Half of them come at once where there is a burst.
+                // The burst comes at once.
                 const afterMs = i < burst ? 0 : this.#random.next() * floodMs;
                 this.#at(atMs + afterMs, () => this.world.request(this.#pick(some)));
             }
-            atMs += floodMs + this.#random.next() * 2_000;
+            atMs += floodMs + this.#random.next() * pauseMs;
         }
     }
 
@@ -105,6 +105,7 @@
             () => this.#restart(this.#victims(), random.next() * 3_000),
             () => this.#suspend(this.#victims(), 50 + random.next() * 4_000, random.next() < 0.5),
             () => this.#cut(100 + random.next() * 6_000),
+            () => this.#cutInTurn(1_000 + random.next() * 500),
             () => this.#delay(500 + random.next() * 5_000),
             () => this.#changeRule(random.next() * 2_000),
             () => this.#changeRosters(random.next() * 3_000),
@@ -117,15 +118,18 @@
     /** Allocators fail as often as all other hosts, or most runs would show nothing. */
     #victims(): readonly SimulatedHost[] {
         const { hosts } = this.world;
-        const workspace = this.#rules[0]?.rule.workspace ?? "";
-        const names = hosts.map(({ name }) => name);
-        const ranked = findOwners(`rate limits ${groupOf(workspace)}`, names, 6);
+        const ranked = this.#ranked();
         const part = this.#pick([0.1, 0.33, 0.55, 1]);
         return this.#random.next() < 0.5
             ? hosts.filter(({ name }) => ranked.slice(0, this.#pick([1, 1, 2, 4])).includes(name))
             : hosts.filter(() => this.#random.next() < part);
     }
 
+    #ranked(): readonly string[] {
+        const names = this.world.hosts.map(({ name }) => name);
+        return findOwners(`rate limits ${groupOf(this.#rules[0]?.rule.workspace ?? "")}`, names, 6);
+    }
+
     #note(text: string, hosts?: readonly SimulatedHost[]): void {
         const names = hosts === undefined
             ? ""
@@ -166,11 +170,26 @@
         this.#at(this.world.queue.nowMs + forMs, () => this.#cuts.splice(this.#cuts.indexOf(cut), 1));
     }
 
+    /** One rank after the other loses all others, with a host or none on its side. */
+    #cutInTurn(everyMs: number): void {
+        this.#note(`ranks cut off every ${everyMs.toFixed(0)} ms`);
+        const { hosts } = this.world;
+        for (const [i, rank] of this.#ranked().slice(0, 4).entries()) {
+            const side = new Set([rank, this.#pick(hosts).name]);
+            const cut = (from: string, to: string): boolean => side.has(from) !== side.has(to);
+            this.#at(this.world.queue.nowMs + i * everyMs, () => this.#cuts.push(cut));
+        }
+        this.#at(this.world.queue.nowMs + 5 * everyMs, () => this.#cuts.splice(0));
+    }
+
     #delay(forMs: number): void {
-        const [mostMs, part] = [this.#pick([100, 600, 2_500]), this.#pick([0.2, 1])];
+        const [mostMs, part] = [this.#pick([100, 600, 2_500, 2_500]), this.#pick([0.2, 0.7, 0.9, 1])];
         const slow = new Set(this.world.hosts.filter(() => this.#random.next() < part).map(({ name }) => name));
         this.#note(`up to ${mostMs} ms of delay for ${forMs.toFixed(0)} ms from ${slow.size}`);
-        const delay = (from: string): number => slow.has(from) ? mostMs : 0;
+        // The way to the first rank alone, or to all.
+        const target = this.#random.next() < 0.6 ? this.#ranked()[0] : undefined;
+        const delay = (from: string, to: string): number =>
+            slow.has(from) && (target === undefined || target === to) ? mostMs : 0;
         this.#delays.push(delay);
         this.#at(this.world.queue.nowMs + forMs, () => this.#delays.splice(this.#delays.indexOf(delay), 1));
     }
--- a/packages/rateLimit/src/__tests__/support/limitWorld.ts
+++ b/packages/rateLimit/src/__tests__/support/limitWorld.ts
@@ -230,7 +230,7 @@
 }
 
 /** What the limits in force allow a workspace in a window of five seconds. */
-export function allowedInWindow({ perSecond, burst }: TokenRequest): number {
+export function allowedInWindow({ perSecond, burst }: Pick<TokenRequest, "perSecond" | "burst">): number {
     return 1.1 * (5 * perSecond + burst) + 20;
 }
 
--- /dev/null
+++ b/packages/rateLimit/src/__tests__/support/weighedWays.ts
@@ -0,0 +1,157 @@
+import { findOwners } from "@galenaglade/fleet-state";
+import { type Command, type LimitRule, protocolVersion, readLimitMessage, type TokenRequest } from "../../index.js";
+import { type Limiter } from "./limitWorld.js";
+
+const none: readonly Command[] = [];
+
+/** The least tokens that a host keeps, or a share of a small limit would never admit. */
+const leastCapacity = 1;
+
+abstract class WeighedWay implements Limiter {
+    protected readonly name: string;
+    protected names: readonly string[] = [];
+    #level: number | undefined;
+    #atMs = 0;
+
+    constructor(name: string) {
+        this.name = name;
+    }
+
+    abstract request(
+        request: TokenRequest,
+        nowMs: number,
+    ): { readonly requestId: number; readonly commands: readonly Command[]; };
+
+    onMessage(from: string, json: unknown, nowMs: number): readonly Command[] {
+        return from === json ? [] : this.#ignore(nowMs);
+    }
+
+    onRoster(names: readonly string[]): readonly Command[] {
+        this.names = names;
+        return none;
+    }
+
+    tick(): readonly Command[] {
+        return none;
+    }
+
+    nextTickMs(): number | undefined {
+        return undefined;
+    }
+
+    giveBack(): void {
+        this.#level = (this.#level ?? 0) + 1;
+    }
+
+    stop(): readonly Command[] {
+        return none;
+    }
+
+    protected take({ perSecond, burst }: LimitRule, part: number, nowMs: number): boolean {
+        const capacity = Math.max(leastCapacity, part * (1.05 * burst + 3));
+        const level = this.#level ?? part * 0.1 * perSecond + 1;
+        this.#level = Math.min(capacity, level + Math.max(0, nowMs - this.#atMs) * perSecond * part * 1.02 / 1_000);
+        this.#atMs = nowMs;
+        const isAdmitted = this.#level >= 1;
+        this.#level -= isAdmitted ? 1 : 0;
+        return isAdmitted;
+    }
+
+    #ignore(nowMs: number): readonly Command[] {
+        this.#atMs = Math.max(this.#atMs, nowMs);
+        return none;
+    }
+}
+
+/** Every host has 1/N of each limit, and a bucket of its own. */
+export class EqualShares extends WeighedWay {
+    #requests = 0;
+
+    override request(request: TokenRequest, nowMs: number) {
+        const isAdmitted = this.take(request, 1 / this.names.length, nowMs);
+        return { requestId: this.#requests, commands: [decide(this.#requests++, isAdmitted, request)] };
+    }
+}
+
+/** The first host of the ranks grants all tokens; the next one does while that doesn't answer. */
+export class SingleOwner extends WeighedWay {
+    readonly #waiting = new Map<number, { readonly request: TokenRequest; readonly atMs: number; tried: number; }>();
+    #lost = new Map<string, number>();
+    #requests = 0;
+
+    override request(request: TokenRequest, nowMs: number) {
+        const requestId = this.#requests++;
+        this.#waiting.set(requestId, { request, atMs: nowMs, tried: 0 });
+        return { requestId, commands: this.#ask(requestId, nowMs) };
+    }
+
+    override onMessage(from: string, json: unknown, nowMs: number): readonly Command[] {
+        const message = readLimitMessage(json);
+        const entry = message?.type === "ask" ? message.entries[0] : undefined;
+        if (message?.type === "ask" && entry !== undefined) {
+            const granted = this.take(entry, 1, nowMs) ? 1 : 0;
+            const entries = [{ granted, retryAfterMs: 0, plentiful: false, over: true }];
+            const answer = {
+                v: protocolVersion,
+                type: "answer",
+                sender: this.name,
+                askerLife: message.life,
+                atMs: nowMs,
+            } as const;
+            return [{ type: "send", to: from, message: { ...answer, life: "x", seq: message.seq, group: 0, entries } }];
+        }
+        const asked = message === undefined ? undefined : this.#waiting.get(message.seq);
+        if (message?.type !== "answer" || asked === undefined) {
+            return none;
+        }
+        this.#waiting.delete(message.seq);
+        return [decide(message.seq, message.entries[0]?.granted === 1, asked.request)];
+    }
+
+    override tick(nowMs = 0): readonly Command[] {
+        const late = [...this.#waiting].filter(([, { atMs, tried }]) => nowMs - atMs >= tried * 150);
+        return late.flatMap(([requestId]) => {
+            const owner = this.#owner(nowMs);
+            if (owner !== undefined) {
+                this.#lost.set(owner, nowMs);
+            }
+            return this.#ask(requestId, nowMs);
+        });
+    }
+
+    override nextTickMs(nowMs = 0): number | undefined {
+        const due = [...this.#waiting.values()].map(({ atMs, tried }) => atMs + tried * 150);
+        return due.length === 0 ? undefined : Math.max(0, Math.min(...due) - nowMs);
+    }
+
+    #owner(nowMs: number): string | undefined {
+        return findOwners("owner", this.names, 6).find(name => nowMs - (this.#lost.get(name) ?? -Infinity) >= 5_000);
+    }
+
+    #ask(requestId: number, nowMs: number): readonly Command[] {
+        const waiting = this.#waiting.get(requestId);
+        const owner = this.#owner(nowMs);
+        if (waiting === undefined) {
+            return none;
+        }
+        if (owner === undefined || waiting.tried >= 6 || owner === this.name) {
+            this.#waiting.delete(requestId);
+            return [decide(requestId, owner === this.name && this.take(waiting.request, 1, nowMs), waiting.request)];
+        }
+        waiting.tried++;
+        const { workspace, perSecond, burst, configVersion } = waiting.request;
+        const entries = [{ workspace, perSecond, burst, configVersion, wanted: 1, givenBack: 0 }];
+        const ask = { v: protocolVersion, type: "ask", sender: this.name, life: "x", group: 0, share: 0 } as const;
+        return [{ type: "send", to: owner, message: { ...ask, seq: requestId, entries } }];
+    }
+}
+
+function decide(requestId: number, isAdmitted: boolean, rule: LimitRule): Command {
+    return {
+        type: "decide",
+        requestId,
+        decision: isAdmitted
+            ? { type: "admitted", token: { rule, grantedBy: undefined }, plentiful: false }
+            : { type: "overLimit", retryAfterMs: 100 },
+    };
+}
