Draw delays that are long for every datagram

A delay was drawn from 0 up for each copy, so that one of 25 retransmissions came soon and the allocator was never given up: the test of late heartbeats passed without the echo. Delays are now half of the longest at least.

--- a/packages/rateLimit/src/__tests__/support/limitWorld.ts
+++ b/packages/rateLimit/src/__tests__/support/limitWorld.ts
@@ -202,10 +202,8 @@
         const copies = this.random.next() < this.doubled ? 2 : 1;
         for (let i = 0; i < copies; i++) {
             if (this.connects(from, to) && this.random.next() >= this.loss) {
-                this.queue.schedule(
-                    this.random.next() * this.delayMs(from, to),
-                    () => this.#receive(from, to, message),
-                );
+                const delayMs = this.delayMs(from, to) * (0.5 + this.random.next() / 2);
+                this.queue.schedule(delayMs, () => this.#receive(from, to, message));
             }
         }
     }
