--- a/packages/rateLimit/src/__tests__/support/limitWorld.ts
+++ b/packages/rateLimit/src/__tests__/support/limitWorld.ts
@@ -202,10 +202,8 @@
         const copies = this.random.next() < this.doubled ? 2 : 1;
         for (let i = 0; i < copies; i++) {
             if (this.connects(from, to) && this.random.next() >= this.loss) {
-                this.queue.schedule(
-                    this.random.next() * this.delayMs(from, to),
-                    () => this.#receive(from, to, message),
-                );
+                const delayMs = this.delayMs(from, to) * (0.5 + this.random.next() / 2);
+                this.queue.schedule(delayMs, () => this.#receive(from, to, message));
             }
         }
     }
@@ -230,7 +228,7 @@
 }
 
 /** What the limits in force allow a workspace in a window of five seconds. */
-export function allowedInWindow({ perSecond, burst }: TokenRequest): number {
+export function allowedInWindow({ perSecond, burst }: Pick<TokenRequest, "perSecond" | "burst">): number {
     return 1.1 * (5 * perSecond + burst) + 20;
 }
 
