--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -121,7 +121,8 @@
     const peers = settings.listen.peers === undefined ? undefined : parseAddress(settings.listen.peers);
     const limits = new WorkspaceLimits({
         name,
-        life: `${clock.epochMs()}-${parts.seed}`,
+        // Short, since it stands in each datagram.
+        life: Math.trunc(clock.epochMs() + parts.seed).toString(36),
         view,
         clock,
         random,
--- a/packages/edge/src/requests/exchangeWorkspace.ts
+++ b/packages/edge/src/requests/exchangeWorkspace.ts
@@ -4,6 +4,10 @@
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type ExchangeParts } from "./exchangeParts.js";
 
+/** Time for which a request waits where the allocator of its workspace was lost, as a share of its objective and at most, in milliseconds. */
+const heldShare = 0.5;
+const mostHeldMs = 1_500;
+
 /** Keeps one request to what its workspace may do: a key that is still held, and a limit that holds for all gateways together. */
 export class ExchangeWorkspace {
     readonly #parts: ExchangeParts;
@@ -41,7 +45,8 @@
         }
         const { limits, log, metrics } = this.#parts;
         const workspace = admission.workspace.name;
-        const decision = await limits.admit({ workspace, ...limit, configVersion: version }, this.#signal);
+        const holdMs = Math.min(mostHeldMs, this.#request.route.objectiveMs * heldShare);
+        const decision = await limits.admit({ workspace, ...limit, configVersion: version, holdMs }, this.#signal);
         if (decision === undefined) {
             return "abandoned";
         }
--- a/packages/rateLimit/src/__tests__/allocator.test.ts
+++ b/packages/rateLimit/src/__tests__/allocator.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Allocator } from "../allocator.js";
+import { leaseMs } from "../constants.js";
 import { type AnswerMessage, type AskMessage, protocolVersion } from "../messages.js";
 
 /** One host that talks to one allocator. */
@@ -41,12 +42,12 @@
 });
 
 // A message that was delayed for most of a lease would extend it, while its host goes elsewhere.
-test("a lease ends a second after the echoed time, whenever the message came", () => {
+test("a lease ends its time after the echoed one, whenever the message came", () => {
     const talk = new Talk();
-    talk.ask(900, { echo: { life: "a1", atMs: 0 } });
-    talk.allocator.advance(999);
+    talk.ask(leaseMs - 100, { echo: { life: "a1", atMs: 0 } });
+    talk.allocator.advance(leaseMs - 1);
     assert.equal(talk.allocator.sharesHeld, 1);
-    talk.allocator.advance(1_000);
+    talk.allocator.advance(leaseMs);
     assert.equal(talk.allocator.sharesHeld, 0);
 });
 
--- a/packages/rateLimit/src/constants.ts
+++ b/packages/rateLimit/src/constants.ts
@@ -8,13 +8,13 @@
 export const rankCount = 6;
 
 /** A share counts this long after the allocator's time that its host has echoed, in milliseconds. */
-export const leaseMs = 1_000;
+export const leaseMs = 1_500;
 
 /** Added by hosts that wait for the end of a lease, in milliseconds: two clocks may differ by 2 % in speed. */
 export const leaseMarginMs = 20;
 
-/** Time between two heartbeats to an allocator, in milliseconds: with the age of the echo, one may come 200 ms late. */
-export const heartbeatMs = 400;
+/** Time between two heartbeats to an allocator, in milliseconds: with the age of the echo, one may come 300 ms late. */
+export const heartbeatMs = 600;
 
 /** Time after which an unanswered message is sent again, in milliseconds: bad links lose 2.5 % of packets. */
 export const retransmitMs = 40;
