--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -128,6 +128,7 @@
         random,
         log,
         metrics,
+        tolerance: settings.workspaceLimits,
         port: new UdpPort(peers ?? anyLoopbackPort, error => log.log("error", "unexpected", { error })),
     });
     let endsAtMs: number | undefined;
--- a/packages/edge/src/limits/workspaceLimits.ts
+++ b/packages/edge/src/limits/workspaceLimits.ts
@@ -4,6 +4,7 @@
     type Command,
     type Decision,
     type LimitMessage,
+    type LimitTolerance,
     RateLimiter,
     type Token,
     type TokenRequest,
@@ -26,6 +27,7 @@
     readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
     readonly port: DatagramPort;
+    readonly tolerance: LimitTolerance;
 }
 
 /** Addresses of gateways that were heard before their registrations were, at most. */
@@ -50,7 +52,7 @@
     #dueAtMs = Infinity;
 
     constructor(parts: WorkspaceLimitsParts) {
-        const { name, life, random, clock } = parts;
+        const { name, life, random, clock, tolerance } = parts;
         this.#parts = parts;
         this.#pauses = new PauseDetector(clock);
         this.#limiter = new RateLimiter({
@@ -58,6 +60,7 @@
             life,
             random: () => random.next(),
             startedAtMs: clock.monotonicMs(),
+            tolerance,
         });
     }
 
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -39,6 +39,13 @@
         exposureShare: z.number().min(0).max(1).default(0.1)
             .describe("share of a service's requests that a version may get before it is proved"),
     }).prefault({}),
+    workspaceLimits: z.object({
+        overshoot: z.number().min(0).max(10).default(0.1)
+            .describe(
+                "share by which a workspace's requests in five seconds may lie above its limit, in the whole fleet",
+            ),
+        slack: z.number().min(0).max(1_000_000).default(20).describe("requests besides that may lie above it"),
+    }).prefault({}),
     quarantine: z.object({
         firstTrialSeconds: seconds.default(4)
             .describe(
--- /dev/null
+++ b/packages/rateLimit/src/__tests__/admittedRate.test.ts
@@ -0,0 +1,20 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { defaultTolerance, resolveAdmittedRate } from "../admittedRate.js";
+
+const limit = (perSecond: number): Parameters<typeof resolveAdmittedRate>[0] => ({
+    workspace: "w",
+    perSecond,
+    burst: perSecond,
+    configVersion: 1,
+});
+
+// Guards against callers near a small limit that are refused although the tolerance has room for them.
+test("what the tolerance leaves is admitted, and a small tolerance lowers the rate", () => {
+    for (const perSecond of [0.5, 5, 200]) {
+        const rate = resolveAdmittedRate(limit(perSecond), defaultTolerance);
+        assert.ok(rate > perSecond && 5 * rate + perSecond < 1.1 * 6 * perSecond + 20, `${rate}`);
+    }
+    assert.ok(resolveAdmittedRate(limit(50), { overshoot: 0, slack: 5 }) < 50);
+    assert.equal(resolveAdmittedRate(limit(1), { overshoot: 0, slack: 0 }), 0.5);
+});
--- a/packages/rateLimit/src/rateLimiter.ts
+++ b/packages/rateLimit/src/rateLimiter.ts
@@ -1,4 +1,5 @@
 import murmurHash from "imurmurhash";
+import { defaultTolerance, type LimitTolerance, resolveAdmittedRate } from "./admittedRate.js";
 import { Allocator } from "./allocator.js";
 import {
     clockJumpMs,
@@ -31,6 +32,8 @@
     readonly random: () => number;
     /** When the process was started, on the monotonic clock of all `nowMs`; not after the construction. */
     readonly startedAtMs: number;
+    /** Allowed above the limits; by default {@link defaultTolerance}. */
+    readonly tolerance?: LimitTolerance | undefined;
 }
 
 /** A group of workspaces: whom this host asks, and what it allocates itself. */
@@ -49,6 +52,7 @@
     readonly #name: string;
     readonly #life: string;
     readonly #random: () => number;
+    readonly #tolerance: LimitTolerance;
     readonly #slots: IsolatedSlots;
     readonly #groups: readonly Group[];
     readonly #open = new Map<number, PendingRequest>();
@@ -65,7 +69,8 @@
     #ignored = 0;
 
     /** @param options - who the host is */
-    constructor({ name, life, random, startedAtMs }: RateLimiterOptions) {
+    constructor({ name, life, random, startedAtMs, tolerance = defaultTolerance }: RateLimiterOptions) {
+        this.#tolerance = tolerance;
         this.#name = name;
         this.#life = life;
         this.#random = random;
@@ -97,7 +102,8 @@
         wallMs: number,
     ): { readonly requestId: number; readonly commands: readonly Command[]; } {
         this.#checkClocks(nowMs, wallMs);
-        const pending = new PendingRequest(this.#requests++, request, nowMs);
+        const perSecond = resolveAdmittedRate(request, this.#tolerance);
+        const pending = new PendingRequest(this.#requests++, { ...request, perSecond }, nowMs);
         const group = this.#groups[groupOf(request.workspace)];
         if (!this.#isActive || group === undefined) {
             this.#decide(pending, { type: "unsure", retryAfterMs: this.#jitter(isolatedRetryMs) });
