--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -111,7 +111,7 @@
 });
 
 /** Whether hosts keep the limits of workspaces; where not, a run has neither limits nor callers that exceed one. */
-export const limitsAreKept = false;
+export const limitsAreKept = true;
 
 /** What the requests of a workspace with a limit may add up to, with the users' tolerance. */
 export const workspaceLimitBounds = Object.freeze({ windowMs: 5_000, overshoot: 0.1, slack: 20 });
