--- a/packages/rateLimit/src/allocator.ts
+++ b/packages/rateLimit/src/allocator.ts
@@ -249,7 +249,8 @@
             askerLife: life,
             seq,
             group: this.#group,
-            atMs: nowMs,
+            // Whole milliseconds keep datagrams short; rounded down, they lengthen no lease.
+            atMs: Math.floor(nowMs),
             entries,
         };
     }
--- a/packages/rateLimit/src/constants.ts
+++ b/packages/rateLimit/src/constants.ts
@@ -1,5 +1,5 @@
 /** Groups of workspaces, each with its own allocator, so that no single host answers for all. */
-export const groupCount = 4;
+export const groupCount = 2;
 
 /**
  * Hosts that a group's allocator is chosen from, best first: all of them are tried within one lease. With three, one fleet in six of which 55 %
@@ -8,13 +8,16 @@
 export const rankCount = 6;
 
 /** A share counts this long after the allocator's time that its host has echoed, in milliseconds. */
-export const leaseMs = 1_500;
+export const leaseMs = 1_900;
+
+/** Shares are told in these parts, so that datagrams stay short. */
+export const shareUnits = 1_000_000;
 
 /** Added by hosts that wait for the end of a lease, in milliseconds: two clocks may differ by 2 % in speed. */
 export const leaseMarginMs = 20;
 
 /** Time between two heartbeats to an allocator, in milliseconds: with the age of the echo, one may come 300 ms late. */
-export const heartbeatMs = 600;
+export const heartbeatMs = 800;
 
 /** Time after which an unanswered message is sent again, in milliseconds: bad links lose 2.5 % of packets. */
 export const retransmitMs = 40;
--- a/packages/rateLimit/src/delegation.ts
+++ b/packages/rateLimit/src/delegation.ts
@@ -12,6 +12,7 @@
     retransmitMs,
     returnAfterMs,
     returnUnknownAfterMs,
+    shareUnits,
     startProbeMs,
 } from "./constants.js";
 import { type IsolatedSlots } from "./isolatedSlots.js";
@@ -74,7 +75,7 @@
     /** Names of all hosts that count. */
     onRoster(names: readonly string[], nowMs: number): void {
         this.#ranked = findOwners(`rate limits ${this.#options.group}`, names, rankCount);
-        this.#part = names.includes(this.#options.name) ? 1 / names.length : 0;
+        this.#part = names.includes(this.#options.name) ? Math.floor(shareUnits / names.length) / shareUnits : 0;
         for (const name of this.#leftAtMs.keys()) {
             if (!names.includes(name)) {
                 this.#leftAtMs.delete(name);
