--- a/packages/fleetState/src/model.ts
+++ b/packages/fleetState/src/model.ts
@@ -78,7 +78,7 @@
     readonly destinations: readonly Destination[];
     /** Whether callers need no key where the configuration has workspaces. */
     readonly open?: boolean;
-    /** Whether its answers are large, so that they leave the host's link to smaller ones. */
+    /** Whether its answers are large. They are streamed like any other that is too large to be held. */
     readonly largeAnswers?: boolean;
 }
 
--- a/packages/rateLimit/src/__tests__/support/drawnRun.ts
+++ b/packages/rateLimit/src/__tests__/support/drawnRun.ts
@@ -46,9 +46,8 @@
         const admitted = this.world.outcomes.filter(({ type }) => type === "admitted").map(({ atMs }) => atMs);
         return findWorstWindow(admitted, fromMs => {
             const inForce = this.#rules.filter(each => each.fromMs <= fromMs + 5_000 && each.untilMs > fromMs);
-            // Around a change, what one limit allows at once may be followed by what the other allows per second.
-            const perSecond = Math.max(...inForce.map(({ rule }) => rule.perSecond));
-            return allowedInWindow({ perSecond, burst: Math.max(...inForce.map(({ rule }) => rule.burst)) });
+            // Around a change the larger limit holds, as a whole: the rule knows no rate of one with the burst of the other.
+            return Math.max(...inForce.map(({ rule }) => allowedInWindow(rule)));
         });
     }
 
