Log when a host hears no server of a service any more, and how its questions failed

A host that reaches no backend server and one that is too slow to hear their answers left the same lines: questions asked, none answered. Each request's line now says how its questions ended (silent, refused, lost, another server), the counter of questions has the same ends, and serversLost and serversRegained tell what a host knows of its links to each service: servers and exchanges that failed since one was last heard, on any connection or on new ones. Exchanges are ordered by when they began, since a late answer says nothing of now.

Sockets to servers are opened through ServerLinks, so that a test can cut them. No decision changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,6 +20,7 @@
     "quarantine",
     "workspaces",
     "rateLimit",
+    "reachability",
 ];
 
 /** Keys, headers and fields of the users' platform that mean nothing elsewhere. */
--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -1,4 +1,4 @@
-import { type RegisteredServer } from "@galenaglade/fleet-state";
+import { FleetView, type RegisteredServer } from "@galenaglade/fleet-state";
 import { systemClock } from "@galenaglade/http-parts";
 import { PlacementBoard } from "@galenaglade/placement";
 import { createRandomSource } from "@galenaglade/routing";
@@ -10,6 +10,7 @@
 import { askServer } from "../backends/askServer.js";
 import { ServerConnections } from "../backends/serverConnections.js";
 import { AnswerNotes } from "../requests/answerNotes.js";
+import { ServerReach } from "../reach/serverReach.js";
 import { LoadInquiry } from "../requests/loadInquiry.js";
 import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -51,6 +52,7 @@
             board,
             notes,
             connections,
+            reach: new ServerReach({ view: new FleetView(), clock: systemClock, log }),
             vocabulary,
             clock: systemClock,
             metrics,
@@ -105,7 +107,7 @@
     t.after(() => connections.close());
     const question = { server, healthPath: "/health", vocabulary, timeoutMs: 150 };
     const connection = connections.open(server.address);
-    assert.ok(await askServer({ ...question, connection }) !== undefined, "and the connection is open");
+    assert.equal((await askServer({ ...question, connection })).type, "told", "and the connection is open");
     const asked = askServer({ ...question, connection });
     // Lets the question go out, and is then busy until long after the limit.
     await new Promise(resolve => setImmediate(resolve));
@@ -113,5 +115,5 @@
     while (performance.now() < untilMs) {
         // Busy.
     }
-    assert.ok(await asked !== undefined);
+    assert.equal((await asked).type, "told");
 });
--- a/packages/edge/src/backends/askServer.ts
+++ b/packages/edge/src/backends/askServer.ts
@@ -1,8 +1,10 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { type RawHeaders } from "@galenaglade/http-parts";
 import { type ServerOffer } from "@galenaglade/placement";
+import { type ContactEnd } from "@galenaglade/reachability";
 import { type Dispatcher } from "undici";
 import { type AnswerSigns, type EdgeVocabulary } from "../vocabulary.js";
+import { findContactEnd } from "./contactEnds.js";
 import { readRawHeaders } from "./rawHeaders.js";
 import { type ServerConnection } from "./serverConnection.js";
 
@@ -19,18 +21,25 @@
 
 /** What a server said when it was asked. */
 export interface LoadAnswer {
+    readonly type: "told";
     readonly offer: ServerOffer;
     readonly signs: AnswerSigns;
 }
 
+/** Why a server told nothing; `otherServer` where another one answered. */
+export interface LoadSilence {
+    readonly type: "untold";
+    readonly reason: Exclude<ContactEnd, "heard"> | "otherServer";
+}
+
 /**
  * Asks a backend server how loaded it is, right before something is sent to it. Any older figure is worth little: load
  * moves within milliseconds.
  *
  * @param input - whom to ask
- * @returns what it said, or `undefined` where it didn't answer in time or another server did
+ * @returns what it said, or why it said nothing in time
  */
-export function askServer(input: AskInput): Promise<LoadAnswer | undefined> {
+export function askServer(input: AskInput): Promise<LoadAnswer | LoadSilence> {
     return new Promise(resolve => {
         const handler = new AskHandler(input, resolve);
         input.connection.dispatch({ method: "GET", path: input.healthPath }, handler);
@@ -39,13 +48,13 @@
 
 class AskHandler implements Dispatcher.DispatchHandler {
     readonly #input: AskInput;
-    readonly #resolve: (answer: LoadAnswer | undefined) => void;
+    readonly #resolve: (answer: LoadAnswer | LoadSilence) => void;
     readonly #timer: NodeJS.Timeout;
     #controller: Dispatcher.DispatchController | undefined;
-    #answer: LoadAnswer | undefined;
+    #answer: LoadAnswer | LoadSilence = { type: "untold", reason: "lost" };
     #settled = false;
 
-    constructor(input: AskInput, resolve: (answer: LoadAnswer | undefined) => void) {
+    constructor(input: AskInput, resolve: (answer: LoadAnswer | LoadSilence) => void) {
         this.#input = input;
         this.#resolve = resolve;
         // After a long turn of the event loop its timers come before what has been received meanwhile. Taken for silent then,
@@ -61,6 +70,7 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        this.#input.connection.onAnswer();
         this.#answer = this.#read(status, readRawHeaders(controller.rawHeaders));
     }
 
@@ -72,23 +82,23 @@
         this.#settle(this.#answer);
     }
 
-    onResponseError(): void {
-        this.#settle(undefined);
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        this.#settle({ type: "untold", reason: findContactEnd(err) });
     }
 
     #giveUp(): void {
         if (this.#settled) {
             return;
         }
-        this.#settle(undefined);
+        this.#settle({ type: "untold", reason: "silent" });
         this.#controller?.abort(new Error("no answer in time"));
     }
 
-    #read(status: number, headers: RawHeaders): LoadAnswer | undefined {
+    #read(status: number, headers: RawHeaders): LoadAnswer | LoadSilence {
         const { server, vocabulary } = this.#input;
         const signs = vocabulary.readAnswer(status, headers);
         if (signs.serverId !== server.id) {
-            return undefined;
+            return { type: "untold", reason: "otherServer" };
         }
         const offer: ServerOffer = {
             serverId: server.id,
@@ -98,10 +108,10 @@
             healthy: status === okStatus,
             coldRemainingMs: signs.coldRemainingMs,
         };
-        return { offer, signs };
+        return { type: "told", offer, signs };
     }
 
-    #settle(answer: LoadAnswer | undefined): void {
+    #settle(answer: LoadAnswer | LoadSilence): void {
         if (this.#settled) {
             return;
         }
--- /dev/null
+++ b/packages/edge/src/backends/contactEnds.ts
@@ -0,0 +1,13 @@
+import { type ContactEnd } from "@galenaglade/reachability";
+
+const timeoutCode = "UND_ERR_CONNECT_TIMEOUT";
+const socketCode = "UND_ERR_SOCKET";
+
+/** How an exchange without an answer ended. @param err - as the HTTP client reports it */
+export function findContactEnd(err: Error): Exclude<ContactEnd, "heard"> {
+    const { code, syscall } = err as NodeJS.ErrnoException;
+    if (code === timeoutCode) {
+        return "silent";
+    }
+    return syscall === "connect" && code !== socketCode ? "refused" : "lost";
+}
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -1,8 +1,10 @@
 import { findHeader, type RawHeaders } from "@galenaglade/http-parts";
 import { type NotRunReason, type SendEnd, type UnknownReason } from "@galenaglade/placement";
+import { type ContactEnd } from "@galenaglade/reachability";
 import { type Readable } from "node:stream";
 import { type Dispatcher } from "undici";
 import { type AnswerSigns, type EdgeVocabulary } from "../vocabulary.js";
+import { findContactEnd } from "./contactEnds.js";
 import { readRawHeaders } from "./rawHeaders.js";
 import { type ServerConnection } from "./serverConnection.js";
 
@@ -58,6 +60,8 @@
     /** What the answer's head says, where it had one. */
     readonly signs: AnswerSigns | undefined;
     readonly detail: string;
+    /** What it says of the link to the server; `undefined` for nothing. */
+    readonly contact: ContactEnd | undefined;
     readonly tookMs: number;
 }
 
@@ -102,6 +106,7 @@
     #written = false;
     #refused = false;
     #head: AnswerHead | undefined;
+    #contact: ContactEnd | undefined;
     #sink: AnswerSink | undefined;
     #settled = false;
 
@@ -123,6 +128,8 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        this.#contact = "heard";
+        this.#input.connection.onAnswer();
         if (status < 200) {
             return;
         }
@@ -164,6 +171,10 @@
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        if (!this.#refused) {
+            // Bytes that are no answer came from the other side all the same.
+            this.#contact ??= isParserError(err) ? "heard" : findContactEnd(err);
+        }
         if (this.#written) {
             this.#settle(
                 { type: "unknown", reason: this.#head === undefined ? findLoss(err) : "cutShort" },
@@ -239,6 +250,7 @@
             streamed: this.#sink !== undefined,
             signs: this.#head?.signs,
             detail,
+            contact: this.#contact,
             tookMs: performance.now() - this.#startedAtMs,
         });
     }
@@ -259,5 +271,9 @@
 }
 
 function findLoss(err: Error): UnknownReason {
-    return err.name === "HTTPParserError" ? "notAnAnswer" : "connectionLost";
+    return isParserError(err) ? "notAnAnswer" : "connectionLost";
+}
+
+function isParserError(err: Error): boolean {
+    return err.name === "HTTPParserError";
 }
--- a/packages/edge/src/backends/serverChecks.ts
+++ b/packages/edge/src/backends/serverChecks.ts
@@ -1,6 +1,5 @@
-import { type RegisteredServer } from "@galenaglade/fleet-state";
-import { connect } from "node:net";
-import { connectTimeoutMs } from "../constants.js";
+import { type RegisteredServer, type ServerAddress } from "@galenaglade/fleet-state";
+import { DirectLinks, type ServerLinks } from "./serverLinks.js";
 
 /** What a check of a backend server found: nobody listens there any more, somebody does, or neither is known. */
 export type ServerState = "ended" | "listening" | "unknown";
@@ -10,29 +9,37 @@
  * server that is merely full isn't asked for more.
  */
 export class ServerChecks {
+    readonly #links: ServerLinks;
     readonly #underWay = new Map<string, Promise<ServerState>>();
 
+    /** @param links - open the sockets */
+    constructor(links: ServerLinks = new DirectLinks()) {
+        this.#links = links;
+    }
+
     /** @returns the state of a server; requests that were lost together share one check */
     check({ id, address }: RegisteredServer): Promise<ServerState> {
         const known = this.#underWay.get(id);
         if (known !== undefined) {
             return known;
         }
-        const check = tryConnect(address.host, address.port).finally(() => this.#underWay.delete(id));
+        const check = tryConnect(address, this.#links).finally(() => this.#underWay.delete(id));
         this.#underWay.set(id, check);
         return check;
     }
 }
 
-function tryConnect(host: string, port: number): Promise<ServerState> {
+function tryConnect(address: ServerAddress, links: ServerLinks): Promise<ServerState> {
     return new Promise(resolve => {
-        const socket = connect({ host, port, timeout: connectTimeoutMs });
-        const settle = (state: ServerState): void => {
-            socket.destroy();
-            resolve(state);
-        };
-        socket.once("connect", () => settle("listening"));
-        socket.once("timeout", () => settle("unknown"));
-        socket.on("error", (err: NodeJS.ErrnoException) => settle(err.code === "ECONNREFUSED" ? "ended" : "unknown"));
+        links.open(address, opened => {
+            if (opened instanceof Error) {
+                const { code } = opened as NodeJS.ErrnoException;
+                resolve(code === "ECONNREFUSED" ? "ended" : "unknown");
+                return;
+            }
+            opened.on("error", () => undefined);
+            opened.destroy();
+            resolve("listening");
+        });
     });
 }
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -1,7 +1,8 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
 import { type Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
-import { connectTimeoutMs, idleConnectionMs } from "../constants.js";
+import { Client, type Dispatcher } from "undici";
+import { idleConnectionMs } from "../constants.js";
+import { type ServerLinks } from "./serverLinks.js";
 
 /** One connection to one backend server, reopened when it is used after it was closed. Carries one request at a time. */
 export class ServerConnection {
@@ -9,10 +10,14 @@
     readonly #client: Client;
     #socketFailed = false;
     #destroyed = false;
+    #isProved = false;
 
-    constructor(address: ServerAddress) {
+    /**
+     * @param address - of the server
+     * @param links - open its sockets
+     */
+    constructor(address: ServerAddress, links: ServerLinks) {
         this.address = address;
-        const open = buildConnector({ timeout: connectTimeoutMs });
         this.#client = new Client(`http://${address.host}:${address.port}`, {
             pipelining: 1,
             keepAliveTimeout: idleConnectionMs,
@@ -20,14 +25,14 @@
             // Each request has a deadline of its own.
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: (options, callback) => {
-                open(options, (...[err, socket]) => {
-                    if (err === null) {
-                        this.#watch(socket);
-                        callback(null, socket);
+            connect: (_options, callback) => {
+                links.open(address, opened => {
+                    if (opened instanceof Error) {
+                        callback(opened, null);
                         return;
                     }
-                    callback(err, null);
+                    this.#watch(opened);
+                    callback(null, opened);
                 });
             },
         });
@@ -45,6 +50,16 @@
         this.#client.dispatch(options, handler);
     }
 
+    /** Whether an answer has come on it: what fails then says nothing of new connections. */
+    get isProved(): boolean {
+        return this.#isProved;
+    }
+
+    /** An answer has come on it. */
+    onAnswer(): void {
+        this.#isProved = true;
+    }
+
     /** Whether it is closed for good. */
     get destroyed(): boolean {
         return this.#destroyed;
@@ -58,6 +73,10 @@
 
     #watch(socket: Socket): void {
         this.#socketFailed = false;
+        this.#isProved = false;
+        socket.once("close", () => {
+            this.#isProved = false;
+        });
         // Placed before the client's own listener, so that the failure is known when the client reports the answer.
         socket.on("error", () => {
             this.#socketFailed = true;
--- a/packages/edge/src/backends/serverConnections.ts
+++ b/packages/edge/src/backends/serverConnections.ts
@@ -1,6 +1,7 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
 import { heardLatelyMs, idleConnectionsPerServer, quietMs } from "../constants.js";
 import { ServerConnection } from "./serverConnection.js";
+import { DirectLinks, type ServerLinks } from "./serverLinks.js";
 
 /** What a connection is given back after. */
 export interface ConnectionUse {
@@ -18,10 +19,16 @@
 
 /** Kept connections to backend servers, by server. */
 export class ServerConnections {
+    readonly #links: ServerLinks;
     readonly #idle = new Map<string, IdleConnection[]>();
     readonly #requestAtMs = new WeakMap<ServerConnection, number>();
     #opened = 0;
 
+    /** @param links - open the sockets */
+    constructor(links: ServerLinks = new DirectLinks()) {
+        this.#links = links;
+    }
+
     /** Connections opened so far, first uses of kept ones included. */
     get opened(): number {
         return this.#opened;
@@ -56,7 +63,7 @@
     /** @returns a connection that nothing was sent on before */
     open(address: ServerAddress): ServerConnection {
         this.#opened++;
-        return new ServerConnection(address);
+        return new ServerConnection(address, this.#links);
     }
 
     /** Keeps a connection on which nothing is under way. */
--- /dev/null
+++ b/packages/edge/src/backends/serverLinks.ts
@@ -0,0 +1,26 @@
+import { type ServerAddress } from "@galenaglade/fleet-state";
+import { type Socket } from "node:net";
+import { buildConnector } from "undici";
+import { connectTimeoutMs } from "../constants.js";
+
+/** Told of an opened socket, or why there is none. */
+export type OnLinkOpened = (opened: Socket | Error) => void;
+
+/** Opens sockets to backend servers. */
+export abstract class ServerLinks {
+    /**
+     * @param address - of the server
+     * @param onOpened - called once
+     */
+    abstract open(address: ServerAddress, onOpened: OnLinkOpened): void;
+}
+
+/** Opens them as the host's network has it. */
+export class DirectLinks extends ServerLinks {
+    readonly #connect = buildConnector({ timeout: connectTimeoutMs });
+
+    override open({ host, port }: ServerAddress, onOpened: OnLinkOpened): void {
+        const options = { hostname: host, port: String(port), protocol: "http:", host: `${host}:${port}` };
+        this.#connect(options, (...[err, socket]) => onOpened(err ?? socket));
+    }
+}
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -14,6 +14,7 @@
 import { type Logger, type Metrics } from "@galenaglade/telemetry";
 import { ServerChecks } from "./backends/serverChecks.js";
 import { ServerConnections } from "./backends/serverConnections.js";
+import { DirectLinks, type ServerLinks } from "./backends/serverLinks.js";
 import { CallerConnections } from "./callers/callerConnections.js";
 import { EdgeHandler } from "./callers/edgeHandler.js";
 import { StartGate } from "./callers/startGate.js";
@@ -32,6 +33,7 @@
 import { WorkspaceLimits } from "./limits/workspaceLimits.js";
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
+import { ServerReach } from "./reach/serverReach.js";
 import { Placer } from "./requests/placer.js";
 import { AnswerNotes } from "./requests/answerNotes.js";
 import { RolloutSync } from "./rollout/rolloutSync.js";
@@ -58,6 +60,8 @@
     /** Seed of all random choices. */
     readonly seed: number;
     readonly clock?: Clock;
+    /** Opens sockets to backend servers; directly unless it is given. */
+    readonly links?: ServerLinks;
 }
 
 /** A running edge process. */
@@ -85,7 +89,8 @@
     const timeline = new StartTimeline(log);
     timeline.reach("programLoaded");
     const firstReading = new FirstReading(clock, () => timeline.reach("stateRead"));
-    const connections = new ServerConnections();
+    const links = parts.links ?? new DirectLinks();
+    const connections = new ServerConnections(links);
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
     const budget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
@@ -97,12 +102,14 @@
         startedAtMs: clock.monotonicMs(),
     });
     const notes = new AnswerNotes({ board, connections, log, metrics });
+    const reach = new ServerReach({ view, clock, log });
     const placer = new Placer({
         view,
         availabilityZone,
         board,
         notes,
         connections,
+        reach,
         vocabulary,
         clock,
         metrics,
@@ -140,7 +147,8 @@
         board,
         notes,
         connections,
-        checks: new ServerChecks(),
+        checks: new ServerChecks(links),
+        reach,
         crashes,
         limits,
         budget,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -253,6 +253,7 @@
         const connection = route.idempotent
             ? connections.take(server.id, server.address)
             : connections.takeQuiet(server.id, server.address, clock.monotonicMs());
+        const isNewConnection = !connection.isProved;
         const send = sendRequest({
             connection,
             firstRequest: connections.isFirstRequest(connection),
@@ -278,6 +279,7 @@
             send,
             place,
             purpose,
+            isNewConnection,
             mark: this.#guard.mark(),
             ended: send.result.then(result => {
                 this.#onSendEnded(underWay, connection, result);
@@ -291,7 +293,7 @@
 
     #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, result: SendResult): void {
         const { connections, clock } = this.#parts;
-        const { place, purpose, mark } = underWay;
+        const { place, purpose, isNewConnection, mark } = underWay;
         this.#underWay.delete(underWay);
         this.#ends.push(result.end);
         if (result.end.type === "unknown") {
@@ -301,7 +303,7 @@
         else {
             connections.release(place.server.id, connection, { after: "request", nowMs: clock.monotonicMs() });
         }
-        this.#outcomes.note({ place, purpose, mark, result, beaten: this.#answered });
+        this.#outcomes.note({ place, purpose, isNewConnection, mark, result, beaten: this.#answered });
     }
 
     #beginStream(head: AnswerHead): AnswerSink | undefined {
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -3,6 +3,7 @@
 import { type PlacementBoard, type RepeatBudget } from "@galenaglade/placement";
 import { type GatewayRollouts } from "@galenaglade/rollout";
 import { type RandomSource } from "@galenaglade/routing";
+import { type ServerReach } from "../reach/serverReach.js";
 import { type ServerChecks } from "../backends/serverChecks.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
 import { type CrashReports } from "../quarantine/crashReports.js";
@@ -30,6 +31,7 @@
     readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
     readonly checks: ServerChecks;
+    readonly reach: ServerReach;
     readonly crashes: CrashReports;
     readonly limits: WorkspaceLimits;
     readonly budget: RepeatBudget;
--- a/packages/edge/src/requests/exchangePlacement.ts
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -13,7 +13,13 @@
     readonly #request: EdgeRequest;
     readonly #signal: AbortSignal;
     readonly #triedServers = new Set<string>();
-    readonly #trace: SearchTrace = { usable: 0, asked: 0, offers: 0, restingForMs: undefined };
+    readonly #trace: SearchTrace = {
+        usable: 0,
+        asked: 0,
+        offers: 0,
+        ends: new Map(),
+        restingForMs: undefined,
+    };
     #placedAfterMs: number | undefined;
     /** Age of what the first server had said of its load when it was chosen. */
     #offerAgeMs: number | undefined;
@@ -44,8 +50,10 @@
 
     /** How servers were found, for the log. */
     describe(): LogFields {
+        const { ends, ...trace } = this.#trace;
         return {
-            ...this.#trace,
+            ...trace,
+            untold: [...ends].filter(([end]) => end !== "told").map(([end, count]) => `${end}:${count}`).join(","),
             placed: this.#firstReason,
             servers: [...this.#triedServers].join(","),
             trialVersion: this.#trialVersion,
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -1,8 +1,10 @@
 import { type RegisteredServer, type ServiceRules } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
 import { isGood, type PlacementBoard, scoreServer, type ServerOffer } from "@galenaglade/placement";
-import { askServer } from "../backends/askServer.js";
+import { type ContactEnd } from "@galenaglade/reachability";
+import { askServer, type LoadAnswer, type LoadSilence } from "../backends/askServer.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
+import { type ServerReach } from "../reach/serverReach.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type StartTimeline } from "../telemetry/startTimeline.js";
 import { type EdgeVocabulary } from "../vocabulary.js";
@@ -13,12 +15,16 @@
     readonly board: PlacementBoard;
     readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
+    readonly reach: ServerReach;
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
     readonly metrics: EdgeMetrics;
     readonly timeline: StartTimeline;
 }
 
+/** How questions of one request ended, by end. */
+export type AskEnds = Map<"told" | LoadSilence["reason"], number>;
+
 /** Asks backend servers for their load, and lets the board know what they said. */
 export class LoadInquiry {
     readonly #parts: LoadInquiryParts;
@@ -31,14 +37,23 @@
      * Asks some servers at once. The first good one is enough: waiting for the others, every request would take as long as
      * the slowest of them.
      *
+     * @param rules - of their service
+     * @param servers - whom to ask
+     * @param timeoutMs - time for each to answer
+     * @param ends - counts how each question ended
      * @returns how many have answered once one of them is good, or all have ended
      */
-    ask(rules: ServiceRules, servers: readonly RegisteredServer[], timeoutMs: number): Promise<number> {
+    ask(
+        rules: ServiceRules,
+        servers: readonly RegisteredServer[],
+        timeoutMs: number,
+        ends: AskEnds = new Map(),
+    ): Promise<number> {
         return new Promise(resolve => {
             const silent: RegisteredServer[] = [];
             let answered = 0;
             for (const server of servers) {
-                void this.#askOne(rules, server, timeoutMs).then(offer => {
+                void this.#askOne(rules, server, timeoutMs, ends).then(offer => {
                     if (offer === undefined) {
                         silent.push(server);
                     }
@@ -61,14 +76,25 @@
         rules: ServiceRules,
         server: RegisteredServer,
         timeoutMs: number,
+        ends: AskEnds,
     ): Promise<ServerOffer | undefined> {
-        const { board, notes, connections, vocabulary, clock, metrics, timeline } = this.#parts;
+        const { board, notes, connections, reach, vocabulary, clock, metrics, timeline } = this.#parts;
         timeline.reach("firstProbe");
         const askedAtMs = clock.monotonicMs();
         const connection = connections.take(server.id, server.address);
+        const isNewConnection = !connection.isProved;
         const told = await askServer({ server, connection, healthPath: rules.healthPath, vocabulary, timeoutMs });
-        metrics.onAsked(told === undefined ? "failed" : "answered");
-        if (told === undefined) {
+        const end = told.type === "told" ? "told" : told.reason;
+        ends.set(end, (ends.get(end) ?? 0) + 1);
+        metrics.onAsked(end);
+        reach.onContact({
+            service: rules.name,
+            serverId: server.id,
+            isNewConnection,
+            end: findAskContact(told),
+            startedAtMs: askedAtMs,
+        });
+        if (told.type === "untold") {
             // What comes on it later would be taken for the answer to whatever is sent next.
             connection.destroy();
             return undefined;
@@ -96,6 +122,11 @@
     }
 }
 
+/** Whoever answers, the way there and back works. */
+function findAskContact(told: LoadAnswer | LoadSilence): ContactEnd {
+    return told.type === "told" || told.reason === "otherServer" ? "heard" : told.reason;
+}
+
 function isGoodOffer(offer: ServerOffer): boolean {
     return isGood(scoreServer(offer, { typicalMs: 0, sentSince: 0, sameZone: true, suspect: false, reservedSlots: 0 }));
 }
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -10,7 +10,7 @@
     ServerSearch,
 } from "@galenaglade/placement";
 import { askTimeoutMs, longestAskTimeoutMs } from "../constants.js";
-import { LoadInquiry, type LoadInquiryParts } from "./loadInquiry.js";
+import { type AskEnds, LoadInquiry, type LoadInquiryParts } from "./loadInquiry.js";
 
 /** What the placer works with. */
 export interface PlacerParts extends LoadInquiryParts {
@@ -41,6 +41,8 @@
     asked: number;
     /** Answers to them, up to the one that decided. */
     offers: number;
+    /** How questions ended so far. */
+    readonly ends: AskEnds;
     /** Until the first server ends its rest, where nothing else keeps the request from being sent. */
     restingForMs: number | undefined;
 }
@@ -70,7 +72,12 @@
                 case "ask": {
                     const timeoutMs = Math.min(longestAskTimeoutMs, askTimeoutMs * 2 ** step.round);
                     input.trace.asked += step.servers.length;
-                    input.trace.offers += await this.#inquiry.ask(input.rules, step.servers, timeoutMs);
+                    input.trace.offers += await this.#inquiry.ask(
+                        input.rules,
+                        step.servers,
+                        timeoutMs,
+                        input.trace.ends,
+                    );
                     break;
                 }
                 case "pause":
--- a/packages/edge/src/requests/sendOutcomes.ts
+++ b/packages/edge/src/requests/sendOutcomes.ts
@@ -13,6 +13,8 @@
 export interface SendOutcome {
     readonly place: Place;
     readonly purpose: Purpose;
+    /** Whether nothing had been heard on its connection before. */
+    readonly isNewConnection: boolean;
     /** What was known of crashes when it began. */
     readonly mark: number;
     readonly result: SendResult;
@@ -42,8 +44,8 @@
     }
 
     note(outcome: SendOutcome): void {
-        const { board, clock, metrics, rollouts } = this.#parts;
-        const { place: { server, score }, purpose, mark, result, beaten } = outcome;
+        const { board, clock, metrics, reach, rollouts } = this.#parts;
+        const { place: { server, score }, purpose, isNewConnection, mark, result, beaten } = outcome;
         const { end, answer, tookMs } = result;
         const { rules: { name: service }, route } = this.#request;
         const nowMs = clock.monotonicMs();
@@ -52,6 +54,10 @@
         rollouts.onSendEnded(server, route.name, purpose === "first" ? trial : undefined);
         metrics.onSendEnded(service, purpose, describeEnd(end));
         this.#guard.onSendEnded(end, mark);
+        if (result.contact !== undefined) {
+            const startedAtMs = nowMs - tookMs;
+            reach.onContact({ service, serverId: server.id, isNewConnection, end: result.contact, startedAtMs });
+        }
         if (isServerLost(end)) {
             this.#checks.push(this.#checkLost(outcome));
         }
--- a/packages/edge/src/requests/sendUnderWay.ts
+++ b/packages/edge/src/requests/sendUnderWay.ts
@@ -7,6 +7,8 @@
     readonly send: Send;
     readonly place: Place;
     readonly purpose: Purpose;
+    /** Whether nothing had been heard on its connection before. */
+    readonly isNewConnection: boolean;
     /** What was known of crashes when it began. */
     readonly mark: number;
     readonly ended: Promise<EndedSend>;
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -27,6 +27,8 @@
     | "serverLimit"
     | "serverRest"
     | "serverLeaving"
+    | "serversLost"
+    | "serversRegained"
     | "unknownHeader"
     | "allocatorChosen"
     | "allocatorLost"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -51,7 +51,7 @@
             description: "requests of limited workspaces, by workspace and decision",
         });
         this.#asks = meter.createCounter("galenaglade.load_requests", {
-            description: "times a server's load was asked",
+            description: "times a server's load was asked, by end",
         });
         this.#storeCalls = meter.createCounter("galenaglade.store_calls", { description: "calls of the store by end" });
         this.#relayRequests = meter.createCounter("galenaglade.relay_requests", {
@@ -122,7 +122,8 @@
         return this.#namedWorkspaces.has(workspace) ? workspace : otherWorkspaces;
     }
 
-    onAsked(end: "answered" | "failed"): void {
+    /** @param end - `told`, or why the server told nothing */
+    onAsked(end: string): void {
         this.#asks.add(1, { end });
     }
 
--- /dev/null
+++ b/packages/reachability/src/contactEvidence.ts
@@ -0,0 +1,102 @@
+import { doubtedExchanges, doubtedServers } from "./constants.js";
+import { type Contact, type ContactEnd, type LossEvidence, type LossKind } from "./contact.js";
+
+interface FailedContact {
+    readonly serverId: string;
+    readonly end: ContactEnd;
+    readonly startedAtMs: number;
+}
+
+/** Failed exchanges that are kept for one service. */
+const mostKept = 64;
+
+/**
+ * What the exchanges with one service's servers say of this host's links to them. Exchanges are ordered by when they began: an answer
+ * that comes late shows only that its server was reached when the request was written.
+ */
+export class ContactEvidence {
+    #heardAtMs: number | undefined;
+    #heardOnNewAtMs: number | undefined;
+    #failed: readonly FailedContact[] = [];
+    #failedOnNew: readonly FailedContact[] = [];
+
+    /** When the newest exchange that was answered began; `undefined` where none was. */
+    get heardAtMs(): number | undefined {
+        return this.#heardAtMs;
+    }
+
+    onContact(contact: Contact): void {
+        if (contact.end === "heard") {
+            this.#onHeard(contact);
+            return;
+        }
+        this.#failed = add(this.#failed, contact, this.#heardAtMs);
+        if (contact.isNewConnection) {
+            this.#failedOnNew = add(this.#failedOnNew, contact, this.#heardOnNewAtMs);
+        }
+    }
+
+    /** Forgets all failures, as after the links were found to work. */
+    clear(): void {
+        this.#failed = [];
+        this.#failedOnNew = [];
+    }
+
+    /**
+     * @param servers - of the service, that may be given work
+     * @returns why the links are doubted; `undefined` where they aren't
+     */
+    findLoss(servers: number, nowMs: number): LossEvidence | undefined {
+        return describe("all", this.#failed, this.#heardAtMs, servers, nowMs)
+            ?? describe("newConnections", this.#failedOnNew, this.#heardOnNewAtMs, servers, nowMs);
+    }
+
+    #onHeard({ startedAtMs, isNewConnection }: Contact): void {
+        this.#heardAtMs = Math.max(this.#heardAtMs ?? -Infinity, startedAtMs);
+        this.#failed = since(this.#failed, this.#heardAtMs);
+        if (isNewConnection) {
+            this.#heardOnNewAtMs = Math.max(this.#heardOnNewAtMs ?? -Infinity, startedAtMs);
+            this.#failedOnNew = since(this.#failedOnNew, this.#heardOnNewAtMs);
+        }
+    }
+}
+
+/** What began before, or together with, an exchange that was answered says nothing. */
+function since(failed: readonly FailedContact[], heardAtMs: number): readonly FailedContact[] {
+    return failed.length === 0 ? failed : failed.filter(({ startedAtMs }) => startedAtMs > heardAtMs);
+}
+
+function add(
+    failed: readonly FailedContact[],
+    { serverId, end, startedAtMs }: Contact,
+    heardAtMs: number | undefined,
+): readonly FailedContact[] {
+    if (heardAtMs !== undefined && startedAtMs <= heardAtMs) {
+        return failed;
+    }
+    return [...failed.slice(-(mostKept - 1)), { serverId, end, startedAtMs }];
+}
+
+function describe(
+    kind: LossKind,
+    failed: readonly FailedContact[],
+    heardAtMs: number | undefined,
+    servers: number,
+    nowMs: number,
+): LossEvidence | undefined {
+    const failedServers = new Set(failed.map(({ serverId }) => serverId)).size;
+    if (failed.length < doubtedExchanges || failedServers < Math.min(doubtedServers, Math.max(1, servers))) {
+        return undefined;
+    }
+    const ends: Partial<Record<ContactEnd, number>> = {};
+    for (const { end } of failed) {
+        ends[end] = (ends[end] ?? 0) + 1;
+    }
+    return {
+        kind,
+        servers: failedServers,
+        ends,
+        forMs: nowMs - Math.min(...failed.map(({ startedAtMs }) => startedAtMs)),
+        heardAgoMs: heardAtMs === undefined ? undefined : nowMs - heardAtMs,
+    };
+}
