Test gateways that are cut off from all servers, in six manners; they fail

Callers of two cut gateways of four, from 3 s after the cut, on this code: connections hang, 0 of 92 served (others 232 of 232); reset, 0 of 94 (235 of 235); new ones refused while kept ones live, 47 of 94 (240 of 240); kept ones silent and new ones refused, 0 of 94 (234 of 234); one way out, 0 of 95 (237 of 237); one way back, 0 of 96 (237 of 237).

--- /dev/null
+++ b/packages/edge/src/__tests__/support/cutFleet.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { CutLinks, type CutManner } from "./cutLinks.js";
+import { MemoryStore } from "./memoryStore.js";
+import { RecordedServers } from "./recordedServers.js";
+import {
+    call,
+    createConfiguration,
+    type Got,
+    register,
+    renderSigned,
+    startBackend,
+    startEdges,
+    type TestBackend,
+    type TestEdge,
+} from "./testEdge.js";
+
+const workMs = 30;
+
+/** Gateways whose links to all backend servers the test cuts, and the history of what their callers sent and got. */
+export class CutFleet extends RecordedServers {
+    readonly backends: TestBackend[] = [];
+    #edges: readonly TestEdge[] = [];
+    #links: readonly CutLinks[] = [];
+
+    get edges(): readonly TestEdge[] {
+        return this.#edges;
+    }
+
+    /** @returns the fleet, once its gateways know each other */
+    static async start(t: TestContext, gateways: number, servers = 4): Promise<CutFleet> {
+        const store = new MemoryStore();
+        store.put("configuration", createConfiguration(1));
+        const fleet = new CutFleet(t, store);
+        for (let i = 0; i < servers; i++) {
+            await fleet.#startServer(`server-${i}`);
+        }
+        fleet.#links = Array.from({ length: gateways }, () => new CutLinks());
+        fleet.#edges = await startEdges(t, store, gateways, fleet.#links);
+        return fleet;
+    }
+
+    linksOf(gateway: number): CutLinks {
+        const links = this.#links[gateway];
+        assert.ok(links);
+        return links;
+    }
+
+    edgeOf(gateway: number): TestEdge {
+        const edge = this.#edges[gateway];
+        assert.ok(edge);
+        return edge;
+    }
+
+    cut(gateway: number, manner: CutManner): void {
+        this.record({ type: "gatewayCutFromServers", gateway: this.edgeOf(gateway).name });
+        this.linksOf(gateway).cut(manner);
+    }
+
+    restore(gateway: number): void {
+        this.record({ type: "gatewayLinksRestored", gateway: this.edgeOf(gateway).name });
+        this.linksOf(gateway).restore();
+    }
+
+    /** Sends a request through a gateway. */
+    async send(gateway: number, method: "GET" | "POST" = "GET"): Promise<Got> {
+        const requestId = this.createRequestId();
+        const edge = this.edgeOf(gateway);
+        const idempotent = method === "GET";
+        const more = { gateway: edge.name, patienceMs: 8_000 };
+        this.record({ type: "callerSent", requestId, service: "tables", idempotent, ...more });
+        const path = `/${idempotent ? "tables" : "returns"}/${requestId}`;
+        const got = await call(edge, path, {
+            requestId,
+            method,
+            ...(idempotent ? {} : { body: `filed ${requestId}` }),
+        });
+        this.record({
+            type: "callerAnswered",
+            requestId,
+            status: got.status,
+            didRun: undefined,
+            whole: got.headers["x-signed"] !== undefined,
+            bodyRequestId: got.headers["x-id"] === undefined ? undefined : String(got.headers["x-id"]),
+        });
+        return got;
+    }
+
+    /** Sends requests to one gateway after the other for a while. @returns what each got */
+    async sendFor(forMs: number, everyMs: number): Promise<readonly Got[]> {
+        const untilMs = performance.now() + forMs;
+        const sent: Promise<Got>[] = [];
+        for (let i = 0; performance.now() < untilMs; i++) {
+            sent.push(this.send(i % this.#edges.length, i % 4 === 0 ? "POST" : "GET"));
+            await sleep(everyMs);
+        }
+        return await Promise.all(sent);
+    }
+
+    async #startServer(id: string): Promise<void> {
+        const backend = await startBackend(this.t, id, req => {
+            this.recordStarted(id, req);
+            setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", [`x-server: ${id}`])), workMs);
+        });
+        this.backends.push(backend);
+        register(this.store, backend);
+    }
+}
--- /dev/null
+++ b/packages/edge/src/__tests__/support/cutLinks.ts
@@ -0,0 +1,118 @@
+import { type ServerAddress } from "@galenaglade/fleet-state";
+import { type Socket } from "node:net";
+import { type OnLinkOpened, ServerLinks } from "../../index.js";
+import { DirectLinks } from "../../backends/serverLinks.js";
+import { connectTimeoutMs } from "../../constants.js";
+
+/** What becomes of a gateway's connections to all backend servers. */
+export type CutManner =
+    /** Nothing passes, and new connections are not answered. */
+    | "hang"
+    /** Open connections are reset, and new ones refused. */
+    | "reset"
+    /** Open connections work, and new ones are refused. */
+    | "refuseNew"
+    /** Nothing passes on open connections, and new ones are refused. */
+    | "silentRefuseNew"
+    /** Nothing passes to the servers; what they send does. */
+    | "oneWayOut"
+    /** Nothing passes from the servers. */
+    | "oneWayBack";
+
+export const cutManners: readonly CutManner[] = [
+    "hang",
+    "reset",
+    "refuseNew",
+    "silentRefuseNew",
+    "oneWayOut",
+    "oneWayBack",
+];
+
+interface HeldSocket {
+    readonly socket: Socket;
+    release: () => void;
+}
+
+/** Links to backend servers that a test cuts and restores. */
+export class CutLinks extends ServerLinks {
+    readonly #direct = new DirectLinks();
+    readonly #sockets = new Set<Socket>();
+    readonly #held: HeldSocket[] = [];
+    #manner: CutManner | undefined;
+    /** Sockets opened so far. */
+    opened = 0;
+
+    override open(address: ServerAddress, onOpened: OnLinkOpened): void {
+        const manner = this.#manner;
+        if (manner === undefined) {
+            this.#direct.open(address, opened => {
+                if (!(opened instanceof Error)) {
+                    this.opened++;
+                    this.#sockets.add(opened);
+                    opened.once("close", () => this.#sockets.delete(opened));
+                }
+                onOpened(opened);
+            });
+            return;
+        }
+        if (manner === "hang" || manner === "oneWayOut" || manner === "oneWayBack") {
+            setTimeout(() => onOpened(createError("UND_ERR_CONNECT_TIMEOUT")), connectTimeoutMs);
+            return;
+        }
+        setImmediate(() => onOpened(createError("ECONNREFUSED", "connect")));
+    }
+
+    cut(manner: CutManner): void {
+        this.#manner = manner;
+        for (const socket of this.#sockets) {
+            if (manner === "reset") {
+                socket.destroy(createError("ECONNRESET", "read"));
+            }
+            else if (manner !== "refuseNew") {
+                this.#held.push(hold(socket, manner !== "oneWayBack", manner !== "oneWayOut"));
+            }
+        }
+    }
+
+    /** What was held back passes again. */
+    restore(): void {
+        this.#manner = undefined;
+        for (const { release } of this.#held.splice(0)) {
+            release();
+        }
+    }
+}
+
+function createError(code: string, syscall?: string): Error {
+    return Object.assign(new Error(`${syscall ?? "connect"} ${code}`), { code, ...(syscall && { syscall }) });
+}
+
+/** Holds back what is written to a socket, what is read from it, or both, until it is released. */
+function hold(socket: Socket, there: boolean, back: boolean): HeldSocket {
+    const unwritten: (() => void)[] = [];
+    const write = socket.write.bind(socket);
+    const read = socket.read.bind(socket);
+    if (there) {
+        socket.write = (...args: unknown[]) => {
+            unwritten.push(() => void Reflect.apply(write, socket, args));
+            return true;
+        };
+    }
+    if (back) {
+        socket.read = () => null;
+    }
+    return {
+        socket,
+        release: () => {
+            socket.write = write;
+            socket.read = read;
+            if (socket.destroyed) {
+                return;
+            }
+            for (const send of unwritten) {
+                send();
+            }
+            socket.emit("readable");
+        },
+    };
+}
--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -5,7 +5,7 @@
 import { type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { createEdge, type Edge, resolveEdgeSettings } from "../../index.js";
+import { createEdge, type Edge, resolveEdgeSettings, type ServerLinks } from "../../index.js";
 import { type MemoryStore } from "./memoryStore.js";
 import { TestCodec, TestVocabulary } from "./testNames.js";
 
@@ -122,6 +122,7 @@
         readonly peersPort?: number;
         readonly exposureShare?: number;
         readonly firstTrialSeconds?: number;
+        readonly links?: ServerLinks;
     } = {},
 ): Promise<TestEdge<Store>> {
     const [callers, readiness, free = 0, metrics] = await findFreePorts(4);
@@ -155,6 +156,7 @@
         }),
         metrics: createMetrics("test"),
         seed: 1,
+        ...(more.links === undefined ? {} : { links: more.links }),
     });
     await edge.start();
     let stopped: Promise<void> | undefined;
@@ -198,10 +200,16 @@
 }
 
 /** Starts gateways over one store, and waits until each is ready and knows all of them. */
-export async function startEdges(t: TestContext, store: MemoryStore, count: number): Promise<readonly TestEdge[]> {
+export async function startEdges(
+    t: TestContext,
+    store: MemoryStore,
+    count: number,
+    links: readonly ServerLinks[] = [],
+): Promise<readonly TestEdge[]> {
     const edges: TestEdge[] = [];
     for (let i = 0; i < count; i++) {
-        edges.push(await startEdge(t, store, { name: `edge-${i}` }));
+        const own = links[i];
+        edges.push(await startEdge(t, store, { name: `edge-${i}`, ...(own === undefined ? {} : { links: own }) }));
     }
     await Promise.all(edges.map(whenReady));
     await eventually(
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -137,6 +137,10 @@
         readonly availabilityZone: string;
     }
     | { readonly type: "workRefused"; readonly gateway: string; readonly requestId: string; readonly kind: string; }
+    /** From now on a gateway reaches no backend server. */
+    | { readonly type: "gatewayCutFromServers"; readonly gateway: string; }
+    /** From now on a gateway reaches them again. */
+    | { readonly type: "gatewayLinksRestored"; readonly gateway: string; }
     | { readonly type: "gatewayStopping"; readonly gateway: string; }
     | { readonly type: "gatewayStopped"; readonly gateway: string; readonly exitCode: number; };
 
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -7,6 +7,7 @@
     checkConfigurationNeverReverts,
     checkConfigurationOrder,
 } from "./configurationChecker.js";
+export { checkCutGateways, type CutGatewayBounds } from "./cutGatewayChecker.js";
 export { checkDrained } from "./drainChecker.js";
 export { type HistoryEvent, type HistoryLine, type Recorded, type Violation, type WrittenWorkspace } from "./events.js";
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
