--- a/packages/edge/src/__tests__/loadInquiry.test.ts
+++ b/packages/edge/src/__tests__/loadInquiry.test.ts
@@ -1,4 +1,4 @@
-import { FleetView, type RegisteredServer } from "@galenaglade/fleet-state";
+import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { systemClock } from "@galenaglade/http-parts";
 import { PlacementBoard } from "@galenaglade/placement";
 import { createRandomSource } from "@galenaglade/routing";
@@ -10,7 +10,6 @@
 import { askServer } from "../backends/askServer.js";
 import { ServerConnections } from "../backends/serverConnections.js";
 import { AnswerNotes } from "../requests/answerNotes.js";
-import { ServerReach } from "../reach/serverReach.js";
 import { LoadInquiry } from "../requests/loadInquiry.js";
 import { EdgeLog } from "../telemetry/edgeLog.js";
 import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -52,7 +51,7 @@
             board,
             notes,
             connections,
-            reach: new ServerReach({ view: new FleetView(), clock: systemClock, log }),
+            reach: { onContact: () => undefined },
             vocabulary,
             clock: systemClock,
             metrics,
--- a/packages/edge/src/__tests__/support/cutFleet.ts
+++ b/packages/edge/src/__tests__/support/cutFleet.ts
@@ -1,3 +1,4 @@
+import { type RawRequest } from "@galenaglade/stand-ins";
 import assert from "node:assert/strict";
 import { type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -21,6 +22,10 @@
 /** Gateways whose links to all backend servers the test cuts, and the history of what their callers sent and got. */
 export class CutFleet extends RecordedServers {
     readonly backends: TestBackend[] = [];
+    /** What servers do with a request; they answer it after a while unless the test says otherwise. */
+    serve: (req: RawRequest, server: string) => void = (req, server) => {
+        setTimeout(() => req.socket.write(renderSigned(req, server, "200 OK", [`x-server: ${server}`])), workMs);
+    };
     #edges: readonly TestEdge[] = [];
     #links: readonly CutLinks[] = [];
 
@@ -64,7 +69,7 @@
     }
 
     /** Sends a request through a gateway. */
-    async send(gateway: number, method: "GET" | "POST" = "GET"): Promise<Got> {
+    async send(gateway: number, method: "GET" | "POST" = "GET", signal?: AbortSignal): Promise<Got> {
         const requestId = this.createRequestId();
         const edge = this.edgeOf(gateway);
         const idempotent = method === "GET";
@@ -75,6 +80,7 @@
             requestId,
             method,
             ...(idempotent ? {} : { body: `filed ${requestId}` }),
+            ...(signal === undefined ? {} : { signal }),
         });
         this.record({
             type: "callerAnswered",
@@ -101,7 +107,7 @@
     async #startServer(id: string): Promise<void> {
         const backend = await startBackend(this.t, id, req => {
             this.recordStarted(id, req);
-            setTimeout(() => req.socket.write(renderSigned(req, id, "200 OK", [`x-server: ${id}`])), workMs);
+            this.serve(req, id);
         });
         this.backends.push(backend);
         register(this.store, backend);
--- a/packages/edge/src/__tests__/support/recordedServers.ts
+++ b/packages/edge/src/__tests__/support/recordedServers.ts
@@ -7,7 +7,7 @@
 export abstract class RecordedServers {
     readonly history: HistoryLine[] = [];
     protected readonly t: TestContext;
-    protected readonly store: MemoryStore;
+    readonly store: MemoryStore;
     #sent = 0;
 
     constructor(t: TestContext, store: MemoryStore) {
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -3,7 +3,7 @@
 import { type ContactEnd } from "@galenaglade/reachability";
 import { type Readable } from "node:stream";
 import { type Dispatcher } from "undici";
-import { type AnswerSigns, type EdgeVocabulary } from "../vocabulary.js";
+import { type AnswerReader, type AnswerSigns } from "../vocabulary.js";
 import { findContactEnd } from "./contactEnds.js";
 import { readRawHeaders } from "./rawHeaders.js";
 import { type ServerConnection } from "./serverConnection.js";
@@ -42,7 +42,7 @@
     readonly body: Buffer | Readable | undefined;
     readonly idempotent: boolean;
     readonly requestId: string | undefined;
-    readonly vocabulary: EdgeVocabulary;
+    readonly vocabulary: AnswerReader;
     readonly heldBytes: number;
     /** Asked in the turn in which the first byte is written. */
     readonly mayWrite: () => boolean;
--- a/packages/edge/src/backends/serverLinks.ts
+++ b/packages/edge/src/backends/serverLinks.ts
@@ -17,7 +17,13 @@
 
 /** Opens them as the host's network has it. */
 export class DirectLinks extends ServerLinks {
-    readonly #connect = buildConnector({ timeout: connectTimeoutMs });
+    readonly #connect: buildConnector.connector;
+
+    /** @param timeoutMs - time to open a socket */
+    constructor(timeoutMs = connectTimeoutMs) {
+        super();
+        this.#connect = buildConnector({ timeout: timeoutMs });
+    }
 
     override open({ host, port }: ServerAddress, onOpened: OnLinkOpened): void {
         const options = { hostname: host, port: String(port), protocol: "http:", host: `${host}:${port}` };
--- a/packages/edge/src/callers/answerWriter.ts
+++ b/packages/edge/src/callers/answerWriter.ts
@@ -1,6 +1,7 @@
 import { cutCaller, keepEndToEnd } from "@galenaglade/http-parts";
 import { type ServerResponse } from "node:http";
 import { type AnswerHead, AnswerSink, type HeldAnswer } from "../backends/sendRequest.js";
+import { handoverHeader } from "../handover/handoverMessages.js";
 
 const noContentStatus = 204;
 const notModifiedStatus = 304;
@@ -16,7 +17,10 @@
 export function writeAnswer(res: ServerResponse, method: string, answer: HeldAnswer, close: boolean): void {
     const { status, headers, body } = answer;
     const hasBody = method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
-    const kept = keepEndToEnd(headers, name => hasBody && name === "content-length");
+    const kept = keepEndToEnd(
+        headers,
+        name => name === handoverHeader || (hasBody && name === "content-length"),
+    );
     if (answer.endedByClose) {
         // With a length it would look whole, which nobody knows; the caller gets it framed as the server framed it.
         res.removeHeader("transfer-encoding");
@@ -38,7 +42,7 @@
     constructor(res: ServerResponse, head: AnswerHead, close: boolean) {
         super();
         this.#res = res;
-        const kept = keepEndToEnd(head.headers, () => false);
+        const kept = keepEndToEnd(head.headers, name => name === handoverHeader);
         if (close) {
             kept.push("connection", "close");
         }
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -1,6 +1,13 @@
 import { createFailure, type Failure, resolveFailure } from "@galenaglade/errors";
 import { readRequestBody, type RequestBody, writeFailure } from "@galenaglade/http-parts";
 import { resolveComeBack, type StartRequest } from "@galenaglade/placement";
+import {
+    handoverHeader,
+    type HandoverOrder,
+    type HandoverVerdict,
+    renderHandoverHeader,
+} from "../handover/handoverMessages.js";
+import { HandoverHandler, refuseHandover } from "../handover/handoverServer.js";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left } from "purify-ts";
 import { heldBodyBytes, surelyCurrentMs } from "../constants.js";
@@ -24,10 +31,13 @@
 }
 
 /** Takes each caller's request from its arrival to its one final answer. */
-export class EdgeHandler {
+export class EdgeHandler extends HandoverHandler {
     readonly #parts: EdgeHandlerParts;
+    /** What other gateways said of the requests that they handed over. */
+    readonly #orders = new WeakMap<ServerResponse, HandoverOrder>();
 
     constructor(parts: EdgeHandlerParts) {
+        super();
         this.#parts = parts;
     }
 
@@ -46,6 +56,15 @@
         this.#take(req, res, arrivedAtMs);
     }
 
+    override handleHandover(req: IncomingMessage, res: ServerResponse, order: HandoverOrder): void {
+        const { callers, clock } = this.#parts;
+        if (!callers.onRequest(req, res)) {
+            return;
+        }
+        this.#orders.set(res, order);
+        this.#take(req, res, clock.monotonicMs());
+    }
+
     /** The fleet is not known yet: the request waits for the reading that is under way, its time running on. */
     async #holdUnread(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): Promise<void> {
         const { log, firstReading, vocabulary } = this.#parts;
@@ -62,9 +81,15 @@
 
     #take(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
         const { log } = this.#parts;
-        const understood = this.#understand(req, arrivedAtMs);
+        const order = this.#orders.get(res);
+        const understood = this.#understand(req, order, arrivedAtMs);
         understood.caseOf({
             Left: failure => {
+                if (order !== undefined) {
+                    // The other gateway's view allows it: some other one may have that view too.
+                    refuseHandover(req, res, "noRoute", []);
+                    return;
+                }
                 this.#fail(req, res, failure);
                 this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
             },
@@ -77,7 +102,11 @@
         });
     }
 
-    #understand(req: IncomingMessage, nowMs: number): Either<Failure, EdgeRequest> {
+    #understand(
+        req: IncomingMessage,
+        order: HandoverOrder | undefined,
+        nowMs: number,
+    ): Either<Failure, EdgeRequest> {
         const { view, vocabulary, random } = this.#parts;
         const { inForce } = view;
         if (inForce === undefined) {
@@ -86,10 +115,11 @@
         }
         const head = {
             method: req.method ?? "GET",
-            url: req.url ?? "/",
+            url: order?.target ?? req.url ?? "/",
             authority: req.headers.host ?? "",
             headers: req.rawHeaders,
-            callerAddress: req.socket.remoteAddress ?? "",
+            callerAddress: order?.caller ?? req.socket.remoteAddress ?? "",
+            order,
             bodyBytes: resolveBodyBytes(req),
         };
         return resolveEdgeRequest(head, inForce, vocabulary, random, nowMs).mapLeft(failure =>
@@ -150,13 +180,14 @@
         const pass = startGate.isOn ? await startGate.enter(this.#describeStart(request, req), signal) : undefined;
         let sink: CallerSink | undefined;
         const exchange = new Exchange(this.#parts, request, body, signal, head => {
+            this.#markAnswered(res, request, exchange.answeredBy);
             sink = new CallerSink(res, head, callers.endsWith(req));
             return sink;
         }, () => pass?.onSent());
         const end = this.#doubtEnd(await exchange.run().finally(() => pass?.onEnded()));
         switch (end.type) {
             case "answered":
-                this.#answer(request, end.answer, req, res);
+                this.#answer(request, end.answer, exchange.answeredBy, req, res);
                 break;
             case "streamed":
                 sink?.end(end.whole);
@@ -186,7 +217,13 @@
             : end;
     }
 
-    #answer(request: EdgeRequest, answer: HeldAnswer, req: IncomingMessage, res: ServerResponse): void {
+    #answer(
+        request: EdgeRequest,
+        answer: HeldAnswer,
+        answeredBy: string | undefined,
+        req: IncomingMessage,
+        res: ServerResponse,
+    ): void {
         const { callers } = this.#parts;
         if (res.destroyed) {
             return;
@@ -196,13 +233,32 @@
             this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"));
             return;
         }
+        this.#markAnswered(res, request, answeredBy);
         writeAnswer(res, request.method, answer, callers.endsWith(req));
     }
 
+    #markAnswered(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
+        if (this.#orders.has(res)) {
+            mark(res, { type: "answered", version, ...(server === undefined ? {} : { server }) });
+        }
+    }
+
     #fail(req: IncomingMessage, res: ServerResponse, failure: Failure): void {
         if (res.destroyed) {
             return;
         }
+        const order = this.#orders.get(res);
+        if (order !== undefined && !res.headersSent) {
+            const { kind, detail, didRun, retryAfterSeconds } = resolveFailure(failure);
+            mark(res, {
+                type: "failed",
+                kind,
+                detail,
+                notRun: didRun === "no",
+                ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
+                unreached: this.#parts.reach.stateOf(order.service) !== "reached",
+            });
+        }
         // An unread body would be taken for the next request's head, so the connection ends unless all was read.
         writeFailure(res, failure, undefined, this.#parts.callers.endsWith(req) || !req.complete);
     }
@@ -221,8 +277,13 @@
         const { clock, log, metrics } = this.#parts;
         const tookMs = Math.round(clock.monotonicMs() - request.arrivedAtMs);
         const outcome = end.type === "answered" ? String(end.answer.status) : "streamed";
-        metrics.onRequestEnded(request.route.name, outcome, tookMs);
-        this.#countWorkspace(request, tookMs <= request.route.objectiveMs ? "inTime" : "late");
+        if (request.handedOverBy === undefined) {
+            metrics.onRequestEnded(request.route.name, outcome, tookMs);
+            this.#countWorkspace(request, tookMs <= request.route.objectiveMs ? "inTime" : "late");
+        }
+        else {
+            metrics.onHandoverTaken(outcome);
+        }
         log.log("info", "requestEnded", {
             requestId: request.requestId,
             route: request.route.name,
@@ -253,8 +314,13 @@
         const nowMs = clock.monotonicMs();
         const { status, retryAfterSeconds } = resolveFailure(failure);
         const tookMs = Math.round(nowMs - arrivedAtMs);
-        metrics.onRequestEnded(request?.route.name ?? "", failure.kind, tookMs);
-        if (request !== undefined) {
+        if (request?.handedOverBy === undefined) {
+            metrics.onRequestEnded(request?.route.name ?? "", failure.kind, tookMs);
+        }
+        else {
+            metrics.onHandoverTaken(failure.kind);
+        }
+        if (request !== undefined && request.handedOverBy === undefined) {
             this.#countWorkspace(request, failure.kind);
         }
         log.log("warn", "requestFailed", {
@@ -275,6 +341,11 @@
     }
 }
 
+/** Says on an answer to another gateway what it is. */
+function mark(res: ServerResponse, verdict: HandoverVerdict): void {
+    res.setHeader(handoverHeader, renderHandoverHeader(verdict));
+}
+
 function nameWorkspace({ admission }: EdgeRequest): string | undefined {
     return admission.type === "known" ? admission.workspace.name : undefined;
 }
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -137,8 +137,39 @@
 /** Largest report on a roll-out that is read, in bytes. */
 export const mostReportBytes = 65_536;
 
-/** Largest head of another gateway's request, in bytes. */
-export const mostPeerHeadBytes = 4_096;
-
 /** Age of the store's word up to which a route that it doesn't have doesn't exist, in milliseconds: so long a new one takes to be in force. */
 export const surelyCurrentMs = 2_000;
+
+/** Servers that are asked over new connections in one round of checks whether a service is reached again. */
+export const checkedServers = 3;
+
+/** From one round to the next, and the time for each question, in milliseconds. */
+export const reachCheckPeriodMs = 250;
+export const reachCheckTimeoutMs = 150;
+
+/** Age up to which an answer of a server shows that its service is reached, in milliseconds. */
+export const freshReachMs = 250;
+
+/** Gateways that are asked at once whether they reach a service, and how many times in a row others are where none does. */
+export const peersPerInquiry = 4;
+export const mostInquiries = 3;
+
+/** Time to connect to a gateway that is asked, and for its whole answer: it may ask servers first. In milliseconds. */
+export const reachConnectTimeoutMs = 150;
+export const reachTimeoutMs = 300;
+
+/** Time to connect to a gateway that a request is handed to, in milliseconds. */
+export const helperConnectTimeoutMs = 150;
+
+/** Gateways that one request is handed to, one after the other, at most. */
+export const mostHelpersTried = 4;
+
+/** Requests of other gateways that are under way here at once, at most: beyond them this gateway's own callers would wait. */
+export const mostHandedOver = 64;
+
+/** Largest head of another gateway's request: a caller's head and what is added to it, in bytes. */
+export const mostHandoverHeadBytes = maximumHeadBytes + 16_384;
+
+/** Other servers that are tried where one refuses connections after it lost a request, and how few of them say nothing. */
+export const mostWitnesses = 3;
+export const leastWitnesses = 2;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -21,6 +21,7 @@
 import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
 import {
     balancerNoticesMs,
+    helperConnectTimeoutMs,
     initialKeepAliveMs,
     maximumCallerConnections,
     maximumHeadBytes,
@@ -29,10 +30,13 @@
     stopMarginMs,
     stopTickMs,
 } from "./constants.js";
+import { HandoverServer } from "./handover/handoverServer.js";
+import { VersionSeen } from "./handover/versionSeen.js";
 import { UdpPort } from "./limits/limitSocket.js";
 import { WorkspaceLimits } from "./limits/workspaceLimits.js";
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
+import { ReachClient } from "./reach/reachClient.js";
 import { ServerReach } from "./reach/serverReach.js";
 import { Placer } from "./requests/placer.js";
 import { AnswerNotes } from "./requests/answerNotes.js";
@@ -102,7 +106,21 @@
         startedAtMs: clock.monotonicMs(),
     });
     const notes = new AnswerNotes({ board, connections, log, metrics });
-    const reach = new ServerReach({ view, clock, log });
+    const reach = new ServerReach({
+        name,
+        availabilityZone,
+        view,
+        board,
+        notes,
+        connections,
+        vocabulary,
+        peers: new ReachClient(),
+        clock,
+        random,
+        log,
+        metrics,
+    });
+    const peerConnections = new ServerConnections(new DirectLinks(helperConnectTimeoutMs));
     const placer = new Placer({
         view,
         availabilityZone,
@@ -140,6 +158,7 @@
     });
     let endsAtMs: number | undefined;
     const handler = new EdgeHandler({
+        name,
         view,
         clock,
         random,
@@ -147,6 +166,8 @@
         board,
         notes,
         connections,
+        peerConnections,
+        versionSeen: new VersionSeen(),
         checks: new ServerChecks(links),
         reach,
         crashes,
@@ -184,6 +205,8 @@
         const ids = new Set(view.knownServerIds());
         connections.retain(ids);
         board.retain(ids);
+        reach.onChange();
+        peerConnections.retain(new Set(view.registeredGateways().map(gateway => gateway.name)));
         crashes.onChange();
         limits.onChange();
         const callerLimits = view.inForce?.configuration.limits;
@@ -220,7 +243,16 @@
     });
     const relayServer = new RelayServer(sync);
     const rolloutSync = new RolloutSync({ name, view, rollouts, store, codec, clock, log, metrics });
-    const peerServer = createPeerServer(relayServer, rolloutSync);
+    const handovers = new HandoverServer({
+        view,
+        reach,
+        handler,
+        clock,
+        log,
+        metrics,
+        isStopping: () => endsAtMs !== undefined,
+    });
+    const peerServer = createPeerServer({ relay: relayServer, inbox: rolloutSync, reach, handovers });
 
     const stop = async (): Promise<void> => {
         const beganAtMs = clock.monotonicMs();
@@ -242,7 +274,9 @@
         rolloutSync.stop();
         crashes.stop();
         limits.stop();
+        reach.stop();
         connections.close();
+        peerConnections.close();
         callerServer.closeAllConnections();
         peerServer.close();
         peerServer.closeAllConnections();
--- /dev/null
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -0,0 +1,218 @@
+import { type RegisteredGateway } from "@galenaglade/fleet-state";
+import { type Failure } from "@galenaglade/errors";
+import { type RequestBody } from "@galenaglade/http-parts";
+import { type SendEnd } from "@galenaglade/placement";
+import { type LogFields } from "@galenaglade/telemetry";
+import { type AnswerHead, type AnswerSink } from "../backends/sendRequest.js";
+import { type ServerConnection } from "../backends/serverConnection.js";
+import { heldAnswerBytes, mostHelpersTried } from "../constants.js";
+import { type EdgeRequest } from "../requests/edgeRequest.js";
+import { describeEnd } from "../requests/exchangeAnswers.js";
+import { type ExchangeParts } from "../requests/exchangeParts.js";
+import { type HandoverOrder } from "./handoverMessages.js";
+import { type Handover, handOver, type HandoverResult } from "./handoverSend.js";
+
+/** What a handover of one request needs of it. */
+export interface ExchangeHandoverInput {
+    readonly parts: ExchangeParts;
+    readonly request: EdgeRequest;
+    readonly body: RequestBody;
+    readonly mayWrite: () => boolean;
+    readonly openSink: (head: AnswerHead) => AnswerSink | undefined;
+}
+
+/** A request that was handed to another gateway. */
+export interface StartedHandover {
+    readonly helper: RegisteredGateway;
+    readonly handover: Handover;
+    /** Servers on which that gateway may run it. */
+    readonly runs: number;
+    readonly result: Promise<HandoverResult>;
+}
+
+/** Hands one request to other gateways while this host doesn't reach the servers of its service. */
+export class ExchangeHandover {
+    readonly #input: ExchangeHandoverInput;
+    readonly #tried = new Set<string>();
+    #runsGiven = 0;
+    #failure: Failure | undefined;
+
+    constructor(input: ExchangeHandoverInput) {
+        this.#input = input;
+    }
+
+    /** Whether the request may go to another gateway: one that came from another gateway goes no further. */
+    get isAllowed(): boolean {
+        const { handedOverBy, rules } = this.#input.request;
+        const { view } = this.#input.parts;
+        return handedOverBy === undefined && this.#tried.size < mostHelpersTried
+            && view.inForce?.services.has(rules.name) === true;
+    }
+
+    /** Whether the request was handed to any gateway. */
+    get wasTried(): boolean {
+        return this.#tried.size > 0;
+    }
+
+    /** Why another gateway could not have it answered, by what that one said last. */
+    get failure(): Failure | undefined {
+        return this.#failure;
+    }
+
+    /** Servers on which gateways may have run the request beyond one for each. */
+    get furtherRuns(): number {
+        return this.#runsGiven;
+    }
+
+    /** @returns a gateway that has not had the request */
+    choose(): RegisteredGateway | undefined {
+        const { parts, request } = this.#input;
+        return this.isAllowed ? parts.reach.chooseHelper(request.rules.name, this.#tried) : undefined;
+    }
+
+    describe(): LogFields {
+        return { handedTo: this.wasTried ? [...this.#tried].join(",") : undefined };
+    }
+
+    /**
+     * Hands the request over.
+     *
+     * @param helper - to whom
+     * @param runsLeft - servers on which the request may still run
+     */
+    start(helper: RegisteredGateway, runsLeft: number): StartedHandover {
+        const { parts, request, body, mayWrite, openSink } = this.#input;
+        const { peerConnections, vocabulary, reach } = parts;
+        const { route, requestId, method, headers } = request;
+        this.#tried.add(helper.name);
+        // One run is kept back, in case that gateway is lost with the request.
+        const runs = route.idempotent ? Math.max(1, runsLeft - 1) : Math.max(1, runsLeft);
+        this.#runsGiven += runs - 1;
+        const end = reach.helpers.begin(helper.name);
+        const connection = route.idempotent
+            ? peerConnections.take(helper.name, helper.peers)
+            : peerConnections.open(helper.peers);
+        const handover = handOver({
+            connection,
+            order: this.#createOrder(runs),
+            method,
+            headers,
+            body,
+            idempotent: route.idempotent,
+            requestId,
+            vocabulary,
+            heldBytes: heldAnswerBytes,
+            mayWrite,
+            openSink,
+        });
+        const result = handover.result.then(ended => {
+            end();
+            this.#onEnded(helper, connection, runs, ended);
+            return ended;
+        });
+        return { helper, handover, runs, result };
+    }
+
+    #createOrder(runs: number): HandoverOrder {
+        const { parts: { name, clock, view, versionSeen }, request } = this.#input;
+        const { url, rules, arrivedAtMs, cutoffMs, callerAddress } = request;
+        const nowMs = clock.monotonicMs();
+        return {
+            from: name,
+            target: url,
+            service: rules.name,
+            // A caller that was served by a version is not to be served by an older one.
+            version: versionSeen.atLeast(view.inForce?.configuration.version ?? 0),
+            ageMs: Math.max(0, nowMs - arrivedAtMs),
+            remainingMs: cutoffMs - nowMs,
+            runs,
+            caller: callerAddress,
+        };
+    }
+
+    #onEnded(helper: RegisteredGateway, connection: ServerConnection, runs: number, ended: HandoverResult): void {
+        const { peerConnections, clock, log, metrics, versionSeen } = this.#input.parts;
+        const { requestId, rules: { name: service } } = this.#input.request;
+        const nowMs = clock.monotonicMs();
+        const { end, verdict, failure } = ended;
+        if (verdict === undefined && end.type !== "notRun") {
+            connection.destroy();
+        }
+        else {
+            peerConnections.release(helper.name, connection, { after: "request", nowMs });
+        }
+        if (end.type === "notRun") {
+            this.#runsGiven -= runs - 1;
+        }
+        if (verdict?.type === "answered") {
+            versionSeen.onSeen(verdict.version);
+            this.#note(verdict.server, ended, nowMs);
+        }
+        this.#failure = failure ?? this.#failure;
+        this.#learn(helper.name, ended, nowMs);
+        const outcome = describeOutcome(ended);
+        metrics.onHandedOver(service, outcome);
+        log.log("info", "handedOver", {
+            requestId,
+            service,
+            to: helper.name,
+            end: outcome,
+            tookMs: Math.round(ended.tookMs),
+        });
+    }
+
+    /** A server's word in an answer that this gateway passes on binds it as well. */
+    #note(serverId: string | undefined, { signs, tookMs }: HandoverResult, nowMs: number): void {
+        const { notes, view } = this.#input.parts;
+        const { requestId, rules } = this.#input.request;
+        const server = view.readyServers(rules.name, nowMs).find(({ id }) => id === serverId);
+        if (server !== undefined && signs !== undefined) {
+            notes.note({ server, signs, source: { answered: "request", sentAtMs: nowMs - tookMs }, requestId, nowMs });
+        }
+    }
+
+    /** What became of the request says whether that gateway reaches the service. */
+    #learn(helper: string, { end, verdict }: HandoverResult, nowMs: number): void {
+        const { reach: { helpers } } = this.#input.parts;
+        const service = this.#input.request.rules.name;
+        if (verdict === undefined) {
+            if (end.type !== "abandoned") {
+                helpers.onSilent(helper, nowMs);
+            }
+            return;
+        }
+        switch (verdict.type) {
+            case "answered":
+                helpers.onWord(service, helper, true, nowMs);
+                break;
+            case "refused":
+                if (verdict.reason !== "busy") {
+                    helpers.onWord(service, helper, false, nowMs);
+                }
+                helpers.onNamed(service, verdict.named, nowMs);
+                break;
+            case "failed":
+                if (verdict.unreached) {
+                    helpers.onWord(service, helper, false, nowMs);
+                }
+        }
+    }
+}
+
+/** @returns whether nothing was sent to any server: the same request to another gateway is no repeat */
+export function hasReachedNoServer({ end, verdict }: HandoverResult): boolean {
+    return end.type === "notRun" && (verdict?.type !== "failed" || verdict.unreached);
+}
+
+function describeOutcome(
+    { end, verdict }: { readonly end: SendEnd; readonly verdict: HandoverResult["verdict"]; },
+): string {
+    switch (verdict?.type) {
+        case "refused":
+            return `refused: ${verdict.reason}`;
+        case "failed":
+            return `failed: ${verdict.kind}`;
+        default:
+            return describeEnd(end);
+    }
+}
--- /dev/null
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -0,0 +1,120 @@
+import { type Failure, createFailure } from "@galenaglade/errors";
+import { findHeader, keepEndToEnd, type RawHeaders, type RequestBody } from "@galenaglade/http-parts";
+import { type AnswerHead, type AnswerSink, sendRequest, type SendResult } from "../backends/sendRequest.js";
+import { type ServerConnection } from "../backends/serverConnection.js";
+import { type AnswerSigns, AnswerReader } from "../vocabulary.js";
+import {
+    handoverHeader,
+    type HandoverOrder,
+    handoverPath,
+    type HandoverVerdict,
+    readHandoverVerdict,
+    renderHandoverHeader,
+} from "./handoverMessages.js";
+
+/** One request that is handed to another gateway. */
+export interface HandoverInput {
+    readonly connection: ServerConnection;
+    readonly order: HandoverOrder;
+    readonly method: string;
+    /** As the caller sent them. */
+    readonly headers: RawHeaders;
+    readonly body: RequestBody;
+    readonly idempotent: boolean;
+    readonly requestId: string | undefined;
+    readonly vocabulary: AnswerReader;
+    readonly heldBytes: number;
+    /** Asked in the turn in which the first byte is written. */
+    readonly mayWrite: () => boolean;
+    readonly openSink: (head: AnswerHead) => AnswerSink | undefined;
+}
+
+/** What became of it, in the terms of a send to a server. */
+export interface HandoverResult extends SendResult {
+    /** What the other gateway said; `undefined` where it said nothing. */
+    readonly verdict: HandoverVerdict | undefined;
+    /** Why no server's answer came of it, where the other gateway tried. */
+    readonly failure: Failure | undefined;
+}
+
+/** A request that is at another gateway. */
+export interface Handover {
+    readonly result: Promise<HandoverResult>;
+    /** Gives it up; that gateway drops the work. */
+    abandon(): void;
+}
+
+/**
+ * Hands a request to another gateway and reads its answer, which is passed on like a server's own.
+ *
+ * @param input - what goes where
+ */
+export function handOver(input: HandoverInput): Handover {
+    const reader = new HandoverReader(input);
+    const { connection, order, method, headers, body, idempotent, requestId, heldBytes, mayWrite } = input;
+    const send = sendRequest({
+        connection,
+        firstRequest: true,
+        method,
+        path: handoverPath,
+        headers: [
+            ...keepEndToEnd(headers, name => name === handoverHeader),
+            handoverHeader,
+            renderHandoverHeader(order),
+        ],
+        body: body.open(),
+        idempotent,
+        requestId,
+        vocabulary: reader,
+        heldBytes,
+        mayWrite,
+        openSink: head => reader.verdict?.type === "answered" ? input.openSink(strip(head)) : undefined,
+    });
+    return { result: send.result.then(result => resolveResult(result, reader.verdict)), abandon: () => send.abandon() };
+}
+
+/** Reads a server's answer that another gateway passes on, or that gateway's own. */
+class HandoverReader extends AnswerReader {
+    readonly #input: HandoverInput;
+    verdict: HandoverVerdict | undefined;
+
+    constructor(input: HandoverInput) {
+        super();
+        this.#input = input;
+    }
+
+    override readAnswer(status: number, headers: RawHeaders): AnswerSigns {
+        this.verdict = readHandoverVerdict(findHeader(headers, handoverHeader));
+        if (this.verdict?.type === "answered") {
+            return this.#input.vocabulary.readAnswer(status, headers);
+        }
+        return {
+            requestId: this.#input.requestId,
+            signed: false,
+            // A program that knows no handover answers its path with a failure, and runs nothing.
+            notRun: this.verdict?.type !== "failed" || this.verdict.notRun,
+            serverId: undefined,
+            load: undefined,
+            coldRemainingMs: 0,
+            limit: { type: "none" },
+            rest: { type: "none" },
+            leaving: false,
+            unknown: [],
+        };
+    }
+}
+
+function resolveResult(result: SendResult, verdict: HandoverVerdict | undefined): HandoverResult {
+    if (verdict?.type === "failed" && result.end.type !== "abandoned") {
+        const { kind, detail, notRun, retryAfterSeconds } = verdict;
+        const failure = createFailure(kind, detail, retryAfterSeconds === undefined ? {} : { retryAfterSeconds });
+        const end = notRun ? result.end : { type: "unknown", reason: "connectionLost" } as const;
+        return { ...result, end, answer: undefined, verdict, failure };
+    }
+    const { answer } = result;
+    return { ...result, answer: answer && { ...answer, ...strip(answer) }, verdict, failure: undefined };
+}
+
+function strip(head: AnswerHead): AnswerHead {
+    return { ...head, headers: keepEndToEnd(head.headers, name => name === handoverHeader) };
+}
--- /dev/null
+++ b/packages/edge/src/handover/handoverServer.ts
@@ -0,0 +1,127 @@
+import { type FleetView } from "@galenaglade/fleet-state";
+import { findHeader } from "@galenaglade/http-parts";
+import { type Clock } from "@galenaglade/http-parts";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { mostHandedOver } from "../constants.js";
+import { type ServerReach } from "../reach/serverReach.js";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import {
+    handoverHeader,
+    type HandoverOrder,
+    type handoverRefusals,
+    readHandoverOrder,
+    renderHandoverHeader,
+} from "./handoverMessages.js";
+
+type Refusal = typeof handoverRefusals[number];
+
+/** Takes requests that other gateways hand over. */
+export abstract class HandoverHandler {
+    /** Handles one; never throws. */
+    abstract handleHandover(req: IncomingMessage, res: ServerResponse, order: HandoverOrder): void;
+}
+
+/** What the server works with. */
+export interface HandoverServerParts {
+    readonly view: FleetView;
+    readonly reach: ServerReach;
+    readonly handler: HandoverHandler;
+    readonly clock: Clock;
+    readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
+    readonly isStopping: () => boolean;
+}
+
+const statuses: Readonly<Record<Refusal, number>> = {
+    malformed: 400,
+    notRegistered: 403,
+    busy: 503,
+    stopping: 503,
+    behind: 503,
+    noRoute: 503,
+    unreached: 503,
+};
+
+/** Admits requests of other gateways: of registered ones, while this gateway can do for them what they can't. */
+export class HandoverServer {
+    readonly #parts: HandoverServerParts;
+    #underWay = 0;
+
+    constructor(parts: HandoverServerParts) {
+        this.#parts = parts;
+    }
+
+    handle(req: IncomingMessage, res: ServerResponse): void {
+        const { handler, metrics } = this.#parts;
+        const order = readHandoverOrder(findHeader(req.rawHeaders, handoverHeader));
+        const refusal = order === undefined ? "malformed" : this.#findRefusal(req, order);
+        if (order === undefined || refusal !== undefined) {
+            this.#refuse(req, res, order, refusal ?? "malformed");
+            return;
+        }
+        metrics.onHandoverTaken("taken");
+        this.#underWay++;
+        res.once("close", () => this.#underWay--);
+        handler.handleHandover(req, res, order);
+    }
+
+    #findRefusal(req: IncomingMessage, { from, service, version }: HandoverOrder): Refusal | undefined {
+        const { view, reach, isStopping } = this.#parts;
+        if (!this.#isRegistered(from, req.socket.remoteAddress ?? "")) {
+            return "notRegistered";
+        }
+        if (isStopping()) {
+            return "stopping";
+        }
+        if (this.#underWay >= mostHandedOver) {
+            return "busy";
+        }
+        if ((view.inForce?.configuration.version ?? -1) < version) {
+            return "behind";
+        }
+        return reach.stateOf(service) === "reached" ? undefined : "unreached";
+    }
+
+    /** Whoever isn't a gateway of this fleet gets no request past the limits that gateways keep. */
+    #isRegistered(from: string, remoteAddress: string): boolean {
+        const address = remoteAddress.replace(/^::ffff:/, "");
+        return this.#parts.view.registeredGateways().some(({ name, peers }) => name === from && peers.host === address);
+    }
+
+    #refuse(req: IncomingMessage, res: ServerResponse, order: HandoverOrder | undefined, reason: Refusal): void {
+        const { log, metrics, reach, clock } = this.#parts;
+        metrics.onHandoverTaken(reason);
+        log.log(reason === "malformed" || reason === "notRegistered" ? "warn" : "info", "handoverRefused", {
+            from: order?.from,
+            address: req.socket.remoteAddress,
+            service: order?.service,
+            reason,
+        });
+        const named = order === undefined ? [] : reach.helpers.name(order.service, clock.monotonicMs());
+        refuseHandover(req, res, reason, named);
+    }
+}
+
+/**
+ * Answers a request of another gateway with which nothing was done.
+ *
+ * @param req - the request
+ * @param res - where the answer goes
+ * @param reason - why it isn't taken
+ * @param named - gateways that reach its service
+ */
+export function refuseHandover(
+    req: IncomingMessage,
+    res: ServerResponse,
+    reason: Refusal,
+    named: readonly string[],
+): void {
+    res.writeHead(statuses[reason], {
+        [handoverHeader]: renderHandoverHeader({ type: "refused", reason, named }),
+        "content-length": 0,
+        // What is left of an unread body would be taken for the next request.
+        ...(req.complete ? {} : { connection: "close" }),
+    });
+    res.end();
+}
--- a/packages/edge/src/peerServer.ts
+++ b/packages/edge/src/peerServer.ts
@@ -1,22 +1,45 @@
 import { createServer, type Server } from "node:http";
-import { mostPeerHeadBytes } from "./constants.js";
+import { mostHandoverHeadBytes } from "./constants.js";
+import { handoverPath } from "./handover/handoverMessages.js";
+import { type HandoverServer } from "./handover/handoverServer.js";
+import { reachPath } from "./reach/reachMessages.js";
+import { handleReach, type ReachFeed } from "./reach/reachServer.js";
 import { type EvidenceInbox, handleEvidence } from "./rollout/evidenceServer.js";
 import { evidencePath } from "./rollout/rolloutMessages.js";
 import { type RelayServer } from "./state/relayServer.js";
 
+/** What answers other gateways. */
+export interface PeerServerParts {
+    /** Answers questions for changes of the store. */
+    readonly relay: RelayServer;
+    /** Takes reports on roll-outs. */
+    readonly inbox: EvidenceInbox;
+    /** Says whether servers are reached. */
+    readonly reach: ReachFeed;
+    /** Takes requests. */
+    readonly handovers: HandoverServer;
+}
+
 /**
  * Makes the server that other gateways call.
  *
- * @param relay - answers questions for changes of the store
- * @param inbox - takes reports on roll-outs
+ * @param parts - what answers them
  * @returns a server that doesn't listen yet
  */
-export function createPeerServer(relay: RelayServer, inbox: EvidenceInbox): Server {
-    return createServer({ maxHeaderSize: mostPeerHeadBytes }, (req, res) => {
-        if (req.method === "POST" && req.url === evidencePath) {
+export function createPeerServer({ relay, inbox, reach, handovers }: PeerServerParts): Server {
+    return createServer({ maxHeaderSize: mostHandoverHeadBytes, noDelay: true }, (req, res) => {
+        const path = req.url?.split("?")[0];
+        if (path === handoverPath) {
+            handovers.handle(req, res);
+        }
+        else if (path === reachPath) {
+            void handleReach(reach, req, res);
+        }
+        else if (req.method === "POST" && req.url === evidencePath) {
             handleEvidence(inbox, req, res);
-            return;
         }
-        relay.handle(req, res);
+        else {
+            relay.handle(req, res);
+        }
     });
 }
--- a/packages/edge/src/reach/serverReach.ts
+++ b/packages/edge/src/reach/serverReach.ts
@@ -1,51 +1,316 @@
-import { type FleetView } from "@galenaglade/fleet-state";
+import { type FleetView, type RegisteredGateway, type RegisteredServer } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
-import { type Contact, ContactEvidence, type LossEvidence } from "@galenaglade/reachability";
+import { type PlacementBoard } from "@galenaglade/placement";
+import { type Contact, HelperBoard, type ReachChange, type ReachState, ServiceReach } from "@galenaglade/reachability";
+import { type RandomSource } from "@galenaglade/routing";
 import { type LogFields } from "@galenaglade/telemetry";
+import { askServer } from "../backends/askServer.js";
+import { type ServerConnections } from "../backends/serverConnections.js";
+import {
+    checkedServers,
+    freshReachMs,
+    mostInquiries,
+    peersPerInquiry,
+    reachCheckPeriodMs,
+    reachCheckTimeoutMs,
+} from "../constants.js";
+import { type AnswerNotes } from "../requests/answerNotes.js";
+import { TurnPause } from "../state/turnPause.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type EdgeVocabulary } from "../vocabulary.js";
+import { type PeerReach } from "./reachClient.js";
+import { type ReachAnswer } from "./reachMessages.js";
+import { ReachFeed } from "./reachServer.js";
 
 /** What is needed to tell whether servers are reached. */
 export interface ServerReachParts {
+    /** Of this gateway, as in its registration. */
+    readonly name: string;
+    readonly availabilityZone: string;
     readonly view: FleetView;
+    readonly board: PlacementBoard;
+    readonly notes: AnswerNotes;
+    readonly connections: ServerConnections;
+    readonly vocabulary: EdgeVocabulary;
+    readonly peers: PeerReach;
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly log: EdgeLog;
+    readonly metrics: EdgeMetrics;
 }
 
-/** Notices when this host stops hearing the servers of a service, and when it hears them again. */
-export class ServerReach {
+/**
+ * Notices when this host doesn't reach the servers of a service any more, finds out from other gateways whether that is due to its links
+ * or to the servers, and checks until the links work again. Nothing is sent while servers answer.
+ */
+export class ServerReach extends ReachFeed {
     readonly #parts: ServerReachParts;
-    readonly #evidence = new Map<string, ContactEvidence>();
-    readonly #lost = new Set<string>();
+    readonly #services = new Map<string, ServiceReach>();
+    readonly #helpers: HelperBoard;
+    /** Called once it is known whether a doubted service is reached from elsewhere. */
+    readonly #waiting = new Map<string, (() => void)[]>();
+    readonly #checks = new Map<string, Promise<boolean>>();
+    readonly #pauses = new Map<string, TurnPause>();
+    #stopped = false;
 
     constructor(parts: ServerReachParts) {
+        super();
         this.#parts = parts;
+        this.#helpers = new HelperBoard(parts);
+    }
+
+    /** Other gateways that can send what this one can't. */
+    get helpers(): HelperBoard {
+        return this.#helpers;
     }
 
     /** An exchange with a server has ended. */
     onContact(contact: Contact): void {
-        const { view, clock, log } = this.#parts;
-        const { service } = contact;
-        const evidence = this.#evidence.get(service) ?? new ContactEvidence();
-        this.#evidence.set(service, evidence);
-        evidence.onContact(contact);
-        const nowMs = clock.monotonicMs();
-        const loss = evidence.findLoss(view.usableServers(service, nowMs).length, nowMs);
-        if (loss !== undefined && !this.#lost.has(service)) {
-            this.#lost.add(service);
-            log.log("warn", "serversLost", { service, ...describeLoss(loss) });
+        const { view } = this.#parts;
+        const nowMs = this.#nowMs();
+        const reach = this.#reachOf(contact.service);
+        const servers = contact.end === "heard" ? 0 : view.usableServers(contact.service, nowMs).length;
+        this.#note(contact.service, reach.onContact(contact, servers, nowMs));
+    }
+
+    /** @returns whether this host reaches a service, as far as is known */
+    stateOf(service: string): ReachState {
+        return this.#services.get(service)?.state ?? "reached";
+    }
+
+    /** @returns the same, once it is known whether a service that isn't heard is reached from elsewhere */
+    async whenSettled(service: string): Promise<ReachState> {
+        if (this.stateOf(service) === "doubted" && !this.#stopped) {
+            await new Promise<void>(resolve => {
+                this.#waiting.set(service, [...this.#waiting.get(service) ?? [], resolve]);
+            });
+        }
+        return this.stateOf(service);
+    }
+
+    /** @returns whether one request may look for a server by itself although none was reached lately */
+    takeOwnTry(service: string): boolean {
+        return this.#reachOf(service).takeOwnTry(this.#nowMs());
+    }
+
+    /** No gateway is left that a request of a service could be handed to. */
+    onNoHelper(service: string): void {
+        const nowMs = this.#nowMs();
+        const reach = this.#reachOf(service);
+        reach.onAsked(nowMs);
+        this.#note(service, reach.onInquired(false, nowMs));
+    }
+
+    /** @returns a gateway that a request may be handed to, `undefined` for none */
+    chooseHelper(service: string, tried: ReadonlySet<string>): RegisteredGateway | undefined {
+        return this.#helpers.choose(service, this.#parts.view.registeredGateways(), tried, this.#nowMs());
+    }
+
+    /** Says whether this gateway reaches a service; asks servers first where none was heard for a while. */
+    override async tell(service: string): Promise<ReachAnswer> {
+        if (this.#parts.view.inForce?.services.has(service) !== true) {
+            return { reaches: false, named: [] };
+        }
+        const reach = this.#reachOf(service);
+        const named = this.#helpers.name(service, this.#nowMs());
+        if (reach.state !== "reached") {
+            return { reaches: false, named };
+        }
+        const isFresh = reach.heardAgoMs(this.#nowMs()) <= freshReachMs;
+        return { reaches: isFresh || await this.#check(service), named };
+    }
+
+    /** Forgets what is no longer there. */
+    onChange(): void {
+        const { view } = this.#parts;
+        this.#helpers.retain(new Set(view.registeredGateways().map(({ name }) => name)));
+        for (const service of this.#services.keys()) {
+            if (view.inForce?.services.has(service) === false) {
+                this.#services.delete(service);
+            }
+        }
+    }
+
+    stop(): void {
+        this.#stopped = true;
+        for (const pause of this.#pauses.values()) {
+            pause.end();
+        }
+        for (const service of [...this.#waiting.keys()]) {
+            this.#release(service);
+        }
+    }
+
+    #release(service: string): void {
+        const waiting = this.#waiting.get(service) ?? [];
+        this.#waiting.delete(service);
+        for (const resume of waiting) {
+            resume();
+        }
+    }
+
+    #note(service: string, change: ReachChange | undefined): void {
+        if (change === undefined) {
+            return;
+        }
+        const { log, metrics, view, board, connections } = this.#parts;
+        const servers = view.readyServers(service, this.#nowMs());
+        log.log(change.to === "reached" ? "info" : "warn", "serverReach", { service, ...describeChange(change) });
+        metrics.onReachChanged(service, change.to);
+        if (change.from === "doubted") {
+            this.#release(service);
+        }
+        if (change.to === "reached") {
+            board.onLinksRestored(service, servers.map(({ id }) => id));
+            return;
+        }
+        if (change.to === "lost" && change.evidence?.kind === "all") {
+            for (const { id } of servers) {
+                connections.closeIdle(id);
+            }
         }
-        if (loss === undefined && this.#lost.delete(service)) {
-            log.log("info", "serversRegained", { service, serverId: contact.serverId });
+        if (change.from === "reached") {
+            this.#beginRecovery(service);
         }
     }
+
+    #beginRecovery(service: string): void {
+        const underWay = this.#pauses.get(service);
+        if (underWay === undefined) {
+            void this.#recover(service);
+            return;
+        }
+        underWay.end();
+    }
+
+    /** Checks and asks, round after round, until the service is reached. */
+    async #recover(service: string): Promise<void> {
+        const pause = new TurnPause();
+        this.#pauses.set(service, pause);
+        while (!this.#stopped && this.stateOf(service) !== "reached") {
+            await this.#takeRound(service);
+            await pause.take(reachCheckPeriodMs);
+        }
+        this.#pauses.delete(service);
+    }
+
+    async #takeRound(service: string): Promise<void> {
+        const reach = this.#reachOf(service);
+        const isInquiry = reach.isInquiryDue(this.#nowMs());
+        if (isInquiry) {
+            reach.onAsked(this.#nowMs());
+        }
+        const [heard, reaches] = await Promise.all([
+            this.#check(service),
+            isInquiry ? this.#inquire(service) : undefined,
+        ]);
+        const nowMs = this.#nowMs();
+        this.#note(service, reach.onChecked(heard, nowMs));
+        if (reaches !== undefined) {
+            this.#note(service, reach.onInquired(reaches, nowMs));
+        }
+    }
+
+    /** Whoever wants a check while one is under way shares it. */
+    #check(service: string): Promise<boolean> {
+        const underWay = this.#checks.get(service);
+        if (underWay !== undefined) {
+            return underWay;
+        }
+        const check = this.#checkServers(service).finally(() => this.#checks.delete(service));
+        this.#checks.set(service, check);
+        return check;
+    }
+
+    /** Asks a few servers over new connections. @returns whether most of them answered */
+    async #checkServers(service: string): Promise<boolean> {
+        const { view } = this.#parts;
+        const left = [...view.usableServers(service, this.#nowMs())];
+        const drawn: RegisteredServer[] = [];
+        while (drawn.length < checkedServers && left.length > 0) {
+            drawn.push(...left.splice(Math.floor(this.#parts.random.next() * left.length), 1));
+        }
+        const heard = await Promise.all(drawn.map(server => this.#checkServer(service, server)));
+        return heard.filter(Boolean).length * 2 > heard.length;
+    }
+
+    async #checkServer(service: string, server: RegisteredServer): Promise<boolean> {
+        const { view, board, notes, connections, vocabulary, metrics } = this.#parts;
+        const rules = view.inForce?.services.get(service);
+        if (rules === undefined) {
+            return false;
+        }
+        const startedAtMs = this.#nowMs();
+        const connection = connections.open(server.address);
+        const { healthPath } = rules;
+        const told = await askServer({ server, connection, healthPath, vocabulary, timeoutMs: reachCheckTimeoutMs });
+        const nowMs = this.#nowMs();
+        const end = told.type === "told" || told.reason === "otherServer" ? "heard" : told.reason;
+        metrics.onAsked(told.type === "told" ? "told" : told.reason);
+        if (told.type === "told") {
+            connections.release(server.id, connection, { after: "question", nowMs });
+            board.onOffer(service, told.offer, startedAtMs);
+            notes.note({ server, signs: told.signs, source: { answered: "question", sentAtMs: startedAtMs }, nowMs });
+        }
+        else {
+            connection.destroy();
+        }
+        this.onContact({ service, serverId: server.id, isNewConnection: true, end, startedAtMs });
+        return end === "heard";
+    }
+
+    /** Asks other gateways, a few at a time. @returns whether any of them reaches the service */
+    async #inquire(service: string): Promise<boolean> {
+        const { view } = this.#parts;
+        const asked = new Set<string>();
+        for (let i = 0; i < mostInquiries; i++) {
+            const gateways = view.registeredGateways();
+            const drawn = this.#helpers.drawToAsk(service, gateways, asked, peersPerInquiry, this.#nowMs());
+            if (drawn.length === 0) {
+                return false;
+            }
+            drawn.forEach(({ name }) => asked.add(name));
+            const answers = await Promise.all(drawn.map(gateway => this.#ask(service, gateway)));
+            if (answers.includes(true)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    async #ask(service: string, { name, peers }: RegisteredGateway): Promise<boolean> {
+        const answer = await this.#parts.peers.ask(peers, service);
+        const nowMs = this.#nowMs();
+        if (answer === undefined) {
+            this.#helpers.onSilent(name, nowMs);
+            return false;
+        }
+        this.#helpers.onWord(service, name, answer.reaches, nowMs);
+        this.#helpers.onNamed(service, answer.named, nowMs);
+        return answer.reaches;
+    }
+
+    #reachOf(service: string): ServiceReach {
+        const reach = this.#services.get(service) ?? new ServiceReach();
+        this.#services.set(service, reach);
+        return reach;
+    }
+
+    #nowMs(): number {
+        return this.#parts.clock.monotonicMs();
+    }
 }
 
-function describeLoss({ kind, servers, ends, forMs, heardAgoMs }: LossEvidence): LogFields {
+function describeChange({ from, to, evidence, afterMs }: ReachChange): LogFields {
     return {
-        kind,
-        servers,
-        ends: Object.entries(ends).map(([end, count]) => `${end}:${count}`).join(","),
-        forMs: Math.round(forMs),
-        heardAgoMs: heardAgoMs === undefined ? undefined : Math.round(heardAgoMs),
+        from,
+        to,
+        afterMs: Math.round(afterMs),
+        kind: evidence?.kind,
+        servers: evidence?.servers,
+        ends: evidence && Object.entries(evidence.ends).map(([end, count]) => `${end}:${count}`).join(","),
+        forMs: evidence && Math.round(evidence.forMs),
+        heardAgoMs: evidence?.heardAgoMs === undefined ? undefined : Math.round(evidence.heardAgoMs),
     };
 }
--- a/packages/edge/src/requests/edgeRequest.ts
+++ b/packages/edge/src/requests/edgeRequest.ts
@@ -5,6 +5,7 @@
 import { type RandomSource } from "@galenaglade/routing";
 import { type Admission, authenticate, type RejectionReason } from "@galenaglade/workspaces";
 import { type Either, Left, Right } from "purify-ts";
+import { type HandoverOrder } from "../handover/handoverMessages.js";
 import { type EdgeVocabulary, type ForwardIdentity } from "../vocabulary.js";
 
 /** What the gateway reads from a request's head. */
@@ -16,6 +17,8 @@
     readonly headers: RawHeaders;
     /** Address of the connection that it came on. */
     readonly callerAddress: string;
+    /** Where another gateway handed it over: what that one said of it. */
+    readonly order?: HandoverOrder | undefined;
     /** Declared length of the body; `undefined` where it is sent in chunks. */
     readonly bodyBytes: number | undefined;
 }
@@ -33,6 +36,8 @@
     readonly version: number;
     readonly maximumBodyBytes: number;
     readonly arrivedAtMs: number;
+    /** Name of the gateway that took it from its caller, where that is another one. */
+    readonly handedOverBy: string | undefined;
     /** When its caller gives up. */
     readonly deadlineMs: number;
     /** When its final answer is due: at its caller's deadline or its route's timeout. */
@@ -75,27 +80,44 @@
     if (head.bodyBytes !== undefined && head.bodyBytes > limits.maximumBodyBytes) {
         return Left(createFailure("bodyTooLarge", `at most ${limits.maximumBodyBytes} bytes are taken`));
     }
-    const service = drawDestination(route, random);
+    const service = findOrdered(route, head.order) ?? drawDestination(route, random);
     const rules = service === undefined ? undefined : inForce.services.get(service);
     if (rules === undefined) {
         return Left(createFailure("noBackendServer", `route ${route.name} leads to no service`));
     }
-    const deadlineMs = nowMs + (patienceMs ?? route.timeoutMs);
+    const times = resolveTimes(head.order, patienceMs ?? route.timeoutMs, route.timeoutMs, nowMs);
     return Right({
         ...head,
         requestId,
-        route,
+        route: head.order === undefined
+            ? route
+            : { ...route, maximumRuns: Math.min(route.maximumRuns, head.order.runs) },
         admission,
         rank: (admission.type === "known" ? admission.workspace.priority : undefined) ?? route.priority,
         rules,
         version,
         maximumBodyBytes: limits.maximumBodyBytes,
-        arrivedAtMs: nowMs,
-        deadlineMs,
-        cutoffMs: Math.min(deadlineMs, nowMs + route.timeoutMs),
+        handedOverBy: head.order?.from,
+        ...times,
     });
 }
 
+/** A request keeps the service that it was drawn to, or the shares of a route's destinations would be dealt twice. */
+function findOrdered({ destinations }: Route, order: HandoverOrder | undefined): string | undefined {
+    return destinations.find(({ service, weight }) => service === order?.service && weight > 0)?.service;
+}
+
+function resolveTimes(
+    order: HandoverOrder | undefined,
+    patienceMs: number,
+    timeoutMs: number,
+    nowMs: number,
+): Pick<EdgeRequest, "arrivedAtMs" | "deadlineMs" | "cutoffMs"> {
+    const arrivedAtMs = nowMs - (order?.ageMs ?? 0);
+    const deadlineMs = order === undefined ? nowMs + patienceMs : nowMs + order.remainingMs;
+    return { arrivedAtMs, deadlineMs, cutoffMs: Math.min(deadlineMs, arrivedAtMs + timeoutMs) };
+}
+
 /** @returns what a backend server is told of a request's caller */
 export function resolveIdentity(admission: Admission): ForwardIdentity {
     return admission.type === "known" ? { type: "workspace", name: admission.workspace.name } : admission;
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -1,3 +1,4 @@
+import { type RegisteredGateway } from "@galenaglade/fleet-state";
 import { type RequestBody } from "@galenaglade/http-parts";
 import { RequestGuard } from "../quarantine/requestGuard.js";
 import { hedgeAfterShare, isServerFailure, isServerLost, mayTryAgain, type SendEnd } from "@galenaglade/placement";
@@ -11,6 +12,7 @@
 import { heldAnswerBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type LogFields } from "@galenaglade/telemetry";
+import { ExchangeHandover, hasReachedNoServer } from "../handover/exchangeHandover.js";
 import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest, resolveIdentity } from "./edgeRequest.js";
 import { describeEnd, ExchangeAnswers, type ExchangeEnd } from "./exchangeAnswers.js";
@@ -18,9 +20,14 @@
 import { ExchangeContent } from "./exchangeContent.js";
 import { ExchangeWorkspace } from "./exchangeWorkspace.js";
 import { ExchangePlacement, type Purpose } from "./exchangePlacement.js";
-import { type Place } from "./placer.js";
+import { type NoPlace, type Place } from "./placer.js";
 import { SendOutcomes } from "./sendOutcomes.js";
-import { type EndedSend, type SendUnderWay } from "./sendUnderWay.js";
+import { type EndedSend, type GatewaySend, nameReceiver, type ServerSend, type SendUnderWay } from "./sendUnderWay.js";
+
+/** Where a request goes next. */
+type Target =
+    | { readonly type: "server"; readonly place: Place; }
+    | { readonly type: "gateway"; readonly helper: RegisteredGateway; };
 
 /** Takes one request to its one end: finds servers, sends, repeats where that is allowed, and gives up in time. */
 export class Exchange {
@@ -40,8 +47,10 @@
     readonly #content: ExchangeContent;
     readonly #guard: RequestGuard;
     readonly #outcomes: SendOutcomes;
+    readonly #handover: ExchangeHandover;
     #fallback: HeldAnswer | undefined;
     #streaming = false;
+    #answeredBy: string | undefined;
     /** Whether the caller's answer is there, so that what is still under way was beaten to it. */
     #answered = false;
 
@@ -71,14 +80,28 @@
         this.#content = new ExchangeContent(request, body);
         this.#guard = new RequestGuard(parts.crashes, this.#content);
         this.#outcomes = new SendOutcomes(parts, request, this.#content, this.#guard);
+        this.#handover = new ExchangeHandover({
+            parts,
+            request,
+            body,
+            mayWrite: () => this.#mayWrite(),
+            openSink: head => this.#beginStream(head, undefined),
+        });
         this.#openSink = openSink;
         this.#onSent = onSent;
     }
 
+    /** The backend server whose answer the caller gets, where one of this gateway's own sends brought it. */
+    get answeredBy(): string | undefined {
+        return this.#answeredBy;
+    }
+
     /** What happened on the way, for the log. */
     describe(): LogFields {
         return {
             ...this.#placement.describe(),
+            ...this.#handover.describe(),
+            handedOverBy: this.#request.handedOverBy,
             contentId: this.#content.knownId,
             sends: this.#ends.map(end => end.type === "answered" ? String(end.status) : describeEnd(end)).join(","),
         };
@@ -87,30 +110,33 @@
     /** @returns what the caller gets; never fails */
     async run(): Promise<ExchangeEnd> {
         const { budget, board } = this.#parts;
-        const { rules, rank } = this.#request;
-        budget.onRequest(rules.name, this.#nowMs());
+        const { rules, rank, handedOverBy } = this.#request;
+        if (handedOverBy === undefined) {
+            budget.onRequest(rules.name, this.#nowMs());
+        }
         if (!this.#guard.admit()) {
             return this.#finish(this.#answers.quarantined(this.#guard.retryAfterMs ?? 0));
         }
         try {
-            const refused = await this.#workspace.admit();
+            // The gateway that took the request from its caller has admitted it.
+            const refused = handedOverBy === undefined ? await this.#workspace.admit() : undefined;
             if (refused !== undefined) {
                 return this.#finish(refused === "abandoned" ? this.#resolveAborted() : this.#answers.limited(refused));
             }
             // Requests beyond a limit need no room, and don't count as more urgent ones.
             board.onRequest(rules.name, rank, this.#nowMs());
-            const place = await this.#placement.place("first");
-            if (typeof place === "string") {
+            const target = await this.#findTarget("first");
+            if (typeof target === "string") {
                 return this.#finish(
-                    place === "abandoned"
+                    target === "abandoned"
                         ? this.#resolveAborted()
-                        : this.#answers.noPlace(place, this.#restingForMs()),
+                        : this.#answers.noPlace(target, this.#restingForMs()),
                 );
             }
             if (this.#workspace.keyChange !== undefined) {
                 return this.#finish(this.#answers.keyChanged(this.#workspace.keyChange));
             }
-            this.#send(place, "first");
+            this.#sendTo(target, "first");
             return this.#finish(await this.#follow());
         }
         finally {
@@ -142,7 +168,8 @@
     }
 
     /** @returns what the caller gets, or `undefined` where another send may still bring it */
-    async #onEnded({ underWay, result }: EndedSend): Promise<ExchangeEnd | undefined> {
+    async #onEnded(ended: EndedSend): Promise<ExchangeEnd | undefined> {
+        const { underWay, result } = ended;
         this.#unread.delete(underWay);
         const { end, answer } = result;
         if (result.streamed) {
@@ -150,6 +177,7 @@
         }
         const mayGoOn = this.#mayTryAgain();
         if (answer !== undefined && end.type === "answered") {
+            this.#answeredBy = underWay.to === "server" ? underWay.place.server.id : undefined;
             if (!isServerFailure(end) && !answer.endedByClose) {
                 return { type: "answered", answer };
             }
@@ -157,7 +185,7 @@
             // server does better.
             this.#fallback = answer;
         }
-        if (mayGoOn && await this.#tryAgain(underWay, result)) {
+        if (mayGoOn && await this.#tryAgain(ended)) {
             return undefined;
         }
         return this.#unread.size > 0 ? undefined : this.#resolveFailed();
@@ -174,12 +202,20 @@
         if (hasNotRun && retryAfterMs !== undefined) {
             return this.#answers.quarantined(retryAfterMs);
         }
-        return hasNotRun && restingForMs !== undefined
-            ? this.#answers.noPlace("resting", restingForMs)
+        if (hasNotRun && restingForMs !== undefined) {
+            return this.#answers.noPlace("resting", restingForMs);
+        }
+        const { failure, wasTried } = this.#handover;
+        if (this.#fallback === undefined && failure !== undefined) {
+            return { type: "failed", failure };
+        }
+        return hasNotRun && wasTried
+            ? this.#answers.noPlace("unreached")
             : this.#answers.allFailed(this.#ends, this.#fallback);
     }
 
-    async #tryAgain(failed: SendUnderWay, result: SendResult): Promise<boolean> {
+    async #tryAgain(ended: EndedSend): Promise<boolean> {
+        const { underWay: failed, result } = ended;
         if (this.#signal.aborted || this.#workspace.isKeyChanged()) {
             return false;
         }
@@ -190,27 +226,62 @@
         if (!await this.#isAllowedAgain(result.end)) {
             return false;
         }
-        const reachedServer = !(result.end.type === "notRun"
-            && (result.end.reason === "connectFailed" || result.end.reason === "notSent"));
         // A send that never reached a server is no repeat when it is made again.
-        if (reachedServer && !this.#takeRepeat("retry")) {
+        if (hasReachedServer(ended) && !this.#takeRepeat("retry")) {
             return false;
         }
-        const place = await this.#placement.place("retry");
+        const target = await this.#findTarget("retry");
         log.log("info", "retry", {
             requestId: this.#request.requestId,
             after: describeEnd(result.end),
-            from: failed.place.server.id,
-            to: typeof place === "string" ? place : place.server.id,
+            from: nameReceiver(failed),
+            to: nameTarget(target),
             budgetLeft: budget.left(this.#request.rules.name, this.#gateways(), this.#nowMs()),
         });
-        if (typeof place === "string" || this.#workspace.isKeyChanged()) {
+        if (typeof target === "string" || this.#workspace.isKeyChanged()) {
             return false;
         }
-        this.#send(place, "retry");
+        this.#sendTo(target, "retry");
         return true;
     }
 
+    /** @returns a server, or another gateway where this host doesn't reach any */
+    async #findTarget(purpose: Purpose): Promise<Target | NoPlace> {
+        const { reach } = this.#parts;
+        const service = this.#request.rules.name;
+        if (this.#handover.isAllowed && await reach.whenSettled(service) !== "reached") {
+            const helper = this.#chooseHelper();
+            if (helper !== undefined) {
+                return { type: "gateway", helper };
+            }
+            if (!reach.takeOwnTry(service)) {
+                return "unreached";
+            }
+        }
+        const place = await this.#placement.place(purpose);
+        if (typeof place !== "string") {
+            return { type: "server", place };
+        }
+        // The search itself may have shown that no server is reached.
+        const mayHelp = (place === "noOffer" || place === "noneGood") && this.#handover.isAllowed;
+        const helper = mayHelp && await reach.whenSettled(service) === "lost" ? this.#chooseHelper() : undefined;
+        return helper === undefined ? place : { type: "gateway", helper };
+    }
+
+    /** @returns a gateway that reaches the service, as far as is known */
+    #chooseHelper(): RegisteredGateway | undefined {
+        const { reach } = this.#parts;
+        const service = this.#request.rules.name;
+        if (reach.stateOf(service) !== "lost") {
+            return undefined;
+        }
+        const helper = this.#handover.choose();
+        if (helper === undefined && this.#handover.isAllowed) {
+            reach.onNoHelper(service);
+        }
+        return helper;
+    }
+
     /** @returns whether what is known of servers that ended lets the request be sent once more */
     async #isAllowedAgain(end: SendEnd): Promise<boolean> {
         if (!isServerLost(end)) {
@@ -227,8 +298,8 @@
         if (!this.#mayTryAgain() || !this.#guard.mayHedge()) {
             return;
         }
-        const place = await this.#placement.place("hedge");
-        if (typeof place === "string") {
+        const target = await this.#findTarget("hedge");
+        if (typeof target === "string") {
             return;
         }
         const isNeeded = this.#workspace.isPlentiful && !this.#signal.aborted
@@ -239,8 +310,43 @@
         if (!this.#takeRepeat("hedge")) {
             return;
         }
-        this.#parts.log.log("info", "hedge", { requestId: this.#request.requestId, to: place.server.id });
-        this.#send(place, "hedge");
+        this.#parts.log.log("info", "hedge", { requestId: this.#request.requestId, to: nameTarget(target) });
+        this.#sendTo(target, "hedge");
+    }
+
+    #sendTo(target: Target, purpose: Purpose): void {
+        if (target.type === "server") {
+            this.#send(target.place, purpose);
+            return;
+        }
+        this.#handTo(target.helper);
+    }
+
+    #handTo(helper: RegisteredGateway): void {
+        const { timeline } = this.#parts;
+        timeline.reach("firstSend");
+        const { handover, result } = this.#handover.start(helper, this.#runsLeft());
+        const underWay: GatewaySend = {
+            to: "gateway",
+            send: handover,
+            helper,
+            ended: result.then(ended => {
+                this.#underWay.delete(underWay);
+                this.#ends.push(ended.end);
+                return { type: "gateway" as const, underWay, result: ended };
+            }),
+        };
+        this.#begin(underWay);
+    }
+
+    #begin(underWay: SendUnderWay): void {
+        this.#underWay.add(underWay);
+        this.#unread.add(underWay);
+        this.#onSent();
+    }
+
+    #mayWrite(): boolean {
+        return !this.#signal.aborted && this.#workspace.keyChange === undefined && this.#guard.maySend();
     }
 
     #send(place: Place, purpose: Purpose): void {
@@ -270,12 +376,12 @@
             vocabulary,
             heldBytes: heldAnswerBytes,
             mayWrite: () =>
-                !this.#signal.aborted && this.#workspace.keyChange === undefined
-                && view.isUsable(server.id, clock.monotonicMs())
-                && board.barOf(server, clock.monotonicMs()) === undefined && this.#guard.maySend(),
-            openSink: head => this.#beginStream(head),
+                this.#mayWrite() && view.isUsable(server.id, clock.monotonicMs())
+                && board.barOf(server, clock.monotonicMs()) === undefined,
+            openSink: head => this.#beginStream(head, server.id),
         });
-        const underWay: SendUnderWay = {
+        const underWay: ServerSend = {
+            to: "server",
             send,
             place,
             purpose,
@@ -283,15 +389,13 @@
             mark: this.#guard.mark(),
             ended: send.result.then(result => {
                 this.#onSendEnded(underWay, connection, result);
-                return { underWay, result };
+                return { type: "server" as const, underWay, result };
             }),
         };
-        this.#underWay.add(underWay);
-        this.#unread.add(underWay);
-        this.#onSent();
+        this.#begin(underWay);
     }
 
-    #onSendEnded(underWay: SendUnderWay, connection: ServerConnection, result: SendResult): void {
+    #onSendEnded(underWay: ServerSend, connection: ServerConnection, result: SendResult): void {
         const { connections, clock } = this.#parts;
         const { place, purpose, isNewConnection, mark } = underWay;
         this.#underWay.delete(underWay);
@@ -306,10 +410,11 @@
         this.#outcomes.note({ place, purpose, isNewConnection, mark, result, beaten: this.#answered });
     }
 
-    #beginStream(head: AnswerHead): AnswerSink | undefined {
+    #beginStream(head: AnswerHead, serverId: string | undefined): AnswerSink | undefined {
         if (this.#streaming || this.#signal.aborted) {
             return undefined;
         }
+        this.#answeredBy = serverId;
         this.#streaming = true;
         return this.#openSink(head);
     }
@@ -328,12 +433,18 @@
         return mayTryAgain({
             idempotent: this.#request.route.idempotent,
             repeatable: this.#body.repeatable,
-            maximumRuns: this.#request.route.maximumRuns,
+            maximumRuns: this.#request.route.maximumRuns - this.#handover.furtherRuns,
             ends: this.#ends,
             underWay: this.#underWay.size,
         });
     }
 
+    /** Servers on which the request may still run. */
+    #runsLeft(): number {
+        const possibleRuns = this.#underWay.size + this.#ends.filter(({ type }) => type !== "notRun").length;
+        return this.#request.route.maximumRuns - this.#handover.furtherRuns - possibleRuns;
+    }
+
     #takeRepeat(purpose: "retry" | "hedge"): boolean {
         return this.#parts.budget.take(this.#request.rules.name, purpose, this.#gateways(), this.#nowMs());
     }
@@ -371,3 +482,19 @@
         return this.#answers.outOfTime(this.#ends, this.#underWay.size, this.#fallback);
     }
 }
+
+/** @returns whether a send may have come to a server */
+function hasReachedServer(ended: EndedSend): boolean {
+    if (ended.type === "gateway") {
+        return !hasReachedNoServer(ended.result);
+    }
+    const { end } = ended.result;
+    return !(end.type === "notRun" && (end.reason === "connectFailed" || end.reason === "notSent"));
+}
+
+function nameTarget(target: Target | NoPlace): string {
+    if (typeof target === "string") {
+        return target;
+    }
+    return target.type === "server" ? target.place.server.id : target.helper.name;
+}
--- a/packages/edge/src/requests/exchangeAnswers.ts
+++ b/packages/edge/src/requests/exchangeAnswers.ts
@@ -33,7 +33,7 @@
         if (reason === "resting") {
             return this.#refuse("overloaded", reason, "resting", restingForMs);
         }
-        return reason === "noServer" || reason === "noOffer"
+        return reason === "noServer" || reason === "noOffer" || reason === "unreached"
             ? this.#refuse("noBackendServer", reason, "noServer")
             : this.#refuse("overloaded", reason, "full");
     }
--- a/packages/edge/src/requests/exchangeParts.ts
+++ b/packages/edge/src/requests/exchangeParts.ts
@@ -3,6 +3,7 @@
 import { type PlacementBoard, type RepeatBudget } from "@galenaglade/placement";
 import { type GatewayRollouts } from "@galenaglade/rollout";
 import { type RandomSource } from "@galenaglade/routing";
+import { type VersionSeen } from "../handover/versionSeen.js";
 import { type ServerReach } from "../reach/serverReach.js";
 import { type ServerChecks } from "../backends/serverChecks.js";
 import { type ServerConnections } from "../backends/serverConnections.js";
@@ -23,6 +24,8 @@
 
 /** What exchanges work with. */
 export interface ExchangeParts {
+    /** Of this gateway, as in its registration. */
+    readonly name: string;
     readonly view: FleetView;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -30,6 +33,9 @@
     readonly board: PlacementBoard;
     readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
+    /** To other gateways, by their names. */
+    readonly peerConnections: ServerConnections;
+    readonly versionSeen: VersionSeen;
     readonly checks: ServerChecks;
     readonly reach: ServerReach;
     readonly crashes: CrashReports;
--- a/packages/edge/src/requests/exchangePlacement.ts
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -87,6 +87,7 @@
             cutoffMs,
             excluded: this.#triedServers,
             signal: this.#signal,
+            mayHandOver: this.#request.handedOverBy === undefined,
             onlyGood,
             trace: this.#trace,
             ...(among === undefined ? {} : { among }),
--- a/packages/edge/src/requests/loadInquiry.ts
+++ b/packages/edge/src/requests/loadInquiry.ts
@@ -15,7 +15,7 @@
     readonly board: PlacementBoard;
     readonly notes: AnswerNotes;
     readonly connections: ServerConnections;
-    readonly reach: ServerReach;
+    readonly reach: Pick<ServerReach, "onContact">;
     readonly vocabulary: EdgeVocabulary;
     readonly clock: Clock;
     readonly metrics: EdgeMetrics;
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -9,11 +9,13 @@
     type ServerBar,
     ServerSearch,
 } from "@galenaglade/placement";
+import { type ServerReach } from "../reach/serverReach.js";
 import { askTimeoutMs, longestAskTimeoutMs } from "../constants.js";
 import { type AskEnds, LoadInquiry, type LoadInquiryParts } from "./loadInquiry.js";
 
 /** What the placer works with. */
 export interface PlacerParts extends LoadInquiryParts {
+    readonly reach: Pick<ServerReach, "onContact" | "stateOf">;
     readonly view: FleetView;
     /** This gateway's own. */
     readonly availabilityZone: string;
@@ -24,6 +26,8 @@
 /** A request in search of a server. */
 export interface PlaceInput extends SearchInput {
     readonly signal: AbortSignal;
+    /** Whether it may go to another gateway once this one is known not to reach the service. */
+    readonly mayHandOver: boolean;
     /** Counted up while the search goes on. */
     readonly trace: SearchTrace;
     /** The only servers to look at; `undefined` for all that may be given any work. */
@@ -31,7 +35,11 @@
 }
 
 /** Why no server was found. */
-export type NoPlace = NoServer | "abandoned";
+export type NoPlace =
+    | NoServer
+    | "abandoned"
+    /** Neither this gateway nor another one reaches any server. */
+    | "unreached";
 
 /** What a search for a server looked at, for the log. */
 export interface SearchTrace {
@@ -64,6 +72,9 @@
     async place(input: PlaceInput): Promise<Place | NoPlace> {
         const search = new ServerSearch(this.#parts.board, input);
         while (!input.signal.aborted) {
+            if (this.#parts.reach.stateOf(input.rules.name) === "lost" && input.mayHandOver) {
+                return "noOffer";
+            }
             const sight = this.#look(input.rules.name, input.among);
             input.trace.usable = sight.usable.length;
             input.trace.restingForMs = sight.restingForMs;
--- a/packages/edge/src/requests/sendUnderWay.ts
+++ b/packages/edge/src/requests/sendUnderWay.ts
@@ -1,9 +1,12 @@
+import { type RegisteredGateway } from "@galenaglade/fleet-state";
 import { type Send, type SendResult } from "../backends/sendRequest.js";
+import { type Handover, type HandoverResult } from "../handover/handoverSend.js";
 import { type Purpose } from "./exchangePlacement.js";
 import { type Place } from "./placer.js";
 
-/** One send of a request that has not ended. */
-export interface SendUnderWay {
+/** One send of a request to a backend server that has not ended. */
+export interface ServerSend {
+    readonly to: "server";
     readonly send: Send;
     readonly place: Place;
     readonly purpose: Purpose;
@@ -14,8 +17,23 @@
     readonly ended: Promise<EndedSend>;
 }
 
+/** A request that is at another gateway. */
+export interface GatewaySend {
+    readonly to: "gateway";
+    readonly send: Handover;
+    readonly helper: RegisteredGateway;
+    readonly ended: Promise<EndedSend>;
+}
+
+/** One send of a request that has not ended. */
+export type SendUnderWay = ServerSend | GatewaySend;
+
 /** The end of one. */
-export interface EndedSend {
-    readonly underWay: SendUnderWay;
-    readonly result: SendResult;
+export type EndedSend =
+    | { readonly type: "server"; readonly underWay: ServerSend; readonly result: SendResult; }
+    | { readonly type: "gateway"; readonly underWay: GatewaySend; readonly result: HandoverResult; };
+
+/** @returns the name of whom a send goes to */
+export function nameReceiver(underWay: SendUnderWay): string {
+    return underWay.to === "server" ? underWay.place.server.id : underWay.helper.name;
 }
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -20,6 +20,9 @@
     readonly #workspaceRequests;
     readonly #limitDecisions;
     readonly #asks;
+    readonly #reach;
+    readonly #handovers;
+    readonly #handoversTaken;
     readonly #storeCalls;
     readonly #relayRequests;
 
@@ -53,6 +56,15 @@
         this.#asks = meter.createCounter("galenaglade.load_requests", {
             description: "times a server's load was asked, by end",
         });
+        this.#reach = meter.createCounter("galenaglade.reach_changes", {
+            description: "changes of whether this host reaches a service, by service and new state",
+        });
+        this.#handovers = meter.createCounter("galenaglade.handovers", {
+            description: "requests handed to other gateways, by service and end",
+        });
+        this.#handoversTaken = meter.createCounter("galenaglade.handovers_taken", {
+            description: "requests of other gateways, by outcome",
+        });
         this.#storeCalls = meter.createCounter("galenaglade.store_calls", { description: "calls of the store by end" });
         this.#relayRequests = meter.createCounter("galenaglade.relay_requests", {
             description: "times another gateway was asked for changes of the store",
@@ -127,6 +139,18 @@
         this.#asks.add(1, { end });
     }
 
+    onReachChanged(service: string, state: string): void {
+        this.#reach.add(1, { service, state });
+    }
+
+    onHandedOver(service: string, end: string): void {
+        this.#handovers.add(1, { service, end });
+    }
+
+    onHandoverTaken(outcome: string): void {
+        this.#handoversTaken.add(1, { outcome });
+    }
+
     onStoreCall(call: string, end: string): void {
         this.#storeCalls.add(1, { call, end });
     }
--- a/packages/edge/src/vocabulary.ts
+++ b/packages/edge/src/vocabulary.ts
@@ -48,14 +48,18 @@
     readonly unknown: readonly string[];
 }
 
+/** Reads what answers say of themselves. */
+export abstract class AnswerReader {
+    /** @returns what a backend server's answer says, to a request or to a question for its load */
+    abstract readAnswer(status: number, headers: RawHeaders): AnswerSigns;
+}
+
 /** The names that callers and backend servers use for what the product needs to know of them. */
-export abstract class EdgeVocabulary {
+export abstract class EdgeVocabulary extends AnswerReader {
     /** Path on which the balancer asks for readiness. */
     abstract readonly readinessPath: string;
     /** @returns what the headers of a caller's request say */
     abstract readRequest(headers: RawHeaders): RequestSigns;
     /** @returns names and values in turn, for a backend server */
     abstract resolveForwardHeaders(headers: RawHeaders, signs: ForwardSigns): string[];
-    /** @returns what a backend server's answer says, to a request or to a question for its load */
-    abstract readAnswer(status: number, headers: RawHeaders): AnswerSigns;
 }
--- a/packages/placement/src/placementBoard.ts
+++ b/packages/placement/src/placementBoard.ts
@@ -157,6 +157,15 @@
         this.#memoryOf(service).forget(serverId);
     }
 
+    /** This host's links to a service work again: what was learnt of its servers meanwhile was the links' doing. */
+    onLinksRestored(service: string, serverIds: readonly string[]): void {
+        const memory = this.#memoryOf(service);
+        for (const serverId of serverIds) {
+            this.trust.onSuccess(serverId);
+            memory.forget(serverId);
+        }
+    }
+
     /** @returns what is known of servers of a service */
     rate(
         rules: ServiceRules,
--- /dev/null
+++ b/packages/reachability/src/helperBoard.ts
@@ -0,0 +1,190 @@
+import { type RegisteredGateway } from "@galenaglade/fleet-state";
+import { type RandomSource } from "@galenaglade/routing";
+import { namedHelpers, reachesMs, silentPeerMs, unreachedMs } from "./constants.js";
+
+/** What a board is made with. */
+export interface HelperBoardParts {
+    /** Of this gateway, as in its registration. */
+    readonly name: string;
+    /** Its own. */
+    readonly availabilityZone: string;
+    readonly random: RandomSource;
+}
+
+interface Word {
+    readonly reaches: boolean;
+    readonly untilMs: number;
+}
+
+/** What is known of other gateways' reach of one service. */
+type Words = Map<string, Word>;
+
+/** Which other gateways can send requests of a service that this host can't, by what they said and what came of requests. */
+export class HelperBoard {
+    readonly #parts: HelperBoardParts;
+    readonly #words = new Map<string, Words>();
+    readonly #silentUntilMs = new Map<string, number>();
+    readonly #inFlight = new Map<string, number>();
+
+    constructor(parts: HelperBoardParts) {
+        this.#parts = parts;
+    }
+
+    /** A gateway reaches a service, or doesn't, by its own word or by what became of a request. */
+    onWord(service: string, gateway: string, reaches: boolean, nowMs: number): void {
+        this.#wordsOf(service).set(gateway, { reaches, untilMs: nowMs + (reaches ? reachesMs : unreachedMs) });
+        this.#silentUntilMs.delete(gateway);
+    }
+
+    /** Another gateway has named some that reach a service: taken for true of those of which nothing is known. */
+    onNamed(service: string, gateways: readonly string[], nowMs: number): void {
+        for (const gateway of gateways.slice(0, namedHelpers)) {
+            if (this.#wordOf(service, gateway, nowMs) === undefined && gateway !== this.#parts.name) {
+                this.#wordsOf(service).set(gateway, { reaches: true, untilMs: nowMs + unreachedMs });
+            }
+        }
+    }
+
+    /** A gateway didn't answer. */
+    onSilent(gateway: string, nowMs: number): void {
+        this.#silentUntilMs.set(gateway, nowMs + silentPeerMs);
+    }
+
+    /** A request is handed to a gateway. @returns called when it has ended */
+    begin(gateway: string): () => void {
+        this.#inFlight.set(gateway, this.#load(gateway) + 1);
+        return () => {
+            const left = this.#load(gateway) - 1;
+            if (left > 0) {
+                this.#inFlight.set(gateway, left);
+            }
+            else {
+                this.#inFlight.delete(gateway);
+            }
+        };
+    }
+
+    /** @returns gateways that reach a service by what is known, a few of them */
+    name(service: string, nowMs: number): readonly string[] {
+        const names: string[] = [];
+        for (const [gateway, { reaches, untilMs }] of this.#wordsOf(service)) {
+            if (reaches && nowMs < untilMs && !this.#isSilent(gateway, nowMs)) {
+                names.push(gateway);
+            }
+            if (names.length === namedHelpers) {
+                break;
+            }
+        }
+        return names;
+    }
+
+    /**
+     * @param service - that is to be reached
+     * @param gateways - all that are registered
+     * @param tried - that have had the request
+     * @returns the gateway that a request is handed to, the less loaded one of two; `undefined` where none is left
+     */
+    choose(
+        service: string,
+        gateways: readonly RegisteredGateway[],
+        tried: ReadonlySet<string>,
+        nowMs: number,
+    ): RegisteredGateway | undefined {
+        const eligible = this.#findEligible(service, gateways, tried, nowMs);
+        const near = this.#findNear(eligible, gateways);
+        const [a, b] = this.#draw(near, 2);
+        if (a === undefined || b === undefined) {
+            return a;
+        }
+        return this.#load(b.name) < this.#load(a.name) ? b : a;
+    }
+
+    /** @returns gateways to ask whether they reach a service, those first that others have named */
+    drawToAsk(
+        service: string,
+        gateways: readonly RegisteredGateway[],
+        asked: ReadonlySet<string>,
+        count: number,
+        nowMs: number,
+    ): readonly RegisteredGateway[] {
+        const others = gateways.filter(({ name }) => name !== this.#parts.name && !asked.has(name));
+        const isNamed = ({ name }: RegisteredGateway): boolean => this.#wordOf(service, name, nowMs)?.reaches === true;
+        const named = others.filter(isNamed);
+        const unknown = others.filter(gateway => !isNamed(gateway) && !this.#isSilent(gateway.name, nowMs));
+        return [...this.#draw(named, count), ...this.#draw(unknown, count)].slice(0, count);
+    }
+
+    /** Forgets gateways that are no longer registered. */
+    retain(gateways: ReadonlySet<string>): void {
+        for (const known of [this.#silentUntilMs, ...this.#words.values()]) {
+            for (const gateway of known.keys()) {
+                if (!gateways.has(gateway)) {
+                    known.delete(gateway);
+                }
+            }
+        }
+    }
+
+    /** Those that reach the service; those of which nothing is known as well, unless more of them turned out not to than did. */
+    #findEligible(
+        service: string,
+        gateways: readonly RegisteredGateway[],
+        tried: ReadonlySet<string>,
+        nowMs: number,
+    ): readonly RegisteredGateway[] {
+        const good: RegisteredGateway[] = [];
+        const unknown: RegisteredGateway[] = [];
+        let unreached = 0;
+        for (const gateway of gateways) {
+            const { name } = gateway;
+            const word = this.#wordOf(service, name, nowMs);
+            unreached += word?.reaches === false ? 1 : 0;
+            if (
+                name === this.#parts.name || tried.has(name) || word?.reaches === false || this.#isSilent(name, nowMs)
+            ) {
+                continue;
+            }
+            (word === undefined ? unknown : good).push(gateway);
+        }
+        return good.length > 0 && unreached > good.length ? good : [...good, ...unknown];
+    }
+
+    /** Those of the own zone, unless they are fewer than half of its gateways: they would get the work of the others. */
+    #findNear(
+        eligible: readonly RegisteredGateway[],
+        gateways: readonly RegisteredGateway[],
+    ): readonly RegisteredGateway[] {
+        const isNear = ({ availabilityZone }: RegisteredGateway): boolean =>
+            availabilityZone === this.#parts.availabilityZone;
+        const near = eligible.filter(isNear);
+        return near.length * 2 >= gateways.filter(isNear).length ? near : eligible;
+    }
+
+    #draw<T>(values: readonly T[], count: number): readonly T[] {
+        const left = [...values];
+        const drawn: T[] = [];
+        while (drawn.length < count && left.length > 0) {
+            drawn.push(...left.splice(Math.floor(this.#parts.random.next() * left.length), 1));
+        }
+        return drawn;
+    }
+
+    #wordOf(service: string, gateway: string, nowMs: number): Word | undefined {
+        const word = this.#words.get(service)?.get(gateway);
+        return word !== undefined && nowMs < word.untilMs ? word : undefined;
+    }
+
+    #wordsOf(service: string): Words {
+        const words = this.#words.get(service) ?? new Map<string, Word>();
+        this.#words.set(service, words);
+        return words;
+    }
+
+    #isSilent(gateway: string, nowMs: number): boolean {
+        return nowMs < (this.#silentUntilMs.get(gateway) ?? -Infinity);
+    }
+
+    #load(gateway: string): number {
+        return this.#inFlight.get(gateway) ?? 0;
+    }
+}
