Don't take a server for ended where other servers refuse connections as well

A host whose links are reset loses the requests under way, and the check whether their servers have ended is refused for the same reason. Six requests with one content each would have been reported to the fleet as crashes, and their content kept from all servers. What fails while a service isn't reached is no evidence on a version on trial either.

The test prints ended for the lost sends without the change.

--- a/packages/edge/src/requests/sendOutcomes.ts
+++ b/packages/edge/src/requests/sendOutcomes.ts
@@ -1,6 +1,8 @@
 import { type RegisteredServer } from "@galenaglade/fleet-state";
 import { isFailureOfServer, isServerLost } from "@galenaglade/placement";
 import { type SendResult } from "../backends/sendRequest.js";
+import { type ServerState } from "../backends/serverChecks.js";
+import { leastWitnesses, mostWitnesses } from "../constants.js";
 import { type RequestGuard } from "../quarantine/requestGuard.js";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { describeEnd } from "./exchangeAnswers.js";
@@ -51,7 +53,9 @@
         const nowMs = clock.monotonicMs();
         const typicalMs = board.work.of(service, route.objectiveMs);
         const trial = { end, tookMs, typicalMs, factor: score.factor, beaten };
-        rollouts.onSendEnded(server, route.name, purpose === "first" ? trial : undefined);
+        // What fails on this host's links says nothing of a version.
+        const isEvidence = purpose === "first" && (end.type === "answered" || reach.stateOf(service) === "reached");
+        rollouts.onSendEnded(server, route.name, isEvidence ? trial : undefined);
         metrics.onSendEnded(service, purpose, describeEnd(end));
         this.#guard.onSendEnded(end, mark);
         if (result.contact !== undefined) {
@@ -93,12 +97,34 @@
         });
     }
 
+    /**
+     * A server that refuses connections has ended, unless other servers refuse them as well: then this host's links may be what fails,
+     * and a crash would be reported to the whole fleet that never was.
+     */
+    async #checkServer(server: RegisteredServer): Promise<ServerState> {
+        const { checks, clock, random, view } = this.#parts;
+        const state = await checks.check(server);
+        if (state !== "ended") {
+            return state;
+        }
+        const others = view.usableServers(server.service, clock.monotonicMs()).filter(({ id }) => id !== server.id);
+        const witnesses: RegisteredServer[] = [];
+        while (witnesses.length < mostWitnesses && others.length > 0) {
+            witnesses.push(...others.splice(Math.floor(random.next() * others.length), 1));
+        }
+        if (witnesses.length < leastWitnesses) {
+            return state;
+        }
+        const states = await Promise.all(witnesses.map(witness => checks.check(witness)));
+        return states.includes("listening") ? "ended" : "unknown";
+    }
+
     /** Tells servers that ended with a request from those that lost only its connection. */
     async #checkLost({ place: { server }, mark, result: { tookMs } }: SendOutcome): Promise<void> {
-        const { checks, clock, log, metrics } = this.#parts;
+        const { clock, log, metrics } = this.#parts;
         const { requestId, rules, route, callerAddress } = this.#request;
         const lostAtMs = clock.monotonicMs();
-        const state = await checks.check(server);
+        const state = await this.#checkServer(server);
         metrics.onSendLost(rules.name, state);
         this.#guard.onServerLost(server, state, mark);
         log.log("warn", "sendLost", {
