Hand requests to gateways known to reach a service, in any zone, before unknown ones

Gateways that reach it go first now, those of the own zone among them where they are half of its gateways; one in ten requests goes to an unknown one.

Without other gateways' word it fails.

--- /dev/null
+++ b/packages/edge/src/__tests__/cutFleets.test.ts
@@ -0,0 +1,148 @@
+import { checkCutGateways, type Violation } from "@galenaglade/history";
+import { createRandomSource, type RandomSource } from "@galenaglade/routing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { cutManners } from "./support/cutLinks.js";
+import { ReachFleet, type ReachFleetSize, type ReachGateway } from "./support/simulatedReach.js";
+import { VirtualTime } from "./support/virtualTime.js";
+
+/** What the users' platform allows. */
+const bounds = { settleMs: 3_000, leastRelativeShare: 2 / 3, allowedFailures: 10, allowedFailureShare: 1 / 50 };
+/** From a cut, or the end of one, until a gateway must know it. */
+const knownWithinMs = 3_000;
+const regainedWithinMs = 8_000;
+const calmMs = 1_500;
+const sampleMs = 50;
+
+/** What a run of one fleet came to. */
+interface Run {
+    readonly violations: readonly Violation[];
+    /** Samples in which a gateway believed what isn't so although it had time to know better, and all samples. */
+    readonly wrong: number;
+    readonly samples: number;
+    readonly handedOver: number;
+}
+
+interface Cut {
+    readonly gateways: readonly ReachGateway[];
+    readonly lengthMs: number;
+    readonly flapMs: number | undefined;
+}
+
+/** Draws which gateways are cut off: one, some, a whole zone, most or all. */
+function drawCut(fleet: ReachFleet, random: RandomSource): Cut {
+    const { gateways, size } = fleet;
+    const kind = Math.floor(random.next() * 5);
+    const share = [1 / gateways.length, 0.3, 0, 0.8, 1][kind] ?? 1;
+    const zone = Math.floor(random.next() * size.zones);
+    const chosen = kind === 2
+        ? gateways.filter((_, i) => i % size.zones === zone)
+        : gateways.filter((_, i) => random.next() < share || i === 0);
+    return {
+        gateways: chosen,
+        lengthMs: 4_000 + random.next() * 4_000,
+        flapMs: random.next() < 0.15 ? 300 + random.next() * 1_200 : undefined,
+    };
+}
+
+async function run(time: VirtualTime, seed: number, size: ReachFleetSize): Promise<Run> {
+    const random = createRandomSource(seed);
+    const fleet = new ReachFleet(time, random, size);
+    fleet.start();
+    await time.pass(calmMs + random.next() * 500);
+    const manner = cutManners[Math.floor(random.next() * cutManners.length)] ?? "hang";
+    const { gateways, lengthMs, flapMs } = drawCut(fleet, random);
+    const dies = fleet.gateways.filter(() => random.next() < 0.1);
+    const deadServers = Math.floor(random.next() * random.next() * size.servers * 0.4);
+    setTimeout(() => dies.forEach(gateway => (gateway.isDead = true)), random.next() * lengthMs);
+    setTimeout(() => dies.forEach(gateway => (gateway.isDead = false)), lengthMs * (1 + random.next()));
+    setTimeout(() => {
+        for (let i = 0; i < deadServers; i++) {
+            fleet.deadServers.add(`server-${i}`);
+        }
+    }, random.next() * lengthMs);
+    const beganAtMs = time.monotonicMs();
+    const endsAtMs = beganAtMs + lengthMs;
+    gateways.forEach(gateway => fleet.cut(gateway, manner));
+    if (flapMs !== undefined) {
+        const flap = (): void => {
+            if (time.monotonicMs() < endsAtMs) {
+                gateways.forEach(gateway => (gateway.manner = gateway.manner === undefined ? manner : undefined));
+                setTimeout(flap, flapMs);
+            }
+        };
+        setTimeout(flap, flapMs);
+    }
+    let wrong = 0;
+    let samples = 0;
+    const canBeHelped = fleet.gateways.some(gateway => !gateways.includes(gateway) && !dies.includes(gateway));
+    while (time.monotonicMs() < endsAtMs + regainedWithinMs + 1_000) {
+        await time.pass(sampleMs);
+        const nowMs = time.monotonicMs();
+        if (nowMs >= endsAtMs && nowMs < endsAtMs + sampleMs) {
+            gateways.forEach(gateway => fleet.restore(gateway));
+        }
+        for (const gateway of flapMs === undefined ? fleet.gateways : []) {
+            const isCut = gateways.includes(gateway) && nowMs < endsAtMs;
+            const state = gateway.reach.stateOf("tables");
+            const mustKnowCut = isCut && canBeHelped && nowMs > beganAtMs + knownWithinMs;
+            const mustKnowWell = !isCut && (!gateways.includes(gateway) || nowMs > endsAtMs + regainedWithinMs);
+            samples++;
+            wrong +=
+                (mustKnowCut && state === "reached" && manner !== "refuseNew") || (mustKnowWell && state === "lost")
+                    ? 1
+                    : 0;
+        }
+    }
+    fleet.stop();
+    await time.pass(3_000);
+    const violations = canBeHelped ? checkCutGateways(fleet.history, bounds) : [];
+    time.clear();
+    return { violations, wrong, samples, handedOver: fleet.handedOver };
+}
+
+const small: ReachFleetSize = { gateways: 15, zones: 3, servers: 12, requestsPerSecond: 6, askEachOther: true };
+const worlds = Number(process.env["CUT_WORLDS"] ?? 120);
+
+// Guards against a host that refuses its callers, or burdens others, by a wrong belief of what it reaches.
+test("callers of cut gateways are served whatever is cut, in which manner and for how long", async t => {
+    const time = VirtualTime.install(t);
+    const random = createRandomSource(7);
+    let wrong = 0;
+    let samples = 0;
+    let handedOver = 0;
+    for (let seed = 1; seed <= worlds; seed++) {
+        const gateways = 1 + Math.floor(random.next() * 15);
+        const size = { ...small, gateways, zones: Math.min(3, gateways), servers: 3 + Math.floor(random.next() * 12) };
+        const ended = await run(time, seed, size);
+        assert.deepEqual(ended.violations, [], `seed ${seed}`);
+        wrong += ended.wrong;
+        samples += ended.samples;
+        handedOver += ended.handedOver;
+    }
+    assert.ok(handedOver > worlds, `${handedOver} requests handed over`);
+    assert.ok(wrong <= samples / 100, `${wrong} of ${samples} beliefs are wrong`);
+});
+
+// Guards against fleets in which those that are cut off find none of the few that aren't.
+for (const [gateways, seeds] of [[131, 4], [312, 2]] as const) {
+    test(`callers of cut gateways are served in a fleet of ${gateways}`, async t => {
+        const time = VirtualTime.install(t);
+        for (let seed = 1; seed <= seeds; seed++) {
+            const size = { ...small, gateways, servers: 60, requestsPerSecond: 3 };
+            const { violations } = await run(time, seed, size);
+            assert.deepEqual(violations, [], `seed ${seed}`);
+        }
+    });
+}
+
+// Guards against a check that can't fail: without other gateways' word the same draws break the rule.
+test("without the word of other gateways callers of cut gateways are not served", async t => {
+    const time = VirtualTime.install(t);
+    let broken = 0;
+    for (let seed = 1; seed <= 20; seed++) {
+        const { violations } = await run(time, seed, { ...small, askEachOther: false });
+        broken += violations.length;
+    }
+    assert.ok(broken >= 5, `${broken} of 20 runs broke the rule`);
+});
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -37,6 +37,7 @@
 import { createPeerServer } from "./peerServer.js";
 import { CrashReports } from "./quarantine/crashReports.js";
 import { ReachClient } from "./reach/reachClient.js";
+import { LoadProbe } from "./reach/serverProbe.js";
 import { ServerReach } from "./reach/serverReach.js";
 import { Placer } from "./requests/placer.js";
 import { AnswerNotes } from "./requests/answerNotes.js";
@@ -110,15 +111,19 @@
         name,
         availabilityZone,
         view,
-        board,
-        notes,
-        connections,
-        vocabulary,
+        probe: new LoadProbe({ view, board, notes, connections, vocabulary, clock, metrics }),
         peers: new ReachClient(),
         clock,
         random,
         log,
         metrics,
+        onLost: (servers, kind) => {
+            // Kept connections that nothing passes on would be used again once the links work.
+            for (const { id } of kind === "all" ? servers : []) {
+                connections.closeIdle(id);
+            }
+        },
+        onRestored: (service, servers) => board.onLinksRestored(service, servers.map(({ id }) => id)),
     });
     const peerConnections = new ServerConnections(new DirectLinks(helperConnectTimeoutMs));
     const placer = new Placer({
--- /dev/null
+++ b/packages/edge/src/reach/serverProbe.ts
@@ -0,0 +1,58 @@
+import { type FleetView, type RegisteredServer } from "@galenaglade/fleet-state";
+import { type Clock } from "@galenaglade/http-parts";
+import { type PlacementBoard } from "@galenaglade/placement";
+import { type ContactEnd } from "@galenaglade/reachability";
+import { askServer } from "../backends/askServer.js";
+import { type ServerConnections } from "../backends/serverConnections.js";
+import { reachCheckTimeoutMs } from "../constants.js";
+import { type AnswerNotes } from "../requests/answerNotes.js";
+import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { type EdgeVocabulary } from "../vocabulary.js";
+
+/** Finds out whether one backend server is reached over a new connection. */
+export abstract class ServerProbe {
+    abstract probe(service: string, server: RegisteredServer): Promise<ContactEnd>;
+}
+
+/** What a load probe works with. */
+export interface LoadProbeParts {
+    readonly view: FleetView;
+    readonly board: PlacementBoard;
+    readonly notes: AnswerNotes;
+    readonly connections: ServerConnections;
+    readonly vocabulary: EdgeVocabulary;
+    readonly clock: Clock;
+    readonly metrics: EdgeMetrics;
+}
+
+/** Asks the server for its load, which is learnt like any other. */
+export class LoadProbe extends ServerProbe {
+    readonly #parts: LoadProbeParts;
+
+    constructor(parts: LoadProbeParts) {
+        super();
+        this.#parts = parts;
+    }
+
+    override async probe(service: string, server: RegisteredServer): Promise<ContactEnd> {
+        const { view, board, notes, connections, vocabulary, clock, metrics } = this.#parts;
+        const rules = view.inForce?.services.get(service);
+        if (rules === undefined) {
+            return "lost";
+        }
+        const startedAtMs = clock.monotonicMs();
+        const connection = connections.open(server.address);
+        const { healthPath } = rules;
+        const told = await askServer({ server, connection, healthPath, vocabulary, timeoutMs: reachCheckTimeoutMs });
+        const nowMs = clock.monotonicMs();
+        metrics.onAsked(told.type === "told" ? "told" : told.reason);
+        if (told.type === "untold") {
+            connection.destroy();
+            return told.reason === "otherServer" ? "heard" : told.reason;
+        }
+        connections.release(server.id, connection, { after: "question", nowMs });
+        board.onOffer(service, told.offer, startedAtMs);
+        notes.note({ server, signs: told.signs, source: { answered: "question", sentAtMs: startedAtMs }, nowMs });
+        return "heard";
+    }
+}
--- a/packages/edge/src/reach/serverReach.ts
+++ b/packages/edge/src/reach/serverReach.ts
@@ -1,27 +1,23 @@
 import { type FleetView, type RegisteredGateway, type RegisteredServer } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
-import { type PlacementBoard } from "@galenaglade/placement";
-import { type Contact, HelperBoard, type ReachChange, type ReachState, ServiceReach } from "@galenaglade/reachability";
+import {
+    type Contact,
+    HelperBoard,
+    type LossKind,
+    type ReachChange,
+    type ReachState,
+    ServiceReach,
+} from "@galenaglade/reachability";
 import { type RandomSource } from "@galenaglade/routing";
 import { type LogFields } from "@galenaglade/telemetry";
-import { askServer } from "../backends/askServer.js";
-import { type ServerConnections } from "../backends/serverConnections.js";
-import {
-    checkedServers,
-    freshReachMs,
-    mostInquiries,
-    peersPerInquiry,
-    reachCheckPeriodMs,
-    reachCheckTimeoutMs,
-} from "../constants.js";
-import { type AnswerNotes } from "../requests/answerNotes.js";
+import { checkedServers, freshReachMs, mostInquiries, peersPerInquiry, reachCheckPeriodMs } from "../constants.js";
 import { TurnPause } from "../state/turnPause.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
-import { type EdgeVocabulary } from "../vocabulary.js";
 import { type PeerReach } from "./reachClient.js";
 import { type ReachAnswer } from "./reachMessages.js";
 import { ReachFeed } from "./reachServer.js";
+import { type ServerProbe } from "./serverProbe.js";
 
 /** What is needed to tell whether servers are reached. */
 export interface ServerReachParts {
@@ -29,15 +25,16 @@
     readonly name: string;
     readonly availabilityZone: string;
     readonly view: FleetView;
-    readonly board: PlacementBoard;
-    readonly notes: AnswerNotes;
-    readonly connections: ServerConnections;
-    readonly vocabulary: EdgeVocabulary;
+    readonly probe: ServerProbe;
     readonly peers: PeerReach;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
+    /** This host's links to servers of a service are lost. @param kind - on all connections, or new ones only */
+    readonly onLost: (servers: readonly RegisteredServer[], kind: LossKind) => void;
+    /** They work again. */
+    readonly onRestored: (service: string, servers: readonly RegisteredServer[]) => void;
 }
 
 /**
@@ -89,7 +86,7 @@
         return this.stateOf(service);
     }
 
-    /** @returns whether one request may look for a server by itself although none was reached lately */
+    /** @returns whether a request that no other gateway can have may look for a server by itself */
     takeOwnTry(service: string): boolean {
         return this.#reachOf(service).takeOwnTry(this.#nowMs());
     }
@@ -154,21 +151,21 @@
         if (change === undefined) {
             return;
         }
-        const { log, metrics, view, board, connections } = this.#parts;
-        const servers = view.readyServers(service, this.#nowMs());
+        const { log, metrics, view, onLost, onRestored } = this.#parts;
         log.log(change.to === "reached" ? "info" : "warn", "serverReach", { service, ...describeChange(change) });
         metrics.onReachChanged(service, change.to);
         if (change.from === "doubted") {
             this.#release(service);
         }
+        const servers = view.readyServers(service, this.#nowMs());
         if (change.to === "reached") {
-            board.onLinksRestored(service, servers.map(({ id }) => id));
+            if (change.from === "lost") {
+                onRestored(service, servers);
+            }
             return;
         }
-        if (change.to === "lost" && change.evidence?.kind === "all") {
-            for (const { id } of servers) {
-                connections.closeIdle(id);
-            }
+        if (change.to === "lost") {
+            onLost(servers, change.evidence?.kind ?? "all");
         }
         if (change.from === "reached") {
             this.#beginRecovery(service);
@@ -236,26 +233,8 @@
     }
 
     async #checkServer(service: string, server: RegisteredServer): Promise<boolean> {
-        const { view, board, notes, connections, vocabulary, metrics } = this.#parts;
-        const rules = view.inForce?.services.get(service);
-        if (rules === undefined) {
-            return false;
-        }
         const startedAtMs = this.#nowMs();
-        const connection = connections.open(server.address);
-        const { healthPath } = rules;
-        const told = await askServer({ server, connection, healthPath, vocabulary, timeoutMs: reachCheckTimeoutMs });
-        const nowMs = this.#nowMs();
-        const end = told.type === "told" || told.reason === "otherServer" ? "heard" : told.reason;
-        metrics.onAsked(told.type === "told" ? "told" : told.reason);
-        if (told.type === "told") {
-            connections.release(server.id, connection, { after: "question", nowMs });
-            board.onOffer(service, told.offer, startedAtMs);
-            notes.note({ server, signs: told.signs, source: { answered: "question", sentAtMs: startedAtMs }, nowMs });
-        }
-        else {
-            connection.destroy();
-        }
+        const end = await this.#parts.probe.probe(service, server);
         this.onContact({ service, serverId: server.id, isNewConnection: true, end, startedAtMs });
         return end === "heard";
     }
--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -30,3 +30,6 @@
 
 /** Gateways that are named to another one that looks for some that reach a service. */
 export const namedHelpers = 4;
+
+/** Share of requests that are handed to a gateway of which nothing is known although others are: so that more become known. */
+export const exploredShare = 0.1;
--- a/packages/reachability/src/helperBoard.ts
+++ b/packages/reachability/src/helperBoard.ts
@@ -1,6 +1,6 @@
 import { type RegisteredGateway } from "@galenaglade/fleet-state";
 import { type RandomSource } from "@galenaglade/routing";
-import { namedHelpers, reachesMs, silentPeerMs, unreachedMs } from "./constants.js";
+import { exploredShare, namedHelpers, reachesMs, silentPeerMs, unreachedMs } from "./constants.js";
 
 /** What a board is made with. */
 export interface HelperBoardParts {
@@ -90,9 +90,10 @@
         tried: ReadonlySet<string>,
         nowMs: number,
     ): RegisteredGateway | undefined {
-        const eligible = this.#findEligible(service, gateways, tried, nowMs);
-        const near = this.#findNear(eligible, gateways);
-        const [a, b] = this.#draw(near, 2);
+        const { good, unknown } = this.#sort(service, gateways, tried, nowMs);
+        const explores = unknown.length > 0 && this.#parts.random.next() < exploredShare;
+        const eligible = good.length === 0 || explores ? unknown : this.#findNear(good, gateways);
+        const [a, b] = this.#draw(eligible, 2);
         if (a === undefined || b === undefined) {
             return a;
         }
@@ -125,39 +126,35 @@
         }
     }
 
-    /** Those that reach the service; those of which nothing is known as well, unless more of them turned out not to than did. */
-    #findEligible(
+    /** Gateways that a request may be handed to: those that reach the service, and those of which nothing is known. */
+    #sort(
         service: string,
         gateways: readonly RegisteredGateway[],
         tried: ReadonlySet<string>,
         nowMs: number,
-    ): readonly RegisteredGateway[] {
+    ): { readonly good: readonly RegisteredGateway[]; readonly unknown: readonly RegisteredGateway[]; } {
         const good: RegisteredGateway[] = [];
         const unknown: RegisteredGateway[] = [];
-        let unreached = 0;
         for (const gateway of gateways) {
             const { name } = gateway;
             const word = this.#wordOf(service, name, nowMs);
-            unreached += word?.reaches === false ? 1 : 0;
-            if (
-                name === this.#parts.name || tried.has(name) || word?.reaches === false || this.#isSilent(name, nowMs)
-            ) {
-                continue;
+            const isLeftOut = name === this.#parts.name || tried.has(name) || word?.reaches === false;
+            if (!isLeftOut && !this.#isSilent(name, nowMs)) {
+                (word === undefined ? unknown : good).push(gateway);
             }
-            (word === undefined ? unknown : good).push(gateway);
         }
-        return good.length > 0 && unreached > good.length ? good : [...good, ...unknown];
+        return { good, unknown };
     }
 
     /** Those of the own zone, unless they are fewer than half of its gateways: they would get the work of the others. */
     #findNear(
-        eligible: readonly RegisteredGateway[],
+        good: readonly RegisteredGateway[],
         gateways: readonly RegisteredGateway[],
     ): readonly RegisteredGateway[] {
         const isNear = ({ availabilityZone }: RegisteredGateway): boolean =>
             availabilityZone === this.#parts.availabilityZone;
-        const near = eligible.filter(isNear);
-        return near.length * 2 >= gateways.filter(isNear).length ? near : eligible;
+        const near = good.filter(isNear);
+        return near.length * 2 >= gateways.filter(isNear).length ? near : good;
     }
 
     #draw<T>(values: readonly T[], count: number): readonly T[] {
--- a/packages/reachability/src/serviceReach.ts
+++ b/packages/reachability/src/serviceReach.ts
@@ -86,8 +86,16 @@
         return this.#enter("reached", nowMs);
     }
 
-    /** @returns whether one request may look for a server by itself now, although none was reached lately */
+    /**
+     * Asked for a request that no other gateway can have. Where nothing is heard, one looks for a server from time to time and the
+     * others need not wait for what is known; kept connections may still serve where only new ones fail.
+     *
+     * @returns whether the request may look for a server by itself
+     */
     takeOwnTry(nowMs: number): boolean {
+        if (this.#state !== "unreachable" || this.#loss?.kind === "newConnections") {
+            return true;
+        }
         if (nowMs - this.#ownTryAtMs < ownTryPeriodMs) {
             return false;
         }
