--- a/packages/edge/src/__tests__/support/helperStandIn.ts
+++ b/packages/edge/src/__tests__/support/helperStandIn.ts
@@ -20,7 +20,7 @@
 export interface HelperStandIn {
     readonly name: string;
     /** Requests that were handed to it. */
-    readonly requests: readonly RawRequest[];
+    readonly requests: RawRequest[];
     conduct: HelperConduct;
 }
 
--- a/packages/edge/src/reach/serverReach.ts
+++ b/packages/edge/src/reach/serverReach.ts
@@ -91,9 +91,12 @@
         return this.#reachOf(service).takeOwnTry(this.#nowMs());
     }
 
-    /** No gateway is left that a request of a service could be handed to. */
+    /** No gateway is left that a request of a service could be handed to. Others may do for other requests, as where some are busy. */
     onNoHelper(service: string): void {
         const nowMs = this.#nowMs();
+        if (this.chooseHelper(service, new Set()) !== undefined) {
+            return;
+        }
         const reach = this.#reachOf(service);
         reach.onAsked(nowMs);
         this.#note(service, reach.onInquired(false, nowMs));
--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -4,6 +4,12 @@
 /** Exchanges that must have failed, in a service of few servers. */
 export const doubtedExchanges = 3;
 
+/**
+ * How long exchanges must have failed, in milliseconds. Servers that are full refuse connections for a moment, new ones rather than
+ * all, and a host that is short of its processor hears answers late.
+ */
+export const doubtedForMs = Object.freeze({ all: 150, newConnections: 500 });
+
 /** Rounds of checks in a row in which a server answers before a host uses its own links again. */
 export const regainRounds = 2;
 
--- a/packages/reachability/src/contactEvidence.ts
+++ b/packages/reachability/src/contactEvidence.ts
@@ -1,4 +1,4 @@
-import { doubtedExchanges, doubtedServers } from "./constants.js";
+import { doubtedExchanges, doubtedForMs, doubtedServers } from "./constants.js";
 import { type Contact, type ContactEnd, type LossEvidence, type LossKind } from "./contact.js";
 
 interface FailedContact {
@@ -85,7 +85,11 @@
     nowMs: number,
 ): LossEvidence | undefined {
     const failedServers = new Set(failed.map(({ serverId }) => serverId)).size;
-    if (failed.length < doubtedExchanges || failedServers < Math.min(doubtedServers, Math.max(1, servers))) {
+    const forMs = nowMs - Math.min(...failed.map(({ startedAtMs }) => startedAtMs));
+    if (
+        forMs < doubtedForMs[kind] || failed.length < doubtedExchanges
+        || failedServers < Math.min(doubtedServers, Math.max(1, servers))
+    ) {
         return undefined;
     }
     const ends: Partial<Record<ContactEnd, number>> = {};
@@ -96,7 +100,7 @@
         kind,
         servers: failedServers,
         ends,
-        forMs: nowMs - Math.min(...failed.map(({ startedAtMs }) => startedAtMs)),
+        forMs,
         heardAgoMs: heardAtMs === undefined ? undefined : nowMs - heardAtMs,
     };
 }
