--- /dev/null
+++ b/packages/history/src/__tests__/cutGatewayChecker.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkCutGateways, type HistoryEvent, type HistoryLine } from "../index.js";
+
+const bounds = { settleMs: 3_000, leastRelativeShare: 2 / 3, allowedFailures: 10, allowedFailureShare: 1 / 50 };
+
+/** Requests every 10 ms through a gateway that is cut off at 0 and one that isn't. */
+function record(servedWhileCut: (atMs: number) => boolean, untilMs = 6_000): readonly HistoryLine[] {
+    const lines: HistoryLine[] = [];
+    const add = (atMs: number, event: HistoryEvent): void => {
+        lines.push({ ...event, atMs, sequence: lines.length, process: "" });
+    };
+    add(0, { type: "gatewayCutFromServers", gateway: "cut" });
+    for (let atMs = 0; atMs < untilMs; atMs += 10) {
+        for (const gateway of ["cut", "other"]) {
+            const requestId = `${gateway}-${atMs}`;
+            const isServed = gateway === "other" || servedWhileCut(atMs);
+            add(atMs, {
+                type: "callerSent",
+                requestId,
+                service: "tables",
+                idempotent: true,
+                gateway,
+                patienceMs: 1_000,
+            });
+            const more = { didRun: undefined, whole: true, bodyRequestId: requestId };
+            add(atMs, { type: "callerAnswered", requestId, status: isServed ? 200 : 503, ...more });
+        }
+    }
+    return lines;
+}
+
+// Guards against a checker that finds nothing whatever happens.
+test("callers of a gateway that is cut off must be served like the others, from some time on", () => {
+    assert.equal(checkCutGateways(record(() => false), bounds).length, 1);
+    assert.deepEqual(checkCutGateways(record(() => true), bounds), []);
+    assert.deepEqual(checkCutGateways(record(atMs => atMs >= 3_000), bounds), []);
+    assert.equal(checkCutGateways(record(atMs => atMs % 20 === 0), bounds).length, 1);
+    assert.deepEqual(
+        checkCutGateways(record(atMs => atMs % 50 !== 0), bounds),
+        [],
+        "a fifth fails: served four fifths as often",
+    );
+    assert.deepEqual(checkCutGateways(record(() => false, 3_100), bounds), [], "a cut so short fails no more than ten");
+});
--- /dev/null
+++ b/packages/reachability/src/__tests__/serviceReach.test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Contact, type ContactEnd, type ReachState, ServiceReach } from "../index.js";
+
+const servers = 6;
+
+function contact(server: number, end: ContactEnd, startedAtMs: number, isNewConnection = false): Contact {
+    return { service: "tables", serverId: `server-${server}`, isNewConnection, end, startedAtMs };
+}
+
+/** A service of which nothing is heard from some time on. */
+function createDoubted(atMs = 1_000): ServiceReach {
+    const reach = new ServiceReach();
+    for (let i = 0; i < 3; i++) {
+        reach.onContact(contact(i, "silent", atMs), servers, atMs + 150);
+    }
+    assert.equal(reach.state, "doubted");
+    return reach;
+}
+
+// Guards against a host that takes a few bad servers for bad links.
+test("links are doubted once enough servers failed for long enough with none heard since", () => {
+    const cases: readonly (readonly [string, readonly Contact[], number, ReachState])[] = [
+        ["two servers", [0, 1, 0].map(i => contact(i, "silent", 0)), 200, "reached"],
+        ["three servers for a moment", [0, 1, 2].map(i => contact(i, "silent", 0)), 100, "reached"],
+        ["three servers", [0, 1, 2].map(i => contact(i, "refused", 0)), 200, "doubted"],
+        [
+            "one answered since",
+            [...[0, 1, 2].map(i => contact(i, "silent", 0)), contact(3, "heard", 1)],
+            200,
+            "reached",
+        ],
+        [
+            "one answered at the same time",
+            [contact(3, "heard", 0), ...[0, 1, 2].map(i => contact(i, "lost", 0))],
+            200,
+            "reached",
+        ],
+        ["one answered before", [contact(3, "heard", 0), ...[0, 1, 2].map(i => contact(i, "lost", 1))], 200, "doubted"],
+    ];
+    for (const [name, contacts, nowMs, state] of cases) {
+        const reach = new ServiceReach();
+        contacts.forEach(each => reach.onContact(each, servers, nowMs));
+        assert.equal(reach.state, state, name);
+    }
+});
+
+// Guards against an answer to a request from before a cut that is taken for a sign of life.
+test("an answer that comes late shows only that the server was reached when its request was written", () => {
+    const reach = createDoubted(1_000);
+    reach.onContact(contact(5, "heard", 900), servers, 1_200);
+    assert.equal(reach.state, "doubted");
+    reach.onContact(contact(5, "heard", 1_100), servers, 1_200);
+    assert.equal(reach.state, "reached");
+});
+
+// Guards against a host that goes on opening connections in vain because its kept ones still work.
+test("links are doubted where kept connections work and no new one does", () => {
+    const reach = new ServiceReach();
+    for (let i = 0; i < 3; i++) {
+        reach.onContact(contact(i, "refused", i * 250, true), servers, i * 250 + 1);
+        reach.onContact(contact(i, "heard", i * 250 + 2), servers, i * 250 + 3);
+    }
+    reach.onContact(contact(4, "refused", 750, true), servers, 751);
+    assert.equal(reach.state, "doubted");
+});
+
+// Guards against a service of one or two servers whose loss is never noticed.
+test("in a small service fewer servers are enough", () => {
+    const reach = new ServiceReach();
+    [0, 100, 200].forEach(atMs => reach.onContact(contact(0, "refused", atMs), 1, atMs + 1));
+    assert.equal(reach.state, "doubted");
+});
+
+// Guards against requests that go around while every host has lost the same servers.
+test("a loss counts as the links' only once another gateway reaches the service", () => {
+    const unreachable = createDoubted();
+    assert.equal(unreachable.onInquired(false, 1_200)?.to, "unreachable");
+    assert.equal(unreachable.isInquiryDue(1_300), true);
+    unreachable.onAsked(1_300);
+    assert.equal(unreachable.isInquiryDue(1_400), false);
+    assert.equal(unreachable.isInquiryDue(1_800), true);
+    const lost = createDoubted();
+    assert.equal(lost.onInquired(true, 1_200)?.to, "lost");
+});
+
+// Guards against a host that trusts its links again by one lucky answer, and loses requests on them.
+test("lost links are used again after two rounds of checks in a row, more after each relapse", () => {
+    const reach = createDoubted();
+    reach.onInquired(true, 1_200);
+    const rounds: number[] = [];
+    for (let nowMs = 1_200; rounds.length < 6; nowMs += 1_000) {
+        let count = 0;
+        do {
+            count++;
+            reach.onChecked(true, nowMs);
+        }
+        while (reach.state !== "reached");
+        rounds.push(count);
+        for (let i = 0; i < 3; i++) {
+            reach.onContact(contact(i, "silent", nowMs + 1), servers, nowMs + 200);
+        }
+        reach.onInquired(true, nowMs + 200);
+    }
+    assert.deepEqual(rounds, [2, 4, 8, 16, 16, 16]);
+    reach.onChecked(true, 10_000);
+    reach.onChecked(false, 10_250);
+    assert.equal(reach.state, "lost");
+});
+
+// Guards against requests that all wait for what is known to fail, and against none that would find out.
+test("where nobody reaches a service one request in a second looks for a server by itself", () => {
+    const reach = createDoubted();
+    reach.onInquired(false, 1_200);
+    assert.deepEqual([1_200, 1_300, 2_100, 2_200, 2_300].map(nowMs => reach.takeOwnTry(nowMs)), [
+        true,
+        false,
+        false,
+        true,
+        false,
+    ]);
+});
