--- a/packages/cli/src/__tests__/explain.test.ts
+++ b/packages/cli/src/__tests__/explain.test.ts
@@ -57,3 +57,31 @@
         { kind: "connectionLost", detail: "connectionLost, cutShort", count: 1, example: "r1" },
     ]);
 });
+
+// Guards against a request that is counted twice, and half a story, where one host had another one run it.
+test("a request that went over two hosts has both in its story, and is counted once", () => {
+    const { lines } = readLog([
+        render(900, "host-1", "serverReach", { service: "s", from: "doubted", to: "lost" }),
+        render(1_000, "host-2", "requestFailed", {
+            requestId: "r1",
+            kind: "overloaded",
+            detail: "allFull",
+            handedOverBy: "host-1",
+        }),
+        render(1_001, "host-1", "handedOver", { requestId: "r1", to: "host-2", end: "failed: overloaded" }),
+        render(1_002, "host-1", "requestFailed", {
+            requestId: "r1",
+            kind: "overloaded",
+            detail: "allFull",
+            handedTo: "host-2",
+        }),
+    ].join("\n"));
+    const story = explainRequest("r1", lines).map(({ process, message }) => `${process} ${message}`);
+    assert.deepEqual(story, [
+        "host-1 serverReach",
+        "host-2 requestFailed",
+        "host-1 handedOver",
+        "host-1 requestFailed",
+    ]);
+    assert.deepEqual(summarizeFailures(lines).map(({ count }) => count), [1]);
+});
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -4,7 +4,14 @@
 const contextMs = 5_000;
 
 /** Events that change what a process believes, or what it depends on. */
-const contextEvents: ReadonlySet<string> = new Set(["belief", "storeLost", "storeRegained", "stopping", "started"]);
+const contextEvents: ReadonlySet<string> = new Set([
+    "belief",
+    "storeLost",
+    "storeRegained",
+    "serverReach",
+    "stopping",
+    "started",
+]);
 
 /**
  * Tells the story of one request: every line that names it on any host, or another request with the same content, and what the
@@ -49,7 +56,8 @@
 export function summarizeFailures(lines: readonly LogLine[]): readonly Cause[] {
     const causes = new Map<string, Cause>();
     for (const { message, fields } of [...lines].sort(byTime)) {
-        if (message !== "requestFailed") {
+        // What another host failed at is told by the host that answered the caller.
+        if (message !== "requestFailed" || fields["handedOverBy"] !== undefined) {
             continue;
         }
         const kind = textOf(fields["kind"]);
--- a/packages/edge/src/backends/serverLinks.ts
+++ b/packages/edge/src/backends/serverLinks.ts
@@ -18,15 +18,27 @@
 /** Opens them as the host's network has it. */
 export class DirectLinks extends ServerLinks {
     readonly #connect: buildConnector.connector;
+    readonly #localAddress: string | undefined;
 
-    /** @param timeoutMs - time to open a socket */
-    constructor(timeoutMs = connectTimeoutMs) {
+    /**
+     * @param timeoutMs - time to open a socket
+     * @param localAddress - from which it is opened; the system's choice where it is missing
+     */
+    constructor(timeoutMs = connectTimeoutMs, localAddress?: string) {
         super();
+        this.#localAddress = localAddress;
         this.#connect = buildConnector({ timeout: timeoutMs });
     }
 
     override open({ host, port }: ServerAddress, onOpened: OnLinkOpened): void {
-        const options = { hostname: host, port: String(port), protocol: "http:", host: `${host}:${port}` };
+        const localAddress = this.#localAddress;
+        const options = {
+            hostname: host,
+            port: String(port),
+            protocol: "http:",
+            host: `${host}:${port}`,
+            ...(localAddress === undefined ? {} : { localAddress }),
+        };
         this.#connect(options, (...[err, socket]) => onOpened(err ?? socket));
     }
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -21,6 +21,7 @@
 import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
 import {
     balancerNoticesMs,
+    connectTimeoutMs,
     helperConnectTimeoutMs,
     initialKeepAliveMs,
     maximumCallerConnections,
@@ -94,7 +95,7 @@
     const timeline = new StartTimeline(log);
     timeline.reach("programLoaded");
     const firstReading = new FirstReading(clock, () => timeline.reach("stateRead"));
-    const links = parts.links ?? new DirectLinks();
+    const links = parts.links ?? new DirectLinks(connectTimeoutMs, settings.servers.connectFrom);
     const connections = new ServerConnections(links);
     const callers = new CallerConnections();
     const { ratio, slack, windowSeconds } = settings.repeats;
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -27,6 +27,10 @@
         address: socketAddress.describe("where the store is reached"),
         shortestLeaseSeconds: seconds.default(1).describe("shortest lease that the store grants"),
     }),
+    servers: z.object({
+        connectFrom: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/, "expected an address such as 10.0.0.4").optional()
+            .describe("local address from which backend servers are called; the system's choice where it is missing"),
+    }).prefault({}),
     stopping: z.object({
         graceSeconds: seconds.describe("time from the signal to stop until the process is killed"),
     }),
--- a/packages/soak/src/__tests__/faultProxy.test.ts
+++ b/packages/soak/src/__tests__/faultProxy.test.ts
@@ -112,3 +112,20 @@
     fresh.socket.write("c");
     await eventually(() => fresh.received() === "c");
 });
+
+// Guards against a cut of one gateway that harms the others.
+test("a fault of connections from one address leaves those from others alone", async t => {
+    const { proxy, open } = await startWorld(t);
+    proxy.begin("reset", "127.0.1.1");
+    proxy.begin("cutThere", "127.0.1.2");
+    const near = await open();
+    near.socket.write("hello");
+    await eventually(() => near.received() === "hello");
+    proxy.end("cutThere", "127.0.1.2");
+    proxy.begin("cutBack", "127.0.0.1");
+    near.socket.write(" again");
+    const later = await open();
+    later.socket.write("hello");
+    await new Promise(resolve => setTimeout(resolve, 100));
+    assert.deepEqual([near.received(), later.received()], ["hello", ""]);
+});
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -12,6 +12,7 @@
   --seed         the first seed; each further run takes the next one. Default: drawn
   --runs         how many runs. Default: 1
   --regressions  plays the seeds that once found something
+  --cuts         cuts gateways off from all servers as well, as each seed draws it
   --parallel     how many at a time; each has 13 processes or more. Default: 1
   --out          where runs that found something keep their histories and logs
 Exit codes: 0 nothing found, 1 something found, 2 arguments that can't be taken.
@@ -30,7 +31,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir } = options;
+    const { seeds, parallel, dir, cuts } = options;
     const runs = seeds.length;
     // Told to end, it ends what it started: at the process's exit every run kills its own.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -39,7 +40,7 @@
     let failed = 0;
     await Promise.all(Array.from({ length: parallel }, async () => {
         for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-            const result = await runSoak({ system, seed: next, dir });
+            const result = await runSoak({ system, seed: next, dir, cuts });
             failed += result.findings.length > 0 ? 1 : 0;
             report(result);
         }
@@ -69,6 +70,7 @@
     readonly seeds: number[];
     readonly parallel: number;
     readonly dir: string;
+    readonly cuts: boolean;
 }
 
 function readOptions(args: readonly string[]): CommandOptions | undefined {
@@ -80,6 +82,7 @@
                 seed: { type: "string", default: drawn },
                 runs: { type: "string", default: "1" },
                 regressions: { type: "boolean", default: false },
+                cuts: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
                 out: { type: "string", default: join(tmpdir(), "galenaglade-soak") },
             },
@@ -89,7 +92,7 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        return valid ? { seeds, parallel, dir: values.out } : undefined;
+        return valid ? { seeds, parallel, dir: values.out, cuts: values.cuts } : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -4,7 +4,15 @@
 /** How late bytes come while a link is delayed, in milliseconds: above the time to answer a question for load. */
 const delayMs = 120;
 
+interface ActiveFault {
+    readonly fault: LinkFault;
+    /** Only connections from there are harmed; all where it is missing. */
+    readonly from: string | undefined;
+}
+
 interface Link {
+    /** Where it comes from. */
+    readonly from: string;
     readonly near: Socket;
     readonly far: Socket;
     silent: boolean;
@@ -16,7 +24,7 @@
 export class FaultProxy {
     readonly #server: Server;
     readonly #links = new Set<Link>();
-    readonly #faults: LinkFault[] = [];
+    readonly #faults: ActiveFault[] = [];
     readonly #targetPort: number;
     #port = 0;
 
@@ -37,10 +45,15 @@
         return this.#port;
     }
 
-    /** Begins a fault. The same one may be begun several times, and ends as often. */
-    begin(fault: LinkFault): void {
-        this.#faults.push(fault);
-        for (const link of this.#links) {
+    /**
+     * Begins a fault. The same one may be begun several times, and ends as often.
+     *
+     * @param fault - what to do
+     * @param from - address whose connections are harmed; all where it is missing
+     */
+    begin(fault: LinkFault, from?: string): void {
+        this.#faults.push({ fault, from });
+        for (const link of [...this.#links].filter(each => from === undefined || each.from === from)) {
             if (fault === "reset") {
                 reset(link);
             }
@@ -48,8 +61,8 @@
         }
     }
 
-    end(fault: LinkFault): void {
-        const at = this.#faults.indexOf(fault);
+    end(fault: LinkFault, from?: string): void {
+        const at = this.#faults.findIndex(each => each.fault === fault && each.from === from);
         if (at >= 0) {
             this.#faults.splice(at, 1);
         }
@@ -63,23 +76,28 @@
     }
 
     #accept(near: Socket): void {
-        if (this.#faults.includes("reset")) {
+        const from = near.remoteAddress ?? "";
+        if (this.#suffers(from, "reset")) {
             // Its peer may reset it at the same moment.
             near.on("error", () => near.destroy());
             near.resetAndDestroy();
             return;
         }
         const far = connect(this.#targetPort, "127.0.0.1");
-        const link: Link = { near, far, silent: false, late: 0 };
+        const link: Link = { from, near, far, silent: false, late: 0 };
         this.#links.add(link);
-        for (const [from, to, cut] of [[near, far, "cutThere"], [far, near, "cutBack"]] as const) {
-            from.on("data", chunk => this.#pass(link, cut, () => to.write(chunk)));
-            from.on("end", () => this.#pass(link, cut, () => to.end()));
-            from.on("error", () => reset(link));
-            from.on("close", () => this.#forget(link));
+        for (const [source, to, cut] of [[near, far, "cutThere"], [far, near, "cutBack"]] as const) {
+            source.on("data", chunk => this.#pass(link, cut, () => to.write(chunk)));
+            source.on("end", () => this.#pass(link, cut, () => to.end()));
+            source.on("error", () => reset(link));
+            source.on("close", () => this.#forget(link));
         }
     }
 
+    #suffers(from: string, fault: LinkFault): boolean {
+        return this.#faults.some(each => each.fault === fault && (each.from === undefined || each.from === from));
+    }
+
     #forget(link: Link): void {
         if (link.near.destroyed && link.far.destroyed) {
             this.#links.delete(link);
@@ -88,13 +106,13 @@
 
     /** What comes while nothing passes is lost, and with it the rest of the connection: a stream can't go on after a gap. */
     #pass(link: Link, cut: LinkFault, write: () => void): void {
-        if (this.#faults.includes(cut)) {
+        if (this.#suffers(link.from, cut)) {
             link.silent = true;
         }
         if (link.silent) {
             return;
         }
-        if (link.late === 0 && !this.#faults.includes("delay")) {
+        if (link.late === 0 && !this.#suffers(link.from, "delay")) {
             write();
             return;
         }
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -10,6 +10,7 @@
 import { planDeadlyRequests, type PlannedDeadlyRequests } from "./deadlyPlan.js";
 import { type Fault } from "./faults.js";
 import { renderLargePath } from "./largeAnswers.js";
+import { planCuts } from "./cutPlan.js";
 import { planLimit } from "./limitPlan.js";
 import { planNotices } from "./noticePlan.js";
 import { findKeys, findKeysInFiles, findKeysInMetrics } from "./keySearch.js";
@@ -19,6 +20,7 @@
 import { type SoakEdge } from "./soakEdge.js";
 import { rollOut } from "./soakRollout.js";
 import { type SoakSystem } from "./soakSystem.js";
+import { cutGateways } from "./soakCuts.js";
 import { giveNotices, nameLimit } from "./soakNotices.js";
 import { SoakWorld } from "./soakWorld.js";
 import { machineNow } from "./spans.js";
@@ -48,6 +50,8 @@
     readonly dir: string;
     /** Takes the place of the faults that the seed draws. */
     readonly faults?: readonly Fault[] | undefined;
+    /** Whether gateways are cut off from all servers as well, as the seed draws it. */
+    readonly cuts?: boolean | undefined;
 }
 
 const routes: readonly SoakRoute[] = ["read", "read", "file", "moving"];
@@ -66,7 +70,7 @@
     return { ...result, findings: [...result.findings, ...findKeysInFiles(dir)] };
 }
 
-async function play({ system, seed, dir, faults = planFaults(seed) }: SoakOptions): Promise<SoakResult> {
+async function play({ system, seed, dir, faults = planFaults(seed), cuts = false }: SoakOptions): Promise<SoakResult> {
     const workspaces = planWorkspaces(seed, limitsAreKept);
     const world = await SoakWorld.start(system, dir, seed, workspaces?.first);
     const abort = (): void => world.abort();
@@ -94,6 +98,7 @@
         // Servers of a version that is rolled out must not leave by themselves either.
         const { rest, leaving } = planNotices(seed);
         const noticesOver = giveNotices(world, { rest, leaving: rollout === undefined ? leaving : undefined });
+        const cutsOver = cutGateways(world, cuts ? planCuts(seed) : []);
         const workspacesOver = Promise.all([
             load.sendOverload(workspaces?.overload),
             ...(workspaces?.changes ?? []).map(async change => {
@@ -107,6 +112,7 @@
             deadlyOver,
             limitOver,
             noticesOver,
+            cutsOver,
             workspacesOver,
         ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -112,6 +112,7 @@
     availabilityZone: string,
     ports: EdgePorts,
     storePort: number,
+    serversFrom: string,
 ): string {
     return stringify({
         name,
@@ -122,6 +123,7 @@
             peers: `127.0.0.1:${ports.peers}`,
             metrics: `127.0.0.1:${ports.metrics}`,
         },
+        servers: { connectFrom: serversFrom },
         store: { address: `127.0.0.1:${storePort}`, shortestLeaseSeconds },
         stopping: { graceSeconds: graceMs / 1_000 },
         repeats: { ratio: repeatRatio, slack: repeatSlack, windowSeconds: repeatWindowMs / 1_000 },
--- /dev/null
+++ b/packages/soak/src/soakCuts.ts
@@ -0,0 +1,59 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { type PlannedCut } from "./cutPlan.js";
+import { type LinkFault } from "./faults.js";
+import { type SoakBackend } from "./soakBackend.js";
+import { type SoakEdge } from "./soakEdge.js";
+import { type SoakWorld } from "./soakWorld.js";
+
+interface ActiveCut {
+    readonly link: LinkFault;
+    /** The address from which a gateway connects to servers. */
+    readonly from: string;
+}
+
+/** Gateways that are cut off from all backend servers at the moment, those that start meanwhile included. */
+export class ActiveCuts {
+    readonly #cuts = new Set<ActiveCut>();
+
+    /** A server has started: cut-off gateways don't reach it either. */
+    onStarted({ proxy }: SoakBackend): void {
+        for (const { link, from } of this.#cuts) {
+            proxy.begin(link, from);
+        }
+    }
+
+    /** Cuts gateways off. @returns ends it */
+    begin(
+        edges: readonly SoakEdge[],
+        backends: readonly SoakBackend[],
+        link: LinkFault,
+    ): (now: readonly SoakBackend[]) => void {
+        const cuts = edges.map(({ serversFrom }): ActiveCut => ({ link, from: serversFrom }));
+        for (const cut of cuts) {
+            this.#cuts.add(cut);
+            backends.forEach(({ proxy }) => proxy.begin(link, cut.from));
+        }
+        return now => {
+            for (const cut of cuts) {
+                this.#cuts.delete(cut);
+                now.forEach(({ proxy }) => proxy.end(link, cut.from));
+            }
+        };
+    }
+}
+
+/** Cuts gateways off as a run's plan has it. */
+export async function cutGateways(world: SoakWorld, cuts: readonly PlannedCut[]): Promise<void> {
+    await Promise.all(cuts.map(async ({ atMs, forMs, target, others, link, flapMs }) => {
+        await sleep(atMs);
+        const count = Math.min(others + 1, world.edges.length);
+        const edges = Array.from({ length: count }, (_, i) => world.edges[(target + i) % world.edges.length])
+            .filter(edge => edge !== undefined);
+        for (let leftMs = forMs; leftMs > 0;) {
+            const downMs = Math.min(leftMs, flapMs ?? leftMs);
+            await world.cutOff(edges, link, downMs);
+            await sleep(Math.min(leftMs - downMs, flapMs ?? 0));
+            leftMs -= 2 * downMs;
+        }
+    }));
+}
--- a/packages/soak/src/soakEdge.ts
+++ b/packages/soak/src/soakEdge.ts
@@ -30,6 +30,8 @@
 export class SoakEdge {
     readonly name: string;
     readonly storeProxy: FaultProxy;
+    /** The address from which it calls backend servers, by which their proxies tell gateways apart. */
+    readonly serversFrom: string;
     /** When it was stopped, paused or killed: what callers got then proves nothing. */
     readonly harmed = new Spans();
     readonly findings: string[] = [];
@@ -46,9 +48,11 @@
         readonly storeProxy: FaultProxy;
         readonly ports: EdgePorts;
         readonly settingsPath: string;
+        readonly serversFrom: string;
     }) {
         this.name = name;
         this.storeProxy = more.storeProxy;
+        this.serversFrom = more.serversFrom;
         this.#system = system;
         this.#random = random;
         this.#logPath = join(dir, `${name}.log`);
@@ -64,13 +68,14 @@
         random: RandomSource,
         dir: string,
         storePort: number,
+        serversFrom: string,
     ): Promise<SoakEdge> {
         const storeProxy = await FaultProxy.start(storePort);
         const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
         const ports = { callers, readiness, peers, metrics };
         const settingsPath = join(dir, `${name}.yaml`);
-        writeFileSync(settingsPath, renderEdgeSettings(name, availabilityZone, ports, storeProxy.port));
-        const edge = new SoakEdge(name, system, random, dir, { storeProxy, ports, settingsPath });
+        writeFileSync(settingsPath, renderEdgeSettings(name, availabilityZone, ports, storeProxy.port, serversFrom));
+        const edge = new SoakEdge(name, system, random, dir, { storeProxy, ports, settingsPath, serversFrom });
         await edge.#live();
         void edge.#askForReadiness();
         return edge;
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -11,12 +11,13 @@
     serversPerService,
     services,
 } from "./constants.js";
-import { type Fault } from "./faults.js";
+import { type Fault, type LinkFault } from "./faults.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
 import { SoakStore } from "./soakStore.js";
 import { zoneAt } from "./soakZones.js";
 import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
+import { ActiveCuts } from "./soakCuts.js";
 import { SoakBackend } from "./soakBackend.js";
 import { harmLink, harmServer } from "./harm.js";
 import { machineNow, Spans } from "./spans.js";
@@ -53,6 +54,7 @@
     readonly #dir: string;
     readonly #random: RandomSource;
     readonly #store: SoakStore;
+    readonly #cuts = new ActiveCuts();
     readonly #live: SoakBackend[] = [];
     readonly #leaving = new Set<SoakBackend>();
     readonly #zonesOut = new Set<string>();
@@ -111,6 +113,7 @@
                     createRandomSource(seed + 10 + i),
                     this.#dir,
                     this.#store.port,
+                    `127.0.1.${i + 1}`,
                 ),
             );
         }
@@ -196,6 +199,15 @@
         }
     }
 
+    /** Gateways reach no backend server for a while. */
+    cutOff(edges: readonly SoakEdge[], link: LinkFault, forMs: number): Promise<void> {
+        return this.#harm(async () => {
+            const end = this.#cuts.begin(edges, this.backends, link);
+            await sleep(forMs);
+            end(this.backends);
+        });
+    }
+
     /** @returns a server that has not begun to leave, once there is one */
     async pickLive(target: number): Promise<SoakBackend> {
         await this.#whenServersLive();
@@ -276,6 +288,7 @@
         const place = { id: `server-${number}`, service, availabilityZone, version };
         const backend = await SoakBackend.start(place, this.#system, this.#dir, number);
         this.backends.push(backend);
+        this.#cuts.onStarted(backend);
         void backend.exited.then(() => this.#onExited(backend));
         await backend.trouble(trouble);
         if (version === firstServerVersion) {
