Count a service's servers when something is heard too, and end the wait for a doubt with the request

A service of many servers was taken for one of a single server whenever an answer came on a kept connection: three new connections refused by one dead server were a doubt then, with questions to other gateways and checks. A request that waits until a doubt is settled stops waiting when its time is over: with four silent gateways asked three times that is 0.9 s, and a route may have less.

--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -23,10 +23,7 @@
 
 /** A request that was handed to another gateway. */
 export interface StartedHandover {
-    readonly helper: RegisteredGateway;
     readonly handover: Handover;
-    /** Servers on which that gateway may run it. */
-    readonly runs: number;
     readonly result: Promise<HandoverResult>;
 }
 
@@ -110,7 +107,7 @@
             this.#onEnded(helper, connection, runs, ended);
             return ended;
         });
-        return { helper, handover, runs, result };
+        return { handover, result };
     }
 
     #createOrder(runs: number): HandoverOrder {
--- a/packages/edge/src/reach/serverReach.ts
+++ b/packages/edge/src/reach/serverReach.ts
@@ -67,8 +67,8 @@
         const { view } = this.#parts;
         const nowMs = this.#nowMs();
         const reach = this.#reachOf(contact.service);
-        const servers = contact.end === "heard" ? 0 : view.usableServers(contact.service, nowMs).length;
-        this.#note(contact.service, reach.onContact(contact, servers, nowMs));
+        const countServers = (): number => view.usableServers(contact.service, nowMs).length;
+        this.#note(contact.service, reach.onContact(contact, countServers, nowMs));
     }
 
     /** @returns whether this host reaches a service, as far as is known */
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -11,6 +11,7 @@
 } from "../backends/sendRequest.js";
 import { heldAnswerBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
+import { type ReachState } from "@galenaglade/reachability";
 import { type LogFields } from "@galenaglade/telemetry";
 import { ExchangeHandover, hasReachedNoServer } from "../handover/exchangeHandover.js";
 import { awaitFirst } from "./awaitFirst.js";
@@ -249,7 +250,7 @@
     async #findTarget(purpose: Purpose): Promise<Target | NoPlace> {
         const { reach } = this.#parts;
         const service = this.#request.rules.name;
-        if (this.#handover.isAllowed && await reach.whenSettled(service) !== "reached") {
+        if (this.#handover.isAllowed && await this.#whenSettled() !== "reached") {
             const helper = this.#chooseHelper();
             if (helper !== undefined) {
                 return { type: "gateway", helper };
@@ -264,10 +265,18 @@
         }
         // The search itself may have shown that no server is reached.
         const mayHelp = (place === "noOffer" || place === "noneGood") && this.#handover.isAllowed;
-        const helper = mayHelp && await reach.whenSettled(service) === "lost" ? this.#chooseHelper() : undefined;
+        const helper = mayHelp && await this.#whenSettled() === "lost" ? this.#chooseHelper() : undefined;
         return helper === undefined ? place : { type: "gateway", helper };
     }
 
+    /** @returns whether this host reaches the service, once that is known or the request's time is over */
+    async #whenSettled(): Promise<ReachState> {
+        const { reach } = this.#parts;
+        const service = this.#request.rules.name;
+        await awaitFirst([reach.whenSettled(service)], this.#signal, undefined);
+        return reach.stateOf(service);
+    }
+
     /** @returns a gateway that reaches the service, as far as is known */
     #chooseHelper(): RegisteredGateway | undefined {
         const { reach } = this.#parts;
--- a/packages/reachability/src/__tests__/serviceReach.test.ts
+++ b/packages/reachability/src/__tests__/serviceReach.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { type Contact, type ContactEnd, type ReachState, ServiceReach } from "../index.js";
 
-const servers = 6;
+const servers = (): number => 6;
 
 function contact(server: number, end: ContactEnd, startedAtMs: number, isNewConnection = false): Contact {
     return { service: "tables", serverId: `server-${server}`, isNewConnection, end, startedAtMs };
@@ -68,7 +68,7 @@
 // Guards against a service of one or two servers whose loss is never noticed.
 test("in a small service fewer servers are enough", () => {
     const reach = new ServiceReach();
-    [0, 100, 200].forEach(atMs => reach.onContact(contact(0, "refused", atMs), 1, atMs + 1));
+    [0, 100, 200].forEach(atMs => reach.onContact(contact(0, "refused", atMs), () => 1, atMs + 1));
     assert.equal(reach.state, "doubted");
 });
 
@@ -120,3 +120,13 @@
         false,
     ]);
 });
+
+// Guards against one dead server that every new connection goes to, taken for links that open none.
+test("new connections that fail to one server of several are no doubt, whatever is heard on kept ones", () => {
+    const reach = new ServiceReach();
+    for (let atMs = 0; atMs < 2_000; atMs += 200) {
+        reach.onContact(contact(0, "refused", atMs, true), servers, atMs + 1);
+        reach.onContact(contact(1, "heard", atMs + 2), servers, atMs + 3);
+        assert.equal(reach.state, "reached");
+    }
+});
--- a/packages/reachability/src/contactEvidence.ts
+++ b/packages/reachability/src/contactEvidence.ts
@@ -43,12 +43,12 @@
     }
 
     /**
-     * @param servers - of the service, that may be given work
+     * @param countServers - counts those of the service that may be given work
      * @returns why the links are doubted; `undefined` where they aren't
      */
-    findLoss(servers: number, nowMs: number): LossEvidence | undefined {
-        return describe("all", this.#failed, this.#heardAtMs, servers, nowMs)
-            ?? describe("newConnections", this.#failedOnNew, this.#heardOnNewAtMs, servers, nowMs);
+    findLoss(countServers: () => number, nowMs: number): LossEvidence | undefined {
+        return describe("all", this.#failed, this.#heardAtMs, countServers, nowMs)
+            ?? describe("newConnections", this.#failedOnNew, this.#heardOnNewAtMs, countServers, nowMs);
     }
 
     #onHeard({ startedAtMs, isNewConnection }: Contact): void {
@@ -81,15 +81,16 @@
     kind: LossKind,
     failed: readonly FailedContact[],
     heardAtMs: number | undefined,
-    servers: number,
+    countServers: () => number,
     nowMs: number,
 ): LossEvidence | undefined {
+    if (failed.length < doubtedExchanges) {
+        return undefined;
+    }
     const failedServers = new Set(failed.map(({ serverId }) => serverId)).size;
     const forMs = nowMs - Math.min(...failed.map(({ startedAtMs }) => startedAtMs));
-    if (
-        forMs < doubtedForMs[kind] || failed.length < doubtedExchanges
-        || failedServers < Math.min(doubtedServers, Math.max(1, servers))
-    ) {
+    const wanted = Math.min(doubtedServers, Math.max(1, countServers()));
+    if (forMs < doubtedForMs[kind] || failedServers < wanted) {
         return undefined;
     }
     const ends: Partial<Record<ContactEnd, number>> = {};
--- a/packages/reachability/src/serviceReach.ts
+++ b/packages/reachability/src/serviceReach.ts
@@ -47,13 +47,13 @@
         return nowMs - (this.#evidence.heardAtMs ?? -Infinity);
     }
 
-    /** An exchange with a server has ended. @param servers - of the service, that may be given work */
-    onContact(contact: Contact, servers: number, nowMs: number): ReachChange | undefined {
+    /** An exchange with a server has ended. @param countServers - counts those of the service that may be given work */
+    onContact(contact: Contact, countServers: () => number, nowMs: number): ReachChange | undefined {
         this.#evidence.onContact(contact);
         if (this.#state === "lost") {
             return undefined;
         }
-        this.#loss = this.#evidence.findLoss(servers, nowMs);
+        this.#loss = this.#evidence.findLoss(countServers, nowMs);
         if (this.#loss === undefined) {
             return this.#enter("reached", nowMs);
         }
