--- a/packages/edge/src/__tests__/cutCrashReports.test.ts
+++ b/packages/edge/src/__tests__/cutCrashReports.test.ts
@@ -8,13 +8,14 @@
 test("a gateway whose links are reset reports no crash of a server", async t => {
     const fleet = await CutFleet.start(t, 3);
     fleet.serve = () => undefined;
-    const waiting = Array.from({ length: 6 }, () => fleet.send(0, "POST"));
-    await eventually(() => fleet.backends.flatMap(({ served }) => served()).length === 6, "servers have them");
+    // Beside load some find no server in time; six are enough to have their content kept from all servers.
+    const waiting = Array.from({ length: 18 }, () => fleet.send(0, "POST"));
+    await eventually(() => fleet.backends.flatMap(({ served }) => served()).length >= 6, "servers have six of them");
     fleet.cut(0, "reset");
     await Promise.all(waiting);
     await sleep(1_000);
     const lost = fleet.edgeOf(0).logs.filter(line => line["message"] === "sendLost");
-    assert.equal(lost.length, 6);
+    assert.ok(lost.length >= 6, `${lost.length} lost`);
     assert.deepEqual(lost.filter(line => line["server"] === "ended"), []);
     assert.deepEqual(fleet.edgeOf(0).logs.filter(line => line["message"] === "contentJudged"), []);
 });
