Say in the log how long ago what a gateway believes was surely current

`sinceStoreMs` counts from any word of the store, also from a check that is answered by a reading which may be seconds old. `sinceCurrentMs` counts from the last answer to a watch or a whole reading, this gateway's own or the one that its relay rests on; the relay's answer carries it, optional for older programs.

--- a/packages/edge/src/__tests__/contact.test.ts
+++ b/packages/edge/src/__tests__/contact.test.ts
@@ -9,6 +9,7 @@
 class TestFeed extends RelayFeed {
     override readonly reachesStore = false;
     override readonly ageMs = 0;
+    override readonly currentAgeMs = undefined;
     override heardForMs: number | undefined = 1_234;
     questions = 0;
 
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -10,7 +10,7 @@
 import { HandoverHandler, refuseHandover } from "../handover/handoverServer.js";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left } from "purify-ts";
-import { heldBodyBytes, surelyCurrentMs } from "../constants.js";
+import { heldBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { Exchange } from "../requests/exchange.js";
 import { type ExchangeEnd } from "../requests/exchangeAnswers.js";
@@ -18,6 +18,7 @@
 import { type HeldAnswer } from "../backends/sendRequest.js";
 import { CallerSink, writeAnswer } from "./answerWriter.js";
 import { type FirstReading } from "../state/firstReading.js";
+import { isSurelyCurrent } from "../state/surelyCurrent.js";
 import { type CallerConnections } from "./callerConnections.js";
 import { type StartGate } from "./startGate.js";
 
@@ -131,7 +132,7 @@
     #doubtAbsence(failure: Failure, nowMs: number): Failure {
         const { view, random } = this.#parts;
         const claimsAbsence = failure.kind === "noSuchService" || failure.kind === "unauthenticated";
-        if (!claimsAbsence || nowMs - view.lastContactMs <= surelyCurrentMs) {
+        if (!claimsAbsence || isSurelyCurrent(view, nowMs)) {
             return failure;
         }
         const retryAfterSeconds = resolveComeBack("noServer", 0, random);
@@ -337,6 +338,7 @@
             ...more?.exchange.describe(),
             aborted: more?.signal.aborted === true ? String(more.signal.reason) : undefined,
             sinceStoreMs: Math.round(nowMs - view.lastContactMs),
+            sinceCurrentMs: Math.round(nowMs - view.currentAsOfMs),
         });
     }
 }
--- a/packages/edge/src/state/relayMessages.ts
+++ b/packages/edge/src/state/relayMessages.ts
@@ -38,6 +38,8 @@
     deleted: z.array(z.string()),
     /** How long ago the store was heard, in milliseconds. */
     ageMs: z.number(),
+    /** How long ago these changes were the store's whole present state, in milliseconds; missing where that isn't known. */
+    currentAgeMs: z.number().min(0).optional(),
     /** For how long the store was heard without an outage, in milliseconds; missing where that isn't known. */
     heardForMs: z.number().min(0).optional(),
 });
--- a/packages/edge/src/state/relayServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -9,6 +9,8 @@
     abstract readonly reachesStore: boolean;
     /** How long ago the store was heard. */
     abstract readonly ageMs: number;
+    /** How long ago what this gateway holds was the store's whole present state; `undefined` where that isn't known. */
+    abstract readonly currentAgeMs: number | undefined;
     /** For how long the store has been heard without an outage; `undefined` where that isn't known. */
     abstract readonly heardForMs: number | undefined;
     /** Another gateway asks: from now on this one should read the store itself. */
@@ -89,7 +91,7 @@
     }
 
     #answerIfDue(waiting: Waiting, timeIsOver: boolean): void {
-        const { reachesStore, ageMs, heardForMs } = this.#teller;
+        const { reachesStore, ageMs, currentAgeMs, heardForMs } = this.#teller;
         if (this.#stopped || (!reachesStore && timeIsOver)) {
             this.#answer(waiting, relayStatus.away, noBody);
             return;
@@ -104,7 +106,7 @@
             return;
         }
         if (timeIsOver || changes.changed.length + changes.deleted.length > 0) {
-            const answer: RelayAnswer = { ...changes, ageMs, heardForMs };
+            const answer: RelayAnswer = { ...changes, ageMs, currentAgeMs, heardForMs };
             this.#answer(waiting, relayStatus.told, JSON.stringify(answer));
         }
     }
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -95,6 +95,11 @@
         return Math.max(0, this.#now() - this.#parts.view.lastContactMs);
     }
 
+    override get currentAgeMs(): number | undefined {
+        const ageMs = this.#now() - this.#parts.view.currentAsOfMs;
+        return Number.isFinite(ageMs) ? Math.max(0, ageMs) : undefined;
+    }
+
     override get heardForMs(): number | undefined {
         return this.#parts.view.heardForMs(this.#now());
     }
@@ -187,6 +192,7 @@
             Right: ({ revision, entries, items }) => {
                 const isFirst = !view.isRead;
                 this.#onContact("list");
+                view.onCurrent(startedAtMs);
                 this.#afterRevision = revision;
                 this.#mirror.onReading(revision, entries);
                 this.#report(view.onReading(items, this.#now()));
@@ -229,6 +235,8 @@
             },
             Right: events => {
                 this.#onContact("watch");
+                // One that waited tells the state as it was answered.
+                this.#parts.view.onCurrent(waitMs > 0 ? this.#now() : startedAtMs);
                 this.#learn(events);
                 // A store that answers a watch at once without changes must not be asked in a tight loop.
                 const cameEarly = waitMs > 0 && this.#now() - startedAtMs < watchPauseMs;
@@ -260,12 +268,14 @@
                     detail: failure.detail,
                     tookMs: Math.round(this.#now() - askedAtMs),
                     sinceStoreMs: Math.round(this.#now() - this.#parts.view.lastContactMs),
+                    sinceCurrentMs: this.#describeCurrentAge(),
                 });
                 return 0;
             },
             Right: answer => {
                 if (!peer.known) {
-                    log.log("info", "relayChosen", { peer: peer.name, revision: answer.revision, ageMs: answer.ageMs });
+                    const { revision, ageMs, currentAgeMs } = answer;
+                    log.log("info", "relayChosen", { peer: peer.name, afterRevision, revision, ageMs, currentAgeMs });
                 }
                 metrics.onRelayRequest("answered");
                 this.#sources.onAnswer(peer.name);
@@ -291,7 +301,7 @@
     async #checkWatch(): Promise<void> {
         const suspicion = this.reachesStore ? await this.#check.run() : undefined;
         if (suspicion !== undefined) {
-            this.#parts.log.log("warn", "storeSuspected", suspicion);
+            this.#parts.log.log("warn", "storeSuspected", { ...suspicion, sinceCurrentMs: this.#describeCurrentAge() });
             this.#confirmed = false;
             this.#parts.onChanged();
             this.#turnNow();
@@ -337,6 +347,11 @@
         return this.#contact.onFailed(call, failure, startedAtMs);
     }
 
+    #describeCurrentAge(): number | undefined {
+        const { currentAgeMs } = this;
+        return currentAgeMs === undefined ? undefined : Math.round(currentAgeMs);
+    }
+
     #now(): number {
         return this.#parts.clock.monotonicMs();
     }
@@ -344,8 +359,16 @@
     #report(beliefs: readonly BeliefChange[]): void {
         const { log, view, onChange } = this.#parts;
         const sinceStoreMs = Math.round(this.#now() - view.lastContactMs);
+        const sinceCurrentMs = this.#describeCurrentAge();
         for (const { subject, name, change } of beliefs) {
-            log.log("info", "belief", { subject, name, change, revision: this.#afterRevision, sinceStoreMs });
+            log.log("info", "belief", {
+                subject,
+                name,
+                change,
+                revision: this.#afterRevision,
+                sinceStoreMs,
+                sinceCurrentMs,
+            });
         }
         if (beliefs.length > 0) {
             onChange();
--- a/packages/edge/src/state/storeContact.ts
+++ b/packages/edge/src/state/storeContact.ts
@@ -49,10 +49,13 @@
     }
 
     /** Another gateway passed on what it heard of the store. */
-    onPassedOn({ ageMs, heardForMs }: Pick<RelayAnswer, "ageMs" | "heardForMs">): void {
+    onPassedOn({ ageMs, currentAgeMs, heardForMs }: Pick<RelayAnswer, "ageMs" | "currentAgeMs" | "heardForMs">): void {
         const { view, clock } = this.#parts;
         const nowMs = clock.monotonicMs();
         this.#onHeard(view.onContact(nowMs, ageMs));
+        if (currentAgeMs !== undefined) {
+            view.onCurrent(nowMs - currentAgeMs);
+        }
         if (heardForMs !== undefined) {
             view.onHeardElsewhere(heardForMs, nowMs);
         }
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -45,6 +45,7 @@
     #crashReportChanges = 0;
     #inForce: ConfigurationInForce | undefined;
     #lastContactMs = -Infinity;
+    #currentAsOfMs = -Infinity;
     #awaySinceMs: number | undefined;
     /** Since when the store has been heard without an outage; `undefined` where that isn't known. */
     #heardSinceMs: number | undefined;
@@ -65,6 +66,19 @@
         return this.#lastContactMs;
     }
 
+    /**
+     * Until when what is believed is known to be the store's present state. Contact alone doesn't show it: a cheap reading may be
+     * seconds old, and tells of no change that came since.
+     */
+    get currentAsOfMs(): number {
+        return this.#currentAsOfMs;
+    }
+
+    /** What is believed was the store's whole state at that time, by a reading that can't be old. */
+    onCurrent(asOfMs: number): void {
+        this.#currentAsOfMs = Math.max(this.#currentAsOfMs, asOfMs);
+    }
+
     /**
      * The store answered, whether with changes or without.
      *
