Test that a silent watch delays no change while cheap readings are old; it fails

Callers saw a 404 for a route 2.47 s after its version was acknowledged, by a host that had heard the store within 2 s. On virtual time, with readings up to 6 s old: in force 2,077 ms after the acknowledgement (life 1), and 66 looks at which a gateway would have denied a route of a version that had to be in force (life 2). Four in a hundred draws of a short silence with readings 5 s old are late, up to 2,825 ms.

--- a/packages/edge/src/__tests__/storeReturn.test.ts
+++ b/packages/edge/src/__tests__/storeReturn.test.ts
@@ -1,6 +1,7 @@
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { isSurelyCurrent } from "../state/surelyCurrent.js";
 import { SimulatedFleet, type SimulatedGateway } from "./support/simulatedGateways.js";
 import { createConfiguration } from "./support/testEdge.js";
 import { type Absence, TroubledStore } from "./support/troubledStore.js";
@@ -36,6 +37,9 @@
     readonly staleMs?: number;
 }
 
+/** How often what each gateway would answer is looked at. */
+const lookMs = 50;
+
 function draw<T>(random: RandomSource, values: readonly T[]): T {
     return values[Math.floor(random.next() * values.length)] as T;
 }
@@ -64,6 +68,7 @@
     readonly awayPrice: number;
     /** Until some seconds after the return. */
     readonly price: number;
+    readonly wrongDenials: number;
 }
 
 /** Gateways over a store that is away again and again. */
@@ -114,9 +119,9 @@
         }
         await this.#time.pass(Math.max(0, returnedAtMs + herdMs - ackedAtMs));
         const herd = { reads: store.calls.reads - reads, writes: store.calls.writes - writes, awayPrice };
-        await this.#time.pass(afterMs);
+        const wrongDenials = await this.#countWrongDenials(ackedAtMs);
         const price = store.calls.price - priceBefore;
-        const measured = { ...this.#findLatest(ackedAtMs), ...herd, price };
+        const measured = { ...this.#findLatest(ackedAtMs), ...herd, price, wrongDenials };
         if (relay !== undefined) {
             relay.link.cut = false;
         }
@@ -128,6 +133,20 @@
         this.#time.clear();
     }
 
+    /** @returns how often a gateway would have denied a route that came with a version which has to be in force */
+    async #countWrongDenials(ackedAtMs: number): Promise<number> {
+        let wrong = 0;
+        const untilMs = this.#time.monotonicMs() + afterMs;
+        for (let nowMs = this.#time.monotonicMs(); nowMs < untilMs; nowMs = this.#time.monotonicMs()) {
+            for (const { isDead, view, inForceAtMs } of this.#fleet.gateways) {
+                const isLate = nowMs > ackedAtMs + inForceWithinMs && !inForceAtMs.has(this.#version);
+                wrong += !isDead && isLate && isSurelyCurrent(view, nowMs) ? 1 : 0;
+            }
+            await this.#time.pass(lookMs);
+        }
+        return wrong;
+    }
+
     /** @returns what calls cost meanwhile */
     async #stayAway({ how, relay: trouble, awayMs }: Outage, relay: SimulatedGateway | undefined): Promise<number> {
         if (how === "watchesSilent") {
@@ -238,3 +257,55 @@
         world.stop();
     }
 });
+
+const staleSizes = [
+    { gateways: 13, zones: 3, lives: 60, outages: 1 },
+    { gateways: 131, zones: 4, lives: 2, outages: 2 },
+    { gateways: 312, zones: 6, lives: 1, outages: 1 },
+];
+const longestStaleMs = 6_000;
+
+function drawStaleOutage(random: RandomSource): Outage {
+    const outage = drawOutage(random);
+    const isShort = random.next() < 0.5;
+    const awayMs = isShort ? random.next() * 600 : outage.awayMs;
+    return { ...outage, awayMs, staleMs: random.next() * longestStaleMs };
+}
+
+// Guards against a watch whose connection went silent, where a check that shows nothing missing rests on a reading older than the change.
+for (const { lives, outages, ...size } of staleSizes) {
+    test(`a silent watch delays no change with ${size.gateways} gateways, however old cheap readings are`, async t => {
+        const time = VirtualTime.install(t);
+        let worstMs = 0;
+        for (let life = 0; life < lives * more; life++) {
+            const seed = size.gateways * 20_000 + life;
+            const random = createRandomSource(seed);
+            const world = new OutageWorld(time, createRandomSource(seed), size);
+            await time.pass(settleMs);
+            for (let i = 0; i < outages; i++) {
+                const outage = drawStaleOutage(random);
+                const { latestMs, who } = await world.play(outage);
+                const where = `${who?.name} of life ${life}, outage ${i}`;
+                assert.ok(latestMs <= inForceWithinMs, `${where}: ${latestMs} ms after ${describe(outage, who)}`);
+                worstMs = Math.max(worstMs, latestMs);
+            }
+            world.stop();
+        }
+        t.diagnostic(`latest after ${Math.round(worstMs)} ms`);
+    });
+}
+
+// Guards against a 404 or 401 by a gateway that heard the store lately and can't know that the route or key isn't there.
+test("a gateway that may lack a change denies no route", async t => {
+    const time = VirtualTime.install(t);
+    const size = { gateways: 13, zones: 3 };
+    for (let life = 0; life < 40 * more; life++) {
+        const random = createRandomSource(size.gateways * 30_000 + life);
+        const world = new OutageWorld(time, random, size);
+        await time.pass(settleMs);
+        const outage = drawStaleOutage(random);
+        const { wrongDenials, who } = await world.play(outage);
+        assert.equal(wrongDenials, 0, `life ${life}: ${describe(outage, who)}`);
+        world.stop();
+    }
+});
