Find out a silent watch by its own limit, and deny a route only by a state that is surely current

Callers of one host got 404 for a route 2.47 s after its version was acknowledged.

Cause: whether a watch is alive was judged by a reading that may be seconds old. Where the connection had gone silent and the reading was older than the change, nothing showed but the watch's own limit, 3.3 s, while changes must be in force after 2 s. The same reading counted as contact, so that the host held its view to be current and denied the route. The class: a word that may be old is taken for one that is present.

Ruled out: a view that is rebuilt late, or a position past the change. The property test finds late changes with silent watches only, and each late gateway's log ends with an answer of a relay whose state was as old as its watch (sinceCurrentMs).

Change: a watch waits for 1 s and must be answered 0.5 s after that; one that isn't, while other calls were answered, is opened anew without waiting, and the store isn't taken for lost. Absence (404, 401) is claimed only by the age of the last state that was surely the store's, which relays pass on.

Costs: a relay makes a watch call a second, in place of one in 2.5 s.

--- a/packages/edge/src/__tests__/support/troubledStore.ts
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -177,7 +177,7 @@
     }
 
     override async watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>> {
-        const { prefix, afterRevision, waitMs, signal } = req;
+        const { prefix, afterRevision, waitMs, slackMs, signal } = req;
         if (afterRevision < this.#store.historyFrom) {
             return await this.#call("reads", 1, () => Left(createFailure("storeHistoryLost", "compacted")));
         }
@@ -187,17 +187,18 @@
             return { ...seen, revision: Math.max(afterRevision, seen.revision) };
         };
         const sentAtMs = this.#store.time.monotonicMs();
-        const first = await this.#call("reads", 1, nowMs => Right(find(nowMs)), { signal, waitMs });
+        const first = await this.#call("reads", 1, nowMs => Right(find(nowMs)), { signal, waitMs, slackMs });
         const isQuiet = first.map(seen => seen.changed.length + seen.deleted.length === 0).orDefault(false);
         const untilMs = sentAtMs + waitMs;
         return isQuiet && waitMs > 0 && signal?.aborted !== true
-            ? await this.#wait(find, untilMs, signal)
+            ? await this.#wait(find, untilMs, slackMs, signal)
             : first;
     }
 
     #wait(
         find: (nowMs: number) => WatchEvents,
         untilMs: number,
+        slackMs: number | undefined,
         signal: AbortSignal | undefined,
     ): Promise<Either<Failure, WatchEvents>> {
         const store = this.#store;
@@ -227,7 +228,7 @@
                     end(Right(find(store.time.monotonicMs())));
                 }
             }, untilMs - nowMs);
-            const lost = setTimeout(() => end(this.#fail("silent")), untilMs - nowMs + callTimeoutMs);
+            const lost = setTimeout(() => end(this.#fail("silent")), untilMs - nowMs + (slackMs ?? callTimeoutMs));
             signal?.addEventListener("abort", () => end(this.#fail("silent")), { once: true });
         });
     }
@@ -237,7 +238,8 @@
         kind: "reads" | "writes",
         price: number,
         run: (nowMs: number) => Either<Failure, T>,
-        { signal, waitMs = 0 }: { readonly signal?: AbortSignal | undefined; readonly waitMs?: number; } = {},
+        { signal, waitMs = 0, slackMs = callTimeoutMs }: Partial<Pick<WatchRequest, "signal" | "waitMs" | "slackMs">> =
+            {},
     ): Promise<Either<Failure, T>> {
         const store = this.#store;
         store.calls[kind]++;
@@ -251,10 +253,10 @@
             const isSilent = this.cut || absence === "silent";
             const answerMs = absence === "slow" ? slowAnswerMs : usualAnswerMs;
             const timer = isSilent
-                ? setTimeout(() => settle(this.#fail("silent")), callTimeoutMs + waitMs)
+                ? setTimeout(() => settle(this.#fail("silent")), slackMs + waitMs)
                 : setTimeout(() => {
                     if (this.cut) {
-                        setTimeout(() => settle(this.#fail("silent")), callTimeoutMs + waitMs);
+                        setTimeout(() => settle(this.#fail("silent")), slackMs + waitMs);
                         return;
                     }
                     settle(
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -31,8 +31,12 @@
 /** Pause between two calls of the store's watch that brought changes, so that changes come in batches. */
 export const watchPauseMs = 250;
 
-/** Longest time that the store holds a watch open: a connection gone silent is found out this long after. */
-export const watchWaitMs = 2_500;
+/**
+ * Longest time that the store holds a watch open, and the time beyond it in which the answer must come, in milliseconds. Nothing else finds
+ * out a connection that went silent while cheap readings are old, and a change must be in force after 2 s.
+ */
+export const watchWaitMs = 1_000;
+export const watchSlackMs = 500;
 
 /** Pauses after a failed write to the store: doubled from the first to the last, each drawn from half to the whole. */
 export const firstStorePauseMs = 150;
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -9,6 +9,7 @@
     StoreMirror,
 } from "@galenaglade/fleet-state";
 import { type WatchEvents } from "@galenaglade/platform";
+import { type LogFields } from "@galenaglade/telemetry";
 import {
     expiryTickMs,
     firstWatchPauseMs,
@@ -16,6 +17,7 @@
     shortestProbePeriodMs,
     storeProbeTimeoutMs,
     watchPauseMs,
+    watchSlackMs,
     watchWaitMs,
 } from "../constants.js";
 import { OutageInquiry } from "./outageInquiry.js";
@@ -217,10 +219,10 @@
         const { store, codec } = this.#parts;
         const startedAtMs = this.#now();
         // While nobody knows whether the store is reached, a watch that waits would say so seconds later.
-        const waitMs = this.#confirmed ? watchWaitMs : 0;
+        const wait = this.#confirmed ? { waitMs: watchWaitMs, slackMs: watchSlackMs } : { waitMs: 0 };
         const { signal } = this.#turn;
         this.#watchingSinceMs = startedAtMs;
-        const seen = await store.watch({ prefix: codec.prefix, afterRevision, waitMs, signal });
+        const seen = await store.watch({ prefix: codec.prefix, afterRevision, ...wait, signal });
         this.#watchingSinceMs = undefined;
         if (signal.aborted) {
             return 0;
@@ -231,15 +233,20 @@
                     this.#afterRevision = undefined;
                     return 0;
                 }
+                if (failure.kind === "storeOutcomeUnknown" && this.#parts.view.lastContactMs > startedAtMs) {
+                    // Other calls were answered meanwhile: the connection is dead, not the store.
+                    this.#suspect({ kind: "silent", waitedMs: Math.round(this.#now() - startedAtMs) });
+                    return 0;
+                }
                 return this.#onFailure("watch", failure, startedAtMs);
             },
             Right: events => {
                 this.#onContact("watch");
                 // One that waited tells the state as it was answered.
-                this.#parts.view.onCurrent(waitMs > 0 ? this.#now() : startedAtMs);
+                this.#parts.view.onCurrent(wait.waitMs > 0 ? this.#now() : startedAtMs);
                 this.#learn(events);
                 // A store that answers a watch at once without changes must not be asked in a tight loop.
-                const cameEarly = waitMs > 0 && this.#now() - startedAtMs < watchPauseMs;
+                const cameEarly = wait.waitMs > 0 && this.#now() - startedAtMs < watchPauseMs;
                 return cameEarly || hasChanges(events) ? watchPauseMs : 0;
             },
         });
@@ -301,13 +308,18 @@
     async #checkWatch(): Promise<void> {
         const suspicion = this.reachesStore ? await this.#check.run() : undefined;
         if (suspicion !== undefined) {
-            this.#parts.log.log("warn", "storeSuspected", { ...suspicion, sinceCurrentMs: this.#describeCurrentAge() });
-            this.#confirmed = false;
-            this.#parts.onChanged();
+            this.#suspect(suspicion);
             this.#turnNow();
         }
     }
 
+    /** The watch may be dead: the next one doesn't wait. */
+    #suspect(suspicion: LogFields): void {
+        this.#parts.log.log("warn", "storeSuspected", { ...suspicion, sinceCurrentMs: this.#describeCurrentAge() });
+        this.#confirmed = false;
+        this.#parts.onChanged();
+    }
+
     /** Ends the present turn, so that the next one asks whom it should. */
     #turnNow(): void {
         this.#turn.abort();
--- a/packages/edge/src/state/surelyCurrent.ts
+++ b/packages/edge/src/state/surelyCurrent.ts
@@ -7,5 +7,5 @@
  * @returns whether a route or a key that isn't known here doesn't exist: any that was added before it had to be in force by now is known
  */
 export function isSurelyCurrent(view: FleetView, nowMs: number): boolean {
-    return nowMs - view.lastContactMs <= surelyCurrentMs;
+    return nowMs - view.currentAsOfMs <= surelyCurrentMs;
 }
--- a/packages/platform/src/httpKeyValueStore.ts
+++ b/packages/platform/src/httpKeyValueStore.ts
@@ -51,7 +51,9 @@
         return answer.map(() => undefined);
     }
 
-    override watch({ prefix, afterRevision, waitMs, signal }: WatchRequest): Promise<Either<Failure, WatchEvents>> {
-        return this.#connection.call(operations.watch, { prefix, afterRevision, waitMs }, { waitMs, signal });
+    override watch(
+        { prefix, afterRevision, waitMs, slackMs, signal }: WatchRequest,
+    ): Promise<Either<Failure, WatchEvents>> {
+        return this.#connection.call(operations.watch, { prefix, afterRevision, waitMs }, { waitMs, slackMs, signal });
     }
 }
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -51,6 +51,8 @@
     readonly afterRevision: number;
     /** Return with no events after this long; counts as one call of the store. */
     readonly waitMs: number;
+    /** Time beyond the wait in which the answer must come, in milliseconds; left out, that of any call. */
+    readonly slackMs?: number | undefined;
     readonly signal?: AbortSignal | undefined;
 }
 
--- a/packages/platform/src/platformConnection.ts
+++ b/packages/platform/src/platformConnection.ts
@@ -42,15 +42,22 @@
      *
      * @param operation - a row of the protocol's table
      * @param body - what the operation asks
-     * @param more - a waiting time in milliseconds that the service adds on purpose, and a signal that gives the call up
+     * @param more - a waiting time in milliseconds that the service adds on purpose, the time beyond it where that isn't the usual
+     * one, and a signal that gives the call up
      * @returns the checked answer, or `storeUnavailable`, `storeOutcomeUnknown`, `storeRateLimited` or `notFound`
      */
     async call<Req, Res>(
         operation: Operation<Req, Res>,
         body: Req,
-        more: { readonly waitMs?: number; readonly signal?: AbortSignal | undefined; } = {},
+        more: {
+            readonly waitMs?: number;
+            readonly slackMs?: number | undefined;
+            readonly signal?: AbortSignal | undefined;
+        } = {},
     ): Promise<Either<Failure, Res>> {
-        const timeout = AbortSignal.timeout((this.#options.timeoutMs ?? defaultTimeoutMs) + (more.waitMs ?? 0));
+        const timeout = AbortSignal.timeout(
+            (more.slackMs ?? this.#options.timeoutMs ?? defaultTimeoutMs) + (more.waitMs ?? 0),
+        );
         const signal = more.signal === undefined ? timeout : AbortSignal.any([timeout, more.signal]);
         const { addresses } = this.#options;
         let failure = createFailure("storeUnavailable", `${operation.path}: the platform has no address`);
