--- a/packages/edge/src/__tests__/support/troubledStore.ts
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -20,6 +20,8 @@
 const callTimeoutMs = 800;
 const usualAnswerMs = 4;
 const slowAnswerMs = 240;
+/** Age of the oldest copy that the store can come back from, in milliseconds. */
+const oldestCopyMs = 40_000;
 
 /** What all gateways' calls together were. */
 export interface CallCount {
@@ -31,7 +33,9 @@
 
 /** A store that several gateways share, on virtual time, with the ways in which it may be away. */
 export class TroubledStore {
-    readonly engine = new KeyValueEngine();
+    #engine = new KeyValueEngine();
+    /** How often the store came back from an older copy; told with each answer. */
+    term = 1;
     readonly time: VirtualTime;
     readonly random: RandomSource;
     absence: Absence | undefined;
@@ -45,6 +49,8 @@
     watched: KeyValueEngine | undefined;
     readonly calls: CallCount = { price: 0, writes: 0, reads: 0 };
     readonly #waiting = new Set<() => void>();
+    /** The store as it was after each change of the last while, oldest first. */
+    #copies: readonly { readonly atMs: number; readonly engine: KeyValueEngine; }[] = [];
     #absences = 0;
     /** Since when the store has had each of its latest revisions. */
     #revisions: readonly { readonly atMs: number; readonly revision: number; }[] = [];
@@ -54,6 +60,26 @@
         this.random = random;
     }
 
+    get engine(): KeyValueEngine {
+        return this.#engine;
+    }
+
+    /** The store goes on from what it was so long ago; what was written since is gone. @returns the keys that were written or deleted since */
+    restore(ageMs: number): readonly string[] {
+        const lost = this.#engine;
+        const fromMs = this.time.monotonicMs() - ageMs;
+        const copy = this.#copies.findLast(({ atMs }) => atMs <= fromMs) ?? this.#copies[0];
+        if (copy === undefined) {
+            return [];
+        }
+        this.#engine = copy.engine.copy();
+        this.#copies = this.#copies.filter(({ atMs }) => atMs <= copy.atMs);
+        this.term++;
+        this.wake();
+        const { changed, deleted } = lost.changesSince("", copy.engine.revision, this.time.monotonicMs());
+        return [...changed.map(({ key }) => key), ...deleted];
+    }
+
     /** Counts the spans in which the store was away: what waited in one of them is answered no more. */
     get absences(): number {
         return this.#absences;
@@ -108,7 +134,10 @@
     wake(): void {
         const { revision } = this.engine;
         if (this.#revisions.at(-1)?.revision !== revision) {
-            this.#revisions = [...this.#revisions.slice(-200), { atMs: this.time.monotonicMs(), revision }];
+            const atMs = this.time.monotonicMs();
+            this.#revisions = [...this.#revisions.slice(-200), { atMs, revision }];
+            const kept = this.#copies.filter(copy => atMs - copy.atMs <= oldestCopyMs);
+            this.#copies = [...kept, { atMs, engine: this.engine.copy() }];
         }
         for (const look of [...this.#waiting]) {
             look();
@@ -178,7 +207,7 @@
 
     override async watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>> {
         const { prefix, afterRevision, waitMs, slackMs, signal } = req;
-        if (afterRevision < this.#store.historyFrom) {
+        if (afterRevision < this.#store.historyFrom || afterRevision > this.#store.engine.revision) {
             return await this.#call("reads", 1, () => Left(createFailure("storeHistoryLost", "compacted")));
         }
         const find = (nowMs: number): WatchEvents => {
--- a/packages/standIns/src/platform/keyValueEngine.ts
+++ b/packages/standIns/src/platform/keyValueEngine.ts
@@ -42,6 +42,16 @@
         return copy;
     }
 
+    /** @returns a store of its own that begins with the present state: keys, leases with their ends, history and revision */
+    copy(): KeyValueEngine {
+        const copy = this.freeze();
+        for (const [id, lease] of this.#leases) {
+            copy.#leases.set(id, { ...lease });
+        }
+        copy.#leaseCount = this.#leaseCount;
+        return copy;
+    }
+
     get(key: string, nowMs: number): KeyValue | undefined {
         this.expire(nowMs);
         return this.#keys.get(key);
