Don't wait a second time for relays that gave no answer as the store is found again

Cause: a gateway that finds the store again forgets which relays failed, since those that were cut off reach it again too; two that are dead were asked once more, 300 ms each, after the 600 ms that they had taken before. Now only relays that answered without reaching the store are asked anew; their 503 is told apart from no answer.

--- a/packages/edge/src/__tests__/storeReturn.test.ts
+++ b/packages/edge/src/__tests__/storeReturn.test.ts
@@ -238,6 +238,21 @@
     });
 }
 
+// Guards against a gateway that, as the store is found again, waits once more for two relays that are dead.
+test("dead relays are waited for once", async t => {
+    const time = VirtualTime.install(t);
+    const seed = 130_365;
+    const random = createRandomSource(seed);
+    const world = new OutageWorld(time, createRandomSource(seed), { gateways: 13, zones: 3 });
+    await time.pass(settleMs);
+    for (let i = 0; i < 5; i++) {
+        const outage = drawOutage(random);
+        const { latestMs, who } = await world.play(outage);
+        assert.ok(latestMs <= inForceWithinMs, `outage ${i}: ${latestMs} ms after ${describe(outage, who)}`);
+    }
+    world.stop();
+});
+
 // Guards against a probe or a check that is believed where it is older than what the gateway knows.
 test("readings that are older than the outage put off no change", async t => {
     const time = VirtualTime.install(t);
--- a/packages/edge/src/state/relayClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -106,6 +106,9 @@
     if (status === relayStatus.forgotten) {
         return Left(createFailure("storeHistoryLost", "the peer doesn't know that far back"));
     }
+    if (status === relayStatus.away) {
+        return Left(createFailure("storeUnavailable", "the peer doesn't reach the store"));
+    }
     if (status !== relayStatus.told) {
         return Left(createFailure("peerUnreachable", `status ${status}`));
     }
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -268,7 +268,7 @@
                 }
                 metrics.onRelayRequest(failure.kind);
                 this.#contact.onRelayLost(this.#now());
-                this.#sources.onFailure(peer.name, this.#now());
+                this.#sources.onFailure(peer.name, this.#now(), failure.kind === "storeUnavailable");
                 log.log("warn", "relayLost", {
                     peer: peer.name,
                     kind: failure.kind,
--- a/packages/fleetState/src/__tests__/relaySources.test.ts
+++ b/packages/fleetState/src/__tests__/relaySources.test.ts
@@ -125,3 +125,17 @@
         }
     }
 });
+
+// Guards against a change that comes late after an outage, because relays that are dead are waited for a second time.
+test("as the store is found again, relays that gave no answer aren't asked anew, and those that were cut off are", () => {
+    const fleet = createFleet(13);
+    const [name, sources] = [...createSources(fleet)].find(([, each]) => nameOf(each.choose(fleet, 0)) !== "store")
+        ?? [];
+    assert.ok(name !== undefined && sources !== undefined);
+    const dead = nameOf(sources.choose(fleet, 0));
+    sources.onFailure(dead, 0);
+    const cutOff = nameOf(sources.choose(fleet, 0));
+    sources.onFailure(cutOff, 300, true);
+    sources.onStoreRegained();
+    assert.equal(nameOf(sources.choose(fleet, 310)), cutOff);
+});
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -31,6 +31,8 @@
     readonly #self: string;
     readonly #availabilityZone: string;
     readonly #failedUntilMs = new Map<string, number>();
+    /** Those of the failed ones that answered, without reaching the store. */
+    readonly #cutOff = new Set<string>();
     #known: string | undefined;
     #failuresInRow = 0;
     #directUntilMs = -Infinity;
@@ -71,9 +73,21 @@
         this.#failedUntilMs.delete(name);
     }
 
-    /** A peer didn't answer, or doesn't reach the store itself. */
-    onFailure(name: string, nowMs: number): void {
+    /**
+     * A peer didn't answer, or doesn't reach the store itself.
+     *
+     * @param name - of the peer
+     * @param nowMs - the present time
+     * @param answered - whether it said that it doesn't reach the store
+     */
+    onFailure(name: string, nowMs: number, answered = false): void {
         this.#known = undefined;
+        if (answered) {
+            this.#cutOff.add(name);
+        }
+        else {
+            this.#cutOff.delete(name);
+        }
         this.#failedUntilMs.set(name, nowMs + failedPeerMs);
         this.#failuresInRow++;
         if (this.#failuresInRow >= mostPeersAsked) {
@@ -82,9 +96,15 @@
         }
     }
 
-    /** The store, which had failed this gateway too, answers it again: so it will the relays, whose failures were no fault of theirs. */
+    /**
+     * The store, which had failed this gateway too, answers it again: so it will the relays that answered without reaching it. Those
+     * that gave no answer are not waited for a second time.
+     */
     onStoreRegained(): void {
-        this.#failedUntilMs.clear();
+        for (const name of this.#cutOff) {
+            this.#failedUntilMs.delete(name);
+        }
+        this.#cutOff.clear();
         this.#failuresInRow = 0;
         this.#directUntilMs = -Infinity;
     }
