Order the store's states by term and revision, and believe what was acknowledged over an older copy

Callers were served by version 21, two seconds and more after version 23 was acknowledged: the store had come back from a copy at revision 42, after 45.

Cause: a revision was taken for a place in time. The class: an order that holds within one life of a store is used across several.

An answer of an earlier term is none; a watch, a lease and a condition of an earlier term end without a call. A gateway that learns of a new term, from any answer or from one that asks it, reads everything anew, relays forget what they could tell, and registrations and crash reports are written again within 2.5 s. What the copy lacks is believed until it was written again, for a limited time, and what it has again isn't new: servers' entries are ordered by start and sequence, withdrawn evacuations by their revision. Questions between gateways have a new path, so that older programs fall back to the store and don't misread positions.

--- a/packages/edge/src/__tests__/support/simulatedGateways.ts
+++ b/packages/edge/src/__tests__/support/simulatedGateways.ts
@@ -61,7 +61,10 @@
             ...shared,
             name: this.name,
             availabilityZone,
-            onChange: () => this.#onChange(time.monotonicMs()),
+            onChange: () => {
+                this.#onChange(time.monotonicMs());
+                this.#registration.onChange();
+            },
             onChanged: () => this.relayServer.onChange(),
             firstReading: new FirstReading(time),
             peers: new SimulatedPeers(fleet, this),
--- a/packages/edge/src/__tests__/support/testNames.ts
+++ b/packages/edge/src/__tests__/support/testNames.ts
@@ -2,6 +2,7 @@
     type FleetConfiguration,
     readCrashReport,
     readGatewayRegistration,
+    revisionOf,
     type RegisteredServer,
     type RolloutOrder,
     type RolloutStatus,
@@ -124,7 +125,12 @@
                 };
         }
         if (key.startsWith("out/")) {
-            return { type: "zoneOut", key, availabilityZone: key.slice("out/".length) };
+            return {
+                type: "zoneOut",
+                key,
+                availabilityZone: key.slice("out/".length),
+                revision: revisionOf(modifiedRevision),
+            };
         }
         if (key === "configuration") {
             return { type: "configuration", key, configuration: JSON.parse(value) as FleetConfiguration };
--- a/packages/edge/src/__tests__/support/troubledStore.ts
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -8,6 +8,7 @@
     type WatchEvents,
     type WatchRequest,
 } from "@galenaglade/platform";
+import { revisionOf, StoreTerm, termOf, toPosition } from "@galenaglade/fleet-state";
 import { type RandomSource } from "@galenaglade/routing";
 import { KeyValueEngine } from "@galenaglade/stand-ins";
 import { type Either, Left, Right } from "purify-ts";
@@ -156,14 +157,22 @@
     /** Nothing passes on this way. */
     cut = false;
     readonly #store: TroubledStore;
+    readonly #term = new StoreTerm();
 
     constructor(store: TroubledStore) {
         super();
         this.#store = store;
     }
 
+    override get term(): number {
+        return this.#term.latest;
+    }
+
     override get(key: string): Promise<Either<Failure, KeyValue | undefined>> {
-        return this.#call("reads", 1, nowMs => Right(this.#store.engine.get(key, nowMs)));
+        return this.#call("reads", 1, nowMs => {
+            const found = this.#store.engine.get(key, nowMs);
+            return Right(found && this.#place(found));
+        });
     }
 
     override list(
@@ -171,57 +180,110 @@
     ): Promise<Either<Failure, { readonly revision: number; readonly entries: readonly KeyValue[]; }>> {
         return this.#call("reads", 1, nowMs => {
             const entries = this.#store.engine.list(prefix, nowMs);
-            return Right({ entries, revision: this.#store.engine.revision });
+            return Right({ entries: entries.map(each => this.#place(each)), revision: this.#position() });
         });
     }
 
     override peekRevision(): Promise<Either<Failure, number>> {
-        return this.#call("reads", 0.1, () => Right(this.#store.readableRevision));
+        return this.#call("reads", 0.1, () => Right(toPosition(this.#store.term, this.#store.readableRevision) ?? 0));
     }
 
     override compareAndSwap(req: CompareAndSwap): Promise<Either<Failure, SwapOutcome>> {
+        const { expectedRevision, leaseId } = req;
+        if (expectedRevision > 0 && termOf(expectedRevision) < this.term) {
+            return this.get(req.key).then(read => read.map(current => ({ swapped: false, current })));
+        }
+        const lease = leaseId?.split(":");
+        if (lease !== undefined && Number(lease[0]) < this.term) {
+            return Promise.resolve(Left(createFailure("notFound", "of before the store's return")));
+        }
         return this.#call("writes", 1, nowMs => {
-            const outcome = this.#store.engine.compareAndSwap(req, nowMs);
+            const outcome = this.#store.engine.compareAndSwap(
+                { ...req, expectedRevision: revisionOf(expectedRevision), leaseId: lease?.[1] },
+                nowMs,
+            );
             this.#store.wake();
-            return Right(outcome);
+            const terms = [expectedRevision > 0 ? termOf(expectedRevision) : undefined, lease && Number(lease[0])];
+            if (terms.some(term => term !== undefined && term < this.#store.term)) {
+                return Left(createFailure("storeOutcomeUnknown", "in a later term"));
+            }
+            return outcome.swapped
+                ? Right({ swapped: true, revision: this.#position() })
+                : Right({ swapped: false, current: outcome.current && this.#place(outcome.current) });
         });
     }
 
     override grantLease(ttlMs: number): Promise<Either<Failure, Lease>> {
-        return this.#call("writes", 1, nowMs => Right(this.#store.engine.grantLease(ttlMs, nowMs)));
+        return this.#call("writes", 1, nowMs => {
+            const { id } = this.#store.engine.grantLease(ttlMs, nowMs);
+            return Right({ id: `${this.#store.term}:${id}`, ttlMs });
+        });
     }
 
     override renewLease(id: string): Promise<Either<Failure, Lease>> {
         return this.#call("reads", 0.1, nowMs => {
-            const lease = this.#store.engine.renewLease(id, nowMs);
-            return lease === undefined ? Left(createFailure("notFound", id)) : Right(lease);
+            const [term, leaseId = ""] = id.split(":");
+            const lease = Number(term) < this.#store.term
+                ? undefined
+                : this.#store.engine.renewLease(leaseId, nowMs);
+            return lease === undefined ? Left(createFailure("notFound", id)) : Right({ ...lease, id });
         });
     }
 
     override revokeLease(id: string): Promise<Either<Failure, void>> {
         return this.#call("writes", 1, nowMs => {
-            this.#store.engine.revokeLease(id, nowMs);
+            this.#store.engine.revokeLease(id.split(":")[1] ?? "", nowMs);
             return Right(undefined);
         });
     }
 
     override async watch(req: WatchRequest): Promise<Either<Failure, WatchEvents>> {
         const { prefix, afterRevision, waitMs, slackMs, signal } = req;
-        if (afterRevision < this.#store.historyFrom || afterRevision > this.#store.engine.revision) {
-            return await this.#call("reads", 1, () => Left(createFailure("storeHistoryLost", "compacted")));
+        const watchedTerm = termOf(afterRevision);
+        const lost = Left(createFailure("storeHistoryLost", "compacted"));
+        if (watchedTerm < this.term) {
+            return lost;
+        }
+        const numberAfter = revisionOf(afterRevision);
+        if (numberAfter < this.#store.historyFrom || numberAfter > this.#store.engine.revision) {
+            return await this.#call("reads", 1, () => lost);
         }
         const find = (nowMs: number): WatchEvents => {
             const { engine, watched = engine } = this.#store;
-            const seen = watched.changesSince(prefix, afterRevision, nowMs);
-            return { ...seen, revision: Math.max(afterRevision, seen.revision) };
+            const { changed, deleted, revision } = watched.changesSince(prefix, numberAfter, nowMs);
+            const position = toPosition(this.#store.term, revision) ?? 0;
+            return {
+                changed: changed.map(each => this.#place(each)),
+                deleted,
+                revision: Math.max(afterRevision, position),
+            };
         };
         const sentAtMs = this.#store.time.monotonicMs();
         const first = await this.#call("reads", 1, nowMs => Right(find(nowMs)), { signal, waitMs, slackMs });
+        if (termOf(first.map(({ revision }) => revision).orDefault(afterRevision)) > watchedTerm) {
+            return lost;
+        }
         const isQuiet = first.map(seen => seen.changed.length + seen.deleted.length === 0).orDefault(false);
         const untilMs = sentAtMs + waitMs;
-        return isQuiet && waitMs > 0 && signal?.aborted !== true
+        const seen = isQuiet && waitMs > 0 && signal?.aborted !== true
             ? await this.#wait(find, untilMs, slackMs, signal)
             : first;
+        const told = seen.map(({ revision }) => termOf(revision)).orDefault(watchedTerm);
+        this.#term.onAnswer(told);
+        return told > watchedTerm ? lost : seen;
+    }
+
+    #position(): number {
+        return toPosition(this.#store.term, this.#store.engine.revision) ?? 0;
+    }
+
+    /** An entry as the platform's client tells it. */
+    #place({ modifiedRevision, leaseId, ...entry }: KeyValue): KeyValue {
+        return {
+            ...entry,
+            modifiedRevision: toPosition(this.#store.term, modifiedRevision) ?? 0,
+            leaseId: leaseId === undefined ? undefined : `${this.#store.term}:${leaseId}`,
+        };
     }
 
     #wait(
@@ -288,6 +350,7 @@
                         setTimeout(() => settle(this.#fail("silent")), slackMs + waitMs);
                         return;
                     }
+                    this.#term.onAnswer(store.term);
                     settle(
                         absence === undefined || absence === "slow"
                             ? run(store.time.monotonicMs())
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -63,6 +63,12 @@
 /** Renewals in one life of a registration. */
 export const renewalsPerLife = 3;
 
+/**
+ * Time over which a fleet writes its registrations and crash reports again after the store came back from an older copy, in milliseconds:
+ * hundreds of gateways at once would go beyond its rates.
+ */
+export const rewriteSpreadMs = 2_500;
+
 /** How often what was believed for a limited time is looked at. */
 export const expiryTickMs = 100;
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -214,6 +214,7 @@
         reach.onChange();
         peerConnections.retain(new Set(view.registeredGateways().map(gateway => gateway.name)));
         crashes.onChange();
+        registration.onChange();
         limits.onChange();
         const callerLimits = view.inForce?.configuration.limits;
         if (callerLimits !== undefined) {
--- a/packages/edge/src/quarantine/crashReports.ts
+++ b/packages/edge/src/quarantine/crashReports.ts
@@ -3,7 +3,7 @@
 import { type KeyValueStore } from "@galenaglade/platform";
 import { type Crash, CrashLedger, type Verdict } from "@galenaglade/quarantine";
 import { type RandomSource } from "@galenaglade/routing";
-import { firstStorePauseMs, longestStorePauseMs } from "../constants.js";
+import { firstStorePauseMs, longestStorePauseMs, rewriteSpreadMs } from "../constants.js";
 import { type ExchangeContent } from "../requests/exchangeContent.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
@@ -35,6 +35,8 @@
     #stopped = false;
     /** The revision of this gateway's report in the store. */
     #revision = 0;
+    /** The store's term in which it was last written or read. */
+    #term = 0;
 
     constructor(parts: CrashReportsParts) {
         this.#parts = parts;
@@ -45,6 +47,10 @@
     onChange(): void {
         const { view, name, clock } = this.#parts;
         const reports = view.crashReports;
+        if (view.term !== this.#term) {
+            this.#term = view.term;
+            this.#writeAgain();
+        }
         if (view.crashReportChanges === this.#changesSeen) {
             return;
         }
@@ -66,6 +72,13 @@
         this.#stopped = true;
     }
 
+    /** The store came back from an older copy, which may lack this gateway's report. */
+    #writeAgain(): void {
+        if (this.#revision > 0) {
+            setTimeout(() => this.#publish(), rewriteSpreadMs * this.#parts.random.next()).unref();
+        }
+    }
+
     /** @returns what is known now */
     mark(): number {
         return this.#ledger.mark();
--- a/packages/edge/src/state/registration.ts
+++ b/packages/edge/src/state/registration.ts
@@ -9,10 +9,12 @@
     longestStorePauseMs,
     registrationTtlMs,
     renewalsPerLife,
+    rewriteSpreadMs,
 } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { TurnPause } from "./turnPause.js";
 
 /** What a registration works with. */
 export interface RegistrationParts {
@@ -43,6 +45,9 @@
     #stopped = false;
     #leaseId: string | undefined;
     #lostLeaseId: string | undefined;
+    readonly #pause = new TurnPause();
+    /** The store's term in which the registration was made. */
+    #term = 0;
 
     constructor(parts: RegistrationParts) {
         this.#parts = parts;
@@ -57,12 +62,22 @@
         this.#stopped = true;
     }
 
+    /** What is believed of the fleet has changed. */
+    onChange(): void {
+        if (this.#leaseId !== undefined && this.#parts.view.term !== this.#term) {
+            // The store came back from an older copy: what was written since is gone, and the lease may be another one's.
+            this.#leaseId = undefined;
+            this.#pause.end();
+        }
+    }
+
     async #run(): Promise<void> {
         while (!this.#stopped && !this.#parts.view.isRead) {
             await sleep(expiryTickMs);
         }
         let failures = 0;
         while (!this.#stopped) {
+            const { term } = this.#parts.view;
             const registered = await this.#adopt() || await this.#register();
             if (!registered) {
                 const limitMs = Math.min(longestRegistrationPauseMs, longestStorePauseMs * 2 ** failures);
@@ -71,7 +86,12 @@
                 continue;
             }
             failures = 0;
+            this.#term = term;
             await this.#keep();
+            if (this.#parts.view.term !== this.#term) {
+                // A whole fleet writes its registrations again at once otherwise.
+                await sleep(rewriteSpreadMs * this.#parts.random.next());
+            }
         }
     }
 
@@ -134,9 +154,16 @@
     async #keep(): Promise<void> {
         const { store, view, name, clock } = this.#parts;
         const registeredAtMs = clock.monotonicMs();
-        while (!this.#stopped && this.#leaseId !== undefined) {
-            await sleep(renewalMs);
-            const renewed = await store.renewLease(this.#leaseId);
+        while (!this.#stopped) {
+            const leaseId = this.#leaseId;
+            if (leaseId === undefined) {
+                return;
+            }
+            await this.#pause.take(renewalMs);
+            if (this.#leaseId !== leaseId) {
+                return;
+            }
+            const renewed = await store.renewLease(leaseId);
             const failure = renewed.isLeft() ? renewed.extract() : undefined;
             if (failure !== undefined) {
                 this.#onFailure("renewLease", failure);
@@ -144,7 +171,7 @@
             // The store may take a registration away without a word to its holder; the watch shows that it is gone.
             const lost = view.lastContactMs - registeredAtMs > renewalMs && !view.isRegistered(name);
             if (failure?.kind === "notFound" || lost) {
-                this.#lostLeaseId = this.#leaseId;
+                this.#lostLeaseId = leaseId;
                 this.#leaseId = undefined;
             }
         }
--- a/packages/edge/src/state/relayMessages.ts
+++ b/packages/edge/src/state/relayMessages.ts
@@ -1,8 +1,11 @@
 import { type DeepReadonly } from "@galenaglade/configuration";
 import * as z from "zod";
 
-/** Path on which a gateway tells others changes of the store. */
-export const relayPath = "/changes";
+/**
+ * Path on which a gateway tells others changes of the store. Programs from before revisions had the store's term in them ask on `/changes`,
+ * and get no answer that they would misread.
+ */
+export const relayPath = "/store-changes";
 
 /** Path on which a gateway tells for how long it has heard the store without an outage. */
 export const contactPath = "/contact";
--- a/packages/edge/src/state/relayServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -13,8 +13,12 @@
     abstract readonly currentAgeMs: number | undefined;
     /** For how long the store has been heard without an outage; `undefined` where that isn't known. */
     abstract readonly heardForMs: number | undefined;
-    /** Another gateway asks: from now on this one should read the store itself. */
-    abstract onAsked(): void;
+    /**
+     * Another gateway asks: from now on this one should read the store itself.
+     *
+     * @param afterRevision - up to which the other one knows everything
+     */
+    abstract onAsked(afterRevision: number): void;
     /** @returns what changed, or `undefined` where that is not known any more */
     abstract changesSince(afterRevision: number): MirroredChanges | undefined;
 }
@@ -67,7 +71,7 @@
             send(res, relayStatus.malformed, noBody);
             return;
         }
-        this.#teller.onAsked();
+        this.#teller.onAsked(afterRevision);
         const untilMs = this.#teller.reachesStore ? Math.min(waitMs, relayWaitMs) : firstAnswerMs;
         const waiting: Waiting = {
             res,
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -3,10 +3,12 @@
     type BeliefChange,
     directMs,
     type MirroredChanges,
+    revisionOf,
     type StateItem,
     type WatchSource,
     RelaySources,
     StoreMirror,
+    termOf,
 } from "@galenaglade/fleet-state";
 import { type WatchEvents } from "@galenaglade/platform";
 import { type LogFields } from "@galenaglade/telemetry";
@@ -106,8 +108,13 @@
         return this.#parts.view.heardForMs(this.#now());
     }
 
-    override onAsked(): void {
+    override onAsked(afterRevision: number): void {
         const nowMs = this.#now();
+        if (termOf(afterRevision) > termOf(this.#afterRevision ?? Infinity)) {
+            // Whoever asks has read the store after its return, and this gateway hasn't.
+            this.#suspect({ kind: "earlierTerm", askedAfter: afterRevision });
+            this.#turnNow();
+        }
         const isFirst = !this.#isAsked();
         this.#askedAtMs = nowMs;
         this.#sources.onAsked(nowMs);
@@ -136,6 +143,7 @@
 
     /** @returns how long to pause until the next turn, in milliseconds */
     async #takeTurn(): Promise<number> {
+        this.#dropEarlierTerm();
         const afterRevision = this.#afterRevision;
         const source: WatchSource = afterRevision === undefined
             ? { type: "store" }
@@ -151,6 +159,13 @@
         return pauseMs ?? (afterRevision === undefined ? this.#readAll() : this.#watch(afterRevision));
     }
 
+    /** What was known of a store that came back from an older copy since is no position in it: everything is read anew. */
+    #dropEarlierTerm(): void {
+        if (this.#afterRevision !== undefined && termOf(this.#afterRevision) < this.#parts.store.term) {
+            this.#afterRevision = undefined;
+        }
+    }
+
     /**
      * Finds out whether a store that may be away answers. A call that waits, sent right before its return and lost, would be waited for
      * long after it, and a probe costs a tenth of any other call.
@@ -193,11 +208,16 @@
             },
             Right: ({ revision, entries, items }) => {
                 const isFirst = !view.isRead;
+                const before = { term: view.term, revision: this.#mirror.revision };
                 this.#onContact("list");
                 view.onCurrent(startedAtMs);
                 this.#afterRevision = revision;
                 this.#mirror.onReading(revision, entries);
-                this.#report(view.onReading(items, this.#now()));
+                const beliefs = view.onReading(items, this.#now(), termOf(revision));
+                if (!isFirst && view.term > before.term) {
+                    this.#onRestored(before, revision);
+                }
+                this.#report(beliefs);
                 this.#parts.onChanged();
                 firstReading.onRead();
                 // When a whole fleet starts, each registration would be a change of its own for every gateway.
@@ -206,6 +226,21 @@
         });
     }
 
+    /** The store came back from an older copy and has been read. */
+    #onRestored(before: { readonly term: number; readonly revision: number; }, revision: number): void {
+        const { log, view, metrics, onChange } = this.#parts;
+        log.log("warn", "storeRestored", {
+            term: view.term,
+            termBefore: before.term,
+            revision: revisionOf(revision),
+            revisionBefore: revisionOf(before.revision),
+            unconfirmed: view.countUnconfirmed(),
+            version: view.inForce?.configuration.version,
+        });
+        metrics.onStoreRestored();
+        onChange();
+    }
+
     /** Serves by a part of the first reading: a large fleet waits for the store's link. */
     #onOperatorRead(items: readonly StateItem[]): void {
         const { view, firstReading } = this.#parts;
@@ -280,6 +315,18 @@
                 return 0;
             },
             Right: answer => {
+                if (termOf(answer.revision) < termOf(afterRevision)) {
+                    // It hasn't noticed the store's return yet, and can't tell what came since.
+                    log.log("warn", "relayLost", {
+                        peer: peer.name,
+                        kind: "earlierTerm",
+                        afterRevision,
+                        revision: answer.revision,
+                    });
+                    metrics.onRelayRequest("earlierTerm");
+                    this.#sources.onFailure(peer.name, this.#now(), true);
+                    return 0;
+                }
                 if (!peer.known) {
                     const { revision, ageMs, currentAgeMs } = answer;
                     log.log("info", "relayChosen", { peer: peer.name, afterRevision, revision, ageMs, currentAgeMs });
@@ -304,9 +351,12 @@
         }
     }
 
-    /** A watch of which a check finds that it may be dead is opened anew. */
+    /** A watch of which a check finds that it may be dead, or of a store that has since come back from an older copy, is opened anew. */
     async #checkWatch(): Promise<void> {
         const suspicion = this.reachesStore ? await this.#check.run() : undefined;
+        if (termOf(this.#afterRevision ?? Infinity) < this.#parts.store.term) {
+            this.#turnNow();
+        }
         if (suspicion !== undefined) {
             this.#suspect(suspicion);
             this.#turnNow();
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -11,6 +11,7 @@
     | "storeLost"
     | "storeCallFailed"
     | "storeRegained"
+    | "storeRestored"
     | "storeSuspected"
     | "relayChosen"
     | "relayLost"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -25,6 +25,7 @@
     readonly #handoversTaken;
     readonly #storeCalls;
     readonly #relayRequests;
+    readonly #storeReturns;
 
     constructor({ meter }: Metrics) {
         this.#meter = meter;
@@ -66,6 +67,9 @@
             description: "requests of other gateways, by outcome",
         });
         this.#storeCalls = meter.createCounter("galenaglade.store_calls", { description: "calls of the store by end" });
+        this.#storeReturns = meter.createCounter("galenaglade.store_restored", {
+            description: "times the store was found to have come back from an older copy",
+        });
         this.#relayRequests = meter.createCounter("galenaglade.relay_requests", {
             description: "times another gateway was asked for changes of the store",
         });
@@ -155,6 +159,10 @@
         this.#storeCalls.add(1, { call, end });
     }
 
+    onStoreRestored(): void {
+        this.#storeReturns.add(1);
+    }
+
     onRelayRequest(end: string): void {
         this.#relayRequests.add(1, { end });
     }
--- /dev/null
+++ b/packages/fleetState/src/__tests__/storeRestored.test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    FleetView,
+    type RegisteredServer,
+    revisionOf,
+    type StateItem,
+    StoreMirror,
+    termOf,
+    toPosition,
+} from "../index.js";
+
+function serverItem(state: RegisteredServer["state"], sequence: number, id = "s1"): StateItem {
+    const server: RegisteredServer = {
+        id,
+        service: "tables",
+        address: { host: "10.0.0.1", port: 1 },
+        availabilityZone: "north",
+        slots: 3,
+        state,
+        coldRemainingMs: 0,
+        startedAtEpochMs: 1,
+        sequence,
+    };
+    return { type: "server", key: `servers/${id}`, server };
+}
+
+function zoneOut(revision: number): StateItem {
+    return { type: "zoneOut", key: "out/north", availabilityZone: "north", revision };
+}
+
+function isOut(view: FleetView, nowMs: number): boolean {
+    return view.readyServers("tables", nowMs).length === 0;
+}
+
+test("a position of a later term is the later one", () => {
+    const before = toPosition(1, 45) ?? 0;
+    const after = toPosition(2, 42) ?? 0;
+    assert.ok(after > before);
+    assert.deepEqual([termOf(after), revisionOf(after)], [2, 42]);
+    for (const [term, revision] of [[-1, 0], [0.5, 0], [5_000, 0], [0, -1], [0, 2 ** 40]] as const) {
+        assert.equal(toPosition(term, revision), undefined);
+    }
+});
+
+// Guards against a relay that goes on telling changes after a position of before the store's return.
+test("positions of before the return are forgotten with it", () => {
+    const mirror = new StoreMirror();
+    const before = toPosition(1, 45) ?? 0;
+    mirror.onReading(before, [{ key: "a", value: "1", modifiedRevision: before }]);
+    const after = toPosition(2, 42) ?? 0;
+    mirror.onReading(after, [{ key: "a", value: "0", modifiedRevision: after }]);
+    assert.equal(mirror.changesSince(before), undefined);
+    assert.deepEqual(mirror.changesSince(after)?.changed, []);
+});
+
+// Guards against servers that are used again because the copy doesn't know yet that they leave, or that they ended.
+test("what servers said before the return holds against the copy", () => {
+    const view = new FleetView();
+    view.onReading([serverItem("ready", 5), serverItem("ready", 5, "s2")], 0, 1);
+    view.onChanges({ items: [serverItem("draining", 9)], deletedKeys: ["servers/s2"] }, 1_000);
+    view.onReading([serverItem("ready", 5), serverItem("ready", 5, "s2")], 2_000, 2);
+    assert.equal(view.isUsable("s1", 2_000), false);
+    assert.equal(view.isUsable("s2", 2_000), false);
+    // A second reading in the same term has the copy's entries still.
+    view.onReading([serverItem("ready", 5), serverItem("ready", 5, "s2")], 3_000, 2);
+    assert.equal(view.isUsable("s1", 3_000), false);
+    assert.equal(view.isUsable("s2", 3_000), false);
+    view.onChanges({ items: [serverItem("ready", 6, "s2")], deletedKeys: [] }, 4_000);
+    assert.equal(view.isUsable("s2", 4_000), true, "it has written since, so it hadn't ended");
+});
+
+// Guards against a service that is refused because its servers' entries are younger than the copy.
+test("servers that the copy lacks are believed until they had time to write again, and no longer", () => {
+    const view = new FleetView();
+    view.onReading([serverItem("ready", 5)], 0, 1);
+    view.onReading([], 1_000, 2);
+    assert.equal(view.isUsable("s1", 2_800), true);
+    view.expire(2_900);
+    assert.equal(view.isUsable("s1", 2_900), false);
+});
+
+// Guards against an evacuation that ends because the copy lacks it, and against one that is kept for good.
+test("an evacuation that the copy lacks goes on until it is written or withdrawn, for ten seconds at most", () => {
+    const view = new FleetView();
+    view.onReading([serverItem("ready", 5), zoneOut(40)], 0, 1);
+    view.onReading([serverItem("ready", 5)], 1_000, 2);
+    assert.equal(view.countUnconfirmed(), 1);
+    view.onReading([serverItem("ready", 5)], 2_000, 2);
+    view.expire(10_900);
+    assert.equal(isOut(view, 10_900), true);
+    view.expire(11_000);
+    assert.equal(isOut(view, 11_000), false);
+});
+
+// Guards against a zone that is left out again because the copy doesn't know yet that it was taken back.
+test("an evacuation that was withdrawn before the return isn't new in the copy, and one that is written again is", () => {
+    const create = (): FleetView => {
+        const view = new FleetView();
+        view.onReading([serverItem("ready", 5), zoneOut(40)], 0, 1);
+        view.onChanges({ items: [], deletedKeys: ["out/north"] }, 500);
+        view.onReading([serverItem("ready", 5), zoneOut(40)], 1_000, 2);
+        return view;
+    };
+    const confirmed = create();
+    assert.equal(isOut(confirmed, 1_000), false);
+    confirmed.expire(5_000);
+    assert.equal(isOut(confirmed, 5_000), true, "nobody withdrew it again");
+    const written = create();
+    written.onChanges({ items: [zoneOut(43)], deletedKeys: [] }, 1_500);
+    assert.equal(isOut(written, 1_500), true);
+    const withdrawn = create();
+    withdrawn.onChanges({ items: [], deletedKeys: ["out/north"] }, 1_500);
+    withdrawn.expire(5_000);
+    assert.equal(isOut(withdrawn, 5_000), false);
+});
+
+// Guards against relays and shares that are dealt anew because registrations are younger than the copy.
+test("gateways whose registrations the copy lacks still count, and aren't registered", () => {
+    const view = new FleetView();
+    const registration = { availabilityZone: "north", peers: { host: "10.0.0.2", port: 2 } };
+    const gateway: StateItem = { type: "gateway", key: "gateways/g1", name: "g1", leaseId: "7", registration };
+    view.onReading([gateway], 0, 1);
+    view.onReading([], 1_000, 2);
+    assert.equal(view.registeredGateways().length, 1);
+    assert.equal(view.isRegistered("g1"), false);
+    assert.equal(view.registrationLease("g1"), undefined);
+    view.expire(11_000);
+    assert.equal(view.registeredGateways().length, 0);
+});
--- a/packages/fleetState/src/constants.ts
+++ b/packages/fleetState/src/constants.ts
@@ -30,6 +30,21 @@
 /** How long a relay that didn't answer is not asked again, in milliseconds: a restart takes less. */
 export const failedPeerMs = 5_000;
 
+/**
+ * How long operators' keys are believed that a store which came back from an older copy lacks, in milliseconds: operators write them again
+ * within seconds. A zone that is left out for longer than it has to be costs room; one that is used too early breaks the operators' word.
+ */
+export const unconfirmedMs = 10_000;
+
+/**
+ * How long an evacuation is not believed which was withdrawn before such a return and is in the copy again, in milliseconds. One that was
+ * ordered anew meanwhile must be in force after 5 s.
+ */
+export const heldBackMs = 4_000;
+
+/** How long withdrawn keys and ended servers are remembered, in milliseconds: far longer than a copy is old. */
+export const rememberedWithdrawalMs = 120_000;
+
 /** Relays that are asked in vain, one after the other, before the store itself is. */
 export const mostPeersAsked = 2;
 
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -9,6 +9,7 @@
     type StateItem,
 } from "./model.js";
 import { type RegisteredGateway } from "./relaySources.js";
+import { RestoredBeliefs } from "./restoredBeliefs.js";
 import { RolloutRegistry } from "./rolloutRegistry.js";
 import { createRouteTable, type RouteTable } from "./routeTable.js";
 import { ServerDirectory } from "./serverDirectory.js";
@@ -50,6 +51,9 @@
     /** Since when the store has been heard without an outage; `undefined` where that isn't known. */
     #heardSinceMs: number | undefined;
     #isRead = false;
+    /** How often the store came back from an older copy, as of the last reading. */
+    #term = 0;
+    readonly #restored = new RestoredBeliefs();
 
     /** `undefined` until the store gave a configuration. */
     get inForce(): ConfigurationInForce | undefined {
@@ -141,12 +145,45 @@
         this.#awaySinceMs ??= sinceMs;
     }
 
-    /** A whole reading: what it lacks is gone. */
-    onReading(items: readonly StateItem[], nowMs: number): readonly BeliefChange[] {
+    /** How often the store came back from an older copy, as of the last whole reading. */
+    get term(): number {
+        return this.#term;
+    }
+
+    /**
+     * A whole reading: what it lacks is gone. Where the store came back from an older copy, what it lacks may just have been lost, and what
+     * it has may have been changed or withdrawn before.
+     *
+     * @param items - everything that was read
+     * @param nowMs - the present time
+     * @param term - of the store, in which it was read
+     * @returns what is believed from now on
+     */
+    onReading(items: readonly StateItem[], nowMs: number, term = 0): readonly BeliefChange[] {
         const read = new Set(items.map(item => item.key));
-        const deletedKeys = [...this.#itemsByKey.keys()].filter(key => !read.has(key));
+        const lacking = [...this.#itemsByKey.values()].filter(({ key }) => !read.has(key));
+        const deletedKeys: string[] = [];
+        const isRestored = this.#isRead && term > this.#term;
+        if (isRestored) {
+            this.#restored.onReturned(nowMs);
+            this.#directory.onStoreRestored(nowMs);
+        }
+        for (const item of lacking) {
+            if (item.type === "server" || (!isRestored && !this.#restored.keeps(item.key, nowMs))) {
+                deletedKeys.push(item.key);
+            }
+            else if (isRestored) {
+                this.#restored.onLacking(item, nowMs);
+            }
+        }
         this.#isRead = true;
-        return this.onChanges({ items, deletedKeys }, nowMs);
+        this.#term = Math.max(this.#term, term);
+        return this.onChanges({ items: items.filter(item => !this.#isOutdated(item, nowMs)), deletedKeys }, nowMs);
+    }
+
+    /** @returns how many keys are believed that the store lacks since it came back from an older copy */
+    countUnconfirmed(): number {
+        return this.#restored.unconfirmed.size;
     }
 
     /** What changed since the last reading or change. */
@@ -163,7 +200,12 @@
 
     /** Lets go of what was believed for a limited time. */
     expire(nowMs: number): readonly BeliefChange[] {
-        return this.#directory.expire(nowMs).map(({ id, change }) => ({ subject: "server", name: id, change }));
+        const { lost, confirmed } = this.#restored.expire(nowMs);
+        const beliefs = [...this.onChanges({ items: confirmed, deletedKeys: lost }, nowMs)];
+        for (const { id, change } of this.#directory.expire(nowMs)) {
+            beliefs.push({ subject: "server", name: id, change });
+        }
+        return beliefs;
     }
 
     /** @returns backend servers of a service that may be given any new work */
@@ -245,15 +287,34 @@
 
     /** @returns whether a gateway's registration is in the store, as far as is known */
     isRegistered(name: string): boolean {
-        return this.#roster.isPresent(name);
+        return this.#roster.isPresent(name) && !this.#isUnconfirmedGateway(name);
     }
 
     /** @returns the lease that a gateway's registration is under, as far as is known */
     registrationLease(name: string): string | undefined {
-        return this.#roster.leaseOf(name);
+        return this.#isUnconfirmedGateway(name) ? undefined : this.#roster.leaseOf(name);
+    }
+
+    #isUnconfirmedGateway(name: string): boolean {
+        for (const key of this.#restored.unconfirmed.keys()) {
+            const item = this.#itemsByKey.get(key);
+            if (item?.type === "gateway" && item.name === name) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether a reading has something of before what is believed. */
+    #isOutdated(item: StateItem, nowMs: number): boolean {
+        if (item.type === "server") {
+            return this.#directory.isOutdated(item.server);
+        }
+        return !this.#itemsByKey.has(item.key) && this.#restored.holdsBack(item, nowMs);
     }
 
     #learn(item: StateItem, nowMs: number, beliefs: BeliefChange[]): void {
+        this.#restored.onWritten(item.key);
         const before = this.#itemsByKey.get(item.key);
         if (before !== undefined && !isSameSubject(before, item)) {
             this.#forget(item.key, nowMs, beliefs);
@@ -330,6 +391,7 @@
     #forget(key: string, nowMs: number, beliefs: BeliefChange[]): void {
         const item = this.#itemsByKey.get(key);
         this.#itemsByKey.delete(key);
+        this.#restored.onDeleted(key, item, nowMs);
         switch (item?.type) {
             case "zoneOut":
                 this.#zonesOut.delete(item.availabilityZone);
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -37,8 +37,10 @@
 export { type WatchSource, RelaySources, type RegisteredGateway } from "./relaySources.js";
 export { findOwners } from "./rendezvous.js";
 export { RendezvousRanks } from "./rendezvousRanks.js";
+export { type DueBeliefs, RestoredBeliefs } from "./restoredBeliefs.js";
 export { RolloutRegistry } from "./rolloutRegistry.js";
 export { createRouteTable, type RouteTable } from "./routeTable.js";
 export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
 export { type MirroredChanges, type MirroredEntry, StoreMirror } from "./storeMirror.js";
+export { revisionOf, StoreTerm, termOf, toPosition } from "./storePosition.js";
 export { isFinalStage, isOpenPlan, resolveVersionUse, type RolloutPlan, type VersionUse } from "./versionUse.js";
--- a/packages/fleetState/src/model.ts
+++ b/packages/fleetState/src/model.ts
@@ -24,6 +24,8 @@
     readonly startedAtEpochMs: number | undefined;
     /** Version of its software, where it says one. */
     readonly version?: string | undefined;
+    /** Rises with what it writes from one start on; tells which of two entries is the older one. */
+    readonly sequence?: number | undefined;
 }
 
 /** An operator's order to move a service to a new version. */
@@ -115,7 +117,13 @@
 export type StateItem =
     | { readonly type: "configuration"; readonly key: string; readonly configuration: FleetConfiguration; }
     /** Nothing more is to be sent into the availability zone. */
-    | { readonly type: "zoneOut"; readonly key: string; readonly availabilityZone: string; }
+    | {
+        readonly type: "zoneOut";
+        readonly key: string;
+        readonly availabilityZone: string;
+        /** The store's revision at which it was written, in its term. */
+        readonly revision?: number | undefined;
+    }
     | { readonly type: "server"; readonly key: string; readonly server: RegisteredServer; }
     | { readonly type: "rolloutOrder"; readonly key: string; readonly order: RolloutOrder; }
     | {
--- a/packages/fleetState/src/serverDirectory.ts
+++ b/packages/fleetState/src/serverDirectory.ts
@@ -1,4 +1,4 @@
-import { lapsedEntryGraceMs, storeFoundWithinMs } from "./constants.js";
+import { lapsedEntryGraceMs, rememberedWithdrawalMs, storeFoundWithinMs } from "./constants.js";
 import { type RegisteredServer } from "./model.js";
 
 /** A backend server with what this process makes of its entry. */
@@ -8,6 +8,12 @@
     readonly believedUntilMs: number | undefined;
 }
 
+/** The last entry of a server whose entry is gone. */
+interface EndedServer {
+    readonly server: RegisteredServer;
+    readonly atMs: number;
+}
+
 /** What a change of the directory did to one backend server. */
 export interface ServerChange {
     readonly id: string;
@@ -24,9 +30,32 @@
 export class ServerDirectory {
     readonly #entries = new Map<string, DirectoryEntry>();
     readonly #byService = new Map<string, Set<string>>();
+    readonly #ended = new Map<string, EndedServer>();
     #believeLapsedUntilMs = -Infinity;
     /** When the store was last found again. */
     #returnedAtMs = -Infinity;
+    /** When the store last came back from an older copy. */
+    #restoredAtMs = -Infinity;
+
+    /**
+     * @param server - as a whole reading has it
+     * @returns whether it is an entry of before what is known: the store came back from an older copy
+     */
+    isOutdated(server: RegisteredServer): boolean {
+        const known = this.#entries.get(server.id)?.server;
+        if (known !== undefined) {
+            return compareEntries(server, known) < 0;
+        }
+        const ended = this.#ended.get(server.id);
+        const order = ended === undefined ? 1 : compareEntries(server, ended.server);
+        return order < 0 || (order === 0 && ended !== undefined && ended.atMs < this.#restoredAtMs);
+    }
+
+    /** The store came back from an older copy. */
+    onStoreRestored(nowMs: number): void {
+        this.#restoredAtMs = nowMs;
+        this.onStoreReturned(nowMs);
+    }
 
     /** The store has just come back after an outage: until when lapsed entries are believed. */
     onStoreReturned(nowMs: number): void {
@@ -64,6 +93,7 @@
     /** @returns what changed; `undefined` where the entry says nothing new */
     onEntry(server: RegisteredServer): ServerChange | undefined {
         const known = this.#entries.get(server.id)?.server;
+        this.#ended.delete(server.id);
         this.#put(server.id, { server, believedUntilMs: undefined });
         const change = resolveChange(known, server);
         return change === undefined ? undefined : { id: server.id, change };
@@ -75,6 +105,7 @@
         if (entry === undefined || entry.believedUntilMs !== undefined) {
             return undefined;
         }
+        this.#ended.set(id, { server: entry.server, atMs: nowMs });
         if (nowMs < this.#believeLapsedUntilMs && entry.server.state === "ready") {
             this.#put(id, { server: entry.server, believedUntilMs: this.#believeLapsedUntilMs });
             return { id, change: "lapsed" };
@@ -86,6 +117,11 @@
     /** @returns the lapsed servers whose time is over, now removed */
     expire(nowMs: number): readonly ServerChange[] {
         const expired: ServerChange[] = [];
+        for (const [id, { atMs }] of this.#ended) {
+            if (nowMs - atMs >= rememberedWithdrawalMs) {
+                this.#ended.delete(id);
+            }
+        }
         for (const [id, { believedUntilMs }] of this.#entries) {
             if (believedUntilMs !== undefined && nowMs >= believedUntilMs) {
                 this.#remove(id);
@@ -149,6 +185,14 @@
     }
 }
 
+/** @returns below zero where the first entry is the older one; zero also where they don't say */
+function compareEntries(a: RegisteredServer, b: RegisteredServer): number {
+    if (a.startedAtEpochMs !== b.startedAtEpochMs) {
+        return (a.startedAtEpochMs ?? 0) - (b.startedAtEpochMs ?? 0);
+    }
+    return a.sequence === undefined || b.sequence === undefined ? 0 : a.sequence - b.sequence;
+}
+
 function resolveChange(
     before: RegisteredServer | undefined,
     after: RegisteredServer,
--- a/packages/fleetState/src/storeMirror.ts
+++ b/packages/fleetState/src/storeMirror.ts
@@ -1,4 +1,5 @@
 import { keptDeletions } from "./constants.js";
+import { termOf } from "./storePosition.js";
 
 /** One key of the store as it lies there. */
 export interface MirroredEntry {
@@ -31,6 +32,12 @@
 
     /** A whole reading: what it lacks was deleted at some time before. */
     onReading(revision: number, entries: readonly MirroredEntry[]): void {
+        if (termOf(revision) > termOf(this.#revision)) {
+            // Positions of before the store's return say nothing of what was lost: whoever is at one has to read everything too.
+            this.#entries.clear();
+            this.#deletions = [];
+            this.#historyFrom = revision;
+        }
         const read = new Set(entries.map(({ key }) => key));
         const missing = [...this.#entries.keys()].filter(key => !read.has(key));
         // Read for the first time, it says nothing of what was deleted before.
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -6,7 +6,10 @@
     readonly key: string;
     /** At most one megabyte. */
     readonly value: string;
-    /** The store's revision at which this value was written; rises over the whole store. */
+    /**
+     * The store's revision at which this value was written; rises over the whole store, also where this came back from an older copy: then
+     * the store's term is part of it.
+     */
     readonly modifiedRevision: number;
     /** The lease that the key falls with, where it has one. */
     readonly leaseId?: string | undefined;
@@ -63,6 +66,14 @@
  * have taken effect although its answer was lost, `storeRateLimited` that it was refused for its rate.
  */
 export abstract class KeyValueStore {
+    /**
+     * How often the store came back from an older copy, as far as its answers say. What was read in an earlier term has to be read anew:
+     * a watch from there fails with `storeHistoryLost`, and a lease from there with `notFound`.
+     */
+    get term(): number {
+        return 0;
+    }
+
     /** Reads one key; `undefined` where it doesn't exist. */
     abstract get(key: string): Promise<Either<Failure, KeyValue | undefined>>;
     /**
