Let large answers of the store arrive, and have each gateway read large changes itself

Cause: a call's limit of 800 ms counted its whole answer. A configuration of some 0.4 MB takes longer on a slow host's link beside its callers' answers, was given up while it arrived and asked for anew, and a check of the watch took the same answer for a dead connection. Relays sent it to 43 hosts each, which gave up after 950 and 300 ms. The class: a limit that is sized for a small answer is spent on one that grows.

Change: the limit counts silence, until the answer begins and then between its parts; a watch that is being answered isn't checked; changes above 24 KB aren't passed on, and whoever waits is told so as they begin to arrive, and gets them from the store by one call of its own.

--- a/packages/edge/src/__tests__/contact.test.ts
+++ b/packages/edge/src/__tests__/contact.test.ts
@@ -10,6 +10,7 @@
     override readonly reachesStore = false;
     override readonly ageMs = 0;
     override readonly currentAgeMs = undefined;
+    override readonly isReadingLarge = false;
     override heardForMs: number | undefined = 1_234;
     questions = 0;
 
--- /dev/null
+++ b/packages/edge/src/__tests__/largeChange.test.ts
@@ -0,0 +1,101 @@
+import { FleetView, type MirroredChanges } from "@galenaglade/fleet-state";
+import assert from "node:assert/strict";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { test } from "node:test";
+import { RelayServer, RelayFeed } from "../state/relayServer.js";
+import { WatchCheck } from "../state/watchCheck.js";
+import { readRelayAnswer } from "../state/relayClient.js";
+import { StoreContact } from "../state/storeContact.js";
+import { StorePeek } from "../state/storePeek.js";
+import { createMetrics } from "@galenaglade/telemetry";
+import { createRandomSource } from "@galenaglade/routing";
+import { EdgeLog } from "../telemetry/edgeLog.js";
+import { EdgeMetrics } from "../telemetry/edgeMetrics.js";
+import { MemoryStore } from "./support/memoryStore.js";
+
+class LargeFeed extends RelayFeed {
+    override readonly reachesStore = true;
+    override readonly ageMs = 0;
+    override readonly currentAgeMs = 0;
+    override readonly heardForMs = undefined;
+    override isReadingLarge = false;
+    changes: MirroredChanges = { revision: 1, changed: [], deleted: [] };
+
+    override onAsked(): void {
+        // Reads the store already.
+    }
+
+    override changesSince(): MirroredChanges {
+        return this.changes;
+    }
+}
+
+function ask(relay: RelayServer, waitMs: number): { readonly status: () => number; readonly body: () => string; } {
+    let status = 0;
+    let body = "";
+    const res = {
+        once: () => undefined,
+        writeHead: (code: number) => {
+            status = code;
+        },
+        end: (text: string) => {
+            body = text;
+        },
+    };
+    const url = `/store-changes?after=0&wait=${waitMs}`;
+    relay.handle({ url } as unknown as IncomingMessage, res as unknown as ServerResponse);
+    return { status: () => status, body: () => body };
+}
+
+// Guards against dozens of copies of a large configuration that go out over one slow link one after the other.
+test("a large change isn't passed on, and whoever waits is told as soon as it arrives", () => {
+    const feed = new LargeFeed();
+    const relay = new RelayServer(feed);
+    const waiting = ask(relay, 600);
+    assert.equal(waiting.status(), 0);
+    feed.isReadingLarge = true;
+    relay.onChange();
+    assert.equal(readRelayAnswer(waiting.status(), waiting.body()).swap().unsafeCoerce().kind, "bodyTooLarge");
+    feed.isReadingLarge = false;
+    feed.changes = {
+        revision: 2,
+        changed: [{ key: "a", value: "x".repeat(30_000), modifiedRevision: 2 }],
+        deleted: [],
+    };
+    const later = ask(relay, 600);
+    assert.equal(readRelayAnswer(later.status(), later.body()).swap().unsafeCoerce().kind, "bodyTooLarge");
+    feed.changes = {
+        revision: 2,
+        changed: [{ key: "a", value: "x".repeat(20_000), modifiedRevision: 2 }],
+        deleted: [],
+    };
+    const small = ask(relay, 600);
+    assert.equal(readRelayAnswer(small.status(), small.body()).unsafeCoerce().changed.length, 1);
+});
+
+// Guards against a watch that is given up for dead while its large answer arrives, again and again.
+test("a watch whose answer is arriving isn't taken for dead", async () => {
+    const view = new FleetView();
+    const clock = { monotonicMs: () => performance.now(), epochMs: () => Date.now() };
+    const write = (): void => undefined;
+    const parts = {
+        view,
+        clock,
+        random: createRandomSource(1),
+        log: new EdgeLog({ debug: write, info: write, warn: write, error: write }, () => clock.monotonicMs()),
+        metrics: new EdgeMetrics(createMetrics("test")),
+    };
+    const store = new MemoryStore();
+    store.put("a", "1");
+    let sentAtMs: number | undefined = clock.monotonicMs() - 100;
+    const check = new WatchCheck({
+        ...parts,
+        peek: new StorePeek(store, ""),
+        contact: new StoreContact(parts),
+        state: () => ({ afterRevision: 0, sentAtMs }),
+    });
+    assert.equal((await check.run())?.["kind"], "behind");
+    const running = check.run();
+    sentAtMs = undefined;
+    assert.equal(await running, undefined);
+});
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -119,6 +119,15 @@
 export const inquiryPeers = 4;
 export const inquiryPauseMs = 250;
 
+/**
+ * Largest answer with changes that a gateway passes on, in bytes. Dozens of larger ones take seconds on a slow host's link, while each gateway
+ * gets one from the store within a fraction of that.
+ */
+export const largestPassedOnBytes = 24_576;
+
+/** How long a gateway asks the store itself for changes that are too large to be passed on, in milliseconds. */
+export const ownReadingMs = 1_500;
+
 /** Time in which another gateway must answer a question that doesn't wait. */
 export const catchUpTimeoutMs = 300;
 
--- a/packages/edge/src/state/relayClient.ts
+++ b/packages/edge/src/state/relayClient.ts
@@ -27,7 +27,8 @@
 export abstract class PeerChanges {
     /**
      * @param req - what to ask, and whom
-     * @returns the changes, or `storeHistoryLost` where the peer doesn't know that far back, or why none came
+     * @returns the changes, or `storeHistoryLost` where the peer doesn't know that far back, `bodyTooLarge` where there are some that it
+     * doesn't pass on, or why none came
      */
     abstract ask(req: RelayRequest): Promise<Either<Failure, RelayAnswer>>;
 
@@ -106,6 +107,9 @@
     if (status === relayStatus.forgotten) {
         return Left(createFailure("storeHistoryLost", "the peer doesn't know that far back"));
     }
+    if (status === relayStatus.tooLarge) {
+        return Left(createFailure("bodyTooLarge", "the changes are too large to be passed on"));
+    }
     if (status === relayStatus.away) {
         return Left(createFailure("storeUnavailable", "the peer doesn't reach the store"));
     }
--- a/packages/edge/src/state/relayMessages.ts
+++ b/packages/edge/src/state/relayMessages.ts
@@ -24,6 +24,8 @@
     malformed: 400,
     /** What came after the revision is not known any more: the store has to be read. */
     forgotten: 410,
+    /** There are changes, too large to be passed on: the store has to be asked. */
+    tooLarge: 413,
     /** The gateway doesn't reach the store itself. */
     away: 503,
 });
--- a/packages/edge/src/state/relayServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -1,6 +1,6 @@
 import { type MirroredChanges } from "@galenaglade/fleet-state";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { relayWaitMs } from "../constants.js";
+import { largestPassedOnBytes, relayWaitMs } from "../constants.js";
 import { contactPath, type RelayAnswer, relayPath, relayQuery, relayStatus } from "./relayMessages.js";
 
 /** What a gateway tells of the store. */
@@ -11,6 +11,8 @@
     abstract readonly ageMs: number;
     /** How long ago what this gateway holds was the store's whole present state; `undefined` where that isn't known. */
     abstract readonly currentAgeMs: number | undefined;
+    /** Whether changes are arriving that are too large to be passed on. */
+    abstract readonly isReadingLarge: boolean;
     /** For how long the store has been heard without an outage; `undefined` where that isn't known. */
     abstract readonly heardForMs: number | undefined;
     /**
@@ -104,6 +106,10 @@
             this.#shorten(waiting);
             return;
         }
+        if (this.#teller.isReadingLarge) {
+            this.#answer(waiting, relayStatus.tooLarge, noBody);
+            return;
+        }
         const changes = this.#teller.changesSince(waiting.afterRevision);
         if (changes === undefined) {
             this.#answer(waiting, relayStatus.forgotten, noBody);
@@ -111,7 +117,8 @@
         }
         if (timeIsOver || changes.changed.length + changes.deleted.length > 0) {
             const answer: RelayAnswer = { ...changes, ageMs, currentAgeMs, heardForMs };
-            this.#answer(waiting, relayStatus.told, JSON.stringify(answer));
+            const body = isTooLarge(changes) ? undefined : JSON.stringify(answer);
+            this.#answer(waiting, body === undefined ? relayStatus.tooLarge : relayStatus.told, body ?? noBody);
         }
     }
 
@@ -135,6 +142,14 @@
     }
 }
 
+function isTooLarge({ changed }: MirroredChanges): boolean {
+    let length = 0;
+    for (const { key, value } of changed) {
+        length += key.length + value.length;
+    }
+    return length > largestPassedOnBytes;
+}
+
 function send(res: ServerResponse, status: number, body: string): void {
     res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
     res.end(body);
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -15,6 +15,8 @@
 import {
     expiryTickMs,
     firstWatchPauseMs,
+    largestPassedOnBytes,
+    ownReadingMs,
     storeCheckMs,
     shortestProbePeriodMs,
     storeProbeTimeoutMs,
@@ -54,6 +56,7 @@
     /** Whether the store itself has answered since it was last chosen, and no check has failed since. */
     #confirmed = false;
     #askedAtMs = -Infinity;
+    #isReadingLarge = false;
     /** When the watch that waits now was sent; `undefined` while none does. */
     #watchingSinceMs: number | undefined;
     #timers: readonly NodeJS.Timeout[] = [];
@@ -104,6 +107,10 @@
         return Number.isFinite(ageMs) ? Math.max(0, ageMs) : undefined;
     }
 
+    override get isReadingLarge(): boolean {
+        return this.#isReadingLarge;
+    }
+
     override get heardForMs(): number | undefined {
         return this.#parts.view.heardForMs(this.#now());
     }
@@ -257,8 +264,10 @@
         const wait = this.#confirmed ? { waitMs: watchWaitMs, slackMs: watchSlackMs } : { waitMs: 0 };
         const { signal } = this.#turn;
         this.#watchingSinceMs = startedAtMs;
-        const seen = await store.watch({ prefix: codec.prefix, afterRevision, ...wait, signal });
+        const onArriving = (bytes: number): void => this.#onArriving(bytes);
+        const seen = await store.watch({ prefix: codec.prefix, afterRevision, ...wait, onArriving, signal });
         this.#watchingSinceMs = undefined;
+        this.#isReadingLarge = false;
         if (signal.aborted) {
             return 0;
         }
@@ -280,6 +289,7 @@
                 // One that waited tells the state as it was answered.
                 this.#parts.view.onCurrent(wait.waitMs > 0 ? this.#now() : startedAtMs);
                 this.#learn(events);
+                this.#sources.onCaughtUp();
                 // A store that answers a watch at once without changes must not be asked in a tight loop.
                 const cameEarly = wait.waitMs > 0 && this.#now() - startedAtMs < watchPauseMs;
                 return cameEarly || hasChanges(events) ? watchPauseMs : 0;
@@ -287,6 +297,16 @@
         });
     }
 
+    /** A watch that is being answered isn't dead; where the answer is large, whoever waits for it here gets it sooner from the store. */
+    #onArriving(bytes: number): void {
+        this.#watchingSinceMs = undefined;
+        // What arrives is longer than what is passed on: the store encodes its values.
+        if (bytes > 2 * largestPassedOnBytes && !this.#isReadingLarge) {
+            this.#isReadingLarge = true;
+            this.#parts.onChanged();
+        }
+    }
+
     async #watchPeer(peer: Extract<WatchSource, { readonly type: "peer"; }>, afterRevision: number): Promise<number> {
         const { log, metrics } = this.#parts;
         const { signal } = this.#turn;
@@ -302,6 +322,11 @@
                     return 0;
                 }
                 metrics.onRelayRequest(failure.kind);
+                if (failure.kind === "bodyTooLarge") {
+                    log.log("info", "changeNotPassedOn", { peer: peer.name, afterRevision });
+                    this.#sources.onNotPassedOn(this.#now(), ownReadingMs);
+                    return 0;
+                }
                 this.#contact.onRelayLost(this.#now());
                 this.#sources.onFailure(peer.name, this.#now(), failure.kind === "storeUnavailable");
                 log.log("warn", "relayLost", {
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -15,6 +15,7 @@
     | "storeSuspected"
     | "relayChosen"
     | "relayLost"
+    | "changeNotPassedOn"
     | "hostPaused"
     | "heldAtStart"
     | "belief"
--- a/packages/fleetState/src/relaySources.ts
+++ b/packages/fleetState/src/relaySources.ts
@@ -37,6 +37,8 @@
     #failuresInRow = 0;
     #directUntilMs = -Infinity;
     #askedUntilMs = -Infinity;
+    /** Whether the store is asked for the sake of one answer only. */
+    #untilKnown = false;
 
     /**
      * @param self - name of this gateway, as in its registration
@@ -91,11 +93,26 @@
         this.#failedUntilMs.set(name, nowMs + failedPeerMs);
         this.#failuresInRow++;
         if (this.#failuresInRow >= mostPeersAsked) {
+            this.#untilKnown = false;
             this.#directUntilMs = nowMs + directMs;
             this.#failuresInRow = 0;
         }
     }
 
+    /** A peer has changes that it doesn't pass on: the store itself is asked until they are known, for a limited time. */
+    onNotPassedOn(nowMs: number, forMs: number): void {
+        this.#directUntilMs = Math.max(this.#directUntilMs, nowMs + forMs);
+        this.#untilKnown = true;
+    }
+
+    /** The store itself told what has changed. */
+    onCaughtUp(): void {
+        if (this.#untilKnown) {
+            this.#untilKnown = false;
+            this.#directUntilMs = -Infinity;
+        }
+    }
+
     /**
      * The store, which had failed this gateway too, answers it again: so it will the relays that answered without reaching it. Those
      * that gave no answer are not waited for a second time.
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -7,4 +7,5 @@
 export { parseJson } from "./parseJson.js";
 export { listen, type ListenAddress } from "./ports.js";
 export { type BodyLimits, readRequestBody, RequestBody } from "./requestBody.js";
+export { SilenceLimit } from "./silenceLimit.js";
 export { settleWithin, sleep } from "./waiting.js";
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -56,6 +56,8 @@
     readonly waitMs: number;
     /** Time beyond the wait in which the answer must come, in milliseconds; left out, that of any call. */
     readonly slackMs?: number | undefined;
+    /** Called as the answer arrives, with the bytes of it that have, where the store tells. */
+    readonly onArriving?: ((bytes: number) => void) | undefined;
     readonly signal?: AbortSignal | undefined;
 }
 
