Keep and write again the verdicts on roll-outs where the store comes back from an older copy

The copy may lack a verdict or have an earlier stage: a version that was rolled back would get requests again. A status that is earlier by its start and stage is passed over in a reading, and gateways that know one of an earlier term write it again within 2.5 s, after a look at what stands there; one write wins.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -249,7 +249,7 @@
         peers: new RelayClient(),
     });
     const relayServer = new RelayServer(sync);
-    const rolloutSync = new RolloutSync({ name, view, rollouts, store, codec, clock, log, metrics });
+    const rolloutSync = new RolloutSync({ name, view, rollouts, store, codec, clock, random, log, metrics });
     const handovers = new HandoverServer({
         view,
         reach,
--- a/packages/edge/src/rollout/rolloutSync.ts
+++ b/packages/edge/src/rollout/rolloutSync.ts
@@ -1,4 +1,5 @@
 import { type Clock } from "@galenaglade/http-parts";
+import { isLaterStatus, termOf } from "@galenaglade/fleet-state";
 import { type KeyValueStore } from "@galenaglade/platform";
 import {
     type CoordinationTime,
@@ -8,7 +9,8 @@
     type RolloutCommand,
     RolloutParticipant,
 } from "@galenaglade/rollout";
-import { rolloutTickMs } from "../constants.js";
+import { type RandomSource } from "@galenaglade/routing";
+import { rewriteSpreadMs, rolloutTickMs } from "../constants.js";
 import { type StateCodec } from "../stateCodec.js";
 import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
@@ -18,6 +20,7 @@
 
 /** What roll-outs are carried out with. */
 export interface RolloutSyncParts extends ParticipantParts {
+    readonly random: RandomSource;
     readonly store: KeyValueStore;
     readonly codec: StateCodec;
     readonly clock: Clock;
@@ -33,6 +36,8 @@
     readonly #participant: RolloutParticipant;
     readonly #client = new EvidenceClient();
     #timer: NodeJS.Timeout | undefined;
+    /** The store's term for which statuses have been written again. */
+    #term: number | undefined;
 
     constructor(parts: RolloutSyncParts) {
         super();
@@ -54,6 +59,7 @@
     }
 
     #tick(): void {
+        this.#checkTerm();
         const openBefore = this.#participant.countOpen();
         this.#carryOut(this.#participant.tick(this.#time()));
         if (openBefore > 0 && this.#participant.countOpen() === 0) {
@@ -61,6 +67,41 @@
         }
     }
 
+    /** Where the store came back from an older copy, it may lack what was decided, and no gateway is alone in knowing it. */
+    #checkTerm(): void {
+        const { view, random } = this.#parts;
+        if (this.#term !== undefined && view.term > this.#term) {
+            setTimeout(() => void this.#writeAgain(), rewriteSpreadMs * random.next()).unref();
+        }
+        this.#term = view.isRead ? view.term : undefined;
+    }
+
+    async #writeAgain(): Promise<void> {
+        const { view, store, codec, log, metrics } = this.#parts;
+        const lost = view.rollouts().filter(({ statusRevision }) => termOf(statusRevision) < view.term);
+        for (const { service, status, statusRevision } of lost) {
+            if (status === undefined) {
+                continue;
+            }
+            const key = codec.rolloutStatusKey(service);
+            const value = codec.renderRolloutStatus(status);
+            const asked = await store.compareAndSwap({ key, expectedRevision: statusRevision, value });
+            const current = asked.map(outcome => outcome.swapped ? undefined : outcome.current).orDefault(undefined);
+            const item = current && codec.decode(current);
+            if (asked.isLeft() || (item?.type === "rolloutStatus" && !isLaterStatus(status, item.status))) {
+                continue;
+            }
+            const written = await store.compareAndSwap({
+                key,
+                expectedRevision: current?.modifiedRevision ?? 0,
+                value,
+            });
+            const isWritten = written.map(({ swapped }) => swapped).orDefault(false);
+            metrics.onStoreCall("rollout", isWritten ? "answered" : "conflict");
+            log.log("info", "rolloutRestored", { service, stage: status.stage, written: isWritten });
+        }
+    }
+
     #carryOut(commands: readonly RolloutCommand[]): void {
         for (const command of commands) {
             switch (command.type) {
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -44,6 +44,7 @@
     | "rolloutStage"
     | "rolloutVerdict"
     | "rolloutWriteFailed"
+    | "rolloutRestored"
     | "trialStopped"
     | "coordinatorLost"
     | "linesLeftOut"
--- a/packages/fleetState/src/__tests__/storeRestored.test.ts
+++ b/packages/fleetState/src/__tests__/storeRestored.test.ts
@@ -4,6 +4,7 @@
     FleetView,
     type RegisteredServer,
     revisionOf,
+    type RolloutStage,
     type StateItem,
     StoreMirror,
     termOf,
@@ -115,6 +116,23 @@
     assert.equal(isOut(withdrawn, 5_000), false);
 });
 
+// Guards against a version that gets requests again because the copy doesn't know yet that it was rolled back.
+test("a verdict on a roll-out that the copy lacks, or has an earlier stage of, holds", () => {
+    const status = (stage: RolloutStage, revision: number): StateItem => ({
+        type: "rolloutStatus",
+        key: "statuses/tables",
+        status: { service: "tables", version: "v2", stage, startedAtEpochMs: 7, rejectedVersions: [] },
+        revision,
+    });
+    const view = new FleetView();
+    view.onReading([status("trial", 40)], 0, 1);
+    view.onChanges({ items: [status("rolledBack", 45)], deletedKeys: [] }, 500);
+    view.onReading([status("trial", 40)], 1_000, 2);
+    assert.equal(view.rolloutOf("tables")?.status?.stage, "rolledBack");
+    view.onReading([], 2_000, 3);
+    assert.equal(view.rolloutOf("tables")?.status?.stage, "rolledBack");
+});
+
 // Guards against relays and shares that are dealt anew because registrations are younger than the copy.
 test("gateways whose registrations the copy lacks still count, and aren't registered", () => {
     const view = new FleetView();
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -10,6 +10,7 @@
 } from "./model.js";
 import { type RegisteredGateway } from "./relaySources.js";
 import { RestoredBeliefs } from "./restoredBeliefs.js";
+import { isLaterStatus } from "./rolloutOrder.js";
 import { RolloutRegistry } from "./rolloutRegistry.js";
 import { createRouteTable, type RouteTable } from "./routeTable.js";
 import { ServerDirectory } from "./serverDirectory.js";
@@ -310,6 +311,10 @@
         if (item.type === "server") {
             return this.#directory.isOutdated(item.server);
         }
+        if (item.type === "rolloutStatus") {
+            const known = this.#rollouts.planOf(item.status.service)?.status;
+            return known !== undefined && isLaterStatus(known, item.status);
+        }
         return !this.#itemsByKey.has(item.key) && this.#restored.holdsBack(item, nowMs);
     }
 
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -38,6 +38,7 @@
 export { findOwners } from "./rendezvous.js";
 export { RendezvousRanks } from "./rendezvousRanks.js";
 export { type DueBeliefs, RestoredBeliefs } from "./restoredBeliefs.js";
+export { isLaterStatus } from "./rolloutOrder.js";
 export { RolloutRegistry } from "./rolloutRegistry.js";
 export { createRouteTable, type RouteTable } from "./routeTable.js";
 export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
