--- a/packages/edge/src/__tests__/support/troubledStore.ts
+++ b/packages/edge/src/__tests__/support/troubledStore.ts
@@ -77,8 +77,10 @@
         this.#copies = this.#copies.filter(({ atMs }) => atMs <= copy.atMs);
         this.term++;
         this.wake();
-        const { changed, deleted } = lost.changesSince("", copy.engine.revision, this.time.monotonicMs());
-        return [...changed.map(({ key }) => key), ...deleted];
+        const nowMs = this.time.monotonicMs();
+        const keys = new Set([...lost.list("", nowMs), ...copy.engine.list("", nowMs)].map(({ key }) => key));
+        // Revisions of two terms say nothing of each other.
+        return [...keys].filter(key => lost.get(key, nowMs)?.value !== copy.engine.get(key, nowMs)?.value);
     }
 
     /** Counts the spans in which the store was away: what waited in one of them is answered no more. */
--- a/packages/fleetState/src/__tests__/storeRestored.test.ts
+++ b/packages/fleetState/src/__tests__/storeRestored.test.ts
@@ -71,6 +71,13 @@
     assert.equal(view.isUsable("s2", 4_000), true, "it has written since, so it hadn't ended");
 });
 
+test("a server that leaves and doesn't number its entries still leaves", () => {
+    const view = new FleetView();
+    view.onReading([serverItem("draining", 5)], 0, 1);
+    view.onReading([serverItem("ready", 5)], 1_000, 2);
+    assert.equal(view.isUsable("s1", 1_000), false);
+});
+
 // Guards against a service that is refused because its servers' entries are younger than the copy.
 test("servers that the copy lacks are believed until they had time to write again, and no longer", () => {
     const view = new FleetView();
--- a/packages/fleetState/src/serverDirectory.ts
+++ b/packages/fleetState/src/serverDirectory.ts
@@ -190,7 +190,9 @@
     if (a.startedAtEpochMs !== b.startedAtEpochMs) {
         return (a.startedAtEpochMs ?? 0) - (b.startedAtEpochMs ?? 0);
     }
-    return a.sequence === undefined || b.sequence === undefined ? 0 : a.sequence - b.sequence;
+    const later = a.sequence === undefined || b.sequence === undefined ? 0 : a.sequence - b.sequence;
+    // A server that leaves doesn't come back in the same start.
+    return later === 0 && a.state === "ready" && b.state === "draining" ? -1 : later;
 }
 
 function resolveChange(
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -13,6 +13,7 @@
   --runs         how many runs. Default: 1
   --regressions  plays the seeds that once found something
   --cuts         cuts gateways off from all servers as well, as each seed draws it
+  --drills       has the store come back from older copies as well, as each seed draws it
   --parallel     how many at a time; each has 13 processes or more. Default: 1
   --out          where runs that found something keep their histories and logs
 Exit codes: 0 nothing found, 1 something found, 2 arguments that can't be taken.
@@ -31,7 +32,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir, cuts } = options;
+    const { seeds, parallel, dir, cuts, drills } = options;
     const runs = seeds.length;
     // Told to end, it ends what it started: at the process's exit every run kills its own.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -40,7 +41,7 @@
     let failed = 0;
     await Promise.all(Array.from({ length: parallel }, async () => {
         for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-            const result = await runSoak({ system, seed: next, dir, cuts });
+            const result = await runSoak({ system, seed: next, dir, cuts, drills });
             failed += result.findings.length > 0 ? 1 : 0;
             report(result);
         }
@@ -71,6 +72,7 @@
     readonly parallel: number;
     readonly dir: string;
     readonly cuts: boolean;
+    readonly drills: boolean;
 }
 
 function readOptions(args: readonly string[]): CommandOptions | undefined {
@@ -83,6 +85,7 @@
                 runs: { type: "string", default: "1" },
                 regressions: { type: "boolean", default: false },
                 cuts: { type: "boolean", default: false },
+                drills: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
                 out: { type: "string", default: join(tmpdir(), "galenaglade-soak") },
             },
@@ -92,7 +95,7 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        return valid ? { seeds, parallel, dir: values.out, cuts: values.cuts } : undefined;
+        return valid ? { seeds, parallel, dir: values.out, cuts: values.cuts, drills: values.drills } : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -17,4 +17,5 @@
     type StoreOrder,
     type StoreTrouble,
     type StoreWrite,
+    rewriteMs,
 } from "./soakSystem.js";
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -8,6 +8,7 @@
 import { checkSoak } from "./checks.js";
 import { calmMs, limitsAreKept, requestsPerSecond, services, settleMs } from "./constants.js";
 import { planDeadlyRequests, type PlannedDeadlyRequests } from "./deadlyPlan.js";
+import { planDrills } from "./drillPlan.js";
 import { type Fault } from "./faults.js";
 import { renderLargePath } from "./largeAnswers.js";
 import { planCuts } from "./cutPlan.js";
@@ -52,6 +53,8 @@
     readonly faults?: readonly Fault[] | undefined;
     /** Whether gateways are cut off from all servers as well, as the seed draws it. */
     readonly cuts?: boolean | undefined;
+    /** Whether the store comes back from older copies as well, as the seed draws it. */
+    readonly drills?: boolean | undefined;
 }
 
 const routes: readonly SoakRoute[] = ["read", "read", "file", "moving"];
@@ -70,7 +73,9 @@
     return { ...result, findings: [...result.findings, ...findKeysInFiles(dir)] };
 }
 
-async function play({ system, seed, dir, faults = planFaults(seed), cuts = false }: SoakOptions): Promise<SoakResult> {
+async function play(
+    { system, seed, dir, faults = planFaults(seed), cuts = false, drills = false }: SoakOptions,
+): Promise<SoakResult> {
     const workspaces = planWorkspaces(seed, limitsAreKept);
     const world = await SoakWorld.start(system, dir, seed, workspaces?.first);
     const abort = (): void => world.abort();
@@ -99,6 +104,10 @@
         const { rest, leaving } = planNotices(seed);
         const noticesOver = giveNotices(world, { rest, leaving: rollout === undefined ? leaving : undefined });
         const cutsOver = cutGateways(world, cuts ? planCuts(seed) : []);
+        const drillsOver = Promise.all((drills ? planDrills(seed) : []).map(async drill => {
+            await sleep(drill.atMs);
+            await world.restoreStore(drill);
+        }));
         const workspacesOver = Promise.all([
             load.sendOverload(workspaces?.overload),
             ...(workspaces?.changes ?? []).map(async change => {
@@ -113,6 +122,7 @@
             limitOver,
             noticesOver,
             cutsOver,
+            drillsOver,
             workspacesOver,
         ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allOver), allOver]);
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -74,8 +74,16 @@
     /** Forgets all history: a watch that asks for older changes is told so. */
     readonly compact?: boolean | undefined;
     readonly faults?: StoreTrouble | undefined;
+    /**
+     * The store goes on from what it was so long ago, in milliseconds, and its term rises. What operators and servers wrote since is written
+     * again within {@link rewriteMs}, what gateways wrote isn't.
+     */
+    readonly restoreMs?: number | undefined;
 }
 
+/** Time in which operators and servers write again what a store lacks that came back from an older copy, in milliseconds. */
+export const rewriteMs = 1_500;
+
 /** Faults of the stand-in store; each order replaces them all. */
 export interface StoreTrouble {
     readonly refuses: boolean;
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -11,12 +11,13 @@
     serversPerService,
     services,
 } from "./constants.js";
+import { type PlannedDrill } from "./drillPlan.js";
 import { type Fault, type LinkFault } from "./faults.js";
 import { createSoakConfiguration } from "./soakConfiguration.js";
 import { SoakEdge } from "./soakEdge.js";
 import { SoakStore } from "./soakStore.js";
 import { zoneAt } from "./soakZones.js";
-import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite } from "./soakSystem.js";
+import { type ServerTrouble, type SoakSystem, type StoreTrouble, type StoreWrite, rewriteMs } from "./soakSystem.js";
 import { ActiveCuts } from "./soakCuts.js";
 import { SoakBackend } from "./soakBackend.js";
 import { harmLink, harmServer } from "./harm.js";
@@ -208,6 +209,18 @@
         });
     }
 
+    /** The store is away and comes back from an older copy. */
+    restoreStore({ how, awayMs, copyMs }: PlannedDrill): Promise<void> {
+        return this.#harm(async () => {
+            const end = await this.#store.trouble({ [how]: true });
+            await sleep(awayMs);
+            await this.#store.order({ restoreMs: copyMs });
+            await end();
+            // What operators and servers wrote is there again only then.
+            await sleep(rewriteMs);
+        });
+    }
+
     /** @returns a server that has not begun to leave, once there is one */
     async pickLive(target: number): Promise<SoakBackend> {
         await this.#whenServersLive();
