--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -264,7 +264,11 @@
         const wait = this.#confirmed ? { waitMs: watchWaitMs, slackMs: watchSlackMs } : { waitMs: 0 };
         const { signal } = this.#turn;
         this.#watchingSinceMs = startedAtMs;
-        const onArriving = (bytes: number): void => this.#onArriving(bytes);
+        let answeredAtMs: number | undefined;
+        const onArriving = (bytes: number): void => {
+            answeredAtMs ??= this.#now();
+            this.#onArriving(bytes);
+        };
         const seen = await store.watch({ prefix: codec.prefix, afterRevision, ...wait, onArriving, signal });
         this.#watchingSinceMs = undefined;
         this.#isReadingLarge = false;
@@ -286,8 +290,8 @@
             },
             Right: events => {
                 this.#onContact("watch");
-                // One that waited tells the state as it was answered.
-                this.#parts.view.onCurrent(wait.waitMs > 0 ? this.#now() : startedAtMs);
+                // One that waited tells the state as of when its answer began.
+                this.#parts.view.onCurrent(wait.waitMs > 0 ? answeredAtMs ?? this.#now() : startedAtMs);
                 this.#learn(events);
                 this.#sources.onCaughtUp();
                 // A store that answers a watch at once without changes must not be asked in a tight loop.
