--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -35,6 +35,8 @@
         readonly keyId?: string | undefined;
         /** Whether the request's route accepts callers without a key. */
         readonly open?: boolean | undefined;
+        /** Whether it was sent while another request on its connection had no response, or behind the last one. */
+        readonly behind?: boolean | undefined;
     }
     | {
         readonly type: "callerAnswered";
@@ -72,6 +74,8 @@
         readonly requestId: string;
         readonly server: string;
         readonly incarnation: string;
+        /** Whether the server finished the work and responded, if known. */
+        readonly completed?: boolean | undefined;
     }
     /** A server's process crashed while it executed the request. */
     | { readonly type: "serverCrashed"; readonly requestId: string; readonly server: string; }
@@ -151,6 +155,7 @@
     | { readonly type: "gatewayCutFromServers"; readonly gateway: string; }
     /** From now on a gateway can reach the backend servers again. */
     | { readonly type: "gatewayLinksRestored"; readonly gateway: string; }
+    /** A gateway got the signal for a planned stop. */
     | { readonly type: "gatewayStopping"; readonly gateway: string; }
     | { readonly type: "gatewayStopped"; readonly gateway: string; readonly exitCode: number; };
 
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -19,6 +19,7 @@
 } from "./events.js";
 export { checkOperatorChanges, type OperatorChangeLine, type ZoneStates } from "./operatorChangeChecker.js";
 export { checkPartitionedGateways, type PartitionedGatewayBounds } from "./partitionedGatewayChecker.js";
+export { checkPlannedStops, type PlannedStopBounds } from "./plannedStopChecker.js";
 export { checkProbeBudget, type ProbeBudgetBounds } from "./probeBudgetChecker.js";
 export { checkQueryOfDeath, type QueryOfDeathBounds } from "./queryOfDeathChecker.js";
 export { checkRepeatBudget, type RepeatBudgetBounds } from "./repeatBudgetChecker.js";
--- a/packages/soak/src/__tests__/workspacePlan.test.ts
+++ b/packages/soak/src/__tests__/workspacePlan.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RequestGenerator } from "../requestGenerator.js";
-import { parseResponseBytes, renderLargeResponsePath } from "../largeResponses.js";
+import { parseResponseBytes, renderLargeResponsePath } from "../requestedWork.js";
 import { findLeakedKeys } from "../leakedKeys.js";
 import { secretPrefix, limitedWorkspace, planWorkspaces } from "../workspacePlan.js";
 
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -4,6 +4,7 @@
 import { parseArgs } from "node:util";
 import { regressionSeeds } from "./regressionSeeds.js";
 import { runSoak, type SoakResult } from "./runSoak.js";
+import { runStopDrill } from "./stopDrill.js";
 import { type SoakSystem } from "./soakSystem.js";
 
 const badArgumentsExitCode = 2;
@@ -13,6 +14,7 @@
   --runs         number of runs. Default: 1
   --regressions  runs the seeds that found violations before
   --cuts         also partitions gateways from all servers, as drawn from each seed
+  --stops        runs stop drills instead: planned stops under callers that pipeline on kept connections
   --drills       also restores the store from older snapshots, as drawn from each seed
   --parallel     number of concurrent runs; each has 13 processes or more. Default: 1
   --out          directory for histories and logs of runs that found violations
@@ -32,7 +34,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir, cuts, drills } = options;
+    const { seeds, parallel, dir, cuts, drills, stops } = options;
     const runs = seeds.length;
     // Each run kills its processes on the exit event, which these signals don't emit by default.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -41,7 +43,9 @@
     let failed = 0;
     await Promise.all(Array.from({ length: parallel }, async () => {
         for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-            const result = await runSoak({ system, seed: next, dir, cuts, drills });
+            const result = stops
+                ? await runStopDrill({ system, seed: next, dir })
+                : await runSoak({ system, seed: next, dir, cuts, drills });
             failed += result.findings.length > 0 ? 1 : 0;
             report(result);
         }
@@ -73,6 +77,7 @@
     readonly dir: string;
     readonly cuts: boolean;
     readonly drills: boolean;
+    readonly stops: boolean;
 }
 
 function readOptions(args: readonly string[]): CommandOptions | undefined {
@@ -86,6 +91,7 @@
                 regressions: { type: "boolean", default: false },
                 cuts: { type: "boolean", default: false },
                 drills: { type: "boolean", default: false },
+                stops: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
                 out: { type: "string", default: join(tmpdir(), "galenaglade-soak") },
             },
@@ -95,7 +101,8 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        return valid ? { seeds, parallel, dir: values.out, cuts: values.cuts, drills: values.drills } : undefined;
+        const { cuts, drills, stops } = values;
+        return valid ? { seeds, parallel, dir: values.out, cuts, drills, stops } : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -42,6 +42,10 @@
 
 export const objectiveMs = 600;
 
+/** Timeout and objective of the route for long work and large responses. */
+export const bulkTimeoutMs = 5_000;
+export const bulkObjectiveMs = 1_000;
+
 /** Time beyond the route timeout after which a request counts as hanging: half a second, raised for shared machines. */
 export const hangToleranceMs = 1_500;
 
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -22,3 +22,5 @@
     type StoreWrite,
     maxRewriteDelayMs,
 } from "./soakSystem.js";
+export { runStopDrill, type StopDrillOptions } from "./stopDrill.js";
+export { planStopDrill, type PlannedStop, type StopDrillPlan } from "./stopDrillPlan.js";
--- /dev/null
+++ b/packages/soak/src/pipeliningCaller.ts
@@ -0,0 +1,301 @@
+import { type RandomSource } from "@galenaglade/routing";
+import { type HistoryRecorder } from "@galenaglade/stand-ins";
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { renderBulkPath } from "./requestedWork.js";
+import { ResponseParser, type ParsedResponse } from "./responseParser.js";
+import { authority } from "./soakConfiguration.js";
+import { type SoakSystem } from "./soakSystem.js";
+
+/** How a caller uses its connections. */
+export interface PipeliningBehavior {
+    /** Number of requests that it keeps outstanding on a connection. */
+    readonly depth: number;
+    /** Mean duration of the work that a request asks for, in milliseconds, and the size of its response in bytes. */
+    readonly workMs: number;
+    readonly responseBytes: number;
+    /** Pause between responses and the next request, in milliseconds. */
+    readonly thinkMs: number;
+    /** Whether it sends further requests behind a response that closes the connection. */
+    readonly ignoresClose: boolean;
+    /** Whether it sends non-idempotent requests, one at a time, with their body in two parts. */
+    readonly uploads: boolean;
+    /** Pause after each received chunk, in milliseconds; 0 reads at full speed. */
+    readonly readPauseMs: number;
+    /** Whether it stays with one gateway until the process is gone, and doesn't ask the balancer for another one. */
+    readonly isSticky: boolean;
+}
+
+/** A gateway that a caller connects to. */
+export interface CallerTarget {
+    readonly gateway: string;
+    readonly port: number;
+    readonly history: HistoryRecorder;
+}
+
+/** Callers' patience, in milliseconds. */
+export const bulkPatienceMs = 5_000;
+
+const backoffMs = 150;
+const uploadPauseMs = 40;
+const uploadBody = Buffer.from("x".repeat(2_000));
+const okStatus = 200;
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * A caller that uses kept connections until they end, with several requests outstanding on each. It goes on sending
+ * after a response that announces the connection's close if its behavior says so.
+ */
+export class PipeliningCaller {
+    readonly #name: string;
+    readonly #system: SoakSystem;
+    readonly #random: RandomSource;
+    readonly #behavior: PipeliningBehavior;
+    readonly #pickTarget: () => CallerTarget | undefined;
+    #sent = 0;
+    #served = 0;
+    #ended = false;
+    #socket: Socket | undefined;
+
+    /**
+     * @param name - unique name; the request ids begin with it
+     * @param system - encodes requests
+     * @param random - varies the pauses
+     * @param behavior - use of connections
+     * @param pickTarget - picks the gateway of a new connection as the balancer does
+     */
+    constructor(
+        name: string,
+        system: SoakSystem,
+        random: RandomSource,
+        behavior: PipeliningBehavior,
+        pickTarget: () => CallerTarget | undefined,
+    ) {
+        this.#name = name;
+        this.#system = system;
+        this.#random = random;
+        this.#behavior = behavior;
+        this.#pickTarget = pickTarget;
+    }
+
+    get sentCount(): number {
+        return this.#sent;
+    }
+
+    get servedCount(): number {
+        return this.#served;
+    }
+
+    /** Sends requests until {@link end} is called. Never rejects. */
+    async run(): Promise<void> {
+        let target: CallerTarget | undefined;
+        while (!this.#ended) {
+            target = this.#behavior.isSticky && target !== undefined && await canConnect(target.port)
+                ? target
+                : this.#pickTarget();
+            if (target !== undefined) {
+                await this.#useConnection(target);
+            }
+            await sleep(backoffMs * this.#random.next());
+        }
+    }
+
+    /** Stops sending; the connection closes once its outstanding requests are answered. */
+    end(): void {
+        this.#ended = true;
+    }
+
+    /** Closes the connection at once. */
+    abort(): void {
+        this.#ended = true;
+        this.#socket?.destroy();
+    }
+
+    #useConnection({ gateway, port, history }: CallerTarget): Promise<void> {
+        return new Promise(resolve => {
+            const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+            this.#socket = socket;
+            const connection = new CallerConnection(socket, this.#behavior, {
+                createRequest: behind => this.#createRequest(gateway, history, behind),
+                mayContinue: () => !this.#ended,
+                onAnswered: (requestId, res) => this.#onAnswered(history, requestId, res),
+                onLost: requestId => history.record({ type: "callerCutOff", requestId }),
+                thinkMs: () => this.#behavior.thinkMs * 2 * this.#random.next(),
+            });
+            socket.on("error", () => undefined);
+            socket.on("connect", () => connection.start());
+            socket.on("close", () => {
+                connection.onClosed();
+                resolve();
+            });
+        });
+    }
+
+    #createRequest(gateway: string, history: HistoryRecorder, behind: boolean): CreatedRequest {
+        const { workMs, responseBytes, uploads } = this.#behavior;
+        const requestId = `${this.#name}-${++this.#sent}`;
+        const route = uploads ? "file" : "bulk";
+        const path = renderBulkPath(route, requestId, workMs, responseBytes);
+        const headers = {
+            host: authority,
+            ...this.#system.renderRequestHeaders(requestId, bulkPatienceMs),
+            ...uploads ? { "content-length": String(uploadBody.length) } : {},
+        };
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+        return {
+            requestId,
+            head: [`${uploads ? "POST" : "GET"} ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n"),
+            onSent: () =>
+                history.record({
+                    type: "callerSent",
+                    requestId,
+                    service: route,
+                    idempotent: !uploads,
+                    gateway,
+                    patienceMs: bulkPatienceMs,
+                    behind,
+                }),
+        };
+    }
+
+    #onAnswered(history: HistoryRecorder, requestId: string, { status, headers, body }: ParsedResponse): void {
+        const metadata = this.#system.parseResponseHeaders(headers);
+        const bodyRequestId = status === okStatus ? findRequestId(body) : undefined;
+        this.#served += status === okStatus ? 1 : 0;
+        history.record({
+            type: "callerAnswered",
+            requestId,
+            status,
+            didRun: notRunStatuses.has(status) ? "no" : undefined,
+            whole: status !== okStatus
+                || (metadata.signed && metadata.requestId === requestId && bodyRequestId !== undefined),
+            bodyRequestId,
+        });
+    }
+}
+
+/** A request that a caller is about to send. */
+interface CreatedRequest {
+    readonly requestId: string;
+    readonly head: string;
+    /** Called when the last byte has been written. */
+    readonly onSent: () => void;
+}
+
+/** What a connection reports to its caller. */
+interface ConnectionEvents {
+    readonly createRequest: (behind: boolean) => CreatedRequest;
+    readonly mayContinue: () => boolean;
+    readonly onAnswered: (requestId: string, res: ParsedResponse) => void;
+    readonly onLost: (requestId: string) => void;
+    readonly thinkMs: () => number;
+}
+
+/** One connection of a caller, with its outstanding requests. */
+class CallerConnection {
+    readonly #socket: Socket;
+    readonly #behavior: PipeliningBehavior;
+    readonly #events: ConnectionEvents;
+    readonly #parser = new ResponseParser();
+    readonly #outstanding: string[] = [];
+    #isClosing = false;
+    #hasEnded = false;
+
+    constructor(socket: Socket, behavior: PipeliningBehavior, events: ConnectionEvents) {
+        this.#socket = socket;
+        this.#behavior = behavior;
+        this.#events = events;
+        socket.on("data", chunk => this.#onData(chunk));
+        socket.on("end", () => {
+            this.#hasEnded = true;
+        });
+    }
+
+    start(): void {
+        for (let i = 0; i < (this.#behavior.uploads ? 1 : this.#behavior.depth); i++) {
+            this.#send();
+        }
+    }
+
+    /** Reports the requests that got no response. */
+    onClosed(): void {
+        this.#hasEnded = true;
+        for (const requestId of this.#outstanding.splice(0)) {
+            this.#events.onLost(requestId);
+        }
+    }
+
+    #send(): void {
+        if (this.#hasEnded || !this.#events.mayContinue() || !this.#socket.writable) {
+            return;
+        }
+        const behind = this.#isClosing || this.#outstanding.length > 0;
+        const { requestId, head, onSent } = this.#events.createRequest(behind);
+        this.#outstanding.push(requestId);
+        if (!this.#behavior.uploads) {
+            onSent();
+            this.#socket.write(head);
+            return;
+        }
+        this.#socket.write(head);
+        this.#socket.write(uploadBody.subarray(1));
+        setTimeout(() => {
+            onSent();
+            if (this.#socket.writable) {
+                this.#socket.write(uploadBody.subarray(0, 1));
+            }
+        }, uploadPauseMs);
+    }
+
+    #onData(chunk: Buffer): void {
+        for (const res of this.#parser.add(chunk)) {
+            this.#onResponse(res);
+        }
+        if (this.#behavior.readPauseMs > 0) {
+            this.#socket.pause();
+            setTimeout(() => this.#socket.resume(), this.#behavior.readPauseMs);
+        }
+    }
+
+    #onResponse(res: ParsedResponse): void {
+        const requestId = this.#outstanding.shift();
+        if (requestId !== undefined) {
+            this.#events.onAnswered(requestId, res);
+        }
+        if (res.closes) {
+            this.#isClosing = true;
+            if (!this.#behavior.ignoresClose) {
+                this.#socket.end();
+                return;
+            }
+        }
+        const pauseMs = this.#events.thinkMs() + (res.status === okStatus ? 0 : backoffMs);
+        setTimeout(() => {
+            if (!this.#events.mayContinue() && this.#outstanding.length === 0) {
+                this.#socket.end();
+                return;
+            }
+            this.#send();
+        }, pauseMs);
+    }
+}
+
+function findRequestId(body: string): string | undefined {
+    try {
+        return (JSON.parse(body) as { readonly requestId: string; }).requestId;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function canConnect(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        socket.on("error", () => resolve(false));
+        socket.on("connect", () => {
+            socket.destroy();
+            resolve(true);
+        });
+    });
+}
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -10,7 +10,7 @@
 import { planQueryOfDeath, type PlannedQueryOfDeath } from "./queryOfDeathPlan.js";
 import { planStoreRestores } from "./storeRestorePlan.js";
 import { type Fault } from "./faults.js";
-import { renderLargeResponsePath } from "./largeResponses.js";
+import { renderLargeResponsePath } from "./requestedWork.js";
 import { planPartitions } from "./partitionPlan.js";
 import { planServerLimit } from "./serverLimitPlan.js";
 import { planServerMetadata } from "./serverMetadataPlan.js";
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -3,6 +3,8 @@
 import {
     maxProbesPerServerAndSecond,
     coldRequestsPerSecond,
+    bulkObjectiveMs,
+    bulkTimeoutMs,
     exposureShare,
     stopGraceMs,
     objectiveMs,
@@ -19,7 +21,7 @@
 export const authority = "soak.example";
 
 /** Names of the routes that callers send to. */
-export type SoakRoute = "read" | "file" | "moving" | "open" | "large";
+export type SoakRoute = "read" | "file" | "moving" | "open" | "large" | "bulk";
 
 /** Path prefix of each route. */
 export const routePathPrefixes: Readonly<Record<SoakRoute, string>> = Object.freeze({
@@ -28,6 +30,7 @@
     moving: "/moving/",
     open: "/tables/open/",
     large: "/tables/large/",
+    bulk: "/tables/bulk/",
 });
 
 /** @returns the service of a route in a configuration version; the moving route's service changes with each version */
@@ -36,6 +39,7 @@
         case "read":
         case "open":
         case "large":
+        case "bulk":
             return services[0];
         case "file":
             return services[1];
@@ -64,6 +68,7 @@
             createRoute("read", version, true),
             createRoute("file", version, false),
             createRoute("moving", version, true),
+            { ...createRoute("bulk", version, true), timeoutMs: bulkTimeoutMs, objectiveMs: bulkObjectiveMs },
             ...workspaces === undefined ? [] : keyedRoutes,
         ],
         workspaces: workspaces?.map(({ name, keys, priority, limit }) => ({
@@ -119,6 +124,7 @@
     ports: EdgePorts,
     storePort: number,
     sourceAddress: string,
+    graceMs = stopGraceMs,
 ): string {
     return stringify({
         name,
@@ -131,7 +137,7 @@
         },
         servers: { connectFrom: sourceAddress },
         store: { address: `127.0.0.1:${storePort}`, shortestLeaseSeconds: minLeaseSeconds },
-        stopping: { graceSeconds: stopGraceMs / 1_000 },
+        stopping: { graceSeconds: graceMs / 1_000 },
         repeats: { ratio: repeatRatio, slack: repeatSlack, windowSeconds: repeatWindowMs / 1_000 },
         asking: { perServerAndSecond: maxProbesPerServerAndSecond },
         rollouts: { exposureShare },
--- a/packages/soak/src/soakEdge.ts
+++ b/packages/soak/src/soakEdge.ts
@@ -4,8 +4,8 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { stopGraceMs } from "./constants.js";
 import { FaultProxy } from "./faultProxy.js";
+import { type CallerTarget } from "./pipeliningCaller.js";
 import { type RequestOutcome, SoakCaller } from "./soakCaller.js";
 import { type EdgePorts, renderEdgeSettings } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -40,6 +40,7 @@
     readonly #logPath: string;
     readonly #settingsPath: string;
     readonly #ports: EdgePorts;
+    readonly #graceMs: number;
     readonly #incarnations: Incarnation[] = [];
     #failedProbes = unreadyThreshold;
     #ended = false;
@@ -49,6 +50,7 @@
         readonly ports: EdgePorts;
         readonly settingsPath: string;
         readonly sourceAddress: string;
+        readonly graceMs: number;
     }) {
         this.name = name;
         this.storeProxy = parts.storeProxy;
@@ -58,6 +60,7 @@
         this.#logPath = join(dir, `${name}.log`);
         this.#settingsPath = parts.settingsPath;
         this.#ports = parts.ports;
+        this.#graceMs = parts.graceMs;
     }
 
     /** Starts its first incarnation. */
@@ -69,17 +72,22 @@
         dir: string,
         storePort: number,
         sourceAddress: string,
+        graceMs: number,
     ): Promise<SoakEdge> {
         const storeProxy = await FaultProxy.start(storePort);
         const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
         const ports = { callers, readiness, peers, metrics };
         const settingsPath = join(dir, `${name}.yaml`);
-        writeFileSync(settingsPath, renderEdgeSettings(name, availabilityZone, ports, storeProxy.port, sourceAddress));
+        writeFileSync(
+            settingsPath,
+            renderEdgeSettings(name, availabilityZone, ports, storeProxy.port, sourceAddress, graceMs),
+        );
         const edge = new SoakEdge(name, system, random, dir, {
             storeProxy,
             ports,
             settingsPath,
             sourceAddress,
+            graceMs,
         });
         await edge.#startIncarnation();
         void edge.#probeReadiness();
@@ -96,6 +104,12 @@
         return this.#incarnations.at(-1)?.caller;
     }
 
+    /** The current incarnation, for a caller with connections of its own. */
+    get callerTarget(): CallerTarget | undefined {
+        const incarnation = this.#incarnations.at(-1);
+        return incarnation && { gateway: this.name, port: this.#ports.callers, history: incarnation.history };
+    }
+
     /** Request outcomes of all incarnations, and whether the incarnation was killed. */
     get outcomes(): readonly { readonly outcome: RequestOutcome; readonly killed: boolean; }[] {
         return this.#incarnations.flatMap(({ caller, ending }) =>
@@ -130,10 +144,11 @@
         incarnation.ending = "asked";
         const endFault = this.faultWindows.begin(monotonicNow());
         const beganAtMs = monotonicNow();
-        const exit = await incarnation.process.stop(stopGraceMs + killGraceMs);
+        incarnation.history.record({ type: "gatewayStopping", gateway: this.name });
+        const exit = await incarnation.process.stop(this.#graceMs + killGraceMs);
         const tookMs = Math.round(monotonicNow() - beganAtMs);
         // Another fault may have killed the process in the meantime.
-        if (this.#isPlannedStop(incarnation) && (exit.code !== 0 || tookMs > stopGraceMs)) {
+        if (this.#isPlannedStop(incarnation) && (exit.code !== 0 || tookMs > this.#graceMs)) {
             this.findings.push(`${this.name}: planned stop ended with ${JSON.stringify(exit)} after ${tookMs} ms`);
         }
         await this.#startNextIncarnation(incarnation, downMs);
@@ -169,6 +184,11 @@
         endFault(monotonicNow());
     }
 
+    /** Sends SIGTERM to the process again, without effect on the run's expectations. */
+    sendSigterm(): void {
+        this.#incarnations.at(-1)?.process.terminate();
+    }
+
     /** Sends SIGHUP to the process. */
     sendSighup(): void {
         this.#incarnations.at(-1)?.process.hangUp();
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -10,6 +10,7 @@
     gatewayZoneCount,
     serversPerService,
     services,
+    stopGraceMs,
 } from "./constants.js";
 import { type PlannedStoreRestore } from "./storeRestorePlan.js";
 import { type Fault, type LinkFault } from "./faults.js";
@@ -84,17 +85,19 @@
      * Starts all processes.
      *
      * @param workspaces - workspaces of the first configuration version; `undefined` if callers need no keys
+     * @param graceMs - grace period of planned stops, in milliseconds
      */
     static async start(
         system: SoakSystem,
         dir: string,
         seed: number,
         workspaces: readonly SoakWorkspace[] | undefined,
+        graceMs = stopGraceMs,
     ): Promise<SoakFleet> {
         const fleet = new SoakFleet(system, dir, createRandomSource(seed + 1), await SoakStore.start(system));
         fleet.#workspaces = workspaces;
         try {
-            await fleet.#startAll(seed);
+            await fleet.#startAll(seed, graceMs);
         }
         catch (err) {
             // If a process fails to start, for instance because its port has been taken, none may be left running.
@@ -104,8 +107,8 @@
         return fleet;
     }
 
-    async #startAll(seed: number): Promise<void> {
-        await this.#configure();
+    async #startAll(seed: number, graceMs: number): Promise<void> {
+        await this.configure();
         const places = services.flatMap(service =>
             Array.from({ length: serversPerService }, (_, i) => ({ service, i }))
         );
@@ -121,6 +124,7 @@
                     this.#dir,
                     this.#store.port,
                     `127.0.1.${i + 1}`,
+                    graceMs,
                 ),
             );
         }
@@ -196,7 +200,7 @@
             case "serverDrain":
                 return this.#replaceDrained(backend, durationMs);
             case "configure":
-                return this.#configure();
+                return this.configure();
             case "zoneOut":
                 return this.#takeZoneOut(zoneAt(fault.target), durationMs);
             case "burst":
@@ -401,7 +405,8 @@
         return this.#writeVersion();
     }
 
-    #configure(): Promise<void> {
+    /** Writes the next configuration version. */
+    configure(): Promise<void> {
         this.#version += 1 + this.#random.nextInt(3);
         return this.#writeVersion();
     }
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -4,7 +4,7 @@
 import { text } from "node:stream/consumers";
 import { maxServerQueue, serverSlots, typicalWorkMs } from "./constants.js";
 import { queryOfDeathMarker } from "./queryOfDeathPlan.js";
-import { parseResponseBytes } from "./largeResponses.js";
+import { parseResponseBytes, parseWorkMs } from "./requestedWork.js";
 import { type ReceivedRequest, type ServerCodec, type ServerState } from "./serverCodec.js";
 import { type SoakServerOptions, type ServerFaults, noServerFaults } from "./soakSystem.js";
 import { secretPrefix } from "./workspacePlan.js";
@@ -86,7 +86,7 @@
         if (url.includes(queryOfDeathMarker)) {
             setTimeout(() => this.#crash(requestId), crashDelayMs);
         }
-        const done = await this.#work(res, request.remainingMs);
+        const done = await this.#work(res, request.remainingMs, parseWorkMs(url) ?? typicalWorkMs);
         this.#running--;
         this.#queue.shift()?.();
         this.#history.record({
@@ -94,6 +94,7 @@
             requestId,
             server: this.#options.id,
             incarnation: this.#options.id,
+            completed: done,
         });
         if (done) {
             this.#respond(requestId, parseResponseBytes(url), res);
@@ -132,9 +133,9 @@
     }
 
     /** @returns whether the work finished before the deadline, with the gateway still connected */
-    #work(res: ServerResponse, remainingMs: number): Promise<boolean> {
+    #work(res: ServerResponse, remainingMs: number, meanMs: number): Promise<boolean> {
         const cold = this.#isCold() ? coldSlowdown : 1;
-        const tookMs = typicalWorkMs * (0.5 + this.#random.next()) * this.#faults.slowdown * cold;
+        const tookMs = meanMs * (0.5 + this.#random.next()) * this.#faults.slowdown * cold;
         return new Promise(resolve => {
             const timer = setTimeout(
                 () => resolve(!res.destroyed && tookMs <= remainingMs),
--- a/packages/standIns/src/processes/startProcess.ts
+++ b/packages/standIns/src/processes/startProcess.ts
@@ -98,6 +98,11 @@
         this.#child.kill("SIGKILL");
     }
 
+    /** Sends SIGTERM without waiting for the exit. */
+    terminate(): void {
+        this.#child.kill("SIGTERM");
+    }
+
     /** Sends SIGHUP, on which a program reloads its settings. */
     hangUp(): void {
         this.#child.kill("SIGHUP");
