Log and count responses that a gateway doesn't deliver

The users' record has no line that names a lost request. Neither can ours: a response that was written and cut on its way is logged as requestEnded, requestFailed and requestEnded are limited to 40 lines a second (under load up to 662 were left out in one), what is still at work at a stop's end isn't named, and process.exit discards lines that are still buffered.

The log is flushed for up to 100 ms before a stopped process exits. No decision changes.

--- a/packages/edge/src/__tests__/edgeLog.test.ts
+++ b/packages/edge/src/__tests__/edgeLog.test.ts
@@ -60,3 +60,21 @@
     assert.match(written.join(""), /log lines left out/);
     assert.match(written.join(""), /after/);
 });
+
+// A process that exits with buffered lines would lose those on the requests that its stop has ended.
+test("flushing the output waits until the buffered lines are written", async () => {
+    const written: string[] = [];
+    const stream = new Writable({
+        write: (chunk, _encoding, done) => {
+            setImmediate(() => {
+                written.push(String(chunk));
+                done();
+            });
+        },
+    });
+    const output = new BoundedOutput(stream, 1_000);
+    output.write("first\n");
+    output.write("second\n");
+    await output.flush();
+    assert.equal(written.join(""), "first\nsecond\n");
+});
--- a/packages/edge/src/callers/callerConnections.ts
+++ b/packages/edge/src/callers/callerConnections.ts
@@ -7,21 +7,57 @@
     unanswered: number;
     /** Whether the response that closes the connection is being written. */
     closing: boolean;
+    /** Whether the caller has closed or reset the connection. */
+    callerLeft: boolean;
 }
 
+/** A request whose response its caller doesn't have yet. */
+export interface PendingResponse {
+    readonly req: IncomingMessage;
+    readonly ageMs: number;
+    /** `waiting` without a response, `responding` with a part of it, `flushing` with unsent bytes of a whole response. */
+    readonly state: "waiting" | "responding" | "flushing";
+    /** Bytes of the connection that aren't with the operating system yet. */
+    readonly unsentBytes: number;
+}
+
+/** Called when a connection has closed before the response to a request was sent. */
+export type UndeliveredListener = (pending: PendingResponse, closedBy: "caller" | "gateway") => void;
+
 /**
  * Tracks callers' connections and the outstanding requests on each. With HTTP pipelining, responses are due in the
  * order of the requests. So while the process drains, a connection is closed only with the response to its latest
  * request: closed earlier, requests that were already forwarded would get no response.
  */
 export class CallerConnections {
+    readonly #nowMs: () => number;
+    readonly #onUndelivered: UndeliveredListener;
     readonly #states = new Map<Socket, ConnectionState>();
-    #unanswered = 0;
+    readonly #pending = new Map<ServerResponse, { readonly req: IncomingMessage; readonly arrivedAtMs: number; }>();
     #draining = false;
 
+    /**
+     * @param nowMs - reads the monotonic clock
+     * @param onUndelivered - called when a connection has closed before the response to a request was sent
+     */
+    constructor(nowMs: () => number, onUndelivered: UndeliveredListener) {
+        this.#nowMs = nowMs;
+        this.#onUndelivered = onUndelivered;
+    }
+
     /** Number of requests whose response is not complete. */
     get unanswered(): number {
-        return this.#unanswered;
+        return this.#pending.size;
+    }
+
+    /** Number of connections that have carried a request. */
+    get connectionCount(): number {
+        return this.#states.size;
+    }
+
+    /** @returns the requests whose response is not complete */
+    listPending(): readonly PendingResponse[] {
+        return [...this.#pending.keys()].map(res => this.#describe(res)).filter(pending => pending !== undefined);
     }
 
     /** @returns whether to handle the request: not if its connection is already closing with an earlier response */
@@ -32,21 +68,14 @@
             return false;
         }
         if (state === undefined) {
-            this.#states.set(socket, { latest: req, unanswered: 1, closing: false });
-            socket.once("close", () => this.#states.delete(socket));
+            this.#addConnection(socket, req);
         }
         else {
             state.latest = req;
             state.unanswered++;
         }
-        this.#unanswered++;
-        res.once("close", () => {
-            this.#unanswered--;
-            const answered = this.#states.get(socket);
-            if (answered !== undefined) {
-                answered.unanswered--;
-            }
-        });
+        this.#pending.set(res, { req, arrivedAtMs: this.#nowMs() });
+        res.once("close", () => this.#onClosed(res, socket));
         return true;
     }
 
@@ -89,4 +118,37 @@
         server.close();
         server.closeIdleConnections();
     }
+
+    #addConnection(socket: Socket, latest: IncomingMessage): void {
+        const state: ConnectionState = { latest, unanswered: 1, closing: false, callerLeft: false };
+        this.#states.set(socket, state);
+        const onCallerLeft = (): void => {
+            state.callerLeft = true;
+        };
+        socket.once("end", onCallerLeft);
+        socket.once("error", onCallerLeft);
+        socket.once("close", () => this.#states.delete(socket));
+    }
+
+    #onClosed(res: ServerResponse, socket: Socket): void {
+        const state = this.#states.get(socket);
+        const pending = this.#describe(res);
+        this.#pending.delete(res);
+        if (state !== undefined) {
+            state.unanswered--;
+        }
+        if (pending !== undefined && !res.writableFinished) {
+            this.#onUndelivered(pending, state?.callerLeft === false ? "gateway" : "caller");
+        }
+    }
+
+    #describe(res: ServerResponse): PendingResponse | undefined {
+        const pending = this.#pending.get(res);
+        return pending && {
+            req: pending.req,
+            ageMs: Math.round(this.#nowMs() - pending.arrivedAtMs),
+            state: res.writableEnded ? "flushing" : res.headersSent ? "responding" : "waiting",
+            unsentBytes: pending.req.socket.writableLength,
+        };
+    }
 }
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -259,3 +259,6 @@
  */
 export const maxComparisonServers = 3;
 export const minComparisonServers = 2;
+
+/** Maximum time for which a stopping process waits until its log has been written, in milliseconds. */
+export const maxLogFlushMs = 100;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -11,11 +11,11 @@
 import { type KeyValueStore } from "@galenaglade/platform";
 import { GatewayRollouts } from "@galenaglade/rollout";
 import { createRandomSource } from "@galenaglade/routing";
-import { type Logger, type Metrics } from "@galenaglade/telemetry";
+import { type LogFields, type Logger, type Metrics } from "@galenaglade/telemetry";
 import { ServerLivenessChecker } from "./backends/serverLivenessChecker.js";
 import { ServerConnectionPool } from "./backends/serverConnectionPool.js";
 import { DirectConnector, type ServerConnector } from "./backends/serverConnector.js";
-import { CallerConnections } from "./callers/callerConnections.js";
+import { CallerConnections, type PendingResponse } from "./callers/callerConnections.js";
 import { EdgeHandler } from "./callers/edgeHandler.js";
 import { StartupGate } from "./callers/startupGate.js";
 import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
@@ -101,7 +101,22 @@
     const initialSyncGate = new InitialSyncGate(clock, () => timeline.record("stateRead"));
     const connector = options.connector ?? new DirectConnector(connectTimeoutMs, settings.servers.connectFrom);
     const connections = new ServerConnectionPool(connector);
-    const callerConnections = new CallerConnections();
+    const logPending = (
+        event: "responseCut" | "unansweredAtStop",
+        { req, ageMs, state, unsentBytes }: PendingResponse,
+    ): void => {
+        const { requestId } = metadataCodec.readRequest(req.rawHeaders);
+        const sinceStopMs = stopStartedAtMs === undefined
+            ? undefined
+            : Math.round(clock.monotonicMs() - stopStartedAtMs);
+        log.log("warn", event, { requestId, state, ageMs, unsentBytes, sinceStopMs });
+    };
+    const callerConnections = new CallerConnections(() => clock.monotonicMs(), (pending, closedBy) => {
+        metrics.onResponseUndelivered(pending.state, closedBy);
+        if (closedBy === "gateway") {
+            logPending("responseCut", pending);
+        }
+    });
     const { ratio, slack, windowSeconds } = settings.repeats;
     const repeatBudget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
     const board = new PlacementState({
@@ -174,6 +189,7 @@
         tolerance: settings.workspaceLimits,
         socket: new UdpSocket(peerAddress ?? anyLoopbackPort, error => log.log("error", "unexpected", { error })),
     });
+    let stopStartedAtMs: number | undefined;
     let stopDeadlineMs: number | undefined;
     const handler = new EdgeHandler({
         name,
@@ -275,21 +291,31 @@
     const peerServer = createPeerServer({ relay: relayServer, inbox: rolloutSync, reachability, handovers });
 
     const stop = async (): Promise<void> => {
-        const stopStartedAtMs = clock.monotonicMs();
+        const startedAtMs = clock.monotonicMs();
+        stopStartedAtMs = startedAtMs;
         const graceMs = settings.stopping.graceSeconds * 1_000;
-        const deadlineMs = stopStartedAtMs + graceMs - stopMarginMs;
+        const deadlineMs = startedAtMs + graceMs - stopMarginMs;
+        const elapsedMs = (): number => Math.round(clock.monotonicMs() - startedAtMs);
         stopDeadlineMs = deadlineMs;
-        log.log("info", "stopping", { unanswered: callerConnections.unanswered, graceMs });
+        const describe = (): LogFields => ({
+            unanswered: callerConnections.unanswered,
+            connections: callerConnections.connectionCount,
+        });
+        log.log("info", "stopping", { ...describe(), graceMs });
         callerConnections.beginDrain();
         relayServer.stop();
         limits.beginDrain();
         registration.stop();
         // The balancer still sends callers until it has detected the stop; these are served, not refused.
         await sleep(Math.max(Math.min(balancerDetectionMs, graceMs * stopAcceptShare), 0));
+        log.log("info", "listenerClosing", { ...describe(), elapsedMs: elapsedMs() });
         callerConnections.closeIdle(callerServer);
         while (callerConnections.unanswered > 0 && clock.monotonicMs() < deadlineMs + stopMarginMs / 2) {
             await sleep(stopPollPeriodMs);
         }
+        for (const pending of callerConnections.listPending()) {
+            logPending("unansweredAtStop", pending);
+        }
         stateSync.stop();
         rolloutSync.stop();
         crashReports.stop();
@@ -302,7 +328,7 @@
         peerServer.closeAllConnections();
         readinessServer.close();
         metricsServer.close();
-        log.log("info", "stopped", { unanswered: callerConnections.unanswered });
+        log.log("info", "stopped", { ...describe(), elapsedMs: elapsedMs() });
     };
 
     return {
--- a/packages/edge/src/edgeProcess.ts
+++ b/packages/edge/src/edgeProcess.ts
@@ -3,7 +3,8 @@
 import { createJsonLogger, createMetrics } from "@galenaglade/telemetry";
 import murmurHash from "imurmurhash";
 import { createWriteStream, readFileSync } from "node:fs";
-import { maxLogBufferBytes } from "./constants.js";
+import { waitAtMost } from "@galenaglade/http-parts";
+import { maxLogBufferBytes, maxLogFlushMs } from "./constants.js";
 import { createEdge } from "./edge.js";
 import { resolveEdgeSettings, type ResolvedEdgeSettings } from "./settings.js";
 import { type StateCodec } from "./stateCodec.js";
@@ -61,7 +62,11 @@
             changed: JSON.stringify(reloaded) !== JSON.stringify(settings),
         });
     });
-    stopOnSignals(() => edge.stop());
+    stopOnSignals(async () => {
+        await edge.stop();
+        // Exiting discards lines that are still buffered, among them those on what the stop ended.
+        await waitAtMost(output.flush(), maxLogFlushMs);
+    });
     process.on("unhandledRejection", err => {
         logger.error("unexpected", { error: String(err) });
     });
--- a/packages/edge/src/telemetry/boundedOutput.ts
+++ b/packages/edge/src/telemetry/boundedOutput.ts
@@ -28,4 +28,11 @@
         }
         this.#stream.write(line);
     }
+
+    /** @returns a promise that resolves once all lines were written; never while the reader stands still */
+    flush(): Promise<void> {
+        return new Promise(resolve => {
+            this.#stream.write("", () => resolve());
+        });
+    }
 }
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -9,6 +9,7 @@
 export class EdgeMetrics {
     readonly #requests;
     readonly #durations;
+    readonly #undelivered;
     readonly #waits;
     readonly #sends;
     readonly #lostSends;
@@ -31,6 +32,9 @@
         this.#meter = meter;
         this.#requests = meter.createCounter("galenaglade.requests", { description: "requests by route and outcome" });
         this.#durations = meter.createHistogram("http.server.request.duration", { unit: "s" });
+        this.#undelivered = meter.createCounter("galenaglade.responses_undelivered", {
+            description: "responses whose connection closed before they were sent, by state and by who closed it",
+        });
         this.#waits = meter.createHistogram("http.placement.request.duration", {
             unit: "s",
             description: "time until a backend server was chosen",
@@ -80,6 +84,10 @@
         this.#durations.record(durationMs / 1_000, { route, outcome });
     }
 
+    onResponseUndelivered(state: string, closedBy: string): void {
+        this.#undelivered.add(1, { state, closedBy });
+    }
+
     onPlaced(service: string, waitedMs: number): void {
         this.#waits.record(waitedMs / 1_000, { service });
     }
