--- a/packages/soak/src/pipeliningCaller.ts
+++ b/packages/soak/src/pipeliningCaller.ts
@@ -1,9 +1,9 @@
 import { type RandomSource } from "@galenaglade/routing";
-import { type HistoryRecorder } from "@galenaglade/stand-ins";
+import { type HistoryRecorder, type ParsedResponse, ResponseParser } from "@galenaglade/stand-ins";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { routeTimeoutMs } from "./constants.js";
 import { renderBulkPath } from "./requestedWork.js";
-import { ResponseParser, type ParsedResponse } from "./responseParser.js";
 import { authority } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
 
@@ -33,7 +33,7 @@
     readonly history: HistoryRecorder;
 }
 
-/** Callers' patience, in milliseconds. */
+/** Callers' patience for a response of the bulk route, in milliseconds. */
 export const bulkPatienceMs = 5_000;
 
 const backoffMs = 150;
@@ -135,10 +135,11 @@
         const { workMs, responseBytes, uploads } = this.#behavior;
         const requestId = `${this.#name}-${++this.#sent}`;
         const route = uploads ? "file" : "bulk";
+        const patienceMs = uploads ? routeTimeoutMs : bulkPatienceMs;
         const path = renderBulkPath(route, requestId, workMs, responseBytes);
         const headers = {
             host: authority,
-            ...this.#system.renderRequestHeaders(requestId, bulkPatienceMs),
+            ...this.#system.renderRequestHeaders(requestId, patienceMs),
             ...uploads ? { "content-length": String(uploadBody.length) } : {},
         };
         const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
@@ -152,7 +153,7 @@
                     service: route,
                     idempotent: !uploads,
                     gateway,
-                    patienceMs: bulkPatienceMs,
+                    patienceMs,
                     behind,
                 }),
         };
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -58,6 +58,7 @@
     sendRawRequest,
     startRawBackend,
 } from "./raw/rawBackend.js";
+export { type ParsedResponse, ResponseParser } from "./raw/responseParser.js";
 export {
     FileHistoryRecorder,
     HistoryRecorder,
