Read on after closing a caller's connection, so that its last response isn't reset

Callers saw: a response that was written whole ended with a reset, mostly large ones, after SIGTERM and with any other connection: close. Cause: Node's server destroys the socket as soon as the last response is handed to the operating system. With input unread, here the requests that a pipelining caller sends on, the system then resets the connection and drops what it hasn't sent yet, and the caller's system what it hasn't read (RFC 9112, section 9.6).

The connection is closed for writing, and what still comes is read and discarded until the caller closes its side, for a second at most. Applies to the product's own gateway as well, since both use createCallerServer.

--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -1,6 +1,7 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { closeLingering } from "./lingeringClose.js";
 import { renderRawFailure, writeFailure } from "./failureResponse.js";
 
 /** Limits and timeouts for callers' connections. */
@@ -59,6 +60,8 @@
     server.on("connection", (socket: Socket) => {
         openConnections++;
         socket.once("close", () => openConnections--);
+        // The HTTP server calls this after a response that closes the connection.
+        socket.destroySoon = () => closeLingering(socket);
         if (openConnections > limits.maximumConnections) {
             closeWithFailure(socket, createFailure("tooManyConnections", "this host takes no more connections"));
         }
