Close only connections that are idle at a planned stop, and wait for those that still use theirs

Callers saw: 2.3 s after SIGTERM, a response that was written and still being sent to a caller that reads slowly ended with its connection; at the end of the stop, connections on which a next request was half read, or whose last response was still being sent, were destroyed. Cause: Server.close and closeIdleConnections take a connection for idle once its response has been ended, though the bytes are still queued; and the stop counted whole requests only.

ConnectionTracker knows which connections wait for a next request of which nothing has arrived, and for how long. A stop closes those idle for 250 ms, waits up to 3 s from the signal for the others, and until callers have closed the connections that were closed for writing.

'closing idle connections doesn't cut a response that is still being sent' and 'a request that is half read when idle connections close gets a response' failed before and pass.

--- a/packages/edge/src/callers/callerConnections.ts
+++ b/packages/edge/src/callers/callerConnections.ts
@@ -1,4 +1,4 @@
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 
 interface ConnectionState {
@@ -50,11 +50,6 @@
         return this.#pending.size;
     }
 
-    /** Number of connections that have carried a request. */
-    get connectionCount(): number {
-        return this.#states.size;
-    }
-
     /** @returns the requests whose response is not complete */
     listPending(): readonly PendingResponse[] {
         return [...this.#pending.keys()].map(res => this.#describe(res)).filter(pending => pending !== undefined);
@@ -113,12 +108,6 @@
         this.#draining = true;
     }
 
-    /** Stops accepting connections, and closes the idle ones. */
-    closeIdle(server: Server): void {
-        server.close();
-        server.closeIdleConnections();
-    }
-
     #addConnection(socket: Socket, latest: IncomingMessage): void {
         const state: ConnectionState = { latest, unanswered: 1, closing: false, callerLeft: false };
         this.#states.set(socket, state);
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -262,3 +262,12 @@
 
 /** Maximum time for which a stopping process waits until its log has been written, in milliseconds. */
 export const maxLogFlushMs = 100;
+
+/** Time from the signal of a planned stop for which half-read requests are waited for, in milliseconds. */
+export const maxStopAdmissionMs = 3_000;
+
+/**
+ * Time for which a connection must have been idle to be closed during a planned stop, in milliseconds: its last response
+ * has reached the caller by then.
+ */
+export const minStopIdleMs = 250;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,6 +1,7 @@
 import { FleetView } from "@galenaglade/fleet-state";
 import {
     type Clock,
+    ConnectionTracker,
     createCallerServer,
     listen,
     type ListenAddress,
@@ -26,6 +27,8 @@
     initialKeepAliveMs,
     maxCallerConnections,
     maxRequestHeadBytes,
+    maxStopAdmissionMs,
+    minStopIdleMs,
     requestTimeoutMs,
     stopAcceptShare,
     stopMarginMs,
@@ -223,6 +226,7 @@
         requestTimeoutMs,
         keepAliveMs: initialKeepAliveMs,
     }, (req, res) => handler.handle(req, res));
+    const callerSockets = new ConnectionTracker(callerServer, () => clock.monotonicMs());
 
     const readiness = (): Readiness => {
         if (stopDeadlineMs !== undefined) {
@@ -290,6 +294,20 @@
     });
     const peerServer = createPeerServer({ relay: relayServer, inbox: rolloutSync, reachability, handovers });
 
+    /** Waits until all requests are answered and the callers have closed their connections. */
+    const whenClosed = async (startedAtMs: number, endByMs: number): Promise<void> => {
+        for (;;) {
+            const nowMs = clock.monotonicMs();
+            callerSockets.closeIdle(minStopIdleMs);
+            const waitsForRequests = nowMs < startedAtMs + maxStopAdmissionMs && callerSockets.openCount > 0;
+            const isDone = callerConnections.unanswered === 0 && callerSockets.closingCount === 0 && !waitsForRequests;
+            if (isDone || nowMs >= endByMs) {
+                return;
+            }
+            await sleep(stopPollPeriodMs);
+        }
+    };
+
     const stop = async (): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
         stopStartedAtMs = startedAtMs;
@@ -299,7 +317,7 @@
         stopDeadlineMs = deadlineMs;
         const describe = (): LogFields => ({
             unanswered: callerConnections.unanswered,
-            connections: callerConnections.connectionCount,
+            connections: callerSockets.openCount,
         });
         log.log("info", "stopping", { ...describe(), graceMs });
         callerConnections.beginDrain();
@@ -309,10 +327,8 @@
         // The balancer still sends callers until it has detected the stop; these are served, not refused.
         await sleep(Math.max(Math.min(balancerDetectionMs, graceMs * stopAcceptShare), 0));
         log.log("info", "listenerClosing", { ...describe(), elapsedMs: elapsedMs() });
-        callerConnections.closeIdle(callerServer);
-        while (callerConnections.unanswered > 0 && clock.monotonicMs() < deadlineMs + stopMarginMs / 2) {
-            await sleep(stopPollPeriodMs);
-        }
+        callerSockets.stopListening();
+        await whenClosed(startedAtMs, deadlineMs + stopMarginMs / 2);
         for (const pending of callerConnections.listPending()) {
             logPending("unansweredAtStop", pending);
         }
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -1,5 +1,6 @@
 /** Shared HTTP utilities: caller server, error responses, headers, request bodies, clocks and timeouts. */
 export { type Clock, systemClock } from "./clock.js";
+export { ConnectionTracker } from "./connectionTracker.js";
 export { type CallerServerOptions, createCallerServer } from "./createCallerServer.js";
 export { writeFailure } from "./failureResponse.js";
 export { findHeader, findHeaders, filterEndToEndHeaders, type RawHeaders } from "./headers.js";
