Decide by one schedule what a stopping gateway still takes, passes on and breaks off

Callers saw: 504 of the gateway's own while a server was at work on their request, up to 5 to 58 a stop; with short grace periods long before the last sixth (graceSeconds 1: at 0.65 s). Cause: a connection closed only with the response to its latest request, so callers that pipeline without a pause were never told; what arrived was passed on until the end, with nothing that knew how long its server needs; requests accepted before the signal had no end at all and lost their connection 175 ms later. The class: each part of a stop had a limit of its own, and what follows for a request from the time that is left was decided nowhere, or after it had been passed on.

StopPlan has the times of a stop, derived from the grace period: listen, admit, answer, end. Requests that are read after admission has ended (3 s, 0.6 of the grace period at most) get 503 at once, not run, with Retry-After and connection: close. After it nothing is sent (first sends, retries, hedges, handovers, sends that wait for a connection) that its server isn't expected to finish. Connections are sealed when the listener closes: what is sent behind another request on one isn't passed on, and the latest accepted one gets the closing response. Work is broken off a twelfth of the grace period before its end, 350 ms at most, which lies in the last sixth for every length. The listener stays open while connections are waiting: one is accepted in each turn of the event loop, and closing it resets the others.

--- a/packages/edge/src/callers/callerConnections.ts
+++ b/packages/edge/src/callers/callerConnections.ts
@@ -7,6 +7,8 @@
     unanswered: number;
     /** Whether the response that closes the connection is being written. */
     closing: boolean;
+    /** Whether requests behind the latest one were ignored. */
+    hasIgnored: boolean;
     /** Whether the caller has closed or reset the connection. */
     callerLeft: boolean;
 }
@@ -35,6 +37,8 @@
     readonly #states = new Map<Socket, ConnectionState>();
     readonly #pending = new Map<ServerResponse, { readonly req: IncomingMessage; readonly arrivedAtMs: number; }>();
     #draining = false;
+    #isSealed = false;
+    #ignored = 0;
 
     /**
      * @param nowMs - reads the monotonic clock
@@ -50,16 +54,28 @@
         return this.#pending.size;
     }
 
+    /** Number of requests that were sent behind the last one that their connection takes. */
+    get ignored(): number {
+        return this.#ignored;
+    }
+
     /** @returns the requests whose response is not complete */
     listPending(): readonly PendingResponse[] {
         return [...this.#pending.keys()].map(res => this.#describe(res)).filter(pending => pending !== undefined);
     }
 
-    /** @returns whether to handle the request: not if its connection is already closing with an earlier response */
+    /**
+     * @returns whether to handle the request: not if its connection is already closing with an earlier response, or if
+     * it was sent behind another request once the connections are sealed
+     */
     onRequest(req: IncomingMessage, res: ServerResponse): boolean {
         const { socket } = req;
         const state = this.#states.get(socket);
-        if (state?.closing === true) {
+        if (state?.closing === true || (this.#isSealed && state !== undefined && state.unanswered > 0)) {
+            state.hasIgnored = true;
+            this.#ignored++;
+            // An unread body would keep the rest of the input from being discarded.
+            req.resume();
             return false;
         }
         if (state === undefined) {
@@ -108,8 +124,16 @@
         this.#draining = true;
     }
 
+    /**
+     * From now on, connections with outstanding requests take no more of them, so that callers that pipeline without a
+     * pause get to a last response. One that is alone on its connection is still handled.
+     */
+    seal(): void {
+        this.#isSealed = true;
+    }
+
     #addConnection(socket: Socket, latest: IncomingMessage): void {
-        const state: ConnectionState = { latest, unanswered: 1, closing: false, callerLeft: false };
+        const state: ConnectionState = { latest, unanswered: 1, closing: false, hasIgnored: false, callerLeft: false };
         this.#states.set(socket, state);
         const onCallerLeft = (): void => {
             state.callerLeft = true;
@@ -125,6 +149,11 @@
         this.#pending.delete(res);
         if (state !== undefined) {
             state.unanswered--;
+            if (state.hasIgnored && !state.closing && state.unanswered === 0) {
+                // The last response was written before it was known to be the last one.
+                state.closing = true;
+                socket.destroySoon();
+            }
         }
         if (pending !== undefined && !res.writableFinished) {
             this.#onUndelivered(pending, state?.callerLeft === false ? "gateway" : "caller");
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -9,17 +9,19 @@
 } from "../handover/handoverMessages.js";
 import { HandoverHandler, refuseHandover } from "../handover/handoverServer.js";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type Either, Left } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { maxBufferedBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { Exchange } from "../requests/exchange.js";
-import { type ExchangeResult } from "../requests/localReplies.js";
-import { callerGone, cutoffReached, type ExchangeDeps } from "../requests/exchangeDeps.js";
+import { createStoppingFailure, type ExchangeResult } from "../requests/localReplies.js";
+import { callerGone, cutoffReached, type ExchangeDeps, stopDeadlineReached } from "../requests/exchangeDeps.js";
 import { type BufferedResponse } from "../backends/sendRequest.js";
 import { CallerSink, writeResponse } from "./responseWriter.js";
 import { type InitialSyncGate } from "../state/initialSyncGate.js";
 import { isStateFresh } from "../state/isStateFresh.js";
 import { type CallerConnections } from "./callerConnections.js";
+import { RequestDeadline } from "./requestDeadline.js";
+import { type StopPlan } from "../stopping/stopPlan.js";
 import { type StartupGate } from "./startupGate.js";
 
 /** Dependencies of an {@link EdgeHandler}. */
@@ -27,8 +29,8 @@
     readonly callerConnections: CallerConnections;
     readonly initialSyncGate: InitialSyncGate;
     readonly startupGate: StartupGate;
-    /** Time of the monotonic clock by which a planned stop has to end all requests; `undefined` before a stop. */
-    readonly stopDeadlineMs: () => number | undefined;
+    /** Schedule of the planned stop; `undefined` before one. */
+    readonly stopPlan: () => StopPlan | undefined;
 }
 
 /** Handles requests of callers and handed-over requests, from arrival to the final response. */
@@ -36,12 +38,21 @@
     readonly #deps: EdgeHandlerDeps;
     /** Metadata of handed-over requests. */
     readonly #handovers = new WeakMap<ServerResponse, HandoverMetadata>();
+    /** Deadlines of the requests that are being handled. */
+    readonly #deadlines = new Map<ServerResponse, RequestDeadline>();
 
     constructor(deps: EdgeHandlerDeps) {
         super();
         this.#deps = deps;
     }
 
+    /** Limits the requests that are being handled to the schedule of a planned stop. */
+    beginStop(plan: StopPlan): void {
+        for (const [res, deadline] of this.#deadlines) {
+            limitToStop(deadline, res, plan);
+        }
+    }
+
     /** Handles one request of a caller; never throws. */
     handle(req: IncomingMessage, res: ServerResponse): void {
         const { callerConnections, clock, view, timeline } = this.#deps;
@@ -143,14 +154,19 @@
     }
 
     async #serve(request: EdgeRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const { clock, stopDeadlineMs } = this.#deps;
-        const abort = new AbortController();
-        const cutoffMs = Math.min(request.cutoffMs, stopDeadlineMs() ?? Infinity);
-        const timer = setTimeout(() => abort.abort(cutoffReached), Math.max(0, cutoffMs - clock.monotonicMs()));
+        const { clock, stopPlan } = this.#deps;
+        const deadline = new RequestDeadline(clock);
+        const { signal } = deadline;
+        this.#deadlines.set(res, deadline);
+        deadline.limit(request.cutoffMs, cutoffReached);
+        const plan = stopPlan();
+        if (plan !== undefined) {
+            limitToStop(deadline, res, plan);
+        }
         // Nobody reads the response after a disconnect; aborting frees the backend server's slot for other requests.
         res.once("close", () => {
             if (!res.writableFinished) {
-                abort.abort(callerGone);
+                deadline.abort(callerGone);
             }
         });
         try {
@@ -159,20 +175,29 @@
                 maxBytes: request.maximumBodyBytes,
                 maxBufferedBytes: maxBufferedBodyBytes,
             };
-            const body = await readRequestBody(limits, req, abort.signal);
+            const body = (await readRequestBody(limits, req, signal)).chain(read => this.#admit(read));
             if (body.isLeft()) {
                 const failure = body.extract();
                 this.#fail(req, res, failure);
                 this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
                 return;
             }
-            await this.#exchange(request, body.unsafeCoerce(), abort.signal, req, res);
+            await this.#exchange(request, body.unsafeCoerce(), signal, req, res);
         }
         finally {
-            clearTimeout(timer);
+            deadline.clear();
+            this.#deadlines.delete(res);
         }
     }
 
+    /** @returns the body of a request that has now been read; a failure if it is too late in a planned stop for it */
+    #admit(body: RequestBody): Either<Failure, RequestBody> {
+        const { clock, random, stopPlan } = this.#deps;
+        return stopPlan()?.isAdmitted(clock.monotonicMs()) === false
+            ? Left(createStoppingFailure(random))
+            : Right(body);
+    }
+
     async #exchange(
         request: EdgeRequest,
         body: RequestBody,
@@ -348,6 +373,11 @@
     }
 }
 
+/** Gives a request its final response before a planned stop ends, unless its response has begun. */
+function limitToStop(deadline: RequestDeadline, res: ServerResponse, { answerByMs }: StopPlan): void {
+    deadline.limit(answerByMs, stopDeadlineReached, () => !res.headersSent);
+}
+
 /** Sets the handover header on a response to another gateway. */
 function setHandoverOutcome(res: ServerResponse, outcome: HandoverOutcome): void {
     res.setHeader(handoverHeader, renderHandoverHeader(outcome));
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -118,11 +118,37 @@
 /** Keep-alive timeout for idle caller connections until the configuration sets one, in milliseconds. */
 export const initialKeepAliveMs = 15_000;
 
-/** Maximum fraction of the grace period of a planned stop during which new connections are still accepted. */
+/** Maximum share of the grace period of a planned stop during which new connections are accepted. */
 export const stopAcceptShare = 0.5;
 
-/** Time reserved at the end of a planned stop to flush the last responses, in milliseconds. */
-export const stopMarginMs = 350;
+/**
+ * Time from the signal of a planned stop after which arriving requests are refused, and its maximum share of the grace
+ * period. Only requests sent within 3 s may still be at work when the grace period ends.
+ */
+export const maxStopAdmissionMs = 3_000;
+export const stopAdmitShare = 0.6;
+
+/**
+ * Time before the end of the grace period at which requests that are still at work are broken off, in milliseconds, and
+ * its maximum share of the grace period. No request may be broken off before the last sixth.
+ */
+export const maxStopMarginMs = 350;
+export const stopMarginShare = 1 / 12;
+
+/** Share of that time that is left when the process ends, for timers that fire late. */
+export const stopEndShare = 0.5;
+
+/** Factor of a service's typical latency that must be left for a send during a planned stop. */
+export const stopLatencyFactor = 2;
+
+/**
+ * Time for which a connection must have been idle to be closed during a planned stop, in milliseconds: its last response
+ * has reached the caller by then.
+ */
+export const minStopIdleMs = 250;
+
+/** Time without a new connection after which none is waiting to be accepted, in milliseconds. */
+export const acceptQuietMs = 100;
 
 /**
  * Time for which a stopping gateway continues to accept connections, in milliseconds, until the balancer no longer
@@ -262,12 +288,3 @@
 
 /** Maximum time for which a stopping process waits until its log has been written, in milliseconds. */
 export const maxLogFlushMs = 100;
-
-/** Time from the signal of a planned stop for which half-read requests are waited for, in milliseconds. */
-export const maxStopAdmissionMs = 3_000;
-
-/**
- * Time for which a connection must have been idle to be closed during a planned stop, in milliseconds: its last response
- * has reached the caller by then.
- */
-export const minStopIdleMs = 250;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -21,17 +21,15 @@
 import { StartupGate } from "./callers/startupGate.js";
 import { createMetricsServer, createReadinessServer, type Readiness } from "./callers/readinessServer.js";
 import {
-    balancerDetectionMs,
+    acceptQuietMs,
     connectTimeoutMs,
     handoverConnectTimeoutMs,
     initialKeepAliveMs,
     maxCallerConnections,
     maxRequestHeadBytes,
-    maxStopAdmissionMs,
     minStopIdleMs,
     requestTimeoutMs,
-    stopAcceptShare,
-    stopMarginMs,
+    stopLatencyFactor,
     stopPollPeriodMs,
 } from "./constants.js";
 import { HandoverServer } from "./handover/handoverServer.js";
@@ -55,6 +53,7 @@
 import { type StateCodec } from "./stateCodec.js";
 import { EdgeLog } from "./telemetry/edgeLog.js";
 import { EdgeMetrics } from "./telemetry/edgeMetrics.js";
+import { StopPlan } from "./stopping/stopPlan.js";
 import { StartTimeline } from "./telemetry/startTimeline.js";
 import { type EdgeMetadataCodec } from "./metadataCodec.js";
 
@@ -109,9 +108,7 @@
         { req, ageMs, state, unsentBytes }: PendingResponse,
     ): void => {
         const { requestId } = metadataCodec.readRequest(req.rawHeaders);
-        const sinceStopMs = stopStartedAtMs === undefined
-            ? undefined
-            : Math.round(clock.monotonicMs() - stopStartedAtMs);
+        const sinceStopMs = stopPlan && Math.round(clock.monotonicMs() - stopPlan.startedAtMs);
         log.log("warn", event, { requestId, state, ageMs, unsentBytes, sinceStopMs });
     };
     const callerConnections = new CallerConnections(() => clock.monotonicMs(), (pending, closedBy) => {
@@ -192,8 +189,7 @@
         tolerance: settings.workspaceLimits,
         socket: new UdpSocket(peerAddress ?? anyLoopbackPort, error => log.log("error", "unexpected", { error })),
     });
-    let stopStartedAtMs: number | undefined;
-    let stopDeadlineMs: number | undefined;
+    let stopPlan: StopPlan | undefined;
     const handler = new EdgeHandler({
         name,
         view,
@@ -218,7 +214,11 @@
         callerConnections,
         initialSyncGate: initialSyncGate,
         startupGate: new StartupGate(clock),
-        stopDeadlineMs: () => stopDeadlineMs,
+        stopPlan: () => stopPlan,
+        maySend: ({ rules, route }) => {
+            const expectedMs = board.typicalLatency.of(rules.name, route.objectiveMs) * stopLatencyFactor;
+            return stopPlan?.maySend(clock.monotonicMs(), expectedMs) ?? true;
+        },
     });
     const callerServer = createCallerServer({
         maximumConnections: maxCallerConnections,
@@ -229,7 +229,7 @@
     const callerSockets = new ConnectionTracker(callerServer, () => clock.monotonicMs());
 
     const readiness = (): Readiness => {
-        if (stopDeadlineMs !== undefined) {
+        if (stopPlan !== undefined) {
             return { ready: false, reason: "stopping" };
         }
         return view.configurationInForce === undefined
@@ -290,18 +290,18 @@
         clock,
         log,
         metrics,
-        isStopping: () => stopDeadlineMs !== undefined,
+        isStopping: () => stopPlan !== undefined,
     });
     const peerServer = createPeerServer({ relay: relayServer, inbox: rolloutSync, reachability, handovers });
 
     /** Waits until all requests are answered and the callers have closed their connections. */
-    const whenClosed = async (startedAtMs: number, endByMs: number): Promise<void> => {
+    const whenAnswered = async (plan: StopPlan): Promise<void> => {
         for (;;) {
             const nowMs = clock.monotonicMs();
             callerSockets.closeIdle(minStopIdleMs);
-            const waitsForRequests = nowMs < startedAtMs + maxStopAdmissionMs && callerSockets.openCount > 0;
+            const waitsForRequests = nowMs < plan.admitUntilMs && callerSockets.openCount > 0;
             const isDone = callerConnections.unanswered === 0 && callerSockets.closingCount === 0 && !waitsForRequests;
-            if (isDone || nowMs >= endByMs) {
+            if (isDone || nowMs >= plan.endByMs) {
                 return;
             }
             await sleep(stopPollPeriodMs);
@@ -309,26 +309,33 @@
     };
 
     const stop = async (): Promise<void> => {
-        const startedAtMs = clock.monotonicMs();
-        stopStartedAtMs = startedAtMs;
         const graceMs = settings.stopping.graceSeconds * 1_000;
-        const deadlineMs = startedAtMs + graceMs - stopMarginMs;
-        const elapsedMs = (): number => Math.round(clock.monotonicMs() - startedAtMs);
-        stopDeadlineMs = deadlineMs;
+        const plan = new StopPlan(clock.monotonicMs(), graceMs);
+        stopPlan = plan;
         const describe = (): LogFields => ({
             unanswered: callerConnections.unanswered,
             connections: callerSockets.openCount,
+            elapsedMs: Math.round(clock.monotonicMs() - plan.startedAtMs),
         });
         log.log("info", "stopping", { ...describe(), graceMs });
+        handler.beginStop(plan);
         callerConnections.beginDrain();
         relayServer.stop();
         limits.beginDrain();
         registration.stop();
         // The balancer still sends callers until it has detected the stop; these are served, not refused.
-        await sleep(Math.max(Math.min(balancerDetectionMs, graceMs * stopAcceptShare), 0));
-        log.log("info", "listenerClosing", { ...describe(), elapsedMs: elapsedMs() });
+        await sleep(plan.listenUntilMs - clock.monotonicMs());
+        // One connection is accepted in each turn of the event loop: on a busy host, others may be waiting.
+        while (
+            clock.monotonicMs() < plan.admitUntilMs
+            && clock.monotonicMs() - callerSockets.lastAcceptedAtMs < acceptQuietMs
+        ) {
+            await sleep(stopPollPeriodMs);
+        }
+        log.log("info", "listenerClosing", describe());
         callerSockets.stopListening();
-        await whenClosed(startedAtMs, deadlineMs + stopMarginMs / 2);
+        callerConnections.seal();
+        await whenAnswered(plan);
         for (const pending of callerConnections.listPending()) {
             logPending("unansweredAtStop", pending);
         }
@@ -344,7 +351,7 @@
         peerServer.closeAllConnections();
         readinessServer.close();
         metricsServer.close();
-        log.log("info", "stopped", { ...describe(), elapsedMs: elapsedMs() });
+        log.log("info", "stopped", { ...describe(), ignored: callerConnections.ignored });
     };
 
     return {
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -213,6 +213,9 @@
         if (hasNotRun && keyChange !== undefined) {
             return this.#localReplies.keyChanged(keyChange);
         }
+        if (hasNotRun && !this.#deps.maySend(this.#request)) {
+            return this.#localReplies.stopping();
+        }
         if (hasNotRun && retryAfterMs !== undefined) {
             return this.#localReplies.quarantined(retryAfterMs);
         }
@@ -263,6 +266,9 @@
     async #findTarget(purpose: SendPurpose): Promise<Target | PlacementFailure> {
         const { reachability } = this.#deps;
         const service = this.#request.rules.name;
+        if (!this.#deps.maySend(this.#request)) {
+            return "stopping";
+        }
         if (this.#handover.isAllowed && await this.#whenReachabilitySettled() !== "reached") {
             const gateway = this.#chooseHandoverTarget();
             if (gateway !== undefined) {
@@ -370,7 +376,8 @@
     }
 
     #mayWrite(): boolean {
-        return !this.#signal.aborted && this.#workspaceGuard.keyChange === undefined && this.#quarantineGuard.maySend();
+        return !this.#signal.aborted && this.#workspaceGuard.keyChange === undefined
+            && this.#quarantineGuard.maySend() && this.#deps.maySend(this.#request);
     }
 
     #sendToServer(place: Placement, purpose: SendPurpose): void {
--- a/packages/edge/src/requests/exchangeDeps.ts
+++ b/packages/edge/src/requests/exchangeDeps.ts
@@ -14,6 +14,7 @@
 import { type StartTimeline } from "../telemetry/startTimeline.js";
 import { type EdgeMetadataCodec } from "../metadataCodec.js";
 import { type ResponseMetadataRecorder } from "./responseMetadataRecorder.js";
+import { type EdgeRequest } from "./edgeRequest.js";
 import { type Placer } from "./placer.js";
 
 /** Abort reason of an exchange: the caller has closed its connection. */
@@ -22,6 +23,9 @@
 /** Abort reason of an exchange: the final response is due. */
 export const cutoffReached = "cutoffReached";
 
+/** Abort reason of an exchange: a planned stop can't wait any longer. */
+export const stopDeadlineReached = "stopDeadlineReached";
+
 /** Dependencies of an {@link Exchange}. */
 export interface ExchangeDeps {
     /** Name of this gateway, as registered. */
@@ -42,6 +46,8 @@
     readonly limits: WorkspaceLimits;
     readonly repeatBudget: RepeatBudget;
     readonly rollouts: GatewayRollouts;
+    /** Whether a request may be sent now: during a planned stop, not if its server couldn't finish it in time. */
+    readonly maySend: (request: EdgeRequest) => boolean;
     readonly metadataCodec: EdgeMetadataCodec;
     readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
--- a/packages/edge/src/requests/localReplies.ts
+++ b/packages/edge/src/requests/localReplies.ts
@@ -34,6 +34,9 @@
      * @param backoffRemainingMs - time until the first server's back-off ends, if all servers back off, in milliseconds
      */
     placementFailed(reason: Exclude<PlacementFailure, "abandoned">, backoffRemainingMs = 0): ExchangeResult {
+        if (reason === "stopping") {
+            return this.stopping();
+        }
         if (reason === "resting") {
             return this.#reject("overloaded", reason, "resting", backoffRemainingMs);
         }
@@ -42,6 +45,11 @@
             : this.#reject("overloaded", reason, "full");
     }
 
+    /** This gateway is stopping. Other gateways can serve the request at once. */
+    stopping(): ExchangeResult {
+        return { type: "failed", failure: createStoppingFailure(this.#random) };
+    }
+
     /**
      * Requests with this content have crashed servers.
      *
@@ -113,6 +121,12 @@
     }
 }
 
+/** @returns the failure of a request that a stopping gateway refuses */
+export function createStoppingFailure(random: RandomSource): Failure {
+    const retryAfterSeconds = drawRetryAfterSeconds("turnedAway", 0, random);
+    return createFailure("stopping", "this host is stopping", { retryAfterSeconds });
+}
+
 /** @returns a short label of how a send ended, for logs and metrics */
 export function describeSendEnd(end: SendEnd): string {
     switch (end.type) {
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -38,6 +38,8 @@
 export type PlacementFailure =
     | NoServerReason
     | "abandoned"
+    /** This gateway is stopping, and no server could finish the request in time. */
+    | "stopping"
     /** Neither this gateway nor any other reaches a server of the service. */
     | "unreached";
 
