Keep to the response that has begun to reach the caller

Callers saw: a connection with several requests ended, with responses that servers had finished; unexpected, ERR_HTTP_HEADERS_SENT in the log, without any signal. Cause: while a large response was streamed, the request went on as if nothing had been sent. Its hedge could be sent, another send's failure could be retried, and the 5xx of an earlier send, kept as a fallback, was written as a second response when the request's time was over.

Once a response is being streamed, no further send is made and the result is that of the stream. requestEnded and galenaglade_requests_total call a stream that was cut off truncated.

'the failure of an earlier send isn't written into a response that is being streamed' failed before and passes.

--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -307,7 +307,7 @@
         }
         const { clock, log, metrics } = this.#deps;
         const tookMs = Math.round(clock.monotonicMs() - request.arrivedAtMs);
-        const outcome = result.type === "answered" ? String(result.response.status) : "streamed";
+        const outcome = describeOutcome(result);
         if (request.handedOverBy === undefined) {
             metrics.onRequestEnded(request.route.name, outcome, tookMs);
             this.#countWorkspace(request, tookMs <= request.route.objectiveMs ? "inTime" : "late");
@@ -378,6 +378,13 @@
     deadline.limit(answerByMs, stopDeadlineReached, () => !res.headersSent);
 }
 
+function describeOutcome(result: Exclude<ExchangeResult, { readonly type: "failed"; }>): string {
+    if (result.type === "answered") {
+        return String(result.response.status);
+    }
+    return result.complete ? "streamed" : "truncated";
+}
+
 /** Sets the handover header on a response to another gateway. */
 function setHandoverOutcome(res: ServerResponse, outcome: HandoverOutcome): void {
     res.setHeader(handoverHeader, renderHandoverHeader(outcome));
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -189,6 +189,10 @@
         if (result.streamed) {
             return { type: "streamed", complete: end.type === "answered" };
         }
+        if (this.#streaming) {
+            // The caller already has the beginning of another send's response.
+            return undefined;
+        }
         const mayRetry = this.#isRetryAllowed();
         if (response !== undefined && end.type === "answered") {
             this.#respondingServerId = underWay.to === "server" ? underWay.placement.server.id : undefined;
@@ -255,7 +259,7 @@
             to: targetName(target),
             budgetLeft: repeatBudget.remaining(this.#request.rules.name, this.#gatewayCount(), this.#nowMs()),
         });
-        if (typeof target === "string" || this.#workspaceGuard.isKeyChanged()) {
+        if (typeof target === "string" || this.#streaming || this.#workspaceGuard.isKeyChanged()) {
             return false;
         }
         this.#sendTo(target, "retry");
@@ -325,14 +329,14 @@
 
     /** Sends to a second server if one with spare capacity is found; the first response goes to the caller. */
     async #tryHedge(): Promise<void> {
-        if (!this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
+        if (this.#streaming || !this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
             return;
         }
         const target = await this.#findTarget("hedge");
         if (typeof target === "string") {
             return;
         }
-        const isNeeded = this.#workspaceGuard.allowsExtraRuns && !this.#signal.aborted
+        const isNeeded = this.#workspaceGuard.allowsExtraRuns && !this.#signal.aborted && !this.#streaming
             && this.#inFlight.size >= this.#unprocessed.size;
         if (!isNeeded || this.#workspaceGuard.isKeyChanged() || !this.#quarantineGuard.mayHedge()) {
             return;
@@ -517,6 +521,9 @@
 
     /** The response is due, or the caller has disconnected. */
     #resolveAborted(): ExchangeResult {
+        if (this.#streaming) {
+            return { type: "streamed", complete: false };
+        }
         return this.#localReplies.timedOut(this.#sendEnds, this.#inFlight.size, this.#fallback);
     }
 }
