Leave a stopping process time to end within its grace period on a busy host

Seen: under overload the process was still there at the end of its grace time. Cause: work was waited for until 350 ms before it and the process ended 175 ms later by its own clock, which starts with the handling of the signal; turns of its event loop take as long as that under load, and its log is flushed for up to 100 ms. A stop that threw would never have exited at all.

Work is broken off an eighth of the grace period before its end, 700 ms at most (5.3 s of 6), still in the last sixth; the process ends at half of that.

--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -132,8 +132,8 @@
  * Time before the end of the grace period at which requests that are still at work are broken off, in milliseconds, and
  * its maximum share of the grace period. No request may be broken off before the last sixth.
  */
-export const maxStopMarginMs = 350;
-export const stopMarginShare = 1 / 12;
+export const maxStopMarginMs = 700;
+export const stopMarginShare = 1 / 8;
 
 /** Share of that time that is left when the process ends, for timers that fire late. */
 export const stopEndShare = 0.5;
--- a/packages/edge/src/edgeProcess.ts
+++ b/packages/edge/src/edgeProcess.ts
@@ -87,7 +87,11 @@
                 return;
             }
             stopping = true;
-            void stop().then(() => process.exit(0));
+            stop().then(() => process.exit(0), (err: unknown) => {
+                // Without an exit, the process would be killed at the end of its grace period.
+                process.stderr.write(`planned stop failed: ${String(err)}\n`);
+                process.exit(failureExitCode);
+            });
         });
     }
 }
