Check of planned stops: a reset connection shows that a request wasn't read

checkPlannedStops took every request that was neither passed on nor answered for one that was read. The rule speaks of requests that a process has read. A connection that is closed after all of its input was read ends with FIN, one with unread input, or one that was never accepted, with a reset, which the callers now record. A reset after the request was passed on is still a violation.

--- a/packages/history/src/__tests__/plannedStopChecker.test.ts
+++ b/packages/history/src/__tests__/plannedStopChecker.test.ts
@@ -13,7 +13,7 @@
 type TimedEvent = readonly [number, HistoryEvent];
 
 const stopping: HistoryEvent = { type: "gatewayStopping", gateway: "g1" };
-const cutOff: HistoryEvent = { type: "callerCutOff", requestId: "r" };
+const cutOff = { type: "callerCutOff", requestId: "r" } as const;
 const started: HistoryEvent = {
     type: "serverStarted",
     requestId: "r",
@@ -80,6 +80,8 @@
     assert.equal(check([0, stopping], [100, sent()], [301, cutOff]).length, 1);
     assert.deepEqual(check([0, stopping], [100, sent()], [300, cutOff]), []);
     assert.deepEqual(check([0, stopping], [100, sent(true)], [900, cutOff]), []);
+    assert.deepEqual(check([0, stopping], [100, sent()], [900, { ...cutOff, reset: true }]), []);
+    assert.equal(check([0, stopping], [100, sent()], [110, started], [900, { ...cutOff, reset: true }]).length, 1);
 });
 
 test("planned stop: excuses servers' own faults, expired requests, and losses long after the stop", () => {
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -50,7 +50,12 @@
          */
         readonly bodyRequestId: string | undefined;
     }
-    | { readonly type: "callerCutOff"; readonly requestId: string; }
+    | {
+        readonly type: "callerCutOff";
+        readonly requestId: string;
+        /** Whether the connection was reset, as it is when the gateway closes it with unread input. */
+        readonly reset?: boolean | undefined;
+    }
     | { readonly type: "callerGaveUp"; readonly requestId: string; }
     | {
         readonly type: "serverStarted";
--- a/packages/history/src/plannedStopChecker.ts
+++ b/packages/history/src/plannedStopChecker.ts
@@ -141,7 +141,8 @@
     if (arrivals.length > 0) {
         return "was passed on, but its connection ended without a complete response";
     }
-    return sent.behind !== true && tookMs > lossSlackMs
+    // A reset shows that the request was still unread, or that its connection was never accepted.
+    return sent.behind !== true && end.reset !== true && tookMs > lossSlackMs
         ? "was read, but its connection ended without a response"
         : undefined;
 }
--- a/packages/soak/src/pipeliningCaller.ts
+++ b/packages/soak/src/pipeliningCaller.ts
@@ -115,14 +115,17 @@
         return new Promise(resolve => {
             const socket = connect({ port, host: "127.0.0.1", noDelay: true });
             this.#socket = socket;
+            let wasReset = false;
             const connection = new CallerConnection(socket, this.#behavior, {
                 createRequest: behind => this.#createRequest(gateway, history, behind),
                 mayContinue: () => !this.#ended,
                 onAnswered: (requestId, res) => this.#onAnswered(history, requestId, res),
-                onLost: requestId => history.record({ type: "callerCutOff", requestId }),
+                onLost: requestId => history.record({ type: "callerCutOff", requestId, reset: wasReset }),
                 thinkMs: () => this.#behavior.thinkMs * 2 * this.#random.next(),
             });
-            socket.on("error", () => undefined);
+            socket.on("error", () => {
+                wasReset = true;
+            });
             socket.on("connect", () => connection.start());
             socket.on("close", () => {
                 connection.onClosed();
