List that a malformed request is rejected ahead of the responses that are due before it

A test that fails: behind a request that a server works on, the 400 for a malformed one is written first.

--- a/packages/edge/src/__tests__/requestPath.test.ts
+++ b/packages/edge/src/__tests__/requestPath.test.ts
@@ -320,3 +320,17 @@
     const edge = await startPath(t, a);
     assert.equal((await call(edge, "/tables/x")).status, 200);
 });
+
+// A caller would take the response to a malformed request for the one to the request before it.
+test("a malformed request behind another one is rejected after the response to that one", async t => {
+    const a = await startBackend(t, "a", req => {
+        setTimeout(() => req.socket.write(renderSignedResponse(req, req.path)), 200);
+    });
+    const edge = await startPath(t, a);
+    const { text, reset } = await sendRawRequest(
+        edge.url,
+        "GET /tables/1 HTTP/1.1\r\nhost: survey.example\r\nx-id: p1\r\n\r\nnot a request\r\n\r\n",
+    );
+    assert.equal(reset, false);
+    assert.match(text, /^HTTP\/1\.1 200 OK[^]*\/tables\/1HTTP\/1\.1 400 /);
+});
