Don't close a connection that is still sending its last response as if it were idle

Cause: a connection that was closed for writing with its last response, and waits for its caller to close, counted as idle after 250 ms and was destroyed. Such connections are left to their linger time. The process also ends 70 ms sooner of 6 s after it has broken work off, which leaves more for its exit.

--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -136,7 +136,7 @@
 export const stopMarginShare = 1 / 8;
 
 /** Share of that time that is left when the process ends, for timers that fire late. */
-export const stopEndShare = 0.5;
+export const stopEndShare = 0.6;
 
 /** Factor of a service's typical latency that must be left for a send during a planned stop. */
 export const stopLatencyFactor = 2;
--- a/packages/httpParts/src/connectionTracker.ts
+++ b/packages/httpParts/src/connectionTracker.ts
@@ -58,7 +58,8 @@
      */
     closeIdle(minIdleMs: number): void {
         for (const [socket, { unanswered, lastUsedAtMs, requestBytes }] of this.#uses) {
-            const isIdle = unanswered === 0 && socket.bytesRead <= requestBytes;
+            // A connection that is closed for writing may still be sending its last response.
+            const isIdle = !socket.writableEnded && unanswered === 0 && socket.bytesRead <= requestBytes;
             if (isIdle && this.#nowMs() - lastUsedAtMs >= minIdleMs) {
                 // Not read any further: a request that crosses the close stays unread, so that its caller may repeat it.
                 socket.destroy();
