Check of planned stops: excuse work that a server finished in the last sixth

The rule excuses requests at which a server was still at work in the last sixth of the grace period. Work that ended before the last sixth is still a violation.

--- a/packages/history/src/__tests__/plannedStopChecker.test.ts
+++ b/packages/history/src/__tests__/plannedStopChecker.test.ts
@@ -72,6 +72,10 @@
     assert.deepEqual(inLastSixth(3_000, 5_001), []);
     assert.equal(inLastSixth(3_001, 5_001).length, 1);
     assert.equal(inLastSixth(3_000, 4_999).length, 1);
+    const [late, early] = [5_100, 4_900].map(finishedAtMs =>
+        check([0, stopping], [2_000, sent()], [2_010, started], [finishedAtMs, finished], [5_300, answered(504)]).length
+    );
+    assert.deepEqual([late, early], [0, 1]);
     // A server that had finished makes the response due.
     assert.equal(check([0, stopping], [2_000, sent()], [2_010, started], [2_500, finished], [5_500, cutOff]).length, 1);
 });
