Product's gateway: close a connection with the response to its latest request at a planned stop

Connections also counted as idle once their response had been ended, and were destroyed before their callers had read it.

A connection closes with the response to its latest request; what is sent behind that one isn't handled. Idle connections are closed by ConnectionTracker, and closed ones are waited for as long as they are read.

'pipelined requests in flight at a planned stop all get their responses' got one of three responses before, and gets three.

--- a/packages/gateway/src/__tests__/gateway.test.ts
+++ b/packages/gateway/src/__tests__/gateway.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { setImmediate, setTimeout } from "node:timers/promises";
 import { request } from "undici";
+import { sendRawRequest } from "@galenaglade/stand-ins";
 import { describeService, FixedSource, startBackend, startGateway } from "./testGateway.js";
 
 /** Default number of slots of a backend server. */
@@ -96,6 +97,29 @@
     await stop;
 });
 
+// The first response must not close the connection while servers work on the requests that were sent behind it.
+test("pipelined requests in flight at a planned stop all get their responses", async t => {
+    let served = 0;
+    const port = await startBackend(t, (req, res) => {
+        served++;
+        globalThis.setTimeout(() => res.end(`answer to ${req.url ?? ""}`), 100 * served);
+    });
+    const source = new FixedSource();
+    source.apply(1, describeService([port]));
+    const { url, gateway } = await startGateway(t, source);
+    const render = (n: number): string => `GET /tables/${n} HTTP/1.1\r\nhost: a\r\n\r\n`;
+    const received = sendRawRequest(url, render(1) + render(2) + render(3));
+    while (served < 3) {
+        await setTimeout(5);
+    }
+    const stopped = gateway.stop();
+    const { text, reset } = await received;
+    await stopped;
+    assert.equal(reset, false);
+    assert.deepEqual(text.match(/answer to \/tables\/\d/g)?.length, 3);
+    assert.equal(text.match(/connection: close/gi)?.length, 1);
+});
+
 // During a planned stop, the load balancer still sends callers for a while. Their responses close the connection: one
 // kept alive would be closed at the end of the stop, possibly during the next request.
 test("responses during a planned stop close their connections", async t => {
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -2,6 +2,7 @@
 import { type Logger } from "@galenaglade/telemetry";
 import { type Span, SpanKind } from "@opentelemetry/api";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Socket } from "node:net";
 import { type Either, Left } from "purify-ts";
 import { type Clock, writeFailure } from "@galenaglade/http-parts";
 import { type CallerRequest, parseCallerRequest } from "../requests/callerRequest.js";
@@ -23,6 +24,8 @@
 export class CallerHandler {
     readonly #deps: CallerHandlerDeps;
     readonly #responses = new Set<ServerResponse>();
+    /** Response to the latest request of each connection. */
+    readonly #latest = new WeakMap<Socket, ServerResponse>();
     #draining = false;
     #stopping = false;
     #onIdle: (() => void) | undefined;
@@ -32,13 +35,14 @@
     }
 
     /**
-     * Closes callers' connections with the next response. A connection kept alive would be closed at the end of the
-     * planned stop, possibly while its caller sends a request on it and then can't know whether that request ran.
+     * Closes callers' connections with the response to the latest request on each: an earlier one would cut off the
+     * responses behind it. A connection kept alive would be closed at the end of the planned stop, possibly while its
+     * caller sends a request on it and then can't know whether that request ran.
      */
     beginDrain(): void {
         this.#draining = true;
         for (const res of this.#responses) {
-            res.shouldKeepAlive = false;
+            res.shouldKeepAlive = this.#latest.get(res.req.socket) !== res;
         }
     }
 
@@ -57,11 +61,11 @@
     handle(req: IncomingMessage, res: ServerResponse): void {
         const { telemetry, clock } = this.#deps;
         const arrivedAtMs = clock.monotonicMs();
+        if (!this.#follow(req, res)) {
+            return;
+        }
         const span = telemetry.startSpan(req.method ?? "GET", SpanKind.SERVER, telemetry.extract(req.headers));
         this.#responses.add(res);
-        if (this.#draining) {
-            res.shouldKeepAlive = false;
-        }
         telemetry.onRequestStarted();
         let failure: Failure | undefined;
         let request: CallerRequest | undefined;
@@ -86,6 +90,23 @@
         });
     }
 
+    /** @returns whether to handle the request: not if an earlier response closes its connection */
+    #follow(req: IncomingMessage, res: ServerResponse): boolean {
+        const previous = this.#latest.get(req.socket);
+        if (this.#draining) {
+            if (previous?.headersSent === true && !previous.shouldKeepAlive) {
+                req.resume();
+                return false;
+            }
+            if (previous !== undefined && !previous.headersSent) {
+                previous.shouldKeepAlive = true;
+            }
+            res.shouldKeepAlive = false;
+        }
+        this.#latest.set(req.socket, res);
+        return true;
+    }
+
     #parseRequest(req: IncomingMessage, arrivedAtMs: number): Either<Failure, CallerRequest> {
         const { clock, table, mayTakeNewWork } = this.#deps;
         const services = table();
@@ -131,7 +152,8 @@
 
     #refuse(req: IncomingMessage, res: ServerResponse, failure: Failure, span: Span): void {
         // The rest of an unread body would be parsed as the next request, so the connection is closed in that case.
-        writeFailure(res, failure, traceIdOf(span), this.#draining || !req.complete);
+        const closes = this.#draining && this.#latest.get(req.socket) === res;
+        writeFailure(res, failure, traceIdOf(span), closes || !req.complete);
     }
 
     #onRequestEnded(
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,3 +54,6 @@
 
 /** Probability that a request goes to a cold backend server when this gateway holds the permit to warm one up. */
 export const warmUpProbability = 0.25;
+
+/** Interval at which a planned stop checks whether callers have closed their connections, in milliseconds. */
+export const closePollPeriodMs = 20;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,9 +1,11 @@
 import {
     type CallerServerOptions,
     type Clock,
+    ConnectionTracker,
     createCallerServer,
     listen,
     type ListenAddress,
+    maxLingerMs,
     waitAtMost,
     sleep,
     systemClock,
@@ -12,7 +14,7 @@
 import { type Logger, type Metrics, type Tracing } from "@galenaglade/telemetry";
 import { BackendConnections } from "./backends/backendConnections.js";
 import { CallerHandler } from "./callers/callerHandler.js";
-import { callerKeepAliveMs } from "./constants.js";
+import { callerKeepAliveMs, closePollPeriodMs } from "./constants.js";
 import { type ConfigurationSource } from "./configurationSource.js";
 import { createOperationsServer } from "./operations/operationsServer.js";
 import { Forwarder } from "./requests/forwarder.js";
@@ -106,6 +108,7 @@
         { ...options.callers, keepAliveMs: callerKeepAliveMs },
         (req, res) => handler.handle(req, res),
     );
+    const callerSockets = new ConnectionTracker(callerServer);
     const operationsServer = createOperationsServer({
         readiness: () => resolveReadiness(stopping, table, mayTakeNewWork()),
         renderMetrics: () => options.metrics.render(),
@@ -129,9 +132,17 @@
         // The load balancer sends new callers until it detects that this host is not ready; they are still served.
         await sleep(options.stopping.balancerWaitMs);
         const idle = handler.stop();
-        callerServer.close();
-        callerServer.closeIdleConnections();
+        callerSockets.stopListening();
+        callerSockets.closeIdle(0);
         await waitAtMost(idle, options.stopping.drainMs);
+        // Closed connections are read until their callers close them, so that none is reset with its last response.
+        for (
+            let waitedMs = 0;
+            callerSockets.closingCount > 0 && waitedMs < maxLingerMs;
+            waitedMs += closePollPeriodMs
+        ) {
+            await sleep(closePollPeriodMs);
+        }
         callerServer.closeAllConnections();
         await waitAtMost(connections.close(), options.stopping.drainMs);
         // Stopping the gate revokes the lease that its permits depend on, so all requests must have ended before.
