--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -5,6 +5,7 @@
 export { runSoakCommand } from "./command.js";
 export { planFaults } from "./faultPlan.js";
 export { type Fault, type FaultKind, type LinkFault } from "./faults.js";
+export { type PipeliningBehavior } from "./pipeliningCaller.js";
 export { type CallerCredentials } from "./requestGenerator.js";
 export { runSoak, type SoakOptions, type SoakResult } from "./runSoak.js";
 export { type ReceivedRequest, ServerCodec, type ServerState } from "./serverCodec.js";
