--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -329,7 +329,7 @@
 
     /** Sends to a second server if one with spare capacity is found; the first response goes to the caller. */
     async #tryHedge(): Promise<void> {
-        if (this.#streaming || !this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
+        if (!this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
             return;
         }
         const target = await this.#findTarget("hedge");
@@ -472,7 +472,7 @@
     }
 
     #isRetryAllowed(): boolean {
-        return isRetryAllowed({
+        return !this.#streaming && isRetryAllowed({
             idempotent: this.#request.route.idempotent,
             isBodyReplayable: this.#body.isReplayable,
             maximumRuns: this.#request.route.maximumRuns - this.#handover.extraRuns,
