Stop drills: count a caller's patience from the head of its request

Trace: cutoffReached, tookMs 2,001 of the route's 2,000 in the gateway's log; the caller recorded the request as sent with its last byte, 40 ms after the head, and waited 1,957 ms from there. The rule excuses requests whose route's timeout was reached. The recorded patience is what is left of it at the last byte.

--- a/packages/soak/src/pipeliningCaller.ts
+++ b/packages/soak/src/pipeliningCaller.ts
@@ -149,14 +149,15 @@
         return {
             requestId,
             head: [`${uploads ? "POST" : "GET"} ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n"),
-            onSent: () =>
+            onSent: sentForMs =>
                 history.record({
                     type: "callerSent",
                     requestId,
                     service: route,
                     idempotent: !uploads,
                     gateway,
-                    patienceMs,
+                    // Gateways count the time from the head of the request.
+                    patienceMs: patienceMs - sentForMs,
                     behind,
                 }),
         };
@@ -182,8 +183,8 @@
 interface CreatedRequest {
     readonly requestId: string;
     readonly head: string;
-    /** Called when the last byte has been written. */
-    readonly onSent: () => void;
+    /** Called when the last byte has been written, with the time since the first one in milliseconds. */
+    readonly onSent: (sentForMs: number) => void;
 }
 
 /** What a connection reports to its caller. */
@@ -237,14 +238,15 @@
         const { requestId, head, onSent } = this.#events.createRequest(behind);
         this.#outstanding.push(requestId);
         if (!this.#behavior.uploads) {
-            onSent();
+            onSent(0);
             this.#socket.write(head);
             return;
         }
+        const startedAtMs = performance.now();
         this.#socket.write(head);
         this.#socket.write(uploadBody.subarray(1));
         setTimeout(() => {
-            onSent();
+            onSent(performance.now() - startedAtMs);
             if (this.#socket.writable) {
                 this.#socket.write(uploadBody.subarray(0, 1));
             }
