Show what each gateway's retry budget decides

A refused retry left no trace, and a line of a sent one didn't say how old the process is that counts it, so a spent budget, a restarted gateway and a repeat that no budget counts looked alike.

All repeats pass one RepeatAdmission. It counts them by service and decision (sent, refused, not counted), logs a spent budget at most once a second, and gauges what is left and since when this process counts. Lines of retries and hedges have the window's requests and repeats, the number of gateways and the age of the process; the line of a request has the repeats that were refused. No decision changes.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -42,6 +42,7 @@
 import { LoadProbe } from "./reach/serverProbe.js";
 import { ReachabilityMonitor } from "./reach/reachabilityMonitor.js";
 import { Placer } from "./requests/placer.js";
+import { RepeatAdmission } from "./requests/repeatAdmission.js";
 import { ResponseMetadataRecorder } from "./requests/responseMetadataRecorder.js";
 import { RolloutRunner } from "./rollout/rolloutRunner.js";
 import { type ResolvedEdgeSettings } from "./settings.js";
@@ -205,7 +206,7 @@
         reachability,
         crashReports,
         limits,
-        repeatBudget,
+        repeats: new RepeatAdmission({ budget: repeatBudget, view, clock, log, metrics }),
         rollouts,
         metadataCodec,
         log,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -61,6 +61,8 @@
     #fallback: BufferedResponse | undefined;
     #streaming = false;
     #respondingServerId: string | undefined;
+    /** Repeats that the retry budget refused. */
+    #repeatsRefused = 0;
     /** Whether the caller has its response, so that the sends still in flight are superseded. */
     #isAnswered = false;
 
@@ -113,6 +115,7 @@
             ...this.#handover.describe(),
             handedOverBy: this.#request.handedOverBy,
             contentId: this.#contentId.computedContentId,
+            repeatsRefused: this.#repeatsRefused === 0 ? undefined : this.#repeatsRefused,
             sends: this.#sendEnds.map(end => end.type === "answered" ? String(end.status) : describeSendEnd(end)).join(
                 ",",
             ),
@@ -121,10 +124,10 @@
 
     /** @returns the result for the caller; never rejects */
     async run(): Promise<ExchangeResult> {
-        const { repeatBudget, placementState } = this.#deps;
+        const { repeats, placementState } = this.#deps;
         const { rules, priority, handedOverBy } = this.#request;
         if (handedOverBy === undefined) {
-            repeatBudget.onRequest(rules.name, this.#nowMs());
+            repeats.onRequest(rules.name);
         }
         if (!this.#quarantineGuard.admit()) {
             return this.#finish(this.#localReplies.quarantined(this.#quarantineGuard.retryAfterMs ?? 0));
@@ -240,7 +243,8 @@
         if (this.#signal.aborted || this.#workspaceGuard.isKeyChanged()) {
             return false;
         }
-        const { repeatBudget, log } = this.#deps;
+        const { repeats, log } = this.#deps;
+        const service = this.#request.rules.name;
         if (result.end.type !== "notRun" && !this.#workspaceGuard.allowsExtraRuns) {
             return false;
         }
@@ -248,7 +252,10 @@
             return false;
         }
         // A send that never reached a server can be made again without taking from the repeat budget.
-        if (hasReachedServer(ended) && !this.#takeFromRepeatBudget("retry")) {
+        if (!hasReachedServer(ended)) {
+            repeats.onFirstArrivalRetried(service);
+        }
+        else if (!this.#takeFromRepeatBudget("retry")) {
             return false;
         }
         const target = await this.#findTarget("retry");
@@ -257,7 +264,7 @@
             after: describeSendEnd(result.end),
             from: receiverName(failed),
             to: targetName(target),
-            budgetLeft: repeatBudget.remaining(this.#request.rules.name, this.#gatewayCount(), this.#nowMs()),
+            ...repeats.describe(service),
         });
         if (typeof target === "string" || this.#streaming || this.#workspaceGuard.isKeyChanged()) {
             return false;
@@ -344,7 +351,12 @@
         if (!this.#takeFromRepeatBudget("hedge")) {
             return;
         }
-        this.#deps.log.log("info", "hedge", { requestId: this.#request.requestId, to: targetName(target) });
+        const { log, repeats } = this.#deps;
+        log.log("info", "hedge", {
+            requestId: this.#request.requestId,
+            to: targetName(target),
+            ...repeats.describe(this.#request.rules.name),
+        });
         this.#sendTo(target, "hedge");
     }
 
@@ -488,7 +500,9 @@
     }
 
     #takeFromRepeatBudget(purpose: "retry" | "hedge"): boolean {
-        return this.#deps.repeatBudget.take(this.#request.rules.name, purpose, this.#gatewayCount(), this.#nowMs());
+        const isTaken = this.#deps.repeats.take(this.#request.rules.name, purpose);
+        this.#repeatsRefused += isTaken ? 0 : 1;
+        return isTaken;
     }
 
     /** Time until the first server's back-off ends, in milliseconds; `undefined` unless all servers back off. */
@@ -496,10 +510,6 @@
         return this.#deps.placer.backoffRemainingMs(this.#request.rules.name);
     }
 
-    #gatewayCount(): number {
-        return this.#deps.view.gatewayNames(this.#nowMs()).length;
-    }
-
     #nowMs(): number {
         return this.#deps.clock.monotonicMs();
     }
--- a/packages/edge/src/requests/exchangeDeps.ts
+++ b/packages/edge/src/requests/exchangeDeps.ts
@@ -1,6 +1,6 @@
 import { type FleetView } from "@galenaglade/fleet-state";
 import { type Clock } from "@galenaglade/http-parts";
-import { type PlacementState, type RepeatBudget } from "@galenaglade/placement";
+import { type PlacementState } from "@galenaglade/placement";
 import { type GatewayRollouts } from "@galenaglade/rollout";
 import { type RandomSource } from "@galenaglade/routing";
 import { type ConfigVersionWatermark } from "../handover/configVersionWatermark.js";
@@ -16,6 +16,7 @@
 import { type ResponseMetadataRecorder } from "./responseMetadataRecorder.js";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type Placer } from "./placer.js";
+import { type RepeatAdmission } from "./repeatAdmission.js";
 
 /** Abort reason of an exchange: the caller has closed its connection. */
 export const callerGone = "callerGone";
@@ -44,7 +45,7 @@
     readonly reachability: ReachabilityMonitor;
     readonly crashReports: CrashReportSync;
     readonly limits: WorkspaceLimits;
-    readonly repeatBudget: RepeatBudget;
+    readonly repeats: RepeatAdmission;
     readonly rollouts: GatewayRollouts;
     /** Whether a request may be sent now: during a planned stop, not if its server couldn't finish it in time. */
     readonly maySend: (request: EdgeRequest) => boolean;
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -28,6 +28,7 @@
     | "requestFailed"
     | "retry"
     | "hedge"
+    | "retryBudgetSpent"
     | "sendLost"
     | "serverLimit"
     | "serverRest"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -1,4 +1,5 @@
 import { type LimiterSnapshot } from "@galenaglade/rate-limit";
+import { type RepeatBudgetState } from "@galenaglade/placement";
 import { type Metrics } from "@galenaglade/telemetry";
 
 /** Workspaces with a label value of their own; all others share one, which bounds the memory. */
@@ -13,6 +14,7 @@
     readonly #waits;
     readonly #sends;
     readonly #lostSends;
+    readonly #repeats;
     readonly #contentStates;
     readonly #limits;
     readonly #notices;
@@ -43,6 +45,11 @@
         this.#lostSends = meter.createCounter("galenaglade.lost_sends", {
             description: "sends whose connection was lost, by service and by what became of the server",
         });
+        this.#repeats = meter.createCounter("galenaglade.repeats", {
+            description:
+                "repeats of requests, by service, purpose and whether the retry budget allowed them; not counted "
+                + "ones follow sends that reached no server",
+        });
         this.#contentStates = meter.createCounter("galenaglade.contents_judged", {
             description: "changes of what is believed of requests under which servers ended, by the new belief",
         });
@@ -100,6 +107,28 @@
         this.#lostSends.add(1, { service, state });
     }
 
+    /** @param decision - `sent`, `refused` or `notCounted` */
+    onRepeat(service: string, purpose: string, decision: string): void {
+        this.#repeats.add(1, { service, purpose, decision });
+    }
+
+    /** @param describe - returns the state of each service's retry budget on this gateway */
+    observeRepeats(describe: () => readonly ({ readonly service: string; } & RepeatBudgetState)[]): void {
+        const remaining = this.#meter.createObservableGauge("galenaglade.retry_budget_left", {
+            description: "repeats that this gateway may send at once, by service",
+        });
+        const age = this.#meter.createObservableGauge("galenaglade.retry_budget_age", {
+            unit: "s",
+            description: "time since this gateway began to count requests and repeats",
+        });
+        this.#meter.addBatchObservableCallback(result => {
+            for (const { service, ...state } of describe()) {
+                result.observe(remaining, state.remaining, { service });
+                result.observe(age, state.sinceStartMs / 1_000, { service });
+            }
+        }, [remaining, age]);
+    }
+
     onContentStateChanged(state: string): void {
         this.#contentStates.add(1, { state });
     }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -30,7 +30,7 @@
 export { type ProbeOrderInput, orderForProbing } from "./probeOrder.js";
 export { assignProbingZones, type ProbingZone, type FleetByZone } from "./probingZones.js";
 export { RecentSends } from "./recentSends.js";
-export { type RepeatAllowance, RepeatBudget } from "./repeatBudget.js";
+export { type RepeatAllowance, RepeatBudget, type RepeatBudgetState, type RepeatPurpose } from "./repeatBudget.js";
 export { type RefusalCause, drawRetryAfterSeconds } from "./retryAfter.js";
 export {
     countsAsServerFailure,
--- a/packages/placement/src/repeatBudget.ts
+++ b/packages/placement/src/repeatBudget.ts
@@ -9,6 +9,21 @@
     readonly windowMs: number;
 }
 
+/** Why a request is sent once more: its earlier send failed, or is late. */
+export type RepeatPurpose = "retry" | "hedge";
+
+/** One gateway's budget for one service. */
+export interface RepeatBudgetState {
+    /** Callers' requests within the last window. */
+    readonly requests: number;
+    /** Repeats within the last window. */
+    readonly repeats: number;
+    /** Repeats that are still allowed now; may be fractional or negative. */
+    readonly remaining: number;
+    /** Age of this process, in milliseconds; it knows of no repeats from before. */
+    readonly sinceStartMs: number;
+}
+
 interface ServiceWindow {
     readonly requestsAtMs: number[];
     readonly repeatsAtMs: number[];
@@ -34,9 +49,20 @@
         this.#windowOf(service, nowMs).requestsAtMs.push(nowMs);
     }
 
-    /** @returns the number of repeats that are still allowed now */
-    remaining(service: string, gateways: number, nowMs: number): number {
-        return this.#limit(service, gateways, nowMs) - this.#windowOf(service, nowMs).repeatsAtMs.length;
+    /** @returns the services that requests were recorded for */
+    services(): readonly string[] {
+        return [...this.#windows.keys()];
+    }
+
+    /** @returns the state of a service's budget, for logs and metrics */
+    describe(service: string, gateways: number, nowMs: number): RepeatBudgetState {
+        const { requestsAtMs, repeatsAtMs } = this.#windowOf(service, nowMs);
+        return {
+            requests: requestsAtMs.length,
+            repeats: repeatsAtMs.length,
+            remaining: this.#limit(service, gateways, nowMs) - repeatsAtMs.length,
+            sinceStartMs: nowMs - this.#startedAtMs,
+        };
     }
 
     /**
@@ -48,7 +74,7 @@
      * @param nowMs - current time
      * @returns whether the repeat may be sent; if so, it has been counted
      */
-    take(service: string, purpose: "retry" | "hedge", gateways: number, nowMs: number): boolean {
+    take(service: string, purpose: RepeatPurpose, gateways: number, nowMs: number): boolean {
         const window = this.#windowOf(service, nowMs);
         const limit = this.#limit(service, gateways, nowMs) * (purpose === "hedge" ? maxHedgeShare : 1);
         if (window.repeatsAtMs.length + 1 > limit) {
