--- a/packages/edge/src/__tests__/repeatAdmission.test.ts
+++ b/packages/edge/src/__tests__/repeatAdmission.test.ts
@@ -11,7 +11,7 @@
     readonly admission: RepeatAdmission;
     readonly lines: readonly ({ readonly event: string; } & LogFields)[];
     readonly renderMetrics: () => Promise<string>;
-    advance(ms: number): void;
+    readonly advance: (ms: number) => void;
 }
 
 function createFixture(): Fixture {
