Bound the fleet's repeats by tokens that a restart loses and callers can't move

Cause: each gateway could send in one burst what its requests of a whole window allow, and remembered that alone.

Now each request adds ratio times 0.95 of a token, each repeat takes one, and a process starts with none. The repeats of any window are at most the tokens held at its beginning, for which the fleet has 0.85 of the fixed allowance, and the ratio of the requests in it, whichever gateways these come to. 0.05 of the fixed allowance is added in each window; the rest covers rosters that differ and repeats that arrive late. Where the fixed allowance is below one token for each gateway, its owners by rendezvous hashing hold a whole one.

Evidence: the three property tests fail on the code before and pass now; of 600 courses each none is over the budget, the worst uses 0.933 of it.

The test that hedges leave a share to retries counted 12 of 20 repeats that were granted without any request. There are none of these at once any more; it counts hedges and what is left to retries of a full budget now, 12 and 9 of 21.

--- a/packages/edge/src/__tests__/repeatAdmission.test.ts
+++ b/packages/edge/src/__tests__/repeatAdmission.test.ts
@@ -21,7 +21,7 @@
     const write = (event: string, fields: LogFields = {}): void => void lines.push({ event, ...fields });
     const log = new EdgeLog({ debug: write, info: write, warn: write, error: write }, clock.monotonicMs);
     const metrics = createMetrics("galenaglade-edge");
-    const budget = new RepeatBudget({ ratio: 0.5, slack: 0, windowMs: 10_000 }, 0);
+    const budget = new RepeatBudget({ ratio: 0.6, slack: 0, windowMs: 10_000 }, "north-1", 0);
     const view = new FleetView();
     const admission = new RepeatAdmission({ budget, view, clock, log, metrics: new EdgeMetrics(metrics) });
     return { admission, lines, renderMetrics: () => metrics.render(), advance: ms => nowMs += ms };
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -119,7 +119,7 @@
         }
     });
     const { ratio, slack, windowSeconds } = settings.repeats;
-    const repeatBudget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, clock.monotonicMs());
+    const repeatBudget = new RepeatBudget({ ratio, slack, windowMs: windowSeconds * 1_000 }, name, clock.monotonicMs());
     const board = new PlacementState({
         name,
         availabilityZone,
--- a/packages/edge/src/requests/repeatAdmission.ts
+++ b/packages/edge/src/requests/repeatAdmission.ts
@@ -39,14 +39,14 @@
             const { budget, clock } = deps;
             return budget.services().map(service => ({
                 service,
-                ...budget.describe(service, this.#gatewayCount(), clock.monotonicMs()),
+                ...budget.describe(service, this.#gateways(), clock.monotonicMs()),
             }));
         });
     }
 
     /** Records the arrival of a caller's request for the service. */
     onRequest(service: string): void {
-        this.#deps.budget.onRequest(service, this.#deps.clock.monotonicMs());
+        this.#deps.budget.onRequest(service);
     }
 
     /** Counts a repeat that takes nothing from the budget, since the sends before it have reached no server. */
@@ -57,7 +57,7 @@
     /** @returns whether the repeat may be sent; if so, it has been counted */
     take(service: string, purpose: RepeatPurpose): boolean {
         const { budget, clock, metrics } = this.#deps;
-        const isTaken = budget.take(service, purpose, this.#gatewayCount(), clock.monotonicMs());
+        const isTaken = budget.take(service, purpose, this.#gateways(), clock.monotonicMs());
         metrics.onRepeat(service, purpose, isTaken ? "sent" : "refused");
         if (!isTaken) {
             this.#onRefused(service, purpose);
@@ -68,17 +68,14 @@
     /** @returns log fields about the service's budget on this gateway */
     describe(service: string): LogFields {
         const { budget, clock } = this.#deps;
-        const { requests, repeats, remaining, sinceStartMs } = budget.describe(
-            service,
-            this.#gatewayCount(),
-            clock.monotonicMs(),
-        );
+        const gateways = this.#gateways();
+        const state = budget.describe(service, gateways, clock.monotonicMs());
         return {
-            budgetLeft: Math.round(remaining * 100) / 100,
-            windowRequests: requests,
-            windowRepeats: repeats,
-            gateways: this.#gatewayCount(),
-            sinceStartMs: Math.round(sinceStartMs),
+            budgetLeft: Math.round(state.remaining * 100) / 100,
+            requestsSinceStart: state.requests,
+            repeatsSinceStart: state.repeats,
+            gateways: gateways.length,
+            sinceStartMs: Math.round(state.sinceStartMs),
         };
     }
 
@@ -103,8 +100,8 @@
         });
     }
 
-    #gatewayCount(): number {
+    #gateways(): readonly string[] {
         const { view, clock } = this.#deps;
-        return view.gatewayNames(clock.monotonicMs()).length;
+        return view.gatewayNames(clock.monotonicMs());
     }
 }
--- a/packages/placement/src/__tests__/budgets.test.ts
+++ b/packages/placement/src/__tests__/budgets.test.ts
@@ -34,19 +34,19 @@
     fc.assert(
         fc.property(fc.integer(), seed => {
             const random = createRandomSource(seed);
-            const gateways = 15;
-            const budgets = Array.from({ length: gateways }, () => new RepeatBudget(allowance, -10_000));
+            const names = Array.from({ length: 15 }, (_, i) => `gateway-${i}`);
+            const budgets = names.map(name => new RepeatBudget(allowance, name, -10_000));
             const requests: number[] = [];
             const repeats: number[] = [];
             for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
-                const i = Math.floor(random.next() ** 2 * gateways);
+                const i = Math.floor(random.next() ** 2 * names.length);
                 if (random.nextInt(400) === 0) {
-                    budgets[i] = new RepeatBudget(allowance, nowMs);
+                    budgets[i] = new RepeatBudget(allowance, names[i] ?? "", nowMs);
                 }
                 const budget = budgets[i];
-                budget?.onRequest("tables", nowMs);
+                budget?.onRequest("tables");
                 requests.push(nowMs);
-                while (budget?.take("tables", "retry", gateways, nowMs) === true) {
+                while (budget?.take("tables", "retry", names, nowMs) === true) {
                     repeats.push(nowMs);
                 }
             }
@@ -62,13 +62,22 @@
 });
 
 test("hedges leave a share of the allowance to retries", () => {
-    const budget = new RepeatBudget({ ratio: 0, slack: 50, windowMs: 10_000 }, -10_000);
-    let hedges = 0;
-    while (budget.take("tables", "hedge", 2, 0)) {
-        hedges++;
+    const budget = new RepeatBudget({ ratio: 0.2, slack: 50, windowMs: 10_000 }, "north-1", 0);
+    const takeAll = (purpose: "retry" | "hedge"): number => {
+        let taken = 0;
+        while (budget.take("tables", purpose, ["north-1", "north-2"], 0)) {
+            taken++;
+        }
+        return taken;
+    };
+    for (let i = 0; i < 200; i++) {
+        budget.onRequest("tables");
     }
+    const hedges = takeAll("hedge");
+    const retries = takeAll("retry");
     assert.equal(hedges, 12);
-    assert.ok(budget.take("tables", "retry", 2, 0));
+    assert.equal(retries, 9);
+    assert.equal(takeAll("hedge"), 0);
 });
 
 // Guards against overload of a server that has become cold and looks idle, so that every gateway wants to send to it at
--- a/packages/placement/src/__tests__/support/simulatedRepeats.ts
+++ b/packages/placement/src/__tests__/support/simulatedRepeats.ts
@@ -118,6 +118,25 @@
     };
 }
 
+/** @returns a course in which nothing happens to a fleet of that size */
+export function createCalmCourse(gateways: number): FleetCourse {
+    return {
+        gateways,
+        allowance: { ratio: 0.2, slack: gateways * 1.4, windowMs: 10_000 },
+        requestsPerSecond: gateways * 3,
+        skew: 1,
+        failures: [],
+        hedgeShare: 0,
+        bursts: [],
+        stops: [],
+        heldLinks: [],
+        sendDelayMs: 20,
+        joins: { atMs: 0, count: 0, unknownToShare: 0 },
+        callersStay: false,
+        seed: 1,
+    };
+}
+
 class FleetGateway {
     readonly index: number;
     readonly weight: number;
@@ -135,7 +154,7 @@
         this.isCutOff = isCutOff;
         this.upAtMs = startedAtMs;
         this.#allowance = allowance;
-        this.#budget = new RepeatBudget(allowance, startedAtMs);
+        this.#budget = new RepeatBudget(allowance, nameOf(index), startedAtMs);
     }
 
     isUp(nowMs: number): boolean {
@@ -145,15 +164,15 @@
     restart(nowMs: number, downMs: number): void {
         this.incarnation++;
         this.upAtMs = nowMs + downMs;
-        this.#budget = new RepeatBudget(this.#allowance, this.upAtMs);
+        this.#budget = new RepeatBudget(this.#allowance, nameOf(this.index), this.upAtMs);
     }
 
-    onRequest(nowMs: number): void {
-        this.#budget.onRequest("tables", nowMs);
+    onRequest(): void {
+        this.#budget.onRequest("tables");
     }
 
-    take(purpose: "retry" | "hedge", knownGateways: number, nowMs: number): boolean {
-        return this.#budget.take("tables", purpose, knownGateways, nowMs);
+    take(purpose: "retry" | "hedge", gateways: readonly string[], nowMs: number): boolean {
+        return this.#budget.take("tables", purpose, gateways, nowMs);
     }
 }
 
@@ -166,6 +185,8 @@
     readonly #requestsAtMs: number[] = [];
     readonly #repeatsAtMs: number[] = [];
     readonly #tasks = new Map<number, (() => void)[]>();
+    readonly #allNames: readonly string[];
+    readonly #firstNames: readonly string[];
     #nowMs = -leadMs;
 
     constructor(course: FleetCourse) {
@@ -180,6 +201,8 @@
                 i < gateways ? -leadMs : joins.atMs,
                 allowance,
             ));
+        this.#allNames = this.#gateways.map(({ index }) => nameOf(index)).sort();
+        this.#firstNames = this.#gateways.slice(0, gateways).map(({ index }) => nameOf(index)).sort();
     }
 
     run(): ObservedRepeats {
@@ -278,7 +301,7 @@
             });
             return;
         }
-        gateway.onRequest(this.#nowMs);
+        gateway.onRequest();
         const fails = this.#isWithin(this.#course.failures);
         if (fails || this.#random.next() < this.#course.hedgeShare) {
             this.#repeatAfter(gateway, fails ? maxExtraSends : 1, fails ? "retry" : "hedge");
@@ -295,7 +318,7 @@
                 this.#at(gateway.suspendedUntilMs, run);
                 return;
             }
-            if (!gateway.take(purpose, this.#countKnown(gateway), this.#nowMs)) {
+            if (!gateway.take(purpose, this.#knownGateways(gateway), this.#nowMs)) {
                 return;
             }
             this.#repeatsAtMs.push(this.#arrivalAtMs(gateway));
@@ -312,14 +335,17 @@
         return held === undefined ? this.#nowMs + this.#random.next() * sendDelayMs : held.untilMs;
     }
 
-    /** @returns how many gateways it divides the budget by: those that have left count for a while */
-    #countKnown({ isCutOff }: FleetGateway): number {
-        const { gateways, joins } = this.#course;
-        const joined = isCutOff || this.#nowMs < joins.atMs ? 0 : joins.count;
-        return Math.max(1, gateways + joined);
+    /** @returns the gateways that it divides the budget by: those that have left count for a while */
+    #knownGateways({ isCutOff }: FleetGateway): readonly string[] {
+        const { atMs } = this.#course.joins;
+        return isCutOff || this.#nowMs < atMs ? this.#firstNames : this.#allNames;
     }
 }
 
+function nameOf(index: number): string {
+    return `gateway-${index}`;
+}
+
 /** @returns what callers and servers see of a fleet of gateways in that course */
 export function simulateRepeats(course: FleetCourse): ObservedRepeats {
     return new RepeatSimulation(course).run();
--- a/packages/placement/src/constants.ts
+++ b/packages/placement/src/constants.ts
@@ -155,10 +155,17 @@
 export const ownershipValidityMs = 8_000;
 
 /**
- * Share of the fleet's fixed allowance for repeats that is divided among the gateways; the rest covers rosters that
- * differ.
+ * Share of the ratio of repeats to requests that gateways use. The rest covers repeats that reach a server later than
+ * they were counted: half a second of all repeats, for a window of ten.
  */
-export const repeatBudgetShare = 0.8;
+export const repeatRatioShare = 0.95;
+
+/**
+ * Share of the fleet's fixed allowance for repeats that the gateways may hold unused, and share that they are granted
+ * in each window whatever requests they get. The rest covers rosters that differ.
+ */
+export const carriedRepeatsShare = 0.85;
+export const refilledRepeatsShare = 0.05;
 
 /** Maximum share of a gateway's repeats that hedged requests use; the rest is kept for retries of failed requests. */
 export const maxHedgeShare = 0.6;
--- a/packages/placement/src/repeatBudget.ts
+++ b/packages/placement/src/repeatBudget.ts
@@ -1,4 +1,5 @@
-import { maxHedgeShare, repeatBudgetShare } from "./constants.js";
+import { RendezvousRanks } from "@galenaglade/fleet-state";
+import { carriedRepeatsShare, maxHedgeShare, refilledRepeatsShare, repeatRatioShare } from "./constants.js";
 
 /** Repeats (retries and hedged sends) that the whole fleet may send for each service in one window. */
 export interface RepeatAllowance {
@@ -14,55 +15,69 @@
 
 /** One gateway's budget for one service. */
 export interface RepeatBudgetState {
-    /** Callers' requests within the last window. */
+    /** Callers' requests since the process started. */
     readonly requests: number;
-    /** Repeats within the last window. */
+    /** Repeats since the process started. */
     readonly repeats: number;
-    /** Repeats that are still allowed now; may be fractional or negative. */
+    /** Repeats that are still allowed now; may be fractional. */
     readonly remaining: number;
     /** Age of this process, in milliseconds; it knows of no repeats from before. */
     readonly sinceStartMs: number;
 }
 
-interface ServiceWindow {
-    readonly requestsAtMs: number[];
-    readonly repeatsAtMs: number[];
+interface ServiceBudget {
+    requests: number;
+    repeats: number;
+    /** Tokens for repeats of any purpose, and those that hedges may use of them. */
+    tokens: number;
+    hedgeTokens: number;
+    refilledAtMs: number;
 }
 
 /**
- * This gateway's share of the fleet's allowance for repeats: a ratio of its own requests, plus an equal share of the
- * fixed part. The shares of all gateways add up to less than the allowance without coordination. Without a limit, a
- * failing service would get each request several times and stay overloaded after the original cause is gone.
+ * This gateway's share of the fleet's allowance for repeats. Without a limit, a failing service would get each request
+ * several times and stay overloaded after the original cause is gone.
+ *
+ * Each request of a caller adds a part of a token, and each repeat takes one. So the repeats of any window are at most
+ * the tokens held at its beginning and the ratio of its requests, whichever gateways the requests come to. What all
+ * gateways may hold is bounded by the fixed part of the allowance, and a process starts with none: neither a restart
+ * nor callers that move to another gateway make repeats possible beyond the allowance.
  */
 export class RepeatBudget {
     readonly #allowance: RepeatAllowance;
     readonly #startedAtMs: number;
-    readonly #windows = new Map<string, ServiceWindow>();
+    readonly #ranks: RendezvousRanks;
+    readonly #services = new Map<string, ServiceBudget>();
 
-    constructor(allowance: RepeatAllowance, startedAtMs: number) {
+    /**
+     * @param allowance - of the whole fleet
+     * @param name - name of this gateway, as registered
+     * @param startedAtMs - start of this process
+     */
+    constructor(allowance: RepeatAllowance, name: string, startedAtMs: number) {
         this.#allowance = allowance;
         this.#startedAtMs = startedAtMs;
+        this.#ranks = new RendezvousRanks(name);
     }
 
     /** Records the arrival of a caller's request for the service. */
-    onRequest(service: string, nowMs: number): void {
-        this.#windowOf(service, nowMs).requestsAtMs.push(nowMs);
+    onRequest(service: string): void {
+        const budget = this.#budgetOf(service);
+        const added = this.#allowance.ratio * repeatRatioShare;
+        budget.requests++;
+        budget.tokens += added;
+        budget.hedgeTokens += added * maxHedgeShare;
     }
 
     /** @returns the services that requests were recorded for */
     services(): readonly string[] {
-        return [...this.#windows.keys()];
+        return [...this.#services.keys()];
     }
 
     /** @returns the state of a service's budget, for logs and metrics */
-    describe(service: string, gateways: number, nowMs: number): RepeatBudgetState {
-        const { requestsAtMs, repeatsAtMs } = this.#windowOf(service, nowMs);
-        return {
-            requests: requestsAtMs.length,
-            repeats: repeatsAtMs.length,
-            remaining: this.#limit(service, gateways, nowMs) - repeatsAtMs.length,
-            sinceStartMs: nowMs - this.#startedAtMs,
-        };
+    describe(service: string, gateways: readonly string[], nowMs: number): RepeatBudgetState {
+        const { requests, repeats, tokens } = this.#refill(service, gateways, nowMs);
+        return { requests, repeats, remaining: tokens, sinceStartMs: nowMs - this.#startedAtMs };
     }
 
     /**
@@ -70,42 +85,56 @@
      *
      * @param service - name of the service
      * @param purpose - hedges leave a share of the allowance to retries
-     * @param gateways - number of gateways that share the allowance
+     * @param gateways - names of the gateways that share the allowance; the same array as long as they don't change
      * @param nowMs - current time
      * @returns whether the repeat may be sent; if so, it has been counted
      */
-    take(service: string, purpose: RepeatPurpose, gateways: number, nowMs: number): boolean {
-        const window = this.#windowOf(service, nowMs);
-        const limit = this.#limit(service, gateways, nowMs) * (purpose === "hedge" ? maxHedgeShare : 1);
-        if (window.repeatsAtMs.length + 1 > limit) {
+    take(service: string, purpose: RepeatPurpose, gateways: readonly string[], nowMs: number): boolean {
+        const budget = this.#refill(service, gateways, nowMs);
+        if (budget.tokens < 1 || (purpose === "hedge" && budget.hedgeTokens < 1)) {
             return false;
         }
-        window.repeatsAtMs.push(nowMs);
+        budget.repeats++;
+        budget.tokens--;
+        if (purpose === "hedge") {
+            budget.hedgeTokens--;
+        }
         return true;
     }
 
-    #limit(service: string, gateways: number, nowMs: number): number {
-        const { ratio, slack, windowMs } = this.#allowance;
-        // A restarted process doesn't know the repeats that it sent before, so its fixed part grows from zero.
-        const growth = Math.min(1, (nowMs - this.#startedAtMs) / windowMs);
-        const fixed = gateways === 0 ? 0 : slack * repeatBudgetShare * growth / gateways;
-        return this.#windowOf(service, nowMs).requestsAtMs.length * ratio + fixed;
+    /** Adds this gateway's part of what is granted without requests, and discards what it may not carry over. */
+    #refill(service: string, gateways: readonly string[], nowMs: number): ServiceBudget {
+        const { slack, windowMs } = this.#allowance;
+        const budget = this.#budgetOf(service);
+        const elapsedMs = nowMs - budget.refilledAtMs;
+        const added = slack * refilledRepeatsShare * elapsedMs / windowMs / Math.max(1, gateways.length);
+        const capacity = this.#capacity(service, gateways);
+        budget.refilledAtMs = nowMs;
+        budget.tokens = Math.min(capacity, budget.tokens + added);
+        const hedgeCapacity = Math.min(capacity, Math.max(1, capacity * maxHedgeShare));
+        budget.hedgeTokens = Math.min(hedgeCapacity, budget.hedgeTokens + added * maxHedgeShare);
+        return budget;
     }
 
-    #windowOf(service: string, nowMs: number): ServiceWindow {
-        const window = this.#windows.get(service) ?? { requestsAtMs: [], repeatsAtMs: [] };
-        this.#windows.set(service, window);
-        const fromMs = nowMs - this.#allowance.windowMs;
-        dropBefore(window.requestsAtMs, fromMs);
-        dropBefore(window.repeatsAtMs, fromMs);
-        return window;
+    /** @returns the number of tokens that this gateway may hold */
+    #capacity(service: string, gateways: readonly string[]): number {
+        if (gateways.length === 0) {
+            return 1;
+        }
+        const total = this.#allowance.slack * carriedRepeatsShare;
+        const share = total / gateways.length;
+        if (share >= 1) {
+            return share;
+        }
+        // A part of a token allows no repeat, so that only some of the gateways hold a whole one.
+        this.#ranks.update(gateways);
+        return this.#ranks.rankOf(service) < Math.floor(total) ? 1 : 0;
     }
-}
 
-function dropBefore(timesMs: number[], fromMs: number): void {
-    let count = 0;
-    while (count < timesMs.length && (timesMs[count] ?? 0) < fromMs) {
-        count++;
+    #budgetOf(service: string): ServiceBudget {
+        const budget = this.#services.get(service)
+            ?? { requests: 0, repeats: 0, tokens: 0, hedgeTokens: 0, refilledAtMs: this.#startedAtMs };
+        this.#services.set(service, budget);
+        return budget;
     }
-    timesMs.splice(0, count);
 }
--- a/packages/replay/src/world/attempt.ts
+++ b/packages/replay/src/world/attempt.ts
@@ -355,6 +355,6 @@
 
     #takeRepeatBudget(purpose: "retry" | "hedge"): boolean {
         const { repeatBudget } = this.#gateway;
-        return repeatBudget.take(this.#kind.service, purpose, this.#gateway.countKnownGateways(), this.#nowMs());
+        return repeatBudget.take(this.#kind.service, purpose, this.#gateway.knownGateways(), this.#nowMs());
     }
 }
--- a/packages/replay/src/world/simulatedGateway.ts
+++ b/packages/replay/src/world/simulatedGateway.ts
@@ -79,7 +79,7 @@
         this.random = createRandomSource(deps.seed);
         this.#requestsSinceStart = deps.scenario.costs.coldCodeRequests;
         this.placementState = this.#createPlacementState(deps.startedAtMs);
-        this.repeatBudget = new RepeatBudget(deps.scenario.repeats, deps.startedAtMs);
+        this.repeatBudget = new RepeatBudget(deps.scenario.repeats, deps.name, deps.startedAtMs);
         this.connections = new ConnectionPool(connectionIdleTimeoutMs, maxIdleConnectionsPerServer);
     }
 
@@ -110,9 +110,9 @@
         return this.#connectionsOpenedBefore + this.connections.opened;
     }
 
-    /** @returns number of gateways that it assumes to share a fleet-wide budget with, itself included */
-    countKnownGateways(): number {
-        return this.#deps.knownGateways().length;
+    /** @returns names of the gateways that it assumes to share a fleet-wide budget with, itself included */
+    knownGateways(): readonly string[] {
+        return this.#deps.knownGateways();
     }
 
     /** Runs a task on the event loop, unless the process is restarted before it ends. */
@@ -140,7 +140,7 @@
     /** Counts a request that arrived from a caller. */
     onRequest(service: string, priority: number): void {
         this.#requestsSinceStart++;
-        this.repeatBudget.onRequest(service, this.events.nowMs);
+        this.repeatBudget.onRequest(service);
         this.placementState.onRequest(service, priority, this.events.nowMs);
     }
 
@@ -159,7 +159,7 @@
         this.startupQueue = new StartupQueue(startedAtMs);
         this.#requestsSinceStart = 0;
         this.placementState = this.#createPlacementState(startedAtMs);
-        this.repeatBudget = new RepeatBudget(this.#deps.scenario.repeats, startedAtMs);
+        this.repeatBudget = new RepeatBudget(this.#deps.scenario.repeats, this.name, startedAtMs);
         this.connections = new ConnectionPool(connectionIdleTimeoutMs, maxIdleConnectionsPerServer);
         this.schedule(downMs + startupQueueMs, () => this.dequeueReady());
         for (const attempt of interrupted) {
