--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -17,9 +17,8 @@
 } from "../backends/sendRequest.js";
 import { maxBufferedResponseBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
-import { type ReachabilityState } from "@galenaglade/reachability";
 import { type LogFields } from "@galenaglade/telemetry";
-import { ExchangeHandover, hasReachedNoServer } from "../handover/exchangeHandover.js";
+import { ExchangeHandover } from "../handover/exchangeHandover.js";
 import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest, resolveIdentity } from "./edgeRequest.js";
 import { describeSendEnd, LocalReplies, type ExchangeResult } from "./localReplies.js";
@@ -27,14 +26,17 @@
 import { LazyContentId } from "./lazyContentId.js";
 import { WorkspaceGuard } from "./workspaceGuard.js";
 import { ExchangePlacement, type SendPurpose } from "./exchangePlacement.js";
-import { type PlacementFailure, type Placement } from "./placer.js";
+import { type Placement } from "./placer.js";
 import { SendResultHandler } from "./sendResultHandler.js";
-import { type FinishedSend, type GatewaySend, receiverName, type ServerSend, type PendingSend } from "./pendingSend.js";
-
-/** Destination of the next send. */
-type Target =
-    | { readonly type: "server"; readonly place: Placement; }
-    | { readonly type: "gateway"; readonly gateway: RegisteredGateway; };
+import { describeTarget, type SendTarget, SendTargetFinder } from "./sendTargetFinder.js";
+import {
+    type FinishedSend,
+    type GatewaySend,
+    hasReachedServer,
+    receiverName,
+    type ServerSend,
+    type PendingSend,
+} from "./pendingSend.js";
 
 /**
  * Handles one request from admission to its final result: picks servers, sends, retries and hedges where that is
@@ -58,6 +60,7 @@
     readonly #quarantineGuard: QuarantineGuard;
     readonly #sendResultHandler: SendResultHandler;
     readonly #handover: ExchangeHandover;
+    readonly #targets: SendTargetFinder;
     #fallback: BufferedResponse | undefined;
     #streaming = false;
     #respondingServerId: string | undefined;
@@ -99,6 +102,13 @@
             mayWrite: () => this.#mayWrite(),
             openSink: head => this.#startStream(head, undefined),
         });
+        this.#targets = new SendTargetFinder({
+            deps,
+            request,
+            signal,
+            placement: this.#placement,
+            handover: this.#handover,
+        });
         this.#openSink = openSink;
         this.#onSent = onSent;
     }
@@ -142,7 +152,7 @@
             }
             // Counted only after admission: rejected requests need no capacity, so none is reserved for their priority.
             placementState.onRequest(rules.name, priority, this.#nowMs());
-            const target = await this.#findTarget("first");
+            const target = await this.#targets.find("first");
             if (typeof target === "string") {
                 return this.#finish(
                     target === "abandoned"
@@ -258,12 +268,12 @@
         else if (!this.#takeFromRepeatBudget("retry")) {
             return false;
         }
-        const target = await this.#findTarget("retry");
+        const target = await this.#targets.find("retry");
         log.log("info", "retry", {
             requestId: this.#request.requestId,
             after: describeSendEnd(result.end),
             from: receiverName(failed),
-            to: targetName(target),
+            to: describeTarget(target),
             ...repeats.describe(service),
         });
         if (typeof target === "string" || this.#streaming || this.#workspaceGuard.isKeyChanged()) {
@@ -273,56 +283,6 @@
         return true;
     }
 
-    /** @returns a server, or another gateway if this host can't reach any server of the service */
-    async #findTarget(purpose: SendPurpose): Promise<Target | PlacementFailure> {
-        const { reachability } = this.#deps;
-        const service = this.#request.rules.name;
-        if (!this.#deps.maySend(this.#request)) {
-            return "stopping";
-        }
-        if (this.#handover.isAllowed && await this.#whenReachabilitySettled() !== "reached") {
-            const gateway = this.#chooseHandoverTarget();
-            if (gateway !== undefined) {
-                return { type: "gateway", gateway };
-            }
-            if (!reachability.tryAcquireLocalAttempt(service)) {
-                return "unreached";
-            }
-        }
-        const place = await this.#placement.place(purpose);
-        if (typeof place !== "string") {
-            return { type: "server", place };
-        }
-        // The probes of the search itself may have shown that no server can be reached.
-        const mayHandOver = (place === "noOffer" || place === "noneGood") && this.#handover.isAllowed;
-        const gateway = mayHandOver && await this.#whenReachabilitySettled() === "lost"
-            ? this.#chooseHandoverTarget()
-            : undefined;
-        return gateway === undefined ? place : { type: "gateway", gateway };
-    }
-
-    /** @returns whether this host can reach the service, once that is settled or the request is aborted */
-    async #whenReachabilitySettled(): Promise<ReachabilityState> {
-        const { reachability } = this.#deps;
-        const service = this.#request.rules.name;
-        await awaitFirst([reachability.whenSettled(service)], this.#signal, undefined);
-        return reachability.stateOf(service);
-    }
-
-    /** @returns a gateway to hand the request over to; `undefined` if there is none, or if this host isn't cut off */
-    #chooseHandoverTarget(): RegisteredGateway | undefined {
-        const { reachability } = this.#deps;
-        const service = this.#request.rules.name;
-        if (reachability.stateOf(service) !== "lost") {
-            return undefined;
-        }
-        const gateway = this.#handover.chooseGateway();
-        if (gateway === undefined && this.#handover.isAllowed) {
-            reachability.onHandoverTargetsExhausted(service);
-        }
-        return gateway;
-    }
-
     /** @returns whether the crashes recorded for this content allow another send */
     async #isAllowedByQuarantine(end: SendEnd): Promise<boolean> {
         if (!isPossibleServerCrash(end)) {
@@ -339,7 +299,7 @@
         if (!this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
             return;
         }
-        const target = await this.#findTarget("hedge");
+        const target = await this.#targets.find("hedge");
         if (typeof target === "string") {
             return;
         }
@@ -354,13 +314,13 @@
         const { log, repeats } = this.#deps;
         log.log("info", "hedge", {
             requestId: this.#request.requestId,
-            to: targetName(target),
+            to: describeTarget(target),
             ...repeats.describe(this.#request.rules.name),
         });
         this.#sendTo(target, "hedge");
     }
 
-    #sendTo(target: Target, purpose: SendPurpose): void {
+    #sendTo(target: SendTarget, purpose: SendPurpose): void {
         if (target.type === "server") {
             this.#sendToServer(target.place, purpose);
             return;
@@ -537,19 +497,3 @@
         return this.#localReplies.timedOut(this.#sendEnds, this.#inFlight.size, this.#fallback);
     }
 }
-
-/** @returns whether a send may have reached a server */
-function hasReachedServer(ended: FinishedSend): boolean {
-    if (ended.type === "gateway") {
-        return !hasReachedNoServer(ended.result);
-    }
-    const { end } = ended.result;
-    return !(end.type === "notRun" && (end.reason === "connectFailed" || end.reason === "notSent"));
-}
-
-function targetName(target: Target | PlacementFailure): string {
-    if (typeof target === "string") {
-        return target;
-    }
-    return target.type === "server" ? target.place.server.id : target.gateway.name;
-}
--- a/packages/edge/src/requests/pendingSend.ts
+++ b/packages/edge/src/requests/pendingSend.ts
@@ -1,5 +1,6 @@
 import { type RegisteredGateway } from "@galenaglade/fleet-state";
 import { type Send, type SendResult } from "../backends/sendRequest.js";
+import { hasReachedNoServer } from "../handover/exchangeHandover.js";
 import { type Handover, type HandoverResult } from "../handover/handoverSend.js";
 import { type SendPurpose } from "./exchangePlacement.js";
 import { type Placement } from "./placer.js";
@@ -37,3 +38,12 @@
 export function receiverName(underWay: PendingSend): string {
     return underWay.to === "server" ? underWay.placement.server.id : underWay.gateway.name;
 }
+
+/** @returns whether a send may have reached a server */
+export function hasReachedServer(ended: FinishedSend): boolean {
+    if (ended.type === "gateway") {
+        return !hasReachedNoServer(ended.result);
+    }
+    const { end } = ended.result;
+    return !(end.type === "notRun" && (end.reason === "connectFailed" || end.reason === "notSent"));
+}
