Take a repeat from the retry budget when it is sent

A retry was taken from the budget before a server was searched for it: a search that found none spent it, and a repeat reached its server up to a search later than it was counted, which the bound of the budget has to cover. The budget is asked before the search, so that none is made in vain, and a repeat is taken right before it is sent. Hedges aren't searched for any more when the budget refuses them. Lines of retries and hedges name their service.

--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -6,6 +6,7 @@
     isServerError,
     isPossibleServerCrash,
     isRetryAllowed,
+    type RepeatPurpose,
     type SendEnd,
 } from "@galenaglade/placement";
 import {
@@ -261,16 +262,15 @@
         if (!await this.#isAllowedByQuarantine(result.end)) {
             return false;
         }
-        // A send that never reached a server can be made again without taking from the repeat budget.
-        if (!hasReachedServer(ended)) {
-            repeats.onFirstArrivalRetried(service);
-        }
-        else if (!this.#takeFromRepeatBudget("retry")) {
+        // A send that never reached a server can be made again without taking from the retry budget.
+        const isRepeat = hasReachedServer(ended);
+        if (isRepeat && !this.#isRepeatAvailable("retry")) {
             return false;
         }
         const target = await this.#targets.find("retry");
         log.log("info", "retry", {
             requestId: this.#request.requestId,
+            service,
             after: describeSendEnd(result.end),
             from: receiverName(failed),
             to: describeTarget(target),
@@ -279,6 +279,12 @@
         if (typeof target === "string" || this.#streaming || this.#workspaceGuard.isKeyChanged()) {
             return false;
         }
+        if (!isRepeat) {
+            repeats.onFirstArrivalRetried(service);
+        }
+        else if (!this.#takeFromRepeatBudget("retry")) {
+            return false;
+        }
         this.#sendTo(target, "retry");
         return true;
     }
@@ -296,7 +302,7 @@
 
     /** Sends to a second server if one with spare capacity is found; the first response goes to the caller. */
     async #tryHedge(): Promise<void> {
-        if (!this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge()) {
+        if (!this.#isRetryAllowed() || !this.#quarantineGuard.mayHedge() || !this.#isRepeatAvailable("hedge")) {
             return;
         }
         const target = await this.#targets.find("hedge");
@@ -314,6 +320,7 @@
         const { log, repeats } = this.#deps;
         log.log("info", "hedge", {
             requestId: this.#request.requestId,
+            service: this.#request.rules.name,
             to: describeTarget(target),
             ...repeats.describe(this.#request.rules.name),
         });
@@ -459,10 +466,18 @@
         return this.#request.route.maximumRuns - this.#handover.extraRuns - possibleRuns;
     }
 
-    #takeFromRepeatBudget(purpose: "retry" | "hedge"): boolean {
-        const isTaken = this.#deps.repeats.take(this.#request.rules.name, purpose);
-        this.#repeatsRefused += isTaken ? 0 : 1;
-        return isTaken;
+    /** @returns whether the budget has a repeat; it is taken once the destination is known */
+    #isRepeatAvailable(purpose: RepeatPurpose): boolean {
+        return this.#countRefused(this.#deps.repeats.isAvailable(this.#request.rules.name, purpose));
+    }
+
+    #takeFromRepeatBudget(purpose: RepeatPurpose): boolean {
+        return this.#countRefused(this.#deps.repeats.take(this.#request.rules.name, purpose));
+    }
+
+    #countRefused(isAllowed: boolean): boolean {
+        this.#repeatsRefused += isAllowed ? 0 : 1;
+        return isAllowed;
     }
 
     /** Time until the first server's back-off ends, in milliseconds; `undefined` unless all servers back off. */
--- a/packages/edge/src/requests/repeatAdmission.ts
+++ b/packages/edge/src/requests/repeatAdmission.ts
@@ -54,15 +54,24 @@
         this.#deps.metrics.onRepeat(service, "retry", "notCounted");
     }
 
+    /** @returns whether {@link take} would allow a repeat now; a refusal is counted as one of it */
+    isAvailable(service: string, purpose: RepeatPurpose): boolean {
+        const { budget, clock } = this.#deps;
+        return this.#countRefused(
+            budget.isAvailable(service, purpose, this.#gateways(), clock.monotonicMs()),
+            service,
+            purpose,
+        );
+    }
+
     /** @returns whether the repeat may be sent; if so, it has been counted */
     take(service: string, purpose: RepeatPurpose): boolean {
         const { budget, clock, metrics } = this.#deps;
         const isTaken = budget.take(service, purpose, this.#gateways(), clock.monotonicMs());
-        metrics.onRepeat(service, purpose, isTaken ? "sent" : "refused");
-        if (!isTaken) {
-            this.#onRefused(service, purpose);
+        if (isTaken) {
+            metrics.onRepeat(service, purpose, "sent");
         }
-        return isTaken;
+        return this.#countRefused(isTaken, service, purpose);
     }
 
     /** @returns log fields about the service's budget on this gateway */
@@ -79,6 +88,14 @@
         };
     }
 
+    #countRefused(isAllowed: boolean, service: string, purpose: RepeatPurpose): boolean {
+        if (!isAllowed) {
+            this.#deps.metrics.onRepeat(service, purpose, "refused");
+            this.#onRefused(service, purpose);
+        }
+        return isAllowed;
+    }
+
     #onRefused(service: string, purpose: RepeatPurpose): void {
         const { clock, log } = this.#deps;
         const nowMs = clock.monotonicMs();
--- a/packages/placement/src/repeatBudget.ts
+++ b/packages/placement/src/repeatBudget.ts
@@ -80,6 +80,12 @@
         return { requests, repeats, remaining: tokens, sinceStartMs: nowMs - this.#startedAtMs };
     }
 
+    /** @returns whether {@link take} would allow a repeat now */
+    isAvailable(service: string, purpose: RepeatPurpose, gateways: readonly string[], nowMs: number): boolean {
+        const { tokens, hedgeTokens } = this.#refill(service, gateways, nowMs);
+        return tokens >= 1 && (purpose === "retry" || hedgeTokens >= 1);
+    }
+
     /**
      * Takes one repeat from the budget.
      *
@@ -90,10 +96,10 @@
      * @returns whether the repeat may be sent; if so, it has been counted
      */
     take(service: string, purpose: RepeatPurpose, gateways: readonly string[], nowMs: number): boolean {
-        const budget = this.#refill(service, gateways, nowMs);
-        if (budget.tokens < 1 || (purpose === "hedge" && budget.hedgeTokens < 1)) {
+        if (!this.isAvailable(service, purpose, gateways, nowMs)) {
             return false;
         }
+        const budget = this.#budgetOf(service);
         budget.repeats++;
         budget.tokens--;
         if (purpose === "hedge") {
