Count a repeat that follows a handover whose request reached a server

A gateway whose servers turned a handed-over request away, and which lost its servers meanwhile, reported that it doesn't reach the service. The sender took that for a request that no server has got and handed it over again without taking from the retry budget, though servers then see an arrival beyond the first. The outcome of a handover says itself whether the request may have reached a server; without the field, from an older gateway, it counts as reached. The test fails on the code before (no repeat counted for the second handover).

--- a/packages/edge/src/__tests__/handover.test.ts
+++ b/packages/edge/src/__tests__/handover.test.ts
@@ -283,3 +283,23 @@
     const refusals = fleet.edgeOf(0).logs.filter(line => line["message"] === "handoverRefused");
     assert.deepEqual(refusals.map(line => line["reason"]), [...Array<string>(4).fill("malformed"), "notRegistered"]);
 });
+
+// Guards against repeats beyond the retry budget: a server has got the request, though the gateway that sent it there
+// reaches the service no longer.
+test("a request that a server turned away at another gateway takes from the retry budget when it is handed over again", async t => {
+    const verdict = {
+        type: "failed",
+        kind: "backendShed",
+        detail: "turnedAway",
+        notRun: true,
+        unreached: true,
+        reachedServer: true,
+    };
+    const turnedAway: FakeGatewayBehavior = { type: "verdict", status: "503 Shed", verdict };
+    const { fleet, fakeGateways } = await startCutOffGateway(t, turnedAway, turnedAway);
+    assert.equal((await fleet.send(0)).status, 503);
+    assert.deepEqual(fakeGateways.map(({ requests }) => requests.length), [1, 1]);
+    const metrics = await (await request(fleet.edgeOf(0).metricsUrl)).body.text();
+    const sent = /galenaglade_repeats_total\{[^}]*decision="sent"[^}]*\} (\d+)/.exec(metrics)?.[1];
+    assert.ok(Number(sent) >= 1, "the second handover is counted");
+});
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -224,7 +224,7 @@
                 sink?.end(result.complete);
                 break;
             case "failed":
-                this.#fail(req, res, result.failure);
+                this.#fail(req, res, result.failure, exchange.hasReachedServer);
         }
         if (result.type !== "failed") {
             timeline.record("firstAnswer");
@@ -261,7 +261,7 @@
         }
         // A response that is framed by the end of its connection would cut off the responses behind it.
         if (response.endedByClose && !callerConnections.closeIfLast(req)) {
-            this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"));
+            this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"), true);
             return;
         }
         this.#setAnsweredOutcome(res, request, serverId);
@@ -274,7 +274,7 @@
         }
     }
 
-    #fail(req: IncomingMessage, res: ServerResponse, failure: Failure): void {
+    #fail(req: IncomingMessage, res: ServerResponse, failure: Failure, reachedServer = false): void {
         if (res.destroyed) {
             return;
         }
@@ -288,6 +288,7 @@
                 notRun: didRun === "no",
                 ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
                 unreached: this.#deps.reachability.stateOf(handover.service) !== "reached",
+                reachedServer,
             });
         }
         // An unread body would be parsed as the next request, so the connection is closed unless all of it was read.
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -204,7 +204,7 @@
 
 /** @returns whether no server got the request, so that another handover doesn't count as a retry */
 export function hasReachedNoServer({ end, outcome }: HandoverResult): boolean {
-    return end.type === "notRun" && (outcome?.type !== "failed" || outcome.unreached);
+    return end.type === "notRun" && (outcome?.type !== "failed" || !outcome.reachedServer);
 }
 
 function describeOutcome(
--- a/packages/edge/src/handover/handoverMessages.ts
+++ b/packages/edge/src/handover/handoverMessages.ts
@@ -63,6 +63,8 @@
         retryAfterSeconds: z.number().optional(),
         /** Whether that gateway no longer reaches the service either. */
         unreached: z.boolean(),
+        /** Whether the request may have reached a server, so that another send of it is a repeat. */
+        reachedServer: z.boolean().default(true),
     }),
 ]);
 
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -64,6 +64,7 @@
     readonly #targets: SendTargetFinder;
     #fallback: BufferedResponse | undefined;
     #streaming = false;
+    #hasReachedServer = false;
     #respondingServerId: string | undefined;
     /** Repeats that the retry budget refused. */
     #repeatsRefused = 0;
@@ -119,6 +120,11 @@
         return this.#respondingServerId;
     }
 
+    /** Whether a server may have got the request, through this gateway or another one. */
+    get hasReachedServer(): boolean {
+        return this.#hasReachedServer || this.#inFlight.size > 0;
+    }
+
     /** @returns log fields about placement, handovers and sends */
     describe(): LogFields {
         return {
@@ -199,6 +205,7 @@
     async #processEnd(ended: FinishedSend): Promise<ExchangeResult | undefined> {
         const { underWay, result } = ended;
         this.#unprocessed.delete(underWay);
+        this.#hasReachedServer ||= hasReachedServer(ended);
         const { end, response } = result;
         if (result.streamed) {
             return { type: "streamed", complete: end.type === "answered" };
