Soak: bursts of failures with gateways killed between them

The soak's faults are drawn independently, so that most of a fleet is hardly ever restarted between two failures of all servers within one window of the retry budget.

--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -2,6 +2,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
+import { planFailureBursts } from "./failureBurstPlan.js";
+import { planFaults } from "./faultPlan.js";
 import { regressionSeeds } from "./regressionSeeds.js";
 import { runSoak, type SoakResult } from "./runSoak.js";
 import { runStopDrill } from "./stopDrill.js";
@@ -15,6 +17,7 @@
   --regressions  runs the seeds that found violations before
   --cuts         also partitions gateways from all servers, as drawn from each seed
   --stops        runs stop drills instead: planned stops under callers that pipeline on kept connections
+  --failures     instead of other faults, lets all servers fail in bursts and kills gateways between them
   --drills       also restores the store from older snapshots, as drawn from each seed
   --parallel     number of concurrent runs; each has 13 processes or more. Default: 1
   --out          directory for histories and logs of runs that found violations
@@ -34,7 +37,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir, cuts, drills, stops } = options;
+    const { seeds, parallel, dir, cuts, drills, stops, failures } = options;
     const runs = seeds.length;
     // Each run kills its processes on the exit event, which these signals don't emit by default.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -45,7 +48,14 @@
         for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
             const result = stops
                 ? await runStopDrill({ system, seed: next, dir })
-                : await runSoak({ system, seed: next, dir, cuts, drills });
+                : await runSoak({
+                    system,
+                    seed: next,
+                    dir,
+                    cuts,
+                    drills,
+                    faults: failures ? planFailureBursts(next) : planFaults(next),
+                });
             failed += result.findings.length > 0 ? 1 : 0;
             report(result);
         }
@@ -78,6 +88,7 @@
     readonly cuts: boolean;
     readonly drills: boolean;
     readonly stops: boolean;
+    readonly failures: boolean;
 }
 
 function readOptions(args: readonly string[]): CommandOptions | undefined {
@@ -92,6 +103,7 @@
                 cuts: { type: "boolean", default: false },
                 drills: { type: "boolean", default: false },
                 stops: { type: "boolean", default: false },
+                failures: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
                 out: { type: "string", default: join(tmpdir(), "galenaglade-soak") },
             },
@@ -101,8 +113,8 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        const { cuts, drills, stops } = values;
-        return valid ? { seeds, parallel, dir: values.out, cuts, drills, stops } : undefined;
+        const { cuts, drills, stops, failures } = values;
+        return valid ? { seeds, parallel, dir: values.out, cuts, drills, stops, failures } : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -3,6 +3,7 @@
  * guarantees.
  */
 export { runSoakCommand } from "./command.js";
+export { planFailureBursts } from "./failureBurstPlan.js";
 export { planFaults } from "./faultPlan.js";
 export { type Fault, type FaultKind, type LinkFault } from "./faults.js";
 export { type PipeliningBehavior } from "./pipeliningCaller.js";
