Give the connector's time-out an error of its own

A host ended by itself when a server took longer than 300 ms to accept a connection: createConnector took the error of the time-out from undici, of which the bundled program has only Client, Pool and buildConnector, so that it threw a TypeError in a timer.

The error is the connector's own now, with the same code.

--- a/packages/httpParts/src/outgoing/createConnector.ts
+++ b/packages/httpParts/src/outgoing/createConnector.ts
@@ -1,7 +1,14 @@
-import { type buildConnector, errors } from "undici";
+import { type buildConnector } from "undici";
 import { BoundedSocket } from "./boundedSocket.js";
 import { framingLimits, tcpKeepAliveIdleMs } from "./constants.js";
 
+/** A connection that was not opened in time. */
+class ConnectTimeoutError extends Error {
+    override readonly name = "ConnectTimeoutError";
+    /** The code of the HTTP client's own error. */
+    readonly code = "UND_ERR_CONNECT_TIMEOUT";
+}
+
 /** Options of {@link createConnector}. */
 export interface ConnectorOptions {
     /** Timeout for opening a connection, in milliseconds. */
@@ -25,7 +32,7 @@
         const socket = new BoundedSocket(framingLimits);
         const timer = setTimeout(() => {
             socket.destroy(
-                new errors.ConnectTimeoutError(`no connection to ${hostname}:${port} within ${timeoutMs} ms`),
+                new ConnectTimeoutError(`no connection to ${hostname}:${port} within ${timeoutMs} ms`),
             );
         }, timeoutMs);
         const onError = (err: Error): void => {
