--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { createEdge, type Edge, resolveEdgeSettings, type ServerConnector } from "../../index.js";
-import { type MemoryStore } from "./memoryStore.js";
+import { MemoryStore } from "./memoryStore.js";
 import { TestStateCodec, TestMetadataCodec } from "./testCodecs.js";
 
 /** A backend server whose load reports and responses are set by the test. */
@@ -215,6 +215,21 @@
     }, "the process is ready");
 }
 
+/** Starts an edge process in front of these backend servers, and waits until it is ready. */
+export async function startEdgeWith(
+    t: TestContext,
+    ...backends: readonly TestBackend[]
+): Promise<TestEdge<MemoryStore>> {
+    const store = new MemoryStore();
+    store.put("configuration", createConfiguration(1));
+    for (const backend of backends) {
+        registerServer(store, backend);
+    }
+    const edge = await startEdge(t, store);
+    await waitUntilReady(edge);
+    return edge;
+}
+
 /** Starts gateways with a common store, and waits until each is ready and has discovered all others. */
 export async function startEdges(
     t: TestContext,
