--- a/review/lib/parts.mjs
+++ b/review/lib/parts.mjs
@@ -3,7 +3,7 @@
 import { spawn } from "node:child_process";
 import { randomBytes } from "node:crypto";
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { Agent, createServer, request } from "node:http";
+import { createServer, request } from "node:http";
 import { connect, createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -95,7 +95,7 @@
         }
         if (this.early(req)) {
             // It answers before it has read the long body, keeps the connection and reads on.
-            this.#begin(req, res, requestId, echo, 20);
+            this.#begin(req, res, requestId, echo, 0);
             return;
         }
         if (this.#running >= this.slots && this.#queue.length >= this.queueSize) {
@@ -374,7 +374,88 @@
     });
 }
 
-export const keepAliveAgent = () => new Agent({ keepAlive: true, maxSockets: 1 });
+/** A caller's kept connection. It shows when all bytes of a request have left the caller, as `http` doesn't. */
+export class KeptConnection {
+    #socket;
+    #received = Buffer.alloc(0);
+    #wake = () => undefined;
+    closed = false;
+
+    async open(port) {
+        this.#socket = connect(port, "127.0.0.1");
+        this.#socket.setNoDelay(true);
+        this.#socket.on("data", chunk => {
+            this.#received = Buffer.concat([this.#received, chunk]);
+            this.#wake();
+        });
+        for (const event of ["error", "close", "end"]) {
+            this.#socket.on(event, () => {
+                this.closed = true;
+                this.#wake();
+            });
+        }
+        await new Promise((resolve, reject) => {
+            this.#socket.once("connect", resolve);
+            this.#socket.once("error", reject);
+        });
+    }
+
+    close() {
+        this.#socket.destroy();
+    }
+
+    /** @returns how the request ended; `leftMs`: when its last byte had left the caller, `undefined` if it never did */
+    async send({ host, path, body, deadlineMs, requestId = newId() }, record) {
+        const sentAtMs = nowMs();
+        record.add("sent", { requestId, path, bytes: body.length });
+        const head = `POST ${path} HTTP/1.1\r\nHost: ${host}\r\nRequest-Id: ${requestId}\r\nDeadline-Ms: ${deadlineMs}\r\nContent-Length: ${body.length}\r\n\r\n`;
+        const result = { requestId, sentAtMs };
+        const left = new Promise(resolve => {
+            this.#socket.write(Buffer.concat([Buffer.from(head), body]), err => {
+                if (err === undefined || err === null) {
+                    result.leftMs = nowMs() - sentAtMs;
+                }
+                resolve();
+            });
+        });
+        const answer = await this.#read(deadlineMs);
+        Object.assign(result, { tookMs: nowMs() - sentAtMs, ...answer });
+        await Promise.race([left, sleep(Math.max(0, deadlineMs - (nowMs() - sentAtMs)))]);
+        record.add("answered", result);
+        return result;
+    }
+
+    async #read(forMs) {
+        const untilMs = performance.now() + forMs;
+        for (;;) {
+            const text = this.#received.toString("latin1");
+            const headEnd = text.indexOf("\r\n\r\n");
+            if (headEnd >= 0) {
+                const head = text.slice(0, headEnd);
+                const length = Number(/\r\ncontent-length: *(\d+)/i.exec(head)?.[1] ?? 0);
+                if (this.#received.length >= headEnd + 4 + length) {
+                    this.#received = this.#received.subarray(headEnd + 4 + length);
+                    const close = /\r\nconnection: *close/i.test(head);
+                    return { end: "answer", status: Number(head.slice(9, 12)), id: /\r\nrequest-id: *(\S+)/i.exec(head)?.[1], close };
+                }
+            }
+            if (this.closed) {
+                return { end: "closed" };
+            }
+            const leftMs = untilMs - performance.now();
+            if (leftMs <= 0) {
+                return { end: "none" };
+            }
+            await new Promise(resolve => {
+                const timer = setTimeout(resolve, leftMs);
+                this.#wake = () => {
+                    clearTimeout(timer);
+                    resolve();
+                };
+            });
+        }
+    }
+}
 
 /** A configuration with one route for each given service. */
 export function configuration({ version = "00000007", routes }) {
