--- a/review/lib/parts.mjs
+++ b/review/lib/parts.mjs
@@ -121,7 +121,7 @@
 
     #begin(req, res, requestId, echo, workMs) {
         this.#running++;
-        const run = { requestId, target: this.id, atMs: nowMs(), method: req.method, path: req.url };
+        const run = { requestId, target: this.id, atMs: nowMs(), at: performance.now(), method: req.method, path: req.url };
         this.runs.push(run);
         this.record.add("run", run);
         let ended = false;
