--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -8,7 +8,9 @@
 const host = "orders.example";
 const path = "/orders/";
 const timeoutS = 2;
-const cutForMs = 12_000;
+const rounds = 3;
+const cutForMs = 5_000;
+const pauseMs = 4_000;
 const killEveryMs = 1_200;
 
 const store = new Store();
@@ -53,23 +55,26 @@
     const loads = gateways.map((gateway, i) => load(gateway, i === 0 ? 40 : 2));
     await sleep(3_000);
     const [cut, ...others] = gateways;
-    if (trouble) {
-        record.add("cut", { gateway: cut.name });
-        links.forEach(link => link.cut(cut.source));
-    }
-    const untilMs = performance.now() + cutForMs;
-    for (let i = 0; performance.now() < untilMs - killEveryMs; i++) {
-        await sleep(killEveryMs);
+    let kills = 0;
+    for (let round = 0; round < rounds; round++) {
         if (trouble) {
-            void others[i % others.length].killAndRestart(300);
+            record.add("cut", { gateway: cut.name });
+            links.forEach(link => link.cut(cut.source));
         }
+        const untilMs = performance.now() + cutForMs;
+        while (performance.now() + killEveryMs < untilMs) {
+            await sleep(killEveryMs);
+            if (trouble) {
+                void others[kills++ % others.length].killAndRestart(300);
+            }
+        }
+        await sleep(untilMs - performance.now());
+        if (trouble) {
+            record.add("heal", { gateway: cut.name });
+            links.forEach(link => link.heal(cut.source));
+        }
+        await sleep(pauseMs);
     }
-    await sleep(killEveryMs);
-    if (trouble) {
-        record.add("heal", { gateway: cut.name });
-        links.forEach(link => link.heal(cut.source));
-    }
-    await sleep(2_000);
     loading = false;
     await Promise.all(loads);
     await Promise.all(pending);
--- a/review/lib/parts.mjs
+++ b/review/lib/parts.mjs
@@ -13,16 +13,23 @@
 const startedAtMs = performance.now();
 export const nowMs = () => Math.round(performance.now() - startedAtMs);
 
-/** Free ports of 127.0.0.1, all different. */
+const takenPorts = new Set();
+
+/** Free ports of 127.0.0.1, all different and below those that the system gives to outgoing connections. */
 export async function freePorts(count) {
-    const servers = await Promise.all(Array.from({ length: count }, () =>
-        new Promise((resolve, reject) => {
+    const ports = [];
+    while (ports.length < count) {
+        const port = 12_000 + Math.floor(Math.random() * 20_000);
+        const isFree = !takenPorts.has(port) && await new Promise(resolve => {
             const server = createTcpServer();
-            server.once("error", reject);
-            server.listen(0, "127.0.0.1", () => resolve(server));
-        })));
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+        });
+        if (isFree) {
+            takenPorts.add(port);
+            ports.push(port);
+        }
+    }
     return ports;
 }
 
