--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -37,7 +37,7 @@
     if (trouble) {
         record.add("foreignEntry");
         store.put("servers/i-foreign", {
-            address: process.env.ADDRESS ?? "127.0.0.1:70000",
+            address: "127.0.0.1:70000",
             born: Date.now(),
             information: { service, version: "v1", zone: "zone-a", slots: 3 },
             status: { state: "ready", sequence: 1, coldRemainingS: 0 },
