Return a refusal only where no send of the request may have run

Callers saw 503 with Retry-After for a non-idempotent request that a server had run, and sent it again.

Cause: a gateway that can't reach the servers handed the request over. The first gateway reported that it had no room, the connection to the second one was lost after the request had run, and the exchange returned the first one's failure without asking how the other sends had ended. Each other branch there asked; this one was added later.

Change: SendRecord holds all sends of a request. Failures are written in one place, which asks the record: a promise that a send contradicts becomes 502 and is logged as refusalReplaced, and after a refusal nothing more is written. LocalReplies decides by the same record. On related paths: a response of another gateway without a readable outcome counted as "not run"; a failure of a key or route that is replaced by a retryable one was not checked; a body that was late or malformed got 408 or 400 although its streamed send was at a server. Where nothing has run, a send that is still connecting at the cutoff, and a refusal whose connection is closed before the body was read, no longer make it 504 or 502.

Measured: the two new tests of handover.test.ts give 503 in place of 502 on the code before, and the late body got 408.

--- a/packages/edge/src/__tests__/handover.test.ts
+++ b/packages/edge/src/__tests__/handover.test.ts
@@ -104,6 +104,43 @@
     assert.deepEqual([got.status, got.headers["retry-after"], fakeGateways[0]?.requests.length], [503, "0.75", 1]);
 });
 
+/** Reported by a gateway that found no room for the request. */
+const full: FakeGatewayBehavior = {
+    type: "verdict",
+    status: "503 Full",
+    verdict: {
+        type: "failed",
+        kind: "overloaded",
+        detail: "allFull",
+        notRun: true,
+        retryAfterSeconds: 0.75,
+        unreached: false,
+        reachedServer: false,
+    },
+};
+
+// Guards against a non-idempotent request that runs twice: its caller repeats it after a promise that it has not run.
+test("a handover that is lost after another gateway's refusal is not reported as that refusal", async t => {
+    const loseSecond: FakeGatewayBehavior = {
+        type: "afterFirst",
+        first: full,
+        then: { type: "lose" },
+        seen: new Set(),
+    };
+    const { fleet, fakeGateways } = await startCutOffGateway(t, loseSecond, loseSecond);
+    const { status } = await fleet.send(0, "POST");
+    assert.deepEqual([status, fakeGateways.map(({ requests }) => requests.length)], [502, [1, 1]]);
+});
+
+// Guards against the same repeat, where the second gateway gives a response that this one can't read.
+test("a response without an outcome after another gateway's refusal is not reported as a refusal", async t => {
+    const unreadable: FakeGatewayBehavior = { type: "verdict", status: "503 Busy", verdict: { type: "unheardOf" } };
+    const then: FakeGatewayBehavior = { type: "afterFirst", first: full, then: unreadable, seen: new Set() };
+    const { fleet, fakeGateways } = await startCutOffGateway(t, then, then);
+    const { status } = await fleet.send(0, "POST");
+    assert.deepEqual([status, fakeGateways.map(({ requests }) => requests.length)], [502, [1, 1]]);
+});
+
 // Guards against metadata that grants more time or runs than are left: the other gateway acts on it.
 test("a handover carries the sending gateway, and the time and runs that are left", async t => {
     const { fleet, fakeGateways } = await startCutOffGateway(t, answered);
--- a/packages/edge/src/__tests__/support/fakeGateway.ts
+++ b/packages/edge/src/__tests__/support/fakeGateway.ts
@@ -12,6 +12,13 @@
     | { readonly type: "loseFirst"; readonly lost: Set<string>; }
     /** Never responds. */
     | { readonly type: "freeze"; }
+    /** Behaves in one way for the first request among all fake gateways that share the set, in another one after it. */
+    | {
+        readonly type: "afterFirst";
+        readonly first: FakeGatewayBehavior;
+        readonly then: FakeGatewayBehavior;
+        readonly seen: Set<string>;
+    }
     | { readonly type: "verdict"; readonly status: string; readonly verdict: object; }
     /** Behaves like an older version without handovers. */
     | { readonly type: "unknownPath"; };
@@ -72,6 +79,10 @@
             act(req, behavior.lost.size === 0 ? { type: "lose" } : { type: "answer", body: "from a fake gateway" });
             behavior.lost.add("first");
             return;
+        case "afterFirst":
+            act(req, behavior.seen.size === 0 ? behavior.first : behavior.then);
+            behavior.seen.add("first");
+            return;
         case "lose":
             req.socket.resetAndDestroy();
             return;
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -75,6 +75,8 @@
 /** An attempt in progress. */
 export interface Send {
     readonly result: Promise<SendResult>;
+    /** Whether the first byte of the request may have been written. */
+    readonly isWritten: () => boolean;
     /** Cancels the attempt and closes its connection, so that the server can abort the request. */
     abandon(): void;
 }
@@ -100,7 +102,7 @@
             idempotent: options.idempotent,
         }, handler);
     });
-    return { result, abandon: () => handler?.abandon() };
+    return { result, isWritten: () => handler?.isWritten === true, abandon: () => handler?.abandon() };
 }
 
 class SendHandler implements Dispatcher.DispatchHandler {
@@ -122,6 +124,10 @@
         this.#resolve = resolve;
     }
 
+    get isWritten(): boolean {
+        return this.#isWritten;
+    }
+
     /** Called right before the first byte of the request is written, in the same event-loop turn. */
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.#controller = controller;
@@ -183,6 +189,12 @@
             // Bytes that aren't valid HTTP still show that the server can be reached.
             this.#contact ??= isParserError(err) ? "heard" : classifyConnectionError(err);
         }
+        const refusal = this.#head && this.#findFault(this.#head) === undefined ? findNotRun(this.#head) : undefined;
+        if (refusal !== undefined) {
+            // A server that refuses a request may close the connection before it has read the body.
+            this.#settle({ type: "notRun", reason: refusal }, err.message);
+            return;
+        }
         if (this.#isWritten) {
             this.#settle(
                 { type: "unknown", reason: this.#head === undefined ? classifyLoss(err) : "cutShort" },
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -13,6 +13,7 @@
 import { maxBufferedBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { Exchange } from "../requests/exchange.js";
+import { SendRecord } from "../requests/sendRecord.js";
 import { createStoppingFailure, type ExchangeResult } from "../requests/localReplies.js";
 import { callerGone, cutoffReached, type ExchangeDeps, stopDeadlineReached } from "../requests/exchangeDeps.js";
 import { type BufferedResponse } from "../backends/sendRequest.js";
@@ -40,6 +41,7 @@
     readonly #handovers = new WeakMap<ServerResponse, HandoverMetadata>();
     /** Deadlines of the requests that are being handled. */
     readonly #deadlines = new Map<ServerResponse, RequestDeadline>();
+    readonly #sends = new WeakMap<ServerResponse, SendRecord>();
 
     constructor(deps: EdgeHandlerDeps) {
         super();
@@ -53,6 +55,11 @@
         }
     }
 
+    /** @returns whether a request that is being handled has certainly not run */
+    hasNotRun(res: ServerResponse): boolean {
+        return this.#sends.get(res)?.hasNotRun ?? true;
+    }
+
     /** Handles one request of a caller; never throws. */
     handle(req: IncomingMessage, res: ServerResponse): void {
         const { callerConnections, clock, view, timeline } = this.#deps;
@@ -102,13 +109,15 @@
                     refuseHandover(req, res, "noRoute", []);
                     return;
                 }
-                this.#fail(req, res, failure);
+                this.#fail(req, res, failure, new SendRecord());
                 this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
             },
             Right: request => {
-                this.#serve(request, req, res).catch((err: unknown) => {
+                const sends = new SendRecord();
+                this.#sends.set(res, sends);
+                this.#serve(request, sends, req, res).catch((err: unknown) => {
                     log.log("error", "unexpected", { requestId: request.requestId, error: String(err) });
-                    this.#fail(req, res, createFailure("internal", "unexpected failure"));
+                    this.#fail(req, res, createFailure("internal", "unexpected failure"), sends);
                 });
             },
         });
@@ -153,7 +162,12 @@
         return createFailure("notFresh", `${failure.detail}, as far as is known`, { retryAfterSeconds });
     }
 
-    async #serve(request: EdgeRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    async #serve(
+        request: EdgeRequest,
+        sends: SendRecord,
+        req: IncomingMessage,
+        res: ServerResponse,
+    ): Promise<void> {
         const { clock, stopPlan } = this.#deps;
         const deadline = new RequestDeadline(clock);
         const { signal } = deadline;
@@ -177,12 +191,11 @@
             };
             const body = (await readRequestBody(limits, req, signal)).chain(read => this.#admit(read));
             if (body.isLeft()) {
-                const failure = body.extract();
-                this.#fail(req, res, failure);
+                const failure = this.#fail(req, res, body.extract(), sends);
                 this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
                 return;
             }
-            await this.#exchange(request, body.unsafeCoerce(), signal, req, res);
+            await this.#exchange(request, body.unsafeCoerce(), sends, signal, req, res);
         }
         finally {
             deadline.clear();
@@ -201,6 +214,7 @@
     async #exchange(
         request: EdgeRequest,
         body: RequestBody,
+        sends: SendRecord,
         signal: AbortSignal,
         req: IncomingMessage,
         res: ServerResponse,
@@ -210,21 +224,21 @@
             ? await startupGate.acquire(this.#createStartupRequest(request, req), signal)
             : undefined;
         let sink: CallerSink | undefined;
-        const exchange = new Exchange(this.#deps, request, body, signal, head => {
+        const exchange = new Exchange(this.#deps, request, body, sends, signal, head => {
             this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
             sink = new CallerSink(res, head, callerConnections.closeIfDraining(req));
             return sink;
         }, () => permit?.onSent());
-        const result = this.#replaceResultIfStale(await exchange.run().finally(() => permit?.onEnded()));
+        let result = this.#replaceResultIfStale(await exchange.run().finally(() => permit?.onEnded()));
         switch (result.type) {
             case "answered":
-                this.#respond(request, result.response, exchange.respondingServerId, req, res);
+                this.#respond(request, result.response, exchange.respondingServerId, sends, req, res);
                 break;
             case "streamed":
                 sink?.end(result.complete);
                 break;
             case "failed":
-                this.#fail(req, res, result.failure, exchange.hasReachedServer);
+                result = { type: "failed", failure: this.#fail(req, res, result.failure, sends) };
         }
         if (result.type !== "failed") {
             timeline.record("firstAnswer");
@@ -252,6 +266,7 @@
         request: EdgeRequest,
         response: BufferedResponse,
         serverId: string | undefined,
+        sends: SendRecord,
         req: IncomingMessage,
         res: ServerResponse,
     ): void {
@@ -261,7 +276,7 @@
         }
         // A response that is framed by the end of its connection would cut off the responses behind it.
         if (response.endedByClose && !callerConnections.closeIfLast(req)) {
-            this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"), true);
+            this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"), sends);
             return;
         }
         this.#setAnsweredOutcome(res, request, serverId);
@@ -274,9 +289,15 @@
         }
     }
 
-    #fail(req: IncomingMessage, res: ServerResponse, failure: Failure, reachedServer = false): void {
+    /** @returns the failure that the caller gets: `cause`, unless the sends contradict it */
+    #fail(req: IncomingMessage, res: ServerResponse, cause: Failure, sends: SendRecord): Failure {
+        const failure = sends.confirm(cause);
+        if (failure !== cause) {
+            const { requestId } = this.#deps.metadataCodec.readRequest(req.rawHeaders);
+            this.#deps.log.log("error", "refusalReplaced", { requestId, kind: cause.kind, sends: sends.describe() });
+        }
         if (res.destroyed) {
-            return;
+            return failure;
         }
         const handover = this.#handovers.get(res);
         if (handover !== undefined && !res.headersSent) {
@@ -288,11 +309,12 @@
                 notRun: didRun === "no",
                 ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
                 unreached: this.#deps.reachability.stateOf(handover.service) !== "reached",
-                reachedServer,
+                reachedServer: sends.hasReachedServer,
             });
         }
         // An unread body would be parsed as the next request, so the connection is closed unless all of it was read.
         writeFailure(res, failure, undefined, this.#deps.callerConnections.closeIfDraining(req) || !req.complete);
+        return failure;
     }
 
     #report(
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -226,6 +226,7 @@
         maximumHeaderBytes: maxRequestHeadBytes,
         requestTimeoutMs,
         keepAliveMs: initialKeepAliveMs,
+        mayRefuse: res => handler.hasNotRun(res),
     }, (req, res) => handler.handle(req, res));
     const callerSockets = new ConnectionTracker(callerServer, () => clock.monotonicMs());
 
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -7,7 +7,7 @@
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { maxBufferedResponseBytes, maxHandoverAttempts } from "../constants.js";
 import { type EdgeRequest } from "../requests/edgeRequest.js";
-import { describeSendEnd } from "../requests/localReplies.js";
+import { describeSendEnd } from "../requests/describeSendEnd.js";
 import { type ExchangeDeps } from "../requests/exchangeDeps.js";
 import { type HandoverMetadata } from "./handoverMessages.js";
 import { type Handover, handOver, type HandoverResult } from "./handoverSend.js";
--- a/packages/edge/src/handover/handoverSend.ts
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -12,6 +12,9 @@
     renderHandoverHeader,
 } from "./handoverMessages.js";
 
+const badRequestStatus = 400;
+const notFoundStatus = 404;
+
 /** Inputs of {@link handOver}. */
 export interface HandoverInput {
     readonly connection: ServerConnection;
@@ -40,6 +43,8 @@
 /** A handover in flight. */
 export interface Handover {
     readonly result: Promise<HandoverResult>;
+    /** Whether the first byte of the request may have been written. */
+    readonly isWritten: () => boolean;
     /** Cancels the handover; the other gateway cancels the work. */
     abandon(): void;
 }
@@ -71,7 +76,11 @@
         mayWrite,
         openSink: head => reader.outcome?.type === "answered" ? input.openSink(stripHandoverHeader(head)) : undefined,
     });
-    return { result: send.result.then(result => resolveResult(result, reader.outcome)), abandon: () => send.abandon() };
+    return {
+        result: send.result.then(result => resolveResult(result, reader.outcome)),
+        isWritten: send.isWritten,
+        abandon: () => send.abandon(),
+    };
 }
 
 /** Reads the head of a response from another gateway: a server's that it passes on, or its own. */
@@ -92,8 +101,7 @@
         return {
             requestId: this.#input.requestId,
             signed: false,
-            // Older gateways, which don't support handovers, fail requests on this path without running them.
-            notRun: this.outcome?.type !== "failed" || this.outcome.notRun,
+            notRun: isNotRun(status, this.outcome),
             serverId: undefined,
             load: undefined,
             coldRemainingMs: 0,
@@ -105,6 +113,15 @@
     }
 }
 
+/** @returns whether a gateway that passes no server's response on has certainly not run the request */
+function isNotRun(status: number, outcome: HandoverOutcome | undefined): boolean {
+    if (outcome === undefined) {
+        // Older gateways, which don't support handovers, reject this path like any unknown one.
+        return status === badRequestStatus || status === notFoundStatus;
+    }
+    return outcome.type === "refused" || (outcome.type === "failed" && outcome.notRun);
+}
+
 function resolveResult(result: SendResult, outcome: HandoverOutcome | undefined): HandoverResult {
     if (outcome?.type === "failed" && result.end.type !== "abandoned") {
         const { kind, detail, notRun, retryAfterSeconds } = outcome;
@@ -112,6 +129,10 @@
         const end = notRun ? result.end : { type: "unknown", reason: "connectionLost" } as const;
         return { ...result, end, response: undefined, outcome, failure };
     }
+    if (outcome === undefined && result.end.type === "answered") {
+        const end = { type: "unknown", reason: "notAnAnswer" } as const;
+        return { ...result, end, response: undefined, outcome, failure: undefined };
+    }
     const { response } = result;
     return {
         ...result,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -22,12 +22,14 @@
 import { ExchangeHandover } from "../handover/exchangeHandover.js";
 import { awaitFirst } from "./awaitFirst.js";
 import { type EdgeRequest, resolveIdentity } from "./edgeRequest.js";
-import { describeSendEnd, LocalReplies, type ExchangeResult } from "./localReplies.js";
+import { describeSendEnd } from "./describeSendEnd.js";
+import { LocalReplies, type ExchangeResult } from "./localReplies.js";
 import { callerGone, type ExchangeDeps } from "./exchangeDeps.js";
 import { LazyContentId } from "./lazyContentId.js";
 import { WorkspaceGuard } from "./workspaceGuard.js";
 import { ExchangePlacement, type SendPurpose } from "./exchangePlacement.js";
 import { type Placement } from "./placer.js";
+import { type SendRecord } from "./sendRecord.js";
 import { SendResultHandler } from "./sendResultHandler.js";
 import { describeTarget, type SendTarget, SendTargetFinder } from "./sendTargetFinder.js";
 import {
@@ -50,10 +52,10 @@
     readonly #signal: AbortSignal;
     readonly #openSink: (head: ResponseHead) => ResponseSink;
     readonly #onSent: () => void;
+    readonly #sends: SendRecord;
     readonly #inFlight = new Set<PendingSend>();
     /** Sends whose end has not been processed yet. A send may end while a server for another one is being picked. */
     readonly #unprocessed = new Set<PendingSend>();
-    readonly #sendEnds: SendEnd[] = [];
     readonly #localReplies: LocalReplies;
     readonly #workspaceGuard: WorkspaceGuard;
     readonly #placement: ExchangePlacement;
@@ -64,7 +66,6 @@
     readonly #targets: SendTargetFinder;
     #fallback: BufferedResponse | undefined;
     #streaming = false;
-    #hasReachedServer = false;
     #respondingServerId: string | undefined;
     /** Repeats that the retry budget refused. */
     #repeatsRefused = 0;
@@ -75,6 +76,7 @@
      * @param deps - dependencies
      * @param request - the resolved request
      * @param body - body of the request
+     * @param sends - record of its sends
      * @param signal - aborted when the final response is due, or when the caller has disconnected
      * @param openSink - starts streaming a response to the caller that is too large to buffer
      * @param onSent - called with each send
@@ -83,6 +85,7 @@
         deps: ExchangeDeps,
         request: EdgeRequest,
         body: RequestBody,
+        sends: SendRecord,
         signal: AbortSignal,
         openSink: (head: ResponseHead) => ResponseSink,
         onSent: () => void = () => undefined,
@@ -91,6 +94,7 @@
         this.#request = request;
         this.#localReplies = new LocalReplies(request, deps.placementState.typicalLatency, deps.random);
         this.#body = body;
+        this.#sends = sends;
         this.#signal = signal;
         this.#workspaceGuard = new WorkspaceGuard(deps, request, signal);
         this.#placement = new ExchangePlacement(deps, request, signal);
@@ -120,11 +124,6 @@
         return this.#respondingServerId;
     }
 
-    /** Whether a server may have got the request, through this gateway or another one. */
-    get hasReachedServer(): boolean {
-        return this.#hasReachedServer || this.#inFlight.size > 0;
-    }
-
     /** @returns log fields about placement, handovers and sends */
     describe(): LogFields {
         return {
@@ -133,9 +132,10 @@
             handedOverBy: this.#request.handedOverBy,
             contentId: this.#contentId.computedContentId,
             repeatsRefused: this.#repeatsRefused === 0 ? undefined : this.#repeatsRefused,
-            sends: this.#sendEnds.map(end => end.type === "answered" ? String(end.status) : describeSendEnd(end)).join(
-                ",",
-            ),
+            sends: this.#sends.ends.map(end => end.type === "answered" ? String(end.status) : describeSendEnd(end))
+                .join(
+                    ",",
+                ),
         };
     }
 
@@ -174,7 +174,7 @@
             return this.#finish(await this.#awaitResult());
         }
         finally {
-            this.#workspaceGuard.onEnded(this.#sendEnds, this.#inFlight.size);
+            this.#workspaceGuard.onEnded(this.#sends.ends, this.#inFlight.size);
             this.#quarantineGuard.close();
         }
     }
@@ -205,7 +205,6 @@
     async #processEnd(ended: FinishedSend): Promise<ExchangeResult | undefined> {
         const { underWay, result } = ended;
         this.#unprocessed.delete(underWay);
-        this.#hasReachedServer ||= hasReachedServer(ended);
         const { end, response } = result;
         if (result.streamed) {
             return { type: "streamed", complete: end.type === "answered" };
@@ -231,29 +230,14 @@
     }
 
     #resolveFailed(): ExchangeResult {
-        const { retryAfterMs } = this.#quarantineGuard;
-        const backoffRemainingMs = this.#backoffRemainingMs();
-        const hasNotRun = this.#fallback === undefined && this.#sendEnds.every(({ type }) => type === "notRun");
-        const { keyChange } = this.#workspaceGuard;
-        if (hasNotRun && keyChange !== undefined) {
-            return this.#localReplies.keyChanged(keyChange);
-        }
-        if (hasNotRun && !this.#deps.maySend(this.#request)) {
-            return this.#localReplies.stopping();
-        }
-        if (hasNotRun && retryAfterMs !== undefined) {
-            return this.#localReplies.quarantined(retryAfterMs);
-        }
-        if (hasNotRun && backoffRemainingMs !== undefined) {
-            return this.#localReplies.placementFailed("resting", backoffRemainingMs);
-        }
-        const { failure, wasTried } = this.#handover;
-        if (this.#fallback === undefined && failure !== undefined) {
-            return { type: "failed", failure };
-        }
-        return hasNotRun && wasTried
-            ? this.#localReplies.placementFailed("unreached")
-            : this.#localReplies.allSendsFailed(this.#sendEnds, this.#fallback);
+        return this.#localReplies.unserved(this.#sends, this.#fallback, {
+            keyChange: this.#workspaceGuard.keyChange,
+            isStopping: !this.#deps.maySend(this.#request),
+            quarantinedForMs: this.#quarantineGuard.retryAfterMs,
+            backoffRemainingMs: this.#backoffRemainingMs(),
+            handoverFailure: this.#handover.failure,
+            wasHandedOver: this.#handover.wasTried,
+        });
     }
 
     async #tryRetry(ended: FinishedSend): Promise<boolean> {
@@ -351,9 +335,9 @@
             send: handover,
             gateway,
             ended: result.then(ended => {
-                this.#inFlight.delete(underWay);
-                this.#sendEnds.push(ended.end);
-                return { type: "gateway" as const, underWay, result: ended };
+                const finished = { type: "gateway" as const, underWay, result: ended };
+                this.#onFinished(finished);
+                return finished;
             }),
         };
         this.#track(underWay);
@@ -361,12 +345,23 @@
 
     #track(underWay: PendingSend): void {
         this.#inFlight.add(underWay);
+        this.#sends.onStarted(underWay.send);
         this.#unprocessed.add(underWay);
         this.#onSent();
     }
 
+    #onFinished(ended: FinishedSend): void {
+        const { underWay, result } = ended;
+        this.#inFlight.delete(underWay);
+        this.#sends.onEnded(
+            underWay.send,
+            result.end,
+            hasReachedServer(ended) ? "reachedServer" : "reachedNoServer",
+        );
+    }
+
     #mayWrite(): boolean {
-        return !this.#signal.aborted && this.#workspaceGuard.keyChange === undefined
+        return !this.#signal.aborted && !this.#sends.isSealed && this.#workspaceGuard.keyChange === undefined
             && this.#quarantineGuard.maySend() && this.#deps.maySend(this.#request);
     }
 
@@ -409,8 +404,10 @@
             isNewConnection,
             ledgerVersion: this.#quarantineGuard.ledgerVersion(),
             ended: send.result.then(result => {
+                const finished = { type: "server" as const, underWay, result };
+                this.#onFinished(finished);
                 this.#onSendEnded(underWay, connection, result);
-                return { type: "server" as const, underWay, result };
+                return finished;
             }),
         };
         this.#track(underWay);
@@ -419,8 +416,6 @@
     #onSendEnded(underWay: ServerSend, connection: ServerConnection, result: SendResult): void {
         const { connections, clock } = this.#deps;
         const { placement, purpose, isNewConnection, ledgerVersion } = underWay;
-        this.#inFlight.delete(underWay);
-        this.#sendEnds.push(result.end);
         if (result.end.type === "unknown") {
             // A late response on it would be taken for the response to the next request.
             connection.destroy();
@@ -462,14 +457,14 @@
             idempotent: this.#request.route.idempotent,
             isBodyReplayable: this.#body.isReplayable,
             maximumRuns: this.#request.route.maximumRuns - this.#handover.extraRuns,
-            ends: this.#sendEnds,
+            ends: this.#sends.ends,
             inFlight: this.#inFlight.size,
         });
     }
 
     /** Number of servers on which the request may still run. */
     #runsLeft(): number {
-        const possibleRuns = this.#inFlight.size + this.#sendEnds.filter(({ type }) => type !== "notRun").length;
+        const possibleRuns = this.#inFlight.size + this.#sends.ends.filter(({ type }) => type !== "notRun").length;
         return this.#request.route.maximumRuns - this.#handover.extraRuns - possibleRuns;
     }
 
@@ -516,6 +511,6 @@
         if (this.#streaming) {
             return { type: "streamed", complete: false };
         }
-        return this.#localReplies.timedOut(this.#sendEnds, this.#inFlight.size, this.#fallback);
+        return this.#localReplies.timedOut(this.#sends, this.#fallback);
     }
 }
--- a/packages/edge/src/requests/localReplies.ts
+++ b/packages/edge/src/requests/localReplies.ts
@@ -1,11 +1,12 @@
-import { createFailure, type Failure } from "@galenaglade/errors";
-import { drawRetryAfterSeconds, type SendEnd, type TypicalLatency } from "@galenaglade/placement";
+import { createFailure, type Failure, isPromisedNotRun } from "@galenaglade/errors";
+import { drawRetryAfterSeconds, type TypicalLatency } from "@galenaglade/placement";
 import { type KeyChange } from "@galenaglade/workspaces";
 import { type Decision } from "@galenaglade/rate-limit";
 import { type RandomSource } from "@galenaglade/routing";
 import { type BufferedResponse } from "../backends/sendRequest.js";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type PlacementFailure } from "./placer.js";
+import { type SendRecord } from "./sendRecord.js";
 
 const oneSecondMs = 1_000;
 
@@ -16,6 +17,21 @@
     | { readonly type: "streamed"; readonly complete: boolean; }
     | { readonly type: "failed"; readonly failure: Failure; };
 
+/** What is known, besides its sends, about why a request wasn't served. */
+export interface UnservedCauses {
+    /** Change of the caller's key since the request arrived; `undefined` if there is none. */
+    readonly keyChange: KeyChange | undefined;
+    /** Whether this gateway is stopping and may not send the request any more. */
+    readonly isStopping: boolean;
+    /** Time for which requests with this content are kept from servers, in milliseconds. */
+    readonly quarantinedForMs: number | undefined;
+    /** Time until the first server's back-off ends, if all servers back off, in milliseconds. */
+    readonly backoffRemainingMs: number | undefined;
+    /** Failure that another gateway reported; later sends may have ended otherwise. */
+    readonly handoverFailure: Failure | undefined;
+    readonly wasHandedOver: boolean;
+}
+
 /** Builds the failures that this gateway returns itself when it has no server's response, each with its Retry-After. */
 export class LocalReplies {
     readonly #request: EdgeRequest;
@@ -81,30 +97,65 @@
         return { type: "failed", failure };
     }
 
-    /** All sends have failed. */
-    allSendsFailed(ends: readonly SendEnd[], fallback: BufferedResponse | undefined): ExchangeResult {
+    /**
+     * All sends have failed, or the last one can't be made again.
+     *
+     * @param sends - all sends of the request
+     * @param fallback - server error or incomplete response to return rather than a failure of this gateway
+     * @param causes - what else is known about why the request wasn't served
+     */
+    unserved(sends: SendRecord, fallback: BufferedResponse | undefined, causes: UnservedCauses): ExchangeResult {
         if (fallback !== undefined) {
             return { type: "answered", response: fallback };
         }
-        if (ends.every(end => end.type === "notRun")) {
-            return this.#reject("backendShed", describeSendEnds(ends), "turnedAway");
+        const { handoverFailure } = causes;
+        if (sends.hasNotRun) {
+            return this.#notRun(sends, causes);
         }
-        return { type: "failed", failure: createFailure("connectionLost", describeSendEnds(ends)) };
+        return {
+            type: "failed",
+            failure: handoverFailure === undefined || isPromisedNotRun(handoverFailure)
+                ? createFailure("connectionLost", sends.describe())
+                : handoverFailure,
+        };
     }
 
     /**
      * The response is due, or the caller has disconnected.
      *
-     * @param inFlight - number of sends that have not ended
+     * @param sends - all sends of the request
+     * @param fallback - server error or incomplete response to return rather than a failure of this gateway
      */
-    timedOut(ends: readonly SendEnd[], inFlight: number, fallback: BufferedResponse | undefined): ExchangeResult {
+    timedOut(sends: SendRecord, fallback: BufferedResponse | undefined): ExchangeResult {
         if (fallback !== undefined) {
             return { type: "answered", response: fallback };
         }
-        if (inFlight === 0 && ends.every(end => end.type === "notRun")) {
+        if (sends.hasNotRun) {
             return this.#reject("overloaded", "no server could be found in time", "full");
         }
-        return { type: "failed", failure: createFailure("backendTimeout", describeSendEnds(ends)) };
+        return { type: "failed", failure: createFailure("backendTimeout", sends.describe()) };
+    }
+
+    #notRun(sends: SendRecord, causes: UnservedCauses): ExchangeResult {
+        const { keyChange, isStopping, quarantinedForMs, backoffRemainingMs, handoverFailure, wasHandedOver } = causes;
+        if (keyChange !== undefined) {
+            return this.keyChanged(keyChange);
+        }
+        if (isStopping) {
+            return this.stopping();
+        }
+        if (quarantinedForMs !== undefined) {
+            return this.quarantined(quarantinedForMs);
+        }
+        if (backoffRemainingMs !== undefined) {
+            return this.placementFailed("resting", backoffRemainingMs);
+        }
+        if (handoverFailure !== undefined && isPromisedNotRun(handoverFailure)) {
+            return { type: "failed", failure: handoverFailure };
+        }
+        return wasHandedOver
+            ? this.placementFailed("unreached")
+            : this.#reject("backendShed", sends.describe(), "turnedAway");
     }
 
     #reject(
@@ -126,19 +177,3 @@
     const retryAfterSeconds = drawRetryAfterSeconds("turnedAway", 0, random);
     return createFailure("stopping", "this host is stopping", { retryAfterSeconds });
 }
-
-/** @returns a short label of how a send ended, for logs and metrics */
-export function describeSendEnd(end: SendEnd): string {
-    switch (end.type) {
-        case "answered":
-            return `answered ${end.status}`;
-        case "abandoned":
-            return "abandoned";
-        default:
-            return end.reason;
-    }
-}
-
-function describeSendEnds(ends: readonly SendEnd[]): string {
-    return ends.length === 0 ? "no answer" : ends.map(describeSendEnd).join(", ");
-}
--- a/packages/edge/src/requests/sendResultHandler.ts
+++ b/packages/edge/src/requests/sendResultHandler.ts
@@ -5,7 +5,7 @@
 import { minComparisonServers, maxComparisonServers } from "../constants.js";
 import { type QuarantineGuard } from "../quarantine/quarantineGuard.js";
 import { type EdgeRequest } from "./edgeRequest.js";
-import { describeSendEnd } from "./localReplies.js";
+import { describeSendEnd } from "./describeSendEnd.js";
 import { type LazyContentId } from "./lazyContentId.js";
 import { type ExchangeDeps } from "./exchangeDeps.js";
 import { type SendPurpose } from "./exchangePlacement.js";
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -26,6 +26,7 @@
     | "registrationFailed"
     | "requestEnded"
     | "requestFailed"
+    | "refusalReplaced"
     | "retry"
     | "hedge"
     | "retryBudgetSpent"
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -55,6 +55,20 @@
     });
 }
 
+/** Statuses by which a caller may send a request again, even if it must not run twice. */
+const retryableStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Tells whether a failure's response promises that the request has not run and won't run.
+ *
+ * @param failure - the failure
+ * @returns whether a caller may take it for such a promise, by its status or by what it says
+ */
+export function isPromisedNotRun(failure: Failure): boolean {
+    const { status, didRun } = resolveFailure(failure);
+    return didRun === "no" || retryableStatuses.has(status);
+}
+
 /** Wraps a {@link Failure} for APIs that only accept an `Error`, such as a stream's `destroy`. */
 export class FailureError extends Error {
     readonly failure: Failure;
--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -12,6 +12,11 @@
     readonly requestTimeoutMs: number;
     /** Time for which an idle connection is kept open, in milliseconds. */
     readonly keepAliveMs: number;
+    /**
+     * Whether a request that is being handled may still be reported as not run, if the rest of it can't be read. By
+     * default it may.
+     */
+    readonly mayRefuse?: (res: ServerResponse) => boolean;
 }
 
 const kindByCode: Readonly<Record<string, ErrorKind>> = {
@@ -54,7 +59,7 @@
         handle(req, res);
     });
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
-        rejectMalformed(err, socket, responses.get(socket));
+        rejectMalformed(err, socket, responses.get(socket), limits.mayRefuse);
     });
     let openConnections = 0;
     server.on("connection", (socket: Socket) => {
@@ -69,11 +74,18 @@
     return server;
 }
 
-function rejectMalformed(err: NodeJS.ErrnoException, socket: Socket, response: ServerResponse | undefined): void {
+function rejectMalformed(
+    err: NodeJS.ErrnoException,
+    socket: Socket,
+    response: ServerResponse | undefined,
+    mayRefuse: (res: ServerResponse) => boolean = () => true,
+): void {
+    // A body that is streamed may be at a server already.
+    const mayHaveRun = response !== undefined && !response.writableEnded && !mayRefuse(response);
     // While a response is being sent, the error response would be written into it and the caller would take it for part
     // of the body. The connection is closed instead, so that the caller detects an incomplete response.
     const isResponding = response !== undefined && response.headersSent && !response.writableFinished;
-    if (isResponding || !socket.writable || err.code === "ECONNRESET") {
+    if (isResponding || mayHaveRun || !socket.writable || err.code === "ECONNRESET") {
         socket.destroy();
         return;
     }
