Close connections whose request was answered before it was read

Callers whose long request a server had answered early got no answer to the requests behind it, for as long as they waited.

Cause: a body of more than 1 MiB is streamed by a pipe. When the server's response comes first, the HTTP client destroys the stream, the pipe ends and leaves the caller's request paused. Node discards the rest of a request only if nobody has read from it, and the connection was kept open: only failures of the gateway closed it. No log line said so.

Change: any response to a request that isn't read completely closes its connection with notice, and requests behind it are not handled, so that callers may send them again. The peer port and the product's own gateway do the same. A connection to a server isn't used again after a body of more than 64 KiB, the rest of which may still be on its way. Logs have `unread`, metrics the connections that are closing.

--- a/packages/edge/src/callers/callerConnections.ts
+++ b/packages/edge/src/callers/callerConnections.ts
@@ -91,18 +91,18 @@
     }
 
     /**
-     * Closes the connection with the response that is about to be written, if the process drains and no later request
-     * has arrived on it.
+     * Closes the connection with the response that is about to be written, if its request has not been read completely,
+     * or if the process drains and no later request has arrived on it.
      *
      * @returns whether the connection closes with this response
      */
-    closeIfDraining(req: IncomingMessage): boolean {
+    closeIfDue(req: IncomingMessage): boolean {
         const state = this.#states.get(req.socket);
-        if (!this.#draining || state === undefined || state.latest !== req) {
-            return false;
+        const isDue = !req.complete || (this.#draining && state?.latest === req);
+        if (state !== undefined && isDue) {
+            state.closing = true;
         }
-        state.closing = true;
-        return true;
+        return isDue;
     }
 
     /**
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -9,6 +9,7 @@
 } from "../handover/handoverMessages.js";
 import { HandoverHandler, refuseHandover } from "../handover/handoverServer.js";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type LogFields } from "@galenaglade/telemetry";
 import { type Either, Left, Right } from "purify-ts";
 import { maxBufferedBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
@@ -226,7 +227,7 @@
         let sink: CallerSink | undefined;
         const exchange = new Exchange(this.#deps, request, body, sends, signal, head => {
             this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
-            sink = new CallerSink(res, head, callerConnections.closeIfDraining(req));
+            sink = new CallerSink(res, head, callerConnections.closeIfDue(req));
             return sink;
         }, () => permit?.onSent());
         let result = this.#replaceResultIfStale(await exchange.run().finally(() => permit?.onEnded()));
@@ -280,7 +281,7 @@
             return;
         }
         this.#setAnsweredOutcome(res, request, serverId);
-        writeResponse(res, request.method, response, callerConnections.closeIfDraining(req));
+        writeResponse(res, request.method, response, callerConnections.closeIfDue(req));
     }
 
     #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
@@ -312,8 +313,7 @@
                 reachedServer: sends.hasReachedServer,
             });
         }
-        // An unread body would be parsed as the next request, so the connection is closed unless all of it was read.
-        writeFailure(res, failure, undefined, this.#deps.callerConnections.closeIfDraining(req) || !req.complete);
+        writeFailure(res, failure, undefined, this.#deps.callerConnections.closeIfDue(req));
         return failure;
     }
 
@@ -346,6 +346,7 @@
             version: request.version,
             outcome,
             tookMs,
+            ...describeUnread(req),
             ...exchange.describe(),
         });
     }
@@ -388,6 +389,7 @@
             status,
             retryAfterSeconds,
             tookMs,
+            ...describeUnread(req),
             ...context?.exchange.describe(),
             aborted: context?.signal.aborted === true ? String(context.signal.reason) : undefined,
             sinceStoreMs: Math.round(nowMs - view.lastStoreContactMs),
@@ -413,6 +415,11 @@
     res.setHeader(handoverHeader, renderHandoverHeader(outcome));
 }
 
+/** @returns log fields of a request that was answered before all of it was read */
+function describeUnread(req: IncomingMessage): LogFields {
+    return { unread: req.complete ? undefined : true };
+}
+
 function workspaceName({ callerIdentity }: EdgeRequest): string | undefined {
     return callerIdentity.type === "known" ? callerIdentity.workspace.name : undefined;
 }
--- a/packages/edge/src/constants.ts
+++ b/packages/edge/src/constants.ts
@@ -38,6 +38,12 @@
  */
 export const minQuietMs = 400;
 
+/**
+ * Maximum size of a request body after which the connection to the server is used again. A server may respond before it
+ * has read the body; of a larger one, the rest may still be on its way, and requests behind it would wait for it.
+ */
+export const maxReusedBodyBytes = 65_536;
+
 /** Maximum size of a request body that is buffered before sending; a larger body is streamed and sent only once. */
 export const maxBufferedBodyBytes = 1_048_576;
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -229,6 +229,10 @@
         mayRefuse: res => handler.hasNotRun(res),
     }, (req, res) => handler.handle(req, res));
     const callerSockets = new ConnectionTracker(callerServer, () => clock.monotonicMs());
+    metrics.observeCallerConnections(() => ({
+        open: callerSockets.openCount,
+        closing: callerSockets.closingCount,
+    }));
 
     const readiness = (): Readiness => {
         if (stopPlan !== undefined) {
--- a/packages/edge/src/peerServer.ts
+++ b/packages/edge/src/peerServer.ts
@@ -1,3 +1,4 @@
+import { enableLingeringClose } from "@galenaglade/http-parts";
 import { createServer, type Server } from "node:http";
 import { maxHandoverHeadBytes } from "./constants.js";
 import { handoverPath } from "./handover/handoverMessages.js";
@@ -27,7 +28,7 @@
  * @returns a server that is not listening yet
  */
 export function createPeerServer({ relay, inbox, reachability, handovers }: PeerServerDeps): Server {
-    return createServer({ maxHeaderSize: maxHandoverHeadBytes, noDelay: true }, (req, res) => {
+    const server = createServer({ maxHeaderSize: maxHandoverHeadBytes, noDelay: true }, (req, res) => {
         const path = req.url?.split("?")[0];
         if (path === handoverPath) {
             handovers.handle(req, res);
@@ -42,4 +43,6 @@
             relay.handle(req, res);
         }
     });
+    enableLingeringClose(server);
+    return server;
 }
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -16,7 +16,7 @@
     sendRequest,
     type SendResult,
 } from "../backends/sendRequest.js";
-import { maxBufferedResponseBytes } from "../constants.js";
+import { maxBufferedResponseBytes, maxReusedBodyBytes } from "../constants.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type LogFields } from "@galenaglade/telemetry";
 import { ExchangeHandover } from "../handover/exchangeHandover.js";
@@ -416,7 +416,7 @@
     #onSendEnded(underWay: ServerSend, connection: ServerConnection, result: SendResult): void {
         const { connections, clock } = this.#deps;
         const { placement, purpose, isNewConnection, ledgerVersion } = underWay;
-        if (result.end.type === "unknown") {
+        if (result.end.type === "unknown" || this.#body.byteLength > maxReusedBodyBytes) {
             // A late response on it would be taken for the response to the next request.
             connection.destroy();
         }
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -112,6 +112,18 @@
         this.#repeats.add(1, { service, purpose, decision });
     }
 
+    /** @param count - returns the number of callers' connections, and how many of them wait until their callers close */
+    observeCallerConnections(count: () => { readonly open: number; readonly closing: number; }): void {
+        const connections = this.#meter.createObservableGauge("galenaglade.caller_connections", {
+            description: "callers' connections: open, and closed for writing while their callers still send",
+        });
+        connections.addCallback(result => {
+            const { open, closing } = count();
+            result.observe(open - closing, { state: "open" });
+            result.observe(closing, { state: "closing" });
+        });
+    }
+
     /** @param describe - returns the state of each service's retry budget on this gateway */
     observeRepeats(describe: () => readonly ({ readonly service: string; } & RepeatBudgetState)[]): void {
         const remaining = this.#meter.createObservableGauge("galenaglade.retry_budget_left", {
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -93,11 +93,11 @@
     /** @returns whether to handle the request: not if an earlier response closes its connection */
     #follow(req: IncomingMessage, res: ServerResponse): boolean {
         const previous = this.#latest.get(req.socket);
+        if (previous?.headersSent === true && !previous.shouldKeepAlive) {
+            req.resume();
+            return false;
+        }
         if (this.#draining) {
-            if (previous?.headersSent === true && !previous.shouldKeepAlive) {
-                req.resume();
-                return false;
-            }
             if (previous !== undefined && !previous.headersSent) {
                 previous.shouldKeepAlive = true;
             }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
     createCallerServer,
     listen,
     type ListenAddress,
-    maxLingerMs,
+    lingerIdleMs,
     waitAtMost,
     sleep,
     systemClock,
@@ -138,7 +138,7 @@
         // Closed connections are read until their callers close them, so that none is reset with its last response.
         for (
             let waitedMs = 0;
-            callerSockets.closingCount > 0 && waitedMs < maxLingerMs;
+            callerSockets.closingCount > 0 && waitedMs < lingerIdleMs;
             waitedMs += closePollPeriodMs
         ) {
             await sleep(closePollPeriodMs);
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -219,6 +219,8 @@
         }
         const headers = resolveResponseHeaders(raw);
         headers.push(didRunHeader, combineDidRun([{ didRun: previousDidRun }, resolveAttempt(this.#attempt)]));
+        // What the caller still sends of this request would keep its connection from the next one.
+        res.shouldKeepAlive &&= res.req.complete;
         res.writeHead(status, headers);
     }
 
--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -1,7 +1,7 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
-import { closeLingering } from "./lingeringClose.js";
+import { enableLingeringClose } from "./lingeringClose.js";
 import { renderRawFailure, writeFailure } from "./failureResponse.js";
 
 /** Limits and timeouts for callers' connections. */
@@ -61,12 +61,11 @@
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
         rejectMalformed(err, socket, responses.get(socket), limits.mayRefuse);
     });
+    enableLingeringClose(server);
     let openConnections = 0;
     server.on("connection", (socket: Socket) => {
         openConnections++;
         socket.once("close", () => openConnections--);
-        // The HTTP server calls this after a response that closes the connection.
-        socket.destroySoon = () => closeLingering(socket);
         if (openConnections > limits.maximumConnections) {
             closeWithFailure(socket, createFailure("tooManyConnections", "this host takes no more connections"));
         }
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -5,7 +5,7 @@
 export { writeFailure } from "./failureResponse.js";
 export { findHeader, findHeaders, filterEndToEndHeaders, type RawHeaders } from "./headers.js";
 export { InactivityTimeout } from "./inactivityTimeout.js";
-export { maxLingerMs } from "./lingeringClose.js";
+export { enableLingeringClose, lingerIdleMs } from "./lingeringClose.js";
 export { listen, type ListenAddress } from "./listen.js";
 export { type ConnectorOptions, createConnector } from "./outgoing/createConnector.js";
 export { ResponseFramingError } from "./outgoing/responseFraming.js";
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -50,6 +50,8 @@
     startProcess,
     type StartProcessOptions,
 } from "./processes/startProcess.js";
+export { type AfterEarlyResponse, EarlyBackend, type EarlyBackendOptions } from "./raw/earlyBackend.js";
+export { KeptCaller, type KeptRequest, type KeptResult } from "./raw/keptCaller.js";
 export {
     type RawBackend,
     type RawResponse,
