Answer every request by its cutoff, and take only usable addresses from the store

While an entry with the address 127.0.0.1:70000 stood in the store, one request in thirty got no answer at every gateway, although sound servers had room.

Cause: the adapter took any five digits for a port, so the entry counted as a server. Its load probe threw "Invalid URL" in the HTTP client's constructor; the round of probes did not count the error as an end and went on waiting, and the search waited for the round without regard to the request's cutoff.

Change: parseSocketAddress reads all addresses from outside (server entries, gateways' registrations, settings): an IPv4 number of one host and a port from 1 to 65535. An entry that can't be used is logged once, by key and reason, also if decoding it throws. Exchange.run ends with its request's signal, whatever a step waits for, and an error in a step is logged and answered at once: refused if no send may have run, 500 otherwise. A load probe that throws counts as unanswered, and the loops that read the store and look for lost servers go on after an error, where they had ended for good. `unexpected` names what it happened during.

--- a/packages/edge/src/__tests__/placementProber.test.ts
+++ b/packages/edge/src/__tests__/placementProber.test.ts
@@ -54,6 +54,7 @@
             reachability: { onContact: () => undefined },
             metadataCodec,
             clock: systemClock,
+            log,
             metrics,
             timeline: new StartTimeline(log),
         }),
@@ -116,3 +117,13 @@
     }
     assert.equal((await response).type, "told");
 });
+
+// Guards against requests that are never answered: they wait for a round of probes, one of which has failed unexpectedly.
+test("a probe that fails unexpectedly counts as unanswered", async t => {
+    const good = await startBackend(t, "good");
+    good.load = "3,9,3,1";
+    const { prober } = createProber(t);
+    const unusable = createServer("unusable", 70_000);
+    assert.equal(await prober.probe(rules, [unusable, createServer("good", good.raw.port)], 2_000), 1);
+    assert.equal(await prober.probe(rules, [unusable], 2_000), 0);
+});
--- a/packages/edge/src/__tests__/support/testCodecs.ts
+++ b/packages/edge/src/__tests__/support/testCodecs.ts
@@ -106,7 +106,7 @@
         return JSON.stringify(status);
     }
 
-    override decode({ key, value, leaseId, modifiedRevision }: KeyValue): StateItem {
+    protected override decodeEntry({ key, value, leaseId, modifiedRevision }: KeyValue): StateItem {
         if (key.startsWith("orders/")) {
             return { type: "rolloutOrder", key, order: JSON.parse(value) as RolloutOrder };
         }
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -70,7 +70,9 @@
         timeline.record("firstCaller");
         const arrivedAtMs = clock.monotonicMs();
         if (view.configurationInForce === undefined) {
-            void this.#holdUntilSynced(req, res, arrivedAtMs);
+            this.#holdUntilSynced(req, res, arrivedAtMs).catch((err: unknown) => {
+                this.#failUnexpectedly(err, req, res, new SendRecord());
+            });
             return;
         }
         this.#accept(req, res, arrivedAtMs);
@@ -100,7 +102,6 @@
     }
 
     #accept(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
-        const { log } = this.#deps;
         const handover = this.#handovers.get(res);
         const resolved = this.#resolve(req, handover, arrivedAtMs);
         resolved.caseOf({
@@ -117,13 +118,19 @@
                 const sends = new SendRecord();
                 this.#sends.set(res, sends);
                 this.#serve(request, sends, req, res).catch((err: unknown) => {
-                    log.log("error", "unexpected", { requestId: request.requestId, error: String(err) });
-                    this.#fail(req, res, createFailure("internal", "unexpected failure"), sends);
+                    this.#failUnexpectedly(err, req, res, sends);
                 });
             },
         });
     }
 
+    #failUnexpectedly(err: unknown, req: IncomingMessage, res: ServerResponse, sends: SendRecord): void {
+        const { log, metadataCodec } = this.#deps;
+        const { requestId } = metadataCodec.readRequest(req.rawHeaders);
+        log.log("error", "unexpected", { during: "request", requestId, error: String(err) });
+        this.#fail(req, res, createFailure("internal", "unexpected failure"), sends);
+    }
+
     #resolve(
         req: IncomingMessage,
         handover: HandoverMetadata | undefined,
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -164,6 +164,7 @@
         reachability,
         metadataCodec,
         clock,
+        log,
         metrics,
         timeline,
     });
--- a/packages/edge/src/quarantine/quarantineGuard.ts
+++ b/packages/edge/src/quarantine/quarantineGuard.ts
@@ -84,6 +84,7 @@
     /** Ends the trial, if there is one, once the request has ended. */
     close(): void {
         this.#endTrial?.();
+        this.#endTrial = undefined;
     }
 
     #mayHaveRecord(): boolean {
--- a/packages/edge/src/reach/reachabilityMonitor.ts
+++ b/packages/edge/src/reach/reachabilityMonitor.ts
@@ -198,7 +198,10 @@
         const recoverySleep = new InterruptibleSleep();
         this.#recoverySleeps.set(service, recoverySleep);
         while (!this.#stopped && this.stateOf(service) !== "reached") {
-            await this.#runRecoveryRound(service);
+            await this.#runRecoveryRound(service).catch((err: unknown) => {
+                // Without further rounds the service would stay lost for good.
+                this.#deps.log.log("error", "unexpected", { during: "reachRecovery", service, error: String(err) });
+            });
             await recoverySleep.sleep(reachabilityCheckPeriodMs);
         }
         this.#recoverySleeps.delete(service);
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -139,44 +139,59 @@
         };
     }
 
-    /** @returns the result for the caller; never rejects */
+    /**
+     * Handles the request. Ends once the signal is aborted, whatever it is waiting for by then.
+     *
+     * @returns the result for the caller; never rejects
+     */
     async run(): Promise<ExchangeResult> {
+        const handled = this.#handle()
+            .catch((err: unknown) => this.#resolveUnexpected(err))
+            .finally(() => this.#closeGuards());
+        const result = await awaitFirst([handled], this.#signal, undefined);
+        this.#closeGuards();
+        return this.#finish(typeof result === "string" ? this.#resolveAborted() : result);
+    }
+
+    #closeGuards(): void {
+        this.#workspaceGuard.onEnded(this.#sends.ends, this.#inFlight.size);
+        this.#quarantineGuard.close();
+    }
+
+    async #handle(): Promise<ExchangeResult> {
         const { repeats, placementState } = this.#deps;
         const { rules, priority, handedOverBy } = this.#request;
         if (handedOverBy === undefined) {
             repeats.onRequest(rules.name);
         }
         if (!this.#quarantineGuard.admit()) {
-            return this.#finish(this.#localReplies.quarantined(this.#quarantineGuard.retryAfterMs ?? 0));
+            return this.#localReplies.quarantined(this.#quarantineGuard.retryAfterMs ?? 0);
         }
-        try {
-            // A request that was handed over has been admitted by the gateway that received it from the caller.
-            const rejection = handedOverBy === undefined ? await this.#workspaceGuard.admit() : undefined;
-            if (rejection !== undefined) {
-                return this.#finish(
-                    rejection === "abandoned" ? this.#resolveAborted() : this.#localReplies.rateLimited(rejection),
-                );
-            }
-            // Counted only after admission: rejected requests need no capacity, so none is reserved for their priority.
-            placementState.onRequest(rules.name, priority, this.#nowMs());
-            const target = await this.#targets.find("first");
-            if (typeof target === "string") {
-                return this.#finish(
-                    target === "abandoned"
-                        ? this.#resolveAborted()
-                        : this.#localReplies.placementFailed(target, this.#backoffRemainingMs()),
-                );
-            }
-            if (this.#workspaceGuard.keyChange !== undefined) {
-                return this.#finish(this.#localReplies.keyChanged(this.#workspaceGuard.keyChange));
-            }
-            this.#sendTo(target, "first");
-            return this.#finish(await this.#awaitResult());
+        // A request that was handed over has been admitted by the gateway that received it from the caller.
+        const rejection = handedOverBy === undefined ? await this.#workspaceGuard.admit() : undefined;
+        if (rejection !== undefined) {
+            return rejection === "abandoned" ? this.#resolveAborted() : this.#localReplies.rateLimited(rejection);
+        }
+        // Counted only after admission: rejected requests need no capacity, so none is reserved for their priority.
+        placementState.onRequest(rules.name, priority, this.#nowMs());
+        const target = await this.#targets.find("first");
+        if (typeof target === "string") {
+            return target === "abandoned"
+                ? this.#resolveAborted()
+                : this.#localReplies.placementFailed(target, this.#backoffRemainingMs());
         }
-        finally {
-            this.#workspaceGuard.onEnded(this.#sends.ends, this.#inFlight.size);
-            this.#quarantineGuard.close();
+        if (this.#workspaceGuard.keyChange !== undefined) {
+            return this.#localReplies.keyChanged(this.#workspaceGuard.keyChange);
         }
+        this.#sendTo(target, "first");
+        return await this.#awaitResult();
+    }
+
+    /** A fault of this program. The caller may come back if no server can have got the request. */
+    #resolveUnexpected(err: unknown): ExchangeResult {
+        const { requestId } = this.#request;
+        this.#deps.log.log("error", "unexpected", { during: "exchange", requestId, error: String(err) });
+        return this.#streaming ? { type: "streamed", complete: false } : this.#localReplies.unexpected(this.#sends);
     }
 
     /** Waits for the sends in flight, with retries and a hedge, until one has a response or all have failed. */
--- a/packages/edge/src/requests/localReplies.ts
+++ b/packages/edge/src/requests/localReplies.ts
@@ -136,6 +136,13 @@
         return { type: "failed", failure: createFailure("backendTimeout", sends.describe()) };
     }
 
+    /** A fault of this program has ended the handling of the request. */
+    unexpected(sends: SendRecord): ExchangeResult {
+        return sends.hasNotRun
+            ? this.#reject("overloaded", "unexpected failure", "noServer")
+            : { type: "failed", failure: createFailure("internal", "unexpected failure") };
+    }
+
     #notRun(sends: SendRecord, causes: UnservedCauses): ExchangeResult {
         const { keyChange, isStopping, quarantinedForMs, backoffRemainingMs, handoverFailure, wasHandedOver } = causes;
         if (keyChange !== undefined) {
--- a/packages/edge/src/requests/placementProber.ts
+++ b/packages/edge/src/requests/placementProber.ts
@@ -4,6 +4,7 @@
 import { probeServerLoad, type LoadProbeFailure, toContactResult } from "../backends/probeServerLoad.js";
 import { type ServerConnectionPool } from "../backends/serverConnectionPool.js";
 import { type ReachabilityMonitor } from "../reach/reachabilityMonitor.js";
+import { type EdgeLog } from "../telemetry/edgeLog.js";
 import { type EdgeMetrics } from "../telemetry/edgeMetrics.js";
 import { type StartTimeline } from "../telemetry/startTimeline.js";
 import { type EdgeMetadataCodec } from "../metadataCodec.js";
@@ -17,6 +18,7 @@
     readonly reachability: Pick<ReachabilityMonitor, "onContact">;
     readonly metadataCodec: EdgeMetadataCodec;
     readonly clock: Clock;
+    readonly log: EdgeLog;
     readonly metrics: EdgeMetrics;
     readonly timeline: StartTimeline;
 }
@@ -52,7 +54,7 @@
             const unresponsive: RegisteredServer[] = [];
             let responded = 0;
             for (const server of servers) {
-                void this.#probeOne(rules, server, timeoutMs, ends).then(status => {
+                void this.#probeSafely(rules, server, timeoutMs, ends).then(status => {
                     if (status === undefined) {
                         unresponsive.push(server);
                     }
@@ -71,6 +73,29 @@
         });
     }
 
+    /** A probe that fails unexpectedly counts as unanswered; otherwise the search would wait for it without an end. */
+    async #probeSafely(
+        rules: ServiceRules,
+        server: RegisteredServer,
+        timeoutMs: number,
+        ends: ProbeEndCounts,
+    ): Promise<ServerStatus | undefined> {
+        try {
+            return await this.#probeOne(rules, server, timeoutMs, ends);
+        }
+        catch (err) {
+            const { log } = this.#deps;
+            const { id, address: { host, port } } = server;
+            log.log("error", "unexpected", {
+                during: "loadProbe",
+                server: id,
+                address: `${host}:${port}`,
+                error: String(err),
+            });
+            return undefined;
+        }
+    }
+
     async #probeOne(
         rules: ServiceRules,
         server: RegisteredServer,
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -1,8 +1,12 @@
 import { checkYaml, type DeepReadonly, type LocatedFault, createSchemaResolver } from "@galenaglade/configuration";
+import { parseSocketAddress } from "@galenaglade/fleet-state";
 import { type Either } from "purify-ts";
 import * as z from "zod";
 
-const socketAddress = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected an address such as 10.0.0.4:8080");
+const socketAddress = z.string().refine(
+    text => parseSocketAddress(text) !== undefined,
+    "expected an address such as 10.0.0.4:8080",
+);
 const seconds = z.number().min(0).max(86_400);
 
 const repeats = z.object({
@@ -28,7 +32,7 @@
         shortestLeaseSeconds: seconds.default(1).describe("shortest lease that the store grants"),
     }),
     servers: z.object({
-        connectFrom: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/, "expected an address such as 10.0.0.4").optional()
+        connectFrom: z.ipv4("expected an address such as 10.0.0.4").optional()
             .describe("local address from which backend servers are called; the system's choice where it is missing"),
     }).prefault({}),
     stopping: z.object({
--- a/packages/edge/src/state/stateSync.ts
+++ b/packages/edge/src/state/stateSync.ts
@@ -14,6 +14,7 @@
 import { type LogFields } from "@galenaglade/telemetry";
 import {
     expiryCheckPeriodMs,
+    initialStoreBackoffMs,
     initialWatchDelayMs,
     maxRelayedChangesBytes,
     directWatchMs,
@@ -141,7 +142,12 @@
 
     async #run(): Promise<void> {
         while (!this.#stop.signal.aborted) {
-            const pauseMs = await this.#takeTurn();
+            const pauseMs = await this.#takeTurn().catch((err: unknown) => {
+                // The state that was being applied may be incomplete, so all of it is read again.
+                this.#deps.log.log("error", "unexpected", { during: "stateSync", error: String(err) });
+                this.#afterRevision = undefined;
+                return initialStoreBackoffMs;
+            });
             if (pauseMs > 0) {
                 await this.#backoffSleep.sleep(pauseMs);
             }
--- a/packages/edge/src/stateCodec.ts
+++ b/packages/edge/src/stateCodec.ts
@@ -5,8 +5,21 @@
 export abstract class StateCodec {
     /** Common prefix of all keys, so that a single watch covers them. */
     abstract readonly prefix: string;
-    /** Decodes one entry; an unreadable entry yields an item with the reason. */
-    abstract decode(entry: KeyValue): StateItem;
+    /**
+     * Decodes one entry.
+     *
+     * @param entry - an entry of any writer
+     * @returns the item; an unreadable entry yields one with the reason
+     */
+    decode(entry: KeyValue): StateItem {
+        try {
+            return this.decodeEntry(entry);
+        }
+        catch (err) {
+            return { type: "ignored", key: entry.key, reason: `can't be decoded: ${String(err)}` };
+        }
+    }
+
     /** @returns the key of a gateway's registration */
     abstract registrationKey(gateway: string): string;
     /** @returns the key of the status of a service's rollout */
@@ -17,4 +30,6 @@
     abstract crashReportKey(gateway: string): string;
     /** @returns whether a key sorts after all of the operator's keys in the store */
     abstract isAfterOperatorKeys(key: string): boolean;
+    /** Decodes one entry; an unreadable entry yields an item with the reason. */
+    protected abstract decodeEntry(entry: KeyValue): StateItem;
 }
--- a/packages/fleetState/src/fleetView.ts
+++ b/packages/fleetState/src/fleetView.ts
@@ -387,10 +387,13 @@
                 fleetChanges.push({ subject: "crashReport", name: gateway, change });
                 return;
             }
-            case "ignored":
-                if (item.reason !== undefined) {
+            case "ignored": {
+                // A writer that repeats the entry would otherwise repeat the log line.
+                const isKnown = before?.type === "ignored" && before.reason === item.reason;
+                if (item.reason !== undefined && !isKnown) {
                     fleetChanges.push({ subject: "item", name: item.key, change: `ignored: ${item.reason}` });
                 }
+            }
         }
     }
 
--- a/packages/fleetState/src/gatewayRegistration.ts
+++ b/packages/fleetState/src/gatewayRegistration.ts
@@ -1,4 +1,5 @@
 import { type ServerAddress } from "./model.js";
+import { parseSocketAddress } from "./socketAddress.js";
 
 /** Contents of a gateway's registration in the store. */
 export interface GatewayRegistration {
@@ -12,8 +13,6 @@
     return JSON.stringify({ availabilityZone, peers: `${peerAddress.host}:${peerAddress.port}` });
 }
 
-const addressPattern = /^(.+):(\d{1,5})$/;
-
 /**
  * Parses the stored value of a registration.
  *
@@ -22,16 +21,19 @@
  * a relay
  */
 export function readGatewayRegistration(value: string): GatewayRegistration | undefined {
-    let parsed: { readonly availabilityZone?: unknown; readonly peers?: unknown; };
+    let parsed: unknown;
     try {
-        parsed = JSON.parse(value) as typeof parsed;
+        parsed = JSON.parse(value);
     }
     catch {
         return undefined;
     }
-    const [, host, port] = addressPattern.exec(String(parsed.peers)) ?? [];
-    if (typeof parsed.availabilityZone !== "string" || host === undefined || port === undefined) {
-        return undefined;
-    }
-    return { availabilityZone: parsed.availabilityZone, peerAddress: { host, port: Number(port) } };
+    const { availabilityZone, peers } = Object(parsed) as {
+        readonly availabilityZone?: unknown;
+        readonly peers?: unknown;
+    };
+    const peerAddress = parseSocketAddress(peers);
+    return typeof availabilityZone === "string" && peerAddress !== undefined
+        ? { availabilityZone, peerAddress }
+        : undefined;
 }
--- a/packages/fleetState/src/index.ts
+++ b/packages/fleetState/src/index.ts
@@ -43,6 +43,7 @@
 export { RolloutRegistry } from "./rolloutRegistry.js";
 export { createRouteTable, type RouteTable } from "./routeTable.js";
 export { type ServerChange, ServerDirectory } from "./serverDirectory.js";
+export { parseSocketAddress } from "./socketAddress.js";
 export { type MirroredChanges, type MirroredEntry, StoreMirror } from "./storeMirror.js";
 export { revisionOf, StoreTerm, termOf, toPosition } from "./storePosition.js";
 export { type ExpiredOverrides, StoreRestoreOverrides } from "./storeRestoreOverrides.js";
