Soak: entries of another writer, and long requests that are answered early

Half of the runs now have entries of another writer (a sound one with one field of another type or an address that is none, or bytes that can't be read), and half have requests of 1.1 to 8 MB with short ones behind them on a kept connection. Both are drawn apart from the other plans of a seed.

--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -7,6 +7,7 @@
 import { RequestGenerator } from "./requestGenerator.js";
 import { checkSoak } from "./checks.js";
 import { recoveryPhaseMs, enforcesWorkspaceLimits, requestsPerSecond, services, startupSettleMs } from "./constants.js";
+import { planLongRequests, type PlannedLongRequest } from "./longRequestPlan.js";
 import { planQueryOfDeath, type PlannedQueryOfDeath } from "./queryOfDeathPlan.js";
 import { planStoreRestores } from "./storeRestorePlan.js";
 import { type Fault } from "./faults.js";
@@ -118,6 +119,8 @@
                 await fleet.changeWorkspaces(change.workspaces);
             }),
         ]);
+        const unusableEntriesDone = fleet.writeUnusableEntries(seed);
+        const longRequestsDone = load.sendLongRequests(planLongRequests(seed));
         const allDone = Promise.all([
             faultsDone,
             rolloutDone,
@@ -127,6 +130,8 @@
             partitionsDone,
             storeRestoresDone,
             workspacesDone,
+            unusableEntriesDone,
+            longRequestsDone,
         ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allDone), allDone]);
         const history = mergeHistories(
@@ -256,6 +261,17 @@
         }
     }
 
+    /** Sends long requests and the ones behind them. Selects gateways round-robin, as for an overload. */
+    async sendLongRequests(plan: readonly PlannedLongRequest[]): Promise<void> {
+        await Promise.all(plan.map(async (planned, i) => {
+            await sleep(planned.atMs);
+            const edges = this.#findEdges();
+            const key = this.#fleet.workspaces.flatMap(({ keys }) => keys)[0];
+            const credentials = key && { key, claimedWorkspace: undefined };
+            await edges[i % edges.length]?.caller?.sendLong(`long${i}`, planned, credentials);
+        }));
+    }
+
     #send(disconnectsEarly: boolean): void {
         const caller = this.#pickEdge().caller;
         const defaultRoute = routes[this.#random.nextInt(routes.length)] ?? "read";
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -1,6 +1,7 @@
-import { type HistoryRecorder } from "@galenaglade/stand-ins";
+import { type HistoryRecorder, KeptCaller, type KeptRequest } from "@galenaglade/stand-ins";
 import { type RandomSource } from "@galenaglade/routing";
 import { Agent } from "undici";
+import { type PlannedLongRequest } from "./longRequestPlan.js";
 import { type CallerCredentials } from "./requestGenerator.js";
 import { hangToleranceMs, patienceMs, routeTimeoutMs } from "./constants.js";
 import { authority, routePathPrefixes, type SoakRoute } from "./soakConfiguration.js";
@@ -109,27 +110,91 @@
         }
     }
 
+    /**
+     * Sends a long request on a connection of its own, and short ones behind it while that connection is open. Never
+     * rejects.
+     */
+    async sendLong(
+        requestId: string,
+        { bodyBytes, firstBytes, pauseMs, followers }: PlannedLongRequest,
+        credentials: CallerCredentials | undefined,
+    ): Promise<void> {
+        const caller = await KeptCaller.open(Number(new URL(this.#url).port)).catch(() => undefined);
+        if (caller === undefined) {
+            return;
+        }
+        const body = Buffer.alloc(bodyBytes, "r");
+        let isKept = await this.#sendKept(caller, requestId, { body, firstBytes, pauseMs }, credentials);
+        for (let i = 0; i < followers && isKept; i++) {
+            isKept = await this.#sendKept(caller, `${requestId}-${i}`, { body: Buffer.from("short") }, credentials);
+        }
+        caller.close();
+    }
+
+    /** @returns whether the connection stays open for further requests */
+    async #sendKept(
+        caller: KeptCaller,
+        requestId: string,
+        body: Pick<KeptRequest, "body" | "firstBytes" | "pauseMs">,
+        credentials: CallerCredentials | undefined,
+    ): Promise<boolean> {
+        const route = "file";
+        this.#recordSent({ requestId, route, credentials, disconnectsEarly: false });
+        const headers = Object.entries({
+            host: authority,
+            ...this.#system.renderRequestHeaders(requestId, patienceMs, credentials),
+        });
+        const sentAtMs = monotonicNow();
+        const result = await caller.send({
+            ...body,
+            path: `${routePathPrefixes[route]}${requestId}`,
+            headers: headers.map(([name, value]) => `${name}: ${value}`),
+            timeoutMs: routeTimeoutMs + hangToleranceMs,
+        });
+        const response = result.type === "answered" ? result.response : undefined;
+        if (response === undefined) {
+            this.#history.record({ type: result.type === "closed" ? "callerCutOff" : "callerGaveUp", requestId });
+        }
+        else {
+            this.#recordResponse(requestId, response.status, response.headers, response.body);
+        }
+        this.#outcomes.push({
+            status: response?.status,
+            retryAfter: response?.headers["retry-after"],
+            connected: true,
+            truncated: false,
+            requestId,
+            route,
+            sentAtMs,
+            endedAtMs: monotonicNow(),
+            disconnectedEarly: false,
+            timedOut: result.type === "unanswered",
+        });
+        return response !== undefined && !response.closes;
+    }
+
     async close(): Promise<void> {
         await this.#pool.destroy();
     }
 
-    async #request(
-        agent: Agent,
-        { requestId, route, credentials, path, contentId }: CallerRequest,
-        signal: AbortSignal,
-    ): Promise<ResponseResult> {
-        const idempotent = route !== "file";
+    #recordSent({ requestId, route, credentials, contentId }: CallerRequest): void {
         this.#history.record({
             type: "callerSent",
             requestId,
             service: route,
-            idempotent,
+            idempotent: route !== "file",
             contentId,
             gateway: this.#gateway,
             patienceMs,
             keyId: credentials?.key?.id,
             open: route === "open",
         });
+    }
+
+    async #request(agent: Agent, request: CallerRequest, signal: AbortSignal): Promise<ResponseResult> {
+        const { requestId, route, credentials, path } = request;
+        const idempotent = route !== "file";
+        this.#recordSent(request);
         let hasBegun = false;
         try {
             const res = await agent.request({
--- a/packages/soak/src/soakConfiguration.ts
+++ b/packages/soak/src/soakConfiguration.ts
@@ -85,7 +85,7 @@
         })),
         limits: {
             maximumHeaderBytes: 16_384,
-            maximumBodyBytes: 1_048_576,
+            maximumBodyBytes: 16_777_216,
             headerTimeoutMs: 3_000,
             idleTimeoutMs: 15_000,
         },
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -1,3 +1,4 @@
+import { planUnusableEntries } from "./unusableEntryPlan.js";
 import { type RolloutStage } from "@galenaglade/fleet-state";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { MemoryHistoryRecorder } from "@galenaglade/stand-ins";
@@ -349,6 +350,21 @@
         });
     }
 
+    /** Writes entries of another writer at their times. */
+    async writeUnusableEntries(seed: number): Promise<void> {
+        const [backend] = this.backends;
+        if (backend === undefined) {
+            return;
+        }
+        const sound = this.#system.renderServer(backend.createRegistration("ready", 0));
+        await Promise.all(
+            planUnusableEntries(seed, sound).map(async ({ atMs, write }) => {
+                await sleep(atMs);
+                await this.#store.execute({ puts: [write] });
+            }),
+        );
+    }
+
     #deleteEntry(backend: SoakBackend): Promise<void> {
         const { key } = this.#system.renderServer(backend.createRegistration("draining", 0));
         return this.#store.execute({ deletes: [key] });
