Give simulated gateways addresses that a registration may have

The simulated fleet registered its gateways at gateway:0, gateway:1 and so on. Since addresses are read strictly, these name no relay, so that partition.test.ts failed by its design limit: 437 of 6,240 and 228 of 4,716 cases. They are at 127.0.0.1:1 and up now; bounds and draws are as they were, and the test holds.

--- a/packages/edge/src/__tests__/support/simulatedGateways.ts
+++ b/packages/edge/src/__tests__/support/simulatedGateways.ts
@@ -55,7 +55,7 @@
         this.#registration = new Registration({
             ...shared,
             name: this.name,
-            registration: { availabilityZone, peerAddress: { host: "gateway", port: index } },
+            registration: { availabilityZone, peerAddress: { host: "127.0.0.1", port: index + 1 } },
         });
         this.#sync = new StateSync({
             ...shared,
@@ -154,7 +154,7 @@
         { timeoutMs, signal }: { readonly timeoutMs: number; readonly signal?: AbortSignal; },
         read: (status: number, body: string) => Either<Failure, T>,
     ): Promise<Either<Failure, T>> {
-        const peer = this.#fleet.gateways[address.port];
+        const peer = this.#fleet.gateways[address.port - 1];
         return new Promise(resolve => {
             let close: () => void = () => undefined;
             const finish = (result: Either<Failure, T>): void => {
