--- a/packages/standIns/src/raw/earlyBackend.ts
+++ b/packages/standIns/src/raw/earlyBackend.ts
@@ -7,13 +7,15 @@
 /** Options of an {@link EarlyBackend}. */
 export interface EarlyBackendOptions {
     readonly after: AfterEarlyResponse;
+    /** Time until a server that closes soon does so, in milliseconds. Default: 20. */
+    readonly closeAfterMs?: number;
     /** Requests with a longer declared body are answered before it has arrived, in bytes. */
     readonly minBytes: number;
     /** Answers a load probe or a request; the body of a short one has arrived by then. */
     readonly respond: (req: IncomingMessage, res: ServerResponse) => void;
 }
 
-const closeDelayMs = 20;
+const defaultCloseAfterMs = 20;
 
 /** A backend server that responds to long requests before it has read them. */
 export class EarlyBackend {
@@ -25,7 +27,8 @@
         this.stop = stop;
     }
 
-    static async start({ after, minBytes, respond }: EarlyBackendOptions): Promise<EarlyBackend> {
+    static async start(options: EarlyBackendOptions): Promise<EarlyBackend> {
+        const { after, closeAfterMs = defaultCloseAfterMs, minBytes, respond } = options;
         const server = createServer({ keepAliveTimeout: 10_000 }, (req, res) => {
             req.on("error", () => undefined);
             if (Number(req.headers["content-length"] ?? 0) <= minBytes) {
@@ -41,7 +44,7 @@
             // Keeps the HTTP server from discarding the rest by itself.
             req.once("readable", () => undefined);
             if (after === "closesSoon") {
-                setTimeout(() => req.socket.destroy(), closeDelayMs);
+                setTimeout(() => req.socket.destroy(), closeAfterMs);
             }
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
