Note the end of a caller's connection once, for all of its requests

Callers saw nothing of it; servers went on working on requests whose callers had left. With HTTP pipelining, Node attaches only the response that is due to the connection and emits `close` for none of those behind it. Each request watched its own response, so the second and later requests of a connection never learnt of its end: they were sent, retried and held until they were done, and their entries stayed among the unanswered ones, so that a planned stop took its whole grace period.

The connection is watched now (`onDisconnect`), and all of its requests end with it, by FIN, reset or a close of this process, in whatever order they are due; `enableDisconnects` emits `close` of responses that were never attached. A request that was held at the start is asked for its caller before it is taken up, and gives its place back at once. The product's own gateway and the port for other gateways use the same.

Observability: `callerLeft` names the requests of a connection that ended, what each waited for and how it ended, `callerLeftSettled` the time until the last send for them was over; `galenaglade_caller_disconnects`, `galenaglade_disconnect_send_end_duration`, and `galenaglade_sends_after_disconnect`, which stays 0.

--- /dev/null
+++ b/packages/edge/src/__tests__/callerDisconnects.test.ts
@@ -0,0 +1,179 @@
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { MemoryStore } from "./support/memoryStore.js";
+import {
+    createConfiguration,
+    eventually,
+    returns,
+    startBackend,
+    startEdge,
+    tables,
+    type TestBackend,
+    type TestEdge,
+    waitUntilReady,
+} from "./support/testEdge.js";
+
+/** Time after which a send would be too late for a caller that has left, in milliseconds. */
+const settledAfterMs = 500;
+/** Longer than any test waits, so that nothing ends by itself. */
+const timeoutMs = 20_000;
+const maximumBodyBytes = 67_108_864;
+
+/** Ways in which a caller leaves. */
+const ways = {
+    "closed": (socket: Socket) => socket.destroy(),
+    "reset": (socket: Socket) => socket.resetAndDestroy(),
+    "closed for writing": (socket: Socket) => socket.end(),
+} as const;
+
+let requests = 0;
+
+function renderHead(path: string, bytes = 0, method = bytes > 0 ? "POST" : "GET"): string {
+    const lines = [`${method} ${path} HTTP/1.1`, "host: survey.example", `x-id: gone-${++requests}`];
+    return [...lines, `content-length: ${bytes}`, `x-patience-ms: ${timeoutMs}`, "", ""].join("\r\n");
+}
+
+async function openCaller({ url }: TestEdge): Promise<Socket> {
+    const socket = connect({ port: Number(new URL(url).port), host: "127.0.0.1", noDelay: true });
+    socket.on("error", () => undefined);
+    socket.resume();
+    await new Promise<void>(resolve => socket.once("connect", resolve));
+    return socket;
+}
+
+/** Counts the requests that a server works on: it never responds, and stops once its connection has closed. */
+class Work {
+    started = 0;
+    readonly atWork = new Set<Socket>();
+
+    begin(socket: Socket): void {
+        this.started++;
+        this.atWork.add(socket);
+        socket.once("close", () => this.atWork.delete(socket));
+    }
+}
+
+async function startPath(t: TestContext, port: number, id: string): Promise<TestEdge> {
+    const store = new MemoryStore();
+    const routes = [{ ...tables, objectiveMs: timeoutMs, timeoutMs }, { ...returns, timeoutMs }];
+    const configuration = createConfiguration(1, routes);
+    store.put("configuration", { ...configuration, limits: { ...configuration.limits, maximumBodyBytes } });
+    store.put(`servers/${id}`, {
+        id,
+        service: "tables",
+        address: { host: "127.0.0.1", port },
+        availabilityZone: "north",
+        slots: 9,
+        state: "ready",
+        coldRemainingMs: 0,
+        startedAtEpochMs: 1,
+    });
+    const edge = await startEdge(t, store);
+    await waitUntilReady(edge);
+    return edge;
+}
+
+async function startWorkingBackend(t: TestContext): Promise<{ readonly backend: TestBackend; readonly work: Work; }> {
+    const work = new Work();
+    const backend = await startBackend(t, "a", ({ socket }) => work.begin(socket));
+    backend.load = "0,0,9,1";
+    return { backend, work };
+}
+
+async function readMetric({ metricsUrl }: TestEdge, name: string): Promise<number> {
+    const text = await (await request(metricsUrl)).body.text();
+    return text.split("\n").filter(line => line.startsWith(name) && !line.startsWith("#"))
+        .reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(" ") + 1)), 0);
+}
+
+/** Waits until a server works on nothing. The requests themselves end much later. */
+async function assertFreed(work: Work, description: string): Promise<void> {
+    await eventually(() => work.atWork.size === 0, `the server has no ${description}`);
+}
+
+for (const [name, leave] of Object.entries(ways)) {
+    for (const count of [1, 3, 16]) {
+        // Guards against a disconnect that reaches only the request whose response is due first.
+        test(`servers are freed of all ${count} requests of a connection that is ${name}`, async t => {
+            const { backend, work } = await startWorkingBackend(t);
+            const edge = await startPath(t, backend.raw.port, "a");
+            const caller = await openCaller(edge);
+            caller.write(Array.from({ length: count }, (_, i) => renderHead(`/tables/${i}`)).join(""));
+            await eventually(() => work.started >= Math.min(count, 3), "the requests reach the server");
+            await sleep(100);
+            leave(caller);
+            await assertFreed(work, "requests that are still at work");
+            const { started } = work;
+            await sleep(settledAfterMs);
+            assert.equal(work.started, started, "nothing is sent later");
+            assert.equal(await readMetric(edge, "galenaglade_sends_after_disconnect"), 0);
+        });
+    }
+}
+
+test("the log has a line for a connection that ends with requests on it, and one when their sends have ended", async t => {
+    const { backend, work } = await startWorkingBackend(t);
+    const edge = await startPath(t, backend.raw.port, "a");
+    const caller = await openCaller(edge);
+    caller.write(renderHead("/tables/1") + renderHead("/tables/2"));
+    await eventually(() => work.started === 2, "the requests reach the server");
+    const ids = backend.servedRequests().map(({ headers }) => headers.get("x-id"));
+    caller.destroy();
+    await eventually(() => edge.logs.some(({ message }) => message === "callerLeftSettled"), "the sends have ended");
+    const [left, settled] = ["callerLeft", "callerLeftSettled"].map(event =>
+        edge.logs.find(({ message }) => message === event)
+    );
+    const requests = ids.map(id => `${id}:atServer`).join(",");
+    assert.deepEqual([left?.["cause"], left?.["count"], left?.["sends"], left?.["requests"]], [
+        "closed",
+        2,
+        2,
+        requests,
+    ]);
+    assert.deepEqual([settled?.["requests"], settled?.["isCancelled"]], [requests, true]);
+});
+
+// Guards against a send for a caller that left while its pipelined requests were held.
+test("requests that are held at the start aren't sent once their caller has left", async t => {
+    const { backend, work } = await startWorkingBackend(t);
+    const store = new MemoryStore();
+    const release = store.holdCalls();
+    const edge = await startEdge(t, store);
+    const caller = await openCaller(edge);
+    caller.write(renderHead("/tables/1") + renderHead("/tables/2") + renderHead("/tables/3"));
+    await eventually(() => edge.logs.filter(({ message }) => message === "heldAtStart").length === 3, "all are held");
+    caller.destroy();
+    await sleep(50);
+    store.put("configuration", createConfiguration(1));
+    store.put("servers/a", {
+        id: "a",
+        service: "tables",
+        address: { host: "127.0.0.1", port: backend.raw.port },
+        availabilityZone: "north",
+        slots: 9,
+        state: "ready",
+        coldRemainingMs: 0,
+        startedAtEpochMs: 1,
+    });
+    release();
+    await waitUntilReady(edge);
+    await sleep(settledAfterMs);
+    assert.equal(work.started, 0);
+});
+
+// Guards against a planned stop that waits for responses which nobody can get any more.
+test("a planned stop doesn't wait for requests whose caller has left", async t => {
+    const { backend, work } = await startWorkingBackend(t);
+    const edge = await startPath(t, backend.raw.port, "a");
+    const caller = await openCaller(edge);
+    caller.write(renderHead("/tables/1") + renderHead("/tables/2"));
+    await eventually(() => work.started === 2, "the requests reach the server");
+    caller.destroy();
+    await assertFreed(work, "requests that are still at work");
+    await edge.stop();
+    const stopped = edge.logs.find(({ message }) => message === "stopped");
+    assert.equal(stopped?.["unanswered"], 0);
+});
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -49,6 +49,8 @@
     readonly maxBufferedBytes: number;
     /** Called right before the first byte is written. */
     readonly mayWrite: () => boolean;
+    /** Called once the first byte is being written. */
+    readonly onWritten: () => void;
     /**
      * Called once a response is too large to be buffered.
      *
@@ -139,6 +141,7 @@
             return;
         }
         this.#isWritten = true;
+        this.#options.onWritten();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -1,5 +1,11 @@
 import { createFailure, type Failure, resolveFailure } from "@galenaglade/errors";
-import { readRequestBody, type RequestBody, writeFailure } from "@galenaglade/http-parts";
+import {
+    hasDisconnected,
+    onDisconnect,
+    readRequestBody,
+    type RequestBody,
+    writeFailure,
+} from "@galenaglade/http-parts";
 import { drawRetryAfterSeconds, type StartupRequest } from "@galenaglade/placement";
 import {
     handoverHeader,
@@ -14,7 +20,7 @@
 import { maxBufferedBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
 import { Exchange } from "../requests/exchange.js";
-import { SendRecord } from "../requests/sendRecord.js";
+import { type SendRecord } from "../requests/sendRecord.js";
 import { createStoppingFailure, type ExchangeResult } from "../requests/localReplies.js";
 import { callerGone, cutoffReached, type ExchangeDeps, stopDeadlineReached } from "../requests/exchangeDeps.js";
 import { type BufferedResponse } from "../backends/sendRequest.js";
@@ -22,7 +28,9 @@
 import { type InitialSyncGate } from "../state/initialSyncGate.js";
 import { isStateFresh } from "../state/isStateFresh.js";
 import { type CallerConnections } from "./callerConnections.js";
-import { RequestDeadline } from "./requestDeadline.js";
+import { DisconnectReporter } from "./disconnectReporter.js";
+import { PendingRequest } from "./pendingRequest.js";
+import { type RequestDeadline } from "./requestDeadline.js";
 import { type StopPlan } from "../stopping/stopPlan.js";
 import { type StartupGate } from "./startupGate.js";
 
@@ -40,18 +48,20 @@
     readonly #deps: EdgeHandlerDeps;
     /** Metadata of handed-over requests. */
     readonly #handovers = new WeakMap<ServerResponse, HandoverMetadata>();
-    /** Deadlines of the requests that are being handled. */
-    readonly #deadlines = new Map<ServerResponse, RequestDeadline>();
+    /** Requests that are being handled. */
+    readonly #pending = new Map<ServerResponse, PendingRequest>();
     readonly #sends = new WeakMap<ServerResponse, SendRecord>();
+    readonly #disconnectReporter: DisconnectReporter;
 
     constructor(deps: EdgeHandlerDeps) {
         super();
         this.#deps = deps;
+        this.#disconnectReporter = new DisconnectReporter(deps);
     }
 
     /** Limits the requests that are being handled to the schedule of a planned stop. */
     beginStop(plan: StopPlan): void {
-        for (const [res, deadline] of this.#deadlines) {
+        for (const [res, { deadline }] of this.#pending) {
             limitToStop(deadline, res, plan);
         }
     }
@@ -63,65 +73,87 @@
 
     /** Handles one request of a caller; never throws. */
     handle(req: IncomingMessage, res: ServerResponse): void {
-        const { callerConnections, clock, view, timeline } = this.#deps;
-        if (!callerConnections.onRequest(req, res)) {
-            return;
-        }
-        timeline.record("firstCaller");
-        const arrivedAtMs = clock.monotonicMs();
-        if (view.configurationInForce === undefined) {
-            this.#holdUntilSynced(req, res, arrivedAtMs).catch((err: unknown) => {
-                this.#failUnexpectedly(err, req, res, new SendRecord());
-            });
-            return;
+        const { callerConnections, timeline } = this.#deps;
+        if (callerConnections.onRequest(req, res)) {
+            timeline.record("firstCaller");
+            this.#begin(req, res);
         }
-        this.#accept(req, res, arrivedAtMs);
     }
 
     override handleHandover(req: IncomingMessage, res: ServerResponse, handover: HandoverMetadata): void {
-        const { callerConnections, clock } = this.#deps;
-        if (!callerConnections.onRequest(req, res)) {
-            return;
+        if (this.#deps.callerConnections.onRequest(req, res)) {
+            this.#handovers.set(res, handover);
+            this.#begin(req, res);
+        }
+    }
+
+    /** Handles a request until it has its response or its caller has left. */
+    #begin(req: IncomingMessage, res: ServerResponse): void {
+        const { clock, metadataCodec } = this.#deps;
+        const pending = new PendingRequest(metadataCodec.readRequest(req.rawHeaders).requestId, clock);
+        this.#pending.set(res, pending);
+        this.#sends.set(res, pending.sends);
+        // Nobody reads the response after a disconnect; aborting frees the backend server's slot for other requests.
+        const unwatch = onDisconnect(req, cause => {
+            if (!res.writableEnded) {
+                this.#disconnectReporter.onCallerLeft(req.socket, cause, pending);
+                pending.deadline.abort(callerGone);
+            }
+        });
+        void this.#handleSafely(req, res, pending).finally(() => {
+            unwatch();
+            pending.deadline.clear();
+            this.#pending.delete(res);
+        });
+    }
+
+    async #handleSafely(req: IncomingMessage, res: ServerResponse, pending: PendingRequest): Promise<void> {
+        const arrivedAtMs = this.#deps.clock.monotonicMs();
+        try {
+            if (this.#deps.view.configurationInForce === undefined && !this.#handovers.has(res)) {
+                await this.#holdUntilSynced(req, pending);
+            }
+            if (!hasDisconnected(req)) {
+                await this.#accept(req, res, arrivedAtMs, pending);
+            }
+        }
+        catch (err) {
+            this.#failUnexpectedly(err, req, res, pending.sends);
         }
-        this.#handovers.set(res, handover);
-        this.#accept(req, res, clock.monotonicMs());
     }
 
     /** Holds a request until the first read of the store has finished. Its deadline isn't extended. */
-    async #holdUntilSynced(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): Promise<void> {
+    async #holdUntilSynced(req: IncomingMessage, pending: PendingRequest): Promise<void> {
         const { log, initialSyncGate, metadataCodec } = this.#deps;
         const { requestId, patienceMs } = metadataCodec.readRequest(req.rawHeaders);
         const decision = initialSyncGate.admit(patienceMs);
         if (decision.type === "hold") {
+            pending.onStage("held");
             log.log("info", "heldAtStart", { requestId, patienceMs, forAtMostMs: Math.round(decision.forMs) });
-            await initialSyncGate.wait(decision.forMs);
-        }
-        if (!res.destroyed) {
-            this.#accept(req, res, arrivedAtMs);
+            await initialSyncGate.wait(decision.forMs, pending.deadline.signal);
         }
     }
 
-    #accept(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+    async #accept(
+        req: IncomingMessage,
+        res: ServerResponse,
+        arrivedAtMs: number,
+        pending: PendingRequest,
+    ): Promise<void> {
         const handover = this.#handovers.get(res);
         const resolved = this.#resolve(req, handover, arrivedAtMs);
-        resolved.caseOf({
-            Left: failure => {
-                if (handover !== undefined) {
-                    // The other gateway's configuration allows the request, so a third gateway's may allow it too.
-                    refuseHandover(req, res, "noRoute", []);
-                    return;
-                }
-                this.#fail(req, res, failure, new SendRecord());
-                this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
-            },
-            Right: request => {
-                const sends = new SendRecord();
-                this.#sends.set(res, sends);
-                this.#serve(request, sends, req, res).catch((err: unknown) => {
-                    this.#failUnexpectedly(err, req, res, sends);
-                });
-            },
-        });
+        if (resolved.isLeft()) {
+            const failure = resolved.extract();
+            if (handover !== undefined) {
+                // The other gateway's configuration allows the request, so a third gateway's may allow it too.
+                refuseHandover(req, res, "noRoute", []);
+                return;
+            }
+            this.#fail(req, res, failure, pending.sends);
+            this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
+            return;
+        }
+        await this.#serve(resolved.unsafeCoerce(), pending, req, res);
     }
 
     #failUnexpectedly(err: unknown, req: IncomingMessage, res: ServerResponse, sends: SendRecord): void {
@@ -172,42 +204,31 @@
 
     async #serve(
         request: EdgeRequest,
-        sends: SendRecord,
+        pending: PendingRequest,
         req: IncomingMessage,
         res: ServerResponse,
     ): Promise<void> {
-        const { clock, stopPlan } = this.#deps;
-        const deadline = new RequestDeadline(clock);
-        const { signal } = deadline;
-        this.#deadlines.set(res, deadline);
+        const { deadline, sends } = pending;
         deadline.limit(request.cutoffMs, cutoffReached);
-        const plan = stopPlan();
+        const plan = this.#deps.stopPlan();
         if (plan !== undefined) {
             limitToStop(deadline, res, plan);
         }
-        // Nobody reads the response after a disconnect; aborting frees the backend server's slot for other requests.
-        res.once("close", () => {
-            if (!res.writableFinished) {
-                deadline.abort(callerGone);
-            }
-        });
-        try {
-            const limits = {
-                contentLength: request.bodyBytes,
-                maxBytes: request.maximumBodyBytes,
-                maxBufferedBytes: maxBufferedBodyBytes,
-            };
-            const body = (await readRequestBody(limits, req, signal)).chain(read => this.#admit(read));
-            if (body.isLeft()) {
-                const failure = this.#fail(req, res, body.extract(), sends);
-                this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
-                return;
-            }
-            await this.#exchange(request, body.unsafeCoerce(), sends, signal, req, res);
+        pending.onStage("body");
+        pending.sendsGoOn = !request.route.idempotent;
+        const limits = {
+            contentLength: request.bodyBytes,
+            maxBytes: request.maximumBodyBytes,
+            maxBufferedBytes: maxBufferedBodyBytes,
+        };
+        const read = await readRequestBody(limits, req, deadline.signal);
+        const body = read.chain(received => this.#admit(received));
+        if (body.isLeft()) {
+            const failure = this.#fail(req, res, body.extract(), sends);
+            this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
         }
-        finally {
-            deadline.clear();
-            this.#deadlines.delete(res);
+        else {
+            await this.#exchange(request, body.unsafeCoerce(), pending, req, res);
         }
     }
 
@@ -222,21 +243,31 @@
     async #exchange(
         request: EdgeRequest,
         body: RequestBody,
-        sends: SendRecord,
-        signal: AbortSignal,
+        pending: PendingRequest,
         req: IncomingMessage,
         res: ServerResponse,
     ): Promise<void> {
         const { callerConnections, timeline, startupGate } = this.#deps;
+        const { deadline: { signal }, sends } = pending;
+        pending.onStage("permit");
         const permit = startupGate.isActive
             ? await startupGate.acquire(this.#createStartupRequest(request, req), signal)
             : undefined;
         let sink: CallerSink | undefined;
-        const exchange = new Exchange(this.#deps, request, body, sends, signal, head => {
-            this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
-            sink = new CallerSink(res, head, callerConnections.closeIfDue(req));
-            return sink;
-        }, () => permit?.onSent());
+        const exchange = new Exchange(
+            this.#deps,
+            request,
+            body,
+            sends,
+            signal,
+            head => {
+                this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
+                sink = new CallerSink(res, head, callerConnections.closeIfDue(req));
+                return sink;
+            },
+            () => permit?.onSent(),
+        );
+        pending.exchange = exchange;
         let result = this.#replaceResultIfStale(await exchange.run().finally(() => permit?.onEnded()));
         switch (result.type) {
             case "answered":
@@ -279,7 +310,7 @@
         res: ServerResponse,
     ): void {
         const { callerConnections } = this.#deps;
-        if (res.destroyed) {
+        if (res.destroyed || hasDisconnected(req)) {
             return;
         }
         // A response that is framed by the end of its connection would cut off the responses behind it.
@@ -304,7 +335,7 @@
             const { requestId } = this.#deps.metadataCodec.readRequest(req.rawHeaders);
             this.#deps.log.log("error", "refusalReplaced", { requestId, kind: cause.kind, sends: sends.describe() });
         }
-        if (res.destroyed) {
+        if (res.destroyed || hasDisconnected(req)) {
             return failure;
         }
         const handover = this.#handovers.get(res);
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -18,6 +18,8 @@
     readonly request: EdgeRequest;
     readonly body: RequestBody;
     readonly mayWrite: () => boolean;
+    /** Called once the first byte is being written. */
+    readonly onWritten: () => void;
     readonly openSink: (head: ResponseHead) => ResponseSink | undefined;
 }
 
@@ -78,7 +80,7 @@
      * @param runsLeft - number of servers on which the request may still run
      */
     start(gateway: RegisteredGateway, runsLeft: number): StartedHandover {
-        const { deps, request, body, mayWrite, openSink } = this.#input;
+        const { deps, request, body, mayWrite, onWritten, openSink } = this.#input;
         const { peerConnections, metadataCodec, reachability } = deps;
         const { route, requestId, method, headers } = request;
         this.#tried.add(gateway.name);
@@ -100,6 +102,7 @@
             metadataReader: metadataCodec,
             maxBufferedBytes: maxBufferedResponseBytes,
             mayWrite,
+            onWritten,
             openSink,
         });
         const result = handover.result.then(ended => {
--- a/packages/edge/src/handover/handoverSend.ts
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -29,6 +29,8 @@
     readonly maxBufferedBytes: number;
     /** Called in the event loop turn that writes the first byte; `false` cancels the send. */
     readonly mayWrite: () => boolean;
+    /** Called once the first byte is being written. */
+    readonly onWritten: () => void;
     readonly openSink: (head: ResponseHead) => ResponseSink | undefined;
 }
 
@@ -57,7 +59,18 @@
  */
 export function handOver(input: HandoverInput): Handover {
     const reader = new HandoverReader(input);
-    const { connection, metadata, method, headers, body, idempotent, requestId, maxBufferedBytes, mayWrite } = input;
+    const {
+        connection,
+        metadata,
+        method,
+        headers,
+        body,
+        idempotent,
+        requestId,
+        maxBufferedBytes,
+        mayWrite,
+        onWritten,
+    } = input;
     const send = sendRequest({
         connection,
         isFirstRequest: true,
@@ -74,6 +87,7 @@
         metadataReader: reader,
         maxBufferedBytes,
         mayWrite,
+        onWritten,
         openSink: head => reader.outcome?.type === "answered" ? input.openSink(stripHandoverHeader(head)) : undefined,
     });
     return {
--- a/packages/edge/src/peerServer.ts
+++ b/packages/edge/src/peerServer.ts
@@ -1,4 +1,4 @@
-import { enableLingeringClose } from "@galenaglade/http-parts";
+import { enableDisconnects, enableLingeringClose } from "@galenaglade/http-parts";
 import { createServer, type Server } from "node:http";
 import { maxHandoverHeadBytes } from "./constants.js";
 import { handoverPath } from "./handover/handoverMessages.js";
@@ -44,5 +44,6 @@
         }
     });
     enableLingeringClose(server);
+    enableDisconnects(server);
     return server;
 }
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -41,6 +41,9 @@
     type PendingSend,
 } from "./pendingSend.js";
 
+/** What a request is waiting for. */
+export type ExchangeStage = "admission" | "placement" | "connecting" | "atServer" | "handedOver" | "responding";
+
 /**
  * Handles one request from admission to its final result: picks servers, sends, retries and hedges where that is
  * allowed, and gives up when the response is due.
@@ -67,6 +70,8 @@
     #fallback: BufferedResponse | undefined;
     #streaming = false;
     #respondingServerId: string | undefined;
+    /** Whether the rate limit has admitted the request. */
+    #isAdmitted = false;
     /** Repeats that the retry budget refused. */
     #repeatsRefused = 0;
     /** Whether the caller has its response, so that the sends still in flight are superseded. */
@@ -106,6 +111,7 @@
             request,
             body,
             mayWrite: () => this.#mayWrite(),
+            onWritten: () => this.#onWritten(),
             openSink: head => this.#startStream(head, undefined),
         });
         this.#targets = new SendTargetFinder({
@@ -124,6 +130,24 @@
         return this.#respondingServerId;
     }
 
+    /** What the request is waiting for. */
+    get stage(): ExchangeStage {
+        if (this.#streaming) {
+            return "responding";
+        }
+        let stage: ExchangeStage | undefined;
+        for (const { to, send } of this.#inFlight) {
+            if (to === "gateway") {
+                return "handedOver";
+            }
+            if (send.isWritten()) {
+                return "atServer";
+            }
+            stage = "connecting";
+        }
+        return stage ?? (this.#isAdmitted ? "placement" : "admission");
+    }
+
     /** @returns log fields about placement, handovers and sends */
     describe(): LogFields {
         return {
@@ -172,6 +196,7 @@
         if (rejection !== undefined) {
             return rejection === "abandoned" ? this.#resolveAborted() : this.#localReplies.rateLimited(rejection);
         }
+        this.#isAdmitted = true;
         // Counted only after admission: rejected requests need no capacity, so none is reserved for their priority.
         placementState.onRequest(rules.name, priority, this.#nowMs());
         const target = await this.#targets.find("first");
@@ -380,6 +405,15 @@
             && this.#quarantineGuard.maySend() && this.#deps.maySend(this.#request);
     }
 
+    /** Counts a send that was written after the caller had left; `#mayWrite` prevents it. */
+    #onWritten(): void {
+        if (this.#signal.reason === callerGone) {
+            const { log, metrics } = this.#deps;
+            metrics.onSendAfterDisconnect(this.#request.rules.name);
+            log.log("error", "sentAfterDisconnect", { requestId: this.#request.requestId });
+        }
+    }
+
     #sendToServer(place: Placement, purpose: SendPurpose): void {
         const { metadataCodec, connections, clock, view, placementState, rollouts, timeline } = this.#deps;
         const { method, url, headers, route, requestId, cutoffMs } = this.#request;
@@ -406,6 +440,7 @@
             requestId,
             metadataReader: metadataCodec,
             maxBufferedBytes: maxBufferedResponseBytes,
+            onWritten: () => this.#onWritten(),
             mayWrite: () =>
                 this.#mayWrite() && view.isUsable(server.id, clock.monotonicMs())
                 && placementState.exclusionOf(server, clock.monotonicMs()) === undefined,
--- a/packages/edge/src/requests/sendRecord.ts
+++ b/packages/edge/src/requests/sendRecord.ts
@@ -20,6 +20,7 @@
     readonly #ends: SendEnd[] = [];
     #hasReachedServer = false;
     #isSealed = false;
+    #onIdle: (() => void)[] = [];
 
     /** How the completed sends ended, in that order. */
     get ends(): readonly SendEnd[] {
@@ -55,6 +56,23 @@
         this.#inFlight.delete(send);
         this.#ends.push(end);
         this.#hasReachedServer ||= contact === "reachedServer";
+        if (this.#inFlight.size === 0) {
+            const waiting = this.#onIdle;
+            this.#onIdle = [];
+            for (const resolve of waiting) {
+                resolve();
+            }
+        }
+    }
+
+    /** @returns once no send is in flight */
+    whenIdle(): Promise<void> {
+        if (this.#inFlight.size === 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            this.#onIdle.push(resolve);
+        });
     }
 
     /**
--- a/packages/edge/src/state/initialSyncGate.ts
+++ b/packages/edge/src/state/initialSyncGate.ts
@@ -1,5 +1,6 @@
-import { type Clock, sleep } from "@galenaglade/http-parts";
+import { type Clock } from "@galenaglade/http-parts";
 import { admitDuringStartup, type StartupAdmission } from "@galenaglade/placement";
+import { awaitFirst } from "../requests/awaitFirst.js";
 
 /** Holds requests that arrive at startup until the fleet's state has been read from the store for the first time. */
 export class InitialSyncGate {
@@ -56,11 +57,12 @@
 
     /**
      * @param forMs - maximum wait in milliseconds
+     * @param signal - ends the wait when it is aborted
      * @returns once the first read has succeeded or failed, or the time is over
      */
-    async wait(forMs: number): Promise<void> {
+    async wait(forMs: number, signal: AbortSignal): Promise<void> {
         this.#heldCount++;
-        await Promise.race([this.#readFinished, sleep(forMs)]);
+        await awaitFirst([this.#readFinished], signal, forMs);
         this.#heldCount--;
     }
 }
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -29,6 +29,9 @@
     readonly #storeCalls;
     readonly #relayRequests;
     readonly #storeRestores;
+    readonly #disconnects;
+    readonly #disconnectEnds;
+    readonly #sendsAfterDisconnect;
 
     constructor({ meter }: Metrics) {
         this.#meter = meter;
@@ -37,6 +40,16 @@
         this.#undelivered = meter.createCounter("galenaglade.responses_undelivered", {
             description: "responses whose connection closed before they were sent, by state and by who closed it",
         });
+        this.#disconnects = meter.createCounter("galenaglade.caller_disconnects", {
+            description: "requests whose caller left before the response, by what they waited for and how it left",
+        });
+        this.#disconnectEnds = meter.createHistogram("galenaglade.disconnect_send_end.duration", {
+            unit: "s",
+            description: "time from a caller's leaving until the last send on its behalf had ended",
+        });
+        this.#sendsAfterDisconnect = meter.createCounter("galenaglade.sends_after_disconnect", {
+            description: "sends that were written after their caller had left",
+        });
         this.#waits = meter.createHistogram("http.placement.request.duration", {
             unit: "s",
             description: "time until a backend server was chosen",
@@ -95,6 +108,19 @@
         this.#undelivered.add(1, { state, closedBy });
     }
 
+    onCallerLeft(stage: string, cause: string): void {
+        this.#disconnects.add(1, { stage, cause });
+    }
+
+    /** @param isCancelled - whether the sends were cancelled; those of non-idempotent requests go on */
+    onDisconnectSendsEnded(tookMs: number, isCancelled: boolean): void {
+        this.#disconnectEnds.record(tookMs / 1_000, { sends: isCancelled ? "cancelled" : "completed" });
+    }
+
+    onSendAfterDisconnect(service: string): void {
+        this.#sendsAfterDisconnect.add(1, { service });
+    }
+
     onPlaced(service: string, waitedMs: number): void {
         this.#waits.record(waitedMs / 1_000, { service });
     }
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -4,7 +4,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type Either, Left } from "purify-ts";
-import { type Clock, writeFailure } from "@galenaglade/http-parts";
+import { type Clock, onDisconnect, writeFailure } from "@galenaglade/http-parts";
 import { type CallerRequest, parseCallerRequest } from "../requests/callerRequest.js";
 import { type Forwarder, traceIdOf } from "../requests/forwarder.js";
 import { type ServiceTable } from "../requests/serviceTable.js";
@@ -133,7 +133,7 @@
         // non-idempotent request continues: if it were aborted, it would stay unknown whether it ran, whereas now a
         // retry by the caller learns its outcome. After a complete response there is nothing to abort, and
         // aborting is expensive because it creates an exception with a stack trace.
-        res.once("close", () => {
+        const unwatch = onDisconnect(req, () => {
             if (request.idempotent && !res.writableFinished) {
                 abort.abort();
             }
@@ -147,6 +147,7 @@
         }
         finally {
             clearTimeout(timer);
+            unwatch();
         }
     }
 
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -5,7 +5,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { type BackendConnections } from "../backends/backendConnections.js";
-import { type Clock, readRequestBody, type RequestBody } from "@galenaglade/http-parts";
+import { type Clock, hasDisconnected, readRequestBody, type RequestBody } from "@galenaglade/http-parts";
 import {
     deadlineHeader,
     maxBufferedBodyBytes,
@@ -118,7 +118,7 @@
         let lastFailure: Failure | undefined;
         let hasRetryToken = false;
         for (let attempt = 1; attempt <= maxAttempts; attempt++) {
-            if (signal.aborted) {
+            if (signal.aborted || hasDisconnected(exchange.req)) {
                 lastFailure ??= createFailure("patienceSpent", "the caller's patience ended before a try");
                 break;
             }
@@ -223,8 +223,8 @@
      * process may have been suspended, so the grant may be outdated. Running this in the same event loop turn as the
      * first write leaves no gap.
      */
-    #checkBeforeSend({ request, res }: Exchange, grant: Grant, claim: HeldClaim | undefined): Failure | undefined {
-        if (res.destroyed) {
+    #checkBeforeSend({ request, req }: Exchange, grant: Grant, claim: HeldClaim | undefined): Failure | undefined {
+        if (hasDisconnected(req)) {
             return createFailure("patienceSpent", "the caller went away before the request was sent");
         }
         if (this.#deps.clock.monotonicMs() >= request.deadlineMs) {
--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -1,6 +1,7 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { enableDisconnects } from "./callerDisconnects.js";
 import { enableLingeringClose } from "./lingeringClose.js";
 import { renderRawFailure, writeFailure } from "./failureResponse.js";
 
@@ -62,6 +63,7 @@
         rejectMalformed(err, socket, responses.get(socket), limits.mayRefuse);
     });
     enableLingeringClose(server);
+    enableDisconnects(server);
     let openConnections = 0;
     server.on("connection", (socket: Socket) => {
         openConnections++;
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -1,4 +1,5 @@
 /** Shared HTTP utilities: caller server, error responses, headers, request bodies, clocks and timeouts. */
+export { type DisconnectCause, enableDisconnects, hasDisconnected, onDisconnect } from "./callerDisconnects.js";
 export { type Clock, systemClock } from "./clock.js";
 export { ConnectionTracker } from "./connectionTracker.js";
 export { type CallerServerOptions, createCallerServer } from "./createCallerServer.js";
