Read a streamed body ahead of its server, so that its caller's end is seen

A caller that left while its long body was held up wasn't noticed until the server read on: the pipe from the request to the server stops when the server doesn't read, the socket isn't read either, and a socket that isn't read reports neither FIN nor reset. Requests before the body on the same connection went on as well, although they had no body.

A streamed body is now read from the connection as it arrives and kept in memory while its server, or the search for one, is slow: at most 16 MiB of one body beyond what its stream buffers, and 64 MiB of all bodies together. Beyond that the connection is paused, tried again every 100 ms, and its end is noticed when the server reads on, or at the request's cutoff.

A cancelled send with a body of more than 64 KiB resets its connection: a FIN would arrive behind the body, which the server may not be reading.

--- a/packages/edge/src/__tests__/callerDisconnects.test.ts
+++ b/packages/edge/src/__tests__/callerDisconnects.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { connect, type Socket } from "node:net";
+import { createServer, connect, type AddressInfo, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
@@ -20,6 +20,7 @@
 const settledAfterMs = 500;
 /** Longer than any test waits, so that nothing ends by itself. */
 const timeoutMs = 20_000;
+const longBodyBytes = 8_000_000;
 const maximumBodyBytes = 67_108_864;
 
 /** Ways in which a caller leaves. */
@@ -56,6 +57,53 @@
     }
 }
 
+/** A server that reads the heads of requests and no body until it is told to. */
+class LateReader {
+    readonly work = new Work();
+    readonly port: number;
+    readonly #sockets: Set<Socket>;
+
+    private constructor(port: number, sockets: Set<Socket>) {
+        this.port = port;
+        this.#sockets = sockets;
+    }
+
+    static async start(t: TestContext): Promise<LateReader> {
+        const sockets = new Set<Socket>();
+        const server = createServer(socket => {
+            let text = "";
+            socket.on("error", () => undefined);
+            socket.on("data", chunk => {
+                text += chunk.toString("latin1");
+                if (text.startsWith("GET /health")) {
+                    text = "";
+                    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-server: late\r\nx-load: 0,0,9,1\r\n\r\n");
+                }
+                else if (!sockets.has(socket) && text.includes("\r\n\r\n")) {
+                    sockets.add(socket);
+                    reader.work.begin(socket);
+                    socket.pause();
+                }
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const reader = new LateReader((server.address() as AddressInfo).port, sockets);
+        t.after(() => {
+            server.close();
+            for (const socket of sockets) {
+                socket.destroy();
+            }
+        });
+        return reader;
+    }
+
+    readOn(): void {
+        for (const socket of this.#sockets) {
+            socket.resume();
+        }
+    }
+}
+
 async function startPath(t: TestContext, port: number, id: string): Promise<TestEdge> {
     const store = new MemoryStore();
     const routes = [{ ...tables, objectiveMs: timeoutMs, timeoutMs }, { ...returns, timeoutMs }];
@@ -112,6 +160,29 @@
             assert.equal(await readMetric(edge, "galenaglade_sends_after_disconnect"), 0);
         });
     }
+
+    for (const first of ["", renderHead("/tables/short")]) {
+        const position = first === "" ? "alone" : "behind a short request";
+        // Guards against an end that isn't read: it lies behind a body that its server doesn't read.
+        test(`servers are freed although a body is held up (${position}, connection ${name})`, async t => {
+            const reader = await LateReader.start(t);
+            const edge = await startPath(t, reader.port, "late");
+            const caller = await openCaller(edge);
+            caller.write(first + renderHead("/tables/long", longBodyBytes));
+            const written = new Promise<void>(resolve =>
+                caller.write(Buffer.alloc(longBodyBytes, "y"), () => resolve())
+            );
+            await eventually(() => reader.work.started >= (first === "" ? 1 : 2), "the requests reach the server");
+            await written;
+            leave(caller);
+            await eventually(
+                () => edge.logs.some(({ message }) => message === "callerLeftSettled"),
+                "the sends have ended",
+            );
+            reader.readOn();
+            await assertFreed(reader.work, "connections of requests whose caller has left");
+        });
+    }
 }
 
 test("the log has a line for a connection that ends with requests on it, and one when their sends have ended", async t => {
@@ -136,6 +207,42 @@
     assert.deepEqual([settled?.["requests"], settled?.["isCancelled"]], [requests, true]);
 });
 
+test("a body that its server reads late arrives whole", async t => {
+    const body = Buffer.alloc(longBodyBytes, "y");
+    let received = 0;
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            const text = chunk.toString("latin1");
+            if (text.startsWith("GET /health")) {
+                socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-server: late\r\nx-load: 0,0,9,1\r\n\r\n");
+                return;
+            }
+            received += text.includes("\r\n\r\n") ? text.length - text.indexOf("\r\n\r\n") - 4 : text.length;
+            const id = /x-id: (\S+)/.exec(text)?.[1];
+            if (id !== undefined) {
+                socket.pause();
+                setTimeout(() => socket.resume(), 400);
+                socket.on("data", () => {
+                    if (received === body.length) {
+                        socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-id: ${id}\r\nx-signed: 1\r\n\r\nread`);
+                    }
+                });
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => server.close());
+    const edge = await startPath(t, (server.address() as AddressInfo).port, "late");
+    const res = await request(`${edge.url}/returns/x`, {
+        method: "POST",
+        headers: { "host": "survey.example", "x-id": "late-1", "x-patience-ms": String(timeoutMs) },
+        body,
+    });
+    assert.deepEqual([res.statusCode, await res.body.text()], [200, "read"]);
+    assert.equal(received, body.length);
+});
+
 // Guards against a send for a caller that left while its pipelined requests were held.
 test("requests that are held at the start aren't sent once their caller has left", async t => {
     const { backend, work } = await startWorkingBackend(t);
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -51,6 +51,8 @@
     readonly mayWrite: () => boolean;
     /** Called once the first byte is being written. */
     readonly onWritten: () => void;
+    /** Whether the server may have left a part of the body unread when it responds or when the request is cancelled. */
+    readonly mayLeaveUnread: boolean;
     /**
      * Called once a response is too large to be buffered.
      *
@@ -217,6 +219,10 @@
             this.#options.connection.destroy();
             return;
         }
+        if (this.#isWritten && this.#options.mayLeaveUnread) {
+            // A close would arrive behind the body, which the server may not be reading.
+            this.#options.connection.reset();
+        }
         this.#controller.abort(new Error("request cancelled"));
     }
 
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -13,6 +13,7 @@
     #socketFailed = false;
     #destroyed = false;
     #hasResponded = false;
+    #socket: Socket | undefined;
 
     /**
      * @param address - of the server
@@ -73,7 +74,14 @@
         this.#client.destroy().catch(() => undefined);
     }
 
+    /** Closes the connection permanently by a reset, which a server notices before it has read what was sent to it. */
+    reset(): void {
+        this.#socket?.resetAndDestroy();
+        this.destroy();
+    }
+
     #watchSocket(socket: Socket): void {
+        this.#socket = socket;
         this.#socketFailed = false;
         this.#hasResponded = false;
         socket.once("close", () => {
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -230,6 +230,8 @@
         else {
             await this.#exchange(request, body.unsafeCoerce(), pending, req, res);
         }
+        // A non-idempotent request goes on after its caller has left, so its body may still be on its way.
+        void sends.whenIdle().then(() => read.ifRight(received => received.close()));
     }
 
     /** @returns the body of a request that has now been read; a failure if it is too late in a planned stop for it */
--- a/packages/edge/src/handover/handoverSend.ts
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -1,5 +1,6 @@
 import { type Failure, createFailure } from "@galenaglade/errors";
 import { findHeader, filterEndToEndHeaders, type RawHeaders, type RequestBody } from "@galenaglade/http-parts";
+import { maxReusedBodyBytes } from "../constants.js";
 import { type ResponseHead, type ResponseSink, sendRequest, type SendResult } from "../backends/sendRequest.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
 import { type ResponseMetadata, ResponseMetadataReader } from "../metadataCodec.js";
@@ -86,6 +87,7 @@
         requestId,
         metadataReader: reader,
         maxBufferedBytes,
+        mayLeaveUnread: body.byteLength > maxReusedBodyBytes,
         mayWrite,
         onWritten,
         openSink: head => reader.outcome?.type === "answered" ? input.openSink(stripHandoverHeader(head)) : undefined,
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -441,6 +441,7 @@
             metadataReader: metadataCodec,
             maxBufferedBytes: maxBufferedResponseBytes,
             onWritten: () => this.#onWritten(),
+            mayLeaveUnread: this.#body.byteLength > maxReusedBodyBytes,
             mayWrite: () =>
                 this.#mayWrite() && view.isUsable(server.id, clock.monotonicMs())
                 && placementState.exclusionOf(server, clock.monotonicMs()) === undefined,
--- a/packages/gateway/src/__tests__/attempt.test.ts
+++ b/packages/gateway/src/__tests__/attempt.test.ts
@@ -48,6 +48,10 @@
     override open(): undefined {
         return undefined;
     }
+
+    override close(): void {
+        // There is nothing to discard.
+    }
 }
 
 function send(dispatcher: Dispatcher, signal: AbortSignal): Promise<AttemptResult> {
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -78,6 +78,16 @@
             return read.extract();
         }
         const body = read.extract() as RequestBody;
+        try {
+            return await this.#forwardBody(exchange, body);
+        }
+        finally {
+            body.close();
+        }
+    }
+
+    async #forwardBody(exchange: Exchange, body: RequestBody): Promise<Failure | undefined> {
+        const { request } = exchange;
         const claimed = await this.#claim(request, body);
         if (claimed.isLeft()) {
             return claimed.extract();
--- a/packages/httpParts/src/requestBody.ts
+++ b/packages/httpParts/src/requestBody.ts
@@ -1,11 +1,25 @@
 import { createFailure, type Failure } from "@galenaglade/errors";
 import { type IncomingMessage } from "node:http";
-import { PassThrough, type Readable } from "node:stream";
+import { type Readable } from "node:stream";
 import { type Either, Left, Right } from "purify-ts";
+import { ByteBudget } from "./byteBudget.js";
+import { ReadAheadStream } from "./readAheadStream.js";
 
 /** Bytes of a streamed body that are read before a request is sent. */
 export const bodyPrefixBytes = 16_384;
 
+/** Maximum number of bytes of one body that are kept in memory while its server doesn't read them. */
+export const maxReadAheadBytes = 16_777_216;
+
+/** Maximum number of bytes that all streamed bodies of the process keep in memory together. */
+export const maxTotalReadAheadBytes = 67_108_864;
+
+const readAheadLimits = {
+    maxBytes: maxReadAheadBytes,
+    budget: new ByteBudget(maxTotalReadAheadBytes),
+    retryMs: 100,
+} as const;
+
 /** Size limits of a request body. */
 export interface BodyLimits {
     /** Declared length in bytes; `undefined` for chunked transfer encoding. */
@@ -31,6 +45,8 @@
     abstract readonly byteLength: number;
     /** @returns the body for one attempt; `undefined` if it is empty */
     abstract open(): Buffer | Readable | undefined;
+    /** Discards what was not sent, once no attempt is in flight. */
+    abstract close(): void;
 }
 
 const truncatedBodyDetail = "the request's body was cut short";
@@ -52,32 +68,35 @@
     override open(): Buffer | undefined {
         return this.buffered.length === 0 ? undefined : this.buffered;
     }
+
+    override close(): void {
+        // Nothing is left on the connection.
+    }
 }
 
+/** A body that is sent while it arrives. It can be sent once. */
 class StreamedBody extends RequestBody {
     override readonly isReplayable = false;
     override readonly buffered = undefined;
     override readonly prefix: Buffer;
     override readonly byteLength: number;
-    readonly #req: IncomingMessage;
+    readonly #stream: ReadAheadStream;
 
     /** @param start - first bytes, which were read from `req` and put back */
     constructor(req: IncomingMessage, start: Buffer, bytes: number) {
         super();
-        this.#req = req;
         this.prefix = start;
         this.byteLength = bytes;
+        this.#stream = new ReadAheadStream(req, readAheadLimits);
     }
 
-    /**
-     * Returns a separate stream, because a failed attempt destroys its body, and destroying `req` would close the
-     * caller's connection.
-     */
+    /** Returns a separate stream: a failed attempt destroys it, and destroying `req` would close the connection. */
     override open(): Readable {
-        const body = new PassThrough();
-        this.#req.once("error", err => body.destroy(err));
-        this.#req.pipe(body);
-        return body;
+        return this.#stream;
+    }
+
+    override close(): void {
+        this.#stream.destroy();
     }
 }
 
