Read what has arrived from a caller before anything is sent for it

A request could reach its server although its caller had left long before: the caller's bytes and its FIN lay in the socket of a process that was busy, starting or suspended. The request was read and sent in one turn of the event loop, and the FIN was read in the next one. After a long turn the same held for requests that waited: timers (a pause of the search, a hedge) run before input is read.

An exchange that has ended chooses nothing any more. The product's own gateway does the same before each attempt.

One more turn of the loop for a request whose server's load is known, two if it waits for a rate limit.

--- a/packages/edge/src/__tests__/callerDisconnects.test.ts
+++ b/packages/edge/src/__tests__/callerDisconnects.test.ts
@@ -5,11 +5,13 @@
 import { request } from "undici";
 import { MemoryStore } from "./support/memoryStore.js";
 import {
+    call,
     createConfiguration,
     eventually,
     returns,
     startBackend,
     startEdge,
+    startEdgeWith,
     tables,
     type TestBackend,
     type TestEdge,
@@ -243,6 +245,25 @@
     assert.equal(received, body.length);
 });
 
+for (const path of ["/tables/x", "/returns/x"]) {
+    // Guards against a send for a caller whose end has arrived with its request and isn't read yet.
+    test(`a request whose caller has left before it is read isn't sent (${path})`, async t => {
+        const backend = await startBackend(t, "a");
+        backend.load = "0,0,9,1";
+        const edge = await startEdgeWith(t, backend);
+        for (let i = 0; i < 20; i++) {
+            // The server's load is known, so that the next request needs no probe.
+            await call(edge, "/tables/known");
+            const caller = await openCaller(edge);
+            caller.write(renderHead(path, 0, path === "/tables/x" ? "GET" : "POST"));
+            caller.destroy();
+        }
+        await sleep(100);
+        assert.deepEqual(backend.servedRequests().filter(req => req.path === path), []);
+        assert.equal(edge.logs.filter(({ message }) => message === "callerLeft").length, 20);
+    });
+}
+
 // Guards against a send for a caller that left while its pipelined requests were held.
 test("requests that are held at the start aren't sent once their caller has left", async t => {
     const { backend, work } = await startWorkingBackend(t);
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -1,9 +1,21 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
+import { whenInputRead } from "@galenaglade/http-parts";
 import { type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { idleConnectionTimeoutMs } from "../constants.js";
 import { type ServerConnector } from "./serverConnector.js";
 
+/** A connection that the server closed right after it was opened. */
+class ClosedBeforeUseError extends Error {
+    override readonly name = "ClosedBeforeUseError";
+    /** Code of a connection that the server has reset. */
+    readonly code = "ECONNRESET";
+
+    constructor() {
+        super("the connection was closed before it was used");
+    }
+}
+
 /**
  * A connection to a backend server that carries one request at a time and is reopened if it is used after being closed.
  */
@@ -35,7 +47,14 @@
                         return;
                     }
                     this.#watchSocket(opened);
-                    callback(null, opened);
+                    // The caller's end may have arrived while the connection was being opened.
+                    void whenInputRead().then(() => {
+                        if (opened.destroyed) {
+                            callback(new ClosedBeforeUseError(), null);
+                            return;
+                        }
+                        callback(null, opened);
+                    });
                 });
             },
         });
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -4,6 +4,7 @@
     onDisconnect,
     readRequestBody,
     type RequestBody,
+    whenInputRead,
     writeFailure,
 } from "@galenaglade/http-parts";
 import { drawRetryAfterSeconds, type StartupRequest } from "@galenaglade/placement";
@@ -268,6 +269,7 @@
                 return sink;
             },
             () => permit?.onSent(),
+            () => whenInputRead(req.socket),
         );
         pending.exchange = exchange;
         let result = this.#replaceResultIfStale(await exchange.run().finally(() => permit?.onEnded()));
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -85,6 +85,7 @@
      * @param signal - aborted when the final response is due, or when the caller has disconnected
      * @param openSink - starts streaming a response to the caller that is too large to buffer
      * @param onSent - called with each send
+     * @param whenInputRead - resolves once what had arrived on the caller's connection was read
      */
     constructor(
         deps: ExchangeDeps,
@@ -94,6 +95,7 @@
         signal: AbortSignal,
         openSink: (head: ResponseHead) => ResponseSink,
         onSent: () => void = () => undefined,
+        whenInputRead: () => Promise<void> = () => Promise.resolve(),
     ) {
         this.#deps = deps;
         this.#request = request;
@@ -101,8 +103,8 @@
         this.#body = body;
         this.#sends = sends;
         this.#signal = signal;
-        this.#workspaceGuard = new WorkspaceGuard(deps, request, signal);
-        this.#placement = new ExchangePlacement(deps, request, signal);
+        this.#workspaceGuard = new WorkspaceGuard(deps, request, signal, whenInputRead);
+        this.#placement = new ExchangePlacement(deps, request, signal, whenInputRead);
         this.#contentId = new LazyContentId(request, body);
         this.#quarantineGuard = new QuarantineGuard(deps.crashReports, this.#contentId);
         this.#sendResultHandler = new SendResultHandler(deps, request, this.#contentId, this.#quarantineGuard);
@@ -118,6 +120,7 @@
             deps,
             request,
             signal,
+            whenInputRead,
             placement: this.#placement,
             handover: this.#handover,
         });
--- a/packages/edge/src/requests/exchangePlacement.ts
+++ b/packages/edge/src/requests/exchangePlacement.ts
@@ -12,6 +12,7 @@
     readonly #deps: ExchangeDeps;
     readonly #request: EdgeRequest;
     readonly #signal: AbortSignal;
+    readonly #whenInputRead: () => Promise<void>;
     readonly #triedServers = new Set<string>();
     readonly #trace: SearchTrace = {
         usable: 0,
@@ -27,10 +28,11 @@
     /** Version on trial that the first send went to. */
     #trialVersion: string | undefined;
 
-    constructor(deps: ExchangeDeps, request: EdgeRequest, signal: AbortSignal) {
+    constructor(deps: ExchangeDeps, request: EdgeRequest, signal: AbortSignal, whenInputRead: () => Promise<void>) {
         this.#deps = deps;
         this.#request = request;
         this.#signal = signal;
+        this.#whenInputRead = whenInputRead;
     }
 
     /** @returns the server for the next send, preferably one that was not tried before */
@@ -87,6 +89,7 @@
             cutoffMs,
             triedServers: this.#triedServers,
             signal: this.#signal,
+            whenInputRead: this.#whenInputRead,
             mayHandOver: this.#request.handedOverBy === undefined,
             onlyGood,
             trace: this.#trace,
--- a/packages/edge/src/requests/placer.ts
+++ b/packages/edge/src/requests/placer.ts
@@ -26,6 +26,8 @@
 /** Search for a server for one request. */
 export interface PlaceInput extends SearchInput {
     readonly signal: AbortSignal;
+    /** Resolves once what had arrived on the caller's connection was read, so that the signal reflects its end. */
+    readonly whenInputRead: () => Promise<void>;
     /** Whether the request may be handed to another gateway once this host is known not to reach the service. */
     readonly mayHandOver: boolean;
     /** Updated during the search. */
@@ -73,7 +75,11 @@
     /** @returns the picked server, or why there is none */
     async place(input: PlaceInput): Promise<Placement | PlacementFailure> {
         const search = new ServerSearch(this.#deps.placementState, input);
-        while (!input.signal.aborted) {
+        for (;;) {
+            await input.whenInputRead();
+            if (input.signal.aborted) {
+                return "abandoned";
+            }
             if (this.#deps.reachability.stateOf(input.rules.name) === "lost" && input.mayHandOver) {
                 return "noOffer";
             }
@@ -102,7 +108,6 @@
                     return step.reason;
             }
         }
-        return "abandoned";
     }
 
     /** @returns time until the first server's back-off ends, in milliseconds, if all servers of a service back off */
--- a/packages/edge/src/requests/sendTargetFinder.ts
+++ b/packages/edge/src/requests/sendTargetFinder.ts
@@ -18,6 +18,7 @@
     readonly request: EdgeRequest;
     /** Aborted when the final response is due, or when the caller has disconnected. */
     readonly signal: AbortSignal;
+    readonly whenInputRead: () => Promise<void>;
     readonly placement: ExchangePlacement;
     readonly handover: ExchangeHandover;
 }
@@ -38,6 +39,9 @@
             return "stopping";
         }
         if (this.#input.handover.isAllowed && await this.#whenReachabilitySettled() !== "reached") {
+            if (this.#input.signal.aborted) {
+                return "abandoned";
+            }
             const gateway = this.#chooseHandoverTarget();
             if (gateway !== undefined) {
                 return { type: "gateway", gateway };
@@ -52,17 +56,21 @@
         }
         // The probes of the search itself may have shown that no server can be reached.
         const mayHandOver = (place === "noOffer" || place === "noneGood") && this.#input.handover.isAllowed;
-        const gateway = mayHandOver && await this.#whenReachabilitySettled() === "lost"
+        const gateway = mayHandOver && await this.#whenReachabilitySettled() === "lost" && !this.#input.signal.aborted
             ? this.#chooseHandoverTarget()
             : undefined;
         return gateway === undefined ? place : { type: "gateway", gateway };
     }
 
-    /** @returns whether this host can reach the service, once that is settled or the request is aborted */
+    /**
+     * @returns whether this host can reach the service, once that is settled or the request is aborted, and the caller's
+     * connection was read
+     */
     async #whenReachabilitySettled(): Promise<ReachabilityState> {
-        const { reachability } = this.#input.deps;
-        const service = this.#input.request.rules.name;
-        await awaitFirst([reachability.whenSettled(service)], this.#input.signal, undefined);
+        const { deps: { reachability }, request, signal, whenInputRead } = this.#input;
+        const service = request.rules.name;
+        await awaitFirst([reachability.whenSettled(service)], signal, undefined);
+        await whenInputRead();
         return reachability.stateOf(service);
     }
 
--- a/packages/edge/src/requests/workspaceGuard.ts
+++ b/packages/edge/src/requests/workspaceGuard.ts
@@ -13,13 +13,15 @@
     readonly #deps: ExchangeDeps;
     readonly #request: EdgeRequest;
     readonly #signal: AbortSignal;
+    readonly #whenInputRead: () => Promise<void>;
     #token: Token | undefined;
     #allowsExtraRuns = true;
 
-    constructor(deps: ExchangeDeps, request: EdgeRequest, signal: AbortSignal) {
+    constructor(deps: ExchangeDeps, request: EdgeRequest, signal: AbortSignal, whenInputRead: () => Promise<void>) {
         this.#deps = deps;
         this.#request = request;
         this.#signal = signal;
+        this.#whenInputRead = whenInputRead;
     }
 
     /** Change of the caller's key since the request arrived that forbids sending it; `undefined` if there is none. */
@@ -43,6 +45,10 @@
         if (callerIdentity.type !== "known" || limit === undefined) {
             return undefined;
         }
+        await this.#whenInputRead();
+        if (this.#signal.aborted) {
+            return "abandoned";
+        }
         const { limits, log, metrics } = this.#deps;
         const workspace = callerIdentity.workspace.name;
         const decisionTimeoutMs = Math.min(maxHoldMs, this.#request.route.objectiveMs * maxHoldShare);
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -5,7 +5,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { type BackendConnections } from "../backends/backendConnections.js";
-import { type Clock, hasDisconnected, readRequestBody, type RequestBody } from "@galenaglade/http-parts";
+import { type Clock, hasDisconnected, readRequestBody, type RequestBody, whenInputRead } from "@galenaglade/http-parts";
 import {
     deadlineHeader,
     maxBufferedBodyBytes,
@@ -128,6 +128,7 @@
         let lastFailure: Failure | undefined;
         let hasRetryToken = false;
         for (let attempt = 1; attempt <= maxAttempts; attempt++) {
+            await whenInputRead(exchange.req.socket);
             if (signal.aborted || hasDisconnected(exchange.req)) {
                 lastFailure ??= createFailure("patienceSpent", "the caller's patience ended before a try");
                 break;
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -11,6 +11,7 @@
 export { type ConnectorOptions, createConnector } from "./outgoing/createConnector.js";
 export { ResponseFramingError } from "./outgoing/responseFraming.js";
 export { parseJson } from "./parseJson.js";
+export { whenInputRead } from "./pendingInput.js";
 export { type BodyLimits, readRequestBody, RequestBody } from "./requestBody.js";
 export { resetCallerConnection } from "./resetCallerConnection.js";
 export { waitAtMost, sleep } from "./timers.js";
