Keep reading a connection while large responses wait for their turn on it

With pipelined requests, Node stops reading a connection when a request arrives while responses of more than its buffer wait behind an earlier one. Neither FIN nor reset is seen then, and the first request stays at its server until it ends.

A response is handed to Node only once it is next on its connection. Until then it stays where it is: buffered (256 KiB at most) or paused at its server.

Evidence: with only the test, `servers are freed although a large response waits behind another one` times out; with the change it passes.

--- a/packages/edge/src/__tests__/callerDisconnects.test.ts
+++ b/packages/edge/src/__tests__/callerDisconnects.test.ts
@@ -8,6 +8,7 @@
     call,
     createConfiguration,
     eventually,
+    renderSignedResponse,
     returns,
     startBackend,
     startEdge,
@@ -209,6 +210,27 @@
     assert.deepEqual([settled?.["requests"], settled?.["isCancelled"]], [requests, true]);
 });
 
+// Guards against a connection that isn't read any more because too much waits for its turn on it.
+test("servers are freed although a large response waits behind another one", async t => {
+    const work = new Work();
+    const backend = await startBackend(t, "a", req => {
+        if (req.path === "/tables/ready") {
+            req.socket.write(renderSignedResponse(req, "x".repeat(200_000)));
+            return;
+        }
+        work.begin(req.socket);
+    });
+    backend.load = "0,0,9,1";
+    const edge = await startPath(t, backend.raw.port, "a");
+    const caller = await openCaller(edge);
+    caller.write(renderHead("/tables/1") + renderHead("/tables/ready"));
+    await eventually(() => edge.logs.some(line => line["outcome"] === "200"), "the second response has arrived");
+    caller.write(renderHead("/tables/3"));
+    await eventually(() => work.started === 2, "the third request reaches the server");
+    caller.destroy();
+    await assertFreed(work, "requests of the caller");
+});
+
 test("a body that its server reads late arrives whole", async t => {
     const body = Buffer.alloc(longBodyBytes, "y");
     let received = 0;
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -25,7 +25,7 @@
 import { createStoppingFailure, type ExchangeResult } from "../requests/localReplies.js";
 import { callerGone, cutoffReached, type ExchangeDeps, stopDeadlineReached } from "../requests/exchangeDeps.js";
 import { type BufferedResponse } from "../backends/sendRequest.js";
-import { CallerSink, writeResponse } from "./responseWriter.js";
+import { CallerSink, writeResponse, writeWhenDue } from "./responseWriter.js";
 import { type InitialSyncGate } from "../state/initialSyncGate.js";
 import { isStateFresh } from "../state/isStateFresh.js";
 import { type CallerConnections } from "./callerConnections.js";
@@ -323,7 +323,8 @@
             return;
         }
         this.#setAnsweredOutcome(res, request, serverId);
-        writeResponse(res, request.method, response, callerConnections.closeIfDue(req));
+        const close = callerConnections.closeIfDue(req);
+        writeWhenDue(res, () => writeResponse(res, request.method, response, close));
     }
 
     #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
--- a/packages/edge/src/callers/responseWriter.ts
+++ b/packages/edge/src/callers/responseWriter.ts
@@ -3,6 +3,22 @@
 import { type ResponseHead, ResponseSink, type BufferedResponse } from "../backends/sendRequest.js";
 import { handoverHeader } from "../handover/handoverMessages.js";
 
+/**
+ * Calls a function once a response is next on its connection; never, if the connection closes before. The HTTP server
+ * stops reading a connection on which too much waits for its turn, and an unread connection doesn't show its end.
+ *
+ * @param res - response to the caller
+ * @param write - writes the response or a part of it
+ */
+export function writeWhenDue(res: ServerResponse, write: () => void): void {
+    if (res.socket !== null || res.destroyed) {
+        write();
+        return;
+    }
+    // The HTTP server emits the event in the middle of attaching the connection.
+    res.once("socket", () => process.nextTick(write));
+}
+
 const noContentStatus = 204;
 const notModifiedStatus = 304;
 
@@ -50,6 +66,14 @@
     }
 
     override write(chunk: Buffer, resume: () => void): boolean {
+        if (this.#res.socket === null && !this.#res.destroyed) {
+            writeWhenDue(this.#res, () => {
+                if (this.write(chunk, resume)) {
+                    resume();
+                }
+            });
+            return false;
+        }
         if (this.#res.destroyed || this.#res.write(chunk)) {
             return true;
         }
