Product's gateway: claim no idempotency key for a caller that has left

The end of a caller's connection was asked for before each attempt, and not before the key was claimed, so that a request whose caller left while the process was busy could hold its key until the claim ran out.

The test of pipelined requests on a connection that is closed is new as well.

--- a/packages/gateway/src/__tests__/gateway.test.ts
+++ b/packages/gateway/src/__tests__/gateway.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { setImmediate, setTimeout } from "node:timers/promises";
 import { request } from "undici";
@@ -179,6 +180,31 @@
     assert.equal((await next.response).statusCode, 200);
 });
 
+// Guards against a disconnect that reaches only the request whose response is due first: servers would go on working on
+// the others, and a planned stop would wait for them.
+test("servers are freed of all requests of a connection that is closed, and a planned stop doesn't wait", async t => {
+    let started = 0;
+    let closed = 0;
+    const port = await startBackend(t, (_req, res) => {
+        started++;
+        res.once("close", () => closed++);
+    });
+    const source = new FixedSource();
+    source.apply(1, describeService([port], 60_000));
+    const { url, gateway } = await startGateway(t, source);
+    const caller = connect(Number(new URL(url).port), "127.0.0.1");
+    const count = Math.min(slots, 3);
+    caller.write("GET /tables HTTP/1.1\r\nhost: a\r\n\r\n".repeat(count));
+    while (started < count) {
+        await setImmediate();
+    }
+    caller.destroy();
+    while (closed < count) {
+        await setImmediate();
+    }
+    await gateway.stop();
+});
+
 interface SentRequest {
     readonly response: ReturnType<typeof request>;
     /** The problem type if the request was refused; `undefined` if it is queued. */
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -87,7 +87,11 @@
     }
 
     async #forwardBody(exchange: Exchange, body: RequestBody): Promise<Failure | undefined> {
-        const { request } = exchange;
+        const { request, req } = exchange;
+        await whenInputRead(req.socket);
+        if (hasDisconnected(req)) {
+            return createFailure("patienceSpent", "the caller went away before the request was sent");
+        }
         const claimed = await this.#claim(request, body);
         if (claimed.isLeft()) {
             return claimed.extract();
