--- a/packages/edge/src/__tests__/support/virtualClock.ts
+++ b/packages/edge/src/__tests__/support/virtualClock.ts
@@ -12,6 +12,8 @@
 
 /** Wall-clock time at the start, in milliseconds since the epoch. */
 const epochMs = 1_000_000;
+/** Steps of a promise chain that run after a timer, before the next one. */
+const microtasksPerTimer = 50;
 /** Maximum number of timer events; a simulation with more of them never ends. */
 const maxEvents = 5_000_000;
 
@@ -26,10 +28,20 @@
     readonly #timers = new Map<number, Timer>();
     /** Min-heap of timers by due time; cleared timers stay in it until they are due. */
     readonly #heap: Timer[] = [];
+    readonly #turnsPerEvent: number;
 
-    /** Replaces the timers of the process until the test is over. */
-    static install(t: TestContext): VirtualClock {
-        const clock = new VirtualClock();
+    private constructor(turnsPerEvent: number) {
+        this.#turnsPerEvent = turnsPerEvent;
+    }
+
+    /**
+     * Replaces the timers of the process until the test is over.
+     *
+     * @param t - the test
+     * @param turnsPerEvent - turns of the event loop that the code gets before the time goes on
+     */
+    static install(t: TestContext, turnsPerEvent = 1): VirtualClock {
+        const clock = new VirtualClock(turnsPerEvent);
         const { setTimeout, setInterval, clearTimeout, clearInterval } = globalThis;
         t.after(() => Object.assign(globalThis, { setTimeout, setInterval, clearTimeout, clearInterval }));
         const clear = (id: unknown): void => {
@@ -56,7 +68,7 @@
     /** Advances the time and runs all timers that are due by then. */
     async advance(ms: number): Promise<void> {
         const untilMs = this.#nowMs + ms;
-        await drainMicrotasks();
+        await this.#runTurns();
         for (let next = this.#heap[0]; next !== undefined && next.dueMs <= untilMs; next = this.#heap[0]) {
             this.#dropFirst();
             if (this.#timers.get(next.id) !== next) {
@@ -71,11 +83,39 @@
                 this.#insert({ ...next, dueMs: this.#nowMs + next.everyMs });
             }
             next.run();
-            await drainMicrotasks();
+            await this.#runTurns();
         }
         this.#nowMs = untilMs;
     }
 
+    /**
+     * Lets the time pass within one turn of the event loop, as in a process that is busy or suspended: the timers that
+     * are due by then run before any input is read.
+     *
+     * @param ms - duration of the turn
+     * @param readInput - reads what has arrived meanwhile
+     */
+    async stall(ms: number, readInput: () => void): Promise<void> {
+        this.#nowMs += ms;
+        for (let next = this.#heap[0]; next !== undefined && next.dueMs <= this.#nowMs; next = this.#heap[0]) {
+            this.#dropFirst();
+            if (this.#timers.delete(next.id)) {
+                next.run();
+                for (let i = 0; i < microtasksPerTimer; i++) {
+                    await Promise.resolve();
+                }
+            }
+        }
+        readInput();
+        await this.#runTurns();
+    }
+
+    async #runTurns(): Promise<void> {
+        for (let i = 0; i < this.#turnsPerEvent; i++) {
+            await drainMicrotasks();
+        }
+    }
+
     /** Removes all pending timers, so that another simulation can begin. */
     clear(): void {
         this.#timers.clear();
