Soak: callers that leave while their requests are outstanding

Judged from what servers began and completed, and when: nothing begun, and nothing idempotent completed, later than 0.5 s after the leaving, unless a fault excuses the gateways.

--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -57,6 +57,8 @@
         readonly reset?: boolean | undefined;
     }
     | { readonly type: "callerGaveUp"; readonly requestId: string; }
+    /** The caller has closed its connection while the request was outstanding on it. */
+    | { readonly type: "callerLeft"; readonly requestId: string; }
     | {
         readonly type: "serverStarted";
         readonly requestId: string;
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,5 +1,6 @@
 /** Histories recorded from concurrent runs, and pure functions that check them against invariants. */
 export { checkAtMostOnce } from "./atMostOnceChecker.js";
+export { checkCallersLeft, type CallersLeftBounds } from "./callersLeftChecker.js";
 export { checkColdRate } from "./coldRateChecker.js";
 export { checkColdStart, type ColdStartBounds } from "./coldStartChecker.js";
 export {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,5 +1,6 @@
 import {
     checkAtMostOnce,
+    checkCallersLeft,
     checkColdRate,
     checkDrained,
     checkLeavingRespected,
@@ -20,6 +21,7 @@
 } from "@galenaglade/history";
 import {
     applyMs,
+    callersLeftMs,
     maxProbesPerServerAndSecond,
     maxColdPerSecond,
     maxQueryOfDeathCrashes,
@@ -83,6 +85,10 @@
     };
     const violations: readonly Violation[] = [
         ...checkAtMostOnce(history),
+        ...checkCallersLeft(history, {
+            settleMs: callersLeftMs,
+            isCalm: (fromMs, toMs) => faultWindows.isFaultFree(fromMs - convergenceMs, toMs),
+        }),
         ...checkDidRunAccuracy(history),
         ...checkResponseIntegrity(history),
         ...checkRepeatBudget(history, { ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs }),
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -18,6 +18,7 @@
   --cuts         also partitions gateways from all servers, as drawn from each seed
   --stops        runs stop drills instead: planned stops under callers that pipeline on kept connections
   --failures     instead of other faults, lets all servers fail in bursts and kills gateways between them
+  --leaves       also has callers that leave while their requests are outstanding
   --drills       also restores the store from older snapshots, as drawn from each seed
   --parallel     number of concurrent runs; each has 13 processes or more. Default: 1
   --out          directory for histories and logs of runs that found violations
@@ -37,7 +38,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir, cuts, drills, stops, failures } = options;
+    const { seeds, parallel, dir, cuts, drills, leaves, stops, failures } = options;
     const runs = seeds.length;
     // Each run kills its processes on the exit event, which these signals don't emit by default.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -54,6 +55,7 @@
                     dir,
                     cuts,
                     drills,
+                    leaves,
                     faults: failures ? planFailureBursts(next) : planFaults(next),
                 });
             failed += result.findings.length > 0 ? 1 : 0;
@@ -87,6 +89,7 @@
     readonly dir: string;
     readonly cuts: boolean;
     readonly drills: boolean;
+    readonly leaves: boolean;
     readonly stops: boolean;
     readonly failures: boolean;
 }
@@ -102,6 +105,7 @@
                 regressions: { type: "boolean", default: false },
                 cuts: { type: "boolean", default: false },
                 drills: { type: "boolean", default: false },
+                leaves: { type: "boolean", default: false },
                 stops: { type: "boolean", default: false },
                 failures: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
@@ -113,8 +117,8 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        const { cuts, drills, stops, failures } = values;
-        return valid ? { seeds, parallel, dir: values.out, cuts, drills, stops, failures } : undefined;
+        const { cuts, drills, leaves, stops, failures } = values;
+        return valid ? { seeds, parallel, dir: values.out, cuts, drills, leaves, stops, failures } : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -52,6 +52,9 @@
 /** Maximum duration of a planned stop. */
 export const stopGraceMs = 6_000;
 
+/** Time after a caller has left by which all that was done for it has to be over, in milliseconds. */
+export const callersLeftMs = 500;
+
 /** Time without faults after which every gateway must have the store's state: half a second above the requirement. */
 export const convergenceMs = 3_500;
 
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -7,6 +7,7 @@
 import { RequestGenerator } from "./requestGenerator.js";
 import { checkSoak } from "./checks.js";
 import { recoveryPhaseMs, enforcesWorkspaceLimits, requestsPerSecond, services, startupSettleMs } from "./constants.js";
+import { type PlannedLeavingCaller, planLeavingCallers } from "./leavingCallerPlan.js";
 import { planLongRequests, type PlannedLongRequest } from "./longRequestPlan.js";
 import { planQueryOfDeath, type PlannedQueryOfDeath } from "./queryOfDeathPlan.js";
 import { planStoreRestores } from "./storeRestorePlan.js";
@@ -56,6 +57,8 @@
     readonly cuts?: boolean | undefined;
     /** Whether to restore the store from older snapshots as well, as drawn from the seed. Default: no. */
     readonly drills?: boolean | undefined;
+    /** Whether callers leave while their requests are outstanding, in every way and at any moment. */
+    readonly leaves?: boolean | undefined;
 }
 
 const routes: readonly SoakRoute[] = ["read", "read", "file", "moving"];
@@ -75,7 +78,7 @@
 }
 
 async function executeRun(
-    { system, seed, dir, faults = planFaults(seed), cuts = false, drills = false }: SoakOptions,
+    { system, seed, dir, faults = planFaults(seed), cuts = false, drills = false, leaves = false }: SoakOptions,
 ): Promise<SoakResult> {
     const workspaces = planWorkspaces(seed, enforcesWorkspaceLimits);
     const fleet = await SoakFleet.start(system, dir, seed, workspaces?.initial);
@@ -121,6 +124,7 @@
         ]);
         const unusableEntriesDone = fleet.writeUnusableEntries(seed);
         const longRequestsDone = load.sendLongRequests(planLongRequests(seed));
+        const leavingCallersDone = load.sendAndLeave(leaves ? planLeavingCallers(seed) : []);
         const allDone = Promise.all([
             faultsDone,
             rolloutDone,
@@ -132,6 +136,7 @@
             workspacesDone,
             unusableEntriesDone,
             longRequestsDone,
+            leavingCallersDone,
         ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allDone), allDone]);
         const history = mergeHistories(
@@ -272,6 +277,17 @@
         }));
     }
 
+    /** Sends the requests of callers that leave. Selects gateways round-robin, as for an overload. */
+    async sendAndLeave(plan: readonly PlannedLeavingCaller[]): Promise<void> {
+        await Promise.all(plan.map(async (planned, i) => {
+            await sleep(planned.atMs);
+            const edges = this.#findEdges();
+            const key = this.#fleet.workspaces.flatMap(({ keys }) => keys)[0];
+            const credentials = key && { key, claimedWorkspace: undefined };
+            await edges[i % edges.length]?.caller?.sendAndLeave(`gone${i}`, planned, credentials);
+        }));
+    }
+
     #send(disconnectsEarly: boolean): void {
         const caller = this.#pickEdge().caller;
         const defaultRoute = routes[this.#random.nextInt(routes.length)] ?? "read";
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -1,8 +1,12 @@
 import { type HistoryRecorder, KeptCaller, type KeptRequest } from "@galenaglade/stand-ins";
 import { type RandomSource } from "@galenaglade/routing";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent } from "undici";
+import { connect, type Socket } from "node:net";
+import { type PlannedLeavingCaller } from "./leavingCallerPlan.js";
 import { type PlannedLongRequest } from "./longRequestPlan.js";
 import { type CallerCredentials } from "./requestGenerator.js";
+import { renderBulkPath } from "./requestedWork.js";
 import { hangToleranceMs, patienceMs, routeTimeoutMs } from "./constants.js";
 import { authority, routePathPrefixes, type SoakRoute } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -131,6 +135,41 @@
         caller.close();
     }
 
+    /** Sends requests one behind the other on a connection of their own, and leaves before they are answered. */
+    async sendAndLeave(
+        name: string,
+        { requests, idempotent, workMs, bodyBytes, leavesAfterMs, way }: PlannedLeavingCaller,
+        credentials: CallerCredentials | undefined,
+    ): Promise<void> {
+        const socket = await openSocket(Number(new URL(this.#url).port));
+        if (socket === undefined) {
+            return;
+        }
+        const route = idempotent ? "bulk" : "file";
+        const requestIds = Array.from({ length: requests }, (_, i) => `${name}-${i}`);
+        for (const requestId of requestIds) {
+            this.#recordSent({ requestId, route, credentials, disconnectsEarly: true });
+            const bytes = requestId === requestIds.at(-1) ? bodyBytes : 0;
+            const method = idempotent && bytes === 0 ? "GET" : "POST";
+            const lines = Object.entries({
+                "host": authority,
+                "content-length": String(bytes),
+                ...this.#system.renderRequestHeaders(requestId, patienceMs, credentials),
+            });
+            const path = renderBulkPath(route, requestId, workMs, 0);
+            const head = [`${method} ${path} HTTP/1.1`, ...lines.map(line => line.join(": "))];
+            socket.write([...head, "", ""].join("\r\n"));
+        }
+        socket.write(Buffer.alloc(bodyBytes, "r"));
+        if (leavesAfterMs > 0) {
+            await sleep(leavesAfterMs);
+        }
+        for (const requestId of requestIds) {
+            this.#history.record({ type: "callerLeft", requestId });
+        }
+        leave(socket, way);
+    }
+
     /** @returns whether the connection stays open for further requests */
     async #sendKept(
         caller: KeptCaller,
@@ -247,6 +286,29 @@
     }
 }
 
+/** @returns a connected socket; `undefined` if nothing accepts the connection */
+function openSocket(port: number): Promise<Socket | undefined> {
+    return new Promise(resolve => {
+        const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+        socket.once("connect", () => resolve(socket));
+        socket.on("error", () => resolve(undefined));
+        socket.resume();
+    });
+}
+
+function leave(socket: Socket, way: PlannedLeavingCaller["way"]): void {
+    switch (way) {
+        case "closed":
+            socket.destroy();
+            break;
+        case "reset":
+            socket.resetAndDestroy();
+            break;
+        case "closedForWriting":
+            socket.end();
+    }
+}
+
 /** @returns the ID of the request that a body responds to; `undefined` for a truncated body */
 function findRequestId(body: string): string | undefined {
     return readBody(body)?.requestId;
