--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -43,7 +43,7 @@
         this.#disconnects = meter.createCounter("galenaglade.caller_disconnects", {
             description: "requests whose caller left before the response, by what they waited for and how it left",
         });
-        this.#disconnectEnds = meter.createHistogram("galenaglade.disconnect_send_end.duration", {
+        this.#disconnectEnds = meter.createHistogram("http.disconnect.request.duration", {
             unit: "s",
             description: "time from a caller's leaving until the last send on its behalf had ended",
         });
