--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -224,15 +224,18 @@
         };
         const read = await readRequestBody(limits, req, deadline.signal);
         const body = read.chain(received => this.#admit(received));
-        if (body.isLeft()) {
-            const failure = this.#fail(req, res, body.extract(), sends);
-            this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
-        }
-        else {
+        try {
+            if (body.isLeft()) {
+                const failure = this.#fail(req, res, body.extract(), sends);
+                this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
+                return;
+            }
             await this.#exchange(request, body.unsafeCoerce(), pending, req, res);
         }
-        // A non-idempotent request goes on after its caller has left, so its body may still be on its way.
-        void sends.whenIdle().then(() => read.ifRight(received => received.close()));
+        finally {
+            // A non-idempotent request goes on after its caller has left, so its body may still be on its way.
+            void sends.whenIdle().then(() => read.ifRight(received => received.close()));
+        }
     }
 
     /** @returns the body of a request that has now been read; a failure if it is too late in a planned stop for it */
