Keep bodies that are read ahead within their memory

A body that exceeded the memory of all bodies was tried again every 100 ms, and each try read one more chunk that nothing counted. Callers with many bodies that no server reads could fill the memory up to 16 MiB each, which the limit is to prevent.

Memory for a chunk is reserved now before it is read. A body without it stays paused and asks again.

--- a/packages/httpParts/src/readAheadStream.ts
+++ b/packages/httpParts/src/readAheadStream.ts
@@ -8,19 +8,23 @@
     readonly maxBytes: number;
     /** Bytes that all bodies of the process hold together. */
     readonly budget: ByteBudget;
-    /** Time after which a body that exceeded a limit is tried again, in milliseconds. */
+    /** Interval at which a body that exceeded a limit asks for memory again, in milliseconds. */
     readonly retryMs: number;
 }
 
+/** Maximum size of a chunk of a body: what one read of its connection returns, in bytes. */
+const maxChunkBytes = 65_536;
+
 /**
- * The body of a request, read from its connection before it is asked for. A connection that isn't read shows neither that
- * its caller has closed it nor that it was reset, and an HTTP request's end lies behind its body; so the body is kept in
- * memory while its reader is slow, within the limits. Beyond them the connection is paused until the reader goes on.
+ * The body of a request, read from its connection before it is asked for. A connection that isn't read shows neither a
+ * close by its caller nor a reset. So the body is kept in memory while its reader is slow, within the limits; beyond them
+ * the connection is paused until the reader goes on or memory is free.
  */
 export class ReadAheadStream extends Readable {
     readonly #req: IncomingMessage;
     readonly #limits: ReadAheadLimits;
-    #takenBytes = 0;
+    /** Bytes taken from the budget: before a chunk is read, for it and for all that is held. */
+    #reservedBytes = 0;
     #retryTimer: NodeJS.Timeout | undefined;
     readonly #onData = (chunk: Buffer): void => this.#add(chunk);
     readonly #onEnd = (): void => {
@@ -50,13 +54,13 @@
 
     override _read(): void {
         this.#releaseRead();
-        this.#resume();
+        this.#readOn();
     }
 
     override _destroy(...[err, callback]: Parameters<Readable["_destroy"]>): void {
         clearTimeout(this.#retryTimer);
-        this.#limits.budget.giveBack(this.#takenBytes);
-        this.#takenBytes = 0;
+        this.#limits.budget.giveBack(this.#reservedBytes);
+        this.#reservedBytes = 0;
         this.#req.off("data", this.#onData);
         this.#req.off("end", this.#onEnd);
         this.#req.off("error", this.#onError);
@@ -66,37 +70,53 @@
     }
 
     #add(chunk: Buffer): void {
+        const isWanted = this.push(chunk);
         this.#releaseRead();
-        const isAhead = !this.push(chunk);
-        if (!isAhead) {
-            return;
-        }
-        const isKept = this.readableLength <= this.#limits.maxBytes && this.#limits.budget.tryTake(chunk.length);
-        if (isKept) {
-            this.#takenBytes += chunk.length;
-            return;
+        if (!isWanted && !this.#tryReserve()) {
+            this.#pause();
         }
-        this.#req.pause();
+    }
+
+    #readOn(): void {
         clearTimeout(this.#retryTimer);
+        this.#req.resume();
+    }
+
+    #pause(): void {
+        this.#req.pause();
         this.#retryTimer = setTimeout(() => {
-            if (this.readableLength <= this.#limits.maxBytes) {
-                this.#resume();
+            if (this.#tryReserve()) {
+                this.#readOn();
+            }
+            else {
+                this.#pause();
             }
         }, this.#limits.retryMs);
         this.#retryTimer.unref();
     }
 
-    #resume(): void {
-        clearTimeout(this.#retryTimer);
-        this.#req.resume();
+    /** @returns whether the memory for what is held and for one more chunk is reserved */
+    #tryReserve(): boolean {
+        if (this.readableLength > this.#limits.maxBytes) {
+            return false;
+        }
+        const neededBytes = this.readableLength + maxChunkBytes;
+        const missingBytes = neededBytes - this.#reservedBytes;
+        if (missingBytes > 0) {
+            if (!this.#limits.budget.tryTake(missingBytes)) {
+                return false;
+            }
+            this.#reservedBytes = neededBytes;
+        }
+        return true;
     }
 
-    /** Gives back what the reader has taken out. */
+    /** Gives back what was reserved for bytes that the reader has taken out. */
     #releaseRead(): void {
-        const readBytes = this.#takenBytes - this.readableLength;
-        if (readBytes > 0) {
-            this.#limits.budget.giveBack(readBytes);
-            this.#takenBytes -= readBytes;
+        const excessBytes = this.#reservedBytes - this.readableLength - maxChunkBytes;
+        if (excessBytes > 0) {
+            this.#limits.budget.giveBack(excessBytes);
+            this.#reservedBytes -= excessBytes;
         }
     }
 }
