--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -51,7 +51,7 @@
     readonly mayWrite: () => boolean;
     /** Called once the first byte is being written. */
     readonly onWritten: () => void;
-    /** Whether the server may have left a part of the body unread when it responds or when the request is cancelled. */
+    /** Whether the server may not have read the whole body when the request is cancelled. */
     readonly mayLeaveUnread: boolean;
     /**
      * Called once a response is too large to be buffered.
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -16,7 +16,6 @@
 } from "../handover/handoverMessages.js";
 import { HandoverHandler, refuseHandover } from "../handover/handoverServer.js";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type LogFields } from "@galenaglade/telemetry";
 import { type Either, Left, Right } from "purify-ts";
 import { maxBufferedBodyBytes } from "../constants.js";
 import { type EdgeRequest, resolveEdgeRequest } from "../requests/edgeRequest.js";
@@ -30,6 +29,7 @@
 import { isStateFresh } from "../state/isStateFresh.js";
 import { type CallerConnections } from "./callerConnections.js";
 import { DisconnectReporter } from "./disconnectReporter.js";
+import { OutcomeReporter } from "./outcomeReporter.js";
 import { PendingRequest } from "./pendingRequest.js";
 import { type RequestDeadline } from "./requestDeadline.js";
 import { type StopPlan } from "../stopping/stopPlan.js";
@@ -53,11 +53,13 @@
     readonly #pending = new Map<ServerResponse, PendingRequest>();
     readonly #sends = new WeakMap<ServerResponse, SendRecord>();
     readonly #disconnectReporter: DisconnectReporter;
+    readonly #outcomeReporter: OutcomeReporter;
 
     constructor(deps: EdgeHandlerDeps) {
         super();
         this.#deps = deps;
         this.#disconnectReporter = new DisconnectReporter(deps);
+        this.#outcomeReporter = new OutcomeReporter(deps);
     }
 
     /** Limits the requests that are being handled to the schedule of a planned stop. */
@@ -151,7 +153,7 @@
                 return;
             }
             this.#fail(req, res, failure, pending.sends);
-            this.#reportFailure(req, undefined, failure, arrivedAtMs, undefined);
+            this.#outcomeReporter.onFailed(req, undefined, failure, arrivedAtMs, undefined);
             return;
         }
         await this.#serve(resolved.unsafeCoerce(), pending, req, res);
@@ -227,7 +229,7 @@
         try {
             if (body.isLeft()) {
                 const failure = this.#fail(req, res, body.extract(), sends);
-                this.#reportFailure(req, request, failure, request.arrivedAtMs, undefined);
+                this.#outcomeReporter.onFailed(req, request, failure, request.arrivedAtMs, undefined);
                 return;
             }
             await this.#exchange(request, body.unsafeCoerce(), pending, req, res);
@@ -289,7 +291,7 @@
         if (result.type !== "failed") {
             timeline.record("firstAnswer");
         }
-        this.#report(request, req, result, exchange, signal);
+        this.#outcomeReporter.onEnded(request, req, result, exchange, signal);
     }
 
     #createStartupRequest({ arrivedAtMs, route, rules }: EdgeRequest, req: IncomingMessage): StartupRequest {
@@ -362,86 +364,6 @@
         writeFailure(res, failure, undefined, this.#deps.callerConnections.closeIfDue(req));
         return failure;
     }
-
-    #report(
-        request: EdgeRequest,
-        req: IncomingMessage,
-        result: ExchangeResult,
-        exchange: Exchange,
-        signal: AbortSignal,
-    ): void {
-        if (result.type === "failed") {
-            this.#reportFailure(req, request, result.failure, request.arrivedAtMs, { exchange, signal });
-            return;
-        }
-        const { clock, log, metrics } = this.#deps;
-        const tookMs = Math.round(clock.monotonicMs() - request.arrivedAtMs);
-        const outcome = describeOutcome(result);
-        if (request.handedOverBy === undefined) {
-            metrics.onRequestEnded(request.route.name, outcome, tookMs);
-            this.#countWorkspace(request, tookMs <= request.route.objectiveMs ? "inTime" : "late");
-        }
-        else {
-            metrics.onHandoverReceived(outcome);
-        }
-        log.log("info", "requestEnded", {
-            requestId: request.requestId,
-            route: request.route.name,
-            service: request.rules.name,
-            workspace: workspaceName(request),
-            version: request.version,
-            outcome,
-            tookMs,
-            ...describeUnread(req),
-            ...exchange.describe(),
-        });
-    }
-
-    #countWorkspace(request: EdgeRequest, outcome: string): void {
-        const workspace = workspaceName(request);
-        if (workspace !== undefined) {
-            this.#deps.metrics.onWorkspaceRequest(workspace, outcome);
-        }
-    }
-
-    #reportFailure(
-        req: IncomingMessage,
-        request: EdgeRequest | undefined,
-        failure: Failure,
-        arrivedAtMs: number,
-        context: { readonly exchange: Exchange; readonly signal: AbortSignal; } | undefined,
-    ): void {
-        const { clock, log, metrics, view, metadataCodec } = this.#deps;
-        const nowMs = clock.monotonicMs();
-        const { status, retryAfterSeconds } = resolveFailure(failure);
-        const tookMs = Math.round(nowMs - arrivedAtMs);
-        if (request?.handedOverBy === undefined) {
-            metrics.onRequestEnded(request?.route.name ?? "", failure.kind, tookMs);
-        }
-        else {
-            metrics.onHandoverReceived(failure.kind);
-        }
-        if (request !== undefined && request.handedOverBy === undefined) {
-            this.#countWorkspace(request, failure.kind);
-        }
-        log.log("warn", "requestFailed", {
-            requestId: request?.requestId ?? metadataCodec.readRequest(req.rawHeaders).requestId,
-            route: request?.route.name,
-            service: request?.rules.name,
-            workspace: request && workspaceName(request),
-            version: request?.version ?? view.configurationInForce?.configuration.version,
-            kind: failure.kind,
-            detail: failure.detail,
-            status,
-            retryAfterSeconds,
-            tookMs,
-            ...describeUnread(req),
-            ...context?.exchange.describe(),
-            aborted: context?.signal.aborted === true ? String(context.signal.reason) : undefined,
-            sinceStoreMs: Math.round(nowMs - view.lastStoreContactMs),
-            sinceCurrentMs: Math.round(nowMs - view.currentAsOfMs),
-        });
-    }
 }
 
 /** Gives a request its final response before a planned stop ends, unless its response has begun. */
@@ -449,27 +371,11 @@
     deadline.limit(answerByMs, stopDeadlineReached, () => !res.headersSent);
 }
 
-function describeOutcome(result: Exclude<ExchangeResult, { readonly type: "failed"; }>): string {
-    if (result.type === "answered") {
-        return String(result.response.status);
-    }
-    return result.complete ? "streamed" : "truncated";
-}
-
 /** Sets the handover header on a response to another gateway. */
 function setHandoverOutcome(res: ServerResponse, outcome: HandoverOutcome): void {
     res.setHeader(handoverHeader, renderHandoverHeader(outcome));
 }
 
-/** @returns log fields of a request that was answered before all of it was read */
-function describeUnread(req: IncomingMessage): LogFields {
-    return { unread: req.complete ? undefined : true };
-}
-
-function workspaceName({ callerIdentity }: EdgeRequest): string | undefined {
-    return callerIdentity.type === "known" ? callerIdentity.workspace.name : undefined;
-}
-
 function resolveBodyBytes(req: IncomingMessage): number | undefined {
     if (req.headers["transfer-encoding"] !== undefined) {
         return undefined;
--- a/packages/edge/src/callers/pendingRequest.ts
+++ b/packages/edge/src/callers/pendingRequest.ts
@@ -3,7 +3,7 @@
 import { SendRecord } from "../requests/sendRecord.js";
 import { RequestDeadline } from "./requestDeadline.js";
 
-/** What a request waits for before its exchange begins. */
+/** What a request is waiting for: before its exchange begins, or in it. */
 export type PendingStage = "held" | "body" | "permit" | ExchangeStage;
 
 /** A request of a caller, or of another gateway, from its arrival until it has been handled. */
