Tests of disconnects: one server that reads late, and the common registration

The server of the held bodies now responds as well, in place of a second one written for a single test; entries are written by registerServer.

--- a/packages/edge/src/__tests__/callerDisconnects.test.ts
+++ b/packages/edge/src/__tests__/callerDisconnects.test.ts
@@ -8,6 +8,7 @@
     call,
     createConfiguration,
     eventually,
+    registerServer,
     renderSignedResponse,
     returns,
     startBackend,
@@ -60,14 +61,15 @@
     }
 }
 
-/** A server that reads the heads of requests and no body until it is told to. */
+/** A server that reads no bodies until it is told to, and responds to a request once it has read all of it. */
 class LateReader {
+    readonly id = "late";
+    readonly raw: { readonly port: number; };
     readonly work = new Work();
-    readonly port: number;
     readonly #sockets: Set<Socket>;
 
     private constructor(port: number, sockets: Set<Socket>) {
-        this.port = port;
+        this.raw = { port };
         this.#sockets = sockets;
     }
 
@@ -78,15 +80,25 @@
             socket.on("error", () => undefined);
             socket.on("data", chunk => {
                 text += chunk.toString("latin1");
-                if (text.startsWith("GET /health")) {
+                const [head = "", ...body] = text.split("\r\n\r\n");
+                if (body.length === 0) {
+                    return;
+                }
+                if (head.startsWith("GET /health")) {
                     text = "";
                     socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-server: late\r\nx-load: 0,0,9,1\r\n\r\n");
+                    return;
                 }
-                else if (!sockets.has(socket) && text.includes("\r\n\r\n")) {
+                if (!sockets.has(socket)) {
                     sockets.add(socket);
                     reader.work.begin(socket);
                     socket.pause();
                 }
+                const bytes = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+                const id = /x-id: (\S+)/.exec(head)?.[1] ?? "";
+                if (bytes > 0 && text.length === head.length + 4 + bytes) {
+                    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-id: ${id}\r\nx-signed: 1\r\n\r\nread`);
+                }
             });
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -107,21 +119,13 @@
     }
 }
 
-async function startPath(t: TestContext, port: number, id: string): Promise<TestEdge> {
+/** Starts a gateway in front of a server with nine slots, whose routes wait for longer than any test. */
+async function startPath(t: TestContext, server: Parameters<typeof registerServer>[1]): Promise<TestEdge> {
     const store = new MemoryStore();
     const routes = [{ ...tables, objectiveMs: timeoutMs, timeoutMs }, { ...returns, timeoutMs }];
     const configuration = createConfiguration(1, routes);
     store.put("configuration", { ...configuration, limits: { ...configuration.limits, maximumBodyBytes } });
-    store.put(`servers/${id}`, {
-        id,
-        service: "tables",
-        address: { host: "127.0.0.1", port },
-        availabilityZone: "north",
-        slots: 9,
-        state: "ready",
-        coldRemainingMs: 0,
-        startedAtEpochMs: 1,
-    });
+    registerServer(store, server, { slots: 9 });
     const edge = await startEdge(t, store);
     await waitUntilReady(edge);
     return edge;
@@ -150,7 +154,7 @@
         // Guards against a disconnect that reaches only the request whose response is due first.
         test(`servers are freed of all ${count} requests of a connection that is ${name}`, async t => {
             const { backend, work } = await startWorkingBackend(t);
-            const edge = await startPath(t, backend.raw.port, "a");
+            const edge = await startPath(t, backend);
             const caller = await openCaller(edge);
             caller.write(Array.from({ length: count }, (_, i) => renderHead(`/tables/${i}`)).join(""));
             await eventually(() => work.started >= Math.min(count, 3), "the requests reach the server");
@@ -169,7 +173,7 @@
         // Guards against an end that isn't read: it lies behind a body that its server doesn't read.
         test(`servers are freed although a body is held up (${position}, connection ${name})`, async t => {
             const reader = await LateReader.start(t);
-            const edge = await startPath(t, reader.port, "late");
+            const edge = await startPath(t, reader);
             const caller = await openCaller(edge);
             caller.write(first + renderHead("/tables/long", longBodyBytes));
             const written = new Promise<void>(resolve =>
@@ -190,7 +194,7 @@
 
 test("the log has a line for a connection that ends with requests on it, and one when their sends have ended", async t => {
     const { backend, work } = await startWorkingBackend(t);
-    const edge = await startPath(t, backend.raw.port, "a");
+    const edge = await startPath(t, backend);
     const caller = await openCaller(edge);
     caller.write(renderHead("/tables/1") + renderHead("/tables/2"));
     await eventually(() => work.started === 2, "the requests reach the server");
@@ -221,7 +225,7 @@
         work.begin(req.socket);
     });
     backend.load = "0,0,9,1";
-    const edge = await startPath(t, backend.raw.port, "a");
+    const edge = await startPath(t, backend);
     const caller = await openCaller(edge);
     caller.write(renderHead("/tables/1") + renderHead("/tables/ready"));
     await eventually(() => edge.logs.some(line => line["outcome"] === "200"), "the second response has arrived");
@@ -232,39 +236,14 @@
 });
 
 test("a body that its server reads late arrives whole", async t => {
-    const body = Buffer.alloc(longBodyBytes, "y");
-    let received = 0;
-    const server = createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.on("data", chunk => {
-            const text = chunk.toString("latin1");
-            if (text.startsWith("GET /health")) {
-                socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-server: late\r\nx-load: 0,0,9,1\r\n\r\n");
-                return;
-            }
-            received += text.includes("\r\n\r\n") ? text.length - text.indexOf("\r\n\r\n") - 4 : text.length;
-            const id = /x-id: (\S+)/.exec(text)?.[1];
-            if (id !== undefined) {
-                socket.pause();
-                setTimeout(() => socket.resume(), 400);
-                socket.on("data", () => {
-                    if (received === body.length) {
-                        socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-id: ${id}\r\nx-signed: 1\r\n\r\nread`);
-                    }
-                });
-            }
-        });
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    t.after(() => server.close());
-    const edge = await startPath(t, (server.address() as AddressInfo).port, "late");
-    const res = await request(`${edge.url}/returns/x`, {
-        method: "POST",
-        headers: { "host": "survey.example", "x-id": "late-1", "x-patience-ms": String(timeoutMs) },
-        body,
-    });
-    assert.deepEqual([res.statusCode, await res.body.text()], [200, "read"]);
-    assert.equal(received, body.length);
+    const reader = await LateReader.start(t);
+    const edge = await startPath(t, reader);
+    const response = call(edge, "/returns/x", { method: "POST", body: "y".repeat(longBodyBytes) });
+    await eventually(() => reader.work.started === 1, "the request reaches the server");
+    await sleep(settledAfterMs);
+    reader.readOn();
+    const { status, body } = await response;
+    assert.deepEqual([status, body], [200, "read"]);
 });
 
 for (const path of ["/tables/x", "/returns/x"]) {
@@ -298,16 +277,7 @@
     caller.destroy();
     await sleep(50);
     store.put("configuration", createConfiguration(1));
-    store.put("servers/a", {
-        id: "a",
-        service: "tables",
-        address: { host: "127.0.0.1", port: backend.raw.port },
-        availabilityZone: "north",
-        slots: 9,
-        state: "ready",
-        coldRemainingMs: 0,
-        startedAtEpochMs: 1,
-    });
+    registerServer(store, backend, { slots: 9 });
     release();
     await waitUntilReady(edge);
     await sleep(settledAfterMs);
@@ -317,7 +287,7 @@
 // Guards against a planned stop that waits for responses which nobody can get any more.
 test("a planned stop doesn't wait for requests whose caller has left", async t => {
     const { backend, work } = await startWorkingBackend(t);
-    const edge = await startPath(t, backend.raw.port, "a");
+    const edge = await startPath(t, backend);
     const caller = await openCaller(edge);
     caller.write(renderHead("/tables/1") + renderHead("/tables/2"));
     await eventually(() => work.started === 2, "the requests reach the server");
--- a/packages/edge/src/__tests__/support/simulatedCallers.ts
+++ b/packages/edge/src/__tests__/support/simulatedCallers.ts
@@ -264,6 +264,7 @@
         const ready = controller as unknown as Dispatcher.DispatchController;
         if (!isOpen) {
             await sleep(this.#draw(this.#scenario.maxConnectMs));
+            // As a `ServerConnection` does.
             await whenInputRead();
         }
         handler.onRequestStart?.(ready, {});
--- a/packages/edge/src/__tests__/support/testEdge.ts
+++ b/packages/edge/src/__tests__/support/testEdge.ts
@@ -109,7 +109,7 @@
 /** Writes a backend server's entry to the store. */
 export function registerServer(
     store: MemoryStore,
-    { id, raw }: TestBackend,
+    { id, raw }: { readonly id: string; readonly raw: { readonly port: number; }; },
     overrides: Partial<RegisteredServer> = {},
 ): void {
     store.put(
