Handle errors of responses that are written when their turn comes

A response that waits for its turn on the connection is written outside of its request's handling, where an exception would have ended the process and with it the requests of all callers. It is handed to the request now, which fails alone; a stream is reset.

No response of a server is known that can't be written; found by reading the diff.

--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -329,7 +329,11 @@
         }
         this.#setAnsweredOutcome(res, request, serverId);
         const close = callerConnections.closeIfDue(req);
-        writeWhenDue(res, () => writeResponse(res, request.method, response, close));
+        writeWhenDue(
+            res,
+            () => writeResponse(res, request.method, response, close),
+            err => this.#failUnexpectedly(err, req, res, sends),
+        );
     }
 
     #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
--- a/packages/edge/src/callers/responseWriter.ts
+++ b/packages/edge/src/callers/responseWriter.ts
@@ -9,14 +9,23 @@
  *
  * @param res - response to the caller
  * @param write - writes the response or a part of it
+ * @param onError - called if that fails after this call; nobody else could handle the error then
  */
-export function writeWhenDue(res: ServerResponse, write: () => void): void {
+export function writeWhenDue(res: ServerResponse, write: () => void, onError: (err: unknown) => void): void {
     if (res.socket !== null || res.destroyed) {
         write();
         return;
     }
+    const writeSafely = (): void => {
+        try {
+            write();
+        }
+        catch (err) {
+            onError(err);
+        }
+    };
     // The HTTP server emits the event in the middle of attaching the connection.
-    res.once("socket", () => process.nextTick(write));
+    res.once("socket", () => process.nextTick(writeSafely));
 }
 
 const noContentStatus = 204;
@@ -67,11 +76,12 @@
 
     override write(chunk: Buffer, resume: () => void): boolean {
         if (this.#res.socket === null && !this.#res.destroyed) {
-            writeWhenDue(this.#res, () => {
+            const writeFirst = (): void => {
                 if (this.write(chunk, resume)) {
                     resume();
                 }
-            });
+            };
+            writeWhenDue(this.#res, writeFirst, () => this.end(false));
             return false;
         }
         if (this.#res.destroyed || this.#res.write(chunk)) {
