Log and count responses that are given up as not whole, and those that nobody can confirm

Callers got bodies that weren't whole, and the log had no line for them: a response that ends with its connection was passed on like any other, and one that was given up showed only as a reason in a list of sends.

Change: each send that ends within a response logs responseIncomplete (framing, bytes declared and received, reason, whether its beginning was passed on); each response that is passed on although its framing can't show whether it is whole logs responseUnconfirmed. Both are counted.

--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -6,6 +6,7 @@
 import { type ResponseMetadataReader, type ResponseMetadata } from "../metadataCodec.js";
 import { classifyConnectionError } from "./classifyConnectionError.js";
 import { readRawHeaders } from "./readRawHeaders.js";
+import { type BodyReport, ResponseBody } from "./responseBody.js";
 import { type ServerConnection } from "./serverConnection.js";
 
 /** Status, headers and metadata of a backend server's response. */
@@ -18,6 +19,7 @@
 /** A backend server's response with its whole body. */
 export interface BufferedResponse extends ResponseHead {
     readonly body: Buffer;
+    readonly bodyReport: BodyReport;
     /**
      * Whether the end of the body was marked by closing the connection. A crash closes the connection too, so such a
      * response may be truncated.
@@ -70,6 +72,8 @@
     readonly streamed: boolean;
     /** Metadata of the response; `undefined` if no response head was received. */
     readonly metadata: ResponseMetadata | undefined;
+    /** How the body was framed, and how much of it was received; `undefined` if no response head was received. */
+    readonly body: BodyReport | undefined;
     readonly detail: string;
     /** Whether the server could be reached; `undefined` if unknown. */
     readonly contact: ServerContactResult | undefined;
@@ -119,6 +123,7 @@
     #isWritten = false;
     #isWriteRefused = false;
     #head: ResponseHead | undefined;
+    #body: ResponseBody | undefined;
     #contact: ServerContactResult | undefined;
     #sink: ResponseSink | undefined;
     #isSettled = false;
@@ -154,12 +159,14 @@
         }
         const headers = readRawHeaders(controller.rawHeaders);
         this.#head = { status, headers, metadata: this.#options.metadataReader.readResponse(status, headers) };
+        this.#body = new ResponseBody(this.#options.method, this.#head);
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
         if (this.#isSettled || this.#head === undefined) {
             return;
         }
+        this.#body?.onData(chunk);
         if (this.#sink === undefined) {
             this.#chunks.push(chunk);
             this.#bufferedBytes += chunk.length;
@@ -270,15 +277,17 @@
         const isBuffered = this.#head !== undefined && this.#sink === undefined && end.type === "answered";
         this.#resolve({
             end,
-            response: isBuffered && this.#head !== undefined
+            response: isBuffered && this.#head !== undefined && this.#body !== undefined
                 ? {
                     ...this.#head,
                     body: Buffer.concat(this.#chunks),
+                    bodyReport: this.#body.report(),
                     endedByClose: isEndedByClose(this.#options.method, this.#head.status, this.#head.headers),
                 }
                 : undefined,
             streamed: this.#sink !== undefined,
             metadata: this.#head?.metadata,
+            body: this.#body?.report(),
             detail,
             contact: this.#contact,
             tookMs: performance.now() - this.#startedAtMs,
--- a/packages/edge/src/callers/outcomeReporter.ts
+++ b/packages/edge/src/callers/outcomeReporter.ts
@@ -50,6 +50,28 @@
             ...describeUnread(req),
             ...exchange.describe(),
         });
+        this.#reportUnconfirmed(request, result);
+    }
+
+    /** Reports a response that is passed on although its framing doesn't show whether it is whole. */
+    #reportUnconfirmed(
+        { requestId, route, rules }: EdgeRequest,
+        result: Exclude<ExchangeResult, { readonly type: "failed"; }>,
+    ): void {
+        const body = result.type === "answered" ? result.response.bodyReport : result.body;
+        if (body?.framing !== "untilClose" || (result.type === "streamed" && !result.complete)) {
+            return;
+        }
+        const { log, metrics } = this.#deps;
+        const passedOn = result.type === "answered" ? "buffered" : "streamed";
+        metrics.onUnconfirmedResponse(rules.name, passedOn);
+        log.log("info", "responseUnconfirmed", {
+            requestId,
+            route: route.name,
+            service: rules.name,
+            passedOn,
+            ...body,
+        });
     }
 
     /**
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -8,6 +8,7 @@
 import { maxBufferedResponseBytes, maxHandoverAttempts } from "../constants.js";
 import { type EdgeRequest } from "../requests/edgeRequest.js";
 import { describeSendEnd } from "../requests/describeSendEnd.js";
+import { reportIncompleteResponse } from "../requests/reportIncompleteResponse.js";
 import { type ExchangeDeps } from "../requests/exchangeDeps.js";
 import { type HandoverMetadata } from "./handoverMessages.js";
 import { type Handover, handOver, type HandoverResult } from "./handoverSend.js";
@@ -150,6 +151,7 @@
         }
         this.#failure = failure ?? this.#failure;
         this.#updateReachability(gateway.name, ended, nowMs);
+        reportIncompleteResponse(this.#input.deps, this.#input.request, gateway.name, ended);
         const label = describeOutcome(ended);
         metrics.onHandedOver(service, label);
         log.log("info", "handedOver", {
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -248,9 +248,9 @@
     async #processEnd(ended: FinishedSend): Promise<ExchangeResult | undefined> {
         const { underWay, result } = ended;
         this.#unprocessed.delete(underWay);
-        const { end, response } = result;
+        const { end, response, body } = result;
         if (result.streamed) {
-            return { type: "streamed", complete: end.type === "answered" };
+            return { type: "streamed", complete: end.type === "answered", body };
         }
         if (this.#streaming) {
             // The caller already has the beginning of another send's response.
--- a/packages/edge/src/requests/localReplies.ts
+++ b/packages/edge/src/requests/localReplies.ts
@@ -3,6 +3,7 @@
 import { type KeyChange } from "@galenaglade/workspaces";
 import { type Decision } from "@galenaglade/rate-limit";
 import { type RandomSource } from "@galenaglade/routing";
+import { type BodyReport } from "../backends/responseBody.js";
 import { type BufferedResponse } from "../backends/sendRequest.js";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { type PlacementFailure } from "./placer.js";
@@ -14,7 +15,7 @@
 export type ExchangeResult =
     | { readonly type: "answered"; readonly response: BufferedResponse; }
     /** The response was streamed to the caller, completely or truncated. */
-    | { readonly type: "streamed"; readonly complete: boolean; }
+    | { readonly type: "streamed"; readonly complete: boolean; readonly body?: BodyReport | undefined; }
     | { readonly type: "failed"; readonly failure: Failure; };
 
 /** What is known, besides its sends, about why a request wasn't served. */
--- a/packages/edge/src/requests/sendResultHandler.ts
+++ b/packages/edge/src/requests/sendResultHandler.ts
@@ -6,6 +6,7 @@
 import { type QuarantineGuard } from "../quarantine/quarantineGuard.js";
 import { type EdgeRequest } from "./edgeRequest.js";
 import { describeSendEnd } from "./describeSendEnd.js";
+import { reportIncompleteResponse } from "./reportIncompleteResponse.js";
 import { type LazyContentId } from "./lazyContentId.js";
 import { type ExchangeDeps } from "./exchangeDeps.js";
 import { type SendPurpose } from "./exchangePlacement.js";
@@ -76,6 +77,7 @@
                 tookMs: Math.round(tookMs),
             });
         }
+        reportIncompleteResponse(this.#deps, this.#request, server.id, result);
         if (isPossibleServerCrash(end)) {
             this.#livenessChecks.push(this.#checkLostServer(sendResult));
         }
--- a/packages/edge/src/telemetry/edgeLog.ts
+++ b/packages/edge/src/telemetry/edgeLog.ts
@@ -35,6 +35,8 @@
     | "retryBudgetSpent"
     | "sendLost"
     | "notAnAnswer"
+    | "responseIncomplete"
+    | "responseUnconfirmed"
     | "serverLimit"
     | "serverRest"
     | "serverLeaving"
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -14,6 +14,8 @@
     readonly #waits;
     readonly #sends;
     readonly #lostSends;
+    readonly #incompleteResponses;
+    readonly #unconfirmedResponses;
     readonly #repeats;
     readonly #contentStates;
     readonly #limits;
@@ -58,6 +60,14 @@
         this.#lostSends = meter.createCounter("galenaglade.lost_sends", {
             description: "sends whose connection was lost, by service and by what became of the server",
         });
+        this.#incompleteResponses = meter.createCounter("galenaglade.responses_incomplete", {
+            description: "responses that were given up as not whole, by service, framing and how they ended",
+        });
+        this.#unconfirmedResponses = meter.createCounter("galenaglade.responses_unconfirmed", {
+            description:
+                "responses that ended with their connection and were passed on, so that nobody knows whether they are "
+                + "whole, by service and whether they were buffered or streamed",
+        });
         this.#repeats = meter.createCounter("galenaglade.repeats", {
             description:
                 "repeats of requests, by service, purpose and whether the retry budget allowed them; not counted "
@@ -133,6 +143,16 @@
         this.#lostSends.add(1, { service, state });
     }
 
+    /** @param end - why the response counts as not whole */
+    onIncompleteResponse(service: string, framing: string, end: string): void {
+        this.#incompleteResponses.add(1, { service, framing, end });
+    }
+
+    /** @param passedOn - `buffered` or `streamed` */
+    onUnconfirmedResponse(service: string, passedOn: string): void {
+        this.#unconfirmedResponses.add(1, { service, passedOn });
+    }
+
     /** @param decision - `sent`, `refused` or `notCounted` */
     onRepeat(service: string, purpose: string, decision: string): void {
         this.#repeats.add(1, { service, purpose, decision });
