--- /dev/null
+++ b/packages/edge/src/__tests__/brokenResponses.test.ts
@@ -0,0 +1,104 @@
+import { type RawRequest, sendRawRequest } from "@galenaglade/stand-ins";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { readResponse, type ReadResponse } from "./support/readResponse.js";
+import { startBackend, startEdgeWith } from "./support/testEdge.js";
+
+const body = "0123456789abcdef".repeat(125);
+/** More than a gateway buffers. */
+const largeBody = body.repeat(300);
+/** Pause of a server that stutters, in milliseconds. */
+const stutterMs = 40;
+
+let requestCount = 0;
+
+/** @returns a signed response's head, with further headers */
+function renderHead(req: RawRequest, ...headers: readonly string[]): string {
+    const identity = [`x-id: ${req.headers.get("x-id") ?? ""}`, "x-signed: 1"];
+    return ["HTTP/1.1 200 OK", ...identity, ...headers, "", ""].join("\r\n");
+}
+
+/** Sends a request to a gateway whose only server responds like this. @returns what its caller reads */
+async function ask(
+    t: TestContext,
+    serve: (req: RawRequest) => void,
+    method: "GET" | "POST" = "GET",
+): Promise<ReadResponse> {
+    const edge = await startEdgeWith(t, await startBackend(t, "a", serve));
+    const path = method === "GET" ? "/tables/x" : "/returns/x";
+    const lines = [`${method} ${path} HTTP/1.1`, "host: survey.example", `x-id: broken-${++requestCount}`];
+    const head = [...lines, "x-patience-ms: 4000", "connection: close", "", ""].join("\r\n");
+    const response = readResponse(await sendRawRequest(edge.url, head));
+    assert.ok(response, "the caller gets a response");
+    return response;
+}
+
+function assertNotTakenForWhole({ status, looksWhole, framing, body: received }: ReadResponse): void {
+    const shown = `${status} with ${received.length} bytes, framed by ${framing}`;
+    assert.ok(status >= 500 || !looksWhole, `${shown}, looks whole`);
+}
+
+for (const [name, sent] of [["short", body], ["large", largeBody]] as const) {
+    const half = sent.slice(0, sent.length / 2);
+    for (const method of ["GET", "POST"] as const) {
+        // Guards against half a body that is passed on as a whole one, because a busy gateway reads a reset as an end.
+        test(`${name} response without a length, reset midway (${method}): it never looks whole`, async t => {
+            const response = await ask(t, req => {
+                req.socket.write(renderHead(req) + half);
+                req.socket.resetAndDestroy();
+            }, method);
+            assertNotTakenForWhole(response);
+        });
+    }
+
+    // Guards against a framing that says that a response is whole where its server's framing doesn't say so.
+    for (const coding of [undefined, "identity"]) {
+        const headers = coding === undefined ? [] : [`transfer-encoding: ${coding}`];
+        const framed = coding === undefined ? "without a length" : `with the ${coding} coding`;
+        test(`${name} response ${framed}: its caller gets it without a length`, async t => {
+            const response = await ask(t, req => req.socket.end(renderHead(req, ...headers) + sent));
+            assert.deepEqual([response.status, response.framing], [200, "untilClose"]);
+            assert.equal(response.body, sent);
+        });
+    }
+
+    // Guards against encoded bytes that are passed on as the body.
+    for (const coding of ["gzip", "gzip, chunked"]) {
+        test(`${name} response in the transfer coding ${coding}: it is given up`, async t => {
+            const chunk = coding.endsWith("chunked") ? `${sent.length.toString(16)}\r\n${sent}\r\n0\r\n\r\n` : sent;
+            assertNotTakenForWhole(
+                await ask(t, req => req.socket.end(renderHead(req, `transfer-encoding: ${coding}`) + chunk)),
+            );
+        });
+    }
+
+    for (const method of ["GET", "POST"] as const) {
+        // Guards against the head and the beginning of a repeated response within the first one's body.
+        test(`${name} response that begins again midway (${method}): it never looks whole`, async t => {
+            const response = await ask(t, req => {
+                const whole = renderHead(req, `content-length: ${sent.length}`) + sent;
+                req.socket.write(whole.slice(0, 200));
+                setTimeout(() => req.socket.write(whole), stutterMs);
+            }, method);
+            assertNotTakenForWhole(response);
+        });
+    }
+}
+
+// Guards against the late second response to one send that is taken for the response to the next send of its request.
+test("a request that is sent again doesn't get a late response to its first send", async t => {
+    let sends = 0;
+    const { body: received } = await ask(t, req => {
+        sends++;
+        const text = sends === 1 ? "first" : "again";
+        const render = (status: string): string =>
+            `${renderHead(req, `content-length: ${text.length}`).replace("200 OK", status)}${text}`;
+        if (sends > 1) {
+            setTimeout(() => req.socket.write(render("200 OK")), 100);
+            return;
+        }
+        req.socket.write(render("500 Failed"));
+        setTimeout(() => req.socket.write(render("200 OK")), 30);
+    });
+    assert.equal(received, "again");
+});
