Tell a reset from the end of a response that ends with its connection, also in a busy process

Callers got 200 with half a body that ended like a whole one.

Cause: a response without a length ends with its connection, and the gateway told a reset from a close by the socket's error. libuv reports bytes and a reset that it finds in one poll as bytes and an end, without an error: whatever trusts the error is right only while the process is quick. Besides, the HTTP client takes an ECONNRESET behind such a response for its end, on every platform, and the flag that made up for it was read in one place only.

Change: a client's socket passes the end of such a response on once an empty write has succeeded, which a reset connection refuses. A reset within a response of any framing has an error of its own, which the HTTP client doesn't take for an end. All connections to servers, gateways, the store and peers are such sockets, so that no reader has to check by itself; ServerConnection.socketFailed is gone.

--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -235,7 +235,7 @@
 
     /** A response with any fault is discarded: it may be the rest of another response, or a part of this one. */
     #findFault({ status, headers, metadata }: ResponseHead): UnknownRunReason | undefined {
-        const { requestId, isFirstRequest, connection } = this.#options;
+        const { requestId, isFirstRequest } = this.#options;
         // A server may reject a request before it has read the request id. On the first request of a connection, the
         // rejection can't refer to another request.
         const isUnidentified = metadata.requestId === undefined && isFirstRequest && metadata.notRun;
@@ -245,9 +245,6 @@
         if (findHeader(headers, "content-encoding") !== undefined) {
             return "encoded";
         }
-        if (isEndedByClose(this.#options.method, status, headers) && connection.socketFailed) {
-            return "cutShort";
-        }
         return status < 300 && !metadata.signed ? "notSigned" : undefined;
     }
 
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -22,7 +22,6 @@
 export class ServerConnection {
     readonly address: ServerAddress;
     readonly #client: Client;
-    #socketFailed = false;
     #destroyed = false;
     #hasResponded = false;
     #socket: Socket | undefined;
@@ -60,14 +59,6 @@
         });
     }
 
-    /**
-     * Whether the connection was reset. The client reports a response without a declared length as complete when its
-     * connection is reset, so readers of such a response must check this as well.
-     */
-    get socketFailed(): boolean {
-        return this.#socketFailed;
-    }
-
     dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
         this.#client.dispatch(options, handler);
     }
@@ -101,14 +92,9 @@
 
     #watchSocket(socket: Socket): void {
         this.#socket = socket;
-        this.#socketFailed = false;
         this.#hasResponded = false;
         socket.once("close", () => {
             this.#hasResponded = false;
         });
-        // Registered before the client's own listener, so that the flag is set when the client reports the response.
-        socket.on("error", () => {
-            this.#socketFailed = true;
-        });
     }
 }
--- /dev/null
+++ b/packages/httpParts/src/__tests__/boundedSocket.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { Client } from "undici";
+import { createConnector } from "../outgoing/createConnector.js";
+
+const bodyBytes = 1_000;
+
+/** How a server ends its connection behind a part of a response, in the turn in which it writes that part. */
+const endings: Readonly<Record<"closed" | "reset", (socket: Socket) => void>> = {
+    closed: socket => socket.end(),
+    reset: socket => socket.resetAndDestroy(),
+};
+
+const heads: Readonly<Record<string, readonly string[]>> = {
+    "without a length": ["HTTP/1.1 200 OK"],
+    "without a length, to be closed": ["HTTP/1.1 200 OK", "connection: close"],
+    "of HTTP/1.0": ["HTTP/1.0 200 OK"],
+    "with the identity coding": ["HTTP/1.1 200 OK", "transfer-encoding: identity"],
+};
+
+/** Starts a server that writes a head and a body, and ends the connection at once. @returns a client of it */
+async function startServer(
+    t: TestContext,
+    head: readonly string[],
+    end: (socket: Socket) => void,
+): Promise<Client> {
+    const response = [...head, "", "x".repeat(bodyBytes)].join("\r\n");
+    const server = createServer(socket => {
+        socket.on("error", () => socket.destroy());
+        socket.once("data", () => {
+            socket.write(response);
+            end(socket);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const client = new Client(`http://127.0.0.1:${port}`, { connect: createConnector({ timeoutMs: 1_000 }) });
+    t.after(async () => {
+        await client.destroy();
+        server.close();
+    });
+    return client;
+}
+
+/** @returns the number of body bytes; the error's name if the response failed */
+async function read(client: Client): Promise<number | string> {
+    try {
+        const { body } = await client.request({ method: "GET", path: "/" });
+        return (await body.arrayBuffer()).byteLength;
+    }
+    catch (err) {
+        return (err as Error).name;
+    }
+}
+
+for (const [name, head] of Object.entries(heads)) {
+    // Guards against a reset that is found together with the bytes before it and is taken for the end of the response.
+    test(`response ${name}, reset while its reader is busy: it fails`, async t => {
+        assert.equal(await read(await startServer(t, head, endings.reset)), "ResponseResetError");
+    });
+
+    // Guards against whole responses that are lost because their end is in doubt.
+    test(`response ${name}, closed while its reader is busy: it is read whole`, async t => {
+        assert.equal(await read(await startServer(t, head, endings.closed)), bodyBytes);
+    });
+}
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -9,6 +9,7 @@
 export { enableLingeringClose, lingerIdleMs } from "./lingeringClose.js";
 export { listen, type ListenAddress } from "./listen.js";
 export { type BodyFraming, resolveBodyFraming } from "./outgoing/bodyFraming.js";
+export { ResponseResetError } from "./outgoing/boundedSocket.js";
 export { type ConnectorOptions, createConnector } from "./outgoing/createConnector.js";
 export { ResponseFramingError } from "./outgoing/responseFraming.js";
 export { parseJson } from "./parseJson.js";
--- a/packages/httpParts/src/outgoing/boundedSocket.ts
+++ b/packages/httpParts/src/outgoing/boundedSocket.ts
@@ -1,9 +1,28 @@
 import { Socket } from "node:net";
 import { type FramingLimits, ResponseFraming, ResponseFramingError } from "./responseFraming.js";
 
+/**
+ * A connection that was reset while a response was being received. It has a code of its own: the HTTP client takes an
+ * `ECONNRESET` behind a response for the response's end.
+ */
+export class ResponseResetError extends Error {
+    override readonly name = "ResponseResetError";
+    readonly code = "ERR_RESPONSE_RESET";
+
+    /** @param cause - error of the connection */
+    constructor(cause: Error) {
+        super(`the connection was reset within a response (${cause.message})`, { cause });
+    }
+}
+
+const resetCodes: ReadonlySet<string | undefined> = new Set(["ECONNRESET", "EPIPE"]);
+const noBytes = Buffer.alloc(0);
+/** Marks the end of a stream's bytes. */
+const endOfStream = null;
+
 /**
  * A client's socket that is destroyed with a {@link ResponseFramingError} once a response on it exceeds a limit, before
- * the HTTP parser gets the bytes.
+ * the HTTP parser gets the bytes, and with a {@link ResponseResetError} if it is reset within a response.
  */
 export class BoundedSocket extends Socket {
     readonly #framing: ResponseFraming;
@@ -15,6 +34,10 @@
     }
 
     override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+        if (chunk === endOfStream && this.#framing.isOpenEnded && !this.destroyed) {
+            this.#confirmEnd();
+            return false;
+        }
         if (this.destroyed || !Buffer.isBuffer(chunk)) {
             return super.push(chunk, encoding);
         }
@@ -30,4 +53,24 @@
         }
         return super.push(chunk, encoding);
     }
+
+    override destroy(err?: NodeJS.ErrnoException): this {
+        const isReset = resetCodes.has(err?.code) && this.#framing.isReceiving;
+        return super.destroy(err !== undefined && isReset ? new ResponseResetError(err) : err);
+    }
+
+    /**
+     * Passes the end of a response on that ends with its connection, unless the connection was reset: libuv reports bytes
+     * and a reset that it finds in one poll as bytes and an end. Only a write then fails, also an empty one.
+     */
+    #confirmEnd(): void {
+        this.write(noBytes, err => {
+            if (err instanceof Error) {
+                return;
+            }
+            super.push(endOfStream);
+            // Lets the end be emitted although nobody waits for more bytes.
+            this.read(0);
+        });
+    }
 }
--- a/packages/httpParts/src/outgoing/responseFraming.ts
+++ b/packages/httpParts/src/outgoing/responseFraming.ts
@@ -1,3 +1,5 @@
+import { resolveBodyFraming } from "./bodyFraming.js";
+
 /** Part of a response that isn't payload and has a limit of its own. */
 export type FramingPart = "head" | "interimResponses" | "chunkSize" | "trailers";
 
@@ -41,8 +43,6 @@
 const lineFeed = 0x0a;
 const statusLine = /^HTTP\/\d\.\d (\d{3})/;
 const switchingProtocols = 101;
-const noContent = 204;
-const notModified = 304;
 
 /**
  * Follows the framing of the HTTP/1.1 responses on one connection (RFC 9112) and measures what isn't payload. It rejects
@@ -64,6 +64,16 @@
         this.#limits = limits;
     }
 
+    /** Whether a response's body is being received that ends with the connection. */
+    get isOpenEnded(): boolean {
+        return this.#state.type === "payloadUntilClose";
+    }
+
+    /** Whether a part of a response has been received and its end has not. */
+    get isReceiving(): boolean {
+        return this.#state.type !== "head" || this.#line !== "" || this.#headLines.length > 0;
+    }
+
     /**
      * Processes received bytes.
      *
@@ -168,23 +178,19 @@
     }
 
     #beginPayload(status: number, headers: readonly string[]): void {
-        const coding = findHeaderValue(headers, "transfer-encoding");
-        const length = Number(findHeaderValue(headers, "content-length") ?? Number.NaN);
-        this.#isChunked = false;
-        if (status === noContent || status === notModified) {
-            this.#begin({ type: "head" });
-            return;
-        }
-        if (coding?.toLowerCase().endsWith("chunked") === true) {
-            this.#isChunked = true;
+        const framing = resolveBodyFraming(undefined, status, name => findHeaderValues(headers, name));
+        this.#isChunked = framing.type === "chunked" || (framing.type === "encoded" && framing.isChunked);
+        if (this.#isChunked) {
             this.#begin({ type: "chunkSize" });
             return;
         }
-        if (coding !== undefined || !Number.isInteger(length) || status === switchingProtocols) {
-            this.#begin({ type: "payloadUntilClose" });
+        if (framing.type === "none" || (framing.type === "length" && framing.bytes === 0)) {
+            this.#begin({ type: "head" });
             return;
         }
-        this.#begin(length > 0 ? { type: "payload", left: length } : { type: "head" });
+        this.#begin(
+            framing.type === "length" ? { type: "payload", left: framing.bytes } : { type: "payloadUntilClose" },
+        );
     }
 
     #onChunkSize(line: string): void {
@@ -201,12 +207,13 @@
     }
 }
 
-function findHeaderValue(headers: readonly string[], name: string): string | undefined {
+function findHeaderValues(headers: readonly string[], name: string): readonly string[] {
+    const values: string[] = [];
     for (const header of headers) {
         const colon = header.indexOf(":");
         if (header.slice(0, colon).toLowerCase() === name) {
-            return header.slice(colon + 1).trim();
+            values.push(header.slice(colon + 1).trim());
         }
     }
-    return undefined;
+    return values;
 }
