Keep the framing of large responses that end with their connection

Callers got half a body in chunks, with the last chunk: 28 of 28 responses without a length over 262,144 bytes whose server closed in the middle.

Cause: buffered responses kept the framing of their server, streamed ones were written without a thought of it, and Node sends what has no length in chunks. The two wrote their heads apart.

Change: one function writes the head of every server's response, buffered or streamed, and one check decides whether the caller can get it in its framing: a response that ends with its connection is passed on only where no other response is due behind it. The sink of such a response is refused otherwise, and the send counts as cut short.

--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -14,17 +14,16 @@
     readonly status: number;
     readonly headers: RawHeaders;
     readonly metadata: ResponseMetadata;
+    /**
+     * Whether the body ends with its connection. A crash closes the connection too, so such a response may be truncated.
+     */
+    readonly endedByClose: boolean;
 }
 
 /** A backend server's response with its whole body. */
 export interface BufferedResponse extends ResponseHead {
     readonly body: Buffer;
     readonly bodyReport: BodyReport;
-    /**
-     * Whether the end of the body was marked by closing the connection. A crash closes the connection too, so such a
-     * response may be truncated.
-     */
-    readonly endedByClose: boolean;
 }
 
 /** Receives the body of a response that is too large to be buffered. */
@@ -158,7 +157,12 @@
             return;
         }
         const headers = readRawHeaders(controller.rawHeaders);
-        this.#head = { status, headers, metadata: this.#options.metadataReader.readResponse(status, headers) };
+        this.#head = {
+            status,
+            headers,
+            metadata: this.#options.metadataReader.readResponse(status, headers),
+            endedByClose: isEndedByClose(this.#options.method, status, headers),
+        };
         this.#body = new ResponseBody(this.#options.method, this.#head);
     }
 
@@ -279,7 +283,6 @@
                     ...this.#head,
                     body: Buffer.concat(this.#chunks),
                     bodyReport: this.#body.report(),
-                    endedByClose: isEndedByClose(this.#options.method, this.#head.status, this.#head.headers),
                 }
                 : undefined,
             streamed: this.#sink !== undefined,
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -23,7 +23,7 @@
 import { type SendRecord } from "../requests/sendRecord.js";
 import { createStoppingFailure, type ExchangeResult } from "../requests/localReplies.js";
 import { callerGone, cutoffReached, type ExchangeDeps, stopDeadlineReached } from "../requests/exchangeDeps.js";
-import { type BufferedResponse } from "../backends/sendRequest.js";
+import { type BufferedResponse, type ResponseHead } from "../backends/sendRequest.js";
 import { CallerSink, writeResponse, writeWhenDue } from "./responseWriter.js";
 import { type InitialSyncGate } from "../state/initialSyncGate.js";
 import { isStateFresh } from "../state/isStateFresh.js";
@@ -269,6 +269,9 @@
             sends,
             signal,
             head => {
+                if (!this.#canFrame(head, req)) {
+                    return undefined;
+                }
                 this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
                 sink = new CallerSink(res, head, callerConnections.closeIfDue(req));
                 return sink;
@@ -322,8 +325,7 @@
         if (res.destroyed || hasDisconnected(req)) {
             return;
         }
-        // A response that is framed by the end of its connection would cut off the responses behind it.
-        if (response.endedByClose && !callerConnections.closeIfLast(req)) {
+        if (!this.#canFrame(response, req)) {
             this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"), sends);
             return;
         }
@@ -336,6 +338,14 @@
         );
     }
 
+    /**
+     * @returns whether the caller can get a response in its framing: one that ends with its connection cuts off the
+     * responses behind it
+     */
+    #canFrame({ endedByClose }: ResponseHead, req: IncomingMessage): boolean {
+        return !endedByClose || this.#deps.callerConnections.closeIfLast(req);
+    }
+
     #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
         if (this.#handovers.has(res)) {
             setHandoverOutcome(res, { type: "answered", version, ...(server === undefined ? {} : { server }) });
--- a/packages/edge/src/callers/responseWriter.ts
+++ b/packages/edge/src/callers/responseWriter.ts
@@ -40,24 +40,40 @@
  * @param close - whether to close the caller's connection after it
  */
 export function writeResponse(res: ServerResponse, method: string, response: BufferedResponse, close: boolean): void {
-    const { status, headers, body } = response;
+    const { status, body } = response;
     const hasBody = method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
+    writeHead(res, response, hasBody ? body.length : undefined, close);
+    res.end(hasBody ? body : undefined);
+}
+
+/**
+ * Writes the head of a backend server's response. It frames the body so that it looks whole to the caller only if its
+ * server's framing shows that it is.
+ *
+ * @param bodyBytes - length of the body, if it is known to be whole
+ */
+function writeHead(
+    res: ServerResponse,
+    { status, headers, endedByClose }: ResponseHead,
+    bodyBytes: number | undefined,
+    close: boolean,
+): void {
+    const isLengthKnown = bodyBytes !== undefined && !endedByClose;
     const kept = filterEndToEndHeaders(
         headers,
-        name => name === handoverHeader || (hasBody && name === "content-length"),
+        name => name === handoverHeader || (isLengthKnown && name === "content-length"),
     );
-    if (response.endedByClose) {
-        // May be truncated: a content-length would make it look complete, so it keeps the server's framing.
+    if (endedByClose) {
+        // Node would send it in chunks otherwise, with a last one at its end.
         res.removeHeader("transfer-encoding");
     }
-    else if (hasBody) {
-        kept.push("content-length", String(body.length));
+    if (isLengthKnown) {
+        kept.push("content-length", String(bodyBytes));
     }
-    if (close || response.endedByClose) {
+    if (close || endedByClose) {
         kept.push("connection", "close");
     }
     res.writeHead(status, kept);
-    res.end(hasBody ? body : undefined);
 }
 
 /** Streams a large response to the caller as it arrives. */
@@ -67,11 +83,7 @@
     constructor(res: ServerResponse, head: ResponseHead, close: boolean) {
         super();
         this.#res = res;
-        const kept = filterEndToEndHeaders(head.headers, name => name === handoverHeader);
-        if (close) {
-            kept.push("connection", "close");
-        }
-        res.writeHead(head.status, kept);
+        writeHead(res, head, undefined, close);
     }
 
     override write(chunk: Buffer, resume: () => void): boolean {
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -53,7 +53,7 @@
     readonly #request: EdgeRequest;
     readonly #body: RequestBody;
     readonly #signal: AbortSignal;
-    readonly #openSink: (head: ResponseHead) => ResponseSink;
+    readonly #openSink: (head: ResponseHead) => ResponseSink | undefined;
     readonly #onSent: () => void;
     readonly #sends: SendRecord;
     readonly #inFlight = new Set<PendingSend>();
@@ -83,7 +83,8 @@
      * @param body - body of the request
      * @param sends - record of its sends
      * @param signal - aborted when the final response is due, or when the caller has disconnected
-     * @param openSink - starts streaming a response to the caller that is too large to buffer
+     * @param openSink - starts streaming a response to the caller that is too large to buffer; returns `undefined` if the
+     * caller can't get it
      * @param onSent - called with each send
      * @param whenInputRead - resolves once what had arrived on the caller's connection was read
      */
@@ -93,7 +94,7 @@
         body: RequestBody,
         sends: SendRecord,
         signal: AbortSignal,
-        openSink: (head: ResponseHead) => ResponseSink,
+        openSink: (head: ResponseHead) => ResponseSink | undefined,
         onSent: () => void = () => undefined,
         whenInputRead: () => Promise<void> = () => Promise.resolve(),
     ) {
@@ -492,8 +493,9 @@
             return undefined;
         }
         this.#respondingServerId = serverId;
-        this.#streaming = true;
-        return this.#openSink(head);
+        const sink = this.#openSink(head);
+        this.#streaming = sink !== undefined;
+        return sink;
     }
 
     /** Waits until a send ends, the hedge is due, or the request is aborted. */
