Determine a response's framing in one place, transfer codings other than chunked included

Cause: 'has a transfer-encoding' was taken for 'is framed by itself', apart in the edge, in the product's gateway and in the limits on framing. A body in any coding but chunked ends with its connection (RFC 9112, 6.3).

Change: resolveBodyFraming in http-parts is the only place that reads the two headers. The identity coding frames by the end of the connection, so that the caller gets that framing too. A response in any other coding is given up ('encoded'), also one in chunks of another coding: the coding isn't passed on, so that the caller would take encoded bytes for the body. The product's gateway never counts either as whole. The head for the caller follows from the framing alone.

--- a/packages/edge/src/backends/responseBody.ts
+++ b/packages/edge/src/backends/responseBody.ts
@@ -1,4 +1,4 @@
-import { type BodyFraming, findHeaders, type RawHeaders, resolveBodyFraming } from "@galenaglade/http-parts";
+import { type BodyFraming } from "@galenaglade/http-parts";
 
 /** How a response's body was framed, and how much of it was received. */
 export interface BodyReport {
@@ -10,15 +10,12 @@
 
 /** The body of one response while it is received. */
 export class ResponseBody {
-    readonly framing: BodyFraming;
+    readonly #framing: BodyFraming;
     #receivedBytes = 0;
 
-    /**
-     * @param method - method of the request
-     * @param head - status and headers of the response
-     */
-    constructor(method: string, { status, headers }: { readonly status: number; readonly headers: RawHeaders; }) {
-        this.framing = resolveBodyFraming(method, status, name => findHeaders(headers, name));
+    /** @param framing - how its end is marked */
+    constructor(framing: BodyFraming) {
+        this.#framing = framing;
     }
 
     /** Counts received bytes. */
@@ -28,7 +25,7 @@
 
     /** @returns what is known of the body so far */
     report(): BodyReport {
-        const { framing } = this;
+        const framing = this.#framing;
         return {
             framing: framing.type,
             declaredBytes: framing.type === "length" ? framing.bytes : undefined,
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -1,4 +1,11 @@
-import { findHeader, type RawHeaders, ResponseFramingError } from "@galenaglade/http-parts";
+import {
+    type BodyFraming,
+    findHeader,
+    findHeaders,
+    type RawHeaders,
+    resolveBodyFraming,
+    ResponseFramingError,
+} from "@galenaglade/http-parts";
 import { type NotRunReason, type SendEnd, type UnknownRunReason } from "@galenaglade/placement";
 import { type ServerContactResult } from "@galenaglade/reachability";
 import { type Readable } from "node:stream";
@@ -14,10 +21,7 @@
     readonly status: number;
     readonly headers: RawHeaders;
     readonly metadata: ResponseMetadata;
-    /**
-     * Whether the body ends with its connection. A crash closes the connection too, so such a response may be truncated.
-     */
-    readonly endedByClose: boolean;
+    readonly framing: BodyFraming;
 }
 
 /** A backend server's response with its whole body. */
@@ -89,8 +93,6 @@
 }
 
 const misdirectedStatus = 421;
-const noContentStatus = 204;
-const notModifiedStatus = 304;
 
 /**
  * Sends a request to a backend server over one connection and reads the response.
@@ -157,13 +159,10 @@
             return;
         }
         const headers = readRawHeaders(controller.rawHeaders);
-        this.#head = {
-            status,
-            headers,
-            metadata: this.#options.metadataReader.readResponse(status, headers),
-            endedByClose: isEndedByClose(this.#options.method, status, headers),
-        };
-        this.#body = new ResponseBody(this.#options.method, this.#head);
+        const framing = resolveBodyFraming(this.#options.method, status, name => findHeaders(headers, name));
+        const metadata = this.#options.metadataReader.readResponse(status, headers);
+        this.#head = { status, headers, metadata, framing };
+        this.#body = new ResponseBody(framing);
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -238,7 +237,7 @@
     }
 
     /** A response with any fault is discarded: it may be the rest of another response, or a part of this one. */
-    #findFault({ status, headers, metadata }: ResponseHead): UnknownRunReason | undefined {
+    #findFault({ status, headers, metadata, framing }: ResponseHead): UnknownRunReason | undefined {
         const { requestId, isFirstRequest } = this.#options;
         // A server may reject a request before it has read the request id. On the first request of a connection, the
         // rejection can't refer to another request.
@@ -246,7 +245,7 @@
         if (metadata.requestId !== requestId && !isUnidentified) {
             return "otherRequestsAnswer";
         }
-        if (findHeader(headers, "content-encoding") !== undefined) {
+        if (framing.type === "encoded" || findHeader(headers, "content-encoding") !== undefined) {
             return "encoded";
         }
         return status < 300 && !metadata.signed ? "notSigned" : undefined;
@@ -295,13 +294,6 @@
     }
 }
 
-/** @returns whether the body ends with the connection; see RFC 9112, section 6.3 */
-function isEndedByClose(method: string, status: number, headers: RawHeaders): boolean {
-    return method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus
-        && findHeader(headers, "content-length") === undefined
-        && findHeader(headers, "transfer-encoding") === undefined;
-}
-
 function findNotRun({ status, metadata }: ResponseHead): NotRunReason | undefined {
     if (status === misdirectedStatus) {
         return "otherServer";
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -333,7 +333,7 @@
         const close = callerConnections.closeIfDue(req);
         writeWhenDue(
             res,
-            () => writeResponse(res, request.method, response, close),
+            () => writeResponse(res, response, close),
             err => this.#failUnexpectedly(err, req, res, sends),
         );
     }
@@ -342,8 +342,8 @@
      * @returns whether the caller can get a response in its framing: one that ends with its connection cuts off the
      * responses behind it
      */
-    #canFrame({ endedByClose }: ResponseHead, req: IncomingMessage): boolean {
-        return !endedByClose || this.#deps.callerConnections.closeIfLast(req);
+    #canFrame({ framing }: ResponseHead, req: IncomingMessage): boolean {
+        return framing.type !== "untilClose" || this.#deps.callerConnections.closeIfLast(req);
     }
 
     #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
--- a/packages/edge/src/callers/responseWriter.ts
+++ b/packages/edge/src/callers/responseWriter.ts
@@ -28,49 +28,44 @@
     res.once("socket", () => process.nextTick(writeSafely));
 }
 
-const noContentStatus = 204;
-const notModifiedStatus = 304;
-
 /**
  * Writes a backend server's buffered response to the caller.
  *
  * @param res - response to the caller
- * @param method - method of the request
  * @param response - the server's response
  * @param close - whether to close the caller's connection after it
  */
-export function writeResponse(res: ServerResponse, method: string, response: BufferedResponse, close: boolean): void {
-    const { status, body } = response;
-    const hasBody = method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
-    writeHead(res, response, hasBody ? body.length : undefined, close);
-    res.end(hasBody ? body : undefined);
+export function writeResponse(res: ServerResponse, response: BufferedResponse, close: boolean): void {
+    writeHead(res, response, response.body.length, close);
+    res.end(response.framing.type === "none" ? undefined : response.body);
 }
 
 /**
  * Writes the head of a backend server's response. It frames the body so that it looks whole to the caller only if its
  * server's framing shows that it is.
  *
- * @param bodyBytes - length of the body, if it is known to be whole
+ * @param bodyBytes - length of the body, if all of it has been received
  */
 function writeHead(
     res: ServerResponse,
-    { status, headers, endedByClose }: ResponseHead,
+    { status, headers, framing }: ResponseHead,
     bodyBytes: number | undefined,
     close: boolean,
 ): void {
-    const isLengthKnown = bodyBytes !== undefined && !endedByClose;
+    const endsWithConnection = framing.type === "untilClose";
+    const keepsLength = framing.type === "length" || framing.type === "none";
     const kept = filterEndToEndHeaders(
         headers,
-        name => name === handoverHeader || (isLengthKnown && name === "content-length"),
+        name => name === handoverHeader || (!keepsLength && name === "content-length"),
     );
-    if (endedByClose) {
+    if (endsWithConnection) {
         // Node would send it in chunks otherwise, with a last one at its end.
         res.removeHeader("transfer-encoding");
     }
-    if (isLengthKnown) {
+    if (framing.type === "chunked" && bodyBytes !== undefined) {
         kept.push("content-length", String(bodyBytes));
     }
-    if (close || endedByClose) {
+    if (close || endsWithConnection) {
         kept.push("connection", "close");
     }
     res.writeHead(status, kept);
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -260,7 +260,7 @@
         const mayRetry = this.#isRetryAllowed();
         if (response !== undefined && end.type === "answered") {
             this.#respondingServerId = underWay.to === "server" ? underWay.placement.server.id : undefined;
-            if (!isServerError(end) && !response.endedByClose) {
+            if (!isServerError(end) && response.framing.type !== "untilClose") {
                 return { type: "answered", response };
             }
             // A server error, or a response that may be truncated, is kept as a fallback in case no other send does
--- a/packages/gateway/src/__tests__/requestPath.test.ts
+++ b/packages/gateway/src/__tests__/requestPath.test.ts
@@ -179,6 +179,8 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\n123456789\r\n",
         "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n9\r\n123456789\r\n",
         "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n123456789",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n123456789",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n123456789",
     ];
     for (const cut of cuts) {
         const backend = await startRawBackend(t, req => req.socket.end(cut));
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -208,7 +208,7 @@
         return {
             status,
             didRunHeader: findHeader(raw, didRunHeader),
-            framing: resolveFraming(this.#input.request.method, status, name => findHeader(raw, name)),
+            framing: resolveFraming(this.#input.request.method, status, raw),
         };
     }
 
--- a/packages/gateway/src/requests/responseFraming.ts
+++ b/packages/gateway/src/requests/responseFraming.ts
@@ -1,27 +1,16 @@
 import { type ResponseFraming } from "@galenaglade/at-most-once";
-
-const noContent = 204;
-const notModified = 304;
+import { findHeaders, type RawHeaders, resolveBodyFraming } from "@galenaglade/http-parts";
 
 /**
- * Determines how the end of a response's body is delimited (RFC 9112, section 6.3).
+ * Determines how the end of a response's body is delimited. A body in a transfer coding that was not asked for never
+ * counts as whole, like one that is delimited by the end of its connection.
  *
  * @param method - the request's method
  * @param status - the response's status code
- * @param findHeader - looks up a response header by its lower-case name
+ * @param headers - the response's headers
  * @returns the body's framing
  */
-export function resolveFraming(
-    method: string,
-    status: number,
-    findHeader: (name: string) => string | undefined,
-): ResponseFraming {
-    if (method === "HEAD" || status === noContent || status === notModified) {
-        return { type: "none" };
-    }
-    if (findHeader("transfer-encoding") !== undefined) {
-        return { type: "chunked" };
-    }
-    const length = findHeader("content-length");
-    return length === undefined ? { type: "untilClose" } : { type: "length", bytes: Number(length) };
+export function resolveFraming(method: string, status: number, headers: RawHeaders): ResponseFraming {
+    const framing = resolveBodyFraming(method, status, name => findHeaders(headers, name));
+    return framing.type === "encoded" ? { type: "untilClose" } : framing;
 }
