Give a response up that begins again within its own body

Callers got 200 with the right number of bytes and wrong ones: 66 of 66 responses of a server that sends 200 bytes of a response with a length and 40 ms later the whole response again. The second head and the start of its body fill the first one's length; the rest lies behind it on the connection.

Cause: a response counted as whole once its declared number of bytes had arrived, whatever they were.

Change: a body is scanned for response heads while it arrives. A head that carries the id of the very request shows that the response began again: the send ends as unknown (repeatedHead), its connection is closed, an idempotent request is sent again and any other gets 502. Bytes that may begin a head are held back until that is known, so that nothing of it reaches the caller of a streamed response. A head that ends behind the body is completed with the bytes that were read together with the body's end.

Not taken for that: bytes behind a whole response, of any kind (they belong to no request), and heads of other responses inside a body.

--- a/packages/edge/src/__tests__/brokenResponses.test.ts
+++ b/packages/edge/src/__tests__/brokenResponses.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { readResponse, type ReadResponse } from "./support/readResponse.js";
-import { startBackend, startEdgeWith } from "./support/testEdge.js";
+import { call, startBackend, startEdgeWith } from "./support/testEdge.js";
 
 const body = "0123456789abcdef".repeat(125);
 /** More than a gateway buffers. */
@@ -85,6 +85,42 @@
     }
 }
 
+for (const missing of [1, 20, 180]) {
+    // Guards against a repeated response whose head doesn't end within the body of the first one.
+    test(`response that begins again ${missing} bytes before its end: it is given up`, async t => {
+        const response = await ask(t, req => {
+            const whole = renderHead(req, `content-length: ${body.length}`) + body;
+            req.socket.write(whole.slice(0, -missing));
+            setTimeout(() => req.socket.write(whole), stutterMs);
+        });
+        assert.equal(response.status, 502);
+    });
+}
+
+// Guards against whole responses that are given up for what they contain, or for what their server sends behind them.
+test("whole responses are delivered, whatever their bodies show and whatever lies behind them", async t => {
+    const bodies = [
+        "before HTTP/1.1 200 OK\r\nx-id: another\r\nx-signed: 1\r\n\r\nafter",
+        "HTTP/1.1 200 OK\r\nx-id: bro",
+        "HTTP/1.",
+        "HTTP/1.1 nothing",
+        "H",
+    ];
+    let behind = "";
+    const backend = await startBackend(t, "a", req => {
+        const text = bodies[Number(req.path.split("/").at(-1))] ?? "";
+        const whole = renderHead(req, `content-length: ${text.length}`) + text;
+        req.socket.write(whole + (behind === "again" ? whole : behind));
+    });
+    const edge = await startEdgeWith(t, backend);
+    for (behind of ["", "more", "again"]) {
+        for (const [i, text] of bodies.entries()) {
+            const got = await call(edge, `/tables/${i}`);
+            assert.deepEqual([got.status, got.body], [200, text], `followed by ${JSON.stringify(behind)}`);
+        }
+    }
+});
+
 // Guards against the late second response to one send that is taken for the response to the next send of its request.
 test("a request that is sent again doesn't get a late response to its first send", async t => {
     let sends = 0;
--- a/packages/edge/src/backends/sendRequest.ts
+++ b/packages/edge/src/backends/sendRequest.ts
@@ -1,5 +1,6 @@
 import {
     type BodyFraming,
+    type EmbeddedHead,
     findHeader,
     findHeaders,
     type RawHeaders,
@@ -162,36 +163,38 @@
         const framing = resolveBodyFraming(this.#options.method, status, name => findHeaders(headers, name));
         const metadata = this.#options.metadataReader.readResponse(status, headers);
         this.#head = { status, headers, metadata, framing };
-        this.#body = new ResponseBody(framing);
+        this.#body = new ResponseBody(framing, embedded => this.#isRepeat(embedded));
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (this.#isSettled || this.#head === undefined) {
+        const head = this.#head;
+        const body = this.#body;
+        if (this.#isSettled || head === undefined || body === undefined) {
             return;
         }
-        this.#body?.onData(chunk);
-        if (this.#sink === undefined) {
-            this.#chunks.push(chunk);
-            this.#bufferedBytes += chunk.length;
-            if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
-                this.#openSink(controller, this.#head);
-            }
+        const received = body.onData(chunk);
+        if (body.isRepeated) {
+            this.#settle({ type: "unknown", reason: "repeatedHead" }, "the response begins again within its body");
+            controller.abort(new Error("response rejected"));
             return;
         }
-        this.#writeToSink(controller, this.#sink, chunk);
+        this.#accept(controller, head, received);
     }
 
     onResponseEnd(): void {
         const head = this.#head;
-        if (head === undefined) {
+        const body = this.#body;
+        if (head === undefined || body === undefined) {
             this.#settle({ type: "unknown", reason: "notAnAnswer" }, "ended without an answer");
             return;
         }
+        const held = body.onEnd(this.#options.connection.bytesBehindBody);
         const fault = this.#findFault(head);
         if (fault !== undefined) {
             this.#settle({ type: "unknown", reason: fault }, fault);
             return;
         }
+        this.#acceptLast(held);
         const notRun = findNotRun(head);
         this.#settle(
             notRun === undefined ? { type: "answered", status: head.status } : { type: "notRun", reason: notRun },
@@ -248,9 +251,44 @@
         if (framing.type === "encoded" || findHeader(headers, "content-encoding") !== undefined) {
             return "encoded";
         }
+        if (this.#body?.isRepeated === true) {
+            return "repeatedHead";
+        }
         return status < 300 && !metadata.signed ? "notSigned" : undefined;
     }
 
+    /** @returns whether a head inside the body belongs to a response to the same request */
+    #isRepeat(embedded: EmbeddedHead): boolean {
+        const { requestId, metadataReader } = this.#options;
+        return requestId !== undefined && metadataReader.readEmbeddedRequestId(embedded) === requestId;
+    }
+
+    /** Buffers a part of the body, or passes it on if the body is too large to be buffered. */
+    #accept(controller: Dispatcher.DispatchController, head: ResponseHead, bytes: Buffer): void {
+        if (bytes.length === 0) {
+            return;
+        }
+        if (this.#sink !== undefined) {
+            this.#writeToSink(controller, this.#sink, bytes);
+            return;
+        }
+        this.#chunks.push(bytes);
+        this.#bufferedBytes += bytes.length;
+        if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
+            this.#openSink(controller, head);
+        }
+    }
+
+    /** Buffers the end of the body, or passes it on; nothing is left to pause for it. */
+    #acceptLast(bytes: Buffer): void {
+        if (this.#sink === undefined) {
+            this.#chunks.push(bytes);
+        }
+        else if (bytes.length > 0) {
+            this.#sink.write(bytes, () => undefined);
+        }
+    }
+
     #openSink(controller: Dispatcher.DispatchController, head: ResponseHead): void {
         const sink = this.#findFault(head) === undefined ? this.#options.openSink(head) : undefined;
         if (sink === undefined) {
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -1,5 +1,5 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
-import { whenInputRead } from "@galenaglade/http-parts";
+import { BoundedSocket, whenInputRead } from "@galenaglade/http-parts";
 import { type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { idleConnectionTimeoutMs } from "../constants.js";
@@ -68,6 +68,11 @@
         return this.#hasResponded;
     }
 
+    /** Bytes that lie behind the body of a response; `undefined` if there are none. */
+    get bytesBehindBody(): Buffer | undefined {
+        return this.#socket instanceof BoundedSocket ? this.#socket.bytesBehindBody : undefined;
+    }
+
     /** Records that a response was received. */
     onResponse(): void {
         this.#hasResponded = true;
--- a/packages/edge/src/handover/handoverSend.ts
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -1,5 +1,11 @@
 import { type Failure, createFailure } from "@galenaglade/errors";
-import { findHeader, filterEndToEndHeaders, type RawHeaders, type RequestBody } from "@galenaglade/http-parts";
+import {
+    type EmbeddedHead,
+    findHeader,
+    filterEndToEndHeaders,
+    type RawHeaders,
+    type RequestBody,
+} from "@galenaglade/http-parts";
 import { maxReusedBodyBytes } from "../constants.js";
 import { type ResponseHead, type ResponseSink, sendRequest, type SendResult } from "../backends/sendRequest.js";
 import { type ServerConnection } from "../backends/serverConnection.js";
@@ -127,6 +133,10 @@
             unknownHeaders: [],
         };
     }
+
+    override readEmbeddedRequestId(head: EmbeddedHead): string | undefined {
+        return this.#input.metadataReader.readEmbeddedRequestId(head);
+    }
 }
 
 /** @returns whether a gateway that passes no server's response on has certainly not run the request */
--- a/packages/edge/src/metadataCodec.ts
+++ b/packages/edge/src/metadataCodec.ts
@@ -1,4 +1,4 @@
-import { type RawHeaders } from "@galenaglade/http-parts";
+import { type EmbeddedHead, type RawHeaders } from "@galenaglade/http-parts";
 import { type ParsedBackoff, type LoadReport, type ParsedLimit } from "@galenaglade/placement";
 import { type CallerKey } from "@galenaglade/workspaces";
 
@@ -52,6 +52,11 @@
 export abstract class ResponseMetadataReader {
     /** @returns the metadata of a backend server's response to a request or to a load probe */
     abstract readResponse(status: number, headers: RawHeaders): ResponseMetadata;
+
+    /** @returns the id of the request that a head found inside a body responds to */
+    readEmbeddedRequestId({ status, headers }: EmbeddedHead): string | undefined {
+        return this.readResponse(status, headers).requestId;
+    }
 }
 
 /** Maps the headers and paths used by callers and backend servers to request and response metadata. */
--- a/packages/httpParts/src/outgoing/boundedSocket.ts
+++ b/packages/httpParts/src/outgoing/boundedSocket.ts
@@ -26,6 +26,7 @@
  */
 export class BoundedSocket extends Socket {
     readonly #framing: ResponseFraming;
+    #bytesBehindBody: Buffer | undefined;
 
     /** @param limits - of the parts of a response that aren't payload */
     constructor(limits: FramingLimits) {
@@ -33,6 +34,11 @@
         this.#framing = new ResponseFraming(limits);
     }
 
+    /** Bytes that were read together with the end of a response's body and lie behind it; `undefined` if there are none. */
+    get bytesBehindBody(): Buffer | undefined {
+        return this.#bytesBehindBody;
+    }
+
     override push(chunk: unknown, encoding?: BufferEncoding): boolean {
         if (chunk === endOfStream && this.#framing.isOpenEnded && !this.destroyed) {
             this.#confirmEnd();
@@ -51,6 +57,10 @@
             this.destroy(err);
             return false;
         }
+        const { bodyEnd } = this.#framing;
+        if (bodyEnd !== undefined && bodyEnd < chunk.length) {
+            this.#bytesBehindBody ??= chunk.subarray(bodyEnd);
+        }
         return super.push(chunk, encoding);
     }
 
--- a/packages/httpParts/src/outgoing/responseFraming.ts
+++ b/packages/httpParts/src/outgoing/responseFraming.ts
@@ -58,6 +58,7 @@
     #headLines: string[] = [];
     #interimResponses = 0;
     #isChunked = false;
+    #bodyEnd: number | undefined;
 
     /** @param limits - of the parts that aren't payload */
     constructor(limits: FramingLimits) {
@@ -74,6 +75,11 @@
         return this.#state.type !== "head" || this.#line !== "" || this.#headLines.length > 0;
     }
 
+    /** Offset behind the first body that ended in the bytes that were processed last; `undefined` if none did. */
+    get bodyEnd(): number | undefined {
+        return this.#bodyEnd;
+    }
+
     /**
      * Processes received bytes.
      *
@@ -82,6 +88,7 @@
      */
     onBytes(chunk: Buffer): void {
         let at = 0;
+        this.#bodyEnd = undefined;
         while (at < chunk.length) {
             const state = this.#state;
             switch (state.type) {
@@ -93,6 +100,9 @@
                 default:
                     at = this.#readLine(state.type, chunk, at);
             }
+            if (state.type !== "head" && this.#state.type === "head") {
+                this.#bodyEnd ??= at;
+            }
         }
     }
 
--- a/packages/placement/src/retryDecision.ts
+++ b/packages/placement/src/retryDecision.ts
@@ -19,6 +19,8 @@
     | "notAnAnswer"
     | "otherRequestsAnswer"
     | "cutShort"
+    /** The response began again within its own body. */
+    | "repeatedHead"
     | "notSigned"
     | "encoded";
 
