Send a request again to the same server on a connection of its own

A caller got the response to an earlier send: after a 500 the request was sent again, to the same server on the same connection, and the late second response to the first send, which carries the same request id, was taken for the response to the second one.

Cause: a response is matched to its request by id, and all sends of a request have the same id. The connection was released for reuse after a server error.

Change: the connections for the sends of one request are chosen in one place; a server that has had the request gets the next send of it on a new connection. Non-idempotent requests were kept from it by the quiet time of their connections; the rule holds for them too.

Measured: 'GET that is sent again after 500 Failed ...' prints 500 'first' in place of 200 'again' before; holds now. The case for POST after a refusal holds on both.

--- a/packages/edge/src/__tests__/brokenResponses.test.ts
+++ b/packages/edge/src/__tests__/brokenResponses.test.ts
@@ -121,20 +121,27 @@
     }
 });
 
+/** Delays of a server that answers its first request twice and its second one late, in milliseconds. */
+const lateMs = 400;
+const secondAnswerMs = 800;
+
 // Guards against the late second response to one send that is taken for the response to the next send of its request.
-test("a request that is sent again doesn't get a late response to its first send", async t => {
-    let sends = 0;
-    const { body: received } = await ask(t, req => {
-        sends++;
-        const text = sends === 1 ? "first" : "again";
-        const render = (status: string): string =>
-            `${renderHead(req, `content-length: ${text.length}`).replace("200 OK", status)}${text}`;
-        if (sends > 1) {
-            setTimeout(() => req.socket.write(render("200 OK")), 100);
-            return;
-        }
-        req.socket.write(render("500 Failed"));
-        setTimeout(() => req.socket.write(render("200 OK")), 30);
+for (const [method, status] of [["GET", "500 Failed"], ["POST", "503 Busy"]] as const) {
+    test(`${method} that is sent again after ${status} doesn't get a late response to its first send`, async t => {
+        let sends = 0;
+        const response = await ask(t, req => {
+            sends++;
+            const text = sends === 1 ? "first" : "again";
+            const refusal = status.startsWith("503") ? ["x-not-run: 1"] : [];
+            const render = (line: string, headers: readonly string[]): string =>
+                renderHead(req, `content-length: ${text.length}`, ...headers).replace("200 OK", line) + text;
+            if (sends > 1) {
+                setTimeout(() => req.socket.write(render("200 OK", [])), secondAnswerMs);
+                return;
+            }
+            req.socket.write(render(status, refusal));
+            setTimeout(() => req.socket.write(render(status, refusal)), lateMs);
+        }, method);
+        assert.deepEqual([response.status, response.body, sends], [200, "again", 2]);
     });
-    assert.equal(received, "again");
-});
+}
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -29,6 +29,7 @@
 import { WorkspaceGuard } from "./workspaceGuard.js";
 import { ExchangePlacement, type SendPurpose } from "./exchangePlacement.js";
 import { type Placement } from "./placer.js";
+import { SendConnections } from "./sendConnections.js";
 import { type SendRecord } from "./sendRecord.js";
 import { SendResultHandler } from "./sendResultHandler.js";
 import { describeTarget, type SendTarget, SendTargetFinder } from "./sendTargetFinder.js";
@@ -67,6 +68,7 @@
     readonly #sendResultHandler: SendResultHandler;
     readonly #handover: ExchangeHandover;
     readonly #targets: SendTargetFinder;
+    readonly #sendConnections: SendConnections;
     #fallback: BufferedResponse | undefined;
     #streaming = false;
     #respondingServerId: string | undefined;
@@ -103,6 +105,7 @@
         this.#localReplies = new LocalReplies(request, deps.placementState.typicalLatency, deps.random);
         this.#body = body;
         this.#sends = sends;
+        this.#sendConnections = new SendConnections(deps.connections, request.route.idempotent);
         this.#signal = signal;
         this.#workspaceGuard = new WorkspaceGuard(deps, request, signal, whenInputRead);
         this.#placement = new ExchangePlacement(deps, request, signal, whenInputRead);
@@ -425,9 +428,7 @@
         timeline.record("firstSend");
         this.#placement.onSend(server.id);
         rollouts.onSend(server);
-        const connection = route.idempotent
-            ? connections.acquire(server.id, server.address)
-            : connections.acquireQuiet(server.id, server.address, clock.monotonicMs());
+        const connection = this.#sendConnections.acquire(server, clock.monotonicMs());
         const isNewConnection = !connection.hasResponded;
         const send = sendRequest({
             connection,
