Listen for errors of a connection from its start

Processes ended by themselves: a server's reset that arrives after a connection was opened and before the HTTP client listens is an error event without a listener.

Cause: ServerConnection waits for a poll of input between opening a connection and handing it to the HTTP client.

Change: the connector listens for errors of each socket from its creation on, for all clients.

Measured: the new test of createConnector.test.ts fails without the listener and holds with it.

--- a/packages/httpParts/src/__tests__/createConnector.test.ts
+++ b/packages/httpParts/src/__tests__/createConnector.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer } from "node:http";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, createServer as createTcpServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { Client } from "undici";
 import { createConnector } from "../outgoing/createConnector.js";
@@ -25,3 +26,26 @@
         assert.deepEqual([statusCode, read.byteLength], [200, method === "HEAD" ? 0 : bodyBytes]);
     }
 });
+
+// Guards against a process that ends because a server resets a connection that isn't in use yet.
+test("a connection that is reset before the client uses it doesn't end the process", async t => {
+    const server = createTcpServer();
+    const accepted = once(server, "connection");
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const connect = createConnector({ timeoutMs: 1_000 });
+    const target = { hostname: "127.0.0.1", port: String(port), protocol: "http:" };
+    const socket = await new Promise<Socket>((resolve, reject) => {
+        connect(target, (...[err, opened]) => {
+            if (opened === null) {
+                reject(err);
+                return;
+            }
+            resolve(opened);
+        });
+    });
+    const [other] = await accepted as readonly [Socket];
+    other.resetAndDestroy();
+    await new Promise(resolve => socket.once("close", resolve));
+});
--- a/packages/httpParts/src/outgoing/createConnector.ts
+++ b/packages/httpParts/src/outgoing/createConnector.ts
@@ -32,6 +32,8 @@
     const { timeoutMs, localAddress, keepAliveIdleMs = tcpKeepAliveIdleMs } = options;
     return ({ hostname, port }, callback) => {
         const socket = new BoundedSocket(framingLimits);
+        // A reset may arrive before the HTTP client listens; an error without a listener ends the process.
+        socket.on("error", () => undefined);
         const timer = setTimeout(() => {
             socket.destroy(
                 new ConnectTimeoutError(`no connection to ${hostname}:${port} within ${timeoutMs} ms`),
