--- a/packages/httpParts/src/__tests__/createConnector.test.ts
+++ b/packages/httpParts/src/__tests__/createConnector.test.ts
@@ -45,7 +45,7 @@
             resolve(opened);
         });
     });
-    const [other] = await accepted as readonly [Socket];
-    other.resetAndDestroy();
+    const [other] = await accepted as Socket[];
+    other?.resetAndDestroy();
     await new Promise(resolve => socket.once("close", resolve));
 });
