Pass the end of a connection on once its reader isn't paused

Gateways ended by themselves with an assertion of the HTTP client, outside of any request: a server closes the connection with a response that ends with it, or that has 'connection: close', while its caller reads slowly. All requests of that gateway were lost.

Cause: a reader that pauses at the last bytes that have arrived leaves nothing in the socket's buffer, so that the end is emitted although the HTTP client's parser is paused; it then asserts that it isn't. The same for a reset behind a response.

Change: the client's socket passes the end on once its reader has asked for more bytes and has not paused since; the parser gives back what it hasn't parsed whenever it pauses. A reset while the reader is paused has the error of a reset within a response.

--- a/packages/httpParts/src/__tests__/boundedSocket.test.ts
+++ b/packages/httpParts/src/__tests__/boundedSocket.test.ts
@@ -65,3 +65,42 @@
         assert.equal(await read(await startServer(t, head, endings.closed)), bodyBytes);
     });
 }
+
+/** Reads a response like a caller that is slow: pauses after each part of the body. @returns the number of body bytes */
+function readSlowly(client: Client, pauseMs: number): Promise<number | string> {
+    return new Promise(resolve => {
+        let bytes = 0;
+        client.dispatch({ method: "GET", path: "/" }, {
+            onRequestStart: () => undefined,
+            onResponseStart: () => undefined,
+            onResponseData: (controller, chunk) => {
+                if (chunk.length === 0) {
+                    return;
+                }
+                bytes += chunk.length;
+                controller.pause();
+                setTimeout(() => controller.resume(), pauseMs);
+            },
+            onResponseEnd: () => resolve(bytes),
+            onResponseError: (_controller, err) => resolve(err.name),
+        });
+    });
+}
+
+const slowPauseMs = 20;
+
+for (const [name, head] of Object.entries({ ...heads, "with a length, to be closed": lengthAndClose() })) {
+    // Guards against a process that ends because a connection does while its reader pauses.
+    test(`response ${name}, closed while its reader pauses: it is read whole`, async t => {
+        assert.equal(await readSlowly(await startServer(t, head, endings.closed), slowPauseMs), bodyBytes);
+    });
+
+    test(`response ${name}, reset while its reader pauses: the process goes on`, async t => {
+        const read = await readSlowly(await startServer(t, head, endings.reset), slowPauseMs);
+        assert.ok(typeof read === "string" || (name.startsWith("with a length") && read === bodyBytes), String(read));
+    });
+}
+
+function lengthAndClose(): readonly string[] {
+    return ["HTTP/1.1 200 OK", "connection: close", `content-length: ${bodyBytes}`];
+}
--- a/packages/httpParts/src/outgoing/boundedSocket.ts
+++ b/packages/httpParts/src/outgoing/boundedSocket.ts
@@ -27,6 +27,9 @@
 export class BoundedSocket extends Socket {
     readonly #framing: ResponseFraming;
     #bytesBehindBody: Buffer | undefined;
+    /** Whether the reader has asked for bytes behind those that it has read, so that it isn't paused. */
+    #isDrained = true;
+    #hasEnded = false;
 
     /** @param limits - of the parts of a response that aren't payload */
     constructor(limits: FramingLimits) {
@@ -40,11 +43,14 @@
     }
 
     override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-        if (chunk === endOfStream && this.#framing.isOpenEnded && !this.destroyed) {
-            this.#confirmEnd();
+        if (this.destroyed) {
+            return super.push(chunk, encoding);
+        }
+        if (chunk === endOfStream) {
+            this.#onEnd();
             return false;
         }
-        if (this.destroyed || !Buffer.isBuffer(chunk)) {
+        if (!Buffer.isBuffer(chunk)) {
             return super.push(chunk, encoding);
         }
         try {
@@ -61,26 +67,56 @@
         if (bodyEnd !== undefined && bodyEnd < chunk.length) {
             this.#bytesBehindBody ??= chunk.subarray(bodyEnd);
         }
+        this.#isDrained = false;
         return super.push(chunk, encoding);
     }
 
+    /** The HTTP client gives back what it hasn't parsed, which may be nothing, whenever it is paused. */
+    override unshift(chunk: unknown, encoding?: BufferEncoding): void {
+        this.#isDrained = false;
+        super.unshift(chunk, encoding);
+    }
+
+    override read(size?: number): unknown {
+        const read: unknown = super.read(size);
+        if (size === undefined && read === null && !this.#isDrained) {
+            this.#isDrained = true;
+            // The reader may still be processing its last bytes.
+            setImmediate(() => this.#passEndOn());
+        }
+        return read;
+    }
+
     override destroy(err?: NodeJS.ErrnoException): this {
-        const isReset = resetCodes.has(err?.code) && this.#framing.isReceiving;
+        const isWithinResponse = this.#framing.isReceiving || !this.#isDrained;
+        const isReset = resetCodes.has(err?.code) && isWithinResponse;
         return super.destroy(err !== undefined && isReset ? new ResponseResetError(err) : err);
     }
 
     /**
-     * Passes the end of a response on that ends with its connection, unless the connection was reset: libuv reports bytes
-     * and a reset that it finds in one poll as bytes and an end. Only a write then fails, also an empty one.
+     * Confirms the end of a response that ends with its connection: libuv reports bytes and a reset that it finds in one
+     * poll as bytes and an end. Only a write then fails, also an empty one, and destroys the socket.
      */
-    #confirmEnd(): void {
+    #onEnd(): void {
+        if (!this.#framing.isOpenEnded) {
+            this.#hasEnded = true;
+            this.#passEndOn();
+            return;
+        }
         this.write(noBytes, err => {
-            if (err instanceof Error) {
-                return;
+            if (!(err instanceof Error)) {
+                this.#hasEnded = true;
+                this.#passEndOn();
             }
+        });
+    }
+
+    /** Passes the end on once the reader isn't paused: the HTTP client fails an assertion if it gets the end while it is. */
+    #passEndOn(): void {
+        if (this.#hasEnded && this.#isDrained && !this.destroyed && !this.readableEnded) {
             super.push(endOfStream);
             // Lets the end be emitted although nobody waits for more bytes.
             this.read(0);
-        });
+        }
     }
 }
