Soak: servers that garble their responses, and callers that compare every byte

The soak's servers ended politely: they framed each response by a length, and no caller read one that ends with its connection. Bodies were judged as JSON with the right id, so that bytes of another run or a wrong size didn't show.

Eight callers pipeline or upload on kept connections, some for bodies beyond what gateways buffer. The plan is drawn apart. A body now follows from request, server, run and size, no part repeats another one, and callers compare all of it. A server records each run that it breaks off or fails, and no success may name one. The stand-ins' sockets, the soak's callers and the proxy tell a reset from a close by an empty write, so that they don't blame a gateway for their own late reading. The response parser reads all framings; it used to throw for a response without a length, and still does for bytes that are no response.

--- a/packages/history/src/__tests__/requestCheckers.test.ts
+++ b/packages/history/src/__tests__/requestCheckers.test.ts
@@ -87,6 +87,20 @@
     assert.deepEqual(checkDidRunAccuracy(never).map(violation => violation.lines), [[1]]);
 });
 
+// Guards against half a body, or one of a failed run, that reaches a caller as a success.
+test("response integrity: reports a success that its server broke off or let fail, and bytes that are no response", () => {
+    const run = { server: "intake-1", number: 7 };
+    const brokeOff = { type: "serverBrokeOff", requestId: "r1", server: "intake-1", run: 7 } as const;
+    const bad = createHistory(createSent("r1"), createAnswered("r1", { run }), brokeOff);
+    assert.deepEqual(checkResponseIntegrity(bad).map(violation => violation.lines), [[2, 1]]);
+    const otherRun = createHistory(createSent("r1"), createAnswered("r1", { run: { ...run, number: 8 } }), brokeOff);
+    assert.deepEqual(checkResponseIntegrity(otherRun), []);
+    const failed = createHistory(createSent("r1"), createAnswered("r1", { run, status: 500 }), brokeOff);
+    assert.deepEqual(checkResponseIntegrity(failed), []);
+    const noResponse = createHistory(createSent("r1"), { type: "callerGotNoResponse", detail: "x" });
+    assert.deepEqual(checkResponseIntegrity(noResponse).map(violation => violation.lines), [[1]]);
+});
+
 test("response integrity: reports a truncated, foreign, empty or second response", () => {
     for (
         const more of [
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -49,7 +49,13 @@
          * Request id that the backend server wrote into the response body; `undefined` if the gateway responded itself.
          */
         readonly bodyRequestId: string | undefined;
+        /** The run that the body names; `undefined` if it names none, or bodies of the run's servers don't name them. */
+        readonly run?: { readonly server: string; readonly number: number; } | undefined;
+        /** What arrived, for a response that isn't whole. */
+        readonly received?: string | undefined;
     }
+    /** A caller received bytes that are no response. */
+    | { readonly type: "callerGotNoResponse"; readonly detail: string; }
     | {
         readonly type: "callerCutOff";
         readonly requestId: string;
@@ -99,6 +105,14 @@
     }
     /** A server truncated, dropped or otherwise corrupted its response. */
     | { readonly type: "serverSpoilt"; readonly requestId: string; readonly server: string; }
+    /** A server broke the response to one of its runs off, or let the run fail, whatever else it sent for it. */
+    | {
+        readonly type: "serverBrokeOff";
+        readonly requestId: string;
+        readonly server: string;
+        /** Number of the run at its server. */
+        readonly run: number;
+    }
     /** A server's process ended, whatever the reason. */
     | { readonly type: "serverExited"; readonly server: string; }
     /** A gateway sent a load probe to a server. */
--- a/packages/soak/src/command.ts
+++ b/packages/soak/src/command.ts
@@ -19,6 +19,7 @@
   --stops        runs stop drills instead: planned stops under callers that pipeline on kept connections
   --failures     instead of other faults, lets all servers fail in bursts and kills gateways between them
   --leaves       also has callers that leave while their requests are outstanding
+  --garbled      also has servers that break responses off, begin them again or answer more than once
   --drills       also restores the store from older snapshots, as drawn from each seed
   --parallel     number of concurrent runs; each has 13 processes or more. Default: 1
   --out          directory for histories and logs of runs that found violations
@@ -38,7 +39,7 @@
         process.stderr.write(usage);
         return badArgumentsExitCode;
     }
-    const { seeds, parallel, dir, cuts, drills, leaves, stops, failures } = options;
+    const { seeds, parallel, dir, cuts, drills, leaves, garbled, stops, failures } = options;
     const runs = seeds.length;
     // Each run kills its processes on the exit event, which these signals don't emit by default.
     for (const signal of ["SIGTERM", "SIGINT"]) {
@@ -56,6 +57,7 @@
                     cuts,
                     drills,
                     leaves,
+                    garbled,
                     faults: failures ? planFailureBursts(next) : planFaults(next),
                 });
             failed += result.findings.length > 0 ? 1 : 0;
@@ -90,6 +92,7 @@
     readonly cuts: boolean;
     readonly drills: boolean;
     readonly leaves: boolean;
+    readonly garbled: boolean;
     readonly stops: boolean;
     readonly failures: boolean;
 }
@@ -106,6 +109,7 @@
                 cuts: { type: "boolean", default: false },
                 drills: { type: "boolean", default: false },
                 leaves: { type: "boolean", default: false },
+                garbled: { type: "boolean", default: false },
                 stops: { type: "boolean", default: false },
                 failures: { type: "boolean", default: false },
                 parallel: { type: "string", default: "1" },
@@ -117,8 +121,10 @@
         const seeds = values.regressions
             ? regressionSeeds.map(each => each.seed)
             : Array.from({ length: runs }, (_, i) => seed + i);
-        const { cuts, drills, leaves, stops, failures } = values;
-        return valid ? { seeds, parallel, dir: values.out, cuts, drills, leaves, stops, failures } : undefined;
+        const { cuts, drills, leaves, garbled, stops, failures } = values;
+        return valid
+            ? { seeds, parallel, dir: values.out, cuts, drills, leaves, garbled, stops, failures }
+            : undefined;
     }
     catch (err) {
         process.stderr.write(`${String(err)}\n`);
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -1,4 +1,5 @@
-import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { connectConfirmed } from "@galenaglade/stand-ins";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { type LinkFault } from "./faults.js";
 
 /** Delay of bytes on a delayed link, in milliseconds: longer than the first timeout of a load probe. */
@@ -91,7 +92,7 @@
             downstream.resetAndDestroy();
             return;
         }
-        const upstream = connect(this.#targetPort, "127.0.0.1");
+        const upstream = connectConfirmed(this.#targetPort);
         const link: Link = {
             sourceAddress,
             downstream,
--- a/packages/soak/src/pipeliningCaller.ts
+++ b/packages/soak/src/pipeliningCaller.ts
@@ -1,8 +1,10 @@
 import { type RandomSource } from "@galenaglade/routing";
-import { type HistoryRecorder, type ParsedResponse, ResponseParser } from "@galenaglade/stand-ins";
+import { connectConfirmed, type HistoryRecorder, type ParsedResponse, ResponseParser } from "@galenaglade/stand-ins";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { routeTimeoutMs } from "./constants.js";
+import { judgeResponse } from "./receivedResponse.js";
+import { type CallerCredentials } from "./requestGenerator.js";
 import { renderBulkPath } from "./requestedWork.js";
 import { authority } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
@@ -40,7 +42,6 @@
 const uploadPauseMs = 40;
 const uploadBody = Buffer.from("x".repeat(2_000));
 const okStatus = 200;
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /**
  * A caller that uses kept connections until they end, with several requests outstanding on each. It goes on sending
@@ -52,6 +53,7 @@
     readonly #random: RandomSource;
     readonly #behavior: PipeliningBehavior;
     readonly #pickTarget: () => CallerTarget | undefined;
+    readonly #findCredentials: () => CallerCredentials | undefined;
     #sent = 0;
     #served = 0;
     #ended = false;
@@ -63,6 +65,7 @@
      * @param random - varies the pauses
      * @param behavior - use of connections
      * @param pickTarget - picks the gateway of a new connection as the balancer does
+     * @param findCredentials - finds the key of a request; by default it has none
      */
     constructor(
         name: string,
@@ -70,12 +73,14 @@
         random: RandomSource,
         behavior: PipeliningBehavior,
         pickTarget: () => CallerTarget | undefined,
+        findCredentials: () => CallerCredentials | undefined = () => undefined,
     ) {
         this.#name = name;
         this.#system = system;
         this.#random = random;
         this.#behavior = behavior;
         this.#pickTarget = pickTarget;
+        this.#findCredentials = findCredentials;
     }
 
     get sentCount(): number {
@@ -113,14 +118,15 @@
 
     #useConnection({ gateway, port, history }: CallerTarget): Promise<void> {
         return new Promise(resolve => {
-            const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+            const socket = connectConfirmed(port);
             this.#socket = socket;
             let wasReset = false;
             const connection = new CallerConnection(socket, this.#behavior, {
                 createRequest: behind => this.#createRequest(gateway, history, behind),
                 mayContinue: () => !this.#ended,
-                onAnswered: (requestId, res) => this.#onAnswered(history, requestId, res),
+                onAnswered: (request, res) => this.#onAnswered(history, request, res),
                 onLost: requestId => history.record({ type: "callerCutOff", requestId, reset: wasReset }),
+                onNoResponse: detail => history.record({ type: "callerGotNoResponse", detail }),
                 thinkMs: () => this.#behavior.thinkMs * 2 * this.#random.next(),
             });
             socket.on("error", () => {
@@ -140,14 +146,16 @@
         const route = uploads ? "file" : "bulk";
         const patienceMs = uploads ? routeTimeoutMs : bulkPatienceMs;
         const path = renderBulkPath(route, requestId, workMs, responseBytes);
+        const credentials = this.#findCredentials();
         const headers = {
             host: authority,
-            ...this.#system.renderRequestHeaders(requestId, patienceMs),
+            ...this.#system.renderRequestHeaders(requestId, patienceMs, credentials),
             ...uploads ? { "content-length": String(uploadBody.length) } : {},
         };
         const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
         return {
             requestId,
+            path,
             head: [`${uploads ? "POST" : "GET"} ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n"),
             onSent: sentForMs =>
                 history.record({
@@ -158,30 +166,29 @@
                     gateway,
                     // Gateways count the time from the head of the request.
                     patienceMs: patienceMs - sentForMs,
+                    keyId: credentials?.key?.id,
                     behind,
                 }),
         };
     }
 
-    #onAnswered(history: HistoryRecorder, requestId: string, { status, headers, body }: ParsedResponse): void {
-        const metadata = this.#system.parseResponseHeaders(headers);
-        const bodyRequestId = status === okStatus ? findRequestId(body) : undefined;
-        this.#served += status === okStatus ? 1 : 0;
-        history.record({
-            type: "callerAnswered",
-            requestId,
-            status,
-            didRun: notRunStatuses.has(status) ? "no" : undefined,
-            whole: status !== okStatus
-                || (metadata.signed && metadata.requestId === requestId && bodyRequestId !== undefined),
-            bodyRequestId,
-        });
+    #onAnswered(history: HistoryRecorder, request: SentRequest, res: ParsedResponse): void {
+        this.#served += res.status === okStatus ? 1 : 0;
+        history.record(judgeResponse(this.#system, { ...res, ...request }).event);
     }
 }
 
-/** A request that a caller is about to send. */
-interface CreatedRequest {
+/** Recorded in place of a request id for a success that no request waits for. */
+const noRequest: SentRequest = { requestId: "no request", path: "" };
+
+/** A request that a caller has sent. */
+interface SentRequest {
     readonly requestId: string;
+    readonly path: string;
+}
+
+/** A request that a caller is about to send. */
+interface CreatedRequest extends SentRequest {
     readonly head: string;
     /** Called when the last byte has been written, with the time since the first one in milliseconds. */
     readonly onSent: (sentForMs: number) => void;
@@ -191,8 +198,10 @@
 interface ConnectionEvents {
     readonly createRequest: (behind: boolean) => CreatedRequest;
     readonly mayContinue: () => boolean;
-    readonly onAnswered: (requestId: string, res: ParsedResponse) => void;
+    readonly onAnswered: (request: SentRequest, res: ParsedResponse) => void;
     readonly onLost: (requestId: string) => void;
+    /** Called for bytes that are no response. */
+    readonly onNoResponse: (detail: string) => void;
     readonly thinkMs: () => number;
 }
 
@@ -202,7 +211,7 @@
     readonly #behavior: PipeliningBehavior;
     readonly #events: ConnectionEvents;
     readonly #parser = new ResponseParser();
-    readonly #outstanding: string[] = [];
+    readonly #outstanding: SentRequest[] = [];
     #isClosing = false;
     #hasEnded = false;
 
@@ -213,6 +222,10 @@
         socket.on("data", chunk => this.#onData(chunk));
         socket.on("end", () => {
             this.#hasEnded = true;
+            const res = this.#parser.end();
+            if (res !== undefined) {
+                this.#onResponse(res);
+            }
         });
     }
 
@@ -225,7 +238,7 @@
     /** Reports the requests that got no response. */
     onClosed(): void {
         this.#hasEnded = true;
-        for (const requestId of this.#outstanding.splice(0)) {
+        for (const { requestId } of this.#outstanding.splice(0)) {
             this.#events.onLost(requestId);
         }
     }
@@ -235,8 +248,8 @@
             return;
         }
         const behind = this.#isClosing || this.#outstanding.length > 0;
-        const { requestId, head, onSent } = this.#events.createRequest(behind);
-        this.#outstanding.push(requestId);
+        const { requestId, path, head, onSent } = this.#events.createRequest(behind);
+        this.#outstanding.push({ requestId, path });
         if (!this.#behavior.uploads) {
             onSent(0);
             this.#socket.write(head);
@@ -254,8 +267,15 @@
     }
 
     #onData(chunk: Buffer): void {
-        for (const res of this.#parser.add(chunk)) {
-            this.#onResponse(res);
+        try {
+            for (const res of this.#parser.add(chunk)) {
+                this.#onResponse(res);
+            }
+        }
+        catch (err) {
+            this.#events.onNoResponse(String(err));
+            this.#socket.destroy();
+            return;
         }
         if (this.#behavior.readPauseMs > 0) {
             this.#socket.pause();
@@ -264,9 +284,9 @@
     }
 
     #onResponse(res: ParsedResponse): void {
-        const requestId = this.#outstanding.shift();
-        if (requestId !== undefined) {
-            this.#events.onAnswered(requestId, res);
+        const request = this.#outstanding.shift();
+        if (request !== undefined || res.status === okStatus) {
+            this.#events.onAnswered(request ?? noRequest, res);
         }
         if (res.closes) {
             this.#isClosing = true;
@@ -286,15 +306,6 @@
     }
 }
 
-function findRequestId(body: string): string | undefined {
-    try {
-        return (JSON.parse(body) as { readonly requestId: string; }).requestId;
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function canConnect(port: number): Promise<boolean> {
     return new Promise(resolve => {
         const socket = connect(port, "127.0.0.1");
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -8,6 +8,7 @@
 import { checkSoak } from "./checks.js";
 import { recoveryPhaseMs, enforcesWorkspaceLimits, requestsPerSecond, services, startupSettleMs } from "./constants.js";
 import { type PlannedLeavingCaller, planLeavingCallers } from "./leavingCallerPlan.js";
+import { planGarbledResponses } from "./garbledResponsePlan.js";
 import { planLongRequests, type PlannedLongRequest } from "./longRequestPlan.js";
 import { planQueryOfDeath, type PlannedQueryOfDeath } from "./queryOfDeathPlan.js";
 import { planStoreRestores } from "./storeRestorePlan.js";
@@ -22,6 +23,7 @@
 import { routePathPrefixes, type SoakRoute } from "./soakConfiguration.js";
 import { type SoakEdge } from "./soakEdge.js";
 import { runRollout } from "./soakRollout.js";
+import { garbleResponses } from "./soakGarbled.js";
 import { type SoakSystem } from "./soakSystem.js";
 import { partitionGateways } from "./soakPartitions.js";
 import { applyServerMetadata, applyServerLimit } from "./soakServerMetadata.js";
@@ -59,6 +61,8 @@
     readonly drills?: boolean | undefined;
     /** Whether callers leave while their requests are outstanding, in every way and at any moment. */
     readonly leaves?: boolean | undefined;
+    /** Whether servers also garble their responses, as drawn from the seed. Default: no. */
+    readonly garbled?: boolean | undefined;
 }
 
 const routes: readonly SoakRoute[] = ["read", "read", "file", "moving"];
@@ -77,9 +81,9 @@
     return { ...result, findings: [...result.findings, ...findLeakedKeysInFiles(dir)] };
 }
 
-async function executeRun(
-    { system, seed, dir, faults = planFaults(seed), cuts = false, drills = false, leaves = false }: SoakOptions,
-): Promise<SoakResult> {
+async function executeRun(options: SoakOptions): Promise<SoakResult> {
+    const { system, seed, dir, faults = planFaults(seed) } = options;
+    const { cuts = false, drills = false, leaves = false, garbled = false } = options;
     const workspaces = planWorkspaces(seed, enforcesWorkspaceLimits);
     const fleet = await SoakFleet.start(system, dir, seed, workspaces?.initial);
     const abort = (): void => fleet.abort();
@@ -125,6 +129,9 @@
         const unusableEntriesDone = fleet.writeUnusableEntries(seed);
         const longRequestsDone = load.sendLongRequests(planLongRequests(seed));
         const leavingCallersDone = load.sendAndLeave(leaves ? planLeavingCallers(seed) : []);
+        const garbledDone = garbled
+            ? garbleResponses(fleet, system, seed, planGarbledResponses(seed))
+            : Promise.resolve();
         const allDone = Promise.all([
             faultsDone,
             rolloutDone,
@@ -137,6 +144,7 @@
             unusableEntriesDone,
             longRequestsDone,
             leavingCallersDone,
+            garbledDone,
         ]);
         const [endedAtMs, [, rolloutFindings]] = await Promise.all([load.run(allDone), allDone]);
         const history = mergeHistories(
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -2,20 +2,18 @@
 import { type RandomSource } from "@galenaglade/routing";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent } from "undici";
-import { connect, type Socket } from "node:net";
+import { createCallerConnector } from "./createCallerConnector.js";
+import { createConnection, type Socket } from "node:net";
 import { type PlannedLeavingCaller } from "./leavingCallerPlan.js";
 import { type PlannedLongRequest } from "./longRequestPlan.js";
 import { type CallerCredentials } from "./requestGenerator.js";
+import { judgeResponse, type ReceivedResponse } from "./receivedResponse.js";
 import { renderBulkPath } from "./requestedWork.js";
 import { hangToleranceMs, patienceMs, routeTimeoutMs } from "./constants.js";
 import { authority, routePathPrefixes, type SoakRoute } from "./soakConfiguration.js";
 import { type SoakSystem } from "./soakSystem.js";
 import { monotonicNow } from "./faultWindows.js";
 
-/** Statuses that guarantee that the request has not run and never will. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-const okStatus = 200;
 const connectTimeoutMs = 1_000;
 /** Maximum time after which a caller that disconnects early does so. */
 const maxDisconnectDelayMs = 60;
@@ -23,6 +21,8 @@
 /** Share of the requests that are sent on new connections. */
 const newConnectionShare = 0.3;
 
+const connect = createCallerConnector(connectTimeoutMs);
+
 /** The response to a request, if any. */
 interface ResponseResult {
     /** `undefined` if no complete response arrived. */
@@ -67,7 +67,7 @@
     readonly #system: SoakSystem;
     readonly #history: HistoryRecorder;
     readonly #random: RandomSource;
-    readonly #pool = new Agent({ connections: 8, connect: { timeout: connectTimeoutMs } });
+    readonly #pool = new Agent({ connections: 8, connect });
     readonly #outcomes: RequestOutcome[] = [];
 
     constructor(
@@ -92,7 +92,7 @@
     async send(request: CallerRequest): Promise<void> {
         const { requestId, route, disconnectsEarly } = request;
         const usesNewConnection = this.#random.next() < newConnectionShare;
-        const agent = usesNewConnection ? new Agent({ connect: { timeout: connectTimeoutMs } }) : this.#pool;
+        const agent = usesNewConnection ? new Agent({ connect }) : this.#pool;
         const abortController = new AbortController();
         // Beyond the caller's patience and a tolerance: without a response by then, the request counts as hanging.
         const waitMs = disconnectsEarly ? this.#random.next() * maxDisconnectDelayMs : routeTimeoutMs + hangToleranceMs;
@@ -183,10 +183,11 @@
             host: authority,
             ...this.#system.renderRequestHeaders(requestId, patienceMs, credentials),
         });
+        const path = `${routePathPrefixes[route]}${requestId}`;
         const sentAtMs = monotonicNow();
         const result = await caller.send({
             ...body,
-            path: `${routePathPrefixes[route]}${requestId}`,
+            path,
             headers: headers.map(([name, value]) => `${name}: ${value}`),
             timeoutMs: routeTimeoutMs + hangToleranceMs,
         });
@@ -195,7 +196,7 @@
             this.#history.record({ type: result.type === "closed" ? "callerCutOff" : "callerGaveUp", requestId });
         }
         else {
-            this.#recordResponse(requestId, response.status, response.headers, response.body);
+            this.#recordResponse({ ...response, requestId, path });
         }
         this.#outcomes.push({
             status: response?.status,
@@ -231,7 +232,7 @@
     }
 
     async #request(agent: Agent, request: CallerRequest, signal: AbortSignal): Promise<ResponseResult> {
-        const { requestId, route, credentials, path } = request;
+        const { requestId, route, credentials, path = `${routePathPrefixes[route]}${requestId}` } = request;
         const idempotent = route !== "file";
         this.#recordSent(request);
         let hasBegun = false;
@@ -239,7 +240,7 @@
             const res = await agent.request({
                 origin: this.#url,
                 method: idempotent ? "GET" : "POST",
-                path: path ?? `${routePathPrefixes[route]}${requestId}`,
+                path,
                 headers: { host: authority, ...this.#system.renderRequestHeaders(requestId, patienceMs, credentials) },
                 body: idempotent ? null : `return ${requestId}`,
                 signal,
@@ -248,7 +249,7 @@
             });
             hasBegun = true;
             const body = await res.body.text();
-            this.#recordResponse(requestId, res.statusCode, res.headers, body);
+            this.#recordResponse({ requestId, path, status: res.statusCode, headers: res.headers, body });
             const retryAfter = readText(res.headers["retry-after"]);
             return { status: res.statusCode, retryAfter, connected: true, truncated: false };
         }
@@ -259,37 +260,23 @@
         }
     }
 
-    #recordResponse(
-        requestId: string,
-        status: number,
-        headers: Readonly<Record<string, string | readonly string[] | undefined>>,
-        body: string,
-    ): void {
-        const metadata = this.#system.parseResponseHeaders(headers);
-        const bodyRequestId = status === okStatus ? findRequestId(body) : undefined;
-        const server = status === okStatus ? findServer(body) : undefined;
+    #recordResponse(response: ReceivedResponse): void {
+        const { event, metadata } = judgeResponse(this.#system, response);
+        const server = event.run?.server;
         if (metadata.hasLimit && server !== undefined) {
             this.#history.record({ type: "limitPassedOn", gateway: this.#gateway, server });
         }
         if (metadata.leaving && server !== undefined) {
             this.#history.record({ type: "leavingPassedOn", gateway: this.#gateway, server });
         }
-        this.#history.record({
-            type: "callerAnswered",
-            requestId,
-            status,
-            didRun: notRunStatuses.has(status) ? "no" : undefined,
-            whole: status !== okStatus
-                || (metadata.signed && metadata.requestId === requestId && bodyRequestId !== undefined),
-            bodyRequestId,
-        });
+        this.#history.record(event);
     }
 }
 
 /** @returns a connected socket; `undefined` if nothing accepts the connection */
 function openSocket(port: number): Promise<Socket | undefined> {
     return new Promise(resolve => {
-        const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+        const socket = createConnection({ port, host: "127.0.0.1", noDelay: true });
         socket.once("connect", () => resolve(socket));
         socket.on("error", () => resolve(undefined));
         socket.resume();
@@ -309,25 +296,6 @@
     }
 }
 
-/** @returns the ID of the request that a body responds to; `undefined` for a truncated body */
-function findRequestId(body: string): string | undefined {
-    return readBody(body)?.requestId;
-}
-
-/** @returns the ID of the server that created a body; `undefined` for a truncated body */
-function findServer(body: string): string | undefined {
-    return readBody(body)?.server;
-}
-
-function readBody(body: string): { readonly requestId: string; readonly server: string; } | undefined {
-    try {
-        return JSON.parse(body) as { readonly requestId: string; readonly server: string; };
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function isConnectFailure(err: unknown): boolean {
     const { code } = err as { readonly code?: string; };
     return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
--- a/packages/soak/src/soakServer.ts
+++ b/packages/soak/src/soakServer.ts
@@ -1,3 +1,4 @@
+import { isBroken, sendGarbled } from "./garbledResponses.js";
 import { createRandomSource, type RandomSource } from "@galenaglade/routing";
 import { type HistoryRecorder } from "@galenaglade/stand-ins";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -5,6 +6,7 @@
 import { maxServerQueue, serverSlots, typicalWorkMs } from "./constants.js";
 import { queryOfDeathMarker } from "./queryOfDeathPlan.js";
 import { parseResponseBytes, parseWorkMs } from "./requestedWork.js";
+import { renderResponseBody } from "./responseBody.js";
 import { type ReceivedRequest, type ServerCodec, type ServerState } from "./serverCodec.js";
 import { type SoakServerOptions, type ServerFaults, noServerFaults } from "./soakSystem.js";
 import { secretPrefix } from "./workspacePlan.js";
@@ -35,6 +37,7 @@
     readonly #queue: (() => void)[] = [];
     #faults: ServerFaults = noServerFaults;
     #coldUntilMs = -Infinity;
+    #runs = 0;
     #running = 0;
 
     constructor(options: SoakServerOptions, codec: ServerCodec, history: HistoryRecorder) {
@@ -149,13 +152,17 @@
     }
 
     #respond(requestId: string, paddingBytes: number, res: ServerResponse): void {
-        const body = JSON.stringify({ requestId, server: this.#options.id, padding: "x".repeat(paddingBytes) });
+        const run = ++this.#runs;
+        const body = renderResponseBody({ requestId, server: this.#options.id, run }, paddingBytes);
         if (this.#faults.fails && this.#random.next() < faultShare) {
             res.writeHead(500, { ...this.#codec.renderDidRun(requestId, true), ...this.#renderMetadata() }).end(
                 "failed",
             );
             return;
         }
+        if (this.#respondGarbled(requestId, run, body, res)) {
+            return;
+        }
         const corruption = this.#drawCorruption();
         if (corruption !== undefined) {
             this.#history.record({ type: "serverSpoilt", requestId, server: this.#options.id });
@@ -184,6 +191,24 @@
         }
     }
 
+    /** @returns whether it responded: servers that garble do so with a share of their responses */
+    #respondGarbled(requestId: string, run: number, body: string, res: ServerResponse): boolean {
+        const { garbling } = this.#faults;
+        if (garbling === undefined || this.#random.next() >= garbling.share) {
+            return false;
+        }
+        const server = this.#options.id;
+        if (garbling.way !== "whole") {
+            this.#history.record({ type: "serverSpoilt", requestId, server });
+        }
+        if (isBroken(garbling)) {
+            this.#history.record({ type: "serverBrokeOff", requestId, server, run });
+        }
+        const headers = { ...this.#codec.renderDidRun(requestId, true), ...this.#renderMetadata() };
+        sendGarbled(res, { headers, body, garbling });
+        return true;
+    }
+
     #drawCorruption(): Corruption | undefined {
         if (!this.#faults.spoils || this.#random.next() >= corruptionShare) {
             return undefined;
--- a/packages/soak/src/soakSystem.ts
+++ b/packages/soak/src/soakSystem.ts
@@ -4,6 +4,7 @@
     type RolloutOrder,
     type RolloutStage,
 } from "@galenaglade/fleet-state";
+import { type Garbling } from "./garbledResponses.js";
 import { type CallerCredentials } from "./requestGenerator.js";
 
 /** A program that the soak test starts. */
@@ -108,6 +109,8 @@
     readonly sheds: boolean;
     /** Truncates, duplicates or drops some responses, or omits their signature. */
     readonly spoils: boolean;
+    /** How it garbles a share of its responses; `undefined` if it doesn't. */
+    readonly garbling: Garbling | undefined;
     /** Fails its health check because it is leaving. */
     readonly leaves: boolean;
     /** Advertised rate limit for all gateways together, in requests per second; `undefined` for none. */
@@ -126,6 +129,7 @@
     fails: false,
     sheds: false,
     spoils: false,
+    garbling: undefined,
     leaves: false,
     limitPerSecond: undefined,
     restSeconds: undefined,
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -50,6 +50,7 @@
     startProcess,
     type StartProcessOptions,
 } from "./processes/startProcess.js";
+export { ConfirmedSocket, connectConfirmed, ConnectionResetError } from "./raw/confirmedSocket.js";
 export { type AfterEarlyResponse, EarlyBackend, type EarlyBackendOptions } from "./raw/earlyBackend.js";
 export { KeptCaller, type KeptRequest, type KeptResult } from "./raw/keptCaller.js";
 export {
@@ -60,7 +61,7 @@
     sendRawRequest,
     startRawBackend,
 } from "./raw/rawBackend.js";
-export { type ParsedResponse, ResponseParser } from "./raw/responseParser.js";
+export { type ParsedResponse, type ResponseFraming, ResponseParser } from "./raw/responseParser.js";
 export {
     FileHistoryRecorder,
     HistoryRecorder,
--- a/packages/standIns/src/raw/keptCaller.ts
+++ b/packages/standIns/src/raw/keptCaller.ts
@@ -1,5 +1,6 @@
-import { connect, type Socket } from "node:net";
+import { type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { connectConfirmed } from "./confirmedSocket.js";
 import { type ParsedResponse, ResponseParser } from "./responseParser.js";
 
 /** One request of a {@link KeptCaller}. */
@@ -36,9 +37,18 @@
     private constructor(socket: Socket) {
         this.#socket = socket;
         socket.on("data", (chunk: Buffer) => {
-            this.#responses.push(...this.#parser.add(chunk));
+            try {
+                this.#responses.push(...this.#parser.add(chunk));
+            }
+            catch (err) {
+                socket.destroy(err as Error);
+            }
             this.#wake();
         });
+        socket.on("end", () => {
+            const response = this.#parser.end();
+            this.#responses.push(...response === undefined ? [] : [response]);
+        });
         for (const event of ["error", "end", "close"]) {
             socket.on(event, () => {
                 this.#hasEnded = true;
@@ -49,7 +59,7 @@
 
     /** @returns a caller whose connection is open */
     static async open(port: number): Promise<KeptCaller> {
-        const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true, noDelay: true });
+        const socket = connectConfirmed(port, true);
         const caller = new KeptCaller(socket);
         await new Promise<void>((resolve, reject) => {
             socket.once("connect", resolve);
