Raw callers of tests tell a reset from an end, also in a busy process

Cause: like any reader of Node's sockets, sendRawRequest took bytes and a reset that were found in one poll for bytes and an end. In a table test of responses that break off, callers of HTTP/1.0 then seemed to get 290,702 of 600,000 bytes as a whole response.

Change: it confirms an end by an empty write.

--- a/packages/standIns/src/raw/rawBackend.ts
+++ b/packages/standIns/src/raw/rawBackend.ts
@@ -103,7 +103,7 @@
 /** Sends raw bytes as a caller and collects the response until the connection closes. */
 export function sendRawRequest(url: string, text: string): Promise<RawResponse> {
     return new Promise(resolve => {
-        const socket = connect(Number(new URL(url).port), "127.0.0.1");
+        const socket = connect({ port: Number(new URL(url).port), host: "127.0.0.1", allowHalfOpen: true });
         let received = "";
         let reset = false;
         socket.on("data", chunk => {
@@ -112,6 +112,8 @@
         socket.on("error", () => {
             reset = true;
         });
+        // Bytes and a reset that are read in one poll are reported as bytes and an end; only a write fails then.
+        socket.on("end", () => socket.write(Buffer.alloc(0), () => socket.end()));
         socket.on("close", () => resolve({ text: received, reset }));
         socket.write(text);
     });
