Show the end of a body between gateways, although its server's connection marks it

A gateway that hands a request over got a body without a length until the other gateway's connection ended. The end of that gateway's process looks the same, so that half a body behind a handover looked whole by our own doing.

Change: a gateway that hands over says that it takes framed bodies. The other one then sends such a body with a length or in chunks, and says in the outcome that its server's connection marked its end; the first gateway gives it back that framing for the caller. Gateways of older versions don't ask for it and get the body as before.

--- a/packages/edge/src/__tests__/support/fakeGateway.ts
+++ b/packages/edge/src/__tests__/support/fakeGateway.ts
@@ -6,6 +6,8 @@
 /** How a fake gateway handles a request that is handed over to it. */
 export type FakeGatewayBehavior =
     | { readonly type: "answer"; readonly body: string; }
+    /** Writes its response itself. */
+    | { readonly type: "custom"; readonly respond: (req: RawRequest) => void; }
     /** Runs the request, and resets the connection before the response. */
     | { readonly type: "lose"; }
     /** Like `lose` for the first request among all fake gateways that share the set; responds to the others. */
@@ -67,6 +69,9 @@
             req.socket.write(renderSignedResponse(req, behavior.body, "200 OK", [`galenaglade-handover: ${verdict}`]));
             return;
         }
+        case "custom":
+            behavior.respond(req);
+            return;
         case "verdict": {
             const headerLine = `galenaglade-handover: ${JSON.stringify(behavior.verdict)}`;
             req.socket.write(`HTTP/1.1 ${behavior.status}\r\ncontent-length: 0\r\n${headerLine}\r\n\r\n`);
--- a/packages/edge/src/callers/edgeHandler.ts
+++ b/packages/edge/src/callers/edgeHandler.ts
@@ -269,11 +269,11 @@
             sends,
             signal,
             head => {
-                if (!this.#canFrame(head, req)) {
+                if (!this.#canFrame(head, req, res)) {
                     return undefined;
                 }
-                this.#setAnsweredOutcome(res, request, exchange.respondingServerId);
-                sink = new CallerSink(res, head, callerConnections.closeIfDue(req));
+                this.#setAnsweredOutcome(res, request, exchange.respondingServerId, head);
+                sink = new CallerSink(res, this.#resolveHead(head, res), callerConnections.closeIfDue(req));
                 return sink;
             },
             () => permit?.onSent(),
@@ -325,15 +325,16 @@
         if (res.destroyed || hasDisconnected(req)) {
             return;
         }
-        if (!this.#canFrame(response, req)) {
+        if (!this.#canFrame(response, req, res)) {
             this.#fail(req, res, createFailure("truncatedAnswer", "the answer may be cut short"), sends);
             return;
         }
-        this.#setAnsweredOutcome(res, request, serverId);
+        this.#setAnsweredOutcome(res, request, serverId, response);
+        const framed = this.#resolveHead(response, res);
         const close = callerConnections.closeIfDue(req);
         writeWhenDue(
             res,
-            () => writeResponse(res, response, close),
+            () => writeResponse(res, framed, close),
             err => this.#failUnexpectedly(err, req, res, sends),
         );
     }
@@ -342,13 +343,34 @@
      * @returns whether the caller can get a response in its framing: one that ends with its connection cuts off the
      * responses behind it
      */
-    #canFrame({ framing }: ResponseHead, req: IncomingMessage): boolean {
-        return framing.type !== "untilClose" || this.#deps.callerConnections.closeIfLast(req);
+    #canFrame(head: ResponseHead, req: IncomingMessage, res: ServerResponse): boolean {
+        return this.#resolveHead(head, res).framing.type !== "untilClose"
+            || this.#deps.callerConnections.closeIfLast(req);
     }
 
-    #setAnsweredOutcome(res: ServerResponse, { version }: EdgeRequest, server: string | undefined): void {
-        if (this.#handovers.has(res)) {
-            setHandoverOutcome(res, { type: "answered", version, ...(server === undefined ? {} : { server }) });
+    /**
+     * @returns the head in its framing for the receiver: another gateway learns from the outcome that a body ended with its
+     * server's connection, so that the body can come in a framing that shows whether this gateway sent all of it
+     */
+    #resolveHead<Head extends ResponseHead>(head: Head, res: ServerResponse): Head {
+        const { framesBodies = false } = this.#handovers.get(res) ?? {};
+        return framesBodies && head.framing.type === "untilClose" ? { ...head, framing: { type: "chunked" } } : head;
+    }
+
+    #setAnsweredOutcome(
+        res: ServerResponse,
+        { version }: EdgeRequest,
+        server: string | undefined,
+        { framing }: ResponseHead,
+    ): void {
+        const handover = this.#handovers.get(res);
+        if (handover !== undefined) {
+            setHandoverOutcome(res, {
+                type: "answered",
+                version,
+                ...(server === undefined ? {} : { server }),
+                untilClose: handover.framesBodies && framing.type === "untilClose",
+            });
         }
     }
 
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -128,6 +128,7 @@
             remainingMs: cutoffMs - nowMs,
             runs,
             caller: callerAddress,
+            framesBodies: true,
         };
     }
 
--- a/packages/edge/src/handover/handoverMessages.ts
+++ b/packages/edge/src/handover/handoverMessages.ts
@@ -27,6 +27,11 @@
     runs: z.number().int().min(1),
     /** Address of the caller. */
     caller: z.string(),
+    /**
+     * Whether a body that ended with its server's connection may come in a framing that shows its end. The end of the other
+     * gateway's process would look like the end of the body otherwise.
+     */
+    framesBodies: z.boolean().default(false),
 });
 
 /** Metadata that a gateway sends with a request that it hands over. */
@@ -46,7 +51,13 @@
 /** Schema of the outcome that a gateway sends with its response to a handed-over request. */
 export const handoverOutcomeSchema = z.discriminatedUnion("type", [
     /** The response is a backend server's. */
-    z.object({ type: z.literal("answered"), version: z.number(), server: z.string().optional() }),
+    z.object({
+        type: z.literal("answered"),
+        version: z.number(),
+        server: z.string().optional(),
+        /** Whether the server's body ended with its connection, although its framing here shows its end. */
+        untilClose: z.boolean().default(false),
+    }),
     z.object({
         type: z.literal("refused"),
         reason: z.enum(handoverRefusalReasons),
--- a/packages/edge/src/handover/handoverSend.ts
+++ b/packages/edge/src/handover/handoverSend.ts
@@ -1,5 +1,6 @@
 import { type Failure, createFailure } from "@galenaglade/errors";
 import {
+    type BodyFraming,
     type EmbeddedHead,
     findHeader,
     filterEndToEndHeaders,
@@ -22,6 +23,8 @@
 const badRequestStatus = 400;
 const notFoundStatus = 404;
 
+type FramingType = BodyFraming["type"];
+
 /** Inputs of {@link handOver}. */
 export interface HandoverInput {
     readonly connection: ServerConnection;
@@ -96,7 +99,8 @@
         mayLeaveUnread: body.byteLength > maxReusedBodyBytes,
         mayWrite,
         onWritten,
-        openSink: head => reader.outcome?.type === "answered" ? input.openSink(stripHandoverHeader(head)) : undefined,
+        openSink: head =>
+            reader.outcome?.type === "answered" ? input.openSink(restoreHead(head, reader.outcome)) : undefined,
     });
     return {
         result: send.result.then(result => resolveResult(result, reader.outcome)),
@@ -160,14 +164,25 @@
         return { ...result, end, response: undefined, outcome, failure: undefined };
     }
     const { response } = result;
+    const body = result.body && { ...result.body, framing: restoreFraming(result.body.framing, outcome) };
     return {
         ...result,
-        response: response && { ...response, ...stripHandoverHeader(response) },
+        body,
+        response: response
+            && { ...response, ...restoreHead(response, outcome), bodyReport: body ?? response.bodyReport },
         outcome,
         failure: undefined,
     };
 }
 
-function stripHandoverHeader(head: ResponseHead): ResponseHead {
-    return { ...head, headers: filterEndToEndHeaders(head.headers, name => name === handoverHeader) };
+/** @returns the head of the server's response that another gateway passes on */
+function restoreHead<Head extends ResponseHead>(head: Head, outcome: HandoverOutcome | undefined): Head {
+    const framing = restoreFraming(head.framing.type, outcome) === "untilClose"
+        ? { type: "untilClose" } as const
+        : head.framing;
+    return { ...head, framing, headers: filterEndToEndHeaders(head.headers, name => name === handoverHeader) };
+}
+
+function restoreFraming(received: FramingType, outcome: HandoverOutcome | undefined): FramingType {
+    return outcome?.type === "answered" && outcome.untilClose ? "untilClose" : received;
 }
