--- a/packages/edge/src/stateCodec.ts
+++ b/packages/edge/src/stateCodec.ts
@@ -1,6 +1,9 @@
 import { type RolloutStatus, type StateItem } from "@galenaglade/fleet-state";
 import { type KeyValue } from "@galenaglade/platform";
 
+/** Longest reason that is logged, in characters. An entry of a thousand faults gives a thousand reasons. */
+const maxReasonLength = 500;
+
 /** Encodes and decodes the fleet's state in the store. */
 export abstract class StateCodec {
     /** Common prefix of all keys, so that a single watch covers them. */
@@ -13,10 +16,12 @@
      */
     decode(entry: KeyValue): StateItem {
         try {
-            return this.decodeEntry(entry);
+            const item = this.decodeEntry(entry);
+            return item.type === "ignored" ? { ...item, reason: item.reason?.slice(0, maxReasonLength) } : item;
         }
         catch (err) {
-            return { type: "ignored", key: entry.key, reason: `can't be decoded: ${String(err)}` };
+            const reason = `can't be decoded: ${String(err)}`.slice(0, maxReasonLength);
+            return { type: "ignored", key: entry.key, reason };
         }
     }
 
