Take only the known fields of a crash report

A gateway that starts takes over its own report. If a strike in it has a further field that is nested deeply, each write of the report throws "Maximum call stack size exceeded": the other gateways no longer learn of requests that end servers (the write itself was tried, the gateway's part in it read). A strike's generation could be 1e308.

Cause: a strike that had all known fields was kept as it was read, with the others, and written again; an integer was any number without a fraction.

Change: strikes and clearings are made of their known fields, with bounds for generation, time and the length of ids.

Measured: the table of odd documents failed before with 'generation: 1e+308'. A report with 300,000 nested lists in a strike was read and threw a RangeError when it was written; now it is written in 105 characters.

--- a/packages/fleetState/src/crashReport.ts
+++ b/packages/fleetState/src/crashReport.ts
@@ -1,5 +1,10 @@
 import { maxReportedContents } from "./constants.js";
 
+const maxIdLength = 1_024;
+const maxGeneration = 1_000_000;
+/** Latest time that a date can hold. */
+const maxEpochMs = 8.64e15;
+
 /** The end of a backend server while it was processing a request. */
 export interface CrashStrike {
     /** Identifies the content of the request. */
@@ -61,20 +66,39 @@
         return undefined;
     }
     return {
-        strikes: parsed["strikes"].filter(isStrike).slice(0, maxReportedContents),
-        cleared: parsed["cleared"].filter(isClearedStrikes).slice(0, maxReportedContents),
+        strikes: parsed["strikes"].flatMap(readStrike).slice(0, maxReportedContents),
+        cleared: parsed["cleared"].flatMap(readClearedStrikes).slice(0, maxReportedContents),
     };
 }
 
-function isStrike(value: unknown): value is CrashStrike {
-    return isRecord(value) && typeof value["contentId"] === "string" && typeof value["incarnation"] === "string"
-        && Number.isInteger(value["generation"]) && Number.isFinite(value["atEpochMs"])
-        && typeof value["trial"] === "boolean";
+/** Takes the known fields only: what is read of an own report is written again. */
+function readStrike(value: unknown): readonly CrashStrike[] {
+    if (!isRecord(value)) {
+        return [];
+    }
+    const { contentId, incarnation, generation, atEpochMs, trial } = value;
+    return isId(contentId) && isId(incarnation) && isCount(generation, maxGeneration) && isCount(atEpochMs, maxEpochMs)
+            && typeof trial === "boolean"
+        ? [{ contentId, incarnation, generation, atEpochMs, trial }]
+        : [];
+}
+
+function readClearedStrikes(value: unknown): readonly ClearedStrikes[] {
+    if (!isRecord(value)) {
+        return [];
+    }
+    const { contentId, incarnations } = value;
+    return isId(contentId) && Array.isArray(incarnations) && incarnations.every(isId)
+        ? [{ contentId, incarnations }]
+        : [];
+}
+
+function isId(value: unknown): value is string {
+    return typeof value === "string" && value.length <= maxIdLength;
 }
 
-function isClearedStrikes(value: unknown): value is ClearedStrikes {
-    return isRecord(value) && typeof value["contentId"] === "string" && Array.isArray(value["incarnations"])
-        && value["incarnations"].every(incarnation => typeof incarnation === "string");
+function isCount(value: unknown, max: number): value is number {
+    return typeof value === "number" && value >= 0 && value <= max;
 }
 
 function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
