Check the record of a cold server's permit

A gateway that took over a server's permit read the last holder's record without a check. A record that was no JSON, or without its list of holders, threw while the store's reply was handled; with a horizon of 1e308 the server got no request again.

Cause: the text was parsed and taken for the type.

A record that can't be read stands for holders that aren't known: their requests count as in flight for the longest patience of the configuration.

--- a/packages/coldStart/src/__tests__/serverPermitGate.test.ts
+++ b/packages/coldStart/src/__tests__/serverPermitGate.test.ts
@@ -288,3 +288,27 @@
         assert.equal(driver.gate.mayStillSend(server, request, driver.nowMs), false, signal.kind);
     }
 });
+
+const depth = 300_000;
+const oddRecords: Readonly<Record<string, string>> = {
+    "no JSON": "{",
+    "null": "null",
+    "a list": "[]",
+    "no holders": "{\"epoch\":1}",
+    "holders of another type": "{\"epoch\":1,\"holders\":{}}",
+    "an endless horizon": "{\"epoch\":1,\"holders\":[{\"gateway\":\"g0/1\",\"horizonMs\":1e308}]}",
+    "an epoch that is no number": "{\"epoch\":\"1\",\"holders\":[]}",
+    "an epoch that is too large": "{\"epoch\":1e400,\"holders\":[]}",
+    "a nested list": "[".repeat(depth) + "]".repeat(depth),
+};
+
+for (const [name, value] of Object.entries(oddRecords)) {
+    // Guards against a gateway that ends, or never sends to a server again, because of a record that it can't read.
+    test(`a permit record with ${name} delays the first request by the longest patience at most`, () => {
+        const engine = new KeyValueEngine();
+        engine.compareAndSwap({ key: `coldStart/record/${server}`, expectedRevision: 0, value }, 0);
+        const driver = createDriver({ maxPatienceMs: 9_000 }, engine);
+        driver.respond(server, driver.send(server), createMetadata("cold"));
+        assert.ok(driver.nowMs < 20_000, `sent after ${driver.nowMs} ms`);
+    });
+}
--- a/packages/coldStart/src/constants.ts
+++ b/packages/coldStart/src/constants.ts
@@ -40,6 +40,9 @@
 /** Minimum horizon of a permit record, in milliseconds; larger horizons are this value doubled repeatedly. */
 export const minHorizonMs = 1_000;
 
+/** Maximum horizon of a permit record, in milliseconds: the first one that covers a patience of a day. */
+export const maxHorizonMs = minHorizonMs * 2 ** 17;
+
 /** Maximum delay of the state that health and load endpoints report. */
 export const maxReportLagMs = 5_000;
 
--- a/packages/coldStart/src/createServerPermitGate.ts
+++ b/packages/coldStart/src/createServerPermitGate.ts
@@ -277,7 +277,7 @@
     #createInheritedRequests(server: GatedServerState, nowMs: number): InheritedRequests {
         const { maxPatienceMs } = server.state.limits;
         const gateways = new Map<string, number>();
-        for (const { gateway, horizonMs } of server.permit.inheritedHolders) {
+        for (const { gateway, horizonMs = maxPatienceMs } of server.permit.inheritedHolders) {
             gateways.set(gateway, nowMs + horizonMs + cancellationGraceMs);
         }
         for (const [gateway, stoppedAtMs] of this.#departed.stoppedAtMs) {
--- a/packages/coldStart/src/permit.ts
+++ b/packages/coldStart/src/permit.ts
@@ -1,22 +1,30 @@
 import { type ServerId } from "@galenaglade/routing";
-import { permitRetryDelayMs, minHorizonMs } from "./constants.js";
+import * as z from "zod";
+import { maxHorizonMs, permitRetryDelayMs, minHorizonMs } from "./constants.js";
 import { type StoreCommand, type StoredValue, type StoreReply } from "./storeCommand.js";
 
-/** A permit holder whose requests may still be in flight. */
-export interface FormerHolder {
+const formerHolder = z.object({
     /** `name/incarnation` of the gateway. */
-    readonly gateway: string;
-    /** Maximum time from sending to deadline of the requests sent under the permit, in milliseconds. */
-    readonly horizonMs: number;
-}
+    gateway: z.string(),
+    /**
+     * Maximum time from sending to deadline of the requests sent under the permit, in milliseconds; `undefined` if only
+     * the configuration limits it.
+     */
+    horizonMs: z.number().min(0).max(maxHorizonMs).optional(),
+}).readonly();
 
-/** Stored record that outlives the permit's lease, so that the next holder can account for earlier requests. */
-export interface PermitRecord {
+const permitRecord = z.object({
     /** Number of times that the server has turned cold, as known to the last holder. */
-    readonly epoch: number;
+    epoch: z.number().int().min(0),
     /** The last holder, and earlier ones whose requests may not have ended yet. */
-    readonly holders: readonly FormerHolder[];
-}
+    holders: z.array(formerHolder).readonly(),
+}).readonly();
+
+/** A permit holder whose requests may still be in flight. */
+export type FormerHolder = z.output<typeof formerHolder>;
+
+/** Stored record that outlives the permit's lease, so that the next holder can account for earlier requests. */
+export type PermitRecord = z.output<typeof permitRecord>;
 
 type Stage = "none" | "claiming" | "claimed" | "reading" | "read" | "writing" | "held" | "releasing";
 
@@ -30,8 +38,19 @@
     return `coldStart/record/${serverId}`;
 }
 
+/** Stands for the unknown holders of a record that can't be read. */
+const unreadableRecord: PermitRecord = Object.freeze({ epoch: 0, holders: [{ gateway: "unreadable" }] });
+
 function parseRecord(entry: StoredValue | undefined): PermitRecord | undefined {
-    return entry === undefined ? undefined : JSON.parse(entry.value) as PermitRecord;
+    if (entry === undefined) {
+        return undefined;
+    }
+    try {
+        return permitRecord.parse(JSON.parse(entry.value));
+    }
+    catch {
+        return unreadableRecord;
+    }
 }
 
 function roundUpHorizon(requiredMs: number): number {
