Survive requests for targets that are no URL on the port for gateways

One request for the target // on the port for other gateways ended the process: its handler parsed the target as a URL, which throws "Invalid URL" for //, http://[ or //a:99999, and nothing catches what a request's listener throws.

Cause: path and query were read by a parser that throws.

Change: the target is split at the question mark, as the other handlers do, and the query is read on its own.

Every odd target gets a response now, and the next request of a caller is served.

--- a/packages/edge/src/reach/reachabilityServer.ts
+++ b/packages/edge/src/reach/reachabilityServer.ts
@@ -12,7 +12,8 @@
     req: IncomingMessage,
     res: ServerResponse,
 ): Promise<void> {
-    const service = new URL(req.url ?? "/", "http://gateway").searchParams.get(reachabilityServiceParam);
+    const [, query] = (req.url ?? "/").split("?");
+    const service = new URLSearchParams(query).get(reachabilityServiceParam);
     if (service === null) {
         send(res, reachabilityStatus.badRequest, "");
         return;
--- a/packages/edge/src/state/relayServer.ts
+++ b/packages/edge/src/state/relayServer.ts
@@ -62,14 +62,15 @@
 
     /** Serves one request of another gateway. */
     handle(req: IncomingMessage, res: ServerResponse): void {
-        const url = new URL(req.url ?? "/", "http://gateway");
-        if (url.pathname === contactPath) {
+        const [path, query] = (req.url ?? "/").split("?");
+        if (path === contactPath) {
             this.#sendContact(res);
             return;
         }
-        const afterRevision = Number(url.searchParams.get(relayParams.after) ?? Number.NaN);
-        const waitMs = Number(url.searchParams.get(relayParams.wait) ?? Number.NaN);
-        if (url.pathname !== relayPath || !Number.isFinite(afterRevision) || !(waitMs >= 0)) {
+        const params = new URLSearchParams(query);
+        const afterRevision = Number(params.get(relayParams.after) ?? Number.NaN);
+        const waitMs = Number(params.get(relayParams.wait) ?? Number.NaN);
+        if (path !== relayPath || !Number.isFinite(afterRevision) || !(waitMs >= 0)) {
             send(res, relayStatus.badRequest, emptyBody);
             return;
         }
