Bound the numbers in messages of other gateways

Another gateway's message could say that its changes reach to revision 1e308, that it heard from the store in the future (an age of -1e308), that a caller is to come back in 1e308 s, or that a response was made by configuration 1e308. Who believes it waits for changes that never come, takes its state for fresh for ever, or asks the others for a configuration that none has, so that they refuse its requests.

Cause: these fields were any number.

Change: positions and versions are whole numbers from 0, times have bounds. A message beyond them is malformed, as before: the sender counts as out of reach.

What a gateway does with them was read, not tried. Tests of relay, handover, rollouts and reachability pass.

--- a/packages/edge/src/handover/handoverMessages.ts
+++ b/packages/edge/src/handover/handoverMessages.ts
@@ -2,6 +2,7 @@
 import { errorKinds } from "@galenaglade/errors";
 import { parseJson } from "@galenaglade/http-parts";
 import * as z from "zod";
+import { configVersion, durationMs, remainingMs, retryAfterSeconds } from "../messageFields.js";
 
 /** Path on which a gateway receives handed-over requests, under the request's own method. */
 export const handoverPath = "/handover";
@@ -18,11 +19,11 @@
     /** Service that was picked among the route's destinations. */
     service: z.string(),
     /** Oldest version of the configuration by which the request may be handled. */
-    version: z.number(),
+    version: configVersion,
     /** Time since the request arrived, in milliseconds. */
-    ageMs: z.number().min(0),
+    ageMs: durationMs,
     /** Time until the final response is due, in milliseconds. */
-    remainingMs: z.number(),
+    remainingMs,
     /** Number of servers on which the request may still run. */
     runs: z.number().int().min(1),
     /** Address of the caller. */
@@ -46,7 +47,7 @@
 /** Schema of the outcome that a gateway sends with its response to a handed-over request. */
 export const handoverOutcomeSchema = z.discriminatedUnion("type", [
     /** The response is a backend server's. */
-    z.object({ type: z.literal("answered"), version: z.number(), server: z.string().optional() }),
+    z.object({ type: z.literal("answered"), version: configVersion, server: z.string().optional() }),
     z.object({
         type: z.literal("refused"),
         reason: z.enum(handoverRefusalReasons),
@@ -60,7 +61,7 @@
         detail: z.string(),
         /** Whether the request certainly has not run. */
         notRun: z.boolean(),
-        retryAfterSeconds: z.number().optional(),
+        retryAfterSeconds: retryAfterSeconds.optional(),
         /** Whether that gateway no longer reaches the service either. */
         unreached: z.boolean(),
         /** Whether the request may have reached a server, so that another send of it is a repeat. */
--- a/packages/edge/src/rollout/rolloutMessages.ts
+++ b/packages/edge/src/rollout/rolloutMessages.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { durationMs } from "../messageFields.js";
 
 /** Path on which a gateway receives other gateways' reports on a rollout. */
 export const evidencePath = "/rollout-evidence";
@@ -12,7 +13,6 @@
     unavailable: 503,
 });
 
-const ms = z.number().min(0);
 const counts = { sends: z.number().int().min(0), bad: z.number().int().min(0) };
 
 /** Report of one gateway on the requests that it sent during a rollout. */
@@ -27,7 +27,7 @@
         stable: z.object(counts),
         trial: z.array(z.object({ server: z.string().min(1), ...counts })),
     })),
-    orderAge: z.object({ atLeastMs: ms, atMostMs: ms.optional() }).optional(),
+    orderAge: z.object({ atLeastMs: durationMs, atMostMs: durationMs.optional() }).optional(),
 });
 
 /** The coordinator's response to a report. */
--- a/packages/edge/src/state/relayMessages.ts
+++ b/packages/edge/src/state/relayMessages.ts
@@ -1,5 +1,6 @@
 import { type DeepReadonly } from "@galenaglade/configuration";
 import * as z from "zod";
+import { durationMs, storePosition } from "../messageFields.js";
 
 /**
  * Path on which a gateway serves changes of the store to others. Releases whose revisions don't include the store's
@@ -33,25 +34,25 @@
 /** Response with changes of the store. */
 export const relayResponse = z.object({
     /** Revision up to which the response has all changes. */
-    revision: z.number(),
+    revision: storePosition,
     changed: z.array(z.object({
         key: z.string(),
         value: z.string(),
-        modifiedRevision: z.number(),
+        modifiedRevision: storePosition,
         leaseId: z.string().optional(),
     })),
     deleted: z.array(z.string()),
     /** Time since the last contact with the store, in milliseconds. */
-    ageMs: z.number(),
+    ageMs: durationMs,
     /** Time since the relay's state was last known to be up to date, in milliseconds; absent if unknown. */
-    currentAgeMs: z.number().min(0).optional(),
+    currentAgeMs: durationMs.optional(),
     /** Duration of the relay's uninterrupted contact with the store, in milliseconds; absent if unknown. */
-    heardForMs: z.number().min(0).optional(),
+    heardForMs: durationMs.optional(),
 });
 
 /** Response with the duration of a gateway's uninterrupted contact with the store, in milliseconds. */
 export const contactResponse = z.object({
-    heardForMs: z.number().min(0),
+    heardForMs: durationMs,
 });
 
 /** Changes that one gateway relays to another. */
