--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -101,5 +101,7 @@
         socket.once("close", () => {
             this.#hasResponded = false;
         });
+        // The HTTP client gets the socket later; an error without a listener ends the process.
+        socket.on("error", () => undefined);
     }
 }
