Bound the numbers in the limiters' messages

Another writer's datagram could name a configuration version of 1e308, which keeps an allocator at a wrong limit for good, and rates, bursts and times whose sums and quotients are no numbers.

Change: rates, bursts, times and versions have bounds; a message beyond them is ignored as one of another type is.

--- a/packages/rateLimit/src/messages.ts
+++ b/packages/rateLimit/src/messages.ts
@@ -5,14 +5,18 @@
 
 const name = z.string().min(1).max(512);
 const incarnation = z.string().min(1).max(64);
-const amount = z.number().min(0);
+/** Bounds under which sums and products of several numbers stay finite and exact enough. */
+const maxAmount = 1e12;
+const minRatePerSecond = 1e-6;
+const amount = z.number().min(0).max(maxAmount);
 const count = z.int().min(0);
+const monotonicMs = z.number().min(0).max(maxAmount);
 
 const limitRequestEntry = z.object({
     workspace: name,
-    perSecond: z.number().positive(),
+    perSecond: z.number().min(minRatePerSecond).max(maxAmount),
     burst: amount,
-    configVersion: z.number(),
+    configVersion: count,
     wanted: count,
     givenBack: count,
 });
@@ -35,7 +39,7 @@
     /** Share of each limit that the sender delegates. */
     share: z.number().min(0).max(1),
     /** Latest timestamp received from the allocator, with the process incarnation that it belongs to. */
-    echo: z.object({ life: incarnation, atMs: z.number() }).optional(),
+    echo: z.object({ life: incarnation, atMs: monotonicMs }).optional(),
     entries: z.array(limitRequestEntry).max(64),
 });
 
@@ -50,7 +54,7 @@
     seq: count,
     group: count,
     /** The allocator's monotonic time. */
-    atMs: z.number(),
+    atMs: monotonicMs,
     /** Whether the allocator is shutting down: it has dropped all shares and accepts no more. */
     leaving: z.boolean().optional(),
     entries: z.array(limitResponseEntry).max(64),
