Client's socket: fail responses that this process breaks off, and end early ones behind an unread body

Within a response the socket now always ends with an error. - A whole early response without a length was lost, and its caller got 504, where the server leaves a long body unread: the empty write that confirms the end waited behind the body. Bytes that wait to be written show a reset by themselves, so the end is passed on after a poll. - Bytes behind one response were kept for all later ones of the connection, so that a repeated head that ends behind the body was missed.

--- a/packages/httpParts/src/__tests__/boundedSocket.test.ts
+++ b/packages/httpParts/src/__tests__/boundedSocket.test.ts
@@ -19,6 +19,8 @@
     "with the identity coding": ["HTTP/1.1 200 OK", "transfer-encoding: identity"],
 };
 
+const sockets = new WeakMap<Client, Socket>();
+
 /** Starts a server that writes a head and a body, and ends the connection at once. @returns a client of it */
 async function startServer(
     t: TestContext,
@@ -35,7 +37,19 @@
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
-    const client = new Client(`http://127.0.0.1:${port}`, { connect: createConnector({ timeoutMs: 1_000 }) });
+    const connect = createConnector({ timeoutMs: 1_000 });
+    const client: Client = new Client(`http://127.0.0.1:${port}`, {
+        connect: (options, callback) => {
+            connect(options, (...[err, socket]) => {
+                if (socket === null) {
+                    callback(err, socket);
+                    return;
+                }
+                sockets.set(client, socket);
+                callback(err, socket);
+            });
+        },
+    });
     t.after(async () => {
         await client.destroy();
         server.close();
@@ -104,3 +118,47 @@
 function lengthAndClose(): readonly string[] {
     return ["HTTP/1.1 200 OK", "connection: close", `content-length: ${bodyBytes}`];
 }
+
+const longBody = Buffer.alloc(30_000_000);
+
+for (const [name, end] of Object.entries(endings)) {
+    // Guards against an early response that is lost behind a request's body that its server doesn't read.
+    test(`response without a length to a body that isn't read, ${name}: it ends at once`, async t => {
+        const client = await startServer(t, ["HTTP/1.1 409 Conflict"], end);
+        const result = await new Promise<number | string>(resolve => {
+            let bytes = 0;
+            client.dispatch({ method: "POST", path: "/", body: longBody }, {
+                onRequestStart: () => undefined,
+                onResponseStart: () => undefined,
+                onResponseData: (_controller, chunk) => {
+                    bytes += chunk.length;
+                },
+                onResponseEnd: () => resolve(bytes),
+                onResponseError: (_controller, err) => resolve(err.name),
+            });
+        });
+        assert.ok(name === "closed" ? result === bodyBytes : typeof result === "string", String(result));
+    });
+}
+
+for (const isPaused of [true, false]) {
+    // Guards against a process that ends because it destroys a connection within a response.
+    test(`connection that is destroyed while its reader ${isPaused ? "pauses" : "reads"}: the response fails`, async t => {
+        const client = await startServer(t, ["HTTP/1.1 200 OK"], () => undefined);
+        const name = await new Promise<string>(resolve => {
+            client.dispatch({ method: "GET", path: "/" }, {
+                onRequestStart: () => undefined,
+                onResponseStart: () => undefined,
+                onResponseData: controller => {
+                    if (isPaused) {
+                        controller.pause();
+                    }
+                    setImmediate(() => sockets.get(client)?.resetAndDestroy());
+                },
+                onResponseEnd: () => resolve("ended"),
+                onResponseError: (_controller, err) => resolve(err.name),
+            });
+        });
+        assert.equal(name, "ResponseResetError");
+    });
+}
--- a/packages/httpParts/src/outgoing/boundedSocket.ts
+++ b/packages/httpParts/src/outgoing/boundedSocket.ts
@@ -1,4 +1,5 @@
 import { Socket } from "node:net";
+import { whenInputRead } from "../pendingInput.js";
 import { type FramingLimits, ResponseFraming, ResponseFramingError } from "./responseFraming.js";
 
 /**
@@ -64,8 +65,8 @@
             return false;
         }
         const { bodyEnd } = this.#framing;
-        if (bodyEnd !== undefined && bodyEnd < chunk.length) {
-            this.#bytesBehindBody ??= chunk.subarray(bodyEnd);
+        if (bodyEnd !== undefined) {
+            this.#bytesBehindBody = bodyEnd < chunk.length ? chunk.subarray(bodyEnd) : undefined;
         }
         this.#isDrained = false;
         return super.push(chunk, encoding);
@@ -89,8 +90,12 @@
 
     override destroy(err?: NodeJS.ErrnoException): this {
         const isWithinResponse = this.#framing.isReceiving || !this.#isDrained;
-        const isReset = resetCodes.has(err?.code) && isWithinResponse;
-        return super.destroy(err !== undefined && isReset ? new ResponseResetError(err) : err);
+        if (!isWithinResponse || this.destroyed || this.readableEnded) {
+            return super.destroy(err);
+        }
+        // Without an error the HTTP client takes the close for the end of the response.
+        const cause = err ?? new Error("destroyed by this process");
+        return super.destroy(err === undefined || resetCodes.has(err.code) ? new ResponseResetError(cause) : err);
     }
 
     /**
@@ -103,10 +108,18 @@
             this.#passEndOn();
             return;
         }
+        const onConfirmed = (): void => {
+            this.#hasEnded = true;
+            this.#passEndOn();
+        };
+        if (this.writableLength > 0) {
+            // The bytes that wait to be written show a reset by themselves; an empty write would wait behind them.
+            void whenInputRead().then(onConfirmed);
+            return;
+        }
         this.write(noBytes, err => {
             if (!(err instanceof Error)) {
-                this.#hasEnded = true;
-                this.#passEndOn();
+                onConfirmed();
             }
         });
     }
