Scan bodies line by line, complete a head without the bytes behind it, and keep a better response than a later failure

From the independent review: - A body full of lines that may begin heads kept the process busy (330 ms for 140 kB), and the scanner switched itself off after 1,000 mentions of HTTP/1. It now stops at the first line that is no field, and counts the bytes that it has examined. - A repeated head of which the rest came in a later read was missed: what there is of it in whole lines decides now. - A whole response without a length was thrown away for the failure of the server that was asked after it. - A peer connection whose response was found broken at its end went back to the pool. - A planned stop and malformed input reset connections with an unfinished response: a close would look like its end.

--- a/packages/edge/src/__tests__/brokenResponses.test.ts
+++ b/packages/edge/src/__tests__/brokenResponses.test.ts
@@ -97,6 +97,35 @@
     });
 }
 
+// Guards against a repeated head of which the rest comes after the body has ended.
+test("response that begins again, and whose body ends with the first part of the head: it is given up", async t => {
+    const partBytes = 60;
+    const response = await ask(t, req => {
+        const whole = renderHead(req, `content-length: ${body.length}`) + body;
+        req.socket.setNoDelay(true);
+        req.socket.write(whole.slice(0, -partBytes));
+        setTimeout(() => req.socket.write(whole.slice(0, partBytes)), stutterMs);
+        setTimeout(() => req.socket.write(whole.slice(partBytes)), 2 * stutterMs);
+    });
+    assert.equal(response.status, 502);
+});
+
+// Guards against a response that is thrown away for the failure of the server that was asked after it.
+test("response without a length whose second server fails: its caller gets it", async t => {
+    let sends = 0;
+    const serve = (req: RawRequest): void => {
+        sends++;
+        if (sends > 1) {
+            req.socket.write(renderHead(req, "content-length: 0").replace("200 OK", "500 Failed"));
+            return;
+        }
+        req.socket.end(renderHead(req) + body);
+    };
+    const edge = await startEdgeWith(t, await startBackend(t, "a", serve), await startBackend(t, "b", serve));
+    const got = await call(edge, "/tables/x");
+    assert.deepEqual([got.status, got.body, sends], [200, body, 2]);
+});
+
 // Guards against whole responses that are given up for what they contain, or for what their server sends behind them.
 test("whole responses are delivered, whatever their bodies show and whatever lies behind them", async t => {
     const bodies = [
--- a/packages/edge/src/backends/responseBody.ts
+++ b/packages/edge/src/backends/responseBody.ts
@@ -53,7 +53,7 @@
      * @returns the bytes that were held back
      */
     onEnd(behind: Buffer | undefined): Buffer {
-        const completed = behind && this.#scanner.completeWith(behind);
+        const completed = this.#scanner.completeWith(behind);
         this.#isRepeated ||= completed !== undefined && this.#isRepeat(completed);
         return this.#scanner.release();
     }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -345,6 +345,8 @@
         await whenAnswered(plan);
         for (const pending of callerConnections.listPending()) {
             logPending("unansweredAtStop", pending);
+            // A close would look like the end of a response without a length.
+            pending.req.socket.resetAndDestroy();
         }
         stateSync.stop();
         rolloutSync.stop();
--- a/packages/edge/src/handover/exchangeHandover.ts
+++ b/packages/edge/src/handover/exchangeHandover.ts
@@ -137,7 +137,8 @@
         const { requestId, rules: { name: service } } = this.#input.request;
         const nowMs = clock.monotonicMs();
         const { end, outcome, failure } = ended;
-        if (outcome === undefined && end.type !== "notRun") {
+        const isBroken = end.type === "unknown" && outcome?.type === "answered";
+        if (isBroken || (outcome === undefined && end.type !== "notRun")) {
             connection.destroy();
         }
         else {
--- a/packages/edge/src/requests/exchange.ts
+++ b/packages/edge/src/requests/exchange.ts
@@ -268,7 +268,9 @@
             }
             // A server error, or a response that may be truncated, is kept as a fallback in case no other send does
             // better.
-            this.#fallback = response;
+            if (this.#fallback === undefined || !isServerError(end)) {
+                this.#fallback = response;
+            }
         }
         if (mayRetry && await this.#tryRetry(ended)) {
             return undefined;
--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -84,9 +84,13 @@
     // A body that is streamed may be at a server already.
     const mayHaveRun = response !== undefined && !response.writableEnded && !mayRefuse(response);
     // While a response is being sent, the error response would be written into it and the caller would take it for part
-    // of the body. The connection is closed instead, so that the caller detects an incomplete response.
+    // of the body. The connection is reset instead: a close would look like the end of a response without a length.
     const isResponding = response !== undefined && response.headersSent && !response.writableFinished;
-    if (isResponding || mayHaveRun || !socket.writable || err.code === "ECONNRESET") {
+    if (isResponding) {
+        socket.resetAndDestroy();
+        return;
+    }
+    if (mayHaveRun || !socket.writable || err.code === "ECONNRESET") {
         socket.destroy();
         return;
     }
--- a/packages/httpParts/src/outgoing/embeddedHeads.ts
+++ b/packages/httpParts/src/outgoing/embeddedHeads.ts
@@ -14,14 +14,15 @@
 }
 
 const marker = Buffer.from("HTTP/1.");
-const headEnd = "\r\n\r\n";
+const lineEnd = "\r\n";
+const headEnd = Buffer.from("\r\n\r\n");
 const statusLine = /^HTTP\/1\.\d (\d{3})(?: |$)/;
 const fieldLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):(.*)$/;
 /** Length of a status line without its reason, in bytes. */
 const statusBytes = "HTTP/1.1 200".length;
 const maxHeadBytes = 32_768;
-/** Maximum number of possible heads that are examined, which bounds the work for one body. */
-const maxExamined = 1_000;
+/** Number of bytes of possible heads that are examined in one body; nothing is found beyond. */
+const maxExaminedBytes = 4_194_304;
 const noBytes = Buffer.alloc(0);
 
 /**
@@ -30,7 +31,7 @@
  */
 export class EmbeddedHeadScanner {
     #held: Buffer = noBytes;
-    #examined = 0;
+    #workLeft = maxExaminedBytes;
 
     /** Whether bytes are held back. */
     get isHolding(): boolean {
@@ -67,11 +68,14 @@
     }
 
     /**
-     * @param behind - bytes that lie behind the body
-     * @returns the head that begins in the bytes that are held back and ends in those behind the body, if there is one
+     * @param behind - bytes that lie behind the body; `undefined` if there are none yet
+     * @returns the head that begins in the bytes that are held back and ends in those behind the body, or what there is of
+     * it in whole lines without such bytes; `undefined` if there is no head
      */
-    completeWith(behind: Buffer): EmbeddedHead | undefined {
-        const bytes = Buffer.concat([this.#held, behind.subarray(0, maxHeadBytes)]);
+    completeWith(behind: Buffer | undefined): EmbeddedHead | undefined {
+        const bytes = behind === undefined
+            ? Buffer.concat([this.#held.subarray(0, Math.max(0, this.#held.lastIndexOf(lineEnd))), headEnd])
+            : Buffer.concat([this.#held, behind.subarray(0, maxHeadBytes)]);
         if (!this.isHolding || !bytes.subarray(0, marker.length).equals(marker)) {
             return undefined;
         }
@@ -80,46 +84,38 @@
     }
 
     #examine(bytes: Buffer): EmbeddedHead | "incomplete" | "none" {
-        this.#examined++;
-        if (this.#examined > maxExamined) {
+        const isCut = bytes.length < maxHeadBytes;
+        if (this.#workLeft <= 0) {
             return "none";
         }
-        const isCut = bytes.length < maxHeadBytes;
         if (bytes.length < statusBytes) {
             return isCut ? "incomplete" : "none";
         }
-        if (!statusLine.test(`${bytes.toString("latin1", 0, statusBytes)} `)) {
-            return "none";
-        }
-        const end = bytes.indexOf(headEnd);
-        const lines = bytes.toString("latin1", 0, end < 0 ? bytes.length : end).split("\r\n");
-        if (end < 0) {
-            // The last line isn't complete.
-            lines.pop();
-        }
-        const [first = "", ...fields] = lines;
-        const headers = parseFields(fields);
-        if (headers === undefined || (first !== "" && !statusLine.test(first))) {
+        const status = statusLine.exec(`${bytes.toString("latin1", 0, statusBytes)} `)?.[1];
+        if (status === undefined) {
             return "none";
         }
-        if (end < 0) {
-            return isCut ? "incomplete" : "none";
-        }
-        return { status: Number(statusLine.exec(first)?.[1]), headers };
-    }
-}
-
-/** @returns alternating names and values; `undefined` if a line is no header field */
-function parseFields(lines: readonly string[]): RawHeaders | undefined {
-    const headers: string[] = [];
-    for (const line of lines) {
-        const [, name, value] = fieldLine.exec(line) ?? [];
-        if (name === undefined || value === undefined) {
-            return undefined;
+        const headers: string[] = [];
+        let at = bytes.indexOf(lineEnd);
+        while (at >= 0) {
+            const next = at + lineEnd.length;
+            const end = bytes.indexOf(lineEnd, next);
+            this.#workLeft -= (end < 0 ? bytes.length : end) - at;
+            if (end === next) {
+                return { status: Number(status), headers };
+            }
+            if (end < 0) {
+                break;
+            }
+            const [, name, value] = fieldLine.exec(bytes.toString("latin1", next, end)) ?? [];
+            if (name === undefined || value === undefined || this.#workLeft <= 0) {
+                return "none";
+            }
+            headers.push(name, value.trim());
+            at = end;
         }
-        headers.push(name, value.trim());
+        return isCut ? "incomplete" : "none";
     }
-    return headers;
 }
 
 /** @returns the number of bytes at the end with which a marker may begin */
