--- a/packages/httpParts/src/outgoing/boundedSocket.ts
+++ b/packages/httpParts/src/outgoing/boundedSocket.ts
@@ -22,8 +22,13 @@
 const endOfStream = null;
 
 /**
- * A client's socket that is destroyed with a {@link ResponseFramingError} once a response on it exceeds a limit, before
- * the HTTP parser gets the bytes, and with a {@link ResponseResetError} if it is reset within a response.
+ * The socket of an HTTP client, which judges what arrives before the HTTP parser gets it:
+ *
+ * - a response that exceeds a limit destroys it with a {@link ResponseFramingError};
+ * - a reset within a response, or a destroy without an error, destroys it with a {@link ResponseResetError};
+ * - the end of a response that ends with the connection is confirmed not to be a reset;
+ * - the end is passed on only while the reader isn't paused. The HTTP client (undici 7) reads until it gets `null` unless
+ *   it is paused, and gives back the bytes that it hasn't parsed, which may be none, when it pauses.
  */
 export class BoundedSocket extends Socket {
     readonly #framing: ResponseFraming;
