Test of malformed input within a response: the connection is reset, not closed

A reset is what the caller has to get: a close looks like the end of a response without a length. The test asserts it now, besides what it asserted before: no error response is written into the other one.

--- a/packages/gateway/src/__tests__/badInput.test.ts
+++ b/packages/gateway/src/__tests__/badInput.test.ts
@@ -134,10 +134,16 @@
     socket.on("data", (chunk: Buffer) => {
         received += chunk.toString();
     });
+    let isReset = false;
+    socket.on("error", () => {
+        isReset = true;
+    });
     socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
     await once(socket, "data");
+    const closed = new Promise(resolve => socket.once("close", resolve));
     socket.write("this is no request\r\n\r\n");
-    await once(socket, "close");
+    await closed;
     finish();
     assert.match(received, /\r\n\r\n12345$/);
+    assert.equal(isReset, true, "a close would look like the end of a response without a length");
 });
