Planned stop: reset only connections whose response has begun

A reset discards what the operating system hasn't delivered yet, also whole responses ahead of a request that gets none; such a request looks unanswered either way.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -345,8 +345,10 @@
         await whenAnswered(plan);
         for (const pending of callerConnections.listPending()) {
             logPending("unansweredAtStop", pending);
-            // A close would look like the end of a response without a length.
-            pending.req.socket.resetAndDestroy();
+            if (pending.state === "responding") {
+                // A close would look like the end of a response without a length.
+                pending.req.socket.resetAndDestroy();
+            }
         }
         stateSync.stop();
         rolloutSync.stop();
