Reset connections in one function, and before the HTTP server ends a response that isn't whole

A caller that closed its connection, or only its side, amid a streamed response kept a descriptor for good: Node's HTTP server ends the socket in its own listener of the caller's end, the exchange is abandoned in the same turn, and libuv refuses to reset a socket that is shutting down (EINVAL), which Node then never closes. A caller that had closed only its side read a normal end in place of a reset. A process that keeps such a socket doesn't end by itself.

resetConnection closes such a socket, and resets any other; a lint rule keeps it the one place, in the product and the stand-ins. A connection whose caller leaves within a response is reset before the HTTP server can end it; the response that counts is the one being written, not that of the latest request. A malformed request behind others is judged by all of them too. A counter has the resets by reason, a gauge the process's descriptors.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,6 +45,12 @@
     "@galenaglade/stand-ins",
 ];
 
+/** A reset at the wrong moment keeps the socket open for good. */
+const restrictedReset = {
+    property: "resetAndDestroy",
+    message: "use resetConnection of @galenaglade/http-parts, which knows when a socket can be reset",
+};
+
 const clocksAndTimers = [
     "Date",
     "performance",
@@ -82,6 +88,12 @@
             "@typescript-eslint/no-extraneous-class": "off",
         },
     },
+    {
+        // Tests are also callers and servers that reset whenever they like.
+        files: ["**/*.ts"],
+        ignores: ["**/__tests__/**"],
+        rules: { "no-restricted-properties": ["error", restrictedReset] },
+    },
     {
         files: [
             ...decisionPackages.map(name => `packages/${name}/src/**/*.ts`),
@@ -93,7 +105,10 @@
                 patterns: [{ group: inputOutputModules, message: "decisions do no I/O" }],
             }],
             "no-restricted-globals": ["error", ...clocksAndTimers],
-            "no-restricted-properties": ["error", { object: "Math", property: "random" }],
+            "no-restricted-properties": ["error", restrictedReset, {
+                object: "Math",
+                property: "random",
+            }],
         },
     },
     {
--- a/packages/edge/src/backends/serverConnection.ts
+++ b/packages/edge/src/backends/serverConnection.ts
@@ -1,5 +1,5 @@
 import { type ServerAddress } from "@galenaglade/fleet-state";
-import { BoundedSocket, whenInputRead } from "@galenaglade/http-parts";
+import { BoundedSocket, resetConnection, whenInputRead } from "@galenaglade/http-parts";
 import { type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { idleConnectionTimeoutMs } from "../constants.js";
@@ -91,7 +91,9 @@
 
     /** Closes the connection permanently by a reset, which a server notices before it has read what was sent to it. */
     reset(): void {
-        this.#socket?.resetAndDestroy();
+        if (this.#socket !== undefined) {
+            resetConnection(this.#socket, "sendAbandoned");
+        }
         this.destroy();
     }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -5,6 +5,8 @@
     createCallerServer,
     listen,
     type ListenAddress,
+    resetConnection,
+    resetReasonOf,
     sleep,
     systemClock,
 } from "@galenaglade/http-parts";
@@ -13,6 +15,7 @@
 import { GatewayRollouts } from "@galenaglade/rollout";
 import { createRandomSource } from "@galenaglade/routing";
 import { type LogFields, type Logger, type Metrics } from "@galenaglade/telemetry";
+import { type Socket } from "node:net";
 import { ServerLivenessChecker } from "./backends/serverLivenessChecker.js";
 import { ServerConnectionPool } from "./backends/serverConnectionPool.js";
 import { DirectConnector, type ServerConnector } from "./backends/serverConnector.js";
@@ -230,6 +233,15 @@
         mayRefuse: res => handler.hasNotRun(res),
     }, (req, res) => handler.handle(req, res));
     const callerSockets = new ConnectionTracker(callerServer, () => clock.monotonicMs());
+    callerServer.on("connection", (socket: Socket) => {
+        socket.once("close", () => {
+            const reason = resetReasonOf(socket);
+            if (reason !== undefined) {
+                metrics.onCallerConnectionReset(reason);
+            }
+        });
+    });
+    metrics.observeDescriptors();
     metrics.observeCallerConnections(() => ({
         open: callerSockets.openCount,
         closing: callerSockets.closingCount,
@@ -347,7 +359,7 @@
             logPending("unansweredAtStop", pending);
             if (pending.state === "responding") {
                 // A close would look like the end of a response without a length.
-                pending.req.socket.resetAndDestroy();
+                resetConnection(pending.req.socket, "stopping");
             }
         }
         stateSync.stop();
--- a/packages/edge/src/telemetry/edgeMetrics.ts
+++ b/packages/edge/src/telemetry/edgeMetrics.ts
@@ -1,10 +1,12 @@
 import { type LimiterSnapshot } from "@galenaglade/rate-limit";
 import { type RepeatBudgetState } from "@galenaglade/placement";
 import { type Metrics } from "@galenaglade/telemetry";
+import { readdir } from "node:fs/promises";
 
 /** Workspaces with a label value of their own; all others share one, which bounds the memory. */
 const maxNamedWorkspaces = 200;
 const otherWorkspaces = "other";
+const descriptorFolder = "/proc/self/fd";
 
 /** Counters and histograms of an edge process. */
 export class EdgeMetrics {
@@ -34,6 +36,7 @@
     readonly #disconnects;
     readonly #disconnectEnds;
     readonly #sendsAfterDisconnect;
+    readonly #connectionResets;
 
     constructor({ meter }: Metrics) {
         this.#meter = meter;
@@ -52,6 +55,9 @@
         this.#sendsAfterDisconnect = meter.createCounter("galenaglade.sends_after_disconnect", {
             description: "sends that were written after their caller had left",
         });
+        this.#connectionResets = meter.createCounter("galenaglade.caller_connection_resets", {
+            description: "callers' connections that this host has reset, by reason",
+        });
         this.#waits = meter.createHistogram("http.placement.request.duration", {
             unit: "s",
             description: "time until a backend server was chosen",
@@ -122,6 +128,10 @@
         this.#disconnects.add(1, { stage, cause });
     }
 
+    onCallerConnectionReset(reason: string): void {
+        this.#connectionResets.add(1, { reason });
+    }
+
     /** @param isCancelled - whether the sends were cancelled; those of non-idempotent requests go on */
     onDisconnectSendsEnded(tookMs: number, isCancelled: boolean): void {
         this.#disconnectEnds.record(tookMs / 1_000, { sends: isCancelled ? "cancelled" : "completed" });
@@ -170,6 +180,19 @@
         });
     }
 
+    /** Shows how many descriptors the process holds, nearly all of them sockets, where the operating system tells it. */
+    observeDescriptors(): void {
+        const descriptors = this.#meter.createObservableGauge("galenaglade.open_descriptors", {
+            description: "descriptors that the process holds: sockets of all kinds, and a few files",
+        });
+        descriptors.addCallback(async result => {
+            const open = await readdir(descriptorFolder).catch(() => undefined);
+            if (open !== undefined) {
+                result.observe(open.length);
+            }
+        });
+    }
+
     /** @param describe - returns the state of each service's retry budget on this gateway */
     observeRepeats(describe: () => readonly ({ readonly service: string; } & RepeatBudgetState)[]): void {
         const remaining = this.#meter.createObservableGauge("galenaglade.retry_budget_left", {
--- a/packages/httpParts/src/callerDisconnects.ts
+++ b/packages/httpParts/src/callerDisconnects.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
+import { resetConnection } from "./resetConnection.js";
 
 /**
  * How a caller's connection ended: its caller closed it or its own side of it, it was reset, or this process destroyed
@@ -20,12 +21,24 @@
 const connections = new WeakMap<Socket, WatchedConnection>();
 
 /**
- * Emits `close` of every response that is outstanding on a connection when the connection closes. Node emits it only for
+ * Resets a connection whose caller has closed it, or its side of it, within a response: the HTTP server would end the
+ * connection there, so that a part of a response without a declared length would look like all of it. A response that has
+ * ended goes on to its caller.
+ *
+ * Also emits `close` of every response that is outstanding on a connection when the connection closes. Node emits it only for
  * the response that is being written: those that wait behind it for their turn aren't attached to the connection yet.
  *
  * @param server - a server that isn't listening yet
  */
 export function enableDisconnects(server: Server): void {
+    server.on("connection", (socket: Socket) => {
+        // Before the HTTP server's own listener, which ends the connection.
+        socket.prependListener("end", () => {
+            if (isWithinResponse(socket)) {
+                resetConnection(socket, "callerLeft");
+            }
+        });
+    });
     server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => {
         const { responses } = watch(req.socket);
         responses.add(res);
@@ -57,6 +70,17 @@
     return watch(socket).cause !== undefined;
 }
 
+/** @returns the responses that are outstanding on a connection, in the order of their requests */
+export function outstandingResponses(socket: Socket): readonly ServerResponse[] {
+    return [...connections.get(socket)?.responses ?? []];
+}
+
+/** @returns whether a response has begun on a connection, which need not be that of its latest request, and isn't ended */
+function isWithinResponse(socket: Socket): boolean {
+    // Responses that wait for their turn have no socket yet.
+    return outstandingResponses(socket).some(res => res.socket !== null && res.headersSent && !res.writableEnded);
+}
+
 function watch(socket: Socket): WatchedConnection {
     const known = connections.get(socket);
     if (known !== undefined) {
--- a/packages/httpParts/src/createCallerServer.ts
+++ b/packages/httpParts/src/createCallerServer.ts
@@ -1,9 +1,10 @@
 import { createFailure, type ErrorKind, type Failure } from "@galenaglade/errors";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
-import { enableDisconnects } from "./callerDisconnects.js";
+import { enableDisconnects, outstandingResponses } from "./callerDisconnects.js";
 import { enableLingeringClose } from "./lingeringClose.js";
 import { renderRawFailure, writeFailure } from "./failureResponse.js";
+import { resetConnection } from "./resetConnection.js";
 
 /** Limits and timeouts for callers' connections. */
 export interface CallerServerOptions {
@@ -37,7 +38,6 @@
     limits: CallerServerOptions,
     handle: (req: IncomingMessage, res: ServerResponse) => void,
 ): Server {
-    const responses = new WeakMap<Socket, ServerResponse>();
     const server = createServer({
         maxHeaderSize: limits.maximumHeaderBytes,
         requestTimeout: limits.requestTimeoutMs,
@@ -52,7 +52,6 @@
         // Without this, Nagle's algorithm delays a small response until the previous one is acknowledged.
         noDelay: true,
     }, (req, res) => {
-        responses.set(req.socket, res);
         if (req.headers.host === undefined && req.httpVersion !== "1.0") {
             writeFailure(res, createFailure("badRequest", "the Host header is missing"), undefined, true);
             return;
@@ -60,7 +59,7 @@
         handle(req, res);
     });
     server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
-        rejectMalformed(err, socket, responses.get(socket), limits.mayRefuse);
+        rejectMalformed(err, socket, limits.mayRefuse);
     });
     enableLingeringClose(server);
     enableDisconnects(server);
@@ -78,16 +77,17 @@
 function rejectMalformed(
     err: NodeJS.ErrnoException,
     socket: Socket,
-    response: ServerResponse | undefined,
     mayRefuse: (res: ServerResponse) => boolean = () => true,
 ): void {
+    // The malformed request may be one behind others, and the error response would be taken for the first one's.
+    const outstanding = outstandingResponses(socket);
     // A body that is streamed may be at a server already.
-    const mayHaveRun = response !== undefined && !response.writableEnded && !mayRefuse(response);
+    const mayHaveRun = outstanding.some(res => !res.writableEnded && !mayRefuse(res));
     // While a response is being sent, the error response would be written into it and the caller would take it for part
     // of the body. The connection is reset instead: a close would look like the end of a response without a length.
-    const isResponding = response !== undefined && response.headersSent && !response.writableFinished;
+    const isResponding = outstanding.some(res => res.headersSent && !res.writableFinished);
     if (isResponding) {
-        socket.resetAndDestroy();
+        resetConnection(socket, "malformed");
         return;
     }
     if (mayHaveRun || !socket.writable || err.code === "ECONNRESET") {
--- a/packages/httpParts/src/index.ts
+++ b/packages/httpParts/src/index.ts
@@ -17,4 +17,5 @@
 export { whenInputRead } from "./pendingInput.js";
 export { type BodyLimits, readRequestBody, RequestBody } from "./requestBody.js";
 export { resetCallerConnection } from "./resetCallerConnection.js";
+export { resetConnection, type ResetReason, resetReasonOf } from "./resetConnection.js";
 export { waitAtMost, sleep } from "./timers.js";
--- a/packages/httpParts/src/resetCallerConnection.ts
+++ b/packages/httpParts/src/resetCallerConnection.ts
@@ -1,4 +1,5 @@
 import { type ServerResponse } from "node:http";
+import { resetConnection } from "./resetConnection.js";
 
 /**
  * Resets a caller's connection (TCP RST). A normal close would mark the end of a response without a declared length, as
@@ -12,5 +13,5 @@
         res.destroy();
         return;
     }
-    socket.resetAndDestroy();
+    resetConnection(socket, "truncated");
 }
--- a/packages/soak/src/faultProxy.ts
+++ b/packages/soak/src/faultProxy.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@galenaglade/http-parts";
 import { connectConfirmed } from "@galenaglade/stand-ins";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { type LinkFault } from "./faults.js";
@@ -89,7 +90,7 @@
         if (this.#isAffected(sourceAddress, "reset")) {
             // The peer may reset it at the same time.
             downstream.on("error", () => downstream.destroy());
-            downstream.resetAndDestroy();
+            resetConnection(downstream, "fault");
             return;
         }
         const upstream = connectConfirmed(this.#targetPort);
@@ -152,11 +153,6 @@
 
 function reset({ downstream, upstream }: Link): void {
     for (const socket of [downstream, upstream]) {
-        // `resetAndDestroy` on a socket that is already shutting down would leave it open forever.
-        if (socket.writableEnded) {
-            socket.destroy();
-            continue;
-        }
-        socket.resetAndDestroy();
+        resetConnection(socket, "fault");
     }
 }
--- a/packages/soak/src/garbledResponses.ts
+++ b/packages/soak/src/garbledResponses.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@galenaglade/http-parts";
 import { type ServerResponse } from "node:http";
 
 /** How a response says where its body ends. */
@@ -166,8 +167,8 @@
 
 function breakOff({ socket }: ServerResponse, text: string, way: "closed" | "reset", pauseMs: number): void {
     const end = (): void => {
-        if (way === "reset") {
-            socket?.resetAndDestroy();
+        if (way === "reset" && socket !== null) {
+            resetConnection(socket, "fault");
             return;
         }
         socket?.end();
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -1,4 +1,5 @@
 import { type HistoryRecorder, KeptCaller, type KeptRequest } from "@galenaglade/stand-ins";
+import { resetConnection } from "@galenaglade/http-parts";
 import { type RandomSource } from "@galenaglade/routing";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent } from "undici";
@@ -289,7 +290,7 @@
             socket.destroy();
             break;
         case "reset":
-            socket.resetAndDestroy();
+            resetConnection(socket, "fault");
             break;
         case "closedForWriting":
             socket.end();
--- a/packages/standIns/src/raw/rawBackend.ts
+++ b/packages/standIns/src/raw/rawBackend.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@galenaglade/http-parts";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { type TestContext } from "node:test";
 
@@ -54,7 +55,7 @@
         new Promise(resolve => {
             server.close(() => resolve());
             for (const socket of sockets) {
-                socket.resetAndDestroy();
+                resetConnection(socket, "fault");
             }
         });
     t.after(() => {
