--- a/scripts/knownRed.ts
+++ b/scripts/knownRed.ts
@@ -10,7 +10,7 @@
 
 const results = readFileSync(process.argv[2] ?? "", "utf8");
 const known = parseKnownRed(existsSync(listPath) ? readFileSync(listPath, "utf8") : "");
-const verdict = classifyFailures(parseFailedTests(results), known);
+const verdict = classifyFailures(parseFailedTests(results, process.cwd()), known);
 for (const { test, entry } of verdict.knownRed) {
     console.log(`known red: ${test}\n${entry}`);
 }
