--- a/scripts/knownRed/classifyFailures.ts
+++ b/scripts/knownRed/classifyFailures.ts
@@ -35,7 +35,7 @@
 
 /** @returns the line that a test file's process writes once its tests have ended */
 export function renderTestsEnded(file: string): string {
-    return `tests ended: ${file}`;
+    return `all tests ended: ${file}`;
 }
 
 /**
